Lay out the workspace with its typed interfaces

Cause: parts that are written side by side need packages, names and types that they agree on first. Conclusion: the parts can be built in parallel.

--- /dev/null
+++ b/packages/mustardquay-cli/src/mustardquay_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The mustardquay command for operators."""
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/__init__.py
@@ -0,0 +1,1 @@
+"""The mustardquayd process: the I/O around the decisions."""
--- /dev/null
+++ b/packages/mustardquay-standins/src/mustardquay_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of platform, engines and callers; for development only."""
--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/tables.py
@@ -0,0 +1,105 @@
+"""Tables: the interface to the platform's transactional table service.
+
+A row has a table, a key, a JSON value and a revision, which each write raises by
+one. A transaction applies all its writes if all its conditions hold, or none.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+__all__ = [
+    "Committed",
+    "Condition",
+    "Conflict",
+    "ObjectStore",
+    "Row",
+    "TableService",
+    "Transaction",
+    "Write",
+]
+
+Value = Mapping[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """A row as it was read; `revision` is 1 after its first write."""
+
+    table: str
+    key: str
+    value: Value
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Condition:
+    """Holds when the row has this revision; 0 means that the row is absent."""
+
+    table: str
+    key: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """Sets the row's value; None deletes the row."""
+
+    table: str
+    key: str
+    value: Value | None
+
+
+@dataclass(frozen=True, slots=True)
+class Transaction:
+    """Writes that are applied together, and only if every condition holds."""
+
+    conditions: tuple[Condition, ...] = ()
+    writes: tuple[Write, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """The transaction was applied; the revisions are those of its writes."""
+
+    revisions: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """Nothing was applied; `rows` are the present rows of failed conditions."""
+
+    rows: tuple[Row | None, ...]
+
+    def __bool__(self) -> bool:
+        """Be false, so that `if not result` reads as "was not applied"."""
+        return False
+
+
+class TableService(Protocol):
+    """The transactional table service.
+
+    Each call raises `StoreUnavailable` when it surely had no effect, and
+    `transact` raises `StoreUnclear` when its answer was lost.
+    """
+
+    async def transact(self, transaction: Transaction) -> Committed | Conflict:
+        """Apply all the writes if all the conditions hold."""
+
+    async def read(self, table: str, key: str) -> Row | None:
+        """Return the row, or None when there is none."""
+
+    async def scan(
+        self, table: str, after: str = "", limit: int = 1000
+    ) -> tuple[Row, ...]:
+        """Return rows whose key sorts behind `after`, in the order of keys."""
+
+
+class ObjectStore(Protocol):
+    """The object store: whole values by name, each written once."""
+
+    async def put(self, name: str, data: bytes) -> None:
+        """Store `data`; raises `StoreUnavailable` or `StoreUnclear`."""
+
+    async def get(self, name: str) -> bytes | None:
+        """Return the object, or None; raises `StoreUnavailable`."""
