--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/frames.py
@@ -0,0 +1,373 @@
+"""Frames: messages to bytes and back, with Cap'n Proto as the codec.
+
+Durations travel in microseconds.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import capnp
+
+from mustardquay.errors import ProtocolError, Reason
+from mustardquay.events import Stamp
+from mustardquay.messages import (
+    Attempt,
+    Cancel,
+    Chunk,
+    ConfigurationEntries,
+    ConfigurationWanted,
+    Credit,
+    Done,
+    Failed,
+    FailureKind,
+    Head,
+    Header,
+    Heartbeat,
+    Message,
+    Reattach,
+    Refused,
+    Started,
+)
+from mustardquay.works import Role
+
+__all__ = ["Batch", "Hello", "decode_batch", "encode_batch"]
+
+capnp.remove_import_hook()
+WIRE = capnp.load(str(Path(__file__).with_name("wire.capnp")))
+
+MICROSECOND = timedelta(microseconds=1)
+LONGEST = timedelta(days=1)
+TRAVERSAL_LIMIT = 64 * 1024 * 1024
+"""Words that one decoded message may have read, against decompression bombs."""
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """Either way on a new link: who I am, and the proof that I belong."""
+
+    process: str
+    incarnation: int
+    availability_zone: str
+    nonce: bytes
+    proof: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """The messages of one frame on a link."""
+
+    sequence: int
+    stamp: Stamp
+    messages: tuple[Message | Hello, ...]
+
+
+def encode_batch(batch: Batch) -> bytes:
+    """Return the batch as bytes, without the length before it."""
+    built = WIRE.Batch.new_message()
+    built.sequence = batch.sequence
+    built.physical = batch.stamp.physical
+    built.logical = batch.stamp.logical
+    frames = built.init("frames", len(batch.messages))
+    for position, message in enumerate(batch.messages):
+        ENCODERS[type(message)](frames[position], message)
+    return built.to_bytes()
+
+
+def decode_batch(data: bytes) -> Batch:
+    """Return the batch in `data`; raises `ProtocolError` on anything else."""
+    try:
+        with WIRE.Batch.from_bytes(
+            data, traversal_limit_in_words=TRAVERSAL_LIMIT
+        ) as read:
+            stamp = Stamp(read.physical, read.logical)
+            messages = tuple(_decode_frame(frame) for frame in read.frames)
+            return Batch(read.sequence, stamp, messages)
+    except (capnp.KjException, ValueError, KeyError) as error:
+        raise ProtocolError(
+            f"A frame can't be decoded; run the same release on both ends: {error}"
+        ) from None
+
+
+def _decode_frame(frame: Any) -> Message | Hello:
+    kind = str(frame.which())
+    return DECODERS[kind](getattr(frame, kind))
+
+
+def _to_microseconds(duration: timedelta) -> int:
+    return max(min(duration, LONGEST) // MICROSECOND, 0)
+
+
+def _write_headers(target: Any, headers: Sequence[Header]) -> None:
+    built = target.init("headers", len(headers))
+    for position, (name, value) in enumerate(headers):
+        built[position].name = name
+        built[position].value = value
+
+
+def _read_headers(headers: Any) -> tuple[Header, ...]:
+    return tuple((header.name, header.value) for header in headers)
+
+
+def _write_hello(frame: Any, hello: Hello) -> None:
+    built = frame.init("hello")
+    built.process = hello.process
+    built.incarnation = hello.incarnation
+    built.availabilityZone = hello.availability_zone
+    built.nonce = hello.nonce
+    built.proof = hello.proof
+
+
+def _read_hello(read: Any) -> Hello:
+    return Hello(
+        read.process,
+        read.incarnation,
+        read.availabilityZone,
+        bytes(read.nonce),
+        bytes(read.proof),
+    )
+
+
+def _write_attempt(frame: Any, attempt: Attempt) -> None:
+    built = frame.init("attempt")
+    built.stream = attempt.stream
+    built.request = attempt.request
+    built.number = attempt.number
+    built.incarnation = attempt.incarnation
+    built.customer = attempt.customer
+    built.model = attempt.model
+    built.adapter = attempt.adapter
+    built.method = attempt.method
+    built.path = attempt.path
+    _write_headers(built, attempt.headers)
+    built.body = attempt.body
+    built.promptTokens = attempt.prompt_tokens
+    built.outputTokens = attempt.output_tokens
+    built.share = attempt.share
+    built.priority = attempt.priority
+    built.startWithin = _to_microseconds(attempt.start_within)
+    built.finishWithin = _to_microseconds(attempt.finish_within)
+    if attempt.prefix:
+        built.prefix = list(attempt.prefix)
+    built.fingerprint = attempt.fingerprint
+    built.repeatable = attempt.repeatable
+    built.streamed = attempt.streamed
+    built.version = attempt.version
+
+
+def _read_attempt(read: Any) -> Attempt:
+    return Attempt(
+        stream=read.stream,
+        request=read.request,
+        number=read.number,
+        incarnation=read.incarnation,
+        customer=read.customer,
+        model=read.model,
+        adapter=read.adapter,
+        method=read.method,
+        path=read.path,
+        headers=_read_headers(read.headers),
+        body=bytes(read.body),
+        prompt_tokens=read.promptTokens,
+        output_tokens=read.outputTokens,
+        share=read.share,
+        priority=read.priority,
+        start_within=timedelta(microseconds=read.startWithin),
+        finish_within=timedelta(microseconds=read.finishWithin),
+        prefix=tuple(read.prefix),
+        fingerprint=read.fingerprint,
+        repeatable=read.repeatable,
+        streamed=read.streamed,
+        version=read.version,
+    )
+
+
+def _write_reattach(frame: Any, reattach: Reattach) -> None:
+    built = frame.init("reattach")
+    built.stream = reattach.stream
+    built.request = reattach.request
+    built.number = reattach.number
+    built.incarnation = reattach.incarnation
+    built.have = reattach.have
+
+
+def _read_reattach(read: Any) -> Reattach:
+    return Reattach(
+        read.stream, read.request, read.number, read.incarnation, read.have
+    )
+
+
+def _write_cancel(frame: Any, cancel: Cancel) -> None:
+    frame.cancel = cancel.stream
+
+
+def _write_credit(frame: Any, credit: Credit) -> None:
+    built = frame.init("credit")
+    built.stream = credit.stream
+    built.size = credit.size
+
+
+def _read_credit(read: Any) -> Credit:
+    return Credit(read.stream, read.size)
+
+
+def _write_mark(name: str) -> Callable[[Any, Started | Done], None]:
+    def write(frame: Any, message: Started | Done) -> None:
+        built = frame.init(name)
+        built.stream = message.stream
+        built.index = message.index
+
+    return write
+
+
+def _read_started(read: Any) -> Started:
+    return Started(read.stream, read.index)
+
+
+def _read_done(read: Any) -> Done:
+    return Done(read.stream, read.index)
+
+
+def _write_head(frame: Any, head: Head) -> None:
+    built = frame.init("head")
+    built.stream = head.stream
+    built.index = head.index
+    built.status = head.status
+    _write_headers(built, head.headers)
+
+
+def _read_head(read: Any) -> Head:
+    return Head(read.stream, read.index, read.status, _read_headers(read.headers))
+
+
+def _write_chunk(frame: Any, chunk: Chunk) -> None:
+    built = frame.init("chunk")
+    built.stream = chunk.stream
+    built.index = chunk.index
+    built.tokens = chunk.tokens
+    built.data = chunk.data
+
+
+def _read_chunk(read: Any) -> Chunk:
+    return Chunk(read.stream, read.index, read.tokens, bytes(read.data))
+
+
+def _write_refused(frame: Any, refused: Refused) -> None:
+    built = frame.init("refused")
+    built.stream = refused.stream
+    built.index = refused.index
+    built.reason = refused.reason.value
+    built.message = refused.message
+    if refused.retry_after is not None:
+        built.retryAfter = _to_microseconds(refused.retry_after)
+
+
+def _read_refused(read: Any) -> Refused:
+    wait = read.retryAfter
+    return Refused(
+        read.stream,
+        read.index,
+        Reason(read.reason),
+        read.message,
+        timedelta(microseconds=wait) if wait >= 0 else None,
+    )
+
+
+def _write_failed(frame: Any, failed: Failed) -> None:
+    built = frame.init("failed")
+    built.stream = failed.stream
+    built.index = failed.index
+    built.kind = failed.kind.value
+    built.message = failed.message
+
+
+def _read_failed(read: Any) -> Failed:
+    return Failed(read.stream, read.index, FailureKind(read.kind), read.message)
+
+
+def _write_heartbeat(frame: Any, heartbeat: Heartbeat) -> None:
+    built = frame.init("heartbeat")
+    built.version = heartbeat.version
+    built.confirmed = heartbeat.confirmed
+    built.draining = heartbeat.draining
+    built.ready = heartbeat.ready
+    built.role = heartbeat.role.value
+    built.models = list(heartbeat.models)
+    built.adapters = list(heartbeat.adapters)
+    built.queuedTokens = heartbeat.queued_tokens
+    built.waiting = heartbeat.waiting
+    built.running = heartbeat.running
+    built.prefillRate = heartbeat.prefill_rate
+    built.decodeRate = heartbeat.decode_rate
+    built.suspects = list(heartbeat.suspects)
+    built.quarantined = list(heartbeat.quarantined)
+    built.cleared = list(heartbeat.cleared)
+
+
+def _read_heartbeat(read: Any) -> Heartbeat:
+    return Heartbeat(
+        version=read.version,
+        confirmed=read.confirmed,
+        draining=read.draining,
+        ready=read.ready,
+        role=Role(read.role),
+        models=tuple(read.models),
+        adapters=tuple(read.adapters),
+        queued_tokens=read.queuedTokens,
+        waiting=read.waiting,
+        running=read.running,
+        prefill_rate=read.prefillRate,
+        decode_rate=read.decodeRate,
+        suspects=tuple(read.suspects),
+        quarantined=tuple(read.quarantined),
+        cleared=tuple(read.cleared),
+    )
+
+
+def _write_entries(frame: Any, message: ConfigurationEntries) -> None:
+    frame.configurationEntries = list(message.entries)
+
+
+def _read_entries(read: Any) -> ConfigurationEntries:
+    return ConfigurationEntries(tuple(bytes(entry) for entry in read))
+
+
+def _write_wanted(frame: Any, message: ConfigurationWanted) -> None:
+    frame.configurationWanted = message.after
+
+
+ENCODERS: dict[type, Callable[[Any, Any], None]] = {
+    Hello: _write_hello,
+    Attempt: _write_attempt,
+    Reattach: _write_reattach,
+    Cancel: _write_cancel,
+    Credit: _write_credit,
+    Started: _write_mark("started"),
+    Head: _write_head,
+    Chunk: _write_chunk,
+    Done: _write_mark("done"),
+    Refused: _write_refused,
+    Failed: _write_failed,
+    Heartbeat: _write_heartbeat,
+    ConfigurationEntries: _write_entries,
+    ConfigurationWanted: _write_wanted,
+}
+
+DECODERS: dict[str, Callable[[Any], Message | Hello]] = {
+    "hello": _read_hello,
+    "attempt": _read_attempt,
+    "reattach": _read_reattach,
+    "cancel": Cancel,
+    "credit": _read_credit,
+    "started": _read_started,
+    "head": _read_head,
+    "chunk": _read_chunk,
+    "done": _read_done,
+    "refused": _read_refused,
+    "failed": _read_failed,
+    "heartbeat": _read_heartbeat,
+    "configurationEntries": _read_entries,
+    "configurationWanted": ConfigurationWanted,
+}
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/wire.capnp
@@ -0,0 +1,134 @@
+@0xd1a3a7c0f2b94e61;
+# Messages between entries and agents; mustardquay.messages says what they mean.
+# A frame on a link is one Batch behind its length as four bytes, big-endian.
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Hello {
+  process @0 :Text;
+  incarnation @1 :UInt64;
+  availabilityZone @2 :Text;
+  nonce @3 :Data;
+  proof @4 :Data;
+}
+
+struct Attempt {
+  stream @0 :UInt64;
+  request @1 :Text;
+  number @2 :UInt32;
+  incarnation @3 :UInt64;
+  customer @4 :Text;
+  model @5 :Text;
+  adapter @6 :Text;
+  method @7 :Text;
+  path @8 :Text;
+  headers @9 :List(Header);
+  body @10 :Data;
+  promptTokens @11 :UInt32;
+  outputTokens @12 :UInt32;
+  share @13 :Float64;
+  priority @14 :UInt8;
+  startWithin @15 :UInt64;
+  finishWithin @16 :UInt64;
+  prefix @17 :List(UInt64);
+  fingerprint @18 :UInt64;
+  repeatable @19 :Bool;
+  streamed @20 :Bool;
+  version @21 :UInt64;
+}
+
+struct Reattach {
+  stream @0 :UInt64;
+  request @1 :Text;
+  number @2 :UInt32;
+  incarnation @3 :UInt64;
+  have @4 :UInt32;
+}
+
+struct Credit {
+  stream @0 :UInt64;
+  size @1 :UInt64;
+}
+
+struct Started {
+  stream @0 :UInt64;
+  index @1 :UInt32;
+}
+
+struct Head {
+  stream @0 :UInt64;
+  index @1 :UInt32;
+  status @2 :UInt16;
+  headers @3 :List(Header);
+}
+
+struct Chunk {
+  stream @0 :UInt64;
+  index @1 :UInt32;
+  tokens @2 :UInt32;
+  data @3 :Data;
+}
+
+struct Refused {
+  stream @0 :UInt64;
+  index @1 :UInt32;
+  reason @2 :Text;
+  message @3 :Text;
+  retryAfter @4 :Int64 = -1;
+}
+
+struct Failed {
+  stream @0 :UInt64;
+  index @1 :UInt32;
+  kind @2 :Text;
+  message @3 :Text;
+}
+
+struct Heartbeat {
+  version @0 :UInt64;
+  confirmed @1 :Bool;
+  draining @2 :Bool;
+  ready @3 :Bool;
+  role @4 :Text;
+  models @5 :List(Text);
+  adapters @6 :List(Text);
+  queuedTokens @7 :UInt64;
+  waiting @8 :UInt32;
+  running @9 :UInt32;
+  prefillRate @10 :Float64;
+  decodeRate @11 :Float64;
+  suspects @12 :List(UInt64);
+  quarantined @13 :List(UInt64);
+  cleared @14 :List(UInt64);
+}
+
+struct Frame {
+  union {
+    hello @0 :Hello;
+    attempt @1 :Attempt;
+    reattach @2 :Reattach;
+    cancel @3 :UInt64;
+    credit @4 :Credit;
+    started @5 :Started;
+    head @6 :Head;
+    chunk @7 :Chunk;
+    done @8 :Started;
+    refused @9 :Refused;
+    failed @10 :Failed;
+    heartbeat @11 :Heartbeat;
+    configurationEntries @12 :List(Data);
+    configurationWanted @13 :UInt64;
+  }
+}
+
+struct Batch {
+  # Counted from 0 on each link; a jump means that frames were lost or forged.
+  sequence @0 :UInt64;
+  # The sender's hybrid logical clock.
+  physical @1 :UInt64;
+  logical @2 :UInt32;
+  frames @3 :List(Frame);
+}
