Add the configuration, its edits and their log

Edits name the revision of each item that they amend and carry a change id; the log is kept by transactions that apply once however often they are sent.

--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/logs.py
@@ -0,0 +1,191 @@
+"""Logs: the configuration log as rows of tables and as snapshots.
+
+The rows are in one table. `head` holds the newest version, `entry/N` the entry of
+version N, `change/ID` the version under which a change id was accepted, and
+`snapshot` the version of the newest snapshot in the object store.
+"""
+
+from dataclasses import dataclass
+from functools import cache
+from typing import Any
+
+from pydantic import TypeAdapter, ValidationError
+
+from .contracts import Contract
+from .errors import ProtocolError
+from .plans import PlannedChange, Release
+from .revisions import Configuration, Edit, Entry
+from .tables import Committed, Condition, Conflict, Row, Transaction, Write
+
+__all__ = [
+    "CHANGE_PREFIX",
+    "ENTRY_PREFIX",
+    "HEAD",
+    "SNAPSHOT",
+    "TABLE",
+    "Accepted",
+    "Overtaken",
+    "build_transaction",
+    "decode_edit",
+    "decode_entry",
+    "decode_snapshot",
+    "encode_edit",
+    "encode_entry",
+    "encode_snapshot",
+    "interpret_result",
+    "name_entry",
+    "name_snapshot",
+    "read_version",
+]
+
+TABLE = "configurations"
+HEAD = "head"
+SNAPSHOT = "snapshot"
+ENTRY_PREFIX = "entry/"
+CHANGE_PREFIX = "change/"
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The edit is in the log at this version."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Overtaken:
+    """Another edit came first; check this one against the new head."""
+
+    version: int
+    """Version of the new head."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Snapshot:
+    version: int
+    contracts: tuple[Contract, ...]
+    changes: tuple[PlannedChange, ...]
+    releases: tuple[Release, ...]
+
+
+def name_entry(version: int) -> str:
+    """Return the key of an entry; keys sort in the order of versions."""
+    return f"{ENTRY_PREFIX}{version:012d}"
+
+
+def name_snapshot(version: int) -> str:
+    """Return the name of a snapshot in the object store."""
+    return f"configurations/{version:012d}"
+
+
+def read_version(row: Row | None) -> int:
+    """Return the version that a `head` or `snapshot` row holds; 0 if absent."""
+    return 0 if row is None else int(row.value["version"])
+
+
+def build_transaction(head: Row | None, entry: Entry) -> Transaction:
+    """Move the head on to the entry, unless it moved or the change id is known.
+
+    Sending the same transaction again is safe: the condition on `change/ID` lets
+    it apply once. A lost answer is therefore resolved by sending it again, which
+    also settles a first copy that is still under way: once the head has moved,
+    that copy can never apply.
+    """
+    change = CHANGE_PREFIX + entry.edit.change_id
+    version = {"version": entry.version}
+    return Transaction(
+        conditions=(
+            Condition(TABLE, HEAD, 0 if head is None else head.revision),
+            Condition(TABLE, change, 0),
+        ),
+        writes=(
+            Write(TABLE, HEAD, version),
+            Write(TABLE, name_entry(entry.version), encode_entry(entry)),
+            Write(TABLE, change, version),
+        ),
+    )
+
+
+def interpret_result(
+    entry: Entry, result: Committed | Conflict
+) -> Accepted | Overtaken:
+    """Return what a transaction's result says of the edit.
+
+    A conflict shows the present row of each failed condition. When only the head
+    is among them, the change id is absent from the log and this transaction, with
+    every copy of it, can never apply.
+    """
+    if isinstance(result, Committed):
+        return Accepted(entry.version)
+    rows = [row for row in result.rows if row is not None]
+    for row in rows:
+        if row.key == CHANGE_PREFIX + entry.edit.change_id:
+            return Accepted(read_version(row))
+    heads = [row for row in rows if row.key == HEAD]
+    return Overtaken(read_version(heads[0] if heads else None))
+
+
+def encode_entry(entry: Entry) -> dict[str, Any]:
+    """Return the entry as a JSON value."""
+    return _adapter(Entry).dump_python(entry, mode="json")
+
+
+def decode_entry(value: Any) -> Entry:
+    """Return the entry; raises `ProtocolError` if the value is none."""
+    try:
+        return _adapter(Entry).validate_python(value)
+    except ValidationError as error:
+        raise ProtocolError(
+            f"A log entry is not valid, mend its row: {error}"
+        ) from None
+
+
+def encode_edit(edit: Edit) -> dict[str, Any]:
+    """Return the edit as a JSON value."""
+    return _adapter(Edit).dump_python(edit, mode="json")
+
+
+def decode_edit(value: Any) -> Edit:
+    """Return the edit; raises `ProtocolError` if the value is none."""
+    try:
+        return _adapter(Edit).validate_python(value)
+    except ValidationError as error:
+        raise ProtocolError(f"The edit is not valid, mend it: {error}") from None
+
+
+def encode_snapshot(configuration: Configuration) -> bytes:
+    """Return the whole configuration as JSON."""
+    snapshot = _Snapshot(
+        configuration.version,
+        tuple(configuration.contracts.values()),
+        tuple(configuration.changes.values()),
+        tuple(configuration.releases.values()),
+    )
+    return _adapter(_Snapshot).dump_json(snapshot)
+
+
+def decode_snapshot(data: bytes) -> Configuration:
+    """Return the configuration; raises `ProtocolError` if the data is none."""
+    try:
+        snapshot = _adapter(_Snapshot).validate_json(data)
+    except ValidationError as error:
+        raise ProtocolError(
+            f"A snapshot is not valid, write a new one: {error}"
+        ) from None
+    owners = {
+        key_hash: contract.customer
+        for contract in snapshot.contracts
+        for key_hash in contract.key_hashes
+    }
+    return Configuration(
+        snapshot.version,
+        {contract.customer: contract for contract in snapshot.contracts},
+        {change.name: change for change in snapshot.changes},
+        {release.model: release for release in snapshot.releases},
+        owners,
+    )
+
+
+@cache
+def _adapter(kind: type) -> TypeAdapter:
+    return TypeAdapter(kind)
