--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/claims.py
@@ -0,0 +1,301 @@
+"""Claims: at most one run of work that may not be repeated.
+
+Before such work is sent, a row is written under the caller's idempotency key. The
+row says who runs it and, later, what the answer was; a repeat is judged by it. Rows
+go from claimed to answered, unknown or not-run; an unknown row may still become
+answered or not-run, and only a row that is not-run or has expired may be claimed
+again. Rows are kept, not deleted, until they expire: their revisions only rise, so
+that a write which was delayed on its way meets a condition that no longer holds.
+"""
+
+from base64 import b64decode, b64encode
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, replace
+from datetime import datetime, timedelta
+from enum import StrEnum
+from urllib.parse import quote
+
+from .errors import DocumentError, Refusal
+from .tables import Condition, Row, Transaction, Value, Write
+
+__all__ = [
+    "CLAIMS",
+    "KEY_LIMIT",
+    "Claim",
+    "ClaimKey",
+    "ClaimState",
+    "ClaimWrite",
+    "Judgement",
+    "RecordedAnswer",
+    "Verdict",
+    "decode_claim",
+    "encode_claim",
+    "group_writes",
+    "judge_claim",
+    "plan_expiry",
+    "settle_write",
+    "split_conflict",
+]
+
+CLAIMS = "claims"
+KEY_LIMIT = 255
+"""Characters in an idempotency key."""
+CLOCK_SKEW = timedelta(minutes=1)
+"""How far the wall clocks of two entries may differ."""
+
+
+class ClaimState(StrEnum):
+    """What is known of the work behind a claim."""
+
+    CLAIMED = "claimed"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+    NOT_RUN = "not-run"
+
+    @property
+    def final(self) -> bool:
+        """Return whether this claim's state can't change any more."""
+        return self in (ClaimState.ANSWERED, ClaimState.NOT_RUN)
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimKey:
+    """What names a piece of work: the caller's key, per customer and service."""
+
+    customer: str
+    service: str
+    key: str
+
+    def __post_init__(self):
+        if not 0 < len(self.key) <= KEY_LIMIT:
+            raise DocumentError(
+                f"An idempotency key has 1 to {KEY_LIMIT} characters; send another."
+            )
+
+    @property
+    def row_key(self) -> str:
+        """Return the key in the table; the parts can't run into each other."""
+        parts = (self.customer, self.service, self.key)
+        return "/".join(quote(part, safe="") for part in parts)
+
+
+@dataclass(frozen=True, slots=True)
+class RecordedAnswer:
+    """A whole answer; `object_name` is set when the body is in the object store."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    object_name: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """One claim on a key; `id` differs for every claim that was ever tried."""
+
+    key: ClaimKey
+    id: str
+    digest: str
+    """Digest of the method, path and body, to tell other work under this key."""
+    entry: str
+    attempt: str
+    """Request and attempt that hold the claim."""
+    finish_by: datetime
+    """Wall-clock time after which the work is no longer awaited by its holder."""
+    expires: datetime
+    state: ClaimState = ClaimState.CLAIMED
+    answer: RecordedAnswer | None = None
+    revision: int = 0
+    """Revision of the row in which this claim stands; 0 before it is written."""
+
+
+class Verdict(StrEnum):
+    """What a request with an idempotency key may do."""
+
+    RUN = "run"
+    """The claim is granted: run the work."""
+    REPLAY = "replay"
+    """Give the recorded answer."""
+    JOIN = "join"
+    """Another attempt holds the claim; follow its row."""
+    UNKNOWN = "unknown"
+    """The work may have run and nobody knows its answer."""
+    MISMATCH = "mismatch"
+    """The key was used for other work: 422."""
+    REFUSED = "refused"
+    """A true not-run: the claim could not be written in time."""
+
+
+@dataclass(frozen=True, slots=True)
+class Judgement:
+    """A verdict with the claim, answer or refusal that belongs to it."""
+
+    verdict: Verdict
+    claim: Claim | None = None
+    answer: RecordedAnswer | None = None
+    refusal: Refusal | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimWrite:
+    """A claim in the state that its row shall get, on top of `claim.revision`."""
+
+    claim: Claim
+
+    @property
+    def condition(self) -> Condition:
+        """Return the condition under which the write is right."""
+        return Condition(CLAIMS, self.claim.key.row_key, self.claim.revision)
+
+    @property
+    def write(self) -> Write:
+        """Return the write of the row."""
+        return Write(CLAIMS, self.claim.key.row_key, encode_claim(self.claim))
+
+
+def judge_claim(wanted: Claim, row: Row | None, now: datetime) -> Judgement | Claim:
+    """Return what a request hears of the row, or its claim to write upon it.
+
+    `now` is the wall-clock time. A row that has expired is taken over only
+    `CLOCK_SKEW` later, since the entry that wrote it may be ahead or behind.
+    """
+    if row is None:
+        return replace(wanted, revision=0)
+    held = decode_claim(wanted.key, row)
+    if held.id == wanted.id:
+        # The answer to our own write was lost: the row shows that it was applied.
+        return _judge_own(held)
+    if now >= held.expires + CLOCK_SKEW:
+        return replace(wanted, revision=row.revision)
+    if held.digest != wanted.digest:
+        return Judgement(Verdict.MISMATCH, held)
+    return _judge_other(wanted, held, now)
+
+
+def _judge_own(held: Claim) -> Judgement:
+    if held.state is ClaimState.CLAIMED:
+        return Judgement(Verdict.RUN, held)
+    return Judgement(Verdict.UNKNOWN, held)
+
+
+def _judge_other(wanted: Claim, held: Claim, now: datetime) -> Judgement | Claim:
+    if held.state is ClaimState.NOT_RUN:
+        return replace(wanted, revision=held.revision)
+    if held.state is ClaimState.ANSWERED:
+        return Judgement(Verdict.REPLAY, held, held.answer)
+    if held.state is ClaimState.UNKNOWN or now >= held.finish_by + CLOCK_SKEW:
+        # Its holder died: whoever still waits gets the final word at once.
+        return Judgement(Verdict.UNKNOWN, held)
+    return Judgement(Verdict.JOIN, held)
+
+
+def settle_write(wanted: Claim, row: Row | None) -> Claim | None:
+    """Return the amended claim to write upon the row, or None when settled.
+
+    For writes that end a claim: an answer, an unknown or a not-run. A claim that
+    was given up before its own write was known to be applied has revision 0; its
+    not-run is then inserted, so that the delayed write finds a row and fails.
+    """
+    if row is None:
+        return wanted if wanted.revision == 0 else None
+    held = decode_claim(wanted.key, row)
+    if held.id != wanted.id or held.state.final or held.state is wanted.state:
+        return None
+    return replace(wanted, revision=row.revision)
+
+
+def group_writes(writes: Iterable[ClaimWrite]) -> Transaction:
+    """Return one transaction for writes of different keys."""
+    writes = tuple(writes)
+    return Transaction(
+        tuple(item.condition for item in writes), tuple(item.write for item in writes)
+    )
+
+
+def split_conflict(
+    writes: Sequence[ClaimWrite], rows: Sequence[Row | None]
+) -> tuple[list[tuple[ClaimWrite, Row]], list[ClaimWrite], list[ClaimWrite]]:
+    """Split writes of a conflict: met by a row, doubtful, and to be tried again.
+
+    A conflict names only the rows of failed conditions, and an absent row has no
+    name. Where one was absent, each write that expected a row is doubtful until it
+    is tried alone; a lone write has no doubt, so it is not split.
+    """
+    present = {row.key: row for row in rows if row is not None}
+    absent = any(row is None for row in rows)
+    met, doubtful, others = [], [], []
+    for item in writes:
+        row = present.get(item.claim.key.row_key)
+        if row is not None:
+            met.append((item, row))
+        elif absent and item.claim.revision > 0:
+            doubtful.append(item)
+        else:
+            others.append(item)
+    return met, doubtful, others
+
+
+def plan_expiry(rows: Iterable[Row], now: datetime, limit: int = 100) -> Transaction:
+    """Return the deletion of rows that expired, on the condition they stay so.
+
+    Twice `CLOCK_SKEW` after the expiry, so that no entry still replays them.
+    """
+    expired = [row for row in rows if now >= _read_expiry(row) + 2 * CLOCK_SKEW]
+    chosen = expired[:limit]
+    return Transaction(
+        tuple(Condition(CLAIMS, row.key, row.revision) for row in chosen),
+        tuple(Write(CLAIMS, row.key, None) for row in chosen),
+    )
+
+
+def encode_claim(claim: Claim) -> Value:
+    """Return the claim as the JSON value of its row."""
+    value = {
+        "id": claim.id,
+        "digest": claim.digest,
+        "entry": claim.entry,
+        "attempt": claim.attempt,
+        "finish_by": claim.finish_by.isoformat(),
+        "expires": claim.expires.isoformat(),
+        "state": str(claim.state),
+    }
+    if claim.answer is not None:
+        value["answer"] = {
+            "status": claim.answer.status,
+            "headers": [list(header) for header in claim.answer.headers],
+            "body": b64encode(claim.answer.body).decode("ascii"),
+            "object": claim.answer.object_name,
+        }
+    return value
+
+
+def decode_claim(key: ClaimKey, row: Row) -> Claim:
+    """Return the claim that stands in a row."""
+    value = row.value
+    return Claim(
+        key=key,
+        id=value["id"],
+        digest=value["digest"],
+        entry=value["entry"],
+        attempt=value["attempt"],
+        finish_by=datetime.fromisoformat(value["finish_by"]),
+        expires=datetime.fromisoformat(value["expires"]),
+        state=ClaimState(value["state"]),
+        answer=_decode_answer(value.get("answer")),
+        revision=row.revision,
+    )
+
+
+def _decode_answer(value: Value | None) -> RecordedAnswer | None:
+    if value is None:
+        return None
+    return RecordedAnswer(
+        status=value["status"],
+        headers=tuple((name, text) for name, text in value["headers"]),
+        body=b64decode(value["body"]),
+        object_name=value["object"],
+    )
+
+
+def _read_expiry(row: Row) -> datetime:
+    return datetime.fromisoformat(row.value["expires"])
