Read contract documents, and durations written as seconds

Cause: pydantic reads a text such as 0.8 as no duration, so settings with fractions of a second failed. Change: one field type reads seconds for settings and documents alike; contract documents keep only digests of keys.

--- a/packages/mustardquay-node/src/mustardquay_node/settings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/settings.py
@@ -5,7 +5,6 @@
 """
 
 from configparser import ConfigParser, Error as ConfigParserError
-from datetime import timedelta
 from ipaddress import ip_address
 from pathlib import Path
 from typing import Annotated, Any, Literal
@@ -13,13 +12,14 @@
 from pydantic import (
     AfterValidator,
     BaseModel,
-    BeforeValidator,
     ConfigDict,
     Field,
     ValidationError,
 )
 
+from mustardquay import fields
 from mustardquay.errors import SettingsError
+from mustardquay.fields import Duration
 
 __all__ = [
     "DEFAULTS",
@@ -77,21 +77,14 @@
 }
 
 
-def _split_words(value: Any) -> Any:
-    if isinstance(value, str):
-        return tuple(value.replace(",", " ").split())
-    return value
-
-
 def _check_address(value: str) -> str:
     ip_address(value)
     return value
 
 
-Words = Annotated[tuple[str, ...], BeforeValidator(_split_words)]
+Words = Annotated[tuple[str, ...], fields.Words]
 Address = Annotated[str, AfterValidator(_check_address)]
 Port = Annotated[int, Field(ge=0, le=65535)]
-Duration = Annotated[timedelta, Field(gt=timedelta())]
 Count = Annotated[int, Field(ge=1)]
 
 
--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/documents.py
@@ -0,0 +1,193 @@
+"""Documents: contracts and planned changes as operators write them.
+
+A document is an INI file (section `contract` with `lateness`, or `change`) or the
+same fields as JSON. Durations are in seconds, instants are ISO 8601 with a zone.
+"""
+
+from configparser import ConfigParser, Error as ConfigParserError
+from hashlib import sha256
+from typing import Annotated, Any, TypeVar
+
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    StringConstraints,
+    ValidationError,
+)
+
+from .contracts import Contract, Lateness
+from .errors import DocumentError
+from .faults import describe_faults
+from .fields import Duration, Words
+
+__all__ = [
+    "ContractDocument",
+    "LatenessDocument",
+    "check_document",
+    "hash_key",
+    "read_contract",
+]
+
+Model = TypeVar("Model", bound=BaseModel)
+
+
+def hash_key(key: str) -> str:
+    """Return the SHA-256 digest, in hex, under which a bearer key is kept.
+
+    >>> hash_key("secret")[:8]
+    '2bb80d53'
+    """
+    return sha256(key.encode()).hexdigest()
+
+
+Name = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+Digest = Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{64}$")]
+Key = Annotated[str, StringConstraints(pattern=r"^[!-~]{8,512}$")]
+Names = Annotated[tuple[Name, ...], Words]
+Texts = Annotated[tuple[Annotated[str, Field(min_length=1)], ...], Words]
+
+
+class _Document(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True, hide_input_in_errors=True)
+
+
+class LatenessDocument(_Document):
+    """Section `lateness`: how late answers may be, in seconds."""
+
+    first_token: Duration = Lateness().first_token
+    between_tokens: Duration = Lateness().between_tokens
+    whole: Duration = Lateness().whole
+
+
+class ContractDocument(_Document):
+    """Section `contract`: the agreement with one customer."""
+
+    customer: Name
+    keys: Annotated[tuple[Key, ...], Words] = ()
+    """Bearer keys in plain; only their digests are kept."""
+    key_hashes: Annotated[tuple[Digest, ...], Words] = ()
+    share: Annotated[float, Field(gt=0, le=1, allow_inf_nan=False)]
+    priority: Annotated[int, Field(ge=0, le=9)] = 0
+    models: Texts = ()
+    adapters: Texts = ()
+    services: Names = ()
+    lateness: LatenessDocument = Field(default_factory=LatenessDocument)
+    revision: Annotated[int, Field(ge=0)] = 0
+    """The revision that this document amends; 0 makes a new contract."""
+
+    @classmethod
+    def from_contract(cls, contract: Contract) -> "ContractDocument":
+        """Return the document of a contract; its keys only as digests."""
+        return cls(
+            customer=contract.customer,
+            key_hashes=contract.key_hashes,
+            share=contract.share,
+            priority=contract.priority,
+            models=contract.models,
+            adapters=contract.adapters,
+            services=contract.services,
+            lateness=LatenessDocument(
+                first_token=contract.lateness.first_token,
+                between_tokens=contract.lateness.between_tokens,
+                whole=contract.lateness.whole,
+            ),
+            revision=contract.revision,
+        )
+
+    def to_contract(self) -> Contract:
+        """Return the data class, with digests in place of the keys."""
+        hashes = (*self.key_hashes, *(hash_key(key) for key in self.keys))
+        return Contract(
+            customer=self.customer,
+            key_hashes=tuple(dict.fromkeys(hashes)),
+            share=self.share,
+            priority=self.priority,
+            models=self.models,
+            adapters=self.adapters,
+            services=self.services,
+            lateness=Lateness(**dict(self.lateness)),
+            revision=self.revision,
+        )
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the fields for JSON, durations in seconds, keys as digests."""
+        return describe_contract(self.to_contract())
+
+
+def describe_contract(contract: Contract) -> dict[str, Any]:
+    """Return a contract's fields for JSON, durations in seconds."""
+    lateness = contract.lateness
+    return {
+        "customer": contract.customer,
+        "key_hashes": list(contract.key_hashes),
+        "share": contract.share,
+        "priority": contract.priority,
+        "models": list(contract.models),
+        "adapters": list(contract.adapters),
+        "services": list(contract.services),
+        "lateness": {
+            "first_token": lateness.first_token.total_seconds(),
+            "between_tokens": lateness.between_tokens.total_seconds(),
+            "whole": lateness.whole.total_seconds(),
+        },
+        "revision": contract.revision,
+    }
+
+
+def read_contract(text: str, source: str) -> ContractDocument:
+    """Return the contract that an INI text holds; `source` names it in errors.
+
+    Raises `DocumentError`, which names source, section, field and remedy.
+    """
+    sections = read_sections(text, source, "contract", "lateness")
+    fields = sections["contract"]
+    if "lateness" in sections:
+        fields["lateness"] = sections["lateness"]
+    return check_document(ContractDocument, fields, source, "contract")
+
+
+def read_sections(
+    text: str, source: str, needed: str, *others: str
+) -> dict[str, dict[str, Any]]:
+    """Return the sections of an INI text, with the needed one and no unknown."""
+    parser = ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text, source)
+    except ConfigParserError as error:
+        raise DocumentError(
+            f"{source}: is not an INI file; mend it: {error.message}"
+        ) from None
+    known = (needed, *others)
+    for name in parser.sections():
+        if name not in known:
+            raise DocumentError(
+                f"{source}: section [{name}] is unknown; remove it or use "
+                f"{', '.join(f'[{word}]' for word in known)}."
+            )
+    if needed not in parser:
+        raise DocumentError(f"{source}: section [{needed}] is missing; add it.")
+    return {name: dict(parser[name]) for name in parser.sections()}
+
+
+def check_document(
+    model: type[Model], fields: Any, source: str, section: str = ""
+) -> Model:
+    """Return the document that `fields` hold.
+
+    `section` names the top section when the fields came from an INI file. Raises
+    `DocumentError`, which names source, field and remedy.
+    """
+
+    def locate(path: tuple[int | str, ...]) -> str:
+        if not section:
+            return f"{source}: {'.'.join(map(str, path)) or 'document'}"
+        place, *rest = [section, *path]
+        if path and path[0] == "lateness" and len(path) > 1:
+            place, *rest = path
+        return f"{source}: [{place}] {'.'.join(map(str, rest))}".rstrip()
+
+    try:
+        return model.model_validate(fields)
+    except ValidationError as error:
+        raise DocumentError(describe_faults(error, locate)) from None
--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/faults.py
@@ -0,0 +1,63 @@
+"""Faults: validation errors of typed models, told as fields with remedies."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from pydantic import ValidationError
+
+__all__ = ["Locate", "describe_fault", "describe_faults"]
+
+Locate = Callable[[tuple[int | str, ...]], str]
+"""Names the place of a field for people, given its path in the model."""
+
+_REMEDIES = {
+    "bool_parsing": "must be yes or no; write true or false",
+    "extra_forbidden": "is unknown; remove it or mend its spelling",
+    "float_parsing": "must be a number; write one such as 0.25",
+    "float_type": "must be a number; write one such as 0.25",
+    "finite_number": "must be a finite number; write one such as 0.25",
+    "int_from_float": "must be a whole number; write one such as 8",
+    "int_parsing": "must be a whole number; write one such as 8",
+    "int_type": "must be a whole number; write one such as 8",
+    "missing": "is missing; add it",
+    "string_too_short": "must not be empty; write a value",
+    "string_type": "must be text; write it as one",
+    "time_delta_parsing": "must be a duration in seconds; write one such as 1.5",
+    "time_delta_type": "must be a duration in seconds; write one such as 1.5",
+}
+"""What to do about a fault, by pydantic's type of it."""
+
+
+def describe_faults(error: ValidationError, locate: Locate) -> str:
+    """Return one line for each fault: its place, what is wrong, the remedy.
+
+    The value itself is left out, since it may be a secret.
+    """
+    return "\n".join(
+        f"{locate(fault['loc'])}: {describe_fault(fault)}."
+        for fault in error.errors(include_input=False, include_url=False)
+    )
+
+
+def describe_fault(fault: Mapping[str, Any]) -> str:
+    """Return what is wrong with one field and the remedy, without its value."""
+    context = fault.get("ctx", {})
+    match fault["type"]:
+        case "greater_than":
+            return f"must be over {_number(context['gt'])}; raise it"
+        case "greater_than_equal":
+            return f"must be {_number(context['ge'])} or more; raise it"
+        case "less_than_equal":
+            return f"must be {_number(context['le'])} or less; lower it"
+        case "literal_error" | "enum":
+            return f"is not known; write one of {context['expected']}"
+        case "string_pattern_mismatch":
+            return f"has a wrong form; write it to match {context['pattern']}"
+        case "value_error":
+            return str(context["error"]).rstrip(".")
+    return _REMEDIES.get(fault["type"]) or f"{fault['msg'].rstrip('.')}; mend it"
+
+
+def _number(value: Any) -> str:
+    seconds = getattr(value, "total_seconds", None)
+    return f"{seconds():g} s" if seconds else f"{value}"
--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/fields.py
@@ -0,0 +1,53 @@
+"""Fields: types of single fields that settings and documents share."""
+
+from datetime import timedelta
+from math import isfinite
+from typing import Annotated, Any
+
+from pydantic import BeforeValidator, Field, PlainSerializer
+
+__all__ = ["Duration", "Words", "read_duration", "split_words"]
+
+_LONGEST = timedelta(days=3650)
+
+
+def split_words(value: Any) -> Any:
+    """Return the words of a text that commas or white space part.
+
+    >>> split_words("wien-nord, linz")
+    ('wien-nord', 'linz')
+    """
+    if isinstance(value, str):
+        return tuple(value.replace(",", " ").split())
+    return value
+
+
+def read_duration(value: Any) -> timedelta:
+    """Return the duration that a number of seconds, or its text, stands for.
+
+    Raises `ValueError` for anything else, so that `nan` can't slip through.
+
+    >>> read_duration("1.5")
+    datetime.timedelta(seconds=1, microseconds=500000)
+    """
+    if isinstance(value, timedelta):
+        return value
+    try:
+        seconds = float(value) if not isinstance(value, bool) else float("nan")
+    except (TypeError, ValueError):
+        seconds = float("nan")
+    if not isfinite(seconds) or abs(seconds) > _LONGEST.total_seconds():
+        raise ValueError("must be a duration in seconds; write one such as 1.5")
+    return timedelta(seconds=seconds)
+
+
+Words = BeforeValidator(split_words)
+"""Marks a field of several words, which an INI file writes on one line."""
+
+Duration = Annotated[
+    timedelta,
+    BeforeValidator(read_duration),
+    Field(gt=timedelta()),
+    PlainSerializer(timedelta.total_seconds, when_used="json"),
+]
+"""A positive duration, written in seconds."""
