--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/histograms.py
@@ -0,0 +1,92 @@
+"""Histograms: distributions summed up in place, given to OpenTelemetry on a scrape.
+
+A histogram of the OpenTelemetry SDK takes some 14 microseconds a value, which for
+the values of one request is more than the rest of its way through an entry. These
+take under one. They become data points of the SDK's own model when it collects.
+"""
+
+from bisect import bisect_left
+from collections.abc import Sequence
+from time import time_ns
+
+from opentelemetry.sdk.metrics.export import (
+    AggregationTemporality,
+    Histogram as HistogramData,
+    HistogramDataPoint,
+    Metric,
+)
+
+__all__ = ["Histogram"]
+
+
+class _Series:
+    """The distribution of one set of attributes."""
+
+    __slots__ = ("counts", "largest", "smallest", "total")
+
+    def __init__(self, buckets: int):
+        self.counts = [0] * buckets
+        self.total = 0.0
+        self.smallest = float("inf")
+        self.largest = float("-inf")
+
+
+class Histogram:
+    """One metric: a distribution for each set of attribute values.
+
+    Attributes must come from a bounded set, since each set of values is kept for
+    the life of the process.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        unit: str,
+        description: str,
+        attributes: Sequence[str],
+        boundaries: Sequence[float],
+    ):
+        self._name = name
+        self._unit = unit
+        self._description = description
+        self._attributes = tuple(attributes)
+        self._boundaries = tuple(boundaries)
+        self._series: dict[tuple[str, ...], _Series] = {}
+        self._started = time_ns()
+
+    def record(self, value: float, *attributes: str) -> None:
+        """Count a value; `attributes` are in the order of the histogram's names."""
+        series = self._series.get(attributes)
+        if series is None:
+            series = _Series(len(self._boundaries) + 1)
+            self._series[attributes] = series
+        series.counts[bisect_left(self._boundaries, value)] += 1
+        series.total += value
+        if value < series.smallest:
+            series.smallest = value
+        if value > series.largest:
+            series.largest = value
+
+    def collect(self) -> Metric:
+        """Return the metric as it stands."""
+        now = time_ns()
+        points = [
+            HistogramDataPoint(
+                attributes=dict(zip(self._attributes, values, strict=True)),
+                start_time_unix_nano=self._started,
+                time_unix_nano=now,
+                count=sum(series.counts),
+                sum=series.total,
+                bucket_counts=tuple(series.counts),
+                explicit_bounds=self._boundaries,
+                min=series.smallest,
+                max=series.largest,
+            )
+            for values, series in self._series.items()
+        ]
+        return Metric(
+            name=self._name,
+            description=self._description,
+            unit=self._unit,
+            data=HistogramData(points, AggregationTemporality.CUMULATIVE),
+        )
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/metrics.py
@@ -0,0 +1,249 @@
+"""Metrics: what one process counts and measures, for its `/metrics` endpoint.
+
+Names follow the semantic conventions of OpenTelemetry for generative AI where they
+fit; the others start with `mustardquay`. Customers are no attribute: there are too
+many for a time series each, and the time line answers by customer. Several nodes in
+one Python process each have their own registry.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from typing import Any
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import (
+    MetricsData,
+    ResourceMetrics,
+    ScopeMetrics,
+)
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.util.instrumentation import InstrumentationScope
+from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
+from mustardquay import Outcome, Reason, __version__
+
+from .histograms import Histogram
+
+__all__ = ["CONTENT_TYPE_LATEST", "GAUGES", "NodeMetrics"]
+
+GAUGES = {
+    "mustardquay.queue.requests": ("{request}", "Attempts that wait."),
+    "mustardquay.queue.tokens": ("{token}", "Prompt tokens that wait."),
+    "mustardquay.running": ("{request}", "Requests or attempts that run."),
+    "mustardquay.configuration.version": (
+        "{version}",
+        "Version of the configuration log that is in force here.",
+    ),
+    "mustardquay.ready": ("1", "1 while the process takes new work, else 0."),
+    "mustardquay.links": ("{link}", "Links to other processes that are up."),
+    "mustardquay.log.dropped": ("{line}", "Log lines dropped since the start."),
+}
+"""Gauges that a process may watch: unit and meaning by name."""
+
+_DURATIONS = tuple(0.01 * 2**power for power in range(14))
+_FIRST_TOKENS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5, 10, 30)
+_GAPS = (0.005, 0.01, 0.02, 0.03, 0.04, 0.05, 0.06, 0.08, 0.1, 0.2, 0.5, 1, 2.5)
+_TOKENS = tuple(4**power for power in range(11))
+
+
+class _Reader(PrometheusMetricReader):
+    """Adds the histograms of this module to what the SDK has collected."""
+
+    def __init__(self, registry: CollectorRegistry, histograms: Iterable[Histogram]):
+        super().__init__(registry=registry, scope_info_enabled=False)
+        self._histograms = tuple(histograms)
+
+    def _receive_metrics(
+        self, metrics_data: MetricsData, timeout_millis: float = 10_000, **options: Any
+    ) -> None:
+        metrics = [histogram.collect() for histogram in self._histograms]
+        scope = InstrumentationScope("mustardquay", __version__)
+        added = ResourceMetrics(
+            resource=metrics_data.resource_metrics[0].resource,
+            scope_metrics=[ScopeMetrics(scope, metrics, "")],
+            schema_url="",
+        )
+        merged = MetricsData([*metrics_data.resource_metrics, added])
+        super()._receive_metrics(merged, timeout_millis, **options)
+
+
+class NodeMetrics:
+    """The metrics of one process; recording one takes about a microsecond."""
+
+    def __init__(self, process: str, kind: str, availability_zone: str):
+        self._resource = Resource(
+            {
+                "service.name": "mustardquay",
+                "service.instance.id": process,
+                "service.version": __version__,
+                "mustardquay.kind": kind,
+                "cloud.availability_zone": availability_zone,
+            }
+        )
+        self._outcomes: Counter[tuple[str, str]] = Counter()
+        self._refusals: Counter[tuple[str]] = Counter()
+        self._retries: Counter[tuple[str]] = Counter()
+        self._registry = CollectorRegistry()
+        self._provider: MeterProvider | None = None
+        self._gauges: dict[str, Callable[[], float]] = {}
+        self._make_histograms()
+
+    def start(self) -> None:
+        """Begin to export; gauges may be watched before and after."""
+        ProcessCollector(registry=self._registry)
+        reader = _Reader(self._registry, self._histograms)
+        self._provider = MeterProvider(
+            [reader], resource=self._resource, shutdown_on_exit=False
+        )
+        self._make_counters()
+        for name in self._gauges:
+            self._make_gauge(name)
+
+    def close(self) -> None:
+        """Stop to export."""
+        if self._provider is not None:
+            self._provider.shutdown()
+            self._provider = None
+
+    def watch(self, name: str, read: Callable[[], float]) -> None:
+        """Export a gauge of `GAUGES`, read anew at each scrape."""
+        if name not in GAUGES:
+            raise ValueError(f"{name} is no gauge; add it to GAUGES first.")
+        new = name not in self._gauges
+        self._gauges[name] = read
+        if new and self._provider is not None:
+            self._make_gauge(name)
+
+    def record_request(
+        self, operation: str, model: str, outcome: Outcome, duration: timedelta
+    ) -> None:
+        """Count the end of a request.
+
+        `operation` is `chat`, `text_completion` or `service`; `model` must have
+        been checked against the contract, so that callers can't invent names.
+        """
+        self._outcomes[operation, outcome.value] += 1
+        error = "" if outcome is Outcome.ANSWERED else outcome.value
+        self._duration.record(duration.total_seconds(), operation, model, error)
+
+    def record_first_token(self, operation: str, model: str, delay: timedelta) -> None:
+        """Count the time from a request's arrival to its first token."""
+        self._first_token.record(delay.total_seconds(), operation, model)
+
+    def record_tokens(
+        self,
+        operation: str,
+        model: str,
+        prompt_tokens: int,
+        output_tokens: int,
+        generation: timedelta | None = None,
+    ) -> None:
+        """Count the tokens of a request, once at its end.
+
+        `generation` is the time from the first token to the last, for streams.
+        """
+        self._usage.record(prompt_tokens, operation, model, "input")
+        self._usage.record(output_tokens, operation, model, "output")
+        if generation is not None and output_tokens > 1:
+            gap = generation.total_seconds() / (output_tokens - 1)
+            self._gap.record(gap, operation, model)
+
+    def count_refusal(self, reason: Reason) -> None:
+        """Count work that was refused here."""
+        self._refusals[(reason.value,)] += 1
+
+    def count_retry(self, cause: str) -> None:
+        """Count an attempt that follows one that failed; `cause` is a short name."""
+        self._retries[(cause,)] += 1
+
+    def render(self) -> bytes:
+        """Return the page for Prometheus, of type `CONTENT_TYPE_LATEST`."""
+        return generate_latest(self._registry)
+
+    def _make_histograms(self) -> None:
+        names = ("gen_ai.operation.name", "gen_ai.request.model")
+        self._duration = Histogram(
+            "gen_ai.server.request.duration",
+            "s",
+            "Time from a request's arrival to the end of its answer.",
+            (*names, "error.type"),
+            _DURATIONS,
+        )
+        self._first_token = Histogram(
+            "gen_ai.server.time_to_first_token",
+            "s",
+            "Time from a request's arrival to its first token.",
+            names,
+            _FIRST_TOKENS,
+        )
+        self._gap = Histogram(
+            "gen_ai.server.time_per_output_token",
+            "s",
+            "Mean time of one stream between tokens after the first.",
+            names,
+            _GAPS,
+        )
+        self._usage = Histogram(
+            "gen_ai.client.token.usage",
+            "{token}",
+            "Tokens of one request, in and out.",
+            (*names, "gen_ai.token.type"),
+            _TOKENS,
+        )
+        self._histograms = (self._duration, self._first_token, self._gap, self._usage)
+
+    def _make_counters(self) -> None:
+        self._make_counter(
+            "mustardquay.requests",
+            "Requests that have ended, by outcome.",
+            self._outcomes,
+            "gen_ai.operation.name",
+            "mustardquay.outcome",
+        )
+        self._make_counter(
+            "mustardquay.refusals",
+            "Work refused, by reason.",
+            self._refusals,
+            "mustardquay.reason",
+        )
+        self._make_counter(
+            "mustardquay.retries",
+            "Attempts after one that failed, by cause.",
+            self._retries,
+            "mustardquay.cause",
+        )
+
+    def _make_counter(
+        self,
+        name: str,
+        description: str,
+        counts: Counter[tuple[str, ...]],
+        *attributes: str,
+    ) -> None:
+        def observe(options: CallbackOptions) -> list[Observation]:
+            return [
+                Observation(count, dict(zip(attributes, values, strict=True)))
+                for values, count in counts.items()
+            ]
+
+        self._meter.create_observable_counter(
+            name, [observe], unit="{request}", description=description
+        )
+
+    def _make_gauge(self, name: str) -> None:
+        unit, description = GAUGES[name]
+
+        def observe(options: CallbackOptions) -> list[Observation]:
+            return [Observation(self._gauges[name]())]
+
+        self._meter.create_observable_gauge(
+            name, [observe], unit=unit, description=description
+        )
+
+    @property
+    def _meter(self) -> Any:
+        return self._provider.get_meter("mustardquay", __version__)
--- a/packages/mustardquay/src/mustardquay/faults.py
+++ b/packages/mustardquay/src/mustardquay/faults.py
@@ -44,11 +44,11 @@
     context = fault.get("ctx", {})
     match fault["type"]:
         case "greater_than":
-            return f"must be over {_number(context['gt'])}; raise it"
+            return f"must be over {context['gt']}; raise it"
         case "greater_than_equal":
-            return f"must be {_number(context['ge'])} or more; raise it"
+            return f"must be {context['ge']} or more; raise it"
         case "less_than_equal":
-            return f"must be {_number(context['le'])} or less; lower it"
+            return f"must be {context['le']} or less; lower it"
         case "literal_error" | "enum":
             return f"is not known; write one of {context['expected']}"
         case "string_pattern_mismatch":
@@ -56,8 +56,3 @@
         case "value_error":
             return str(context["error"]).rstrip(".")
     return _REMEDIES.get(fault["type"]) or f"{fault['msg'].rstrip('.')}; mend it"
-
-
-def _number(value: Any) -> str:
-    seconds = getattr(value, "total_seconds", None)
-    return f"{seconds():g} s" if seconds else f"{value}"
--- a/packages/mustardquay/src/mustardquay/fields.py
+++ b/packages/mustardquay/src/mustardquay/fields.py
@@ -4,7 +4,7 @@
 from math import isfinite
 from typing import Annotated, Any
 
-from pydantic import BeforeValidator, Field, PlainSerializer
+from pydantic import AfterValidator, BeforeValidator, PlainSerializer
 
 __all__ = ["Duration", "Words", "read_duration", "split_words"]
 
@@ -41,13 +41,19 @@
     return timedelta(seconds=seconds)
 
 
+def _check_positive(value: timedelta) -> timedelta:
+    if value <= timedelta():
+        raise ValueError("must be over 0 seconds; raise it")
+    return value
+
+
 Words = BeforeValidator(split_words)
 """Marks a field of several words, which an INI file writes on one line."""
 
 Duration = Annotated[
     timedelta,
     BeforeValidator(read_duration),
-    Field(gt=timedelta()),
+    AfterValidator(_check_positive),
     PlainSerializer(timedelta.total_seconds, when_used="json"),
 ]
 """A positive duration, written in seconds."""
