Run attempts at the agent and carry requests at the entry

Cause: the path needs both ends of an attempt before it can serve. Measured: nothing yet; not wired to a process.

--- a/packages/mustardquay-node/src/mustardquay_node/dialers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/dialers.py
@@ -25,11 +25,14 @@
         self,
         address: str,
         port: int,
-        make_link: Callable[[], Link],
+        make_link: Callable[[int], Link],
         failed: Callable[[], None],
         random: Random,
     ):
-        """Take the agent's place; `failed` hears of each try that came to nothing."""
+        """Take the agent's place and the maker of a link from its number.
+
+        `failed` hears of each try that came to nothing.
+        """
         self._address = address
         self._port = port
         self._make_link = make_link
@@ -38,6 +41,8 @@
         self._link: Link | None = None
         self._task: asyncio.Task[None] | None = None
         self._closed = False
+        self._wait = timedelta()
+        self._number = 0
 
     @property
     def link(self) -> Link | None:
@@ -51,6 +56,10 @@
         """Return the agent's address and port."""
         return (self._address, self._port)
 
+    def note_open(self) -> None:
+        """Note that the link was opened, so that the next is dialled at once."""
+        self._wait = timedelta()
+
     def start(self) -> None:
         """Begin to dial; call again when the link was lost."""
         if self._closed or (self._task is not None and not self._task.done()):
@@ -66,18 +75,25 @@
             self._link.close("this process stops")
 
     async def _dial(self) -> None:
-        wait = FIRST_WAIT
-        loop = asyncio.get_running_loop()
         while not self._closed:
-            try:
-                async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
-                    _, link = await loop.create_connection(
-                        self._make_link, self._address, self._port
-                    )
-            except (OSError, TimeoutError):
-                self._failed()
-                await asyncio.sleep(self._random.uniform(0, wait.total_seconds()))
-                wait = min(wait * 2, LONGEST_WAIT)
-                continue
-            self._link = link
-            return
+            await asyncio.sleep(self._random.uniform(0, self._wait.total_seconds()))
+            # Also after a connection that is made and then refused in the
+            # handshake, the next try waits longer.
+            self._wait = min(max(self._wait * 2, FIRST_WAIT), LONGEST_WAIT)
+            if await self._connect():
+                return
+            self._failed()
+
+    async def _connect(self) -> bool:
+        self._number += 1
+        number = self._number
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+                _, link = await loop.create_connection(
+                    lambda: self._make_link(number), self._address, self._port
+                )
+        except (OSError, TimeoutError):
+            return False
+        self._link = link
+        return True
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/exchanges.py
@@ -0,0 +1,345 @@
+"""Exchanges: carry out what the state machine of one request decides."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Protocol
+
+from mustardquay.attempts import (
+    Action,
+    AnswerEarly,
+    CancelAttempt,
+    ChooseUpstream,
+    DeliverData,
+    DeliverHead,
+    Finish,
+    Phase,
+    ReattachAttempt,
+    RequestState,
+    SendAttempt,
+    WaitBeforeRetry,
+)
+from mustardquay.errors import Refusal
+from mustardquay.messages import (
+    Attempt,
+    AttemptFrame,
+    Cancel,
+    Credit,
+    Header,
+    Message,
+    Reattach,
+)
+from mustardquay.works import UpstreamView, Work
+
+from .resumes import build_resumed_body
+
+__all__ = ["Call", "Dispatch", "Exchange", "Sink"]
+
+CREDIT_STEP = 128 * 1024
+"""Bytes that the caller takes before the agent is told."""
+RESUME_LIMIT = 4 * 1024 * 1024
+"""Bytes of a stream that are kept to resume it; longer ones can't be resumed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One request that was admitted."""
+
+    work: Work
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    streamed: bool
+    version: int
+    """Configuration version under which it was admitted."""
+
+
+class Sink(Protocol):
+    """Where the answer goes."""
+
+    def take_head(self, status: int, headers: tuple[Header, ...]) -> None:
+        """Take status and headers; comes once at the most."""
+
+    def take_data(self, data: bytes) -> None:
+        """Take the next part of the answer."""
+
+    def answer_early(self, refusal: Refusal) -> None:
+        """Tell the caller that the outcome is unknown; the work goes on."""
+
+    def finish(self, end: Finish) -> None:
+        """Take the outcome; nothing follows."""
+
+
+class Dispatch(Protocol):
+    """What an exchange needs of the process it runs in."""
+
+    def choose(
+        self, call: Call, avoid: frozenset[str]
+    ) -> "UpstreamView | Refusal": ...
+
+    def reserve(self, exchange: "Exchange") -> int:
+        """Return the stream number of a new attempt."""
+
+    def release(self, stream: int) -> None:
+        """Forget a stream; its frames are dropped from now on."""
+
+    def send(self, upstream: str, message: Message) -> bool:
+        """Send over the upstream's link; False when none is open."""
+
+    def reach(self, upstream: str, incarnation: int) -> bool | None:
+        """Return whether this incarnation has a link; None if it is gone."""
+
+    def now(self) -> timedelta:
+        """Return the monotonic time."""
+
+    def record(self, kind: str, exchange: "Exchange", **details: object) -> None:
+        """Record an event."""
+
+
+class Exchange:
+    """One request on its way; not for use after its end."""
+
+    def __init__(
+        self,
+        call: Call,
+        sink: Sink,
+        state: RequestState,
+        dispatch: Dispatch,
+        reattach_window: timedelta,
+        ended: "Callable[[Exchange], None]",
+    ):
+        self._call = call
+        self._sink = sink
+        self._state = state
+        self._dispatch = dispatch
+        self._reattach_window = reattach_window
+        self._ended = ended
+        self._loop = asyncio.get_running_loop()
+        self._stream = 0
+        self._stream_number = 0
+        self._reattach: ReattachAttempt | None = None
+        self._deadline: asyncio.TimerHandle | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._delivered: list[bytes] = []
+        self._delivered_size = 0
+        self._taken = 0
+
+    @property
+    def call(self) -> Call:
+        """Return what the request asks for."""
+        return self._call
+
+    @property
+    def state(self) -> RequestState:
+        """Return the state machine."""
+        return self._state
+
+    @property
+    def stream(self) -> int:
+        """Return the stream number of the present attempt."""
+        return self._stream
+
+    def start(self) -> None:
+        """Begin, and arm the deadline."""
+        remaining = self._call.work.finish_by - self._dispatch.now()
+        seconds = max(remaining.total_seconds(), 0)
+        self._deadline = self._loop.call_later(seconds, self._pass_deadline)
+        self._act(self._state.start())
+
+    def receive(self, frame: AttemptFrame) -> None:
+        """Take a frame of the present stream."""
+        if frame.stream != self._stream:
+            return
+        if self._reattach is not None:
+            self._reattach = None
+            self._stop_timer()
+        self._act(self._state.frame_received(self._stream_number, frame))
+
+    def lose_link(self) -> None:
+        """Go on after the link of the present attempt was lost."""
+        self._act(self._state.link_lost())
+
+    def find_link(self) -> None:
+        """Ask for the rest of the answer, now that a link is open again."""
+        if self._reattach is not None:
+            self._send_reattach(self._reattach)
+
+    def lose_agent(self) -> None:
+        """Go on after the agent's process was found to be gone."""
+        if self._reattach is not None:
+            self._fail_reattach()
+
+    def leave(self) -> None:
+        """Note that the caller is gone."""
+        self._act(self._state.caller_left())
+
+    def note_taken(self, size: int) -> None:
+        """Note that the caller has taken `size` bytes; lets more be sent."""
+        self._taken += size
+        if self._taken >= CREDIT_STEP and self._state.phase is not Phase.ENDED:
+            self._dispatch.send(
+                self._state.upstream, Credit(self._stream, self._taken)
+            )
+            self._taken = 0
+
+    def _act(self, actions: list[Action]) -> None:
+        for action in actions:
+            self._take_action(action)
+
+    def _take_action(self, action: Action) -> None:
+        match action:
+            case DeliverData():
+                self._deliver(action.data)
+            case ChooseUpstream():
+                self._choose(action.avoid)
+            case SendAttempt():
+                self._send(action)
+            case DeliverHead():
+                self._sink.take_head(action.status, action.headers)
+            case Finish():
+                self._finish(action)
+            case ReattachAttempt():
+                self._begin_reattach(action)
+            case CancelAttempt():
+                self._dispatch.send(self._state.upstream, Cancel(self._stream))
+            case WaitBeforeRetry():
+                self._wait(action.delay)
+            case AnswerEarly():
+                self._dispatch.record("request.answered_early", self)
+                self._sink.answer_early(action.refusal)
+
+    def _deliver(self, data: bytes) -> None:
+        if self._call.streamed:
+            self._keep_delivered(data)
+        self._sink.take_data(data)
+
+    def _keep_delivered(self, data: bytes) -> None:
+        self._delivered_size += len(data)
+        if self._delivered_size <= RESUME_LIMIT:
+            self._delivered.append(data)
+        else:
+            self._delivered.clear()
+            self._state.resume_impossible()
+
+    def _choose(self, avoid: frozenset[str]) -> None:
+        chosen = self._dispatch.choose(self._call, avoid)
+        if isinstance(chosen, Refusal):
+            self._act(self._state.upstream_missing(chosen))
+        else:
+            self._act(self._state.upstream_chosen(chosen.name, chosen.incarnation))
+
+    def _send(self, action: SendAttempt) -> None:
+        self._end_stream()
+        self._stream = self._dispatch.reserve(self)
+        self._stream_number = action.number
+        body = self._make_body(action)
+        if body is None:
+            self._state.resume_impossible()
+            self._act(self._state.resume_refused())
+            return
+        attempt = self._make_attempt(action, body)
+        if not self._dispatch.send(action.upstream, attempt):
+            self._act(self._state.send_failed())
+            return
+        self._dispatch.record("attempt.sent", self, upstream=action.upstream)
+
+    def _make_body(self, action: SendAttempt) -> bytes | None:
+        if not action.resume:
+            return self._call.body
+        return build_resumed_body(self._call.body, b"".join(self._delivered))
+
+    def _make_attempt(self, action: SendAttempt, body: bytes) -> Attempt:
+        call = self._call
+        work = call.work
+        now = self._dispatch.now()
+        # What was begun is worth going on with, also after the first token's time.
+        late = work.finish_by if action.resume else work.start_by
+        return Attempt(
+            stream=self._stream,
+            request=work.request,
+            number=action.number,
+            incarnation=action.incarnation,
+            customer=work.customer,
+            model=work.model,
+            adapter=work.adapter,
+            method=call.method,
+            path=call.path,
+            headers=call.headers,
+            body=body,
+            prompt_tokens=work.prompt_tokens,
+            output_tokens=work.output_tokens,
+            share=work.share,
+            priority=work.priority,
+            start_within=late - now,
+            finish_within=work.finish_by - now,
+            prefix=work.prefix,
+            fingerprint=work.fingerprint,
+            repeatable=work.repeatable,
+            streamed=call.streamed,
+            version=call.version,
+        )
+
+    def _begin_reattach(self, action: ReattachAttempt) -> None:
+        self._reattach = action
+        self._dispatch.record("attempt.link_lost", self, upstream=action.upstream)
+        self._stop_timer()
+        seconds = self._reattach_window.total_seconds()
+        self._timer = self._loop.call_later(seconds, self._fail_reattach)
+        reach = self._dispatch.reach(action.upstream, action.incarnation)
+        if reach is None:
+            self._fail_reattach()
+        elif reach:
+            self._send_reattach(action)
+
+    def _send_reattach(self, action: ReattachAttempt) -> None:
+        if self._dispatch.reach(action.upstream, action.incarnation) is None:
+            self._fail_reattach()
+            return
+        self._dispatch.record("attempt.reattached", self, upstream=action.upstream)
+        message = Reattach(
+            self._stream,
+            self._call.work.request,
+            action.number,
+            action.incarnation,
+            action.have,
+        )
+        self._dispatch.send(action.upstream, message)
+
+    def _fail_reattach(self) -> None:
+        self._reattach = None
+        self._stop_timer()
+        self._act(self._state.reattach_failed())
+
+    def _wait(self, delay: timedelta) -> None:
+        self._stop_timer()
+        seconds = delay.total_seconds()
+        self._timer = self._loop.call_later(seconds, self._end_wait)
+
+    def _end_wait(self) -> None:
+        self._timer = None
+        self._act(self._state.back_off_ended())
+
+    def _pass_deadline(self) -> None:
+        self._deadline = None
+        self._act(self._state.deadline_passed())
+
+    def _finish(self, end: Finish) -> None:
+        self._stop_timer()
+        if self._deadline is not None:
+            self._deadline.cancel()
+        self._end_stream()
+        self._dispatch.record("request.ended", self, outcome=end.outcome.value)
+        self._sink.finish(end)
+        self._ended(self)
+
+    def _end_stream(self) -> None:
+        if self._stream:
+            self._dispatch.release(self._stream)
+            self._stream = 0
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/executors.py
@@ -0,0 +1,488 @@
+"""Executors: run attempts on the upstream beside the agent, in a fair order."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Literal
+
+from mustardquay.clocks import Clock
+from mustardquay.errors import Reason, Refusal
+from mustardquay.events import EventRing
+from mustardquay.messages import Attempt, FailureKind, Header, Reattach
+from mustardquay.quarantines import CrashId, Quarantine, Standing, SuspectGate
+from mustardquay.queues import FairQueue
+from mustardquay.works import Work
+
+from .links import Link
+from .runs import Owner, Run, RunTable
+from .streams import EventCutter
+from .upstreams import CallEnd, UpstreamCall, UpstreamClient
+
+__all__ = ["Executor", "ExecutorOptions"]
+
+FIRST_ERROR = 500
+"""Lowest status with which an engine says that it failed, not the request."""
+RETRY_AFTER = timedelta(seconds=1)
+
+
+@dataclass(frozen=True, slots=True)
+class ExecutorOptions:
+    """What an executor has to know of its upstream."""
+
+    upstream: str
+    kind: Literal["engine", "service"]
+    progress_timeout: timedelta
+    drain_timeout: timedelta
+
+
+class Executor:
+    """Takes attempts in, queues them, runs them and answers to the entries."""
+
+    def __init__(
+        self,
+        options: ExecutorOptions,
+        client: UpstreamClient,
+        queue: FairQueue,
+        quarantine: Quarantine,
+        clock: Clock,
+        events: EventRing,
+        probe: Callable[[], "asyncio.Future[str]"],
+        crashed: Callable[[], None],
+    ):
+        """Take the parts.
+
+        `probe` asks the upstream over a new connection for its boot, "" when it
+        does not answer; `crashed` hears of each crash once it is recorded.
+        """
+        self._options = options
+        self._client = client
+        self._queue = queue
+        self._quarantine = quarantine
+        self._gate = SuspectGate()
+        self._suspects: deque[Run] = deque()
+        self._clock = clock
+        self._events = events
+        self._probe = probe
+        self._crashed = crashed
+        self._table = RunTable()
+        self._by_work: dict[tuple[str, int], Run] = {}
+        self._calls: dict[tuple[Owner, int], UpstreamCall] = {}
+        self._stalled: set[tuple[Owner, int]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._draining = False
+        self._empty = asyncio.Event()
+        self._empty.set()
+        self._output_tokens: dict[tuple[str, int], int] = {}
+        self._boot = ""
+
+    @property
+    def draining(self) -> bool:
+        """Return whether new work is refused."""
+        return self._draining
+
+    @property
+    def waiting_tokens(self) -> int:
+        """Return the prompt tokens that wait here."""
+        return self._queue.waiting_tokens
+
+    @property
+    def waiting(self) -> int:
+        """Return how many attempts wait here."""
+        return self._queue.waiting + len(self._suspects)
+
+    @property
+    def running(self) -> int:
+        """Return how many attempts run on the upstream."""
+        return len(self._calls)
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no attempt waits or runs."""
+        return not len(self._table)
+
+    def note_boot(self, boot: str) -> None:
+        """Take the boot that the upstream reports while it is well."""
+        self._boot = boot
+
+    def accept(self, owner: Owner, attempt: Attempt, link: Link) -> None:
+        """Take an attempt in, or refuse it for good."""
+        now = self._clock.monotonic()
+        work = _make_work(attempt, now)
+        run = Run(owner, attempt, work, link)
+        if self._table.find(run.key) is not None:
+            return
+        self._table.add(run)
+        self._empty.clear()
+        refusal = self._judge(run, now)
+        if refusal is not None:
+            self._refuse(run, refusal)
+            return
+        self._record("attempt.accepted", run)
+        self._pump()
+
+    def refuse(
+        self, owner: Owner, attempt: Attempt, link: Link, refusal: Refusal
+    ) -> None:
+        """Refuse an attempt that must not be taken in."""
+        run = Run(owner, attempt, _make_work(attempt, self._clock.monotonic()), link)
+        if self._table.find(run.key) is None:
+            self._refuse(run, refusal)
+
+    def reattach(self, owner: Owner, reattach: Reattach, link: Link) -> None:
+        """Go on with an attempt over a new link, or say what became of it."""
+        run = self._table.find((owner, reattach.stream))
+        if run is not None:
+            run.reattach(link, reattach.have)
+            return
+        run = _make_unseen(owner, reattach, link)
+        now = self._clock.monotonic()
+        if self._table.may_be_forgotten(run.key):
+            run.end_failed(FailureKind.LOST, "The run is no longer kept.", now)
+        else:
+            # The frame of the attempt can't come any more: it was sent on an older
+            # link, and this agent reads nothing from those. The record stays as a
+            # tombstone all the same.
+            message = "The attempt never came, and will not be run."
+            run.end_refused(Refusal(Reason.TOMBSTONE, message), now)
+        self._table.note_end(run)
+
+    def cancel(self, owner: Owner, stream: int) -> None:
+        """Stop an attempt whose answer is no longer wanted."""
+        run = self._table.find((owner, stream))
+        if run is None or run.ended:
+            return
+        run.cancelled = True
+        run.give_credit(0)
+        call = self._calls.get(run.key)
+        if call is not None:
+            call.cancel()
+            return
+        self._withdraw(run)
+        self._refuse(run, Refusal(Reason.DEADLINE, "The entry has cancelled it."))
+
+    def give_credit(self, owner: Owner, stream: int, size: int) -> None:
+        """Let more of an answer go to a caller that has taken some."""
+        run = self._table.find((owner, stream))
+        if run is not None:
+            run.give_credit(size)
+
+    def detach(self, link: Link) -> None:
+        """Keep the runs of a link that was lost; their entry may come back."""
+        for run in self._table:
+            if run.link is link:
+                run.link = None
+
+    def sweep(self) -> None:
+        """End what waits too long or makes no progress; call it several times a
+        second.
+        """
+        now = self._clock.monotonic()
+        for work in self._queue.expire(now):
+            self._refuse(self._by_work[work.key], _make_late())
+        for run in [run for run in self._suspects if run.work.start_by < now]:
+            self._suspects.remove(run)
+            self._refuse(run, _make_late())
+        for run in self._table:
+            if run.key in self._calls and self._is_stalled(run, now):
+                # An engine that hangs, or a connection that was forgotten on its
+                # way, shows as silence. The time is bounded here, so that the
+                # entry can go on elsewhere while the caller still waits.
+                self._stalled.add(run.key)
+                self._calls[run.key].cancel()
+        self._table.forget(now)
+        self._pump()
+
+    def start_drain(self) -> None:
+        """Refuse new work, and hand back what has not started."""
+        self._draining = True
+        refusal = _make_draining()
+        for run in self._table:
+            if run.key not in self._calls and not run.started:
+                self._withdraw(run)
+                self._refuse(run, refusal)
+
+    def end_drain(self) -> None:
+        """Take new work again."""
+        self._draining = False
+
+    async def wait_until_empty(self) -> None:
+        """Wait for running work; hand on what exceeds the drain's time limit.
+
+        A run that would outlast the limit is broken off here, so that its entry
+        resumes it elsewhere. What must not be repeated is never broken off.
+        """
+        try:
+            async with asyncio.timeout(self._options.drain_timeout.total_seconds()):
+                await self._empty.wait()
+        except TimeoutError:
+            for run in self._table:
+                if run.attempt.repeatable and run.key in self._calls:
+                    self._stalled.add(run.key)
+                    self._calls[run.key].cancel()
+            await self._empty.wait()
+
+    async def close(self) -> None:
+        """Stop everything at once; only after a drain nothing is lost."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._client.close()
+
+    def _judge(self, run: Run, now: timedelta) -> Refusal | None:
+        if self._draining:
+            return _make_draining()
+        fingerprint = run.attempt.fingerprint
+        refusal = self._quarantine.refuse(fingerprint, now)
+        if refusal is not None:
+            return refusal
+        if self._quarantine.judge(fingerprint, now) is Standing.SUSPECT:
+            self._suspects.append(run)
+            return None
+        return self._offer(run, now)
+
+    def _offer(self, run: Run, now: timedelta) -> Refusal | None:
+        refusal = self._queue.offer(run.work, now)
+        if refusal is None:
+            self._by_work[run.work.key] = run
+        return refusal
+
+    def _pump(self) -> None:
+        now = self._clock.monotonic()
+        self._admit_suspect(now)
+        while True:
+            work = self._queue.take(now)
+            if work is None:
+                return
+            run = self._by_work[work.key]
+            task = asyncio.create_task(self._execute(run))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def _admit_suspect(self, now: timedelta) -> None:
+        if not self._suspects or not self._gate.admit(self._suspects[0].work.key):
+            return
+        run = self._suspects.popleft()
+        # The second crash may have been told of while this one waited.
+        refusal = self._quarantine.refuse(run.attempt.fingerprint, now)
+        refusal = refusal or self._offer(run, now)
+        if refusal is not None:
+            self._refuse(run, refusal)
+
+    async def _execute(self, run: Run) -> None:
+        cutter = EventCutter()
+        statuses: list[int] = []
+        streaming = run.attempt.streamed
+
+        def take_head(status: int, headers: tuple[Header, ...]) -> None:
+            statuses.append(status)
+            run.progress_at = self._clock.monotonic()
+            if not self._is_engine_error(status):
+                run.add_head(status, headers)
+
+        def take_data(data: bytes) -> "asyncio.Future[None] | None":
+            run.progress_at = self._clock.monotonic()
+            if self._is_engine_error(statuses[-1]):
+                return None
+            tokens = 0
+            if streaming and statuses[-1] == 200:
+                data = cutter.feed(data)
+                tokens = data.count(b"\n\n")
+                self._count_tokens(run, tokens)
+            if data:
+                run.add_chunk(data, tokens)
+            if run.is_held_back:
+                return asyncio.ensure_future(run.wait_for_credit())
+            return None
+
+        def note_sending() -> None:
+            run.start(self._clock.monotonic())
+            self._record("attempt.started", run)
+
+        call = UpstreamCall(
+            run.attempt.method,
+            run.attempt.path,
+            self._make_headers(run),
+            run.attempt.body,
+            take_head,
+            take_data,
+            note_sending,
+        )
+        self._calls[run.key] = call
+        end = await self._client.run(call, fresh=not run.attempt.repeatable)
+        status = statuses[-1] if statuses else 0
+        whole = not streaming or status != 200 or cutter.is_done
+        await self._settle(run, end, status, whole)
+
+    async def _settle(self, run: Run, end: CallEnd, status: int, whole: bool) -> None:
+        now = self._clock.monotonic()
+        if end is CallEnd.NOT_SENT:
+            message = "The upstream takes no connection; ask again later."
+            refusal = Refusal(Reason.NO_UPSTREAM, message, RETRY_AFTER)
+            self._refuse(run, refusal)
+            return
+        if end is CallEnd.WHOLE and self._is_engine_error(status):
+            message = f"The engine answered with status {status}."
+            self._fail(run, FailureKind.ERROR, message)
+            return
+        if end is CallEnd.WHOLE and whole:
+            self._quarantine.note_answer(run.attempt.fingerprint, now)
+            run.end_whole(now)
+            self._finish(run, "attempt.done")
+            return
+        await self._settle_broken(run)
+
+    async def _settle_broken(self, run: Run) -> None:
+        if run.cancelled:
+            self._fail(run, FailureKind.LOST, "The entry has cancelled it.")
+            return
+        if run.key in self._stalled:
+            self._fail(run, FailureKind.STALLED, "The upstream made no progress.")
+            return
+        boot = self._boot
+        answered = await self._probe()
+        if answered and answered == boot:
+            message = "The answer ended before its end mark."
+            self._fail(run, FailureKind.TRUNCATED, message)
+            return
+        self._note_crash(boot)
+        self._fail(run, FailureKind.CRASH, "The upstream died.")
+
+    def _note_crash(self, boot: str) -> None:
+        running = [run for run in self._table if run.key in self._calls]
+        fingerprints = {run.attempt.fingerprint for run in running}
+        now = self._clock.monotonic()
+        self._quarantine.note_crash(
+            CrashId(self._options.upstream, boot), fingerprints, now
+        )
+        self._events.record(
+            "upstream.crashed",
+            upstream=self._options.upstream,
+            in_flight=[run.attempt.request for run in running],
+        )
+        # Entries must know the suspects before they choose where to retry.
+        self._crashed()
+
+    def _fail(self, run: Run, kind: FailureKind, message: str) -> None:
+        run.end_failed(kind, message, self._clock.monotonic())
+        self._finish(run, "attempt.failed", failure=kind.value)
+
+    def _refuse(self, run: Run, refusal: Refusal) -> None:
+        run.end_refused(refusal, self._clock.monotonic())
+        self._finish(run, "attempt.refused", reason=refusal.reason.value)
+
+    def _finish(self, run: Run, kind: str, **details: str) -> None:
+        self._record(kind, run, **details)
+        key = run.work.key
+        self._calls.pop(run.key, None)
+        self._stalled.discard(run.key)
+        self._gate.finish(key)
+        if self._by_work.pop(key, None) is not None:
+            tokens = self._output_tokens.pop(key, 0)
+            self._queue.finish(key, tokens, self._clock.monotonic())
+        self._table.note_end(run)
+        if self.is_empty:
+            self._empty.set()
+        asyncio.get_running_loop().call_soon(self._pump)
+
+    def _withdraw(self, run: Run) -> None:
+        self._queue.withdraw(run.work.key)
+        if run in self._suspects:
+            self._suspects.remove(run)
+
+    def _is_engine_error(self, status: int) -> bool:
+        return self._options.kind == "engine" and status >= FIRST_ERROR
+
+    def _is_stalled(self, run: Run, now: timedelta) -> bool:
+        if run.is_held_back or not run.started:
+            return False
+        if not run.attempt.streamed and run.attempt.repeatable:
+            # An answer in one piece shows no progress before its end.
+            return now > run.work.finish_by
+        return now - run.progress_at > self._options.progress_timeout
+
+    def _count_tokens(self, run: Run, tokens: int) -> None:
+        key = run.work.key
+        self._output_tokens[key] = self._output_tokens.get(key, 0) + tokens
+
+    def _make_headers(self, run: Run) -> tuple[Header, ...]:
+        if self._options.kind == "service":
+            return run.attempt.headers
+        return (
+            *run.attempt.headers,
+            ("X-Request-Id", run.attempt.request),
+            ("X-Priority", str(run.attempt.priority)),
+        )
+
+    def _record(self, kind: str, run: Run, **details: str) -> None:
+        self._events.record(
+            kind,
+            request=run.attempt.request,
+            customer=run.attempt.customer,
+            upstream=self._options.upstream,
+            attempt=run.attempt.number,
+            **details,
+        )
+
+
+def _make_work(attempt: Attempt, now: timedelta) -> Work:
+    return Work(
+        request=attempt.request,
+        attempt=attempt.number,
+        customer=attempt.customer,
+        model=attempt.model,
+        adapter=attempt.adapter,
+        prompt_tokens=attempt.prompt_tokens,
+        output_tokens=attempt.output_tokens,
+        share=attempt.share,
+        priority=attempt.priority,
+        start_by=now + attempt.start_within,
+        finish_by=now + attempt.finish_within,
+        prefix=attempt.prefix,
+        fingerprint=attempt.fingerprint,
+        repeatable=attempt.repeatable,
+    )
+
+
+def _make_unseen(owner: Owner, reattach: Reattach, link: Link) -> Run:
+    work = Work(reattach.request, reattach.number, "", "")
+    attempt = Attempt(
+        stream=reattach.stream,
+        request=reattach.request,
+        number=reattach.number,
+        incarnation=reattach.incarnation,
+        customer="",
+        model="",
+        adapter="",
+        method="",
+        path="",
+        headers=(),
+        body=b"",
+        prompt_tokens=0,
+        output_tokens=0,
+        share=1.0,
+        priority=0,
+        start_within=timedelta(),
+        finish_within=timedelta(),
+        prefix=(),
+        fingerprint=0,
+        repeatable=False,
+        streamed=False,
+        version=0,
+    )
+    return Run(owner, attempt, work, link)
+
+
+def _make_late() -> Refusal:
+    return Refusal(
+        Reason.DEADLINE,
+        "The work can't start within the tolerated lateness; ask again later.",
+        RETRY_AFTER,
+    )
+
+
+def _make_draining() -> Refusal:
+    return Refusal(
+        Reason.DRAINING, "This upstream takes no new work; use another.", RETRY_AFTER
+    )
--- a/packages/mustardquay-node/src/mustardquay_node/frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/frames.py
@@ -3,7 +3,7 @@
 Durations travel in microseconds.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
@@ -31,6 +31,7 @@
     Refused,
     Started,
 )
+from mustardquay.quarantines import CrashId, CrashRecord
 from mustardquay.works import Role
 
 __all__ = ["Batch", "Hello", "decode_batch", "encode_batch"]
@@ -53,6 +54,8 @@
     availability_zone: str
     nonce: bytes
     proof: bytes
+    link: int
+    """Number of the link among those of the entry to this agent, from 1."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +121,7 @@
     built.availabilityZone = hello.availability_zone
     built.nonce = hello.nonce
     built.proof = hello.proof
+    built.link = hello.link
 
 
 def _read_hello(read: Any) -> Hello:
@@ -127,6 +131,7 @@
         read.availabilityZone,
         bytes(read.nonce),
         bytes(read.proof),
+        read.link,
     )
 
 
@@ -290,6 +295,7 @@
 def _write_heartbeat(frame: Any, heartbeat: Heartbeat) -> None:
     built = frame.init("heartbeat")
     built.version = heartbeat.version
+    built.upstream = heartbeat.upstream
     built.confirmed = heartbeat.confirmed
     built.draining = heartbeat.draining
     built.ready = heartbeat.ready
@@ -301,14 +307,14 @@
     built.running = heartbeat.running
     built.prefillRate = heartbeat.prefill_rate
     built.decodeRate = heartbeat.decode_rate
-    built.suspects = list(heartbeat.suspects)
-    built.quarantined = list(heartbeat.quarantined)
-    built.cleared = list(heartbeat.cleared)
+    if heartbeat.crashes:
+        _write_crashes(built, heartbeat.crashes)
 
 
 def _read_heartbeat(read: Any) -> Heartbeat:
     return Heartbeat(
         version=read.version,
+        upstream=read.upstream,
         confirmed=read.confirmed,
         draining=read.draining,
         ready=read.ready,
@@ -320,9 +326,31 @@
         running=read.running,
         prefill_rate=read.prefillRate,
         decode_rate=read.decodeRate,
-        suspects=tuple(read.suspects),
-        quarantined=tuple(read.quarantined),
-        cleared=tuple(read.cleared),
+        crashes=tuple(_read_crash_record(record) for record in read.crashes),
+    )
+
+
+def _write_crashes(target: Any, records: Sequence[CrashRecord]) -> None:
+    built = target.init("crashes", len(records))
+    for position, record in enumerate(records):
+        built[position].fingerprint = record.fingerprint
+        built[position].remaining = _to_microseconds(record.remaining)
+        _write_crash_ids(built[position].init("crashes", len(record.crashes)), record.crashes)
+        _write_crash_ids(built[position].init("cleared", len(record.cleared)), record.cleared)
+
+
+def _write_crash_ids(built: Any, crashes: Iterable[CrashId]) -> None:
+    for position, crash in enumerate(sorted(crashes)):
+        built[position].upstream = crash.upstream
+        built[position].boot = crash.boot
+
+
+def _read_crash_record(read: Any) -> CrashRecord:
+    return CrashRecord(
+        read.fingerprint,
+        frozenset(CrashId(crash.upstream, crash.boot) for crash in read.crashes),
+        frozenset(CrashId(crash.upstream, crash.boot) for crash in read.cleared),
+        timedelta(microseconds=read.remaining),
     )
 
 
--- a/packages/mustardquay-node/src/mustardquay_node/links.py
+++ b/packages/mustardquay-node/src/mustardquay_node/links.py
@@ -37,6 +37,8 @@
     process: str
     incarnation: int
     availability_zone: str
+    link: int = 0
+    """Number that an entry gives the link; rises with each link to an agent."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,10 +57,10 @@
     def __init__(
         self,
         side: Literal["entry", "agent"],
-        identity: Callable[[], Identity],
+        identity: Identity,
         options: LinkOptions,
         clock: HybridClock,
-        make_heartbeat: Callable[[], Heartbeat],
+        make_heartbeat: "Callable[[Link], Heartbeat]",
         opened: "Callable[[Link], None]",
         received: "Callable[[Link, Message], None]",
         lost: "Callable[[Link, str], None]",
@@ -105,6 +107,11 @@
         self._queue(message)
         return True
 
+    def beat(self) -> None:
+        """Send a heartbeat now, since something in it has changed."""
+        if self.is_open:
+            self._queue(self._make_heartbeat(self))
+
     def close(self, reason: str) -> None:
         """Close the link at once and tell the owner."""
         if self._closed:
@@ -227,7 +234,7 @@
         return make_proof(
             key,
             self._side,
-            self._identity().process,
+            self._identity.process,
             self.peer.process,
             self._nonces(),
         )
@@ -239,7 +246,7 @@
             hello.proof,
             other,
             hello.process,
-            self._identity().process,
+            self._identity.process,
             self._nonces(),
         )
 
@@ -249,14 +256,21 @@
         return (self._peer_nonce, self._nonce)
 
     def _say_hello(self, proof: bytes) -> None:
-        me = self._identity()
+        me = self._identity
         self._queue(
-            Hello(me.process, me.incarnation, me.availability_zone, self._nonce, proof)
+            Hello(
+                me.process,
+                me.incarnation,
+                me.availability_zone,
+                self._nonce,
+                proof,
+                me.link,
+            )
         )
 
     def _become_open(self) -> None:
         self._open = True
-        self._queue(self._make_heartbeat())
+        self._queue(self._make_heartbeat(self))
         self._opened(self)
 
     def _queue(self, message: Message | Hello) -> None:
@@ -277,5 +291,5 @@
             self.close("no heartbeat within the time of silence")
             return
         if self._open:
-            self._queue(self._make_heartbeat())
+            self._queue(self._make_heartbeat(self))
         self._schedule_beat()
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/reports.py
@@ -0,0 +1,154 @@
+"""Reports: what the upstream beside an agent says of itself, asked for regularly."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any, Literal
+
+import orjson
+
+from mustardquay.works import Role
+
+from .upstreams import CallEnd, UpstreamCall, UpstreamClient
+
+__all__ = ["Reporter", "UpstreamReport"]
+
+TIMEOUT = timedelta(seconds=2)
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamReport:
+    """The last that the upstream said of itself."""
+
+    reachable: bool = False
+    boot: str = ""
+    changing: bool = False
+    generation: int = 0
+    role: Role = Role.MIXED
+    models: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    queued_tokens: int = 0
+    running: int = 0
+    prefill_rate: float = 0.0
+    decode_rate: float = 0.0
+
+
+class Reporter:
+    """Asks one upstream for its state and load."""
+
+    def __init__(
+        self,
+        url: str,
+        kind: Literal["engine", "service"],
+        interval: timedelta,
+        changed: Callable[[UpstreamReport, UpstreamReport], None],
+    ):
+        """`changed` hears of the earlier and the present report after each try."""
+        self._client = UpstreamClient(url)
+        self._kind = kind
+        self._interval = interval
+        self._changed = changed
+        self._report = UpstreamReport()
+        self._task: asyncio.Task[None] | None = None
+        self._probing: asyncio.Future[str] | None = None
+
+    @property
+    def report(self) -> UpstreamReport:
+        """Return the last report."""
+        return self._report
+
+    def start(self) -> None:
+        """Begin to ask."""
+        self._task = asyncio.create_task(self._ask_always())
+
+    async def close(self) -> None:
+        """Ask no more."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        self._client.close()
+
+    def probe(self) -> "asyncio.Future[str]":
+        """Ask over a new connection for the boot, "" when there is no answer.
+
+        Calls that broke together share one probe.
+        """
+        if self._probing is None or self._probing.done():
+            self._probing = asyncio.ensure_future(self._ask_boot())
+        return self._probing
+
+    async def ask(self) -> UpstreamReport:
+        """Ask now, over a new connection."""
+        before = self._report
+        self._report = await self._read_report()
+        self._changed(before, self._report)
+        return self._report
+
+    async def _ask_boot(self) -> str:
+        report = await self.ask()
+        return report.boot if report.reachable else ""
+
+    async def _ask_always(self) -> None:
+        while True:
+            await self.ask()
+            await asyncio.sleep(self._interval.total_seconds())
+
+    async def _read_report(self) -> UpstreamReport:
+        load = await self._get("/load")
+        if load is None:
+            return UpstreamReport()
+        if self._kind == "service":
+            return UpstreamReport(
+                reachable=True,
+                boot="service",
+                role=Role.SERVICE,
+                running=int(load.get("running", 0)),
+            )
+        state = await self._get("/state")
+        if state is None:
+            return UpstreamReport()
+        return _make_engine_report(state, load)
+
+    async def _get(self, path: str) -> dict[str, Any] | None:
+        parts: list[bytes] = []
+        statuses: list[int] = []
+        call = UpstreamCall(
+            "GET",
+            path,
+            (),
+            b"",
+            lambda status, headers: statuses.append(status),
+            parts.append,
+        )
+        try:
+            async with asyncio.timeout(TIMEOUT.total_seconds()):
+                # A new connection, since a kept one that was forgotten on its way
+                # would make a healthy upstream look dead.
+                end = await self._client.run(call, fresh=True)
+        except TimeoutError:
+            call.cancel()
+            return None
+        if end is not CallEnd.WHOLE or statuses[-1] != 200:
+            return None
+        try:
+            answer = orjson.loads(b"".join(parts))
+        except orjson.JSONDecodeError:
+            return None
+        return answer if isinstance(answer, dict) else None
+
+
+def _make_engine_report(state: dict[str, Any], load: dict[str, Any]) -> UpstreamReport:
+    return UpstreamReport(
+        reachable=True,
+        boot=str(state.get("boot", "")),
+        changing=bool(state.get("changing", False)),
+        generation=int(state.get("generation", 0)),
+        role=Role(state.get("role", Role.MIXED)),
+        models=tuple(sorted(state.get("models", {}))),
+        adapters=tuple(sorted(state.get("adapters", ()))),
+        queued_tokens=int(load.get("queued_tokens", 0)),
+        running=int(load.get("running", 0)),
+        prefill_rate=float(load.get("prefill_rate", 0.0)),
+        decode_rate=float(load.get("decode_rate", 0.0)),
+    )
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/runs.py
@@ -0,0 +1,200 @@
+"""Runs: what an agent remembers of the attempts it was sent.
+
+Every frame that an attempt has produced is kept until some time after its end, so
+that an entry which lost its link can ask for the rest over a new one. An attempt
+that is no longer known is told apart from one that never came by the highest
+stream number forgotten: numbers rise with each attempt of an entry process.
+"""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Iterator
+from datetime import timedelta
+
+from mustardquay.errors import Refusal
+from mustardquay.messages import (
+    Attempt,
+    AttemptFrame,
+    Chunk,
+    Done,
+    Failed,
+    FailureKind,
+    Head,
+    Header,
+    Refused,
+    Started,
+)
+from mustardquay.works import Work
+
+from .links import Link
+
+__all__ = ["Owner", "Run", "RunTable"]
+
+Owner = tuple[str, int]
+"""Name and incarnation of an entry process."""
+
+WINDOW = 256 * 1024
+"""Bytes of answer that may be on their way to a caller that reads slowly."""
+RETENTION = timedelta(seconds=60)
+"""How long an ended run is kept; entries come back for it within seconds."""
+OWNERS = 10_000
+"""Entry processes of which the highest forgotten stream is kept."""
+
+
+class Run:
+    """One attempt at its agent, with all the frames it has produced."""
+
+    def __init__(self, owner: Owner, attempt: Attempt, work: Work, link: Link | None):
+        self.owner = owner
+        self.attempt = attempt
+        self.work = work
+        self.link = link
+        self.started = False
+        self.cancelled = False
+        self.ended_at: timedelta | None = None
+        self.progress_at = timedelta()
+        """Monotonic instant of the last sign of life from the upstream."""
+        self._frames: list[AttemptFrame] = []
+        self._credit = WINDOW
+        self._credit_given = asyncio.Event()
+
+    @property
+    def key(self) -> tuple[Owner, int]:
+        """Return what names the run at this agent."""
+        return (self.owner, self.attempt.stream)
+
+    @property
+    def ended(self) -> bool:
+        """Return whether the last frame was produced."""
+        return self.ended_at is not None
+
+    def start(self, now: timedelta) -> None:
+        """Note that the attempt goes to the upstream."""
+        self.started = True
+        self.progress_at = now
+        self._emit(Started(self.attempt.stream, len(self._frames)))
+
+    def add_head(self, status: int, headers: tuple[Header, ...]) -> None:
+        """Pass on the head of the answer."""
+        stream = self.attempt.stream
+        self._emit(Head(stream, len(self._frames), status, headers))
+
+    def add_chunk(self, data: bytes, tokens: int) -> None:
+        """Pass on a part of the answer, and take its size from the credit."""
+        self._credit -= len(data)
+        self._emit(Chunk(self.attempt.stream, len(self._frames), tokens, data))
+
+    def end_whole(self, now: timedelta) -> None:
+        """End with a whole answer."""
+        self._end(Done(self.attempt.stream, len(self._frames)), now)
+
+    def end_refused(self, refusal: Refusal, now: timedelta) -> None:
+        """End an attempt that was never started; the record is its tombstone."""
+        self._end(
+            Refused(
+                self.attempt.stream,
+                len(self._frames),
+                refusal.reason,
+                refusal.message,
+                refusal.retry_after,
+            ),
+            now,
+        )
+
+    def end_failed(self, kind: FailureKind, message: str, now: timedelta) -> None:
+        """End an attempt that may have run."""
+        stream = self.attempt.stream
+        self._end(Failed(stream, len(self._frames), kind, message), now)
+
+    def reattach(self, link: Link, have: int) -> None:
+        """Send what comes behind the first `have` frames over a new link."""
+        self.link = link
+        for frame in self._frames[have:]:
+            link.send(frame)
+
+    def give_credit(self, size: int) -> None:
+        """Note that the caller has taken `size` bytes."""
+        self._credit += size
+        if self._credit > 0:
+            self._credit_given.set()
+
+    async def wait_for_credit(self) -> None:
+        """Wait while too much of the answer is on its way to the caller."""
+        while self._credit <= 0 and not self.cancelled:
+            self._credit_given.clear()
+            await self._credit_given.wait()
+
+    @property
+    def is_held_back(self) -> bool:
+        """Return whether the caller, not the upstream, is what holds it up."""
+        return self._credit <= 0
+
+    def _end(self, frame: AttemptFrame, now: timedelta) -> None:
+        if self.ended:
+            return
+        self.ended_at = now
+        self._emit(frame)
+
+    def _emit(self, frame: AttemptFrame) -> None:
+        self._frames.append(frame)
+        if self.link is not None:
+            self.link.send(frame)
+
+
+class RunTable:
+    """The runs of one agent, those that go on and those that ended lately."""
+
+    def __init__(self) -> None:
+        self._runs: dict[tuple[Owner, int], Run] = {}
+        self._ended: OrderedDict[tuple[Owner, int], Run] = OrderedDict()
+        self._forgotten: OrderedDict[Owner, int] = OrderedDict()
+        self._owners_forgotten = False
+
+    def __iter__(self) -> Iterator[Run]:
+        return iter(list(self._runs.values()))
+
+    def __len__(self) -> int:
+        return len(self._runs)
+
+    def add(self, run: Run) -> None:
+        """Keep a run that goes on."""
+        self._runs[run.key] = run
+
+    def find(self, key: tuple[Owner, int]) -> Run | None:
+        """Return the run, whether it goes on or has ended."""
+        return self._runs.get(key) or self._ended.get(key)
+
+    def note_end(self, run: Run) -> None:
+        """Move a run that has ended among those that are kept for a while."""
+        self._runs.pop(run.key, None)
+        self._ended[run.key] = run
+
+    def may_be_forgotten(self, key: tuple[Owner, int]) -> bool:
+        """Return whether an attempt that is not found may have been run.
+
+        An entry that was paused for long asks after the record is gone. To take
+        that for "never came" would make a false "not run"; the highest number
+        forgotten is kept for each entry process and tells the two apart.
+        """
+        owner, stream = key
+        if owner in self._forgotten:
+            return stream <= self._forgotten[owner]
+        return self._owners_forgotten
+
+    def forget(self, now: timedelta) -> None:
+        """Drop the runs that ended longer ago than `RETENTION`."""
+        while self._ended:
+            key, run = next(iter(self._ended.items()))
+            assert run.ended_at is not None
+            if now - run.ended_at < RETENTION:
+                return
+            del self._ended[key]
+            self._note_forgotten(key)
+
+    def _note_forgotten(self, key: tuple[Owner, int]) -> None:
+        owner, stream = key
+        self._forgotten[owner] = max(stream, self._forgotten.get(owner, 0))
+        self._forgotten.move_to_end(owner)
+        if len(self._forgotten) > OWNERS:
+            self._forgotten.popitem(last=False)
+            self._owners_forgotten = True
--- a/packages/mustardquay-node/src/mustardquay_node/wire.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/wire.capnp
@@ -13,6 +13,20 @@
   availabilityZone @2 :Text;
   nonce @3 :Data;
   proof @4 :Data;
+  # Number of the link among those of the entry process to this agent, from 1.
+  link @5 :UInt64;
+}
+
+struct CrashId {
+  upstream @0 :Text;
+  boot @1 :Text;
+}
+
+struct CrashRecord {
+  fingerprint @0 :UInt64;
+  crashes @1 :List(CrashId);
+  cleared @2 :List(CrashId);
+  remaining @3 :UInt64;
 }
 
 struct Attempt {
@@ -100,9 +114,8 @@
   running @9 :UInt32;
   prefillRate @10 :Float64;
   decodeRate @11 :Float64;
-  suspects @12 :List(UInt64);
-  quarantined @13 :List(UInt64);
-  cleared @14 :List(UInt64);
+  crashes @12 :List(CrashRecord);
+  upstream @13 :Text;
 }
 
 struct Frame {
--- a/packages/mustardquay/src/mustardquay/attempts.py
+++ b/packages/mustardquay/src/mustardquay/attempts.py
@@ -30,6 +30,7 @@
 
 __all__ = [
     "Action",
+    "AnswerEarly",
     "CancelAttempt",
     "ChooseUpstream",
     "DeliverData",
@@ -116,9 +117,20 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerEarly:
+    """Tell the caller that the outcome is unknown; the work itself goes on.
+
+    Only for work that must not be repeated: it is not broken off at the deadline,
+    and what becomes of it is still recorded. `Finish` follows.
+    """
+
+    refusal: Refusal
+
+
 @dataclass(frozen=True, slots=True)
 class Finish:
-    """Tell the caller the outcome; nothing follows.
+    """Tell the caller the outcome, unless it was told early; nothing follows.
 
     `refusal` tells why there is no answer, and is None with one.
     """
@@ -136,6 +148,7 @@
     | WaitBeforeRetry
     | DeliverHead
     | DeliverData
+    | AnswerEarly
     | Finish
 )
 
@@ -263,14 +276,15 @@
         return self._after_failure(FailureKind.LOST)
 
     def deadline_passed(self) -> list[Action]:
-        """Give up at once; what was sent may have run."""
-        return self._give_up(
-            Refusal(
-                Reason.DEADLINE,
-                "The tolerated lateness has passed; ask again when load is lower.",
-                timedelta(seconds=1),
-            )
+        """Give the caller the final word at once; what was sent may have run."""
+        refusal = Refusal(
+            Reason.DEADLINE,
+            "The tolerated lateness has passed; ask again when load is lower.",
+            timedelta(seconds=1),
         )
+        if not self._repeatable and self._phase in (Phase.SENT, Phase.REATTACHING):
+            return [AnswerEarly(refusal)]
+        return self._give_up(refusal)
 
     def caller_left(self) -> list[Action]:
         """Stop idempotent work; what must not be repeated runs to its end."""
@@ -278,10 +292,15 @@
             return []
         return self._give_up(Refusal(Reason.DEADLINE, "The caller has left."))
 
-    def resume_impossible(self) -> list[Action]:
+    def resume_impossible(self) -> None:
         """Note that what was delivered can't be given to another engine."""
         self._resumable = False
-        return []
+
+    def resume_refused(self) -> list[Action]:
+        """Give up on a stream that was to be resumed and can't be."""
+        if self._phase is not Phase.SENT:
+            return []
+        return self._after_failure(FailureKind.TRUNCATED)
 
     def _take_frame(self, frame: AttemptFrame) -> list[Action]:
         match frame:
--- a/packages/mustardquay/src/mustardquay/messages.py
+++ b/packages/mustardquay/src/mustardquay/messages.py
@@ -9,6 +9,7 @@
 from enum import StrEnum
 
 from .errors import Reason
+from .quarantines import CrashRecord
 from .works import Role
 
 __all__ = [
@@ -178,6 +179,8 @@
     """Whether the sender knows its version to have been the store's head."""
     draining: bool = False
     ready: bool = True
+    upstream: str = ""
+    """Name of the upstream beside an agent."""
     role: Role = Role.MIXED
     models: tuple[str, ...] = ()
     adapters: tuple[str, ...] = ()
@@ -188,12 +191,8 @@
     """Prompt tokens a second; 0 when not known."""
     decode_rate: float = 0.0
     """Tokens a second of one stream; 0 when not known."""
-    suspects: tuple[int, ...] = ()
-    """Fingerprints in flight when an upstream crashed once."""
-    quarantined: tuple[int, ...] = ()
-    """Fingerprints that are refused everywhere."""
-    cleared: tuple[int, ...] = ()
-    """Suspects that have since run to their end."""
+    crashes: tuple[CrashRecord, ...] = ()
+    """What was in flight when upstreams crashed, changed since the last one sent."""
 
 
 @dataclass(frozen=True, slots=True)
