--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/costs.py
@@ -0,0 +1,203 @@
+"""Costs: what a planned change or release takes from the fleet.
+
+The operator is told the cost, and a change under which the rest of the fleet can't
+honour the contracts is refused unless the operator accepts just that.
+"""
+
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from .contracts import Contract
+from .errors import DocumentError
+from .plans import Action, PlannedChange, Release, Scope
+from .revisions import Configuration, Edit
+
+__all__ = [
+    "Cost",
+    "FleetUpstream",
+    "check_costs",
+    "compute_cost",
+    "count_spare",
+    "select_targets",
+]
+
+TOLERANCE = 1e-9
+
+
+@dataclass(frozen=True, slots=True)
+class FleetUpstream:
+    """One upstream as the capacity check sees it."""
+
+    name: str
+    availability_zone: str
+    instance: str
+    models: frozenset[str] = frozenset()
+    rate: float = 1.0
+    """Its part in the fleet's work, in any unit that is the same for all."""
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """What a planned change takes away at its worst moment."""
+
+    upstreams: tuple[str, ...]
+    """All that the change will touch."""
+    lost: float
+    """Largest part of the fleet's rate that is away at one time."""
+    remaining: float
+    """Part of the fleet's rate that is left then, other changes counted too."""
+    entitled: float
+    """Sum of the shares of all contracts."""
+    missing_models: tuple[str, ...] = field(default=())
+    """Models of contracts that no upstream would serve."""
+
+    @property
+    def is_covered(self) -> bool:
+        """Return whether the rest can honour every contract."""
+        if self.missing_models:
+            return False
+        return self.entitled <= self.remaining + TOLERANCE
+
+    def __str__(self) -> str:
+        text = (
+            f"It touches {len(self.upstreams)} upstreams and takes {self.lost:.4f} of "
+            f"the fleet at its worst; {self.remaining:.4f} is left for contracts over "
+            f"{self.entitled:.4f}."
+        )
+        if self.missing_models:
+            text += f" No upstream is left for {', '.join(self.missing_models)}."
+        return text
+
+
+def select_targets(
+    change: PlannedChange, fleet: Iterable[FleetUpstream]
+) -> tuple[str, ...]:
+    """Return the names of the upstreams that the change is about, sorted."""
+    return tuple(sorted(item.name for item in fleet if _is_target(change, item)))
+
+
+def compute_cost(
+    change: PlannedChange, configuration: Configuration, fleet: Sequence[FleetUpstream]
+) -> Cost:
+    """Return what the change takes, on top of the others that stand."""
+    targets = select_targets(change, fleet)
+    away = _list_away(configuration.changes, fleet, skip=change.name)
+    whole = sum(item.rate for item in fleet) or 1.0
+    rates = {item.name: item.rate for item in fleet}
+    fresh = [name for name in targets if name not in away]
+    if change.action is Action.REPLACE:
+        # One at a time: the worst moment is that of the largest one.
+        fresh = sorted(fresh, key=lambda name: rates[name])[-1:]
+    lost = sum(rates[name] for name in fresh) / whole
+    gone = away | set(fresh)
+    remaining = sum(rate for name, rate in rates.items() if name not in gone) / whole
+    contracts = configuration.contracts.values()
+    return Cost(
+        targets,
+        lost,
+        remaining,
+        sum(contract.share for contract in contracts),
+        _list_missing(contracts, fleet, gone),
+    )
+
+
+def count_spare(shares: float, engines: int, accept_overload: bool) -> int:
+    """Return how many of so many equal engines the contracts can spare.
+
+    >>> count_spare(0.75, 9, False), count_spare(1.0, 9, False)
+    (2, 0)
+    >>> count_spare(1.0, 9, True)
+    1
+    """
+    spare = int(engines * (1 - shares) + TOLERANCE)
+    return max(spare, 1 if accept_overload else 0)
+
+
+def check_costs(
+    result: Configuration, edit: Edit, fleet: Sequence[FleetUpstream]
+) -> list[Cost]:
+    """Return the costs of the edit's changes; `result` is what it would give.
+
+    Raises `DocumentError` for a change that names nothing or whose cost the
+    contracts don't cover and the operator does not accept.
+    """
+    costs = []
+    for amendment in edit.amendments:
+        value = amendment.value
+        if isinstance(value, PlannedChange):
+            costs.append(_check_change(value, result, fleet))
+        elif isinstance(value, Release):
+            _check_release(value, result, fleet)
+    return costs
+
+
+def _check_change(
+    change: PlannedChange, result: Configuration, fleet: Sequence[FleetUpstream]
+) -> Cost:
+    cost = compute_cost(change, result, fleet)
+    if not cost.upstreams:
+        raise DocumentError(
+            f"The change {change.name} names the {change.scope} {change.target}, "
+            "which has no upstream; mend the name."
+        )
+    if not cost.is_covered and not change.accept_overload:
+        raise DocumentError(
+            f"The fleet can't honour its contracts during {change.name}. {cost} "
+            "Lower shares, split the change or set accept_overload."
+        )
+    return cost
+
+
+def _check_release(
+    release: Release, result: Configuration, fleet: Sequence[FleetUpstream]
+) -> None:
+    shares = sum(contract.share for contract in result.contracts.values())
+    for zone, engines in _group_engines(release, fleet).items():
+        if count_spare(shares, engines, release.accept_overload) < 1:
+            raise DocumentError(
+                f"The contracts over {shares:.4f} of the fleet spare none of the "
+                f"{engines} engines in {zone} for the release of {release.model}; "
+                "lower shares or set accept_overload."
+            )
+
+
+def _group_engines(release: Release, fleet: Iterable[FleetUpstream]) -> dict[str, int]:
+    engines: dict[str, int] = {}
+    for item in fleet:
+        if release.model not in item.models:
+            continue
+        if release.availability_zones:
+            if item.availability_zone not in release.availability_zones:
+                continue
+        engines[item.availability_zone] = engines.get(item.availability_zone, 0) + 1
+    return engines
+
+
+def _is_target(change: PlannedChange, upstream: FleetUpstream) -> bool:
+    if change.scope is Scope.UPSTREAM:
+        return change.target == upstream.name
+    if change.scope is Scope.INSTANCE:
+        return change.target == upstream.instance
+    return change.target == upstream.availability_zone
+
+
+def _list_away(
+    changes: Mapping[str, PlannedChange], fleet: Sequence[FleetUpstream], skip: str
+) -> set[str]:
+    away: set[str] = set()
+    for change in changes.values():
+        if change.name != skip and change.action is not Action.REPLACE:
+            away.update(select_targets(change, fleet))
+    return away
+
+
+def _list_missing(
+    contracts: Iterable[Contract],
+    fleet: Iterable[FleetUpstream],
+    gone: Collection[str],
+) -> tuple[str, ...]:
+    fleet = tuple(fleet)
+    served = {name for item in fleet for name in item.models}
+    left = {name for item in fleet if item.name not in gone for name in item.models}
+    wanted = {model for contract in contracts for model in contract.models}
+    return tuple(sorted(wanted & served - left))
--- a/packages/mustardquay/src/mustardquay/logs.py
+++ b/packages/mustardquay/src/mustardquay/logs.py
@@ -6,15 +6,11 @@
 """
 
 from dataclasses import dataclass
-from functools import cache
-from typing import Any
-
-from pydantic import TypeAdapter, ValidationError
 
 from .contracts import Contract
-from .errors import ProtocolError
+from .encodings import decode_bytes, encode, encode_bytes
 from .plans import PlannedChange, Release
-from .revisions import Configuration, Edit, Entry
+from .revisions import Configuration, Entry
 from .tables import Committed, Condition, Conflict, Row, Transaction, Write
 
 __all__ = [
@@ -26,11 +22,7 @@
     "Accepted",
     "Overtaken",
     "build_transaction",
-    "decode_edit",
-    "decode_entry",
     "decode_snapshot",
-    "encode_edit",
-    "encode_entry",
     "encode_snapshot",
     "interpret_result",
     "name_entry",
@@ -100,7 +92,7 @@
         ),
         writes=(
             Write(TABLE, HEAD, version),
-            Write(TABLE, name_entry(entry.version), encode_entry(entry)),
+            Write(TABLE, name_entry(entry.version), encode(entry)),
             Write(TABLE, change, version),
         ),
     )
@@ -125,34 +117,6 @@
     return Overtaken(read_version(heads[0] if heads else None))
 
 
-def encode_entry(entry: Entry) -> dict[str, Any]:
-    """Return the entry as a JSON value."""
-    return _adapter(Entry).dump_python(entry, mode="json")
-
-
-def decode_entry(value: Any) -> Entry:
-    """Return the entry; raises `ProtocolError` if the value is none."""
-    try:
-        return _adapter(Entry).validate_python(value)
-    except ValidationError as error:
-        raise ProtocolError(
-            f"A log entry is not valid, mend its row: {error}"
-        ) from None
-
-
-def encode_edit(edit: Edit) -> dict[str, Any]:
-    """Return the edit as a JSON value."""
-    return _adapter(Edit).dump_python(edit, mode="json")
-
-
-def decode_edit(value: Any) -> Edit:
-    """Return the edit; raises `ProtocolError` if the value is none."""
-    try:
-        return _adapter(Edit).validate_python(value)
-    except ValidationError as error:
-        raise ProtocolError(f"The edit is not valid, mend it: {error}") from None
-
-
 def encode_snapshot(configuration: Configuration) -> bytes:
     """Return the whole configuration as JSON."""
     snapshot = _Snapshot(
@@ -161,17 +125,12 @@
         tuple(configuration.changes.values()),
         tuple(configuration.releases.values()),
     )
-    return _adapter(_Snapshot).dump_json(snapshot)
+    return encode_bytes(snapshot)
 
 
 def decode_snapshot(data: bytes) -> Configuration:
     """Return the configuration; raises `ProtocolError` if the data is none."""
-    try:
-        snapshot = _adapter(_Snapshot).validate_json(data)
-    except ValidationError as error:
-        raise ProtocolError(
-            f"A snapshot is not valid, write a new one: {error}"
-        ) from None
+    snapshot = decode_bytes(_Snapshot, data)
     owners = {
         key_hash: contract.customer
         for contract in snapshot.contracts
@@ -184,8 +143,3 @@
         {release.model: release for release in snapshot.releases},
         owners,
     )
-
-
-@cache
-def _adapter(kind: type) -> TypeAdapter:
-    return TypeAdapter(kind)
--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/members.py
@@ -0,0 +1,203 @@
+"""Members: the lagging instance list joined with heartbeats.
+
+Each entry links to a bounded subset of the agents. The choice is made from the
+agent's side, by rendezvous hash, so that every agent has several entries, of its
+own availability zone while there are any. Source of the hash: Thaler and
+Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", 1998.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import StrEnum
+from typing import Literal
+
+from xxhash import xxh3_64_intdigest
+
+__all__ = [
+    "Instance",
+    "MemberState",
+    "Membership",
+    "choose_agents",
+    "choose_readers",
+]
+
+COPIES = 3
+"""Entries that every agent has at least, while there are as many."""
+READERS = 3
+"""Entries of a zone that poll the head of the configuration log."""
+
+
+@dataclass(frozen=True, slots=True)
+class Instance:
+    """One line of the platform's instance list."""
+
+    name: str
+    kind: Literal["entry", "agent"]
+    address: str
+    port: int
+    availability_zone: str
+    state: Literal["live", "leaving"] = "live"
+
+
+class MemberState(StrEnum):
+    """What is known of an instance."""
+
+    LISTED = "listed"
+    """On the list and never heard."""
+    LIVE = "live"
+    LEAVING = "leaving"
+    SILENT = "silent"
+    """Was heard and is not any more."""
+
+
+@dataclass(slots=True)
+class _Member:
+    instance: Instance | None = None
+    incarnation: int = -1
+    leaving: bool = False
+    heard_at: timedelta | None = None
+
+
+class Membership:
+    """The list and the heartbeats as one process has them.
+
+    What an instance says of itself goes before the list, which lags: one that says
+    that it leaves gets no new work though the list still shows it, and one that is
+    heard is kept though the list does not show it yet.
+    """
+
+    def __init__(self, silence: timedelta):
+        self._silence = silence
+        self._members: dict[str, _Member] = {}
+
+    def update(self, instances: Iterable[Instance], now: timedelta) -> None:
+        """Take in a new list."""
+        listed = {instance.name: instance for instance in instances}
+        for name, instance in listed.items():
+            self._members.setdefault(name, _Member()).instance = instance
+        for name in self._members.keys() - listed.keys():
+            if not self._is_heard(self._members[name], now):
+                del self._members[name]
+
+    def hear(self, name: str, incarnation: int, leaving: bool, now: timedelta) -> None:
+        """Take in a heartbeat; `incarnation` rises when the process is replaced.
+
+        Within an incarnation, leaving is for good: a heartbeat that was overtaken
+        by the announcement must not bring the member back.
+        """
+        member = self._members.setdefault(name, _Member())
+        if incarnation < member.incarnation:
+            return
+        if incarnation > member.incarnation:
+            member.leaving = False
+        member.incarnation = incarnation
+        member.leaving = member.leaving or leaving
+        member.heard_at = now
+
+    def get_state(self, name: str, now: timedelta) -> MemberState | None:
+        """Return the state of an instance, or None when nothing is known."""
+        member = self._members.get(name)
+        if member is None:
+            return None
+        if member.leaving:
+            return MemberState.LEAVING
+        listed_as = member.instance.state if member.instance else "live"
+        if listed_as == "leaving":
+            return MemberState.LEAVING
+        if member.heard_at is None:
+            return MemberState.LISTED
+        return MemberState.LIVE if self._is_heard(member, now) else MemberState.SILENT
+
+    def list_instances(
+        self, kind: Literal["entry", "agent"], now: timedelta
+    ) -> list[Instance]:
+        """Return the instances to link to, by name; without those that leave."""
+        chosen = []
+        for name in sorted(self._members):
+            instance = self._members[name].instance
+            if instance is None or instance.kind != kind:
+                continue
+            if self.get_state(name, now) is not MemberState.LEAVING:
+                chosen.append(instance)
+        return chosen
+
+    def _is_heard(self, member: _Member, now: timedelta) -> bool:
+        return member.heard_at is not None and now - member.heard_at < self._silence
+
+
+def choose_agents(
+    name: str,
+    entries: Sequence[Instance],
+    agents: Sequence[Instance],
+    limit: int,
+    seed: int = 0,
+) -> list[Instance]:
+    """Return the agents that the entry `name` links to.
+
+    `limit` is the mean number of links that an entry of the zone may have; it is
+    exceeded where every agent could not have `COPIES` entries otherwise.
+    """
+    entry_zones = _group(entries)
+    agent_zones = _group(agents)
+    chosen: dict[str, Instance] = {}
+    for zone, members in agent_zones.items():
+        pool = _pool_entries(zone, entry_zones, seed)
+        if not any(entry.name == name for entry in pool):
+            continue
+        copies = _count_copies(len(pool), len(members), limit)
+        for agent in members:
+            if name in _rank(pool, agent.name, seed)[:copies]:
+                chosen[agent.name] = agent
+    if not chosen:
+        names = _rank(agents, name, seed)[:limit]
+        chosen = {agent.name: agent for agent in agents if agent.name in names}
+    return [chosen[key] for key in sorted(chosen)]
+
+
+def choose_readers(
+    entries: Iterable[Instance], zone: str, count: int = READERS, seed: int = 0
+) -> list[str]:
+    """Return the names of the entries of a zone that read the log for it."""
+    pool = [entry for entry in entries if entry.availability_zone == zone]
+    return _rank(pool, f"readers/{zone}", seed)[:count]
+
+
+def _group(instances: Iterable[Instance]) -> dict[str, list[Instance]]:
+    zones: dict[str, list[Instance]] = defaultdict(list)
+    for instance in instances:
+        zones[instance.availability_zone].append(instance)
+    return zones
+
+
+def _pool_entries(
+    zone: str, entry_zones: dict[str, list[Instance]], seed: int
+) -> list[Instance]:
+    """The entries of the zone; when they are too few, those of others besides.
+
+    Whole zones are taken over in the order of a hash, so that an entry needs to
+    look only at the few zones that it helps.
+    """
+    pool = list(entry_zones.get(zone, ()))
+    if len(pool) >= COPIES:
+        return pool
+    others = [other for other in entry_zones if other != zone]
+    for other in sorted(others, key=lambda other: (_hash(seed, zone, other), other)):
+        pool += entry_zones[other]
+        if len(pool) >= COPIES:
+            break
+    return pool
+
+
+def _count_copies(entries: int, agents: int, limit: int) -> int:
+    return min(max(COPIES, limit * entries // agents), entries)
+
+
+def _rank(pool: Iterable[Instance], key: str, seed: int) -> list[str]:
+    names = (instance.name for instance in pool)
+    return sorted(names, key=lambda name: (_hash(seed, key, name), name))
+
+
+def _hash(seed: int, key: str, name: str) -> int:
+    return xxh3_64_intdigest(f"{key}\n{name}", seed=seed)
--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/orders.py
@@ -0,0 +1,124 @@
+"""Orders: the desired state of each engine, as rows of tables.
+
+An order row holds what an engine should be, not what to do: after any crash the
+agent observes the engine and goes on from there. The rows of a control domain have
+a common prefix. How an agent reaches the desired state is in `machines`.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from .works import Role
+
+__all__ = [
+    "CLAIMS",
+    "ORDERS",
+    "REPORTS",
+    "Claim",
+    "Desired",
+    "EngineReport",
+    "EngineState",
+    "Order",
+    "OrderRow",
+    "matches_desired",
+    "name_engine",
+]
+
+ORDERS = "orders"
+CLAIMS = "engine_claims"
+REPORTS = "engine_reports"
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """An engine's row in `engine_claims`: the agent that may give it orders.
+
+    The revision of the row is the agent's incarnation, and the fencing number of
+    its orders.
+    """
+
+    agent: str
+    """Unique for each start of a process."""
+
+
+@dataclass(frozen=True, slots=True)
+class Desired:
+    """What an engine should be."""
+
+    role: Role = Role.MIXED
+    models: Mapping[str, str] = field(default_factory=dict)
+    """Version by model."""
+    adapters: tuple[str, ...] = ()
+    serving: bool = True
+    """False while the engine is drained."""
+
+
+@dataclass(frozen=True, slots=True)
+class OrderRow:
+    """An engine's row in `orders`, written by the holder of the domain's lease."""
+
+    generation: int
+    """Rises with each write."""
+    desired: Desired
+    cause: str = ""
+    """Planned change, release or decision for which the row was written."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """An engine's row in `engine_reports`, written by its agent when it changes."""
+
+    generation: int
+    """Generation of the order row that was reached; 0 before the first."""
+    ready: bool
+    """Whether the engine may get requests."""
+    empty: bool = False
+    """Whether it is drained and no request runs."""
+    role: Role = Role.MIXED
+    models: Mapping[str, str] = field(default_factory=dict)
+    adapters: tuple[str, ...] = ()
+    incarnation: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineState:
+    """What an engine says that it is."""
+
+    boot: str
+    """Changes each time the engine starts."""
+    generation: int
+    """Of the last order that was carried out since the start, or 0."""
+    role: Role
+    models: Mapping[str, str]
+    adapters: tuple[str, ...] = ()
+    changing: bool = False
+    """Whether an order is being carried out."""
+    fence: int = 0
+    """Highest fencing number seen."""
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """What is sent to an engine."""
+
+    fence: int
+    generation: int
+    desired: Desired
+
+
+def name_engine(domain: str, upstream: str) -> str:
+    """Return the key of an engine's rows.
+
+    >>> name_engine("linz", "runner-1")
+    'linz/runner-1'
+    """
+    return f"{domain}/{upstream}"
+
+
+def matches_desired(state: EngineState, desired: Desired) -> bool:
+    """Return whether the engine is what it should be."""
+    return (
+        state.role == desired.role
+        and dict(state.models) == dict(desired.models)
+        and set(state.adapters) == set(desired.adapters)
+    )
--- a/packages/mustardquay/src/mustardquay/plans.py
+++ b/packages/mustardquay/src/mustardquay/plans.py
@@ -53,6 +53,8 @@
     """Version that is kept in the weight store until the roll-out is over."""
     adapters: tuple[str, ...] = ()
     availability_zones: tuple[str, ...] = ()
-    """Where the model is served; empty means in all."""
+    """Where this version is to be served; empty means in all."""
+    accept_overload: bool = False
+    """Whether engines may be taken one at a time though contracts can't spare any."""
     revision: int = 0
     """Version of the configuration log that last wrote this release."""
--- a/packages/mustardquay/tests/test_revisions.py
+++ b/packages/mustardquay/tests/test_revisions.py
@@ -5,14 +5,13 @@
 import pytest
 
 from mustardquay.contracts import Contract
+from mustardquay.encodings import decode, encode
 from mustardquay.errors import ConflictError, DocumentError, ProtocolError
 from mustardquay.logs import (
     Accepted,
     Overtaken,
     build_transaction,
-    decode_entry,
     decode_snapshot,
-    encode_entry,
     encode_snapshot,
     interpret_result,
 )
@@ -57,7 +56,7 @@
         ReleaseAmendment("m", 0, Release("m", "2", "1", ("a",))),
         ContractAmendment("radio", 1, None),
     )
-    assert decode_entry(json.loads(json.dumps(encode_entry(entry)))) == entry
+    assert decode(Entry, json.loads(json.dumps(encode(entry)))) == entry
     result = apply_entry(BASE, entry)
     assert decode_snapshot(encode_snapshot(result)) == result
     assert result.find_customer("hash-radio") is None
