--- a/packages/mustardquay-node/src/mustardquay_node/metrics.py
+++ b/packages/mustardquay-node/src/mustardquay_node/metrics.py
@@ -85,7 +85,8 @@
             }
         )
         self._outcomes: Counter[tuple[str, str]] = Counter()
-        self._refusals: Counter[tuple[str]] = Counter()
+        # All reasons are there from the start, so that rates need no first event.
+        self._refusals = Counter({(reason.value,): 0 for reason in Reason})
         self._retries: Counter[tuple[str]] = Counter()
         self._registry = CollectorRegistry()
         self._provider: MeterProvider | None = None
--- a/packages/mustardquay/src/mustardquay/documents.py
+++ b/packages/mustardquay/src/mustardquay/documents.py
@@ -5,10 +5,12 @@
 """
 
 from configparser import ConfigParser, Error as ConfigParserError
+from datetime import UTC
 from hashlib import sha256
 from typing import Annotated, Any, TypeVar
 
 from pydantic import (
+    AwareDatetime,
     BaseModel,
     ConfigDict,
     Field,
@@ -20,12 +22,17 @@
 from .errors import DocumentError
 from .faults import describe_faults
 from .fields import Duration, Words
+from .plans import Action, PlannedChange, Scope
 
 __all__ = [
+    "ChangeDocument",
     "ContractDocument",
     "LatenessDocument",
     "check_document",
+    "describe_change",
+    "describe_contract",
     "hash_key",
+    "read_change",
     "read_contract",
 ]
 
@@ -110,9 +117,37 @@
             revision=self.revision,
         )
 
-    def to_json(self) -> dict[str, Any]:
-        """Return the fields for JSON, durations in seconds, keys as digests."""
-        return describe_contract(self.to_contract())
+
+class ChangeDocument(_Document):
+    """Section `change`: a planned change to a part of the fleet."""
+
+    name: Name
+    action: Action
+    scope: Scope = Scope.UPSTREAM
+    target: Annotated[str, Field(min_length=1)]
+    starts_at: AwareDatetime | None = None
+    """None is at once."""
+    accept_overload: bool = False
+    revision: Annotated[int, Field(ge=0)] = 0
+    """The revision that this document amends; 0 makes a new planned change."""
+
+    def to_change(self) -> PlannedChange:
+        """Return the data class, with its instant in UTC."""
+        starts_at = self.starts_at and self.starts_at.astimezone(UTC)
+        return PlannedChange(**(dict(self) | {"starts_at": starts_at}))
+
+
+def describe_change(change: PlannedChange) -> dict[str, Any]:
+    """Return a planned change's fields for JSON, its instant as ISO 8601."""
+    return {
+        "name": change.name,
+        "action": change.action.value,
+        "scope": change.scope.value,
+        "target": change.target,
+        "starts_at": change.starts_at and change.starts_at.isoformat(),
+        "accept_overload": change.accept_overload,
+        "revision": change.revision,
+    }
 
 
 def describe_contract(contract: Contract) -> dict[str, Any]:
@@ -147,6 +182,15 @@
     return check_document(ContractDocument, fields, source, "contract")
 
 
+def read_change(text: str, source: str) -> ChangeDocument:
+    """Return the planned change that an INI text holds.
+
+    Raises `DocumentError`, which names source, section, field and remedy.
+    """
+    fields = read_sections(text, source, "change")["change"]
+    return check_document(ChangeDocument, fields, source, "change")
+
+
 def read_sections(
     text: str, source: str, needed: str, *others: str
 ) -> dict[str, dict[str, Any]]:
--- a/packages/mustardquay/src/mustardquay/faults.py
+++ b/packages/mustardquay/src/mustardquay/faults.py
@@ -10,8 +10,13 @@
 Locate = Callable[[tuple[int | str, ...]], str]
 """Names the place of a field for people, given its path in the model."""
 
+_INSTANT = "must be an instant with its zone; write one such as 2026-12-03T04:00:00Z"
+
 _REMEDIES = {
     "bool_parsing": "must be yes or no; write true or false",
+    "datetime_from_date_parsing": _INSTANT,
+    "datetime_parsing": _INSTANT,
+    "datetime_type": _INSTANT,
     "extra_forbidden": "is unknown; remove it or mend its spelling",
     "float_parsing": "must be a number; write one such as 0.25",
     "float_type": "must be a number; write one such as 0.25",
@@ -22,8 +27,7 @@
     "missing": "is missing; add it",
     "string_too_short": "must not be empty; write a value",
     "string_type": "must be text; write it as one",
-    "time_delta_parsing": "must be a duration in seconds; write one such as 1.5",
-    "time_delta_type": "must be a duration in seconds; write one such as 1.5",
+    "timezone_aware": _INSTANT,
 }
 """What to do about a fault, by pydantic's type of it."""
 
@@ -44,11 +48,11 @@
     context = fault.get("ctx", {})
     match fault["type"]:
         case "greater_than":
-            return f"must be over {context['gt']}; raise it"
+            return f"must be over {context['gt']:g}; raise it"
         case "greater_than_equal":
-            return f"must be {context['ge']} or more; raise it"
+            return f"must be {context['ge']:g} or more; raise it"
         case "less_than_equal":
-            return f"must be {context['le']} or less; lower it"
+            return f"must be {context['le']:g} or less; lower it"
         case "literal_error" | "enum":
             return f"is not known; write one of {context['expected']}"
         case "string_pattern_mismatch":
