--- a/packages/mustardquay-node/src/mustardquay_node/settings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/settings.py
@@ -1,25 +1,32 @@
-"""Settings: the INI file of one process, read and checked in one place.
+"""Settings: the INI files of one process, read and checked in one place.
 
-`DEFAULTS` holds every key that has a default; the models say which values are
-valid. Durations are in seconds.
+The table of keys with their defaults is in `keys`; the models here say which values
+are valid. Durations are in seconds.
 """
 
+from collections.abc import Mapping
 from configparser import ConfigParser, Error as ConfigParserError
-from ipaddress import ip_address
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
 from pydantic import (
     AfterValidator,
     BaseModel,
+    BeforeValidator,
     ConfigDict,
     Field,
+    StringConstraints,
     ValidationError,
 )
 
 from mustardquay import fields
 from mustardquay.errors import SettingsError
-from mustardquay.fields import Duration
+from mustardquay.faults import describe_faults
+from mustardquay.fields import Duration, check_address, check_url
+
+from .crosschecks import check_together
+from .keys import DEFAULTS, KEYS, SECTIONS, SERVICE_PREFIX
 
 __all__ = [
     "DEFAULTS",
@@ -30,94 +37,55 @@
     "PlatformSettings",
     "ServiceSettings",
     "Settings",
+    "check_settings",
     "read_settings",
 ]
 
-DEFAULTS: dict[str, dict[str, str]] = {
-    "node": {
-        "address": "127.0.0.1",
-        "region": "local",
-        "admin_port": "0",
-        "log_level": "info",
-        "ring_capacity": "10000",
-    },
-    "platform": {"timeout": "2"},
-    "link": {
-        "heartbeat": "1",
-        "silence": "4",
-        "frame_limit": "16777216",
-    },
-    "entry": {
-        "port": "0",
-        "body_limit": "4194304",
-        "header_timeout": "10",
-        "body_timeout": "30",
-        "idle_timeout": "60",
-        "progress_timeout": "20",
-        "drain_timeout": "120",
-        "claim_lifetime": "86400",
-        "claim_window": "0.005",
-        "retry_ratio": "0.1",
-        "attempts": "3",
-        "agents": "64",
-        "certificate": "",
-        "private_key": "",
-    },
-    "agent": {
-        "port": "0",
-        "kind": "engine",
-        "fencing": "true",
-        "concurrency": "32",
-        "queue_capacity": "1000",
-        "progress_timeout": "20",
-        "report_interval": "0.5",
-        "longest_order": "30",
-        "drain_timeout": "120",
-    },
-}
-
-
-def _check_address(value: str) -> str:
-    ip_address(value)
-    return value
-
-
+Name = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 Words = Annotated[tuple[str, ...], fields.Words]
-Address = Annotated[str, AfterValidator(_check_address)]
+SomeWords = Annotated[Words, Field(min_length=1)]
+Address = Annotated[str, AfterValidator(check_address)]
+URL = Annotated[str, AfterValidator(check_url)]
 Port = Annotated[int, Field(ge=0, le=65535)]
 Count = Annotated[int, Field(ge=1)]
 
 
+def _lower(value: Any) -> Any:
+    return value.lower() if isinstance(value, str) else value
+
+
 class _Section(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(extra="forbid", frozen=True, hide_input_in_errors=True)
 
 
 class NodeSettings(_Section):
     """Section `node`: what this process is and where it runs."""
 
-    name: Annotated[str, Field(min_length=1)]
+    name: Name
     kind: Literal["entry", "agent"]
-    availability_zone: Annotated[str, Field(min_length=1)]
-    region: str
+    availability_zone: Name
+    region: Name
     address: Address
     admin_port: Port
-    log_level: Literal["debug", "info", "warning", "error"]
+    log_level: Annotated[
+        Literal["debug", "info", "warning", "error"], BeforeValidator(_lower)
+    ]
     ring_capacity: Count
 
 
 class PlatformSettings(_Section):
     """Section `platform`: where the platform's services are."""
 
-    tables: str
-    objects: str
-    instances: str
+    tables: URL
+    objects: URL
+    instances: URL
     timeout: Duration
 
 
 class LinkSettings(_Section):
     """Section `link`: the links between entries and agents."""
 
-    keys: Words
+    keys: SomeWords
     """Shared secrets; the first signs, all are accepted, so that they rotate."""
     heartbeat: Duration
     silence: Duration
@@ -128,7 +96,7 @@
     """Section `entry`: towards callers."""
 
     port: Port
-    operator_keys: Words
+    operator_keys: SomeWords
     body_limit: Count
     header_timeout: Duration
     body_timeout: Duration
@@ -148,11 +116,12 @@
     """Section `agent`: towards the upstream beside this process."""
 
     port: Port
+    operator_keys: Words = ()
     kind: Literal["engine", "service"]
-    upstream: str
+    upstream: URL
     """Base URL of the engine or plain service, with an IP number."""
-    upstream_name: str
-    service: str = ""
+    upstream_name: Name
+    service: Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9._-]{0,63}$")] = ""
     """Name under which a plain service is called."""
     fencing: bool
     """Whether the engine refuses an order with an old fencing number."""
@@ -167,7 +136,9 @@
 class ServiceSettings(_Section):
     """Section `service:NAME`: which calls of a plain service are idempotent."""
 
-    idempotent_methods: Words = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE")
+    idempotent_methods: Words = tuple(
+        DEFAULTS["service:NAME"]["idempotent_methods"].split()
+    )
     idempotent_paths: Words = ()
     """Path prefixes that are idempotent with any method."""
 
@@ -180,7 +151,29 @@
     link: LinkSettings
     entry: EntrySettings | None = None
     agent: AgentSettings | None = None
-    services: dict[str, ServiceSettings] = Field(default_factory=dict)
+    services: dict[Name, ServiceSettings] = Field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _Sources:
+    """Which file gave each section and key, to name it in errors."""
+
+    files: list[str] = field(default_factory=list)
+    keys: dict[tuple[str, str], str] = field(default_factory=dict)
+    sections: dict[str, str] = field(default_factory=dict)
+
+    def add(self, source: str, sections: Mapping[str, Mapping[str, str]]) -> None:
+        """Note that `source` gave these sections."""
+        self.files.append(source)
+        for section, values in sections.items():
+            self.sections[section] = source
+            self.keys |= {(section, name): source for name in values}
+
+    def locate(self, section: str, key: str = "") -> str:
+        """Return file, section and key, with the file that set the key last."""
+        fallback = self.sections.get(section) or ", ".join(self.files)
+        source = self.keys.get((section, key), fallback)
+        return f"{source}: [{section}] {key}".rstrip()
 
 
 def read_settings(*paths: Path) -> Settings:
@@ -189,38 +182,79 @@
     Raises `SettingsError`, which names the file, the section, the key and the
     remedy of each fault.
     """
-    parser = ConfigParser(interpolation=None)
+    sources = _Sources()
+    merged: dict[str, dict[str, str]] = {}
     for path in paths:
-        _read_file(parser, path)
-    source = ", ".join(str(path) for path in paths)
-    return check_settings(
-        {name: dict(parser[name]) for name in parser.sections()}, source
-    )
+        sections = _read_file(path)
+        sources.add(str(path), sections)
+        for name, values in sections.items():
+            merged.setdefault(name, {}).update(values)
+    return _check(merged, sources)
 
 
-def check_settings(sections: dict[str, dict[str, str]], source: str) -> Settings:
+def check_settings(
+    sections: Mapping[str, Mapping[str, str]], source: str = "settings"
+) -> Settings:
     """Check sections of strings; `source` names them in errors."""
+    sources = _Sources()
+    sources.add(source, sections)
+    return _check(sections, sources)
+
+
+def _check(sections: Mapping[str, Mapping[str, str]], sources: _Sources) -> Settings:
+    _check_names(sections, sources)
     kind = sections.get("node", {}).get("kind", "")
     tree: dict[str, Any] = {"services": {}}
     for name, defaults in DEFAULTS.items():
-        if name in ("entry", "agent") and name != kind:
-            continue
-        tree[name] = defaults | sections.get(name, {})
-    for name, section in sections.items():
-        if name.startswith("service:"):
-            tree["services"][name.removeprefix("service:")] = section
-        elif name not in DEFAULTS:
-            raise SettingsError(
-                f"{source}: section [{name}] is unknown; remove it or use one of "
-                f"{', '.join(DEFAULTS)} or service:NAME."
-            )
+        if name == kind or name in ("node", "platform", "link"):
+            tree[name] = defaults | dict(sections.get(name, {}))
+    for name, values in sections.items():
+        if name.startswith(SERVICE_PREFIX):
+            tree["services"][name.removeprefix(SERVICE_PREFIX)] = dict(values)
+
+    def locate(path: tuple[int | str, ...]) -> str:
+        section, *rest = map(str, path)
+        if section == "services" and rest:
+            section = SERVICE_PREFIX + rest.pop(0)
+        return sources.locate(section, rest[0] if rest else "")
+
     try:
-        return Settings.model_validate(tree)
+        settings = Settings.model_validate(tree)
     except ValidationError as error:
-        raise SettingsError(_describe(error, source)) from None
-
-
-def _read_file(parser: ConfigParser, path: Path) -> None:
+        raise SettingsError(describe_faults(error, locate)) from None
+    faults = [
+        f"{sources.locate(section, key)}: {remedy}."
+        for section, key, remedy in check_together(settings)
+    ]
+    if faults:
+        raise SettingsError("\n".join(faults))
+    return settings
+
+
+def _check_names(sections: Mapping[str, Mapping[str, str]], sources: _Sources) -> None:
+    """Refuse unknown names, also in the section of the other kind of process."""
+    faults = []
+    for section, values in sections.items():
+        known = "service:NAME" if section.startswith(SERVICE_PREFIX) else section
+        if known not in SECTIONS:
+            faults.append(
+                f"{sources.locate(section)}: is an unknown section; remove it or use "
+                f"one of {', '.join(SECTIONS)}."
+            )
+            continue
+        names = {key.name for key in KEYS if key.section == known}
+        faults += [
+            f"{sources.locate(section, name)}: is unknown; remove it or mend its "
+            "spelling."
+            for name in values
+            if name not in names
+        ]
+    if faults:
+        raise SettingsError("\n".join(faults))
+
+
+def _read_file(path: Path) -> dict[str, dict[str, str]]:
+    parser = ConfigParser(interpolation=None, default_section="")
     try:
         with path.open(encoding="utf-8") as file:
             parser.read_file(file, str(path))
@@ -230,17 +264,4 @@
         ) from None
     except (ConfigParserError, UnicodeDecodeError) as error:
         raise SettingsError(f"{path}: is not an INI file; mend it: {error}") from None
-
-
-def _describe(error: ValidationError, source: str) -> str:
-    lines = []
-    for fault in error.errors():
-        section, *rest = (str(part) for part in fault["loc"])
-        key = ".".join(rest)
-        remedy = fault["msg"]
-        if fault["type"] == "missing":
-            remedy = "is missing; add it"
-        elif fault["type"] == "extra_forbidden":
-            remedy = "is unknown; remove it or mend its spelling"
-        lines.append(f"{source}: [{section}] {key}: {remedy}.")
-    return "\n".join(lines)
+    return {name: dict(parser[name]) for name in parser.sections()}
--- a/packages/mustardquay/src/mustardquay/faults.py
+++ b/packages/mustardquay/src/mustardquay/faults.py
@@ -57,6 +57,8 @@
             return f"is not known; write one of {context['expected']}"
         case "string_pattern_mismatch":
             return f"has a wrong form; write it to match {context['pattern']}"
+        case "too_short":
+            return "is empty; write at least one word"
         case "value_error":
             return str(context["error"]).rstrip(".")
     return _REMEDIES.get(fault["type"]) or f"{fault['msg'].rstrip('.')}; mend it"
--- a/packages/mustardquay/src/mustardquay/fields.py
+++ b/packages/mustardquay/src/mustardquay/fields.py
@@ -1,12 +1,21 @@
 """Fields: types of single fields that settings and documents share."""
 
 from datetime import timedelta
+from ipaddress import ip_address
 from math import isfinite
 from typing import Annotated, Any
+from urllib.parse import urlsplit
 
 from pydantic import AfterValidator, BeforeValidator, PlainSerializer
 
-__all__ = ["Duration", "Words", "read_duration", "split_words"]
+__all__ = [
+    "Duration",
+    "Words",
+    "check_address",
+    "check_url",
+    "read_duration",
+    "split_words",
+]
 
 _LONGEST = timedelta(days=3650)
 
@@ -41,6 +50,40 @@
     return timedelta(seconds=seconds)
 
 
+def check_address(value: str) -> str:
+    """Return the address; raises `ValueError` unless it is an IP number."""
+    try:
+        ip_address(value)
+    except ValueError:
+        raise ValueError(
+            "must be an IP number, as names are not looked up; write one such as "
+            "127.0.0.1"
+        ) from None
+    return value
+
+
+def check_url(value: str) -> str:
+    """Return the URL without its last slash.
+
+    Raises `ValueError` unless it is an HTTP URL whose host is an IP number.
+
+    >>> check_url("http://127.0.0.1:8000/")
+    'http://127.0.0.1:8000'
+    """
+    try:
+        parts = urlsplit(value)
+        ip_address(parts.hostname or "")
+        valid = parts.scheme in ("http", "https") and parts.port != 0
+    except ValueError:
+        valid = False
+    if not valid or parts.query or parts.fragment or parts.username is not None:
+        raise ValueError(
+            "must be a URL whose host is an IP number, as names are not looked up; "
+            "write one such as http://127.0.0.1:8000"
+        )
+    return value.rstrip("/")
+
+
 def _check_positive(value: timedelta) -> timedelta:
     if value <= timedelta():
         raise ValueError("must be over 0 seconds; raise it")
