Name the admin port's edit handlers amendments

Cause: two modules took the name editors: the admin port's handlers and the writer of the configuration log. Change: the handlers' module is amendments.py. Conclusion: each module has a name of its own.

--- a/packages/mustardquay-node/src/mustardquay_node/admins.py
+++ b/packages/mustardquay-node/src/mustardquay_node/admins.py
@@ -16,7 +16,7 @@
 from mustardquay.events import EventRing, Stamp, select_events
 from mustardquay.records import describe_event
 
-from .editors import AdminActions, list_editors
+from .amendments import AdminActions, list_editors
 from .handlers import AdminHandler, BaseHandler, FallbackHandler, hash_keys
 from .metrics import CONTENT_TYPE_LATEST, NodeMetrics
 from .statuses import Probe, ProcessStatus, describe_status
--- a/packages/mustardquay-node/src/mustardquay_node/editors.py
+++ b/packages/mustardquay-node/src/mustardquay_node/amendments.py
@@ -1,4 +1,4 @@
-"""Editors: contracts and planned changes on the admin port.
+"""Amendments: contracts and planned changes on the admin port.
 
 Each edit names the revision of what it amends, and a change id, under which it may
 be sent again after a lost answer without being applied twice.
