--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/configurations.py
@@ -0,0 +1,252 @@
+"""Configurations: the configuration in force in one process, and how it moves on.
+
+A few entries of each zone read the head of the log; all other processes get the
+entries over their links. A version never goes down. A process is current, and may
+take work, once its version was confirmed: by the head row of the table service or,
+while the store is out of reach, by peers that are current themselves.
+"""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
+from datetime import timedelta
+from random import Random
+
+from blinker import Signal
+
+from mustardquay.encodings import decode, decode_bytes, encode_bytes
+from mustardquay.errors import MustardquayError, ProtocolError
+from mustardquay.logs import (
+    ENTRY_PREFIX,
+    HEAD,
+    SNAPSHOT,
+    TABLE,
+    decode_snapshot,
+    encode_snapshot,
+    name_entry,
+    name_snapshot,
+    read_version,
+)
+from mustardquay.revisions import Configuration, Entry, apply_entry
+from mustardquay.tables import ObjectStore, Row, TableService
+
+from .sleeps import Sleep, sleep as default_sleep
+
+__all__ = ["ConfigurationKeeper", "configuration_changed"]
+
+logger = logging.getLogger(__name__)
+
+configuration_changed = Signal(
+    "Sent by a keeper when a new version is in force, with the argument "
+    "`configuration`."
+)
+
+KEPT_ENTRIES = 1000
+PENDING_ENTRIES = 1000
+BATCH = 200
+ENTRY_MARK = b"E"
+SNAPSHOT_MARK = b"S"
+
+
+class ConfigurationKeeper:
+    """Holds the configuration of one process.
+
+    `is_reader` says at each turn whether this process is one of those of its zone
+    that poll the head. Any process polls until it is current.
+    """
+
+    def __init__(
+        self,
+        tables: TableService,
+        objects: ObjectStore,
+        random: Random,
+        is_reader: Callable[[], bool],
+        interval: timedelta = timedelta(seconds=2),
+        sleep: Sleep = default_sleep,
+    ):
+        self._tables = tables
+        self._objects = objects
+        self._random = random
+        self._is_reader = is_reader
+        self._interval = interval
+        self._sleep = sleep
+        self._configuration = Configuration()
+        self._current = False
+        self._store_up = True
+        self._peers: dict[str, int] = {}
+        self._pending: dict[int, Entry] = {}
+        self._recent: deque[tuple[int, bytes]] = deque(maxlen=KEPT_ENTRIES)
+        self._snapshot: tuple[int, bytes] | None = None
+        self._highest = 0
+        self._lock = asyncio.Lock()
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in force here."""
+        return self._configuration
+
+    @property
+    def version(self) -> int:
+        """Return the version in force here."""
+        return self._configuration.version
+
+    @property
+    def current(self) -> bool:
+        """Return whether the version was confirmed since the process started."""
+        return self._current
+
+    @property
+    def wanted_after(self) -> int | None:
+        """Return the version behind which entries are missing, None if none are."""
+        return self.version if self._highest > self.version else None
+
+    async def start(self) -> None:
+        """Begin to poll."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop polling."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        self._task = None
+
+    async def poll(self) -> Row | None:
+        """Read the head and catch up with it; return its row.
+
+        Raises `StoreUnavailable` when the store is out of reach.
+        """
+        async with self._lock:
+            try:
+                head = await self._tables.read(TABLE, HEAD)
+                await self._catch_up(read_version(head))
+            except MustardquayError:
+                self._store_up = False
+                self._confirm_by_peers()
+                raise
+            self._store_up = True
+            if self.version >= read_version(head):
+                self._confirm()
+            return head
+
+    def hear(self, peer: str, version: int, current: bool) -> None:
+        """Take in the version of a peer's heartbeat and whether it is current."""
+        self._highest = max(self._highest, version)
+        if current:
+            self._peers[peer] = version
+        else:
+            self._peers.pop(peer, None)
+        self._confirm_by_peers()
+
+    def forget(self, peer: str) -> None:
+        """Take in that the link to a peer is lost; its word counts no more."""
+        self._peers.pop(peer, None)
+
+    def offer(self, entries: Iterable[Entry]) -> None:
+        """Take in entries in any order; those behind a gap wait for it to close."""
+        for entry in entries:
+            self._highest = max(self._highest, entry.version)
+            if entry.version <= self.version:
+                continue
+            if len(self._pending) < PENDING_ENTRIES:
+                self._pending[entry.version] = entry
+        self._apply_pending()
+
+    def offer_items(self, items: Iterable[bytes]) -> None:
+        """Take in what `list_items` of a peer gave; raises `ProtocolError`."""
+        entries = []
+        for item in items:
+            mark, data = item[:1], item[1:]
+            if mark == SNAPSHOT_MARK:
+                self._adopt(decode_snapshot(data))
+            elif mark == ENTRY_MARK:
+                entries.append(decode_bytes(Entry, data))
+            else:
+                raise ProtocolError("An item of the log has no mark; upgrade the peer.")
+        self.offer(entries)
+
+    def list_items(self, after: int) -> Sequence[bytes]:
+        """Return what a peer at version `after` lacks, oldest first.
+
+        A peer that is too far behind gets the whole configuration in one item.
+        """
+        if after >= self.version:
+            return ()
+        if self._recent and self._recent[0][0] <= after + 1:
+            missing = [data for version, data in self._recent if version > after]
+            return missing[:BATCH]
+        if self._snapshot is None or self._snapshot[0] < self.version:
+            data = SNAPSHOT_MARK + encode_snapshot(self._configuration)
+            self._snapshot = (self.version, data)
+        return (self._snapshot[1],)
+
+    async def _run(self) -> None:
+        while True:
+            if self._is_reader() or not self._current:
+                try:
+                    await self.poll()
+                except MustardquayError as error:
+                    logger.info("The configuration can't be polled: %s", error)
+            # Spread out, so that the readers don't ask all at once, least of all
+            # when the store comes back.
+            spread = 0.75 + self._random.random() / 2
+            await self._sleep(self._interval * spread)
+
+    async def _catch_up(self, head: int) -> None:
+        self._highest = max(self._highest, head)
+        while self.version < head:
+            before = self.version
+            rows = await self._tables.scan(TABLE, name_entry(before), BATCH)
+            rows = [row for row in rows if row.key.startswith(ENTRY_PREFIX)]
+            self.offer(decode(Entry, row.value) for row in rows)
+            if self.version == before:
+                await self._load_snapshot()
+            if self.version == before:
+                raise ProtocolError(
+                    f"The log has no entry {before + 1} and no newer snapshot; "
+                    "restore the table `configurations`."
+                )
+
+    async def _load_snapshot(self) -> None:
+        version = read_version(await self._tables.read(TABLE, SNAPSHOT))
+        if version <= self.version:
+            return
+        data = await self._objects.get(name_snapshot(version))
+        if data is not None:
+            self._adopt(decode_snapshot(data))
+
+    def _adopt(self, configuration: Configuration) -> None:
+        self._highest = max(self._highest, configuration.version)
+        if configuration.version <= self.version:
+            return
+        self._recent.clear()
+        self._put_in_force(configuration)
+        self._apply_pending()
+
+    def _apply_pending(self) -> None:
+        while (entry := self._pending.pop(self.version + 1, None)) is not None:
+            self._recent.append((entry.version, ENTRY_MARK + encode_bytes(entry)))
+            self._put_in_force(apply_entry(self._configuration, entry))
+        for version in [item for item in self._pending if item <= self.version]:
+            del self._pending[version]
+
+    def _put_in_force(self, configuration: Configuration) -> None:
+        self._configuration = configuration
+        self._confirm_by_peers()
+        configuration_changed.send(self, configuration=configuration)
+
+    def _confirm_by_peers(self) -> None:
+        # Only while the store is out of reach: a peer may be cut off from the
+        # store itself, and its word is weaker than that of the head row.
+        if self._store_up or self._current or not self._peers:
+            return
+        if self.version >= max(self._peers.values()) and self.wanted_after is None:
+            self._confirm()
+
+    def _confirm(self) -> None:
+        if not self._current:
+            self._current = True
+            logger.info("The configuration is current at version %d.", self.version)
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/sleeps.py
@@ -0,0 +1,15 @@
+"""Sleeps: waiting that is passed in, so that tests run without real time."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import TypeAlias
+
+__all__ = ["Sleep", "sleep"]
+
+Sleep: TypeAlias = Callable[[timedelta], Awaitable[None]]
+
+
+async def sleep(duration: timedelta) -> None:
+    """Wait on the event loop."""
+    await asyncio.sleep(duration.total_seconds())
--- a/packages/mustardquay/src/mustardquay/rollouts.py
+++ b/packages/mustardquay/src/mustardquay/rollouts.py
@@ -111,20 +111,40 @@
     engines: Sequence[EngineStatus], causes: dict[str, PlannedChange]
 ) -> list[tuple[EngineStatus, OrderRow]]:
     for status in engines:
-        if causes.get(status.upstream.name) and _is_leaving(status, causes):
+        if status.upstream.name in causes and _is_leaving(status, causes):
             return []
     for status in sorted(engines, key=lambda item: item.upstream.name):
         change = causes.get(status.upstream.name)
-        if change is None or not status.row.desired.serving:
+        if change is None or not _needs_removal(status, change):
             continue
-        if status.row.cause == _name_cause(change, "done"):
-            continue
-        incarnation = status.report.incarnation if status.report else 0
-        cause = _name_cause(change, f"from {incarnation}")
-        return [(status, _follow(status.row, cause, serving=False))]
+        # Upstreams of one instance go together: it is restarted when all are empty.
+        return [
+            (mate, _remove(mate, change))
+            for mate in engines
+            if mate.upstream.instance == status.upstream.instance
+            and causes.get(mate.upstream.name) is change
+            and _needs_removal(mate, change)
+        ]
     return []
 
 
+def _needs_removal(status: EngineStatus, change: PlannedChange) -> bool:
+    row = status.row
+    if row.desired.serving:
+        return row.cause != _name_cause(change, "done")
+    # Drained for something else, or before the change was amended: a replacement
+    # has to note the incarnation that it waits to see replaced.
+    if change.action is not Action.REPLACE:
+        return False
+    return not row.cause.startswith(_name_cause(change, "from "))
+
+
+def _remove(status: EngineStatus, change: PlannedChange) -> OrderRow:
+    incarnation = status.report.incarnation if status.report else 0
+    cause = _name_cause(change, f"from {incarnation}")
+    return _follow(status.row, cause, serving=False)
+
+
 def _is_leaving(status: EngineStatus, causes: dict[str, PlannedChange]) -> bool:
     """Whether the engine is on its way out or, when it is replaced, back in."""
     change = causes[status.upstream.name]
@@ -133,7 +153,7 @@
         done = status.row.cause == _name_cause(change, "done")
         return done and not status.is_available
     if change.action is Action.REPLACE:
-        return True
+        return not _needs_removal(status, change)
     if report is None:
         # Never seen, so nothing runs on it that could be cut.
         return False
