Add the entry, the agent and the site that runs them

Cause: the parts of the path need processes that own them. Change: entries, agents and what they share; the binary mustardquayd; a site of an example's INI files in one process with stand-ins.

--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/agents.py
@@ -0,0 +1,383 @@
+"""Agents: the process beside one upstream, which gives it all its work."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+from datetime import timedelta
+
+from mustardquay import __version__
+from mustardquay.clocks import Clock
+from mustardquay.errors import Reason, Refusal
+from mustardquay.events import Event, EventRing
+from mustardquay.messages import (
+    Attempt,
+    Cancel,
+    Credit,
+    Failed,
+    FailureKind,
+    Heartbeat,
+    Message,
+    Reattach,
+)
+from mustardquay.queues import FairQueue
+from mustardquay.works import Role
+
+from .admins import AdminParts, AdminServer
+from .configurations import ConfigurationKeeper
+from .executors import Executor, ExecutorOptions
+from .links import Link
+from .nodes import NodeParts, connect_configuration, spread_configuration
+from .reports import Reporter, UpstreamReport
+from .runs import Owner
+from .services import name_service
+from .settings import Settings
+from .statuses import Probe, ProcessStatus
+from .upstreams import UpstreamClient
+
+__all__ = ["Agent"]
+
+SWEEP_INTERVAL = timedelta(milliseconds=100)
+
+
+class Agent:
+    """One agent: links to entries on one side, its upstream on the other."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock | None = None,
+        seed: int | None = None,
+        write_event: Callable[[Event], None] | None = None,
+    ):
+        assert settings.agent is not None
+        self._settings = settings.agent
+        self._parts = NodeParts(settings, clock, seed, write_event)
+        self._links: dict[Link, int] = {}
+        self._newest_links: dict[Owner, int] = {}
+        self._reporter = Reporter(
+            self._settings.upstream,
+            self._settings.kind,
+            self._settings.report_interval,
+            self._note_report,
+        )
+        self._executor = Executor(
+            ExecutorOptions(
+                self._settings.upstream_name,
+                self._settings.kind,
+                self._settings.progress_timeout,
+                self._settings.drain_timeout,
+            ),
+            UpstreamClient(self._settings.upstream),
+            FairQueue(self._settings.queue_capacity, self._settings.concurrency),
+            self._parts.quarantine,
+            self._parts.clock,
+            self._parts.events,
+            self._reporter.probe,
+            self._beat,
+        )
+        self._keeper = ConfigurationKeeper(
+            self._parts.platform.tables,
+            self._parts.platform.objects,
+            self._parts.random,
+            is_reader=lambda: False,
+        )
+        self._admin = AdminServer(
+            self._make_admin_parts(), settings.node.address, settings.node.admin_port
+        )
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.Task[None] | None = None
+        self._disconnect: Callable[[], None] = lambda: None
+
+    @property
+    def name(self) -> str:
+        """Return the name of the process."""
+        return self._parts.identity.process
+
+    @property
+    def port(self) -> int:
+        """Return the port of the links; the real one after `start`."""
+        if self._server is None:
+            return self._settings.port
+        return self._server.sockets[0].getsockname()[1]
+
+    @property
+    def admin_port(self) -> int:
+        """Return the admin port; the real one after `start`."""
+        return self._admin.port
+
+    @property
+    def availability_zone(self) -> str:
+        """Return the availability zone of the process."""
+        return self._parts.identity.availability_zone
+
+    @property
+    def version(self) -> int:
+        """Return the configuration version in force here."""
+        return self._keeper.version
+
+    @property
+    def events(self) -> EventRing:
+        """Return the ring of this process's events."""
+        return self._parts.events
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the upstream can take work through this agent."""
+        return not self._list_faults()
+
+    async def start(self) -> None:
+        """Begin to report, to listen and to take work."""
+        parts = self._parts
+        parts.metrics.watch(
+            "mustardquay.queue.requests", lambda: self._executor.waiting
+        )
+        parts.metrics.watch(
+            "mustardquay.queue.tokens", lambda: self._executor.waiting_tokens
+        )
+        parts.metrics.watch("mustardquay.running", lambda: self._executor.running)
+        parts.metrics.watch(
+            "mustardquay.configuration.version", lambda: self._keeper.version
+        )
+        parts.metrics.watch("mustardquay.ready", lambda: float(self.is_ready))
+        parts.metrics.watch("mustardquay.links", lambda: len(self._links))
+        parts.metrics.start()
+        await parts.platform.start()
+        self._disconnect = connect_configuration(self._keeper, self._beat)
+        await self._keeper.start()
+        self._reporter.start()
+        await self._listen()
+        self._admin.start()
+        self._sweeper = asyncio.create_task(self._sweep())
+        parts.events.record("process.started", upstream=self._settings.upstream_name)
+
+    async def drain(self) -> None:
+        """Take no new work, tell all entries, and wait until none is left."""
+        self._parts.events.record(
+            "drain.started", upstream=self._settings.upstream_name
+        )
+        self._executor.start_drain()
+        self._beat()
+        await self._executor.wait_until_empty()
+        self._parts.events.record("drain.ended", upstream=self._settings.upstream_name)
+
+    def end_drain(self) -> None:
+        """Take new work again."""
+        self._executor.end_drain()
+        self._beat()
+
+    async def close(self) -> None:
+        """Drain, then stop."""
+        await self.drain()
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Stop at once; what runs is lost."""
+        self._disconnect()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        if self._server is not None:
+            self._server.close()
+        for link in list(self._links):
+            link.flush()
+            link.close("the agent stops")
+        await self._executor.close()
+        await self._reporter.close()
+        await self._keeper.close()
+        await self._admin.close()
+        await self._parts.platform.close()
+        self._parts.metrics.close()
+
+    async def _listen(self) -> None:
+        node = self._parts.settings.node
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._make_link, node.address, self._settings.port
+        )
+
+    def _make_link(self) -> Link:
+        return Link(
+            "agent",
+            self._parts.identity,
+            self._parts.links,
+            self._parts.events.clock,
+            self._make_heartbeat,
+            self._note_open,
+            self._receive,
+            self._note_lost,
+        )
+
+    def _make_heartbeat(self, link: Link) -> Heartbeat:
+        report = self._reporter.report
+        executor = self._executor
+        crashes, self._links[link] = self._parts.quarantine.list_changes(
+            self._links.get(link, 0), self._parts.clock.monotonic()
+        )
+        return Heartbeat(
+            version=self._keeper.version,
+            confirmed=self._keeper.current,
+            draining=executor.draining,
+            ready=report.reachable and not report.changing and self._keeper.current,
+            upstream=self._settings.upstream_name,
+            role=report.role,
+            models=self._list_models(report),
+            adapters=report.adapters,
+            queued_tokens=executor.waiting_tokens + report.queued_tokens,
+            waiting=executor.waiting,
+            running=executor.running,
+            prefill_rate=report.prefill_rate,
+            decode_rate=report.decode_rate,
+            crashes=crashes,
+        )
+
+    def _list_models(self, report: UpstreamReport) -> tuple[str, ...]:
+        if report.role is Role.SERVICE:
+            return (name_service(self._settings.service),)
+        return report.models
+
+    def _note_open(self, link: Link) -> None:
+        owner = _get_owner(link)
+        newest = self._newest_links.get(owner, 0)
+        if link.peer.link <= newest:
+            # A link that was dialled before the present one, and opened only now,
+            # because this process was paused. Its frames must not be run: the
+            # entry may have been told by the newer link that they never came.
+            link.close("a newer link of the same entry is open")
+            return
+        self._newest_links[owner] = link.peer.link
+        for other in list(self._links):
+            if other is not link and other.is_open and _get_owner(other) == owner:
+                other.close("the entry has opened a newer link")
+        self._links.setdefault(link, 0)
+        self._parts.events.record("link.opened", peer=link.peer.process)
+
+    def _note_lost(self, link: Link, reason: str) -> None:
+        if self._links.pop(link, None) is None:
+            return
+        self._executor.detach(link)
+        self._keeper.forget(link.peer.process)
+        self._parts.events.record("link.lost", peer=link.peer.process, reason=reason)
+
+    def _receive(self, link: Link, message: Message) -> None:
+        owner = _get_owner(link)
+        match message:
+            case Attempt():
+                self._take_attempt(owner, message, link)
+            case Credit():
+                self._executor.give_credit(owner, message.stream, message.size)
+            case Cancel():
+                self._executor.cancel(owner, message.stream)
+            case Reattach():
+                self._take_reattach(owner, message, link)
+            case _:
+                if isinstance(message, Heartbeat):
+                    now = self._parts.clock.monotonic()
+                    self._parts.quarantine.merge(message.crashes, now)
+                spread_configuration(self._keeper, link, message)
+
+    def _take_attempt(self, owner: Owner, attempt: Attempt, link: Link) -> None:
+        refusal = self._check_attempt(attempt)
+        if refusal is None:
+            self._executor.accept(owner, attempt, link)
+        else:
+            self._executor.refuse(owner, attempt, link, refusal)
+
+    def _check_attempt(self, attempt: Attempt) -> Refusal | None:
+        if attempt.incarnation != self._parts.incarnation:
+            message = "The agent was replaced; send the attempt to the new one."
+            return Refusal(Reason.STALE_INCARNATION, message)
+        if not self._keeper.current:
+            message = "The agent's configuration is not confirmed yet; use another."
+            return Refusal(Reason.NOT_CURRENT, message, timedelta(seconds=1))
+        if attempt.version < self._keeper.version:
+            return self._check_contract(attempt)
+        return None
+
+    def _check_contract(self, attempt: Attempt) -> Refusal | None:
+        # The entry admitted this under an older version than the one in force
+        # here, so the contract may be gone or changed: the newer one decides.
+        contract = self._keeper.configuration.contracts.get(attempt.customer)
+        if contract is not None:
+            allowed = (*contract.models, *map(name_service, contract.services))
+            if attempt.model in allowed:
+                return None
+        message = f"The contract of {attempt.customer} no longer has {attempt.model}."
+        return Refusal(Reason.CONTRACT, message)
+
+    def _take_reattach(self, owner: Owner, reattach: Reattach, link: Link) -> None:
+        if reattach.incarnation == self._parts.incarnation:
+            self._executor.reattach(owner, reattach, link)
+            return
+        message = "The agent was replaced; what ran is not known."
+        link.send(Failed(reattach.stream, reattach.have, FailureKind.LOST, message))
+
+    def _note_report(self, before: UpstreamReport, after: UpstreamReport) -> None:
+        if after.reachable:
+            self._executor.note_boot(after.boot)
+        changed = replace(after, queued_tokens=0, running=0, prefill_rate=0.0)
+        earlier = replace(before, queued_tokens=0, running=0, prefill_rate=0.0)
+        if replace(changed, decode_rate=0.0) != replace(earlier, decode_rate=0.0):
+            self._parts.events.record(
+                "upstream.changed",
+                upstream=self._settings.upstream_name,
+                reachable=after.reachable,
+                boot=after.boot,
+                role=after.role.value,
+            )
+            self._beat()
+
+    def _beat(self) -> None:
+        for link in self._links:
+            link.beat()
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL.total_seconds())
+            self._executor.sweep()
+
+    def _list_faults(self) -> tuple[str, ...]:
+        faults = []
+        if self._executor.draining:
+            faults.append("The agent drains.")
+        if not self._reporter.report.reachable:
+            faults.append("The upstream does not answer.")
+        if self._reporter.report.changing:
+            faults.append("The upstream carries out an order.")
+        if not self._keeper.current:
+            faults.append("The configuration is not confirmed.")
+        return tuple(faults)
+
+    def _make_admin_parts(self) -> AdminParts:
+        return AdminParts(
+            operator_keys=self._settings.operator_keys,
+            ring=self._parts.events,
+            metrics=self._parts.metrics,
+            read_status=self._read_status,
+            probe_health=lambda: Probe(True),
+            probe_readiness=self._probe_readiness,
+        )
+
+    def _probe_readiness(self) -> Probe:
+        faults = self._list_faults()
+        return Probe(not faults, faults)
+
+    def _read_status(self) -> ProcessStatus:
+        node = self._parts.settings.node
+        faults = self._list_faults()
+        return ProcessStatus(
+            process=node.name,
+            kind=node.kind,
+            availability_zone=node.availability_zone,
+            region=node.region,
+            version=__version__,
+            configuration=self._keeper.version,
+            ready=not faults,
+            draining=self._executor.draining,
+            faults=faults,
+            incarnation=self._parts.incarnation,
+            waiting=self._executor.waiting,
+            running=self._executor.running,
+        )
+
+
+def _get_owner(link: Link) -> Owner:
+    return (link.peer.process, link.peer.incarnation)
--- a/packages/mustardquay-node/src/mustardquay_node/answers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/answers.py
@@ -10,7 +10,7 @@
 
 from mustardquay.attempts import Finish
 from mustardquay.errors import Reason, Refusal
-from mustardquay.messages import FailureKind, Header
+from mustardquay.messages import Header
 from mustardquay.outcomes import Outcome
 
 __all__ = [
--- a/packages/mustardquay-node/src/mustardquay_node/callers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/callers.py
@@ -276,9 +276,7 @@
     def record_end(self, outcome: Outcome) -> None:
         """Count the request with its outcome."""
         duration = self.parts.clock.monotonic() - self.arrived
-        self.parts.metrics.record_request(
-            self.operation, self.model, outcome, duration
-        )
+        self.parts.metrics.record_request(self.operation, self.model, outcome, duration)
         self.parts.events.record(
             "request.answered",
             request=self.request_id,
--- a/packages/mustardquay-node/src/mustardquay_node/dispatchers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/dispatchers.py
@@ -1,7 +1,7 @@
 """Dispatchers: an entry's links to agents, and the exchanges that go over them."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from random import Random
@@ -56,6 +56,7 @@
     view: UpstreamView | None = None
     incarnation: int = 0
     crashes_sent: int = 0
+    leaving: bool = False
     link: Link | None = None
     streams: set[int] = field(default_factory=set)
 
@@ -109,8 +110,17 @@
         """Return the links that stand."""
         return [peer.link for peer in self._peers.values() if peer.link is not None]
 
-    def set_agents(self, agents: Iterable[Instance]) -> None:
-        """Link to these agents; let go of others once nothing runs there."""
+    def set_agents(
+        self, agents: Iterable[Instance], leaving: Collection[str] = ()
+    ) -> None:
+        """Link to these agents; let go of others once nothing runs there.
+
+        Those that leave get no new work from now on, whatever they say themselves.
+        """
+        for peer in self._peers.values():
+            peer.leaving = peer.name in leaving
+            if peer.leaving and peer.view is not None:
+                peer.view.draining = True
         wanted = {agent.name: agent for agent in agents}
         for name, agent in wanted.items():
             peer = self._peers.get(name)
@@ -169,9 +179,7 @@
         zone = self._identity.availability_zone
         chosen = choose_upstream(call.work, self.views, now, self._random, avoid, zone)
         if isinstance(chosen, Refusal) and avoid:
-            chosen = choose_upstream(
-                call.work, self.views, now, self._random, (), zone
-            )
+            chosen = choose_upstream(call.work, self.views, now, self._random, (), zone)
         return chosen
 
     def reserve(self, exchange: Exchange) -> int:
@@ -316,7 +324,7 @@
         self._upstreams[view.name] = peer
         view.incarnation = peer.incarnation
         view.reachable = True
-        view.draining = heartbeat.draining
+        view.draining = heartbeat.draining or peer.leaving
         view.ready = heartbeat.ready
         view.role = heartbeat.role
         view.models = frozenset(heartbeat.models)
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/entries.py
@@ -0,0 +1,400 @@
+"""Entries: the process that callers meet."""
+
+import asyncio
+import ssl
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from mustardquay import __version__
+from mustardquay.clocks import Clock
+from mustardquay.errors import MustardquayError, SettingsError
+from mustardquay.events import Event, EventRing
+from mustardquay.members import (
+    Instance,
+    Membership,
+    MemberState,
+    choose_agents,
+    choose_readers,
+)
+from mustardquay.messages import Heartbeat, Message
+from mustardquay.revisions import Catalogue, Configuration, Edit
+
+from .admins import AdminParts, AdminServer
+from .callers import CallerParts, NotFoundHandler
+from .configurations import ConfigurationKeeper
+from .dispatchers import Dispatcher, DispatcherOptions
+from .editors import ConfigurationEditor
+from .generations import ChatHandler, CompletionHandler, ModelsHandler
+from .links import Link
+from .nodes import NodeParts, connect_configuration, spread_configuration
+from .recorders import Recorder
+from .services import SERVICE_PREFIX, ServiceHandler
+from .settings import Settings
+from .statuses import Probe, ProcessStatus, UpstreamStatus
+
+__all__ = ["Entry"]
+
+LIST_INTERVAL = timedelta(seconds=1)
+SWEEP_INTERVAL = timedelta(seconds=1)
+BUFFER_SIZE = 1024 * 1024 * 1024
+"""Bytes that tornado lets a body have; handlers hold to the limit of settings."""
+
+
+class Entry:
+    """One entry: callers on one side, links to agents on the other."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock | None = None,
+        seed: int | None = None,
+        write_event: Callable[[Event], None] | None = None,
+    ):
+        assert settings.entry is not None
+        self._settings = settings.entry
+        self._parts = NodeParts(settings, clock, seed, write_event)
+        parts = self._parts
+        self._draining = False
+        self._membership = Membership(settings.link.silence)
+        self._known: set[str] = set()
+        self._known_adapters: set[str] = set()
+        self._keeper = ConfigurationKeeper(
+            parts.platform.tables, parts.platform.objects, parts.random, self._is_reader
+        )
+        self._editor = ConfigurationEditor(
+            self._keeper,
+            parts.platform.tables,
+            parts.platform.objects,
+            parts.clock,
+            parts.random,
+            self._make_catalogue,
+        )
+        self._recorder = Recorder(
+            parts.platform.tables,
+            parts.platform.objects,
+            parts.clock,
+            parts.random,
+            f"{settings.node.name}-{parts.incarnation}",
+            self._settings.claim_lifetime,
+            self._settings.claim_window,
+        )
+        self._dispatcher = Dispatcher(
+            parts.identity,
+            parts.links,
+            DispatcherOptions(self._settings.attempts, self._settings.retry_ratio),
+            parts.clock,
+            parts.random,
+            parts.events,
+            parts.quarantine,
+            self._make_heartbeat,
+            self._receive,
+        )
+        self._streams: set[Any] = set()
+        self._admin = AdminServer(
+            self._make_admin_parts(), settings.node.address, settings.node.admin_port
+        )
+        self._server: HTTPServer | None = None
+        self._port = self._settings.port
+        self._tasks: list[asyncio.Task[None]] = []
+        self._disconnect: Callable[[], None] = lambda: None
+
+    @property
+    def name(self) -> str:
+        """Return the name of the process."""
+        return self._parts.identity.process
+
+    @property
+    def port(self) -> int:
+        """Return the port for callers; the real one after `start`."""
+        return self._port
+
+    @property
+    def url(self) -> str:
+        """Return the base URL for callers."""
+        scheme = "https" if self._settings.certificate else "http"
+        return f"{scheme}://{self._parts.settings.node.address}:{self._port}"
+
+    @property
+    def admin_port(self) -> int:
+        """Return the admin port; the real one after `start`."""
+        return self._admin.port
+
+    @property
+    def availability_zone(self) -> str:
+        """Return the availability zone of the process."""
+        return self._parts.identity.availability_zone
+
+    @property
+    def version(self) -> int:
+        """Return the configuration version in force here."""
+        return self._keeper.version
+
+    @property
+    def events(self) -> EventRing:
+        """Return the ring of this process's events."""
+        return self._parts.events
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether callers may send new work here."""
+        return not self._list_faults()
+
+    def list_reachable(self) -> set[str]:
+        """Return the names of the upstreams that take work from here."""
+        return {
+            view.name
+            for view in self._dispatcher.views
+            if view.reachable and view.ready and not view.draining
+        }
+
+    async def start(self) -> None:
+        """Begin to link, to follow the configuration and to serve callers."""
+        parts = self._parts
+        parts.metrics.watch("mustardquay.running", lambda: self._dispatcher.running)
+        parts.metrics.watch(
+            "mustardquay.configuration.version", lambda: self._keeper.version
+        )
+        parts.metrics.watch("mustardquay.ready", lambda: float(self.is_ready))
+        parts.metrics.watch(
+            "mustardquay.links", lambda: len(self._dispatcher.open_links)
+        )
+        parts.metrics.start()
+        await parts.platform.start()
+        self._disconnect = connect_configuration(self._keeper, self._dispatcher.beat)
+        await self._keeper.start()
+        self._recorder.start()
+        self._listen()
+        self._admin.start()
+        self._tasks = [
+            asyncio.create_task(self._follow_list()),
+            asyncio.create_task(self._sweep()),
+        ]
+        parts.events.record("process.started")
+
+    async def drain(self) -> None:
+        """Refuse new callers and wait until every request has its outcome."""
+        self._draining = True
+        self._parts.events.record("drain.started")
+        await self._dispatcher.wait_until_empty()
+        # The last answers are still being written by their handlers.
+        await asyncio.sleep(0)
+        self._parts.events.record("drain.ended")
+
+    async def close(self) -> None:
+        """Drain, then stop."""
+        await self.drain()
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Stop at once; what runs is lost."""
+        self._draining = True
+        self._disconnect()
+        for task in self._tasks:
+            task.cancel()
+        await self._recorder.close()
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+        self._dispatcher.close()
+        await self._keeper.close()
+        await self._admin.close()
+        await self._parts.platform.close()
+        self._parts.metrics.close()
+
+    async def read_configuration(self) -> Configuration:
+        """Return the newest configuration, for operators."""
+        try:
+            await self._keeper.poll()
+        except MustardquayError:
+            if not self._keeper.current:
+                raise
+        return self._keeper.configuration
+
+    async def apply_edit(self, edit: Edit) -> int:
+        """Bring an operator's edit into force and return its version."""
+        version = await self._editor.propose(edit)
+        self._parts.events.record(
+            "configuration.edited", version=version, author=edit.author
+        )
+        return version
+
+    def _listen(self) -> None:
+        node = self._parts.settings.node
+        sockets = bind_sockets(self._port, node.address)
+        self._port = sockets[0].getsockname()[1]
+        self._server = HTTPServer(
+            self._make_application(),
+            ssl_options=self._make_tls(),
+            max_body_size=BUFFER_SIZE,
+            max_buffer_size=BUFFER_SIZE,
+            idle_connection_timeout=self._settings.idle_timeout.total_seconds(),
+            body_timeout=self._settings.body_timeout.total_seconds(),
+        )
+        self._server.add_sockets(sockets)
+
+    def _make_tls(self) -> ssl.SSLContext | None:
+        if not self._settings.certificate:
+            return None
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        try:
+            context.load_cert_chain(
+                self._settings.certificate, self._settings.private_key
+            )
+        except (OSError, ssl.SSLError) as error:
+            raise SettingsError(
+                f"[entry] certificate: can't be used with private_key ({error}); "
+                "give PEM files that belong together."
+            ) from None
+        return context
+
+    def _make_application(self) -> Application:
+        parts = CallerParts(
+            settings=self._settings,
+            services=self._parts.settings.services,
+            configurations=self._keeper,
+            dispatcher=self._dispatcher,
+            recorder=self._recorder,
+            clock=self._parts.clock,
+            events=self._parts.events,
+            metrics=self._parts.metrics,
+            draining=lambda: self._draining,
+            streams=self._streams,
+        )
+        options = {"parts": parts}
+        return Application(
+            [
+                (r"/v1/chat/completions", ChatHandler, options),
+                (r"/v1/completions", CompletionHandler, options),
+                (r"/v1/models", ModelsHandler, options),
+                (r"/services/([A-Za-z0-9._-]+)(/.*)?", ServiceHandler, options),
+            ],
+            default_handler_class=NotFoundHandler,
+            default_handler_args=options,
+            log_function=lambda handler: None,
+        )
+
+    def _make_heartbeat(self) -> Heartbeat:
+        return Heartbeat(
+            version=self._keeper.version,
+            confirmed=self._keeper.current,
+            draining=self._draining,
+        )
+
+    def _receive(self, link: Link, message: Message) -> None:
+        if isinstance(message, Heartbeat):
+            now = self._parts.clock.monotonic()
+            peer = link.peer
+            self._membership.hear(peer.process, peer.incarnation, message.draining, now)
+            self._known.update(message.models)
+            self._known_adapters.update(message.adapters)
+        spread_configuration(self._keeper, link, message)
+
+    def _is_reader(self) -> bool:
+        now = self._parts.clock.monotonic()
+        entries = self._membership.list_instances("entry", now)
+        zone = self._parts.identity.availability_zone
+        return self.name in choose_readers(entries, zone)
+
+    def _make_catalogue(self) -> Catalogue | None:
+        if not self._known:
+            return None
+        services = {name for name in self._known if name.startswith(SERVICE_PREFIX)}
+        return Catalogue(
+            models=frozenset(self._known - services),
+            adapters=frozenset(self._known_adapters),
+            services=frozenset(name.removeprefix(SERVICE_PREFIX) for name in services),
+        )
+
+    async def _follow_list(self) -> None:
+        while True:
+            try:
+                instances = await self._parts.platform.instances.list_instances()
+            except MustardquayError:
+                # Without the list the links stand as they are; heartbeats tell
+                # who lives, and who leaves.
+                instances = None
+            if instances is not None:
+                self._take_list(instances)
+            spread = 0.75 + self._parts.random.random() / 2
+            await asyncio.sleep((LIST_INTERVAL * spread).total_seconds())
+
+    def _take_list(self, instances: tuple[Instance, ...]) -> None:
+        now = self._parts.clock.monotonic()
+        self._membership.update(instances, now)
+        agents = self._membership.list_instances("agent", now)
+        entries = self._membership.list_instances("entry", now)
+        leaving = [
+            instance.name
+            for instance in instances
+            if self._membership.get_state(instance.name, now) is MemberState.LEAVING
+        ]
+        chosen = choose_agents(self.name, entries, agents, self._settings.agents)
+        self._dispatcher.set_agents(chosen, leaving)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL.total_seconds())
+            self._drop_slow_callers()
+
+    def _drop_slow_callers(self) -> None:
+        """Drop callers that take nothing in of what is streamed to them.
+
+        A caller that hangs, or is half gone, would hold its stream's memory here
+        and its place on the engine for as long as TCP keeps the connection.
+        """
+        oldest = self._parts.clock.monotonic() - self._settings.progress_timeout
+        for handler, sink in list(self._streams):
+            if sink.blocked_since is not None and sink.blocked_since < oldest:
+                handler.drop()
+
+    def _list_faults(self) -> tuple[str, ...]:
+        faults = []
+        if self._draining:
+            faults.append("The entry drains.")
+        if not self._keeper.current:
+            faults.append("The configuration is not confirmed.")
+        if not any(view.reachable for view in self._dispatcher.views):
+            faults.append("No agent is reached.")
+        return tuple(faults)
+
+    def _make_admin_parts(self) -> AdminParts:
+        return AdminParts(
+            operator_keys=self._settings.operator_keys,
+            ring=self._parts.events,
+            metrics=self._parts.metrics,
+            read_status=self._read_status,
+            probe_health=lambda: Probe(True),
+            probe_readiness=self._probe_readiness,
+            actions=self,
+        )
+
+    def _probe_readiness(self) -> Probe:
+        faults = self._list_faults()
+        return Probe(not faults, faults)
+
+    def _read_status(self) -> ProcessStatus:
+        node = self._parts.settings.node
+        faults = self._list_faults()
+        now = self._parts.clock.monotonic()
+        return ProcessStatus(
+            process=node.name,
+            kind=node.kind,
+            availability_zone=node.availability_zone,
+            region=node.region,
+            version=__version__,
+            configuration=self._keeper.version,
+            ready=not faults,
+            draining=self._draining,
+            faults=faults,
+            incarnation=self._parts.incarnation,
+            running=self._dispatcher.running,
+            upstreams=tuple(
+                UpstreamStatus.from_view(view, (now - view.reported_at).total_seconds())
+                for view in sorted(self._dispatcher.views, key=lambda view: view.name)
+            ),
+        )
--- a/packages/mustardquay-node/src/mustardquay_node/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/exchanges.py
@@ -75,9 +75,8 @@
 class Dispatch(Protocol):
     """What an exchange needs of the process it runs in."""
 
-    def choose(
-        self, call: Call, avoid: frozenset[str]
-    ) -> "UpstreamView | Refusal": ...
+    def choose(self, call: Call, avoid: frozenset[str]) -> UpstreamView | Refusal:
+        """Return the upstream for the next attempt."""
 
     def reserve(self, exchange: "Exchange") -> int:
         """Return the stream number of a new attempt."""
@@ -179,9 +178,7 @@
         """Note that the caller has taken `size` bytes; lets more be sent."""
         self._taken += size
         if self._taken >= CREDIT_STEP and self._state.phase is not Phase.ENDED:
-            self._dispatch.send(
-                self._state.upstream, Credit(self._stream, self._taken)
-            )
+            self._dispatch.send(self._state.upstream, Credit(self._stream, self._taken))
             self._taken = 0
 
     def _act(self, actions: list[Action]) -> None:
--- a/packages/mustardquay-node/src/mustardquay_node/frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/frames.py
@@ -199,9 +199,7 @@
 
 
 def _read_reattach(read: Any) -> Reattach:
-    return Reattach(
-        read.stream, read.request, read.number, read.incarnation, read.have
-    )
+    return Reattach(read.stream, read.request, read.number, read.incarnation, read.have)
 
 
 def _write_cancel(frame: Any, cancel: Cancel) -> None:
@@ -335,8 +333,12 @@
     for position, record in enumerate(records):
         built[position].fingerprint = record.fingerprint
         built[position].remaining = _to_microseconds(record.remaining)
-        _write_crash_ids(built[position].init("crashes", len(record.crashes)), record.crashes)
-        _write_crash_ids(built[position].init("cleared", len(record.cleared)), record.cleared)
+        _write_crash_ids(
+            built[position].init("crashes", len(record.crashes)), record.crashes
+        )
+        _write_crash_ids(
+            built[position].init("cleared", len(record.cleared)), record.cleared
+        )
 
 
 def _write_crash_ids(built: Any, crashes: Iterable[CrashId]) -> None:
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/nodes.py
@@ -0,0 +1,129 @@
+"""Nodes: what entries and agents have in common: platform, configuration, links."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random, SystemRandom
+
+from mustardquay import EventRing, HybridClock, SystemClock
+from mustardquay.clocks import Clock
+from mustardquay.errors import ProtocolError
+from mustardquay.events import Event
+from mustardquay.messages import (
+    ConfigurationEntries,
+    ConfigurationWanted,
+    Heartbeat,
+    Message,
+)
+from mustardquay.quarantines import Quarantine
+
+from .configurations import ConfigurationKeeper, configuration_changed
+from .links import Identity, Link, LinkOptions
+from .metrics import NodeMetrics
+from .settings import Settings
+from .stores import HttpInstances, HttpObjects, HttpTables, PlatformClient
+
+__all__ = ["NodeParts", "Platform", "make_seed", "spread_configuration"]
+
+MICROSECOND = timedelta(microseconds=1)
+
+
+def make_seed() -> int:
+    """Return a seed that no two processes share."""
+    return SystemRandom().getrandbits(64)
+
+
+class Platform:
+    """The clients of the platform's services."""
+
+    def __init__(self, settings: Settings, clock: Clock, random: Random):
+        platform = settings.platform
+
+        def make_client(url: str) -> PlatformClient:
+            return PlatformClient(url, platform.timeout, clock, random)
+
+        self._clients = [
+            make_client(platform.tables),
+            make_client(platform.objects),
+            make_client(platform.instances),
+        ]
+        self.tables = HttpTables(self._clients[0])
+        self.objects = HttpObjects(self._clients[1])
+        self.instances = HttpInstances(self._clients[2])
+
+    async def start(self) -> None:
+        """Make the HTTP clients."""
+        for client in self._clients:
+            await client.start()
+
+    async def close(self) -> None:
+        """Abandon the calls under way."""
+        for client in self._clients:
+            await client.close()
+
+
+class NodeParts:
+    """The parts that each process has, whatever its kind."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock | None = None,
+        seed: int | None = None,
+        write_event: Callable[[Event], None] | None = None,
+    ):
+        node = settings.node
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.random = Random(make_seed() if seed is None else seed)
+        # Later processes of the same name have higher numbers, as long as the wall
+        # clock is not set back by more than the time they take to start.
+        started = self.clock.now().timestamp()
+        self.incarnation = int(started * 1_000_000)
+        self.identity = Identity(node.name, self.incarnation, node.availability_zone)
+        self.events = EventRing(
+            node.name, HybridClock(self.clock), node.ring_capacity, write_event
+        )
+        self.metrics = NodeMetrics(node.name, node.kind, node.availability_zone)
+        self.quarantine = Quarantine()
+        self.platform = Platform(settings, self.clock, self.random)
+        self.links = LinkOptions(
+            settings.link.keys,
+            settings.link.heartbeat,
+            settings.link.silence,
+            settings.link.frame_limit,
+        )
+
+
+def spread_configuration(keeper: ConfigurationKeeper, link: Link, message: Message):
+    """Take in and pass on the configuration log over a link.
+
+    A heartbeat with a higher version leads to a question for what is missing, and
+    an answer that closes only a part of the gap to the next question.
+    """
+    if isinstance(message, Heartbeat):
+        keeper.hear(link.peer.process, message.version, message.confirmed)
+        if message.version > keeper.version:
+            link.send(ConfigurationWanted(keeper.version))
+    elif isinstance(message, ConfigurationWanted):
+        link.send(ConfigurationEntries(tuple(keeper.list_items(message.after))))
+    elif isinstance(message, ConfigurationEntries):
+        before = keeper.version
+        try:
+            keeper.offer_items(message.entries)
+        except ProtocolError as error:
+            link.close(str(error))
+            return
+        if before < keeper.version and keeper.wanted_after is not None:
+            link.send(ConfigurationWanted(keeper.version))
+
+
+def connect_configuration(
+    keeper: ConfigurationKeeper, changed: Callable[[], None]
+) -> Callable[[], None]:
+    """Call back on each new version; returns what ends that."""
+
+    def receive(sender: ConfigurationKeeper, **details: object) -> None:
+        changed()
+
+    configuration_changed.connect(receive, sender=keeper)
+    return lambda: configuration_changed.disconnect(receive, sender=keeper)
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/programs.py
@@ -0,0 +1,79 @@
+"""Programs: the binary `mustardquayd`, one entry or agent by its settings."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from mustardquay import __version__
+from mustardquay.errors import SettingsError
+
+from .agents import Agent
+from .entries import Entry
+from .logs import Logs, write_event
+from .settings import Settings, read_settings
+
+__all__ = ["main", "run_node"]
+
+SETTINGS_ERROR = 2
+"""Exit code for settings that can't be used."""
+
+application = typer.Typer(add_completion=False)
+
+
+def _show_version(wanted: bool) -> None:
+    if wanted:
+        typer.echo(f"mustardquayd {__version__}")
+        raise typer.Exit
+
+
+@application.command()
+def run(
+    settings: Annotated[
+        list[Path], typer.Argument(help="INI files; later ones go over earlier ones.")
+    ],
+    version: Annotated[
+        bool,
+        typer.Option("--version", callback=_show_version, is_eager=True),
+    ] = False,
+) -> None:
+    """Run one entry or agent until SIGTERM or SIGINT, then stop gracefully.
+
+    Logs go to standard output as JSON lines.
+    """
+    try:
+        checked = read_settings(*settings)
+    except SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(SETTINGS_ERROR) from None
+    asyncio.run(run_node(checked))
+
+
+async def run_node(settings: Settings) -> None:
+    """Run the process that the settings describe until a signal asks to stop."""
+    logs = Logs(settings.node.log_level)
+    logs.start()
+    kind = Entry if settings.node.kind == "entry" else Agent
+    node = kind(settings, write_event=write_event)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    try:
+        await node.start()
+        await stop.wait()
+        await node.close()
+    finally:
+        logs.close()
+
+
+def main() -> None:
+    """Run the program."""
+    application()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/mustardquay-node/src/mustardquay_node/services.py
+++ b/packages/mustardquay-node/src/mustardquay_node/services.py
@@ -102,9 +102,7 @@
         contract = self.customer
         assert contract is not None
         digest = sha256(
-            b"\0".join(
-                ((self.request.method or "").encode(), path.encode(), self.body)
-            )
+            b"\0".join(((self.request.method or "").encode(), path.encode(), self.body))
         ).hexdigest()
         return await self.parts.recorder.claim(
             ClaimKey(contract.customer, service, key),
--- /dev/null
+++ b/packages/mustardquay-standins/src/mustardquay_standins/sites.py
@@ -0,0 +1,247 @@
+"""Sites: a whole small site in one process, with stand-ins for what is outside.
+
+The INI files are those of `examples/`; only ports, and the URLs of the platform and
+the upstreams, are those that the stand-ins got.
+"""
+
+import asyncio
+from collections.abc import Callable
+from configparser import ConfigParser
+from pathlib import Path
+from typing import Annotated
+from uuid import uuid4
+
+import typer
+
+from mustardquay.documents import ContractDocument, read_contract
+from mustardquay.events import Event
+from mustardquay.plans import Release
+from mustardquay.revisions import ContractAmendment, Edit, ReleaseAmendment
+from mustardquay_node.agents import Agent
+from mustardquay_node.entries import Entry
+from mustardquay_node.settings import Settings, check_settings
+
+from .engines import EngineStandin
+from .instances import Instance
+from .platforms import PlatformStandin, wait_for_signal
+from .services import ServiceStandin
+from .states import Substance
+
+__all__ = ["EXAMPLES", "SITE_NAMES", "Site", "main"]
+
+EXAMPLES = Path(__file__).resolve().parents[4] / "examples"
+SITE_NAMES = ("strassenmeldung", "syndesmos")
+MODEL_VERSION = "1"
+READY_LIMIT = 20.0
+"""Seconds until everything must be ready."""
+POLL = 0.02
+
+Sections = dict[str, dict[str, str]]
+
+
+class Site:
+    """Entries, agents and stand-ins of one example site."""
+
+    def __init__(
+        self,
+        name: str,
+        seed: int = 0,
+        write_event: Callable[[Event], None] | None = None,
+        overrides: Sections | None = None,
+    ):
+        """Read the example; `overrides` are settings for every process."""
+        self._folder = EXAMPLES / name
+        self._seed = seed
+        self._write_event = write_event
+        self._overrides = overrides or {}
+        self.platform = PlatformStandin(seed=seed)
+        self.contracts = [
+            read_contract(path.read_text(encoding="utf-8"), str(path))
+            for path in sorted((self._folder / "contracts").glob("*.ini"))
+        ]
+        self.upstreams: dict[str, EngineStandin | ServiceStandin] = {}
+        self.agents: dict[str, Agent] = {}
+        self.entries: dict[str, Entry] = {}
+
+    @property
+    def customer(self) -> ContractDocument:
+        """Return the contract that allows most: models and services."""
+        return max(self.contracts, key=lambda item: (bool(item.services), item.share))
+
+    @property
+    def engines(self) -> dict[str, EngineStandin]:
+        """Return the engine stand-ins by upstream name."""
+        return {
+            name: upstream
+            for name, upstream in self.upstreams.items()
+            if isinstance(upstream, EngineStandin)
+        }
+
+    @property
+    def services(self) -> dict[str, ServiceStandin]:
+        """Return the service stand-ins by upstream name."""
+        return {
+            name: upstream
+            for name, upstream in self.upstreams.items()
+            if isinstance(upstream, ServiceStandin)
+        }
+
+    async def start(self) -> None:
+        """Start the stand-ins, the agents and the entries, and apply contracts."""
+        await self.platform.start()
+        processes = self._read_processes()
+        for sections in processes:
+            if sections["node"]["kind"] == "agent":
+                await self._start_agent(sections)
+        for sections in processes:
+            if sections["node"]["kind"] == "entry":
+                await self._start_entry(sections)
+        self.list_instances()
+        await self.wait_until_ready()
+        await self._apply_contracts()
+
+    async def close(self) -> None:
+        """Stop gracefully: first the entries, then the agents and stand-ins."""
+        await asyncio.gather(*(entry.close() for entry in self.entries.values()))
+        await asyncio.gather(*(agent.close() for agent in self.agents.values()))
+        for upstream in self.upstreams.values():
+            await upstream.close()
+        await self.platform.close()
+
+    async def wait_until_ready(self) -> None:
+        """Wait until every agent is ready and every entry reaches all of them."""
+        async with asyncio.timeout(READY_LIMIT):
+            while not self._is_ready():
+                await asyncio.sleep(POLL)
+
+    def list_instances(self) -> None:
+        """Tell the instance list of every process that runs."""
+        lines = [
+            Instance(name, "agent", "127.0.0.1", agent.port, agent.availability_zone)
+            for name, agent in self.agents.items()
+        ]
+        lines += [
+            Instance(name, "entry", "127.0.0.1", 0, entry.availability_zone)
+            for name, entry in self.entries.items()
+        ]
+        self.platform.instances.set_instances(lines)
+
+    def make_settings(self, sections: Sections) -> Settings:
+        """Return checked settings with the stand-ins' URLs and free ports."""
+        platform = self.platform
+        sections["platform"] = sections.get("platform", {}) | {
+            "tables": platform.tables.url,
+            "objects": platform.objects.url,
+            "instances": platform.instances.url,
+        }
+        kind = sections["node"]["kind"]
+        sections["node"]["admin_port"] = "0"
+        sections[kind]["port"] = "0"
+        for name, values in self._overrides.items():
+            if name not in ("entry", "agent") or name == kind:
+                sections[name] = sections.get(name, {}) | values
+        return check_settings(sections, sections["node"]["name"])
+
+    def _read_processes(self) -> list[Sections]:
+        paths = sorted((self._folder / "processes").glob("*.ini"))
+        common = self._folder / "common.ini"
+        return [_read_sections(common, path) for path in paths]
+
+    async def _start_agent(self, sections: Sections) -> None:
+        upstream = self._make_upstream(sections["agent"])
+        await upstream.start()
+        sections["agent"]["upstream"] = upstream.url
+        settings = self.make_settings(sections)
+        assert settings.agent is not None
+        self.upstreams[settings.agent.upstream_name] = upstream
+        agent = Agent(settings, write_event=self._write_event)
+        await agent.start()
+        self.agents[agent.name] = agent
+
+    def _make_upstream(self, section: dict[str, str]) -> EngineStandin | ServiceStandin:
+        seed = self._seed + len(self.upstreams)
+        if section.get("kind", "engine") == "service":
+            return ServiceStandin(seed=seed)
+        models = {name for item in self.contracts for name in item.models}
+        adapters = {name for item in self.contracts for name in item.adapters}
+        substance = Substance(
+            models=dict.fromkeys(sorted(models), MODEL_VERSION),
+            adapters=tuple(sorted(adapters)),
+        )
+        weights = self.platform.weights.url
+        return EngineStandin(seed=seed, substance=substance, weights_url=weights)
+
+    async def _start_entry(self, sections: Sections) -> None:
+        entry = Entry(self.make_settings(sections), write_event=self._write_event)
+        await entry.start()
+        self.entries[entry.name] = entry
+
+    def _is_ready(self) -> bool:
+        names = set(self.upstreams)
+        return all(agent.is_ready for agent in self.agents.values()) and all(
+            entry.is_ready and entry.list_reachable() == names
+            for entry in self.entries.values()
+        )
+
+    async def _apply_contracts(self) -> None:
+        adapters = {name for item in self.contracts for name in item.adapters}
+        models = {name for item in self.contracts for name in item.models}
+        amendments = [
+            ReleaseAmendment(
+                model, 0, Release(model, MODEL_VERSION, tuple(sorted(adapters)))
+            )
+            for model in sorted(models)
+        ]
+        amendments += [
+            ContractAmendment(item.customer, 0, item.to_contract())
+            for item in self.contracts
+        ]
+        edit = Edit(uuid4().hex, "site", tuple(amendments))
+        entry = next(iter(self.entries.values()))
+        version = await entry.apply_edit(edit)
+        async with asyncio.timeout(READY_LIMIT):
+            while not self._is_in_force(version):
+                await asyncio.sleep(POLL)
+
+    def _is_in_force(self, version: int) -> bool:
+        nodes = (*self.entries.values(), *self.agents.values())
+        return all(node.version >= version for node in nodes)
+
+
+def _read_sections(*paths: Path) -> Sections:
+    parser = ConfigParser(interpolation=None)
+    for path in paths:
+        with path.open(encoding="utf-8") as file:
+            parser.read_file(file, str(path))
+    kind = parser["node"]["kind"]
+    other = "agent" if kind == "entry" else "entry"
+    sections = {name: dict(parser[name]) for name in parser.sections()}
+    sections.pop(other, None)
+    return sections
+
+
+async def _run(name: str, seed: int) -> None:
+    site = Site(name, seed)
+    await site.start()
+    entries = ",".join(entry.url for entry in site.entries.values())
+    admin = next(iter(site.entries.values())).admin_port
+    customer = site.customer
+    typer.echo(
+        f"site ready entry={entries} admin=http://127.0.0.1:{admin} "
+        f"key={customer.keys[0]} model={customer.models[0]} "
+        f"service={customer.services[0]}"
+    )
+    await wait_for_signal()
+    await site.close()
+
+
+def main(
+    site: Annotated[str, typer.Option(help=f"One of {', '.join(SITE_NAMES)}.")],
+    seed: int = 0,
+) -> None:
+    """Run a site until SIGTERM or SIGINT, then finish the running work and stop."""
+    asyncio.run(_run(site, seed))
+
+
+if __name__ == "__main__":
+    typer.run(main)
