Add stand-ins of the platform, engines and plain services

They implement docs/PLATFORM.md on tornado's server, in memory, each with switches for the failures that callers must survive and counters of what was carried out. Answers are deterministic, so that a caller can check that its own is whole. Platform and upstreams also run as processes of their own.

--- /dev/null
+++ b/packages/mustardquay-standins/src/mustardquay_standins/caches.py
@@ -0,0 +1,92 @@
+"""Caches: the prefix cache of an engine stand-in and the events it publishes."""
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+from mustardquay import Clock
+
+from .answers import CHARACTERS_PER_TOKEN, PIECE_LENGTH
+
+__all__ = ["PIECE_TOKENS", "PrefixCache"]
+
+PIECE_TOKENS = PIECE_LENGTH // CHARACTERS_PER_TOKEN
+EVENTS_KEPT = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class _Event:
+    number: int
+    kind: str
+    piece: int
+    at: timedelta
+
+
+class PrefixCache:
+    """Pieces of prompt in limited memory; the least recently used goes first."""
+
+    def __init__(self, capacity: int, clock: Clock, random: Random):
+        self._capacity = capacity
+        self._clock = clock
+        self._random = random
+        self._pieces: OrderedDict[int, None] = OrderedDict()
+        self._events: deque[_Event] = deque(maxlen=EVENTS_KEPT)
+        self._number = 0
+
+    @property
+    def used(self) -> int:
+        """Return the tokens that are kept."""
+        return len(self._pieces) * PIECE_TOKENS
+
+    @property
+    def capacity(self) -> int:
+        """Return the tokens that there is room for."""
+        return self._capacity * PIECE_TOKENS
+
+    def use(self, pieces: tuple[int, ...], lost_events: float = 0.0) -> int:
+        """Keep the pieces and return how many tokens of them were there before.
+
+        `lost_events` is the part of the events that take a number but are never
+        published.
+        """
+        cached = 0
+        for piece in pieces:
+            if piece not in self._pieces:
+                break
+            cached += 1
+        for piece in pieces:
+            if piece not in self._pieces:
+                self._publish("stored", piece, lost_events)
+            self._pieces[piece] = None
+            self._pieces.move_to_end(piece)
+        while len(self._pieces) > self._capacity:
+            evicted, _ = self._pieces.popitem(last=False)
+            self._publish("evicted", evicted, lost_events)
+        return cached * PIECE_TOKENS
+
+    def clear(self) -> None:
+        """Lose all pieces, without events, as in a crash or a change of role."""
+        self._pieces.clear()
+        self._events.clear()
+
+    def show_events(self, after: int, lag: timedelta) -> dict[str, Any]:
+        """Return the published events behind `after` that are older than `lag`."""
+        limit = self._clock.monotonic() - lag
+        visible = [event for event in self._events if event.at <= limit]
+        oldest = visible[0].number if visible else self._number + 1
+        newest = visible[-1].number if visible else 0
+        chosen = [
+            {"number": event.number, "kind": event.kind, "piece": event.piece}
+            for event in visible
+            if event.number > after
+        ]
+        return {"oldest": oldest, "newest": newest, "events": chosen}
+
+    def _publish(self, kind: str, piece: int, lost_events: float) -> None:
+        self._number += 1
+        if lost_events and self._random.random() < lost_events:
+            return
+        event = _Event(self._number, kind, piece, self._clock.monotonic())
+        self._events.append(event)
--- /dev/null
+++ b/packages/mustardquay-standins/src/mustardquay_standins/instances.py
@@ -0,0 +1,104 @@
+"""Instances: a stand-in of the platform's lagging list of instances."""
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+from datetime import timedelta
+
+from mustardquay import Clock
+
+from .servers import Call, Route, StandinServer
+
+__all__ = ["Instance", "InstanceCounters", "InstanceFaults", "InstanceStandin"]
+
+
+@dataclass(frozen=True, slots=True)
+class Instance:
+    """One line of the list."""
+
+    name: str
+    kind: str
+    """`entry` or `agent`."""
+    address: str
+    port: int
+    """Of the internal link; 0 for an entry."""
+    availability_zone: str
+    state: str = "live"
+    """`live` or `leaving`."""
+
+
+@dataclass(slots=True)
+class InstanceFaults:
+    """Switches of the instance list."""
+
+    down: bool = False
+    lag: timedelta = timedelta()
+    """Age of the list that is answered."""
+
+
+@dataclass(slots=True)
+class InstanceCounters:
+    """What the instance list has seen."""
+
+    reads: int = 0
+
+
+class InstanceStandin(StandinServer):
+    """The instance list over HTTP; remembers former lists, to answer late."""
+
+    faults: InstanceFaults
+    counters: InstanceCounters
+
+    def __init__(self, clock: Clock | None = None, seed: int = 0):
+        super().__init__(InstanceFaults(), InstanceCounters(), clock, seed)
+        self._history: deque[tuple[timedelta, tuple[Instance, ...]]] = deque(
+            [(timedelta.min, ())], maxlen=1000
+        )
+
+    @property
+    def instances(self) -> tuple[Instance, ...]:
+        """Return the present list, without lag."""
+        return self._history[-1][1]
+
+    def list_routes(self) -> tuple[Route, ...]:
+        """Return the routes of the instance list."""
+        return (
+            Route("GET", "/instances", self._list),
+            Route("PUT", "/instances", self._replace),
+        )
+
+    def set_instances(self, instances: Sequence[Instance]) -> None:
+        """Replace the list; callers see it when the lag is over."""
+        self._history.append((self._clock.monotonic(), tuple(instances)))
+
+    def set_state(self, name: str, state: str) -> None:
+        """Change the state of one instance, such as to `leaving`."""
+        changed = [
+            Instance(**(asdict(instance) | {"state": state}))
+            if instance.name == name
+            else instance
+            for instance in self.instances
+        ]
+        self.set_instances(changed)
+
+    def remove(self, name: str) -> None:
+        """Take one instance off the list."""
+        self.set_instances([one for one in self.instances if one.name != name])
+
+    async def _list(self, call: Call) -> None:
+        if self.faults.down:
+            call.answer(503, {"error": "the instance list is down"})
+            return
+        self.counters.reads += 1
+        instances = self._find_list(self._clock.monotonic() - self.faults.lag)
+        call.answer(200, {"instances": [asdict(one) for one in instances]})
+
+    async def _replace(self, call: Call) -> None:
+        self.set_instances([Instance(**one) for one in call.parse()["instances"]])
+        call.answer(204)
+
+    def _find_list(self, instant: timedelta) -> tuple[Instance, ...]:
+        for since, instances in reversed(self._history):
+            if since <= instant:
+                return instances
+        return ()
--- /dev/null
+++ b/packages/mustardquay-standins/src/mustardquay_standins/relays.py
@@ -0,0 +1,189 @@
+"""Relays: a TCP relay that fails as a network does."""
+
+import asyncio
+from dataclasses import dataclass
+from datetime import timedelta
+
+from mustardquay import Clock
+
+from .servers import StandinServer
+
+__all__ = ["RelayCounters", "RelayFaults", "RelayStandin"]
+
+CHUNK_SIZE = 65_536
+
+
+@dataclass(slots=True)
+class RelayFaults:
+    """Switches of a relay; those of swallowing also hit open connections."""
+
+    cut: bool = False
+    """New connections are closed, open ones at their next byte; set over HTTP, or
+    followed by `cut_connections`, also those that are idle."""
+    swallow_forward: bool = False
+    """Bytes towards the target vanish, while the connections stay open."""
+    swallow_back: bool = False
+    """Bytes from the target vanish, while the connections stay open."""
+    delay: timedelta = timedelta()
+    """Wait before each chunk is passed on, in either direction."""
+
+
+@dataclass(slots=True)
+class RelayCounters:
+    """What a relay has seen."""
+
+    connections: int = 0
+    forwarded: int = 0
+    """Bytes passed on in either direction."""
+    swallowed: int = 0
+
+
+@dataclass(eq=False, slots=True)
+class _Connection:
+    writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
+    forgotten: bool = False
+
+
+class RelayStandin:
+    """Passes on TCP connections to one target, with switches between the ends."""
+
+    def __init__(
+        self,
+        target_address: str,
+        target_port: int,
+        clock: Clock | None = None,
+        seed: int = 0,
+    ):
+        self._target = (target_address, target_port)
+        self._server: asyncio.Server | None = None
+        self._connections: set[_Connection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._address = ""
+        self._port = 0
+        self._control: _RelayControl | None = None
+        self._control_arguments = (clock, seed)
+        self.faults = RelayFaults()
+        self.counters = RelayCounters()
+
+    @property
+    def address(self) -> str:
+        """Return the IP number that the relay listens on."""
+        return self._address
+
+    @property
+    def port(self) -> int:
+        """Return the port that the relay listens on."""
+        return self._port
+
+    @property
+    def url(self) -> str:
+        """Return the base URL of a target that speaks HTTP."""
+        return f"http://{self._address}:{self._port}"
+
+    @property
+    def control_url(self) -> str:
+        """Return the base URL of `/faults`, once `start_control` was called."""
+        return self._control.url if self._control else ""
+
+    async def start(self, address: str = "127.0.0.1", port: int = 0) -> None:
+        """Listen; port 0 stands for any free one."""
+        self._server = await asyncio.start_server(self._accept, address, port)
+        self._address, self._port = self._server.sockets[0].getsockname()[:2]
+
+    async def start_control(self, address: str = "127.0.0.1", port: int = 0) -> None:
+        """Offer `/faults` on a port of its own, for other processes."""
+        self._control = _RelayControl(self, *self._control_arguments)
+        await self._control.start(address, port)
+
+    async def close(self) -> None:
+        """Close the listener and every connection."""
+        if self._control is not None:
+            await self._control.close()
+        if self._server is not None:
+            self._server.close()
+        self.cut_connections()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def cut_connections(self) -> None:
+        """Close every open connection once; new ones are accepted."""
+        for connection in list(self._connections):
+            for writer in connection.writers:
+                writer.transport.abort()
+
+    def forget(self) -> None:
+        """Have every open connection go silent for good, while new ones work."""
+        for connection in self._connections:
+            connection.forgotten = True
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.faults.cut:
+            writer.transport.abort()
+            return
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            await self._relay(reader, writer)
+        except OSError:
+            writer.transport.abort()
+        except asyncio.CancelledError:
+            pass
+        finally:
+            self._tasks.discard(task)
+
+    async def _relay(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        target_reader, target_writer = await asyncio.open_connection(*self._target)
+        connection = _Connection((writer, target_writer))
+        self._connections.add(connection)
+        self.counters.connections += 1
+        try:
+            await asyncio.gather(
+                self._pump(connection, reader, target_writer, "swallow_forward"),
+                self._pump(connection, target_reader, writer, "swallow_back"),
+            )
+        finally:
+            self._connections.discard(connection)
+            writer.transport.abort()
+            target_writer.transport.abort()
+
+    async def _pump(
+        self,
+        connection: _Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        switch: str,
+    ) -> None:
+        while True:
+            data = await reader.read(CHUNK_SIZE)
+            if self.faults.cut:
+                raise ConnectionResetError
+            if self.faults.delay:
+                await asyncio.sleep(self.faults.delay.total_seconds())
+            if connection.forgotten or getattr(self.faults, switch):
+                self.counters.swallowed += len(data)
+                if not data:
+                    return
+                continue
+            if not data:
+                if writer.can_write_eof():
+                    writer.write_eof()
+                return
+            self.counters.forwarded += len(data)
+            writer.write(data)
+            await writer.drain()
+
+
+class _RelayControl(StandinServer):
+    def __init__(self, relay: RelayStandin, clock: Clock | None, seed: int):
+        super().__init__(relay.faults, relay.counters, clock, seed)
+        self._relay = relay
+
+    def set_faults(self, values: dict[str, object]) -> None:
+        super().set_faults(values)
+        if self._relay.faults.cut:
+            self._relay.cut_connections()
--- /dev/null
+++ b/packages/mustardquay-standins/src/mustardquay_standins/states.py
@@ -0,0 +1,181 @@
+"""States: what an engine stand-in really is, and the orders that change it."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+from tornado.httpclient import AsyncHTTPClient, HTTPError
+
+from mustardquay import Role
+
+__all__ = ["EngineOrders", "OrderCounters", "Substance"]
+
+Change = Callable[[], Awaitable[None]]
+LOAD_RETRY = 0.2
+"""Seconds until the weight store is asked again without a `Retry-After`."""
+
+
+@dataclass(frozen=True, slots=True)
+class Substance:
+    """What an engine is apart from numbers: its role, models and adapters."""
+
+    role: Role = Role.MIXED
+    models: dict[str, str] = field(default_factory=lambda: {"model": "1"})
+    """Version by name of model."""
+    adapters: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class OrderCounters:
+    """The orders that an engine has received."""
+
+    accepted: int = 0
+    conflicting: int = 0
+    """Received while another order was carried out."""
+    stale: int = 0
+    """Received with a fencing number under the highest seen."""
+    stale_applied: int = 0
+    """Those of them that were carried out, by an engine that ignores fences."""
+    highest_fence: int = 0
+    """Over all boots, as an observer sees it."""
+
+
+class EngineOrders:
+    """The real state of one engine, changed by one order at a time."""
+
+    def __init__(
+        self,
+        substance: Substance,
+        counters: OrderCounters,
+        change_time: timedelta,
+        weights_url: str,
+        cut: Callable[[], None],
+    ):
+        self._substance = substance
+        self._counters = counters
+        self._change_time = change_time
+        self._weights_url = weights_url
+        self._cut = cut
+        self._fence = 0
+        self._generation = 0
+        self._boot = 1
+        self._changing = False
+        self._away = False
+
+    @property
+    def substance(self) -> Substance:
+        """Return what the engine is now."""
+        return self._substance
+
+    @property
+    def boot(self) -> int:
+        """Return the boot number."""
+        return self._boot
+
+    @property
+    def generation(self) -> int:
+        """Return the generation of the last order that was done, or 0."""
+        return self._generation
+
+    @property
+    def changing(self) -> bool:
+        """Return whether an order is being carried out."""
+        return self._changing
+
+    @property
+    def away(self) -> bool:
+        """Return whether a change keeps the engine from generating."""
+        return self._away
+
+    def show(self) -> dict[str, Any]:
+        """Return the state as `GET /state` answers it."""
+        return {
+            "boot": self._boot,
+            "fence": self._fence,
+            "generation": self._generation,
+            "role": self._substance.role,
+            "models": self._substance.models,
+            "adapters": self._substance.adapters,
+            "changing": self._changing,
+        }
+
+    def check_model(self, model: str, adapter: str) -> str:
+        """Return why a request can't be run here, or an empty string."""
+        if model not in self._substance.models:
+            if model not in self._substance.adapters:
+                return f"model {model} is not loaded"
+        if adapter and adapter not in self._substance.adapters:
+            return f"adapter {adapter} is not loaded"
+        return ""
+
+    def receive(
+        self, order: dict[str, Any], ignore_fences: bool
+    ) -> tuple[int, dict[str, Any], Change | None]:
+        """Accept or refuse an order; returns status, body and what carries it out."""
+        fence, generation = int(order["fence"]), int(order["generation"])
+        wanted = Substance(
+            Role(order["role"]), dict(order["models"]), tuple(order["adapters"])
+        )
+        highest = self._counters.highest_fence
+        self._counters.highest_fence = max(fence, highest)
+        if fence < max(self._fence, highest):
+            self._counters.stale += 1
+        if fence < self._fence and not ignore_fences:
+            return 409, {"error": "stale fence", "fence": self._fence}, None
+        if self._changing:
+            self._counters.conflicting += 1
+            return 409, {"error": "busy"}, None
+        if fence < highest:
+            self._counters.stale_applied += 1
+        self._counters.accepted += 1
+        self._fence = max(fence, self._fence)
+        self._changing = True
+        boot = self._boot
+        return 202, {}, lambda: self._carry_out(wanted, generation, boot)
+
+    def crash(self, random: Random, forget_fence: bool) -> None:
+        """Begin a new boot, with some of the models and adapters lost."""
+        self._boot += 1
+        self._generation = 0
+        self._changing = False
+        self._away = False
+        if forget_fence:
+            self._fence = 0
+        kept = {
+            name: version
+            for name, version in self._substance.models.items()
+            if random.random() < 0.5
+        }
+        self._substance = replace(self._substance, models=kept, adapters=())
+
+    async def _carry_out(self, wanted: Substance, generation: int, boot: int) -> None:
+        present = self._substance
+        if (wanted.role, wanted.models) != (present.role, present.models):
+            self._away = True
+            self._cut()
+        for name, version in wanted.models.items():
+            if present.models.get(name) != version:
+                await self._load_weights(name, version)
+        await asyncio.sleep(self._change_time.total_seconds())
+        if boot != self._boot:
+            return
+        self._substance = wanted
+        self._generation = generation
+        self._changing = False
+        self._away = False
+
+    async def _load_weights(self, name: str, version: str) -> None:
+        url = f"{self._weights_url}/weights/{name}/{version}"
+        while self._weights_url:
+            try:
+                await AsyncHTTPClient().fetch(url)
+                return
+            except HTTPError as error:
+                headers = error.response.headers if error.response else {}
+                wait = float(headers.get("Retry-After", LOAD_RETRY))
+            except OSError:
+                wait = LOAD_RETRY
+            await asyncio.sleep(wait)
