Serve the whole path, shown by a demo and tests over real sockets

Cause: every later part is built on a request that goes through. Found on the way and mended: the hash of names wants bytes; a loop that failed ended unseen (loops.py); adapters are called by their own names.

--- a/packages/mustardquay-node/src/mustardquay_node/agents.py
+++ b/packages/mustardquay-node/src/mustardquay_node/agents.py
@@ -26,6 +26,7 @@
 from .configurations import ConfigurationKeeper
 from .executors import Executor, ExecutorOptions
 from .links import Link
+from .loops import start_loop
 from .nodes import NodeParts, connect_configuration, spread_configuration
 from .reports import Reporter, UpstreamReport
 from .runs import Owner
@@ -147,7 +148,7 @@
         self._reporter.start()
         await self._listen()
         self._admin.start()
-        self._sweeper = asyncio.create_task(self._sweep())
+        self._sweeper = start_loop(self._executor.sweep, SWEEP_INTERVAL)
         parts.events.record("process.started", upstream=self._settings.upstream_name)
 
     async def drain(self) -> None:
@@ -329,11 +330,6 @@
         for link in self._links:
             link.beat()
 
-    async def _sweep(self) -> None:
-        while True:
-            await asyncio.sleep(SWEEP_INTERVAL.total_seconds())
-            self._executor.sweep()
-
     def _list_faults(self) -> tuple[str, ...]:
         faults = []
         if self._executor.draining:
--- a/packages/mustardquay-node/src/mustardquay_node/callers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/callers.py
@@ -98,6 +98,7 @@
         """Take what the handlers of an entry share."""
         self.parts = parts
         self.model = ""
+        self.customer: Contract | None = None
         self._body: list[bytes] = []
         self._body_size = 0
         self._fault: _Fault | None = None
@@ -123,7 +124,6 @@
 
     def prepare(self) -> None:
         """Check the caller and the announced size, before the body is read."""
-        self.customer: Contract | None = None
         self._fault = self._check_state() or self._check_key() or self._check_length()
 
     def data_received(self, chunk: bytes) -> None:
--- a/packages/mustardquay-node/src/mustardquay_node/entries.py
+++ b/packages/mustardquay-node/src/mustardquay_node/entries.py
@@ -31,6 +31,7 @@
 from .editors import ConfigurationEditor
 from .generations import ChatHandler, CompletionHandler, ModelsHandler
 from .links import Link
+from .loops import start_loop
 from .nodes import NodeParts, connect_configuration, spread_configuration
 from .recorders import Recorder
 from .services import SERVICE_PREFIX, ServiceHandler
@@ -171,8 +172,8 @@
         self._listen()
         self._admin.start()
         self._tasks = [
-            asyncio.create_task(self._follow_list()),
-            asyncio.create_task(self._sweep()),
+            start_loop(self._follow_list, LIST_INTERVAL, parts.random),
+            start_loop(self._drop_slow_callers, SWEEP_INTERVAL),
         ]
         parts.events.record("process.started")
 
@@ -311,17 +312,13 @@
         )
 
     async def _follow_list(self) -> None:
-        while True:
-            try:
-                instances = await self._parts.platform.instances.list_instances()
-            except MustardquayError:
-                # Without the list the links stand as they are; heartbeats tell
-                # who lives, and who leaves.
-                instances = None
-            if instances is not None:
-                self._take_list(instances)
-            spread = 0.75 + self._parts.random.random() / 2
-            await asyncio.sleep((LIST_INTERVAL * spread).total_seconds())
+        try:
+            instances = await self._parts.platform.instances.list_instances()
+        except MustardquayError:
+            # Without the list the links stand as they are; heartbeats tell who
+            # lives, and who leaves.
+            return
+        self._take_list(instances)
 
     def _take_list(self, instances: tuple[Instance, ...]) -> None:
         now = self._parts.clock.monotonic()
@@ -336,11 +333,6 @@
         chosen = choose_agents(self.name, entries, agents, self._settings.agents)
         self._dispatcher.set_agents(chosen, leaving)
 
-    async def _sweep(self) -> None:
-        while True:
-            await asyncio.sleep(SWEEP_INTERVAL.total_seconds())
-            self._drop_slow_callers()
-
     def _drop_slow_callers(self) -> None:
         """Drop callers that take nothing in of what is streamed to them.
 
--- a/packages/mustardquay-node/src/mustardquay_node/generations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generations.py
@@ -71,7 +71,7 @@
     def _make_call(self, body: GenerationBody, model: str, adapter: str) -> Call:
         contract = self.customer
         assert contract is not None
-        data = self.body
+        data = name_adapter(self.body, adapter) if adapter else self.body
         work = Work(
             request=self.request_id,
             attempt=0,
@@ -179,6 +179,15 @@
         )
 
 
+def name_adapter(body: bytes, adapter: str) -> bytes:
+    """Return the body for an engine, which knows an adapter by its own name.
+
+    >>> name_adapter(b'{"model": "reader:drafts", "prompt": ""}', "drafts")
+    b'{"model":"drafts","prompt":""}'
+    """
+    return orjson.dumps(orjson.loads(body) | {"model": adapter})
+
+
 class ChatHandler(GenerationHandler):
     """`/v1/chat/completions`."""
 
--- a/packages/mustardquay-node/src/mustardquay_node/reports.py
+++ b/packages/mustardquay-node/src/mustardquay_node/reports.py
@@ -10,6 +10,7 @@
 
 from mustardquay.works import Role
 
+from .loops import start_loop
 from .upstreams import CallEnd, UpstreamCall, UpstreamClient
 
 __all__ = ["Reporter", "UpstreamReport"]
@@ -60,7 +61,7 @@
 
     def start(self) -> None:
         """Begin to ask."""
-        self._task = asyncio.create_task(self._ask_always())
+        self._task = start_loop(self.ask, self._interval)
 
     async def close(self) -> None:
         """Ask no more."""
@@ -78,21 +79,15 @@
             self._probing = asyncio.ensure_future(self._ask_boot())
         return self._probing
 
-    async def ask(self) -> UpstreamReport:
+    async def ask(self) -> None:
         """Ask now, over a new connection."""
         before = self._report
         self._report = await self._read_report()
         self._changed(before, self._report)
-        return self._report
 
     async def _ask_boot(self) -> str:
-        report = await self.ask()
-        return report.boot if report.reachable else ""
-
-    async def _ask_always(self) -> None:
-        while True:
-            await self.ask()
-            await asyncio.sleep(self._interval.total_seconds())
+        await self.ask()
+        return self._report.boot
 
     async def _read_report(self) -> UpstreamReport:
         load = await self._get("/load")
--- /dev/null
+++ b/packages/mustardquay-standins/src/mustardquay_standins/demos.py
@@ -0,0 +1,211 @@
+"""Demos: real requests to a whole site, with a drain in the middle.
+
+Exits with 0 only when every answer was whole and every call that may run once ran
+once, as the stand-ins counted.
+"""
+
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import Annotated
+from uuid import uuid4
+
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from mustardquay.events import select_events
+
+from .answers import ONE_WORD_MARKER, expected_text
+from .clients import Answer, SiteClient, read_stream_text
+from .sites import SITE_NAMES, Site
+
+__all__ = ["Demo", "main"]
+
+ROUNDS = 4
+BULLETIN_SENTENCES = 200
+DRAFT_TOKENS = 60
+TIMELINE_LINES = 24
+FAILED = 1
+
+SUBJECTS = {
+    "strassenmeldung": ("bulletin", "alerts", "alert", "/alerts", "/enquiries"),
+    "syndesmos": ("manual", "bookings", "Booking", "/bookings", "/hours"),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """One request of the demo and whether it got what it should."""
+
+    kind: str
+    answer: Answer
+    good: bool
+
+
+class Demo:
+    """Sends a mix of requests to a site and checks every answer."""
+
+    def __init__(self, site_name: str, seed: int = 7):
+        self._names = SUBJECTS[site_name]
+        self._site = Site(site_name, seed)
+        self._random = random.Random(seed)
+        self._console = Console()
+        self._samples: list[Sample] = []
+        self._keys: list[str] = []
+
+    @property
+    def samples(self) -> list[Sample]:
+        """Return what was sent and what came."""
+        return self._samples
+
+    async def run(self) -> bool:
+        """Run the demo; return whether all was as it should be."""
+        self._say("Starting the site: 3 availability zones, 2 entries, 6 engines …")
+        await self._site.start()
+        client = SiteClient(self._site.customer.keys[0])
+        try:
+            for number in range(ROUNDS):
+                self._say(f"Round {number + 1} of {ROUNDS}")
+                await self._run_round(client, drain=number == ROUNDS // 2)
+        finally:
+            client.close()
+        self._show_outcomes()
+        self._show_timeline()
+        good = self._check_counts() and all(sample.good for sample in self._samples)
+        await self._site.close()
+        self._say("All good." if good else "Something is wrong; see above.")
+        return good
+
+    async def _run_round(self, client: SiteClient, drain: bool) -> None:
+        tasks = [
+            asyncio.create_task(work)
+            for entry in self._site.entries.values()
+            for work in (
+                self._ask_one_word(client, entry.url),
+                self._ask_draft(client, entry.url),
+                self._enquire(client, entry.url),
+                self._send_once(client),
+            )
+        ]
+        if drain:
+            tasks.append(asyncio.create_task(self._drain_one()))
+        await asyncio.gather(*tasks)
+
+    async def _ask_one_word(self, client: SiteClient, entry: str) -> None:
+        noun = self._names[0]
+        text = f"This {noun} has a paragraph {self._random.random()}. "
+        prompt = f"{text * BULLETIN_SENTENCES}\n{ONE_WORD_MARKER}"
+        model = self._site.customer.models[0]
+        answer = await client.chat(entry, model, prompt, 4, stream=False)
+        good = answer.status == 200 and answer.outcome == "answered"
+        if good:
+            message = answer.parse()["choices"][0]["message"]
+            good = message["content"] == expected_text(prompt, 4)
+        self._samples.append(Sample(f"one word of a long {noun}", answer, good))
+
+    async def _ask_draft(self, client: SiteClient, entry: str) -> None:
+        prompt = f"Draft a short message, number {self._random.random()}."
+        model = self._site.customer.models[0]
+        answer = await client.chat(entry, model, prompt, DRAFT_TOKENS, stream=True)
+        good = answer.status == 200 and answer.outcome == "answered"
+        if good:
+            text = expected_text(prompt, DRAFT_TOKENS)
+            good = read_stream_text(answer.body) == (text, True)
+        self._samples.append(Sample("streamed draft", answer, good))
+
+    async def _enquire(self, client: SiteClient, entry: str) -> None:
+        service = self._site.customer.services[0]
+        url = f"{entry}/services/{service}{self._names[4]}"
+        answer = await client.call("GET", url)
+        good = answer.status == 200 and answer.outcome == "answered"
+        self._samples.append(Sample("idempotent enquiry", answer, good))
+
+    async def _send_once(self, client: SiteClient) -> None:
+        service = self._site.customer.services[0]
+        key = uuid4().hex
+        self._keys.append(key)
+        body = {"text": f"{self._names[2]} {key}"}
+        first, *_, last = (entry.url for entry in self._site.entries.values())
+        answers = []
+        for entry in (first, last):
+            url = f"{entry}/services/{service}{self._names[3]}"
+            headers = {"Idempotency-Key": key}
+            answers.append(await client.call("POST", url, body, headers))
+        good = answers[0].status == 201 and answers[0].outcome == "answered"
+        same = answers[1].body == answers[0].body
+        self._samples.append(Sample(self._names[2], answers[0], good))
+        kind = f"{self._names[2]} again, same key"
+        self._samples.append(Sample(kind, answers[1], good and same))
+
+    async def _drain_one(self) -> None:
+        agent = next(
+            agent for name, agent in self._site.agents.items() if name.endswith("-3")
+        )
+        self._say(f"Draining {agent.name} …")
+        await agent.drain()
+        self._say(f"{agent.name} is empty; it takes work again.")
+        agent.end_drain()
+
+    def _check_counts(self) -> bool:
+        runs = dict.fromkeys(self._keys, 0)
+        for service in self._site.services.values():
+            for key in runs:
+                runs[key] += service.counters.by_key[key]
+        wrong = {key: count for key, count in runs.items() if count != 1}
+        self._say(
+            f"{len(runs)} calls that may run once: {len(runs) - len(wrong)} ran once."
+        )
+        return not wrong
+
+    def _show_outcomes(self) -> None:
+        table = Table(title="Outcomes")
+        for column in ("request", "sent", "good", "outcomes", "p50 ms", "worst ms"):
+            table.add_column(column)
+        for kind in dict.fromkeys(sample.kind for sample in self._samples):
+            chosen = [sample for sample in self._samples if sample.kind == kind]
+            times = sorted(
+                sample.answer.duration.total_seconds() * 1000 for sample in chosen
+            )
+            outcomes = sorted({sample.answer.outcome for sample in chosen})
+            table.add_row(
+                kind,
+                str(len(chosen)),
+                str(sum(sample.good for sample in chosen)),
+                ", ".join(outcomes),
+                f"{times[len(times) // 2]:.1f}",
+                f"{times[-1]:.1f}",
+            )
+        self._console.print(table)
+
+    def _show_timeline(self) -> None:
+        nodes = (*self._site.entries.values(), *self._site.agents.values())
+        events = [event for node in nodes for event in node.events.list_events()]
+        self._say("The last of the time line:")
+        for event in select_events(events)[-TIMELINE_LINES:]:
+            seconds = event.stamp.physical % 60_000_000 / 1_000_000
+            details = " ".join(
+                f"{name}={value}" for name, value in event.details.items()
+            )
+            self._console.print(
+                f"{seconds:9.6f} {event.process:<16} {event.kind:<20} "
+                f"{event.request[:8]} {event.upstream} {details}",
+                highlight=False,
+                soft_wrap=True,
+            )
+
+    def _say(self, text: str) -> None:
+        self._console.print(text)
+
+
+def main(
+    site: Annotated[str, typer.Option(help=f"One of {', '.join(SITE_NAMES)}.")],
+    seed: int = 7,
+) -> None:
+    """Run the demo; exit with 0 only when every check held."""
+    if not asyncio.run(Demo(site, seed).run()):
+        raise typer.Exit(FAILED)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/packages/mustardquay-standins/src/mustardquay_standins/sites.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/sites.py
@@ -188,7 +188,9 @@
         models = {name for item in self.contracts for name in item.models}
         amendments = [
             ReleaseAmendment(
-                model, 0, Release(model, MODEL_VERSION, tuple(sorted(adapters)))
+                model,
+                0,
+                Release(model, MODEL_VERSION, adapters=tuple(sorted(adapters))),
             )
             for model in sorted(models)
         ]
--- a/packages/mustardquay/src/mustardquay/members.py
+++ b/packages/mustardquay/src/mustardquay/members.py
@@ -200,4 +200,4 @@
 
 
 def _hash(seed: int, key: str, name: str) -> int:
-    return xxh3_64_intdigest(f"{key}\n{name}", seed=seed)
+    return xxh3_64_intdigest(f"{key}\n{name}".encode(), seed=seed)
