--- a/packages/mustardquay-standins/src/mustardquay_standins/answers.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/answers.py
@@ -9,6 +9,8 @@
 
 import xxhash
 
+from .costs import PIECE_TOKENS
+
 __all__ = [
     "ONE_WORD_MARKER",
     "PIECE_LENGTH",
@@ -24,8 +26,8 @@
 ONE_WORD_MARKER = "answer in one word"
 """A prompt with this text is answered by `open` or `shut`."""
 CHARACTERS_PER_TOKEN = 4
-PIECE_LENGTH = 2000 * CHARACTERS_PER_TOKEN
-"""Bytes of prompt in one piece of cache, about 2,000 tokens."""
+PIECE_LENGTH = PIECE_TOKENS * CHARACTERS_PER_TOKEN
+"""Bytes of prompt in one piece of cache."""
 WORDS = (
     "road bridge ramp lane tunnel valley tram bus north south east west early late "
     "booth hour microphone studio evening morning host guest quiet ready closed near"
--- a/packages/mustardquay-standins/src/mustardquay_standins/caches.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/caches.py
@@ -8,11 +8,10 @@
 
 from mustardquay import Clock
 
-from .answers import CHARACTERS_PER_TOKEN, PIECE_LENGTH
+from .costs import PIECE_TOKENS
 
-__all__ = ["PIECE_TOKENS", "PrefixCache"]
+__all__ = ["PrefixCache"]
 
-PIECE_TOKENS = PIECE_LENGTH // CHARACTERS_PER_TOKEN
 EVENTS_KEPT = 1000
 
 
