--- a/packages/mustardquay-standins/src/mustardquay_standins/engines.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/engines.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Any
@@ -18,6 +17,7 @@
 
 from .answers import hash_prompt
 from .caches import PrefixCache
+from .costs import Batch, EngineCosts, estimate_step_time
 from .engine_calls import EngineRequest, OpenAIWriter, parse_request
 from .servers import Call, Route, StandinServer
 from .states import EngineOrders, OrderCounters, Substance
@@ -93,20 +93,19 @@
         change_time: timedelta = timedelta(milliseconds=200),
         restart_time: timedelta = timedelta(milliseconds=200),
         weights_url: str = "",
-        step_time: Callable[[int, int, int], timedelta] | None = None,
+        costs: EngineCosts | None = None,
     ):
         """Be ready to start.
 
-        `prefill_rate` is in tokens a second. `step_time` gives the time of a step
-        from the prompt tokens in it, the sequences that decode and the sum of
-        their lengths; without it a step lasts `token_gap`.
+        Each step lasts `token_gap` and does its part of `prefill_rate` tokens a
+        second, or with `costs` what the cost model says of its batch.
         """
         super().__init__(EngineFaults(), EngineCounters(), clock, seed)
         self._token_gap = token_gap
         self._prefill_rate = prefill_rate
         self._concurrency = concurrency
         self._restart_time = restart_time
-        self._step_time = step_time
+        self._costs = costs
         self._cache = PrefixCache(cache_pieces, self._clock, self._random)
         self._orders = EngineOrders(
             substance or Substance(),
@@ -207,25 +206,30 @@
 
     def _step(self) -> timedelta:
         self._admit()
-        budget = max(1, int(self._prefill_rate * self._token_gap.total_seconds()))
-        prefilled = 0
-        decoding = 0
-        length = 0
+        budget = self._find_prefill_budget()
+        prefilled = attended = sequences = context = 0
         for request in list(self._running):
             if request.writer.gone:
                 self._remove(request)
                 self.counters.cancelled += 1
             elif request.prefill_left > 0:
                 part = min(request.prefill_left, budget - prefilled)
+                attended += part * (request.prompt_tokens - request.prefill_left)
                 request.prefill_left -= part
                 prefilled += part
             elif request.writer.ready:
-                decoding += 1
-                length += request.prompt_tokens + request.position
+                sequences += 1
+                context += request.prompt_tokens + request.produced
                 self._emit(request)
-        if self._step_time is None:
+        if self._costs is None:
             return self._token_gap
-        return self._step_time(prefilled, decoding, length)
+        batch = Batch(prefilled, attended, sequences, context)
+        return estimate_step_time(self._costs, batch)
+
+    def _find_prefill_budget(self) -> int:
+        if self._costs is not None:
+            return self._costs.chunk[self._orders.substance.role]
+        return max(1, int(self._prefill_rate * self._token_gap.total_seconds()))
 
     def _admit(self) -> None:
         self._waiting.sort(key=lambda request: -request.priority)
