Add the load driver

It calls as the users' callers do, open-loop from a seed, and compares each answer of a model with the text that the engine stand-in must give.

--- a/packages/mustardquay-standins/src/mustardquay_standins/engine_calls.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/engine_calls.py
@@ -14,10 +14,11 @@
 )
 from .servers import Call
 
-__all__ = ["EngineRequest", "OpenAIWriter", "parse_request"]
+__all__ = ["DONE", "EngineRequest", "OpenAIWriter", "parse_request", "read_event_text"]
 
 DEFAULT_MAX_TOKENS = 16
-DONE = b"data: [DONE]\n\n"
+EVENT_PREFIX = b"data: "
+DONE = EVENT_PREFIX + b"[DONE]\n\n"
 
 
 @dataclass(eq=False, slots=True)
@@ -28,6 +29,7 @@
     chat: bool
     model: str
     adapter: str
+    """Named behind the model in the body, as MODEL:ADAPTER."""
     prompt: str
     prompt_tokens: int
     pieces: tuple[int, ...]
@@ -53,11 +55,12 @@
     tokens = expected_tokens(prompt, int(limit or DEFAULT_MAX_TOKENS))
     position = _find_position(body.get("resume"), tokens)
     options = body.get("stream_options") or {}
+    model, _, adapter = body["model"].partition(":")
     return EngineRequest(
         id=call.headers.get("X-Request-Id", "none"),
         chat=chat,
-        model=body["model"],
-        adapter=body.get("adapter") or "",
+        model=model,
+        adapter=adapter,
         prompt=prompt,
         prompt_tokens=count_tokens(prompt) + position,
         pieces=hash_pieces(prompt),
@@ -78,6 +81,19 @@
     return position
 
 
+def read_event_text(event: bytes) -> str:
+    """Return the text that a server-sent event adds to its answer.
+
+    >>> read_event_text(b'data: {"choices": [{"text": "open"}]}')
+    'open'
+    """
+    choices = orjson.loads(event.removeprefix(EVENT_PREFIX)).get("choices")
+    if not choices:
+        return ""
+    delta = choices[0].get("delta", {})
+    return delta.get("content") or choices[0].get("text") or ""
+
+
 class OpenAIWriter:
     """Writes one answer, streamed or whole, as the OpenAI API has it."""
 
@@ -179,4 +195,4 @@
 
     @staticmethod
     def _format_event(body: dict[str, Any]) -> bytes:
-        return b"data: " + orjson.dumps(body) + b"\n\n"
+        return EVENT_PREFIX + orjson.dumps(body) + b"\n\n"
--- /dev/null
+++ b/packages/mustardquay-standins/src/mustardquay_standins/loads.py
@@ -0,0 +1,316 @@
+"""Loads: a driver that calls as the users' callers do, and checks each answer.
+
+Arrivals are open-loop: they come at their planned instants, whether or not earlier
+ones were answered, as from callers who don't know of each other. The plan follows
+from a seed. Every answer of a model is compared with the text that an engine
+stand-in must give, so that tokens lost, doubled or crossed are found.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import StrEnum
+from random import Random
+
+import orjson
+from tornado.httpclient import (
+    AsyncHTTPClient,
+    HTTPClientError,
+    HTTPRequest,
+    HTTPResponse,
+)
+
+from mustardquay import Clock, SystemClock
+
+from .answers import ONE_WORD_MARKER, expected_text
+from .engine_calls import DONE, read_event_text
+from .samples import Samples
+
+__all__ = [
+    "Arrival",
+    "CallKind",
+    "LoadDriver",
+    "LoadPlan",
+    "LoadReport",
+    "LoadTarget",
+    "plan_arrivals",
+]
+
+MAX_CLIENTS = 10_000
+WORDS = "closure bulletin ramp tunnel detour manual booth recording microphone".split()
+
+
+class CallKind(StrEnum):
+    """What a caller asks for."""
+
+    DRAFT = "draft"
+    """A short text, streamed."""
+    WORD = "word"
+    """One word about a long text, not streamed."""
+    ENQUIRY = "enquiry"
+    """An idempotent call of a plain service."""
+    BOOKING = "booking"
+    """A call of a plain service that may not be repeated."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """How many calls of which kinds; lengths are drawn from ranges."""
+
+    calls: int = 100
+    rate: float = 50.0
+    """Arrivals a second, at random as a Poisson process."""
+    mix: dict[CallKind, float] = field(
+        default_factory=lambda: dict.fromkeys(CallKind, 1.0)
+    )
+    """Weight of each kind."""
+    prompt_words: tuple[int, int] = (200, 2000)
+    """Length of the text that one word is wanted for."""
+    draft_tokens: tuple[int, int] = (20, 60)
+    repeats: int = 0
+    """How often a caller sends a call again that was not answered."""
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One call of the plan."""
+
+    number: int
+    at: timedelta
+    """Since the start of the plan."""
+    kind: CallKind
+    prompt: str
+    max_tokens: int
+    key: str
+    """Idempotency key of a booking."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadTarget:
+    """Whom to call and as whom."""
+
+    urls: Sequence[str]
+    """Base URLs, of which each call takes one in turn."""
+    model: str = "model"
+    api_key: str = ""
+    enquiry_path: str = "/hours"
+    booking_path: str = "/bookings"
+    timeout: timedelta = timedelta(seconds=30)
+
+
+@dataclass(slots=True)
+class LoadReport:
+    """What came of a plan; times are in seconds."""
+
+    outcomes: Counter[tuple[CallKind, str]] = field(default_factory=Counter)
+    """Calls by kind and outcome, each call once, by its last outcome: that of the
+    header where there is one, else `answered`, `refused` or `broken`."""
+    statuses: Counter[int] = field(default_factory=Counter)
+    """Answers by HTTP status, 0 for none; repeats count too."""
+    wrong: list[int] = field(default_factory=list)
+    """Numbers of calls whose answer was passed off as whole and was not."""
+    tokens: int = 0
+    whole: dict[CallKind, Samples] = field(
+        default_factory=lambda: {kind: Samples() for kind in CallKind}
+    )
+    """Time to the end of answered calls."""
+    first_token: Samples = field(default_factory=Samples)
+    between_tokens: Samples = field(default_factory=Samples)
+    """Gaps of streamed answers, each by itself."""
+    answered_keys: list[str] = field(default_factory=list)
+    """Idempotency keys of the bookings that were answered."""
+
+    def count(self, outcome: str) -> int:
+        """Return how many calls ended with this outcome."""
+        return sum(
+            number for (_, name), number in self.outcomes.items() if name == outcome
+        )
+
+
+def plan_arrivals(plan: LoadPlan, random: Random) -> Iterator[Arrival]:
+    """Draw the calls of a plan, in the order of their arrival.
+
+    >>> arrivals = list(plan_arrivals(LoadPlan(calls=3), Random(1)))
+    >>> [one.number for one in arrivals]
+    [0, 1, 2]
+    >>> arrivals == list(plan_arrivals(LoadPlan(calls=3), Random(1)))
+    True
+    """
+    instant = timedelta()
+    kinds, weights = list(plan.mix), list(plan.mix.values())
+    seed = random.getrandbits(32)
+    for number in range(plan.calls):
+        instant += timedelta(seconds=random.expovariate(plan.rate))
+        kind = random.choices(kinds, weights)[0]
+        max_tokens = random.randint(*plan.draft_tokens)
+        prompt = f"Draft {seed}-{number}: {random.choice(WORDS)}"
+        if kind is CallKind.WORD:
+            text = " ".join(random.choices(WORDS, k=random.randint(*plan.prompt_words)))
+            prompt = f"{text} {seed}-{number}; {ONE_WORD_MARKER}"
+            max_tokens = 4
+        key = f"key-{seed}-{number}"
+        yield Arrival(number, instant, kind, prompt, max_tokens, key)
+
+
+class LoadDriver:
+    """Carries out a plan against a target and reports what came of it."""
+
+    def __init__(self, target: LoadTarget, clock: Clock | None = None, seed: int = 0):
+        self._target = target
+        self._clock = clock or SystemClock()
+        self._random = Random(seed)
+        self._client: AsyncHTTPClient | None = None
+        self._report = LoadReport()
+
+    @property
+    def report(self) -> LoadReport:
+        """Return the report, which grows while a plan is carried out."""
+        return self._report
+
+    async def start(self) -> None:
+        """Make the HTTP client."""
+        self._client = AsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+
+    async def close(self) -> None:
+        """Close the HTTP client."""
+        if self._client is not None:
+            self._client.close()
+
+    async def run(self, plan: LoadPlan) -> LoadReport:
+        """Make the calls of a plan; returns when the last has ended."""
+        started = self._clock.monotonic()
+        async with asyncio.TaskGroup() as group:
+            for arrival in plan_arrivals(plan, self._random):
+                wait = started + arrival.at - self._clock.monotonic()
+                await asyncio.sleep(max(wait.total_seconds(), 0.0))
+                group.create_task(self.call(arrival, plan.repeats))
+        return self._report
+
+    async def call(self, arrival: Arrival, repeats: int = 0) -> str:
+        """Make one call, and again while it isn't answered; returns its outcome."""
+        while True:
+            outcome, retry_after = await self._try(arrival)
+            if outcome == "answered" or repeats <= 0:
+                break
+            repeats -= 1
+            await asyncio.sleep(retry_after)
+        self._report.outcomes[arrival.kind, outcome] += 1
+        return outcome
+
+    async def _try(self, arrival: Arrival) -> tuple[str, float]:
+        reader = _AnswerReader(arrival, self._clock, self._report)
+        request = self._make_request(arrival, reader)
+        assert self._client is not None
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (HTTPClientError, OSError):
+            self._report.statuses[0] += 1
+            return "broken", 0.0
+        self._report.statuses[response.code] += 1
+        outcome = reader.judge(response)
+        return outcome, float(response.headers.get("Retry-After", "0"))
+
+    def _make_request(self, arrival: Arrival, reader: "_AnswerReader") -> HTTPRequest:
+        target = self._target
+        url = target.urls[arrival.number % len(target.urls)]
+        headers = {"Content-Type": "application/json"}
+        if target.api_key:
+            headers["Authorization"] = f"Bearer {target.api_key}"
+        timeout = target.timeout.total_seconds()
+        if arrival.kind is CallKind.ENQUIRY:
+            return HTTPRequest(
+                url + target.enquiry_path, headers=headers, request_timeout=timeout
+            )
+        if arrival.kind is CallKind.BOOKING:
+            headers["Idempotency-Key"] = arrival.key
+            path, body = target.booking_path, {"reference": arrival.key}
+        else:
+            path, body = "/v1/chat/completions", self._make_body(arrival)
+        return HTTPRequest(
+            url + path,
+            method="POST",
+            headers=headers,
+            body=orjson.dumps(body),
+            request_timeout=timeout,
+            streaming_callback=(
+                reader.receive if arrival.kind is CallKind.DRAFT else None
+            ),
+        )
+
+    def _make_body(self, arrival: Arrival) -> dict[str, object]:
+        return {
+            "model": self._target.model,
+            "messages": [{"role": "user", "content": arrival.prompt}],
+            "max_tokens": arrival.max_tokens,
+            "stream": arrival.kind is CallKind.DRAFT,
+        }
+
+
+class _AnswerReader:
+    """Takes in one answer, measures it and judges whether it is whole."""
+
+    def __init__(self, arrival: Arrival, clock: Clock, report: LoadReport):
+        self._arrival = arrival
+        self._clock = clock
+        self._report = report
+        self._started = clock.monotonic()
+        self._last_token: timedelta | None = None
+        self._rest = b""
+        self._texts: list[str] = []
+        self._done = False
+
+    def receive(self, data: bytes) -> None:
+        """Take in a part of a streamed answer."""
+        *events, self._rest = (self._rest + data).split(b"\n\n")
+        for event in events:
+            if event + b"\n\n" == DONE:
+                self._done = True
+                continue
+            text = read_event_text(event)
+            if text:
+                self._texts.append(text)
+                self._note_token()
+
+    def judge(self, response: HTTPResponse) -> str:
+        """Return the outcome and note wrong answers and times."""
+        good = response.code < 300
+        outcome = response.headers.get("Mustardquay-Outcome")
+        if self._arrival.kind is CallKind.DRAFT and good and not self._done:
+            # The outcome's header went out before the answer; a stream without its
+            # end mark isn't passed off as whole.
+            return "broken"
+        if outcome is None:
+            outcome = "answered" if good else "refused"
+        if outcome == "answered" and not good:
+            return "failed"
+        if outcome != "answered":
+            return outcome
+        if not self._is_whole(response):
+            self._report.wrong.append(self._arrival.number)
+        if self._arrival.kind is CallKind.BOOKING:
+            self._report.answered_keys.append(self._arrival.key)
+        elapsed = self._clock.monotonic() - self._started
+        self._report.whole[self._arrival.kind].add(elapsed.total_seconds())
+        return outcome
+
+    def _is_whole(self, response: HTTPResponse) -> bool:
+        arrival = self._arrival
+        expected = expected_text(arrival.prompt, arrival.max_tokens)
+        if arrival.kind is CallKind.DRAFT:
+            return "".join(self._texts) == expected
+        body = orjson.loads(response.body)
+        if arrival.kind is CallKind.WORD:
+            return body["choices"][0]["message"]["content"] == expected
+        return isinstance(body, dict)
+
+    def _note_token(self) -> None:
+        now = self._clock.monotonic()
+        if self._last_token is None:
+            self._report.first_token.add((now - self._started).total_seconds())
+        else:
+            gap = now - self._last_token
+            self._report.between_tokens.add(gap.total_seconds())
+        self._last_token = now
+        self._report.tokens += 1
