--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of mustardquay, run with `make bench`."""
--- /dev/null
+++ b/benchmarks/baselines.py
@@ -0,0 +1,174 @@
+"""Baselines: the usual ways of choosing an upstream and of giving out roles."""
+
+from collections import deque
+from collections.abc import Sequence
+from datetime import timedelta
+from itertools import count
+
+from xxhash import xxh64_intdigest
+
+from mustardquay.errors import Reason, Refusal
+from mustardquay.roles import DemandMeter, RoleChange, RoleSettings, predict_served
+from mustardquay.works import Role, UpstreamView, Work
+
+__all__ = [
+    "FifoQueue",
+    "GreedyPlanner",
+    "make_least_loaded",
+    "make_prefix_affinity",
+    "make_round_robin",
+]
+
+NONE_READY = Refusal(Reason.NO_UPSTREAM, "Ask again later.", timedelta(seconds=1))
+
+
+class FifoQueue:
+    """First in, first out; work whose deadline has passed is dropped."""
+
+    def __init__(self, capacity: int = 1000):
+        self._capacity = capacity
+        self._concurrency = 48
+        self._waiting: deque[Work] = deque()
+        self._running: set[tuple[str, int]] = set()
+
+    @property
+    def waiting(self) -> int:
+        """Return how many attempts wait."""
+        return len(self._waiting)
+
+    @property
+    def waiting_tokens(self) -> int:
+        """Return the prompt tokens that wait."""
+        return sum(work.prompt_tokens for work in self._waiting)
+
+    def set_engine(self, concurrency: int, *rates: float) -> None:
+        """Take over how many requests the engine runs at once."""
+        self._concurrency = concurrency
+
+    def offer(self, work: Work, now: timedelta) -> Refusal | None:
+        """Queue the work unless the queue is full."""
+        if len(self._waiting) >= self._capacity:
+            return NONE_READY
+        self._waiting.append(work)
+        return None
+
+    def take(self, now: timedelta) -> Work | None:
+        """Return the oldest work."""
+        self.expire_at = now
+        if not self._waiting or len(self._running) >= self._concurrency:
+            return None
+        if self._waiting[0].start_by < now:
+            return None
+        work = self._waiting.popleft()
+        self._running.add(work.key)
+        return work
+
+    def expire(self, now: timedelta) -> list[Work]:
+        """Remove the work whose deadline has passed."""
+        late = [work for work in self._waiting if work.start_by < now]
+        for work in late:
+            self._waiting.remove(work)
+        return late
+
+    def withdraw(self, key: tuple[str, int]) -> bool:
+        """Remove waiting work."""
+        for work in self._waiting:
+            if work.key == key:
+                self._waiting.remove(work)
+                return True
+        return False
+
+    def note_first_token(self, key: tuple[str, int], now: timedelta) -> None:
+        """Take no notice: all that is in the engine is its own affair."""
+
+    def finish(self, key: tuple[str, int], output_tokens: int, now: timedelta) -> None:
+        """Free the slot."""
+        self._running.discard(key)
+
+
+def make_round_robin():
+    """Return a choice that takes the upstreams in turn."""
+    turns = count()
+
+    def choose(work, views, now, random, avoid=(), zone="", index=None):
+        usable = _list_usable(work, views, avoid)
+        return usable[next(turns) % len(usable)] if usable else NONE_READY
+
+    return choose
+
+
+def make_least_loaded(by_role: bool = False):
+    """Return a choice of the least load, among the engines of the fitting role."""
+
+    def choose(work, views, now, random, avoid=(), zone="", index=None):
+        usable = _list_usable(work, views, avoid)
+        if by_role:
+            role = Role.PREFILL if work.output_tokens <= 8 else Role.DECODE
+            fitting = [v for v in usable if v.role in (role, Role.MIXED)]
+            usable = fitting or usable
+        random.shuffle(usable)
+        return min(usable, key=_count_load) if usable else NONE_READY
+
+    return choose
+
+
+def make_prefix_affinity():
+    """Return a choice by the hash of the prompt's prefix, whatever the load."""
+
+    def choose(work, views, now, random, avoid=(), zone="", index=None):
+        usable = _list_usable(work, views, avoid)
+        if not usable:
+            return NONE_READY
+        if not work.prefix:
+            return random.choice(usable)
+        seed = work.prefix[-1] & 0xFFFF_FFFF
+        return max(
+            usable, key=lambda view: xxh64_intdigest(view.name.encode(), seed=seed)
+        )
+
+    return choose
+
+
+def _count_load(view: UpstreamView) -> float:
+    return view.queued_tokens + view.own_tokens + 100 * view.own_running
+
+
+def _list_usable(
+    work: Work, views: Sequence[UpstreamView], avoid: Sequence[str]
+) -> list[UpstreamView]:
+    return [
+        view
+        for view in views
+        if view.reachable and view.ready and not view.draining
+        if view.name not in avoid and work.model in view.models
+    ]
+
+
+class GreedyPlanner:
+    """Takes the best split for the demand of the last seconds, whatever it costs."""
+
+    def __init__(self, settings: RoleSettings):
+        self._settings = settings
+        self._meter = DemandMeter(timedelta(seconds=3))
+
+    def note(self, work: Work, uncached_tokens: int, now: timedelta) -> None:
+        """Count a request at its arrival."""
+        self._meter.note(work, uncached_tokens, now)
+
+    def plan(self, views: Sequence[UpstreamView], now: timedelta) -> RoleChange | None:
+        """Return the change of one serving engine that helps most at this instant."""
+        demand = self._meter.read(now)
+        serving = [view for view in views if view.ready]
+        split = {role: sum(v.role is role for v in serving) for role in Role}
+        best = None
+        least = predict_served(demand, split, self._settings.rates)
+        for view in serving:
+            for role in (Role.PREFILL, Role.MIXED, Role.DECODE):
+                after = {**split, view.role: split[view.role] - 1}
+                after[role] += 1
+                if after[Role.MIXED] + after[Role.DECODE] == 0:
+                    continue
+                served = predict_served(demand, after, self._settings.rates)
+                if served > least + 1e-9:
+                    best, least = RoleChange(view.name, role, served), served
+        return best
--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/roles.py
@@ -0,0 +1,256 @@
+"""Roles: which engine of a pool changes its role, and when.
+
+A change takes an engine away for seconds, so it has to pay: the goodput that another
+split of roles is expected to win over a horizon must outweigh what is lost meanwhile
+and the deployment's own price of a change. Demand is seen through a fast and a slow
+mean, and a change must pay under both: noise moves only the first, a real shift soon
+moves the second too.
+"""
+
+import math
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+from .works import Role, UpstreamView, Work
+
+__all__ = [
+    "Demand",
+    "DemandMeter",
+    "RoleChange",
+    "RolePlanner",
+    "RoleRates",
+    "RoleSettings",
+    "predict_served",
+]
+
+SHORT_ANSWER = 8
+FULL = 0.85
+"""Use of an engine above which queues make answers late."""
+HEADROOM_WEIGHT = 0.02
+GENERATION_ROLES = (Role.PREFILL, Role.MIXED, Role.DECODE)
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """Work a second: short answers to prompts, and longer ones."""
+
+    reads: float = 0.0
+    read_tokens: float = 0.0
+    """Uncached prompt tokens of the short answers."""
+    drafts: float = 0.0
+    draft_tokens: float = 0.0
+    """Uncached prompt tokens of the longer answers."""
+    output_tokens: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class RoleRates:
+    """What one engine does in a role when it does nothing else, in tokens a second."""
+
+    prefill: float
+    output: float
+    """Over all the streams that it runs at once; 0 when it runs none."""
+
+
+@dataclass(frozen=True, slots=True)
+class RoleSettings:
+    """The deployment's wishes for role changes."""
+
+    rates: Mapping[Role, RoleRates]
+    change_price: float = 2.0
+    """Answers that one change must win beyond what it loses; more is calmer."""
+    horizon: timedelta = timedelta(seconds=45)
+    change_time: timedelta = timedelta(seconds=8)
+    """Time that an engine is away, the draining of its streams included."""
+    dwell: timedelta = timedelta(seconds=20)
+    """Shortest time between two changes of one engine."""
+    hysteresis: float = 0.03
+    """Part by which the served work must rise."""
+
+
+@dataclass(frozen=True, slots=True)
+class RoleChange:
+    """The next order of the plan, with the answers it is expected to win."""
+
+    upstream: str
+    role: Role
+    gain: float
+
+
+class DemandMeter:
+    """Means of the demand with an exponential memory."""
+
+    def __init__(self, memory: timedelta):
+        self._memory = memory.total_seconds()
+        self._sums = [0.0] * 5
+        self._at = timedelta()
+        self._since: timedelta | None = None
+
+    def note(self, work: Work, uncached_tokens: int, now: timedelta) -> None:
+        """Count a request at its arrival."""
+        self._decay(now)
+        if work.output_tokens <= SHORT_ANSWER:
+            added = (1, uncached_tokens, 0, 0, 0)
+        else:
+            added = (0, 0, 1, uncached_tokens, work.output_tokens)
+        self._sums = [
+            total + part for total, part in zip(self._sums, added, strict=True)
+        ]
+
+    def read(self, now: timedelta) -> Demand:
+        """Return the demand a second; during the first seconds over these only."""
+        self._decay(now)
+        elapsed = (now - (self._since or now)).total_seconds()
+        span = self._memory * (1.0 - math.exp(-max(elapsed, 1.0) / self._memory))
+        return Demand(*(total / span for total in self._sums))
+
+    def _decay(self, now: timedelta) -> None:
+        if self._since is None:
+            self._since = self._at = now
+        elapsed = max((now - self._at).total_seconds(), 0.0)
+        factor = math.exp(-elapsed / self._memory)
+        self._sums = [total * factor for total in self._sums]
+        self._at = max(now, self._at)
+
+
+Split = Mapping[Role, int]
+
+
+def predict_served(
+    demand: Demand, split: Split, rates: Mapping[Role, RoleRates]
+) -> float:
+    """Return the answers a second that a split of roles is expected to give in time.
+
+    Longer answers fill the decode engines and then the mixed ones; short ones fill
+    the prefill engines, then what is left. Idle capacity counts a little, so that of
+    two splits that serve all the one with more room is taken.
+    """
+    drafts_left = 1.0
+    room = {role: FULL * split.get(role, 0) for role in GENERATION_ROLES}
+    for role in (Role.DECODE, Role.MIXED):
+        need = _draft_seconds(demand, rates[role])
+        part = min(drafts_left, room[role] / need) if need > 0 else drafts_left
+        drafts_left -= part
+        room[role] -= part * need
+    reads_left = 1.0
+    for role in GENERATION_ROLES:
+        need = demand.read_tokens / rates[role].prefill
+        part = min(reads_left, room[role] / need) if need > 0 else reads_left
+        reads_left -= part
+        room[role] -= part * need
+    total = demand.reads + demand.drafts
+    headroom = sum(room.values()) / max(sum(split.values()), 1)
+    served = demand.reads * (1 - reads_left) + demand.drafts * (1 - drafts_left)
+    return served + HEADROOM_WEIGHT * total * headroom
+
+
+def _draft_seconds(demand: Demand, rates: RoleRates) -> float:
+    return demand.draft_tokens / rates.prefill + demand.output_tokens / rates.output
+
+
+class RolePlanner:
+    """Proposes the role changes of one pool, one engine at a time."""
+
+    def __init__(self, settings: RoleSettings):
+        self._settings = settings
+        self._fast = DemandMeter(timedelta(seconds=5))
+        self._slow = DemandMeter(timedelta(seconds=15))
+        self._changed_at: dict[str, timedelta] = {}
+
+    def note(self, work: Work, uncached_tokens: int, now: timedelta) -> None:
+        """Count a request at its arrival at any entry."""
+        self._fast.note(work, uncached_tokens, now)
+        self._slow.note(work, uncached_tokens, now)
+
+    def plan(self, views: Sequence[UpstreamView], now: timedelta) -> RoleChange | None:
+        """Return the change to order now, or None.
+
+        While an engine of the pool is away for whatever cause there is no change: two
+        engines less at once is what a small pool can't bear.
+        """
+        engines = [view for view in views if view.role is not Role.SERVICE]
+        if not engines or not all(_is_serving(view) for view in engines):
+            return None
+        demands = (self._fast.read(now), self._slow.read(now))
+        split = _count_roles(engines)
+        best = max(
+            self._propose(engines, split, demands, now),
+            key=lambda change: change.gain,
+            default=None,
+        )
+        if best is None or best.gain <= self._settings.change_price:
+            return None
+        self._note_change(best.upstream, engines, now)
+        return best
+
+    def _propose(
+        self,
+        engines: Sequence[UpstreamView],
+        split: Split,
+        demands: Iterable[Demand],
+        now: timedelta,
+    ) -> Iterator[RoleChange]:
+        demands = tuple(demands)
+        for old in GENERATION_ROLES:
+            view = self._choose_engine(engines, old, now)
+            if view is None:
+                continue
+            during = {**split, old: split[old] - 1}
+            for new in GENERATION_ROLES:
+                after = {**during, new: during[new] + 1}
+                if new is old or not _keeps_contracts(during):
+                    continue
+                gain = min(self._gain(d, split, during, after) for d in demands)
+                yield RoleChange(view.name, new, gain)
+
+    def _gain(self, demand: Demand, split: Split, during: Split, after: Split) -> float:
+        settings = self._settings
+        now = predict_served(demand, split, settings.rates)
+        then = predict_served(demand, after, settings.rates)
+        if then < now * (1.0 + settings.hysteresis):
+            return 0.0
+        away = now - predict_served(demand, during, settings.rates)
+        lost = away * settings.change_time.total_seconds()
+        left = settings.horizon - settings.change_time
+        return (then - now) * left.total_seconds() - lost
+
+    def _choose_engine(
+        self, engines: Sequence[UpstreamView], role: Role, now: timedelta
+    ) -> UpstreamView | None:
+        """Return the engine in this role with the least to finish."""
+        free = [
+            view
+            for view in engines
+            if view.role is role and not self._is_dwelling(view, now)
+        ]
+        return min(
+            free, key=lambda v: (v.running, v.queued_tokens, v.name), default=None
+        )
+
+    def _is_dwelling(self, view: UpstreamView, now: timedelta) -> bool:
+        changed_at = self._changed_at.get(view.name)
+        return changed_at is not None and now - changed_at < self._settings.dwell
+
+    def _note_change(
+        self, upstream: str, engines: Sequence[UpstreamView], now: timedelta
+    ) -> None:
+        known = {view.name for view in engines}
+        self._changed_at = {n: t for n, t in self._changed_at.items() if n in known}
+        self._changed_at[upstream] = now
+
+
+def _is_serving(view: UpstreamView) -> bool:
+    return view.reachable and view.ready and not view.draining
+
+
+def _count_roles(engines: Iterable[UpstreamView]) -> dict[Role, int]:
+    split = dict.fromkeys(GENERATION_ROLES, 0)
+    for view in engines:
+        split[view.role] += 1
+    return split
+
+
+def _keeps_contracts(during: Split) -> bool:
+    """Tell whether every kind of work still has an engine during the change."""
+    return during[Role.MIXED] + during[Role.DECODE] > 0
--- a/packages/mustardquay/src/mustardquay/routes.py
+++ b/packages/mustardquay/src/mustardquay/routes.py
@@ -1,15 +1,33 @@
-"""Routes: which upstream gets an attempt."""
+"""Routes: which upstream gets an attempt.
 
-from collections.abc import Collection, Sequence
+The choice minimises the predicted time to the first token, plus what the choice costs
+others: work ahead, uncached prompt, zone, adapter, and how well the role suits the
+work. Few upstreams are all weighed; of many, only the prefix's rendezvous choices
+(Thaler and Ravishankar, 1998), known holders of the prefix and some at random (the
+power of two choices; Mitzenmacher, 2001), so that the cost does not grow with them.
+"""
+
+from collections.abc import Collection, Iterable, Sequence
 from datetime import timedelta
 from random import Random
 
+from xxhash import xxh64_intdigest
+
+from .caches import PrefixIndex
 from .errors import Reason, Refusal
-from .works import UpstreamView, Work
+from .predictions import discount_queue
+from .works import Role, UpstreamView, Work
 
-__all__ = ["choose_upstream"]
+__all__ = ["choose_upstream", "predict_first_token"]
 
 RETRY_AFTER = timedelta(seconds=1)
+WEIGHED_AT_MOST = 8
+RANDOM_CANDIDATES = 4
+RANDOM_TRIES = 16
+ZONE_SECONDS = 0.001
+ADAPTER_SECONDS = 2.0
+SHORT_ANSWER = 8
+"""Output tokens up to which an answer is as good as only its prefill."""
 
 
 def choose_upstream(
@@ -19,17 +37,106 @@
     random: Random,
     avoid: Collection[str] = (),
     availability_zone: str = "",
+    index: PrefixIndex | None = None,
 ) -> UpstreamView | Refusal:
-    """Return the upstream with the least work ahead that may run this work."""
-    usable = [view for view in views if _can_run(work, view, avoid)]
+    """Return the upstream that may run this work and is expected to do best."""
+    if len(views) > WEIGHED_AT_MOST:
+        sample = list(_sample_views(work, views, random, avoid, index))
+        usable = sample or [view for view in views if _can_run(work, view, avoid)]
+    else:
+        usable = [view for view in views if _can_run(work, view, avoid)]
     if not usable:
         return Refusal(
             Reason.NO_UPSTREAM,
             f"No upstream for {work.model} takes work now; ask again later.",
             RETRY_AFTER,
         )
-    random.shuffle(usable)
-    return min(usable, key=_count_work_ahead)
+    start = random.randrange(len(usable))
+    best, least = usable[start], float("inf")
+    for position in range(len(usable)):
+        view = usable[start - position]
+        cost = _weigh(work, view, now, availability_zone, index)
+        if cost < least:
+            best, least = view, cost
+    return best
+
+
+def predict_first_token(
+    work: Work, view: UpstreamView, now: timedelta, index: PrefixIndex | None = None
+) -> float:
+    """Return the expected seconds to the first token at this upstream."""
+    rate = view.prefill_rate / view.slowness
+    cached = index.expected_tokens(view.name, work.prefix) if index else 0
+    uncached = max(work.prompt_tokens - cached, 1)
+    seconds = (discount_queue(view, now) + uncached) / rate
+    busy = max(view.running, view.own_running)
+    if busy >= view.concurrency:
+        # Every slot is taken: the work waits until some streams end.
+        seconds += (busy - view.concurrency + 1) / view.concurrency
+    return seconds
+
+
+def _weigh(
+    work: Work,
+    view: UpstreamView,
+    now: timedelta,
+    availability_zone: str,
+    index: PrefixIndex | None,
+) -> float:
+    cost = predict_first_token(work, view, now, index)
+    cost += _weigh_role(work, view)
+    if availability_zone and view.availability_zone != availability_zone:
+        cost += ZONE_SECONDS
+    return cost
+
+
+def _weigh_role(work: Work, view: UpstreamView) -> float:
+    """Return seconds for an answer in a role that is not made for it."""
+    if view.role is Role.PREFILL and work.output_tokens > SHORT_ANSWER:
+        return 60.0
+    busy = max(view.running, view.own_running) / view.concurrency
+    if view.role is not Role.PREFILL and work.output_tokens <= SHORT_ANSWER:
+        return busy * work.prompt_tokens / view.prefill_rate
+    return busy
+
+
+def _sample_views(
+    work: Work,
+    views: Sequence[UpstreamView],
+    random: Random,
+    avoid: Collection[str],
+    index: PrefixIndex | None,
+) -> Iterable[UpstreamView]:
+    wanted = set(index.holders(work.prefix)) if index and work.prefix else set()
+    seen: set[str] = set()
+    chosen = 0
+    if work.prefix:
+        for view in _rank_by_prefix(work, views):
+            seen.add(view.name)
+            if _can_run(work, view, avoid):
+                yield view
+    if wanted:
+        for view in views:
+            if view.name in wanted and view.name not in seen:
+                seen.add(view.name)
+                if _can_run(work, view, avoid):
+                    yield view
+    for _ in range(RANDOM_TRIES):
+        view = views[random.randrange(len(views))]
+        if view.name not in seen and _can_run(work, view, avoid):
+            seen.add(view.name)
+            chosen += 1
+            yield view
+        if chosen >= RANDOM_CANDIDATES:
+            return
+
+
+def _rank_by_prefix(work: Work, views: Sequence[UpstreamView]) -> list[UpstreamView]:
+    """Return the rendezvous choice of the prompt's first piece."""
+    piece = work.prefix[0] & 0xFFFF_FFFF_FFFF_FFFF
+    return [
+        max(views, key=lambda view: xxh64_intdigest(view.name.encode(), seed=piece))
+    ]
 
 
 def _can_run(work: Work, view: UpstreamView, avoid: Collection[str]) -> bool:
@@ -38,7 +145,3 @@
     if work.model not in view.models:
         return False
     return not work.adapter or work.adapter in view.adapters
-
-
-def _count_work_ahead(view: UpstreamView) -> int:
-    return view.queued_tokens + view.own_tokens + view.running + view.own_running
--- a/packages/mustardquay/src/mustardquay/works.py
+++ b/packages/mustardquay/src/mustardquay/works.py
@@ -43,6 +43,15 @@
     """Hash of what is run, equal for the same body sent again."""
     repeatable: bool = True
     """Whether the work is idempotent and may be retried."""
+    cached_tokens: int = 0
+    """Leading prompt tokens that the engine is expected to have cached."""
+    between_tokens: timedelta = timedelta(milliseconds=60)
+    """Mean gap between two tokens that the customer tolerates."""
+
+    @property
+    def uncached_tokens(self) -> int:
+        """Return the prompt tokens that the engine has to compute."""
+        return max(self.prompt_tokens - self.cached_tokens, 1)
 
     @property
     def key(self) -> tuple[str, int]:
@@ -82,3 +91,7 @@
     """Prompt tokens of this entry's attempts sent after the last report."""
     own_running: int = 0
     """Attempts of this entry that are in flight."""
+    concurrency: int = 32
+    """Requests that the engine runs at once in its present role."""
+    slowness: float = 1.0
+    """How many times slower than its peers the engine is; 1 when healthy."""
