--- /dev/null
+++ b/packages/mustardquay-cli/src/mustardquay_cli/changes.py
@@ -0,0 +1,179 @@
+"""Changes: `mustardquay change`."""
+
+from datetime import timedelta
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from mustardquay.documents import (
+    ChangeDocument,
+    check_document,
+    describe_change,
+    read_change,
+)
+from mustardquay.errors import DocumentError, MustardquayError
+from mustardquay.plans import Action, Scope
+
+from .clients import AdminClient, join_path
+from .options import (
+    AdminOption,
+    JSONOption,
+    KeyOption,
+    RevisionOption,
+    TimeoutOption,
+    WaitOption,
+    WaitTimeoutOption,
+    make_client,
+)
+from .outputs import finish, print_ini, print_json, print_note, print_table, run
+from .waits import limit_wait, wait_for_version
+
+__all__ = ["app"]
+
+app = typer.Typer(
+    no_args_is_help=True,
+    rich_markup_mode=None,
+    help="Announce planned changes to the fleet.",
+)
+
+
+@app.command()
+def announce(
+    file: Annotated[Path | None, typer.Argument(metavar="FILE")] = None,
+    action: Annotated[Action | None, typer.Option("--action")] = None,
+    target: Annotated[
+        str, typer.Option("--target", help="Upstream, instance or availability zone.")
+    ] = "",
+    scope: Annotated[
+        Scope, typer.Option("--scope", help="What the target names.")
+    ] = Scope.UPSTREAM,
+    name: Annotated[
+        str, typer.Option("--name", help="Name of the change; made up if not given.")
+    ] = "",
+    starts_at: Annotated[
+        str | None,
+        typer.Option(
+            "--starts-at",
+            metavar="INSTANT",
+            help="With its zone, such as 2027-01-15T02:00:00Z; at once if not given.",
+        ),
+    ] = None,
+    accept_overload: Annotated[
+        bool,
+        typer.Option(
+            "--accept-overload",
+            help="Go ahead though the rest of the fleet can't honour every contract.",
+        ),
+    ] = False,
+    admin: AdminOption = [],  # noqa: B006
+    key: KeyOption = "",
+    timeout: TimeoutOption = 10,
+    wait: WaitOption = False,
+    wait_timeout: WaitTimeoutOption = 16,
+    json: JSONOption = False,
+) -> None:
+    """Announce a planned change, from a FILE or from options.
+
+    drain takes no new work on the target and lets running work finish; replace does
+    the same, and serves again once the instance was restarted; withdraw drains for
+    good. Nothing that runs is cut.
+
+    \b
+    Examples:
+      mustardquay change announce --action drain --target engine-3
+      mustardquay change announce --action replace --scope availability_zone \\
+          --target linz --starts-at 2027-01-15T02:00:00Z
+      mustardquay change announce changes/drain-engine-3.ini --wait
+    """
+    options = {
+        "name": name or f"{action}-{target}",
+        "action": action,
+        "scope": scope,
+        "target": target,
+        "starts_at": starts_at,
+        "accept_overload": accept_overload,
+    }
+    if (file is None) == (action is None or not target):
+        raise typer.BadParameter("Give either a FILE, or --action and --target.")
+    document = _read(file, options)
+    run(
+        _announce(
+            make_client(admin, key, timeout),
+            document,
+            limit_wait(wait, wait_timeout),
+            json,
+        )
+    )
+
+
+@app.command("list")
+def list_changes(
+    admin: AdminOption = [],  # noqa: B006
+    key: KeyOption = "",
+    timeout: TimeoutOption = 10,
+    json: JSONOption = False,
+) -> None:
+    """List the planned changes that stand.
+
+    \b
+    Example:
+      mustardquay change list --json
+    """
+    client = make_client(admin, key, timeout)
+    changes = run(client.get(join_path("changes")))["changes"]
+    if json:
+        print_json(changes)
+        return
+    heads = ("name", "action", "scope", "target", "starts_at", "revision")
+    print_table(heads, ([item[head] for head in heads] for item in changes))
+
+
+@app.command()
+def cancel(
+    name: Annotated[str, typer.Argument(metavar="NAME")],
+    admin: AdminOption = [],  # noqa: B006
+    key: KeyOption = "",
+    timeout: TimeoutOption = 10,
+    revision: RevisionOption = None,
+    wait: WaitOption = False,
+    wait_timeout: WaitTimeoutOption = 16,
+) -> None:
+    """Cancel a planned change; what it drained takes new work again.
+
+    \b
+    Example:
+      mustardquay change cancel drain-engine-3
+    """
+    client = make_client(admin, key, timeout)
+    path = join_path("changes", name)
+    if revision is not None:
+        path = f"{path}?revision={revision}"
+    version = run(client.edit("DELETE", path))["version"]
+    print_note(f"{name} is cancelled by version {version}.")
+    if wait:
+        run(wait_for_version(client, version, timedelta(seconds=wait_timeout)))
+
+
+def _read(file: Path | None, options: dict[str, Any]) -> ChangeDocument:
+    try:
+        if file is None:
+            return check_document(ChangeDocument, options, "options")
+        return read_change(file.read_text(encoding="utf-8"), str(file))
+    except MustardquayError as error:
+        finish(error)
+    except (OSError, UnicodeDecodeError) as error:
+        finish(DocumentError(f"{file}: can't be read ({error}); check the path."))
+
+
+async def _announce(
+    client: AdminClient, document: ChangeDocument, wait: timedelta | None, json: bool
+) -> None:
+    body = describe_change(document.to_change())
+    change = await client.edit("POST", join_path("changes"), body)
+    if json:
+        print_json(change)
+    else:
+        print_ini("change", change)
+    if wait is not None:
+        await wait_for_version(client, change["revision"], wait)
--- a/packages/mustardquay-node/src/mustardquay_node/handlers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handlers.py
@@ -134,5 +134,5 @@
     def prepare(self) -> None:
         """Refuse; name the kind of process that has the path."""
         if self.request.path.startswith("/admin/") and not self._has_editors:
-            raise self.fault(404, "An agent has no such path; ask an entry.")
+            raise self.fault(421, "An agent has no such path; ask an entry.")
         raise self.fault(404, f"There is no {self.request.path}; see the docs.")
