--- a/packages/mustardquay-node/src/mustardquay_node/editors.py
+++ b/packages/mustardquay-node/src/mustardquay_node/editors.py
@@ -1,248 +1,189 @@
-"""Editors: contracts and planned changes on the admin port.
+"""Editors: bring an operator's edit into the configuration log.
 
-Each edit names the revision of what it amends, and a change id, under which it may
-be sent again after a lost answer without being applied twice.
+Any process may do it; racing edits are decided by the table service. Snapshots are
+written by whoever brings in an entry that makes one due.
 """
 
-from typing import Any, Protocol
-from uuid import uuid4
-
-import orjson
-
-from mustardquay.documents import (
-    ChangeDocument,
-    ContractDocument,
-    check_document,
-    describe_change,
-    describe_contract,
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+
+from mustardquay.budgets import draw_delay
+from mustardquay.clocks import Clock
+from mustardquay.errors import MustardquayError, StoreUnavailable, StoreUnclear
+from mustardquay.logs import (
+    CHANGE_PREFIX,
+    ENTRY_PREFIX,
+    SNAPSHOT,
+    TABLE,
+    Accepted,
+    Overtaken,
+    build_transaction,
+    encode_snapshot,
+    interpret_result,
+    name_snapshot,
+    read_version,
 )
-from mustardquay.errors import ConflictError
-from mustardquay.revisions import (
-    Amendment,
-    ChangeAmendment,
-    Configuration,
-    ContractAmendment,
-    Edit,
+from mustardquay.revisions import Catalogue, Configuration, Edit, Entry, check_edit
+from mustardquay.tables import (
+    Condition,
+    ObjectStore,
+    Row,
+    TableService,
+    Transaction,
+    Write,
 )
 
-from .handlers import AdminHandler
-
-__all__ = ["CHANGE_ID_HEADER", "AdminActions", "list_editors"]
-
-CHANGE_ID_HEADER = "Mustardquay-Change"
-"""Request header with the change id; without it one is made up."""
-
-_PAGE = 1000
-_LARGEST = 2**53
-
-
-class AdminActions(Protocol):
-    """What the admin port of an entry can do."""
-
-    async def read_configuration(self) -> Configuration:
-        """Return the newest configuration, confirmed by the store if it is up."""
-
-    async def apply_edit(self, edit: Edit) -> int:
-        """Append the edit to the log and return its version.
-
-        Raises `ConflictError`, `DocumentError`, `StoreUnavailable` (not applied)
-        or `StoreUnclear` (send the same edit again).
+from .configurations import ConfigurationKeeper
+from .sleeps import Sleep, sleep as default_sleep
+
+__all__ = ["ConfigurationEditor", "EditCheck"]
+
+logger = logging.getLogger(__name__)
+
+EditCheck = Callable[[Configuration, Edit], object]
+"""Raises `DocumentError` when the edit must not lead to this configuration."""
+
+FIRST_WAIT = timedelta(milliseconds=100)
+LONGEST_WAIT = timedelta(seconds=2)
+PRUNE_BATCH = 200
+
+
+class ConfigurationEditor:
+    """Proposes edits; `checks` are run on each result beside `check_edit`."""
+
+    def __init__(
+        self,
+        keeper: ConfigurationKeeper,
+        tables: TableService,
+        objects: ObjectStore,
+        clock: Clock,
+        random: Random,
+        catalogue: Callable[[], Catalogue | None] = lambda: None,
+        checks: tuple[EditCheck, ...] = (),
+        patience: timedelta = timedelta(seconds=10),
+        snapshot_interval: int = 500,
+        sleep: Sleep = default_sleep,
+    ):
+        self._keeper = keeper
+        self._tables = tables
+        self._objects = objects
+        self._clock = clock
+        self._random = random
+        self._catalogue = catalogue
+        self._checks = checks
+        self._patience = patience
+        self._snapshot_interval = snapshot_interval
+        self._sleep = sleep
+
+    async def propose(self, edit: Edit) -> int:
+        """Return the version under which the edit was accepted.
+
+        Raises `ConflictError` or `DocumentError` when it was refused, and
+        `StoreUnavailable` when it was surely not accepted. After `StoreUnclear` it
+        may have been: propose it again with the same change id.
         """
+        known = await self._tables.read(TABLE, CHANGE_PREFIX + edit.change_id)
+        if known is not None:
+            return read_version(known)
+        deadline = self._clock.monotonic() + self._patience
+        while True:
+            entry, head = await self._prepare(edit)
+            result = await self._commit(entry, head, deadline)
+            if isinstance(result, Accepted):
+                break
+            # Another edit came first. This one is checked against the new head:
+            # it still stands if the other amended something else.
+            self._check_time(deadline)
+        if result.version == entry.version:
+            self._keeper.offer([entry])
+            await self._write_snapshot(entry.version)
+        return result.version
+
+    async def _prepare(self, edit: Edit) -> tuple[Entry, Row | None]:
+        head = await self._keeper.poll()
+        configuration = self._keeper.configuration
+        if configuration.version != read_version(head):
+            # An entry arrived over a link after the head was read.
+            head = await self._keeper.poll()
+            configuration = self._keeper.configuration
+        result = check_edit(configuration, edit, self._catalogue())
+        for check in self._checks:
+            check(result, edit)
+        return Entry(read_version(head) + 1, edit), head
+
+    async def _commit(
+        self, entry: Entry, head: Row | None, deadline: timedelta
+    ) -> Accepted | Overtaken:
+        transaction = build_transaction(head, entry)
+        attempt = 0
+        unclear: StoreUnclear | None = None
+        while True:
+            try:
+                return interpret_result(entry, await self._tables.transact(transaction))
+            except StoreUnclear as error:
+                unclear = error
+            except StoreUnavailable:
+                if unclear is None:
+                    raise
+            # The answer was lost after the write may have taken effect. The same
+            # transaction is sent again: its condition on the change id lets it
+            # apply once, and its conflict tells whether the first copy did.
+            delay = draw_delay(self._random, attempt, FIRST_WAIT, LONGEST_WAIT)
+            if self._clock.monotonic() + delay >= deadline:
+                raise unclear
+            attempt += 1
+            await self._sleep(delay)
+
+    def _check_time(self, deadline: timedelta) -> None:
+        if self._clock.monotonic() >= deadline:
+            raise StoreUnavailable(
+                "Other edits came first each time; propose this one again."
+            )
 
-
-def list_editors(actions: AdminActions, keyed: dict[str, Any]) -> list[tuple]:
-    """Return the rules for contracts and planned changes."""
-    options = keyed | {"actions": actions}
-    return [
-        (r"/admin/contracts", _ContractsHandler, options),
-        (r"/admin/contracts/([^/]+)", _ContractHandler, options),
-        (r"/admin/changes", _ChangesHandler, options),
-        (r"/admin/changes/([^/]+)", _ChangeHandler, options),
-    ]
-
-
-class _Editor(AdminHandler):
-    def initialize(self, actions: AdminActions, **keyed: Any) -> None:
-        super().initialize(**keyed)
-        self._actions = actions
-        self._amendments: tuple[Amendment, ...] = ()
-        self._present: Configuration | None = None
-
-    def read_body(self) -> Any:
-        """Return the JSON body."""
-        try:
-            return orjson.loads(self.request.body)
-        except orjson.JSONDecodeError as error:
-            raise self.fault(400, f"The body is not JSON ({error}); mend it.") from None
-
-    async def amend(self, *amendments: Amendment) -> int:
-        """Apply amendments in one edit and return the new version."""
-        self._amendments = amendments
-        change_id = self.request.headers.get(CHANGE_ID_HEADER) or uuid4().hex
-        edit = Edit(change_id, self.operator, amendments)
+    async def _write_snapshot(self, version: int) -> None:
+        if version % self._snapshot_interval:
+            return
         try:
-            return await self._actions.apply_edit(edit)
-        except ConflictError:
-            self._present = await self._actions.read_configuration()
-            raise
-
-    def add_details(self, error: BaseException | None) -> dict[str, Any]:
-        """Show what is there now of all that a lost edit named."""
-        if self._present is None or not isinstance(error, ConflictError):
-            return {}
-        conflicts = [
-            _describe_conflict(self._present, amendment)
-            for amendment in self._amendments
-            if self._present.find_revision(amendment) != amendment.revision
-        ]
-        return {"conflicts": conflicts}
-
-
-class _ContractsHandler(_Editor):
-    async def get(self) -> None:
-        """Send a page of contracts in the order of customers."""
-        after = self.get_query_argument("after", "")
-        limit = self.read_number("limit", _PAGE, 1, _PAGE)
-        configuration = await self._actions.read_configuration()
-        names = sorted(name for name in configuration.contracts if name > after)
-        page = [configuration.contracts[name] for name in names[:limit]]
-        self.send(
-            {
-                "version": configuration.version,
-                "contracts": [describe_contract(contract) for contract in page],
-                "next": names[limit - 1] if len(names) > limit else None,
-            }
-        )
-
-    async def post(self) -> None:
-        """Apply several contracts in one edit: all of them or none."""
-        body = self.read_body()
-        if not isinstance(body, dict) or not isinstance(body.get("contracts"), list):
-            raise self.fault(400, 'The body lacks a list "contracts"; add it.')
-        documents = [
-            check_document(ContractDocument, fields, f"contracts.{index}")
-            for index, fields in enumerate(body["contracts"])
-        ]
-        version = await self.amend(*(_amend_contract(item) for item in documents))
-        contracts = [_describe_new(item, version) for item in documents]
-        self.send({"version": version, "contracts": contracts})
-
-
-class _ContractHandler(_Editor):
-    async def get(self, customer: str) -> None:
-        configuration = await self._actions.read_configuration()
-        self.send(describe_contract(self._find(configuration, customer)))
-
-    async def put(self, customer: str) -> None:
-        await self._apply(customer, self.read_body())
-
-    async def patch(self, customer: str) -> None:
-        """Change some fields; `keys` are added, all others replace.
-
-        Without a `revision` in the body, the one that was just read is amended, so
-        that an edit that comes between still leads to a conflict.
-        """
-        changes = self.read_body()
-        if not isinstance(changes, dict):
-            raise self.fault(400, "The body must be a JSON object; mend it.")
-        configuration = await self._actions.read_configuration()
-        present = describe_contract(self._find(configuration, customer))
-        lateness = changes.get("lateness", {})
-        if isinstance(lateness, dict):
-            changes = changes | {"lateness": present["lateness"] | lateness}
-        await self._apply(customer, present | changes)
-
-    async def delete(self, customer: str) -> None:
-        """Remove the contract whose revision `?revision=` names."""
-        revision = self.read_number("revision", 0, 0, _LARGEST)
-        self._find(await self._actions.read_configuration(), customer)
-        version = await self.amend(ContractAmendment(customer, revision, None))
-        self.send({"version": version})
-
-    async def _apply(self, customer: str, fields: Any) -> None:
-        document = check_document(ContractDocument, fields, "contract")
-        if document.customer != customer:
-            raise self.fault(
-                400,
-                f"customer: is {document.customer} in the body and {customer} in the "
-                "path; make them equal.",
-            )
-        version = await self.amend(_amend_contract(document))
-        self.send(_describe_new(document, version))
-
-    def _find(self, configuration: Configuration, customer: str) -> Any:
-        contract = configuration.contracts.get(customer)
-        if contract is None:
-            raise self.fault(
-                404, f"There is no contract of {customer}; list them or apply one."
+            await self._save(version)
+        except MustardquayError as error:
+            # The log is whole without it; the next one that is due makes up for it.
+            logger.warning("Snapshot %d was not written: %s", version, error)
+
+    async def _save(self, version: int) -> None:
+        configuration = self._keeper.configuration
+        if configuration.version != version:
+            return
+        await self._objects.put(name_snapshot(version), encode_snapshot(configuration))
+        row = await self._tables.read(TABLE, SNAPSHOT)
+        if read_version(row) >= version:
+            return
+        revision = 0 if row is None else row.revision
+        value = {"version": version}
+        result = await self._tables.transact(
+            Transaction(
+                (Condition(TABLE, SNAPSHOT, revision),),
+                (Write(TABLE, SNAPSHOT, value),),
             )
-        return contract
-
-
-class _ChangesHandler(_Editor):
-    async def get(self) -> None:
-        """Send all the planned changes in the order of their names."""
-        configuration = await self._actions.read_configuration()
-        changes = sorted(configuration.changes.items())
-        self.send(
-            {
-                "version": configuration.version,
-                "changes": [describe_change(change) for _, change in changes],
-            }
         )
-
-    async def post(self) -> None:
-        """Announce a planned change."""
-        document = check_document(ChangeDocument, self.read_body(), "change")
-        change = document.to_change()
-        amendment = ChangeAmendment(change.name, change.revision, change)
-        version = await self.amend(amendment)
-        self.send(describe_change(change) | {"revision": version})
-
-
-class _ChangeHandler(_Editor):
-    async def get(self, name: str) -> None:
-        configuration = await self._actions.read_configuration()
-        self.send(describe_change(self._find(configuration, name)))
-
-    async def delete(self, name: str) -> None:
-        """Cancel the change; `?revision=` guards against a racing edit."""
-        configuration = await self._actions.read_configuration()
-        present = self._find(configuration, name).revision
-        revision = self.read_number("revision", present, 0, _LARGEST)
-        version = await self.amend(ChangeAmendment(name, revision, None))
-        self.send({"version": version})
-
-    def _find(self, configuration: Configuration, name: str) -> Any:
-        change = configuration.changes.get(name)
-        if change is None:
-            raise self.fault(
-                404, f"There is no planned change {name}; list them or announce one."
-            )
-        return change
-
-
-def _amend_contract(document: ContractDocument) -> ContractAmendment:
-    contract = document.to_contract()
-    return ContractAmendment(contract.customer, contract.revision, contract)
-
-
-def _describe_new(document: ContractDocument, version: int) -> dict[str, Any]:
-    return describe_contract(document.to_contract()) | {"revision": version}
-
-
-def _describe_conflict(
-    configuration: Configuration, amendment: Amendment
-) -> dict[str, Any]:
-    present: Any = None
-    if amendment.kind == "contract" and amendment.name in configuration.contracts:
-        present = describe_contract(configuration.contracts[amendment.name])
-    elif amendment.kind == "change" and amendment.name in configuration.changes:
-        present = describe_change(configuration.changes[amendment.name])
-    return {
-        "kind": amendment.kind,
-        "name": amendment.name,
-        "amended": amendment.revision,
-        "revision": configuration.find_revision(amendment),
-        "present": present,
-    }
+        if result and row is not None:
+            await self._prune(read_version(row))
+
+    async def _prune(self, version: int) -> None:
+        """Delete the entries up to the last snapshot but one, with change ids."""
+        while True:
+            rows = await self._tables.scan(TABLE, ENTRY_PREFIX, PRUNE_BATCH)
+            old = [
+                row
+                for row in rows
+                if row.key.startswith(ENTRY_PREFIX) and row.value["version"] <= version
+            ]
+            if not old:
+                return
+            writes = []
+            for row in old:
+                change_id = row.value["edit"]["change_id"]
+                writes.append(Write(TABLE, row.key, None))
+                writes.append(Write(TABLE, CHANGE_PREFIX + change_id, None))
+            await self._tables.transact(Transaction((), tuple(writes)))
