--- a/packages/mustardquay-cli/src/mustardquay_cli/clients.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/clients.py
@@ -13,7 +13,7 @@
 import orjson
 from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest, HTTPResponse
 
-from mustardquay_node.editors import CHANGE_ID_HEADER
+from mustardquay_node.amendments import CHANGE_ID_HEADER
 
 from .failures import (
     CommandError,
