Wait for every answer in a drain, and let links end without loss

Cause: a stop could reset a link with its last frames unread by the peer, and a drain did not count requests that wait for their claim. Change: links are half-closed and wait for the peer; handlers hold a count that drains wait for; an edit that can't be read back is not committed; no ETag is computed (a hash over each answer that nobody asked for). Conclusion: a planned stop ends with all frames delivered.

--- a/packages/mustardquay-node/src/mustardquay_node/agents.py
+++ b/packages/mustardquay-node/src/mustardquay_node/agents.py
@@ -178,9 +178,7 @@
             self._sweeper.cancel()
         if self._server is not None:
             self._server.close()
-        for link in list(self._links):
-            link.flush()
-            link.close("the agent stops")
+        await asyncio.gather(*(link.finish() for link in list(self._links)))
         await self._executor.close()
         await self._reporter.close()
         await self._keeper.close()
--- a/packages/mustardquay-node/src/mustardquay_node/callers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/callers.py
@@ -1,6 +1,8 @@
 """Callers: the HTTP handlers that callers meet, whatever they call."""
 
-from collections.abc import Awaitable, Callable
+import asyncio
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from datetime import timedelta
 from hashlib import sha256
@@ -55,6 +57,36 @@
         """Return whether this process may take work under it."""
 
 
+class InFlight:
+    """Counts the requests that handlers are at work on."""
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._empty = asyncio.Event()
+        self._empty.set()
+
+    @property
+    def count(self) -> int:
+        """Return how many requests there are."""
+        return self._count
+
+    @contextmanager
+    def hold(self) -> Iterator[None]:
+        """Count one request while the block runs."""
+        self._count += 1
+        self._empty.clear()
+        try:
+            yield
+        finally:
+            self._count -= 1
+            if not self._count:
+                self._empty.set()
+
+    async def wait_until_empty(self) -> None:
+        """Wait until there is none."""
+        await self._empty.wait()
+
+
 @dataclass(slots=True)
 class CallerParts:
     """What the handlers of one entry share."""
@@ -67,6 +99,7 @@
     clock: Clock
     events: EventRing
     metrics: NodeMetrics
+    in_flight: "InFlight"
     draining: Callable[[], bool]
     streams: set[Any]
     """Streams that are being written, watched for callers that take nothing."""
@@ -139,6 +172,10 @@
         if self._body_size > limit + SWALLOW_LIMIT:
             self.request.connection.close()
 
+    def compute_etag(self) -> None:
+        """Leave answers without a tag of ours; they are the upstream's."""
+        return None
+
     def on_connection_close(self) -> None:
         """Tell the exchange that its caller is gone."""
         super().on_connection_close()
@@ -149,10 +186,14 @@
         self._left = callback
 
     async def serve(self, run: Callable[[], Awaitable[None]]) -> None:
-        """Refuse what is at fault, or run it."""
+        """Refuse what is at fault, or run it; a drain waits for what runs."""
         if self._fault is not None:
             self._refuse_fault(self._fault)
             return
+        with self.parts.in_flight.hold():
+            await self._run(run)
+
+    async def _run(self, run: Callable[[], Awaitable[None]]) -> None:
         assert self.customer is not None
         self.parts.events.record(
             "request.arrived",
--- a/packages/mustardquay-node/src/mustardquay_node/editors.py
+++ b/packages/mustardquay-node/src/mustardquay_node/editors.py
@@ -11,6 +11,7 @@
 
 from mustardquay.budgets import draw_delay
 from mustardquay.clocks import Clock
+from mustardquay.encodings import decode, encode
 from mustardquay.errors import MustardquayError, StoreUnavailable, StoreUnclear
 from mustardquay.logs import (
     CHANGE_PREFIX,
@@ -111,7 +112,11 @@
         result = check_edit(configuration, edit, self._catalogue())
         for check in self._checks:
             check(result, edit)
-        return Entry(read_version(head) + 1, edit), head
+        entry = Entry(read_version(head) + 1, edit)
+        # An entry that is committed and can't be read back would stop every
+        # process at the version before it, for good.
+        decode(Entry, encode(entry))
+        return entry, head
 
     async def _commit(
         self, entry: Entry, head: Row | None, deadline: timedelta
--- a/packages/mustardquay-node/src/mustardquay_node/entries.py
+++ b/packages/mustardquay-node/src/mustardquay_node/entries.py
@@ -25,7 +25,7 @@
 from mustardquay.revisions import Catalogue, Configuration, Edit
 
 from .admins import AdminParts, AdminServer
-from .callers import CallerParts, NotFoundHandler
+from .callers import CallerParts, InFlight, NotFoundHandler
 from .configurations import ConfigurationKeeper
 from .dispatchers import Dispatcher, DispatcherOptions
 from .editors import ConfigurationEditor
@@ -95,6 +95,7 @@
             self._make_heartbeat,
             self._receive,
         )
+        self._in_flight = InFlight()
         self._streams: set[Any] = set()
         self._admin = AdminServer(
             self._make_admin_parts(), settings.node.address, settings.node.admin_port
@@ -181,9 +182,8 @@
         """Refuse new callers and wait until every request has its outcome."""
         self._draining = True
         self._parts.events.record("drain.started")
+        await self._in_flight.wait_until_empty()
         await self._dispatcher.wait_until_empty()
-        # The last answers are still being written by their handlers.
-        await asyncio.sleep(0)
         self._parts.events.record("drain.ended")
 
     async def close(self) -> None:
@@ -263,6 +263,7 @@
             clock=self._parts.clock,
             events=self._parts.events,
             metrics=self._parts.metrics,
+            in_flight=self._in_flight,
             draining=lambda: self._draining,
             streams=self._streams,
         )
--- a/packages/mustardquay-node/src/mustardquay_node/links.py
+++ b/packages/mustardquay-node/src/mustardquay_node/links.py
@@ -26,6 +26,7 @@
 LENGTH_SIZE = 4
 HELLO_LIMIT = 4096
 """Bytes that an end which has not proved itself may send in one frame."""
+FINISH_TIMEOUT = timedelta(seconds=2)
 SEND_LIMIT = 64 * 1024 * 1024
 """Bytes that may wait in a link's buffer before the peer counts as stuck."""
 
@@ -85,6 +86,7 @@
         self._peer_nonce = b""
         self._open = False
         self._closed = False
+        self._ended = asyncio.Event()
         self._heard = self._loop.time()
         self._timer: asyncio.TimerHandle | None = None
 
@@ -119,10 +121,29 @@
         self._closed = True
         if self._timer is not None:
             self._timer.cancel()
+        self._ended.set()
         if self._transport is not None:
             self._transport.abort()
         self._lost(self, reason)
 
+    async def finish(self) -> None:
+        """Send all that is queued and wait until the peer has closed the link.
+
+        To close at once could lose the last frames: bytes of the peer that are
+        still unread here make TCP reset the connection, and the peer would drop
+        what it has not read yet, such as the end of an answer.
+        """
+        if not self.is_open or self._transport is None:
+            self.close("the link was not open")
+            return
+        self.flush()
+        self._transport.write_eof()
+        try:
+            async with asyncio.timeout(FINISH_TIMEOUT.total_seconds()):
+                await self._ended.wait()
+        except TimeoutError:
+            self.close("the peer did not close the link")
+
     def flush(self) -> None:
         """Write what was queued in this turn of the loop, as one batch."""
         self._flush_scheduled = False
--- a/packages/mustardquay-node/src/mustardquay_node/services.py
+++ b/packages/mustardquay-node/src/mustardquay_node/services.py
@@ -73,11 +73,11 @@
         self.model = name_service(service)
         settings = self.parts.services.get(service, ServiceSettings())
         if is_repeatable(settings, self.request.method or "GET", path):
-            await self._run(self._make_call(path, repeatable=True))
+            await self._run_idempotent(self._make_call(path, repeatable=True))
         else:
             await self._run_once(service, path)
 
-    async def _run(self, call: Call) -> None:
+    async def _run_idempotent(self, call: Call) -> None:
         sink = BufferedSink()
         exchange = self.parts.dispatcher.run(call, sink)
         sink.connect(exchange.note_taken)
