--- a/packages/mustardquay-node/src/mustardquay_node/programs.py
+++ b/packages/mustardquay-node/src/mustardquay_node/programs.py
@@ -1,10 +1,11 @@
 """Programs: the binary `mustardquayd`, one entry or agent by its settings."""
 
 import asyncio
+import errno
 import signal
 import sys
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, NoReturn
 
 import typer
 
@@ -21,6 +22,8 @@
 SETTINGS_ERROR = 2
 """Exit code for settings that can't be used."""
 
+_LISTEN_FAULTS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES)
+
 application = typer.Typer(add_completion=False)
 
 
@@ -45,11 +48,18 @@
     Logs go to standard output as JSON lines.
     """
     try:
-        checked = read_settings(*settings)
+        asyncio.run(run_node(read_settings(*settings)))
     except SettingsError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(SETTINGS_ERROR) from None
-    asyncio.run(run_node(checked))
+        _refuse(str(error))
+    except OSError as error:
+        if error.errno not in _LISTEN_FAULTS:
+            raise
+        _refuse(f"Can't listen ({error}); choose a free port of this machine.")
+
+
+def _refuse(message: str) -> NoReturn:
+    typer.echo(message, err=True)
+    raise typer.Exit(SETTINGS_ERROR) from None
 
 
 async def run_node(settings: Settings) -> None:
