--- a/packages/mustardquay-cli/src/mustardquay_cli/commands.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/commands.py
@@ -27,7 +27,7 @@
   mustardquay contract apply contracts/*.ini
   mustardquay status
   mustardquay change announce --action drain --target engine-3
-  mustardquay timeline --kind change
+  mustardquay timeline --kind configuration
 
 \b
 Exit codes:
--- a/packages/mustardquay-cli/src/mustardquay_cli/pictures.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/pictures.py
@@ -21,6 +21,8 @@
 RIGHT = 420
 RADIUS = 5
 LABEL_LENGTH = 80
+REQUEST_LENGTH = 8
+"""Characters of a request's id in a label; the whole is in the title."""
 
 _COLOURS = ("#1b6ca8", "#c7522a", "#2e7d32", "#6a3d9a", "#8d6e00", "#00838f", "#ad1457")
 
@@ -75,7 +77,8 @@
 
 
 def _list_lanes(events: Sequence[Event]) -> dict[str, int]:
-    names = sorted({event.process for event in events})
+    """Return the place of each process, in the order in which they come up."""
+    names = dict.fromkeys(event.process for event in events)
     return {name: number for number, name in enumerate(names)}
 
 
@@ -148,7 +151,8 @@
 
 
 def _label_event(event: Event) -> str:
-    parts = (event.kind, event.request, event.upstream, render_details(event.details))
+    request = event.request[:REQUEST_LENGTH]
+    parts = (event.kind, request, event.upstream, render_details(event.details))
     text = " ".join(part for part in parts if part)
     return text if len(text) <= LABEL_LENGTH else text[: LABEL_LENGTH - 1] + "…"
 
--- a/packages/mustardquay-cli/src/mustardquay_cli/timelines.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/timelines.py
@@ -59,7 +59,7 @@
       mustardquay timeline --customer tram-app --last 50
       mustardquay timeline --admin http://127.0.0.1:7421 \\
           --admin http://127.0.0.1:7441 --request 3f2a --html request.html
-      mustardquay timeline --log entry-1.log --log agent-1.log --kind change
+      mustardquay timeline --log entry-1.log --log agent-1.log --kind drain
     """
     filters = {
         "request": request,
--- a/packages/mustardquay-cli/src/mustardquay_cli/waits.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/waits.py
@@ -35,7 +35,7 @@
             if not answer.value or answer.value["configuration"] < version
         ]
         if not behind:
-            print_note(f"Version {version} is in force at {len(answers)} processes.")
+            print_note(f"Version {version} is in force at every --admin.")
             return
         if clock.monotonic() >= end:
             raise CommandError(
