--- a/packages/mustardquay-node/src/mustardquay_node/frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/frames.py
@@ -194,9 +194,7 @@
 
 
 def _read_reattach(read: Any) -> Reattach:
-    return Reattach(
-        read.stream, read.request, read.number, read.incarnation, read.have
-    )
+    return Reattach(read.stream, read.request, read.number, read.incarnation, read.have)
 
 
 def _write_cancel(frame: Any, cancel: Cancel) -> None:
--- /dev/null
+++ b/packages/mustardquay-node/tests/test_recorders.py
@@ -0,0 +1,391 @@
+"""Stateful tests of claims: two entries, one table service, a virtual clock."""
+
+import asyncio
+from collections import Counter, defaultdict, deque
+from datetime import UTC, datetime, timedelta
+from enum import Enum
+from random import Random
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from mustardquay.claims import CLAIMS, ClaimKey, RecordedAnswer, Verdict
+from mustardquay.errors import StoreUnavailable, StoreUnclear
+from mustardquay.tables import Committed, Conflict, Row
+from mustardquay_node.recorders import Recorder
+
+LIFETIME = timedelta(hours=1)
+DEADLINE = timedelta(seconds=30)
+LATENCY = 0.02
+DELAY = 3.0
+LONG_BODY = 20_000
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time jumps to the next timer when nothing is ready."""
+
+    def __init__(self):
+        super().__init__()
+        self._elapsed = 0.0
+
+    def time(self):
+        return self._elapsed
+
+    def _run_once(self):
+        if not self._ready:
+            timers = [timer for timer in self._scheduled if not timer.cancelled()]
+            if not timers:
+                raise RuntimeError("Nothing is left that could wake the loop.")
+            self._elapsed = max(self._elapsed, min(timers).when())
+        super()._run_once()
+
+
+class LoopClock:
+    def __init__(self, loop):
+        self._loop = loop
+
+    def now(self):
+        return datetime(2026, 1, 1, tzinfo=UTC) + self.monotonic()
+
+    def monotonic(self):
+        return timedelta(seconds=self._loop.time())
+
+
+class Fate(Enum):
+    DONE = "done"
+    DOWN = "down"
+    LOST = "applied, and the answer lost"
+    VANISHED = "not applied, and nobody can tell"
+    DELAYED = "unclear, and applied seconds later"
+
+
+class Tables:
+    """A table service in memory, each of whose transactions has a fate."""
+
+    def __init__(self):
+        self.rows = {}
+        self.objects = {}
+        self.fates = deque()
+        self.down = False
+        self.delayed = set()
+
+    async def transact(self, transaction):
+        await asyncio.sleep(LATENCY)
+        fate = self.fates.popleft() if self.fates else Fate.DONE
+        if self.down or fate is Fate.DOWN:
+            raise StoreUnavailable("down")
+        if fate is Fate.DELAYED:
+            task = asyncio.ensure_future(self._apply_later(transaction))
+            self.delayed.add(task)
+            task.add_done_callback(self.delayed.discard)
+        if fate in (Fate.VANISHED, Fate.DELAYED):
+            raise StoreUnclear("lost")
+        result = self._apply(transaction)
+        await asyncio.sleep(LATENCY)
+        if fate is Fate.LOST:
+            raise StoreUnclear("lost")
+        return result
+
+    async def _apply_later(self, transaction):
+        await asyncio.sleep(DELAY)
+        self._apply(transaction)
+
+    def _apply(self, transaction):
+        failed = []
+        for condition in transaction.conditions:
+            row = self.rows.get(condition.key)
+            if (row.revision if row else 0) != condition.revision:
+                failed.append(row)
+        if failed:
+            return Conflict(tuple(failed))
+        revisions = []
+        for write in transaction.writes:
+            row = self.rows.get(write.key)
+            revision = (row.revision if row else 0) + 1
+            self.rows[write.key] = Row(write.table, write.key, write.value, revision)
+            revisions.append(revision)
+        return Committed(tuple(revisions))
+
+    async def read(self, table, key):
+        await asyncio.sleep(LATENCY)
+        if self.down:
+            raise StoreUnavailable("down")
+        return self.rows.get(key)
+
+    async def put(self, name, data):
+        if self.down:
+            raise StoreUnavailable("down")
+        self.objects[name] = data
+
+    async def get(self, name):
+        if self.down:
+            raise StoreUnavailable("down")
+        return self.objects.get(name)
+
+
+class Process:
+    """One incarnation of an entry, which can be killed between two steps."""
+
+    def __init__(self, tables, clock, name, seed):
+        self.alive = True
+        self.tasks = set()
+        self._tables = tables
+        self.recorder = Recorder(
+            self, self, clock, Random(seed), name, LIFETIME, timedelta(milliseconds=5)
+        )
+        self.recorder.start()
+
+    async def _pass(self, call):
+        # What left a killed process still takes effect; nothing comes back to it.
+        result = await asyncio.shield(asyncio.ensure_future(call))
+        if not self.alive:
+            await asyncio.get_running_loop().create_future()
+        return result
+
+    def transact(self, transaction):
+        return self._pass(self._tables.transact(transaction))
+
+    def read(self, table, key):
+        return self._pass(self._tables.read(table, key))
+
+    def put(self, name, data):
+        return self._pass(self._tables.put(name, data))
+
+    def get(self, name):
+        return self._pass(self._tables.get(name))
+
+    def run(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+
+    async def kill(self):
+        self.alive = False
+        for task in self.tasks:
+            task.cancel()
+        # A killed process withdraws nothing, so its writer is cut first.
+        await self.recorder.close(timedelta())
+
+
+class Claims(RuleBasedStateMachine):
+    """Callers that repeat at two entries, while processes and the store fail."""
+
+    @initialize(seed=st.integers(0, 1000))
+    def begin(self, seed):
+        self.loop = VirtualLoop()
+        self.loop.set_exception_handler(lambda loop, context: None)
+        self.clock = LoopClock(self.loop)
+        self.tables = Tables()
+        self.random = Random(seed)
+        self.executed = defaultdict(list)
+        self.answers = {}
+        self.outcomes = []
+        self.pending = Counter()
+        self.faults = []
+        self.incarnations = 0
+        self.entries = [None, None]
+        self.work = set()
+        for place in (0, 1):
+            self._run(self._start(place))
+
+    def _run(self, coroutine):
+        return self.loop.run_until_complete(coroutine)
+
+    async def _start(self, place):
+        self.incarnations += 1
+        name = f"entry-{place}-{self.incarnations}"
+        self.entries[place] = Process(
+            self.tables, self.clock, name, self.random.random()
+        )
+
+    @rule(
+        place=st.integers(0, 1),
+        key=st.sampled_from(["k1", "k2"]),
+        body=st.sampled_from(["one", "one", "two"]),
+        end=st.sampled_from(["answer", "answer", "not-run", "unknown", "late"]),
+        long=st.booleans(),
+        patience=st.sampled_from([1.0, 5.0]),
+    )
+    def call(self, place, key, body, end, long, patience):
+        process = self.entries[place]
+        call = self._serve(process, key, body, end, long, patience)
+
+        async def begin():
+            process.run(call)
+
+        self._run(begin())
+
+    @rule(
+        place=st.integers(0, 1),
+        patience=st.sampled_from([0.01, 0.03, 0.05, 1.0]),
+    )
+    def call_of_a_caller_that_leaves(self, place, patience):
+        process = self.entries[place]
+        call = self._serve(process, "k1", "one", "answer", False, 1.0)
+
+        async def begin():
+            task = asyncio.ensure_future(call)
+            process.tasks.add(task)
+            asyncio.get_running_loop().call_later(patience, task.cancel)
+
+        self._run(begin())
+
+    @rule(fates=st.lists(st.sampled_from(Fate), min_size=1, max_size=4))
+    def store_errs(self, fates):
+        self.tables.fates.extend(fates)
+
+    @rule()
+    def store_goes_down_or_up(self):
+        self.tables.down = not self.tables.down
+
+    @rule(seconds=st.sampled_from([0.01, 0.03, 0.5, 4.0, 40.0]))
+    def time_passes(self, seconds):
+        self._run(asyncio.sleep(seconds))
+
+    @rule(place=st.integers(0, 1))
+    def entry_is_killed(self, place):
+        process = self.entries[place]
+        self._run(process.kill())
+        self._run(self._start(place))
+
+    @rule()
+    def claims_expire(self):
+        self._run(asyncio.sleep(2 * LIFETIME.total_seconds()))
+
+    async def _serve(self, process, key, body, end, long, patience):
+        begun = self.clock.monotonic()
+        judged = await process.recorder.claim(
+            ClaimKey("syndesmos", "booking", key),
+            body,
+            f"r{self.random.random()}/1",
+            begun + timedelta(seconds=patience),
+            begun + DEADLINE,
+        )
+        waited = self.clock.monotonic() - begun
+        if waited > DEADLINE + timedelta(seconds=patience + 1):
+            self.faults.append(f"{key}: waited {waited}")
+        self.outcomes.append(judged.verdict)
+        if judged.verdict is Verdict.RUN:
+            # The frame has left for the agent: what comes does not depend on the
+            # life of this entry.
+            claim = judged.claim
+            task = asyncio.ensure_future(
+                self._execute(process, claim, key, body, end, long)
+            )
+            self.work.add(task)
+            task.add_done_callback(self.work.discard)
+        elif judged.verdict is Verdict.REPLAY:
+            self._check_replay(key, body, judged.answer)
+        elif judged.verdict is Verdict.MISMATCH and judged.claim.digest == body:
+            self.faults.append(f"{key}: refused its own body")
+
+    async def _execute(self, process, claim, key, body, end, long):
+        recorder = process.recorder
+        if end == "not-run":
+            await asyncio.sleep(0.1)
+            if process.alive:
+                recorder.release(claim)
+            return
+        self._note_run(key, claim)
+        await asyncio.sleep(0.1)
+        text = f"{body}/{claim.id}".encode() + b"." * (LONG_BODY if long else 0)
+        answer = RecordedAnswer(200, (("Content-Type", "text/plain"),), text)
+        self.answers[claim.id] = (key, body, answer.body)
+        if end != "answer" and process.alive:
+            recorder.record_unknown(claim)
+        if end == "late":
+            await asyncio.sleep(0.2)
+        if end != "unknown" and process.alive:
+            recorder.record_answer(claim, answer)
+
+    def _note_run(self, key, claim):
+        for earlier in self.executed[key]:
+            if self.clock.now() < earlier.expires:
+                self.faults.append(f"{key}: run twice, {earlier.id} and {claim.id}")
+        self.executed[key].append(claim)
+
+    def _check_replay(self, key, body, answer):
+        if (key, body, answer.body) not in self.answers.values():
+            self.faults.append(f"{key}: the answer is not its own")
+
+    @invariant()
+    def promises_hold(self):
+        assert not getattr(self, "faults", [])
+
+    def teardown(self):
+        if not hasattr(self, "loop"):
+            return
+        try:
+            self._finish()
+        finally:
+            self.loop.close()
+
+    def _finish(self):
+        self.tables.down = False
+        self.tables.fates.clear()
+        self._run(asyncio.sleep(200))
+        for process in self.entries:
+            assert all(task.done() for task in process.tasks), "a request has no end"
+            assert process.recorder.waiting == 0
+        self._check_that_the_key_is_free_or_its_run_known()
+        assert not self.faults
+        for process in self.entries:
+            self._run(process.kill())
+
+    def _check_that_the_key_is_free_or_its_run_known(self):
+        """A claim that was withdrawn must not block its key."""
+        for row in self.tables.rows.values():
+            if row.value["state"] != "claimed":
+                continue
+            holder = row.value["entry"]
+            living = [process.recorder._name for process in self.entries]
+            if holder in living:
+                ran = {claim.id for runs in self.executed.values() for claim in runs}
+                assert row.value["id"] in ran, "a claim is held by nobody"
+
+
+def test_claimed_work_runs_at_most_once_and_repeats_hear_its_answer():
+    """Two entries, callers that repeat with the same key, a store that errs.
+
+    A user would see a booking made twice, another's answer, or a call that never
+    ends: entries are killed, the store loses answers, applies writes late or is
+    down, callers leave, and the same key comes again at both entries at once.
+    """
+    run_state_machine_as_test(
+        Claims,
+        settings=settings(
+            derandomize=True,
+            deadline=None,
+            database=None,
+            max_examples=150,
+            stateful_step_count=25,
+        ),
+    )
+
+
+def test_claims_of_a_window_share_a_transaction():
+    loop = VirtualLoop()
+    tables = Tables()
+    clock = LoopClock(loop)
+
+    async def claim_all():
+        window = timedelta(milliseconds=5)
+        recorder = Recorder(tables, tables, clock, Random(1), "entry", LIFETIME, window)
+        recorder.start()
+        until = clock.monotonic() + DEADLINE
+        keys = [ClaimKey("c", "booking", f"k{number}") for number in range(40)]
+        judged = await asyncio.gather(
+            *(recorder.claim(key, "d", "r/1", until, until) for key in keys)
+        )
+        await recorder.close()
+        return {item.verdict for item in judged}, recorder.transactions
+
+    assert loop.run_until_complete(claim_all()) == ({Verdict.RUN}, 1)
+    assert len(tables.rows) == 40
+    assert {row.table for row in tables.rows.values()} == {CLAIMS}
+    loop.close()
--- a/packages/mustardquay/src/mustardquay/attempts.py
+++ b/packages/mustardquay/src/mustardquay/attempts.py
@@ -316,9 +316,7 @@
     def _reattach(self) -> list[Action]:
         self._phase = Phase.REATTACHING
         return [
-            ReattachAttempt(
-                self._number, self._upstream, self._incarnation, self._have
-            )
+            ReattachAttempt(self._number, self._upstream, self._incarnation, self._have)
         ]
 
     def _after_refusal(self, refusal: Refusal) -> list[Action]:
