Feed routing and queueing with what upstreams report

Cause: the decisions for prefix, rates and output length had no data. Change: agents pass on cache events, concurrency and rates; entries keep a prefix index, rate estimates with fail-slow, and learned output lengths; attempts carry the expected cached tokens; queues hear of first tokens. docs/PLATFORM.md fixes the hash of a piece.

--- a/packages/mustardquay-node/src/mustardquay_node/agents.py
+++ b/packages/mustardquay-node/src/mustardquay_node/agents.py
@@ -67,6 +67,7 @@
                 self._settings.kind,
                 self._settings.progress_timeout,
                 self._settings.drain_timeout,
+                self._settings.concurrency,
             ),
             UpstreamClient(self._settings.upstream),
             FairQueue(self._settings.queue_capacity, self._settings.concurrency),
@@ -225,6 +226,7 @@
             running=executor.running,
             prefill_rate=report.prefill_rate,
             decode_rate=report.decode_rate,
+            concurrency=self._settings.concurrency,
             crashes=crashes,
         )
 
@@ -312,9 +314,11 @@
     def _note_report(self, before: UpstreamReport, after: UpstreamReport) -> None:
         if after.reachable:
             self._executor.note_boot(after.boot)
-        changed = replace(after, queued_tokens=0, running=0, prefill_rate=0.0)
-        earlier = replace(before, queued_tokens=0, running=0, prefill_rate=0.0)
-        if replace(changed, decode_rate=0.0) != replace(earlier, decode_rate=0.0):
+            self._executor.set_engine(after.prefill_rate, after.decode_rate)
+        if after.cache_events is not None:
+            for link in self._links:
+                link.send(after.cache_events)
+        if _strip_load(after) != _strip_load(before):
             self._parts.events.record(
                 "upstream.changed",
                 upstream=self._settings.upstream_name,
@@ -373,5 +377,16 @@
         )
 
 
+def _strip_load(report: UpstreamReport) -> UpstreamReport:
+    return replace(
+        report,
+        queued_tokens=0,
+        running=0,
+        prefill_rate=0.0,
+        decode_rate=0.0,
+        cache_events=None,
+    )
+
+
 def _get_owner(link: Link) -> Owner:
     return (link.peer.process, link.peer.incarnation)
--- a/packages/mustardquay-node/src/mustardquay_node/bodies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/bodies.py
@@ -4,12 +4,17 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-__all__ = ["BodyError", "ChatBody", "CompletionBody", "GenerationBody", "read_body"]
+__all__ = [
+    "BodyError",
+    "ChatBody",
+    "CompletionBody",
+    "GenerationBody",
+    "count_prompt_tokens",
+    "read_body",
+]
 
 CHARACTERS_PER_TOKEN = 4
 """Of English prose, by the rule of thumb in OpenAI's documentation."""
-DEFAULT_OUTPUT_TOKENS = 128
-"""Expected output where the caller sets no limit."""
 
 
 class BodyError(ValueError):
@@ -110,8 +115,3 @@
 def count_prompt_tokens(prompt: str) -> int:
     """Return an estimate of the prompt's tokens."""
     return len(prompt) // CHARACTERS_PER_TOKEN + 1
-
-
-def count_output_tokens(limit: int | None) -> int:
-    """Return how many tokens to expect for this limit."""
-    return min(limit or DEFAULT_OUTPUT_TOKENS, DEFAULT_OUTPUT_TOKENS * 8)
--- a/packages/mustardquay-node/src/mustardquay_node/callers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/callers.py
@@ -20,6 +20,7 @@
 from mustardquay.events import EventRing
 from mustardquay.messages import Header
 from mustardquay.outcomes import Outcome
+from mustardquay.predictions import OutputLengths
 from mustardquay.revisions import Configuration
 
 from .answers import (
@@ -99,6 +100,7 @@
     clock: Clock
     events: EventRing
     metrics: NodeMetrics
+    lengths: OutputLengths
     in_flight: "InFlight"
     draining: Callable[[], bool]
     streams: set[Any]
--- a/packages/mustardquay-node/src/mustardquay_node/dispatchers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/dispatchers.py
@@ -7,11 +7,13 @@
 from random import Random
 
 from mustardquay.attempts import RequestState
+from mustardquay.caches import PrefixIndex
 from mustardquay.clocks import Clock
 from mustardquay.errors import Reason, Refusal
 from mustardquay.events import EventRing
 from mustardquay.members import Instance
 from mustardquay.messages import (
+    CacheEvents,
     Chunk,
     Done,
     Failed,
@@ -21,6 +23,7 @@
     Refused,
     Started,
 )
+from mustardquay.predictions import RateEstimator
 from mustardquay.quarantines import Quarantine, Standing, choose_suspect_upstream
 from mustardquay.retries import RetryBudget, choose_backoff
 from mustardquay.routes import choose_upstream
@@ -56,6 +59,7 @@
     view: UpstreamView | None = None
     incarnation: int = 0
     crashes_sent: int = 0
+    boot: str = ""
     leaving: bool = False
     link: Link | None = None
     streams: set[int] = field(default_factory=set)
@@ -86,6 +90,8 @@
         self._quarantine = quarantine
         self._make_heartbeat = make_heartbeat
         self._received = received
+        self._index = PrefixIndex()
+        self._rates = RateEstimator()
         self._budget = RetryBudget(options.retry_ratio, now=clock.monotonic())
         self._peers: dict[str, _Peer] = {}
         self._upstreams: dict[str, _Peer] = {}
@@ -177,11 +183,29 @@
         if self._quarantine.judge(fingerprint, now) is Standing.SUSPECT:
             return self._choose_for_suspect(call.work)
         zone = self._identity.availability_zone
-        chosen = choose_upstream(call.work, self.views, now, self._random, avoid, zone)
+        views = self.views
+
+        def choose_without(names: Collection[str]) -> UpstreamView | Refusal:
+            return choose_upstream(
+                call.work, views, now, self._random, names, zone, self._index
+            )
+
+        chosen = choose_without(avoid)
         if isinstance(chosen, Refusal) and avoid:
-            chosen = choose_upstream(call.work, self.views, now, self._random, (), zone)
+            chosen = choose_without(())
         return chosen
 
+    def expect_cached(self, upstream: str, work: Work) -> int:
+        """Return the prompt tokens that the upstream is expected to have cached.
+
+        From now on it is expected to have the whole prompt.
+        """
+        if not work.prefix:
+            return 0
+        cached = self._index.expected_tokens(upstream, work.prefix)
+        self._index.note_sent(upstream, work.prefix)
+        return cached
+
     def reserve(self, exchange: Exchange) -> int:
         """Return a new stream number, higher than all before it."""
         self._last_stream += 1
@@ -312,6 +336,9 @@
             if found is not None and found[1] is peer:
                 found[0].receive(message)
             return
+        if isinstance(message, CacheEvents):
+            self._take_cache_events(peer, message)
+            return
         if isinstance(message, Heartbeat):
             self._take_heartbeat(peer, message)
         self._received(link, message)
@@ -333,13 +360,28 @@
         view.running = heartbeat.running
         view.own_tokens = 0
         view.reported_at = self.now()
-        if heartbeat.prefill_rate > 0:
-            view.prefill_rate = heartbeat.prefill_rate
-        if heartbeat.decode_rate > 0:
-            view.decode_rate = heartbeat.decode_rate
+        view.concurrency = heartbeat.concurrency or view.concurrency
+        self._learn_rates(view, heartbeat)
         if self._quarantine.merge(heartbeat.crashes, self.now()):
             self.beat()
 
+    def _learn_rates(self, view: UpstreamView, heartbeat: Heartbeat) -> None:
+        rates = self._rates
+        rates.learn(view.name, view.role, heartbeat.prefill_rate, heartbeat.decode_rate)
+        view.prefill_rate = rates.prefill_rate(view.name, view.prefill_rate)
+        view.decode_rate = rates.decode_rate(view.name, view.decode_rate)
+        view.slowness = rates.slowness(view.name)
+
+    def _take_cache_events(self, peer: _Peer, message: CacheEvents) -> None:
+        if peer.view is None:
+            return
+        name = peer.view.name
+        if message.boot != peer.boot:
+            # A restarted engine has an empty cache and numbers its events anew.
+            peer.boot = message.boot
+            self._index.forget(name)
+        self._index.apply(name, message.oldest, message.events)
+
     def _choose_for_suspect(self, work: Work) -> UpstreamView | Refusal:
         names = [view.name for view in self.views if work.model in view.models]
         crashed = self._quarantine.list_crashed(work.fingerprint)
--- a/packages/mustardquay-node/src/mustardquay_node/entries.py
+++ b/packages/mustardquay-node/src/mustardquay_node/entries.py
@@ -22,6 +22,7 @@
     choose_readers,
 )
 from mustardquay.messages import Heartbeat, Message
+from mustardquay.predictions import OutputLengths
 from mustardquay.revisions import Catalogue, Configuration, Edit
 
 from .admins import AdminParts, AdminServer
@@ -263,6 +264,7 @@
             clock=self._parts.clock,
             events=self._parts.events,
             metrics=self._parts.metrics,
+            lengths=OutputLengths(),
             in_flight=self._in_flight,
             draining=lambda: self._draining,
             streams=self._streams,
--- a/packages/mustardquay-node/src/mustardquay_node/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/exchanges.py
@@ -90,6 +90,9 @@
     def reach(self, upstream: str, incarnation: int) -> bool | None:
         """Return whether this incarnation has a link; None if it is gone."""
 
+    def expect_cached(self, upstream: str, work: Work) -> int:
+        """Return the prompt tokens that the upstream should have cached."""
+
     def now(self) -> timedelta:
         """Return the monotonic time."""
 
@@ -276,6 +279,8 @@
             repeatable=work.repeatable,
             streamed=call.streamed,
             version=call.version,
+            cached_tokens=self._dispatch.expect_cached(action.upstream, work),
+            between_tokens=work.between_tokens,
         )
 
     def _begin_reattach(self, action: ReattachAttempt) -> None:
--- a/packages/mustardquay-node/src/mustardquay_node/executors.py
+++ b/packages/mustardquay-node/src/mustardquay_node/executors.py
@@ -35,6 +35,7 @@
     kind: Literal["engine", "service"]
     progress_timeout: timedelta
     drain_timeout: timedelta
+    concurrency: int
 
 
 class Executor:
@@ -102,6 +103,12 @@
         """Return whether no attempt waits or runs."""
         return not len(self._table)
 
+    def set_engine(self, prefill_rate: float, decode_rate: float) -> None:
+        """Take the rates that the engine reports; 0 means that it had no work."""
+        if prefill_rate > 0 and decode_rate > 0:
+            concurrency = self._options.concurrency
+            self._queue.set_engine(concurrency, prefill_rate, decode_rate)
+
     def note_boot(self, boot: str) -> None:
         """Take the boot that the upstream reports while it is well."""
         self._boot = boot
@@ -285,6 +292,7 @@
             run.progress_at = self._clock.monotonic()
             if self._is_engine_error(statuses[-1]):
                 return None
+            self._note_first_data(run)
             tokens = 0
             if streaming and statuses[-1] == 200:
                 data = cutter.feed(data)
@@ -402,6 +410,13 @@
             return now > run.work.finish_by
         return now - run.progress_at > self._options.progress_timeout
 
+    def _note_first_data(self, run: Run) -> None:
+        if run.first_data:
+            return
+        run.first_data = True
+        self._queue.note_first_token(run.work.key, run.progress_at)
+        self._pump()
+
     def _count_tokens(self, run: Run, tokens: int) -> None:
         key = run.work.key
         self._output_tokens[key] = self._output_tokens.get(key, 0) + tokens
@@ -442,6 +457,8 @@
         prefix=attempt.prefix,
         fingerprint=attempt.fingerprint,
         repeatable=attempt.repeatable,
+        cached_tokens=attempt.cached_tokens,
+        between_tokens=attempt.between_tokens,
     )
 
 
--- a/packages/mustardquay-node/src/mustardquay_node/frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/frames.py
@@ -11,10 +11,12 @@
 
 import capnp
 
+from mustardquay.caches import CacheEvent
 from mustardquay.errors import ProtocolError, Reason
 from mustardquay.events import Stamp
 from mustardquay.messages import (
     Attempt,
+    CacheEvents,
     Cancel,
     Chunk,
     ConfigurationEntries,
@@ -160,6 +162,8 @@
     built.repeatable = attempt.repeatable
     built.streamed = attempt.streamed
     built.version = attempt.version
+    built.cachedTokens = attempt.cached_tokens
+    built.betweenTokens = _to_microseconds(attempt.between_tokens)
 
 
 def _read_attempt(read: Any) -> Attempt:
@@ -186,6 +190,8 @@
         repeatable=read.repeatable,
         streamed=read.streamed,
         version=read.version,
+        cached_tokens=read.cachedTokens,
+        between_tokens=timedelta(microseconds=read.betweenTokens),
     )
 
 
@@ -305,6 +311,7 @@
     built.running = heartbeat.running
     built.prefillRate = heartbeat.prefill_rate
     built.decodeRate = heartbeat.decode_rate
+    built.concurrency = heartbeat.concurrency
     if heartbeat.crashes:
         _write_crashes(built, heartbeat.crashes)
 
@@ -324,6 +331,7 @@
         running=read.running,
         prefill_rate=read.prefillRate,
         decode_rate=read.decodeRate,
+        concurrency=read.concurrency,
         crashes=tuple(_read_crash_record(record) for record in read.crashes),
     )
 
@@ -356,6 +364,24 @@
     )
 
 
+def _write_cache_events(frame: Any, message: CacheEvents) -> None:
+    built = frame.init("cacheEvents")
+    built.boot = message.boot
+    built.oldest = message.oldest
+    events = built.init("events", len(message.events))
+    for position, event in enumerate(message.events):
+        events[position].number = event.number
+        events[position].stored = event.stored
+        events[position].piece = event.piece
+
+
+def _read_cache_events(read: Any) -> CacheEvents:
+    events = tuple(
+        CacheEvent(event.number, event.stored, event.piece) for event in read.events
+    )
+    return CacheEvents(read.boot, read.oldest, events)
+
+
 def _write_entries(frame: Any, message: ConfigurationEntries) -> None:
     frame.configurationEntries = list(message.entries)
 
@@ -381,6 +407,7 @@
     Refused: _write_refused,
     Failed: _write_failed,
     Heartbeat: _write_heartbeat,
+    CacheEvents: _write_cache_events,
     ConfigurationEntries: _write_entries,
     ConfigurationWanted: _write_wanted,
 }
@@ -398,6 +425,7 @@
     "refused": _read_refused,
     "failed": _read_failed,
     "heartbeat": _read_heartbeat,
+    "cacheEvents": _read_cache_events,
     "configurationEntries": _read_entries,
     "configurationWanted": ConfigurationWanted,
 }
--- a/packages/mustardquay-node/src/mustardquay_node/generations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generations.py
@@ -8,6 +8,7 @@
 from xxhash import xxh3_64_intdigest
 
 from mustardquay.attempts import Finish
+from mustardquay.caches import hash_prefix
 from mustardquay.messages import Header
 from mustardquay.outcomes import Outcome
 from mustardquay.works import Work
@@ -18,7 +19,6 @@
     ChatBody,
     CompletionBody,
     GenerationBody,
-    count_output_tokens,
     count_prompt_tokens,
     read_body,
 )
@@ -72,14 +72,19 @@
         contract = self.customer
         assert contract is not None
         data = name_adapter(self.body, adapter) if adapter else self.body
+        prompt = body.read_prompt()
         work = Work(
             request=self.request_id,
             attempt=0,
             customer=contract.customer,
             model=model,
             adapter=adapter,
-            prompt_tokens=count_prompt_tokens(body.read_prompt()),
-            output_tokens=count_output_tokens(body.output_limit),
+            prompt_tokens=count_prompt_tokens(prompt),
+            output_tokens=self.parts.lengths.predict(
+                contract.customer, self.operation, body.output_limit or 0
+            ),
+            prefix=hash_prefix(prompt),
+            between_tokens=contract.lateness.between_tokens,
             share=contract.share,
             priority=contract.priority,
             start_by=self.arrived + contract.lateness.first_token,
@@ -98,7 +103,8 @@
         self.on_caller_left(exchange.leave)
         end = await sink.ended
         self.send_end(end, sink)
-        self._record_tokens(call, 0, None)
+        if end.outcome is Outcome.ANSWERED:
+            self._record_tokens(call, read_usage(sink.body), None)
 
     async def _stream(self, call: Call) -> None:
         sink = StreamSink(self._begin_stream, self._write, self.parts.clock.monotonic)
@@ -174,11 +180,27 @@
     def _record_tokens(
         self, call: Call, tokens: int, generation: timedelta | None
     ) -> None:
+        self.parts.lengths.learn(call.work.customer, self.operation, tokens)
         self.parts.metrics.record_tokens(
             self.operation, self.model, call.work.prompt_tokens, tokens, generation
         )
 
 
+def read_usage(body: bytes) -> int:
+    """Return the output tokens that an answer names, 0 when it names none.
+
+    >>> read_usage(b'{"usage": {"completion_tokens": 4}}'), read_usage(b"[]")
+    (4, 0)
+    """
+    try:
+        answer = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return 0
+    usage = answer.get("usage") if isinstance(answer, dict) else None
+    tokens = usage.get("completion_tokens") if isinstance(usage, dict) else None
+    return tokens if isinstance(tokens, int) else 0
+
+
 def name_adapter(body: bytes, adapter: str) -> bytes:
     """Return the body for an engine, which knows an adapter by its own name.
 
--- a/packages/mustardquay-node/src/mustardquay_node/reports.py
+++ b/packages/mustardquay-node/src/mustardquay_node/reports.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import Any, Literal
 
 import orjson
 
+from mustardquay.caches import CacheEvent
+from mustardquay.messages import CacheEvents
 from mustardquay.works import Role
 
 from .loops import start_loop
@@ -33,6 +35,8 @@
     running: int = 0
     prefill_rate: float = 0.0
     decode_rate: float = 0.0
+    cache_events: CacheEvents | None = None
+    """The events since the report before; None when there are none."""
 
 
 class Reporter:
@@ -53,6 +57,8 @@
         self._report = UpstreamReport()
         self._task: asyncio.Task[None] | None = None
         self._probing: asyncio.Future[str] | None = None
+        self._cache_boot = ""
+        self._cache_number = 0
 
     @property
     def report(self) -> UpstreamReport:
@@ -103,7 +109,22 @@
         state = await self._get("/state")
         if state is None:
             return UpstreamReport()
-        return _make_engine_report(state, load)
+        report = _make_engine_report(state, load)
+        return replace(report, cache_events=await self._read_cache_events(report.boot))
+
+    async def _read_cache_events(self, boot: str) -> CacheEvents | None:
+        if boot != self._cache_boot:
+            self._cache_boot = boot
+            self._cache_number = 0
+        answer = await self._get(f"/cache/events?after={self._cache_number}")
+        if answer is None or not answer.get("events"):
+            return None
+        events = tuple(
+            CacheEvent(event["number"], event["kind"] == "stored", event["piece"])
+            for event in answer["events"]
+        )
+        self._cache_number = max(event.number for event in events)
+        return CacheEvents(boot, int(answer["oldest"]), events)
 
     async def _get(self, path: str) -> dict[str, Any] | None:
         parts: list[bytes] = []
--- a/packages/mustardquay-node/src/mustardquay_node/runs.py
+++ b/packages/mustardquay-node/src/mustardquay_node/runs.py
@@ -50,6 +50,7 @@
         self.work = work
         self.link = link
         self.started = False
+        self.first_data = False
         self.cancelled = False
         self.ended_at: timedelta | None = None
         self.progress_at = timedelta()
--- a/packages/mustardquay-node/src/mustardquay_node/wire.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/wire.capnp
@@ -52,6 +52,8 @@
   repeatable @19 :Bool;
   streamed @20 :Bool;
   version @21 :UInt64;
+  cachedTokens @22 :UInt32;
+  betweenTokens @23 :UInt64;
 }
 
 struct Reattach {
@@ -116,6 +118,19 @@
   decodeRate @11 :Float64;
   crashes @12 :List(CrashRecord);
   upstream @13 :Text;
+  concurrency @14 :UInt32;
+}
+
+struct CacheEvent {
+  number @0 :UInt64;
+  stored @1 :Bool;
+  piece @2 :UInt64;
+}
+
+struct CacheEvents {
+  boot @0 :Text;
+  oldest @1 :UInt64;
+  events @2 :List(CacheEvent);
 }
 
 struct Frame {
@@ -134,6 +149,7 @@
     heartbeat @11 :Heartbeat;
     configurationEntries @12 :List(Data);
     configurationWanted @13 :UInt64;
+    cacheEvents @14 :CacheEvents;
   }
 }
 
--- a/packages/mustardquay/src/mustardquay/caches.py
+++ b/packages/mustardquay/src/mustardquay/caches.py
@@ -11,12 +11,31 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-__all__ = ["PIECE_TOKENS", "CacheEvent", "PrefixIndex"]
+from xxhash import xxh64
+
+__all__ = ["PIECE_TOKENS", "CacheEvent", "PrefixIndex", "hash_prefix"]
 
 PIECE_TOKENS = 2000
+PIECE_BYTES = 8000
+"""Bytes of UTF-8 in one piece, as docs/PLATFORM.md has it."""
 DOUBTFUL_TRUST = 0.5
 
 
+def hash_prefix(prompt: str) -> tuple[int, ...]:
+    """Return the hash of each whole piece of a prompt with all before it.
+
+    >>> len(hash_prefix("x" * 20_000))
+    2
+    """
+    data = prompt.encode()
+    digest = xxh64()
+    pieces = []
+    for start in range(0, len(data) - PIECE_BYTES + 1, PIECE_BYTES):
+        digest.update(data[start : start + PIECE_BYTES])
+        pieces.append(digest.intdigest())
+    return tuple(pieces)
+
+
 @dataclass(frozen=True, slots=True)
 class CacheEvent:
     """A piece was stored by an engine, or evicted from its cache."""
--- a/packages/mustardquay/src/mustardquay/messages.py
+++ b/packages/mustardquay/src/mustardquay/messages.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 from enum import StrEnum
 
+from .caches import CacheEvent
 from .errors import Reason
 from .quarantines import CrashRecord
 from .works import Role
@@ -15,6 +16,7 @@
 __all__ = [
     "Attempt",
     "AttemptFrame",
+    "CacheEvents",
     "Cancel",
     "Chunk",
     "ConfigurationEntries",
@@ -81,6 +83,9 @@
     streamed: bool
     version: int
     """Configuration version under which the entry admitted the request."""
+    cached_tokens: int = 0
+    """Prompt tokens that the entry expects the engine to have cached."""
+    between_tokens: timedelta = timedelta(milliseconds=60)
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,10 +196,25 @@
     """Prompt tokens a second; 0 when not known."""
     decode_rate: float = 0.0
     """Tokens a second of one stream; 0 when not known."""
+    concurrency: int = 0
+    """Attempts that the agent runs at once; 0 when not told."""
     crashes: tuple[CrashRecord, ...] = ()
     """What was in flight when upstreams crashed, changed since the last one sent."""
 
 
+@dataclass(frozen=True, slots=True)
+class CacheEvents:
+    """Agent to entry: what its engine's prefix cache took in and dropped.
+
+    Each link gets the events from when it was opened; the numbers tell of gaps.
+    """
+
+    boot: str
+    """The engine's boot; the events of another boot say nothing of its cache."""
+    oldest: int
+    events: tuple[CacheEvent, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationEntries:
     """Both ways: entries of the configuration log, encoded, in order."""
@@ -216,6 +236,7 @@
     | Credit
     | AttemptFrame
     | Heartbeat
+    | CacheEvents
     | ConfigurationEntries
     | ConfigurationWanted
 )
