Add the path benchmark

Entry plus agent against a bare one-hop proxy on tornado's server and client, in turns within one run, as separate processes; processor time from the kernel.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: each module has a `run`; figures are ratios within one run."""
--- /dev/null
+++ b/benchmarks/all.py
@@ -0,0 +1,36 @@
+"""All: runs every benchmark, and fails when one misses its regression bounds.
+
+`--short` runs only what gives the same verdict on each run, for CI.
+"""
+
+import sys
+from collections.abc import Callable
+from typing import Annotated
+
+import typer
+
+from . import paths
+
+__all__ = ["BENCHMARKS", "main"]
+
+BENCHMARKS: dict[str, Callable[[bool], bool]] = {"paths": paths.run}
+"""Each takes whether the run is short, and returns whether its bounds were met."""
+
+
+def main(
+    names: Annotated[list[str] | None, typer.Argument(help="All if none.")] = None,
+    short: bool = False,
+) -> None:
+    """Run the benchmarks and print their figures."""
+    failed = []
+    for name in names or BENCHMARKS:
+        typer.echo(f"== {name}")
+        if not BENCHMARKS[name](short):
+            failed.append(name)
+    if failed:
+        typer.echo(f"Bounds missed: {', '.join(failed)}")
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/benchmarks/processes.py
@@ -0,0 +1,76 @@
+"""Processes: what benchmarks start, and what the kernel says of it."""
+
+import asyncio
+import os
+import sys
+from asyncio.subprocess import DEVNULL, PIPE, Process
+from collections.abc import Sequence
+from pathlib import Path
+
+__all__ = ["Child", "start_child"]
+
+TICKS = os.sysconf("SC_CLK_TCK")
+STOP_LIMIT = 15.0
+"""Seconds for a graceful stop."""
+
+
+class Child:
+    """One process of a benchmark."""
+
+    def __init__(self, process: Process, words: dict[str, str]):
+        self._process = process
+        self._words = words
+
+    @property
+    def cpu_seconds(self) -> float:
+        """Return the processor time, user and system, of all its threads."""
+        text = Path(f"/proc/{self._process.pid}/stat").read_text(encoding="ascii")
+        fields = text.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / TICKS
+
+    @property
+    def memory(self) -> int:
+        """Return the resident set size in bytes."""
+        text = Path(f"/proc/{self._process.pid}/statm").read_text(encoding="ascii")
+        return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+    def get_word(self, name: str) -> str:
+        """Return what stood behind NAME= on the line that said it is ready."""
+        return self._words[name]
+
+    async def stop(self) -> None:
+        """Ask it to stop, and end it if it doesn't."""
+        if self._process.returncode is not None:
+            return
+        self._process.terminate()
+        try:
+            async with asyncio.timeout(STOP_LIMIT):
+                await self._process.wait()
+        except TimeoutError:
+            self._process.kill()
+            await self._process.wait()
+
+
+async def start_child(
+    module: str, *arguments: str, ready: bool = True, before: Sequence[str] = ()
+) -> Child:
+    """Run a Python module; with `ready`, wait for its first line of output.
+
+    `before` are arguments of the interpreter ahead of the module, such as those of
+    a profiler.
+    """
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        *before,
+        "-m",
+        module,
+        *arguments,
+        stdout=PIPE if ready else DEVNULL,
+    )
+    words: dict[str, str] = {}
+    if ready:
+        assert process.stdout is not None
+        line = (await process.stdout.readline()).decode()
+        pairs = (word.partition("=") for word in line.split())
+        words = {name: value for name, _, value in pairs}
+    return Child(process, words)
--- a/packages/mustardquay-standins/src/mustardquay_standins/loads.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/loads.py
@@ -188,6 +188,19 @@
                 group.create_task(self.call(arrival, plan.repeats))
         return self._report
 
+    async def run_closed(self, plan: LoadPlan, callers: int) -> LoadReport:
+        """Make the calls of a plan by so many callers, each one call at a time."""
+        arrivals = plan_arrivals(plan, self._random)
+
+        async def keep_calling() -> None:
+            for arrival in arrivals:
+                await self.call(arrival, plan.repeats)
+
+        async with asyncio.TaskGroup() as group:
+            for _ in range(callers):
+                group.create_task(keep_calling())
+        return self._report
+
     async def call(self, arrival: Arrival, repeats: int = 0) -> str:
         """Make one call, and again while it isn't answered; returns its outcome."""
         while True:
