--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks: each module has a `run`; figures are ratios within one run."""
+"""Benchmarks of mustardquay, run with `make bench`."""
