Cause the failures of links, upstreams, store and callers over sockets

Cause: the promises of a request had no proof on the real path. Change: fault tests with their stories; sites with relays; child processes for tests and benchmarks in one place. Found and mended: a caller dropped for taking nothing in left its request and every drain waiting for good (tornado tells only of closings by the peer); the kernel buffered megabytes for such a caller; a link that was reset while it ended raised OSError. Ruled out: the drain's own counting; it waited for a real request.

--- a/benchmarks/paths.py
+++ b/benchmarks/paths.py
@@ -18,8 +18,7 @@
     LoadReport,
     LoadTarget,
 )
-
-from .stacks import Stack, StackOptions
+from mustardquay_standins.stacks import Stack, StackOptions
 
 __all__ = ["measure", "run"]
 
--- a/packages/mustardquay-node/src/mustardquay_node/entries.py
+++ b/packages/mustardquay-node/src/mustardquay_node/entries.py
@@ -1,6 +1,7 @@
 """Entries: the process that callers meet."""
 
 import asyncio
+import socket
 import ssl
 from collections.abc import Callable
 from datetime import timedelta
@@ -43,6 +44,8 @@
 
 LIST_INTERVAL = timedelta(seconds=1)
 SWEEP_INTERVAL = timedelta(seconds=1)
+SEND_BUFFER = 128 * 1024
+"""Bytes that the kernel keeps for a caller; it doubles the number itself."""
 BUFFER_SIZE = 1024 * 1024 * 1024
 """Bytes that tornado lets a body have; handlers hold to the limit of settings."""
 
@@ -228,6 +231,10 @@
     def _listen(self) -> None:
         node = self._parts.settings.node
         sockets = bind_sockets(self._port, node.address)
+        for listener in sockets:
+            # Connections inherit it. The kernel would else buffer some megabytes
+            # for each caller that takes nothing in, out of sight of the window.
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
         self._port = sockets[0].getsockname()[1]
         self._server = HTTPServer(
             self._make_application(),
--- a/packages/mustardquay-node/src/mustardquay_node/generations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generations.py
@@ -127,6 +127,9 @@
         """Close the connection of a caller that takes nothing in."""
         self.parts.events.record("caller.dropped", request=self.request_id)
         self.request.connection.close()
+        # Tornado tells only of connections that the caller has closed; without
+        # this the request would wait for good, and so would a drain.
+        self.on_connection_close()
 
     def _begin_stream(self, headers: tuple[Header, ...]) -> None:
         self.set_status(200)
--- a/packages/mustardquay-node/src/mustardquay_node/links.py
+++ b/packages/mustardquay-node/src/mustardquay_node/links.py
@@ -137,12 +137,15 @@
             self.close("the link was not open")
             return
         self.flush()
-        self._transport.write_eof()
         try:
+            self._transport.write_eof()
             async with asyncio.timeout(FINISH_TIMEOUT.total_seconds()):
                 await self._ended.wait()
         except TimeoutError:
             self.close("the peer did not close the link")
+        except OSError as error:
+            # The peer has reset the connection and the loop has not told yet.
+            self.close(f"connection lost: {error}")
 
     def flush(self) -> None:
         """Write what was queued in this turn of the loop, as one batch."""
--- a/benchmarks/processes.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/children.py
@@ -1,7 +1,8 @@
-"""Processes: what benchmarks start, and what the kernel says of it."""
+"""Children: processes that tests and benchmarks start, and what they use."""
 
 import asyncio
 import os
+import signal
 import sys
 from asyncio.subprocess import DEVNULL, PIPE, Process
 from collections.abc import Sequence
@@ -15,7 +16,7 @@
 
 
 class Child:
-    """One process of a benchmark."""
+    """One process that was started."""
 
     def __init__(self, process: Process, words: dict[str, str]):
         self._process = process
@@ -38,6 +39,19 @@
         """Return what stood behind NAME= on the line that said it is ready."""
         return self._words[name]
 
+    def pause(self) -> None:
+        """Stop it from running, as a host that is overloaded does."""
+        self._process.send_signal(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """Let a paused process go on."""
+        self._process.send_signal(signal.SIGCONT)
+
+    async def kill(self) -> None:
+        """End it without notice."""
+        self._process.kill()
+        await self._process.wait()
+
     async def stop(self) -> None:
         """Ask it to stop, and end it if it doesn't."""
         if self._process.returncode is not None:
--- a/packages/mustardquay-standins/src/mustardquay_standins/instances.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/instances.py
@@ -41,6 +41,7 @@
     """What the instance list has seen."""
 
     reads: int = 0
+    """Including those that were refused."""
 
 
 class InstanceStandin(StandinServer):
@@ -86,10 +87,10 @@
         self.set_instances([one for one in self.instances if one.name != name])
 
     async def _list(self, call: Call) -> None:
+        self.counters.reads += 1
         if self.faults.down:
             call.answer(503, {"error": "the instance list is down"})
             return
-        self.counters.reads += 1
         instances = self._find_list(self._clock.monotonic() - self.faults.lag)
         call.answer(200, {"instances": [asdict(one) for one in instances]})
 
--- a/packages/mustardquay-standins/src/mustardquay_standins/relays.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/relays.py
@@ -61,6 +61,7 @@
         self._address = ""
         self._port = 0
         self._control: _RelayControl | None = None
+        self._restarting: asyncio.Future[None] | None = None
         self._control_arguments = (clock, seed)
         self.faults = RelayFaults()
         self.counters = RelayCounters()
@@ -112,6 +113,20 @@
             for writer in connection.writers:
                 writer.transport.abort()
 
+    def set_down(self, down: bool) -> None:
+        """Close the listener, or open it again on the same port.
+
+        Connections are then refused, as they are where no process listens.
+        """
+        if down and self._server is not None:
+            self._server.close()
+            self._server = None
+            self.cut_connections()
+        elif not down and self._server is None:
+            self._restarting = asyncio.ensure_future(
+                self.start(self._address, self._port)
+            )
+
     def forget(self) -> None:
         """Have every open connection go silent for good, while new ones work."""
         for connection in self._connections:
--- a/packages/mustardquay-standins/src/mustardquay_standins/sites.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/sites.py
@@ -24,6 +24,7 @@
 from .engines import EngineStandin
 from .instances import Instance
 from .platforms import PlatformStandin, wait_for_signal
+from .relays import RelayStandin
 from .services import ServiceStandin
 from .states import Substance
 
@@ -48,12 +49,18 @@
         seed: int = 0,
         write_event: Callable[[Event], None] | None = None,
         overrides: Sections | None = None,
+        relayed: bool = False,
     ):
-        """Read the example; `overrides` are settings for every process."""
+        """Read the example.
+
+        `overrides` are settings for every process; with `relayed` the links go
+        through relays, by agent in `relays`, that can fail as a network does.
+        """
         self._folder = EXAMPLES / name
         self._seed = seed
         self._write_event = write_event
         self._overrides = overrides or {}
+        self._relayed = relayed
         self.platform = PlatformStandin(seed=seed)
         self.contracts = [
             read_contract(path.read_text(encoding="utf-8"), str(path))
@@ -62,6 +69,7 @@
         self.upstreams: dict[str, EngineStandin | ServiceStandin] = {}
         self.agents: dict[str, Agent] = {}
         self.entries: dict[str, Entry] = {}
+        self.relays: dict[str, RelayStandin] = {}
 
     @property
     def customer(self) -> ContractDocument:
@@ -116,6 +124,8 @@
         """Stop gracefully: first the entries, then the agents and stand-ins."""
         await asyncio.gather(*(entry.close() for entry in self.entries.values()))
         await asyncio.gather(*(agent.close() for agent in self.agents.values()))
+        for relay in self.relays.values():
+            await relay.close()
         for upstream in self.upstreams.values():
             await upstream.close()
         await self.platform.close()
@@ -129,7 +139,13 @@
     def list_instances(self) -> None:
         """Tell the instance list of every process that runs."""
         lines = [
-            Instance(name, "agent", "127.0.0.1", agent.port, agent.availability_zone)
+            Instance(
+                name,
+                "agent",
+                "127.0.0.1",
+                self.relays[name].port if name in self.relays else agent.port,
+                agent.availability_zone,
+            )
             for name, agent in self.agents.items()
         ]
         lines += [
@@ -172,6 +188,26 @@
         agent = Agent(settings, write_event=self._write_event)
         await agent.start()
         self.agents[agent.name] = agent
+        if self._relayed:
+            relay = RelayStandin("127.0.0.1", agent.port)
+            await relay.start()
+            self.relays[agent.name] = relay
+
+    def find_agent(self, upstream: str) -> Agent:
+        """Return the agent beside an upstream."""
+        return self.agents[f"agent-{upstream}"]
+
+    async def add_agent(self, name: str) -> Agent:
+        """Start the agent of this name anew, as after its instance was replaced."""
+        path = self._folder / "processes" / f"{name}.ini"
+        sections = _read_sections(self._folder / "common.ini", path)
+        upstream = self.upstreams[sections["agent"]["upstream_name"]]
+        sections["agent"]["upstream"] = upstream.url
+        agent = Agent(self.make_settings(sections), write_event=self._write_event)
+        await agent.start()
+        self.agents[agent.name] = agent
+        self.list_instances()
+        return agent
 
     def _make_upstream(self, section: dict[str, str]) -> EngineStandin | ServiceStandin:
         seed = self._seed + len(self.upstreams)
--- a/benchmarks/stacks.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/stacks.py
@@ -10,9 +10,8 @@
 
 import orjson
 
-from mustardquay_standins.loads import LoadTarget
-
-from .processes import Child, start_child
+from .children import Child, start_child
+from .loads import LoadTarget
 
 __all__ = ["Stack", "StackOptions"]
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,13 @@
 from mustardquay_standins.clients import SiteClient
 from mustardquay_standins.sites import Site
 
+QUICK = {
+    "link": {"heartbeat": "0.1", "silence": "0.6"},
+    "entry": {"progress_timeout": "2"},
+    "agent": {"progress_timeout": "1", "report_interval": "0.1"},
+}
+"""Settings under which failures are noticed soon enough for tests."""
+
 
 @pytest.fixture
 async def site() -> AsyncIterator[Site]:
@@ -18,8 +25,19 @@
 
 
 @pytest.fixture
-async def client(site: Site) -> AsyncIterator[SiteClient]:
+async def frail_site() -> AsyncIterator[Site]:
+    """Give a running site whose links go through relays, and that notices soon."""
+    running = Site("syndesmos", seed=1, overrides=QUICK, relayed=True)
+    await running.start()
+    yield running
+    await running.close()
+
+
+@pytest.fixture
+async def client(request: pytest.FixtureRequest) -> AsyncIterator[SiteClient]:
     """Give a caller with the key of the site's first customer."""
-    caller = SiteClient(site.customer.keys[0])
+    name = "frail_site" if "frail_site" in request.fixturenames else "site"
+    running = request.getfixturevalue(name)
+    caller = SiteClient(running.customer.keys[0])
     yield caller
     caller.close()
