Drop the setting header_timeout, which nothing could use

Cause: tornado's server has one time for idle connections and for headers, so the key did nothing. Change: idle_timeout says that it covers both.

--- a/packages/mustardquay-node/src/mustardquay_node/keys.py
+++ b/packages/mustardquay-node/src/mustardquay_node/keys.py
@@ -109,13 +109,6 @@
         "Largest body of a request; larger ones get 413. At least 64 KiB under the "
         "frame limit.",
     ),
-    Key(
-        "entry",
-        "header_timeout",
-        "10",
-        "s",
-        "A caller that has not sent a whole header by then is dropped.",
-    ),
     Key(
         "entry",
         "body_timeout",
@@ -128,7 +121,8 @@
         "idle_timeout",
         "60",
         "s",
-        "A caller's connection without a request is closed after this.",
+        "A caller's connection on which no whole header of a request comes for so long "
+        "is closed, whether it is idle or too slow.",
     ),
     Key(
         "entry",
--- a/packages/mustardquay-node/src/mustardquay_node/settings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/settings.py
@@ -98,7 +98,6 @@
     port: Port
     operator_keys: SomeWords
     body_limit: Count
-    header_timeout: Duration
     body_timeout: Duration
     idle_timeout: Duration
     progress_timeout: Duration
