--- a/packages/mustardquay-cli/src/mustardquay_cli/contracts.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/contracts.py
@@ -6,7 +6,12 @@
 
 import typer
 
-from mustardquay.documents import ContractDocument, describe_contract, read_contract
+from mustardquay.documents import (
+    ContractDocument,
+    describe_contract,
+    hash_keys,
+    read_contract,
+)
 from mustardquay.errors import DocumentError
 
 from .clients import AdminClient, join_path
@@ -220,7 +225,7 @@
 
 
 async def _post(client: AdminClient, documents: list[ContractDocument]) -> Any:
-    # Digests are made here already, so that plain keys don't leave this machine.
+    # Digests are made here already; plain keys don't leave this machine.
     contracts = [describe_contract(document.to_contract()) for document in documents]
     return await client.edit("POST", join_path("contracts"), {"contracts": contracts})
 
@@ -271,8 +276,11 @@
     wait: timedelta | None,
     json: bool,
 ) -> None:
+    path = join_path("contracts", customer)
+    if "keys" in body:
+        await _replace_keys(client, path, body)
     try:
-        contract = await client.edit("PATCH", join_path("contracts", customer), body)
+        contract = await client.edit("PATCH", path, body)
     except ConflictFailure as failure:
         raise _explain_conflict(failure) from None
     if json:
@@ -283,6 +291,14 @@
         await wait_for_version(client, contract["revision"], wait)
 
 
+async def _replace_keys(client: AdminClient, path: str, body: dict[str, Any]) -> None:
+    """Put digests in the place of plain keys, which don't leave this machine."""
+    present = await client.get(path)
+    kept = body.get("key_hashes", present["key_hashes"])
+    body["key_hashes"] = [*kept, *hash_keys(body.pop("keys"), "arguments")]
+    body.setdefault("revision", present["revision"])
+
+
 def _read_file(file: Path) -> ContractDocument:
     try:
         return read_contract(file.read_text(encoding="utf-8"), str(file))
--- a/packages/mustardquay-cli/src/mustardquay_cli/timelines.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/timelines.py
@@ -68,7 +68,10 @@
         "kind": kind,
     }
     try:
-        logged = [event for file in log for event in read_log(file)]
+        # Each log is filtered line by line, since it may be larger than memory.
+        logged = [
+            event for file in log for event in select_events(read_log(file), **filters)
+        ]
     except CommandError as error:
         finish(error)
     live, faults = [], []
@@ -97,18 +100,25 @@
     The last line may be cut, since the process may have been killed.
     """
     try:
-        lines = file.read_bytes().splitlines()
+        with file.open("rb") as lines:
+            for line in lines:
+                event = _read_line(line)
+                if event is not None:
+                    yield event
     except OSError as error:
         raise CommandError(
             f"{file}: can't be read ({error.strerror}); check the path."
         ) from None
-    for line in lines:
-        try:
-            record = orjson.loads(line)
-            if isinstance(record, dict) and record.get("message_type") == EVENT_MESSAGE:
-                yield parse_event(record)
-        except (orjson.JSONDecodeError, ProtocolError):
-            continue
+
+
+def _read_line(line: bytes) -> Event | None:
+    try:
+        record = orjson.loads(line)
+        if isinstance(record, dict) and record.get("message_type") == EVENT_MESSAGE:
+            return parse_event(record)
+    except (orjson.JSONDecodeError, ProtocolError):
+        return None
+    return None
 
 
 async def _collect(
--- a/packages/mustardquay-cli/tests/test_commands.py
+++ b/packages/mustardquay-cli/tests/test_commands.py
@@ -119,6 +119,10 @@
     assert after["models"] == ["a", "b"]
     assert after["key_hashes"][:-1] == before["key_hashes"]
     assert after["share"] == before["share"]
+    short = site.run("contract", "amend", "tram-app", "keys=short", code=1)
+    assert "arguments: keys" in short.stderr
+    late = site.run("contract", "amend", "tram-app", "lateness.whole=1", code=1)
+    assert "first_token must not be over whole" in late.stderr
     site.run("contract", "amend", "tram-app", "share", code=2)
     result = site.run("contract", "amend", "tram-app", "share=none", code=1)
     assert "share: must be a number" in result.stderr
@@ -133,8 +137,9 @@
     site.run("change", "cancel", "drain-engine-3", "--wait")
     site.run("change", "cancel", "drain-engine-3", code=1)
     site.run("change", "announce", code=2)
-    late = site.run("change", "announce", *options, "--starts-at", "soon", code=1)
-    assert "write one such as 2026-12-03T04:00:00Z" in late.stderr
+    for text in ("soon", "0400", "2026-12-03"):
+        late = site.run("change", "announce", *options, "--starts-at", text, code=1)
+        assert "write one such as 2026-12-03T04:00:00Z" in late.stderr
 
 
 def test_status_shows_processes_upstreams_and_faults(site, snapshot):
--- a/packages/mustardquay-node/src/mustardquay_node/handlers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handlers.py
@@ -44,6 +44,10 @@
         self.set_header("Server", f"mustardquay/{__version__}")
         self.set_header("Cache-Control", "no-store")
 
+    def compute_etag(self) -> None:
+        """Leave the tag out; nothing here is cached."""
+        return None
+
     def send(self, value: Any) -> None:
         """End the response with a JSON value."""
         self.set_header("Content-Type", "application/json")
--- a/packages/mustardquay/src/mustardquay/documents.py
+++ b/packages/mustardquay/src/mustardquay/documents.py
@@ -4,23 +4,27 @@
 same fields as JSON. Durations are in seconds, instants are ISO 8601 with a zone.
 """
 
+from collections.abc import Iterable
 from configparser import ConfigParser, Error as ConfigParserError
 from datetime import UTC
 from hashlib import sha256
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, Self, TypeVar
 
 from pydantic import (
     AwareDatetime,
     BaseModel,
+    BeforeValidator,
     ConfigDict,
     Field,
     StringConstraints,
+    TypeAdapter,
     ValidationError,
+    model_validator,
 )
 
 from .contracts import Contract, Lateness
 from .errors import DocumentError
-from .faults import describe_faults
+from .faults import INSTANT_REMEDY, describe_faults
 from .fields import Duration, Words
 from .plans import Action, PlannedChange, Scope
 
@@ -32,6 +36,7 @@
     "describe_change",
     "describe_contract",
     "hash_key",
+    "hash_keys",
     "read_change",
     "read_contract",
 ]
@@ -48,6 +53,17 @@
     return sha256(key.encode()).hexdigest()
 
 
+def hash_keys(keys: Iterable[str], source: str) -> list[str]:
+    """Return the digests of bearer keys; raises `DocumentError` for bad ones."""
+    adapter = TypeAdapter(tuple[Key, ...])
+    try:
+        return [hash_key(key) for key in adapter.validate_python(tuple(keys))]
+    except ValidationError as error:
+        raise DocumentError(
+            describe_faults(error, lambda path: f"{source}: keys")
+        ) from None
+
+
 Name = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 Digest = Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{64}$")]
 Key = Annotated[str, StringConstraints(pattern=r"^[!-~]{8,512}$")]
@@ -55,6 +71,15 @@
 Texts = Annotated[tuple[Annotated[str, Field(min_length=1)], ...], Words]
 
 
+def _refuse_number(value: Any) -> Any:
+    """Refuse seconds since 1970, which a mistyped time of day would pass for."""
+    if isinstance(value, int | float) or (
+        isinstance(value, str) and value.replace(".", "").lstrip("+-").isdigit()
+    ):
+        raise ValueError(INSTANT_REMEDY)
+    return value
+
+
 class _Document(BaseModel):
     model_config = ConfigDict(extra="forbid", frozen=True, hide_input_in_errors=True)
 
@@ -66,6 +91,14 @@
     between_tokens: Duration = Lateness().between_tokens
     whole: Duration = Lateness().whole
 
+    @model_validator(mode="after")
+    def _check_order(self) -> Self:
+        if self.first_token > self.whole:
+            raise ValueError(
+                "first_token must not be over whole, which ends later; lower it"
+            )
+        return self
+
 
 class ContractDocument(_Document):
     """Section `contract`: the agreement with one customer."""
@@ -125,7 +158,7 @@
     action: Action
     scope: Scope = Scope.UPSTREAM
     target: Annotated[str, Field(min_length=1)]
-    starts_at: AwareDatetime | None = None
+    starts_at: Annotated[AwareDatetime | None, BeforeValidator(_refuse_number)] = None
     """None is at once."""
     accept_overload: bool = False
     revision: Annotated[int, Field(ge=0)] = 0
--- a/packages/mustardquay/src/mustardquay/faults.py
+++ b/packages/mustardquay/src/mustardquay/faults.py
@@ -5,18 +5,20 @@
 
 from pydantic import ValidationError
 
-__all__ = ["Locate", "describe_fault", "describe_faults"]
+__all__ = ["INSTANT_REMEDY", "Locate", "describe_fault", "describe_faults"]
 
 Locate = Callable[[tuple[int | str, ...]], str]
 """Names the place of a field for people, given its path in the model."""
 
-_INSTANT = "must be an instant with its zone; write one such as 2026-12-03T04:00:00Z"
+INSTANT_REMEDY = (
+    "must be an instant with its zone; write one such as 2026-12-03T04:00:00Z"
+)
 
 _REMEDIES = {
     "bool_parsing": "must be yes or no; write true or false",
-    "datetime_from_date_parsing": _INSTANT,
-    "datetime_parsing": _INSTANT,
-    "datetime_type": _INSTANT,
+    "datetime_from_date_parsing": INSTANT_REMEDY,
+    "datetime_parsing": INSTANT_REMEDY,
+    "datetime_type": INSTANT_REMEDY,
     "extra_forbidden": "is unknown; remove it or mend its spelling",
     "float_parsing": "must be a number; write one such as 0.25",
     "float_type": "must be a number; write one such as 0.25",
@@ -27,7 +29,7 @@
     "missing": "is missing; add it",
     "string_too_short": "must not be empty; write a value",
     "string_type": "must be text; write it as one",
-    "timezone_aware": _INSTANT,
+    "timezone_aware": INSTANT_REMEDY,
 }
 """What to do about a fault, by pydantic's type of it."""
 
