--- a/packages/mustardquay-cli/src/mustardquay_cli/changes.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/changes.py
@@ -66,6 +66,9 @@
             help="Go ahead though the rest of the fleet can't honour every contract.",
         ),
     ] = False,
+    dry_run: Annotated[
+        bool, typer.Option("--dry-run", help="Tell the cost and announce nothing.")
+    ] = False,
     admin: AdminOption = [],  # noqa: B006
     key: KeyOption = "",
     timeout: TimeoutOption = 10,
@@ -77,11 +80,12 @@
 
     drain takes no new work on the target and lets running work finish; replace does
     the same, and serves again once the instance was restarted; withdraw drains for
-    good. Nothing that runs is cut.
+    good. Nothing that runs is cut. What the change costs is told first; one that leaves
+    too little for the contracts is refused.
 
     \b
     Examples:
-      mustardquay change announce --action drain --target engine-3
+      mustardquay change announce --action drain --target engine-3 --dry-run
       mustardquay change announce --action replace --scope availability_zone \\
           --target linz --starts-at 2027-01-15T02:00:00Z
       mustardquay change announce changes/drain-engine-3.ini --wait
@@ -97,14 +101,13 @@
     if (file is None) == (action is None or not target):
         raise typer.BadParameter("Give either a FILE, or --action and --target.")
     document = _read(file, options)
-    run(
-        _announce(
-            make_client(admin, key, timeout),
-            document,
-            limit_wait(wait, wait_timeout),
-            json,
-        )
-    )
+    client = make_client(admin, key, timeout)
+    body = describe_change(document.to_change())
+    notes = run(_preview(client, body))
+    if not dry_run:
+        run(_announce(client, body, limit_wait(wait, wait_timeout), json))
+    elif json:
+        print_json(body | {"notes": notes})
 
 
 @app.command("list")
@@ -166,10 +169,18 @@
         finish(DocumentError(f"{file}: can't be read ({error}); check the path."))
 
 
+async def _preview(client: AdminClient, body: dict[str, Any]) -> list[str]:
+    """Print what the change costs, before it is announced."""
+    path = join_path("changes") + "?preview=1"
+    notes = (await client.edit("POST", path, body))["notes"]
+    for note in notes:
+        print_note(note)
+    return notes
+
+
 async def _announce(
-    client: AdminClient, document: ChangeDocument, wait: timedelta | None, json: bool
+    client: AdminClient, body: dict[str, Any], wait: timedelta | None, json: bool
 ) -> None:
-    body = describe_change(document.to_change())
     change = await client.edit("POST", join_path("changes"), body)
     if json:
         print_json(change)
--- a/packages/mustardquay-cli/src/mustardquay_cli/options.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/options.py
@@ -55,7 +55,12 @@
     ),
 ]
 WaitOption = Annotated[
-    bool, typer.Option("--wait", help="Wait until it is in force at every --admin.")
+    bool,
+    typer.Option(
+        "--wait",
+        help="Wait until it is in force at every --admin and all that these link to; "
+        "name who is late.",
+    ),
 ]
 WaitTimeoutOption = Annotated[
     float,
--- a/packages/mustardquay-cli/tests/conftest.py
+++ b/packages/mustardquay-cli/tests/conftest.py
@@ -26,6 +26,7 @@
     versions: dict[str, int] = field(default_factory=dict)
     faults: list[Exception] = field(default_factory=list)
     """Raised by the next edits, after they were applied."""
+    notes: list[str] = field(default_factory=list)
 
     async def read_configuration(self) -> Configuration:
         return self.configuration
@@ -40,12 +41,17 @@
             raise self.faults.pop(0)
         return self.versions[edit.change_id]
 
+    async def preview_edit(self, edit: Edit) -> list[str]:
+        check_edit(self.configuration, edit)
+        return list(self.notes)
+
 
 class Site:
     """The admin ports of an entry and an agent, and a runner of commands."""
 
     def __init__(self):
         self.actions = MemoryActions()
+        self.peers: dict[str, int] = {}
         clock = VirtualClock(datetime(2026, 12, 3, 4, tzinfo=UTC))
         self.clock = clock
         self.rings = {
@@ -118,6 +124,7 @@
             waiting=1,
             running=3,
             upstreams=(upstream,) if name == "entry-1" else (),
+            peers=self.peers if name == "entry-1" else {},
         )
 
 
--- a/packages/mustardquay-cli/tests/test_commands.py
+++ b/packages/mustardquay-cli/tests/test_commands.py
@@ -76,7 +76,7 @@
     file = tmp_path / "tram-app.ini"
     file.write_text(shown.replace("share = 0.3", "share = 0.25"))
     result = site.run("contract", "apply", file, "--wait")
-    assert "Version 2 is in force at every --admin" in result.stderr
+    assert "Version 2 is in force at 2 processes" in result.stderr
     contracts = json.loads(site.run("contract", "list", "--json").stdout)
     assert [item["share"] for item in contracts] == [0.5, 0.2, 0.25]
     site.run("contract", "remove", "tram-app", "--revision", 1, code=3)
@@ -176,10 +176,23 @@
 
 
 def test_waiting_ends_with_the_processes_that_are_behind(site):
-    urls = [site.urls[0], NOWHERE]
+    # One process does not answer and one that the entry links to still has the
+    # version before: the operator is told both, not that the edit is everywhere.
+    site.peers |= {"agent-1": 0, "agent-2": 0, "agent-3": 1}
+    urls = [*site.urls, NOWHERE]
     announce = ("change", "announce", "--action", "drain", "--target", "a")
     result = site.run(*announce, "--wait", "--wait-timeout", 0, urls=urls, code=4)
-    assert "not yet in force at 1 of 2 processes" in result.stderr
+    assert "in force at 2 processes (agent-2 at 0; http://" in result.stderr
+
+
+def test_the_cost_of_a_change_is_told_before_it_is_announced(site):
+    site.actions.notes = ["It touches 1 upstreams."]
+    announce = ("change", "announce", "--action", "drain", "--target", "a")
+    result = site.run(*announce, "--dry-run", "--json")
+    assert json.loads(result.stdout)["notes"] == site.actions.notes
+    assert site.actions.configuration.version == 0
+    assert "It touches 1 upstreams." in site.run(*announce).stderr
+    site.run(*announce, "--dry-run", code=3)
 
 
 def test_a_wrong_key_is_explained(site):
--- a/packages/mustardquay-node/src/mustardquay_node/agents.py
+++ b/packages/mustardquay-node/src/mustardquay_node/agents.py
@@ -368,6 +368,7 @@
             region=node.region,
             version=__version__,
             configuration=self._keeper.version,
+            peers=self._keeper.peer_versions,
             ready=not faults,
             draining=self._executor.draining,
             faults=faults,
--- a/packages/mustardquay-node/src/mustardquay_node/amendments.py
+++ b/packages/mustardquay-node/src/mustardquay_node/amendments.py
@@ -4,7 +4,8 @@
 be sent again after a lost answer without being applied twice.
 """
 
-from typing import Any, Protocol
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any, Protocol, TypeVar
 from uuid import uuid4
 
 import orjson
@@ -32,6 +33,8 @@
 CHANGE_ID_HEADER = "Mustardquay-Change"
 """Request header with the change id; without it one is made up."""
 
+Result = TypeVar("Result")
+
 _PAGE = 1000
 _LARGEST = 2**53
 
@@ -49,6 +52,12 @@
         or `StoreUnclear` (send the same edit again).
         """
 
+    async def preview_edit(self, edit: Edit) -> Sequence[str]:
+        """Return what the edit would cost, a sentence each, without applying it.
+
+        Raises as `apply_edit` does where the edit would be refused.
+        """
+
 
 def list_editors(actions: AdminActions, keyed: dict[str, Any]) -> list[tuple]:
     """Return the rules for contracts and planned changes."""
@@ -77,11 +86,21 @@
 
     async def amend(self, *amendments: Amendment) -> int:
         """Apply amendments in one edit and return the new version."""
+        return await self._try(self._actions.apply_edit, amendments)
+
+    async def preview(self, *amendments: Amendment) -> Sequence[str]:
+        """Return what amendments would cost; nothing is applied."""
+        return await self._try(self._actions.preview_edit, amendments)
+
+    async def _try(
+        self,
+        act: Callable[[Edit], Awaitable[Result]],
+        amendments: tuple[Amendment, ...],
+    ) -> Result:
         self._amendments = amendments
         change_id = self.request.headers.get(CHANGE_ID_HEADER) or uuid4().hex
-        edit = Edit(change_id, self.operator, amendments)
         try:
-            return await self._actions.apply_edit(edit)
+            return await act(Edit(change_id, self.operator, amendments))
         except ConflictError:
             self._present = await self._actions.read_configuration()
             raise
@@ -192,10 +211,14 @@
         )
 
     async def post(self) -> None:
-        """Announce a planned change."""
+        """Announce a planned change, or with `?preview=1` only tell its cost."""
         document = check_document(ChangeDocument, self.read_body(), "change")
         change = document.to_change()
         amendment = ChangeAmendment(change.name, change.revision, change)
+        if self.read_number("preview", 0, 0, 1):
+            notes = list(await self.preview(amendment))
+            self.send(describe_change(change) | {"notes": notes})
+            return
         version = await self.amend(amendment)
         self.send(describe_change(change) | {"revision": version})
 
--- a/packages/mustardquay-node/src/mustardquay_node/configurations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/configurations.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from datetime import timedelta
 from random import Random
 
@@ -75,6 +75,7 @@
         self._current = False
         self._store_up = True
         self._peers: dict[str, int] = {}
+        self._heard: dict[str, int] = {}
         self._pending: dict[int, Entry] = {}
         self._recent: deque[tuple[int, bytes]] = deque(maxlen=KEPT_ENTRIES)
         self._snapshot: tuple[int, bytes] | None = None
@@ -97,6 +98,11 @@
         """Return whether the version was confirmed since the process started."""
         return self._current
 
+    @property
+    def peer_versions(self) -> Mapping[str, int]:
+        """Return the versions of the processes at the other ends of the links."""
+        return self._heard
+
     @property
     def wanted_after(self) -> int | None:
         """Return the version behind which entries are missing, None if none are."""
@@ -135,6 +141,7 @@
     def hear(self, peer: str, version: int, current: bool) -> None:
         """Take in the version of a peer's heartbeat and whether it is current."""
         self._highest = max(self._highest, version)
+        self._heard[peer] = version
         if current:
             self._peers[peer] = version
         else:
@@ -144,6 +151,7 @@
     def forget(self, peer: str) -> None:
         """Take in that the link to a peer is lost; its word counts no more."""
         self._peers.pop(peer, None)
+        self._heard.pop(peer, None)
 
     def offer(self, entries: Iterable[Entry]) -> None:
         """Take in entries in any order; those behind a gap wait for it to close."""
--- a/packages/mustardquay-node/src/mustardquay_node/editors.py
+++ b/packages/mustardquay-node/src/mustardquay_node/editors.py
@@ -102,6 +102,17 @@
             await self._write_snapshot(entry.version)
         return result.version
 
+    async def preview(self, edit: Edit) -> list[str]:
+        """Return what the checks have to say of the edit; nothing is proposed.
+
+        Raises as `propose` does where the edit would be refused.
+        """
+        await self._keeper.poll()
+        configuration = self._keeper.configuration
+        result = check_edit(configuration, edit, self._catalogue())
+        found = [await check(result, edit) for check in self._checks]
+        return [str(note) for notes in found for note in notes]
+
     async def _prepare(self, edit: Edit) -> tuple[Entry, Row | None]:
         head = await self._keeper.poll()
         configuration = self._keeper.configuration
--- a/packages/mustardquay-node/src/mustardquay_node/entries.py
+++ b/packages/mustardquay-node/src/mustardquay_node/entries.py
@@ -225,6 +225,10 @@
         )
         return version
 
+    async def preview_edit(self, edit: Edit) -> list[str]:
+        """Return what an operator's edit would cost, without applying it."""
+        return await self._editor.preview(edit)
+
     def _listen(self) -> None:
         node = self._parts.settings.node
         sockets = bind_sockets(self._port, node.address)
@@ -383,6 +387,7 @@
             region=node.region,
             version=__version__,
             configuration=self._keeper.version,
+            peers=self._keeper.peer_versions,
             ready=not faults,
             draining=self._draining,
             faults=faults,
--- a/packages/mustardquay-node/src/mustardquay_node/statuses.py
+++ b/packages/mustardquay-node/src/mustardquay_node/statuses.py
@@ -1,6 +1,7 @@
 """Statuses: what a process says of itself on its admin port."""
 
-from dataclasses import asdict, dataclass
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, field
 from typing import Any
 
 from mustardquay.works import UpstreamView
@@ -68,11 +69,13 @@
     waiting: int = 0
     running: int = 0
     upstreams: tuple[UpstreamStatus, ...] = ()
+    peers: Mapping[str, int] = field(default_factory=dict)
+    """Configuration versions of the processes at the other ends of its links."""
 
 
 def describe_status(status: ProcessStatus) -> dict[str, Any]:
     """Return the fields of a status for JSON."""
-    return asdict(status)
+    return asdict(status) | {"peers": dict(status.peers)}
 
 
 def _name_state(view: UpstreamView) -> str:
--- a/packages/mustardquay-node/tests/test_admins.py
+++ b/packages/mustardquay-node/tests/test_admins.py
@@ -28,11 +28,15 @@
         if self.error is not None:
             raise self.error
         self.edits.append(edit)
-        check_edit(self.configuration, edit)
+        await self.preview_edit(edit)
         entry = Entry(self.configuration.version + 1, edit)
         self.configuration = apply_entry(self.configuration, entry)
         return entry.version
 
+    async def preview_edit(self, edit: Edit) -> list[str]:
+        check_edit(self.configuration, edit)
+        return ["It touches 1 upstreams."]
+
 
 class Admin:
     def __init__(self, with_actions: bool = True):
@@ -172,10 +176,14 @@
 
 async def test_planned_change_is_announced_listed_and_cancelled(admin):
     change = {"name": "swap", "action": "replace", "target": "engine-3"}
+    code, body = await admin.read("POST", "/admin/changes?preview=1", change)
+    assert (code, body["notes"]) == (200, ["It touches 1 upstreams."])
+    assert admin.actions.configuration.version == 0
     code, body = await admin.read("POST", "/admin/changes", change)
     assert (code, body["revision"], body["scope"]) == (200, 1, "upstream")
     assert (await admin.read("GET", "/admin/changes"))[1]["changes"] == [body]
-    assert (await admin.read("POST", "/admin/changes", change))[0] == 409
+    for path in ("/admin/changes", "/admin/changes?preview=1"):
+        assert (await admin.read("POST", path, change))[0] == 409
     assert (await admin.ask("DELETE", "/admin/changes/swap?revision=9")).code == 409
     assert (await admin.ask("DELETE", "/admin/changes/swap")).code == 200
     assert (await admin.ask("DELETE", "/admin/changes/swap")).code == 404
