Let operators announce releases, and split the admin port's handlers by subject

Cause: contracts may name only adapters of a release, and nothing but code could make one. Change: /admin/releases and mustardquay release; one module for each subject.

--- a/packages/mustardquay-cli/src/mustardquay_cli/changes.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/changes.py
@@ -12,10 +12,12 @@
     describe_change,
     read_change,
 )
-from mustardquay.errors import DocumentError, MustardquayError
+from mustardquay.errors import MustardquayError
 from mustardquay.plans import Action, Scope
 
-from .clients import AdminClient, join_path
+from .announcements import Announcement
+from .clients import join_path
+from .files import read_file
 from .options import (
     AdminOption,
     JSONOption,
@@ -26,7 +28,7 @@
     WaitTimeoutOption,
     make_client,
 )
-from .outputs import finish, print_ini, print_json, print_note, print_table, run
+from .outputs import finish, print_json, print_note, print_table, run
 from .waits import limit_wait, wait_for_version
 
 __all__ = ["app"]
@@ -103,11 +105,8 @@
     document = _read(file, options)
     client = make_client(admin, key, timeout)
     body = describe_change(document.to_change())
-    notes = run(_preview(client, body))
-    if not dry_run:
-        run(_announce(client, body, limit_wait(wait, wait_timeout), json))
-    elif json:
-        print_json(body | {"notes": notes})
+    announcement = Announcement("change", body, dry_run, json)
+    run(announcement.send(client, limit_wait(wait, wait_timeout)))
 
 
 @app.command("list")
@@ -162,29 +161,6 @@
     try:
         if file is None:
             return check_document(ChangeDocument, options, "options")
-        return read_change(file.read_text(encoding="utf-8"), str(file))
+        return read_file(file, read_change)
     except MustardquayError as error:
         finish(error)
-    except (OSError, UnicodeDecodeError) as error:
-        finish(DocumentError(f"{file}: can't be read ({error}); check the path."))
-
-
-async def _preview(client: AdminClient, body: dict[str, Any]) -> list[str]:
-    """Print what the change costs, before it is announced."""
-    path = join_path("changes") + "?preview=1"
-    notes = (await client.edit("POST", path, body))["notes"]
-    for note in notes:
-        print_note(note)
-    return notes
-
-
-async def _announce(
-    client: AdminClient, body: dict[str, Any], wait: timedelta | None, json: bool
-) -> None:
-    change = await client.edit("POST", join_path("changes"), body)
-    if json:
-        print_json(change)
-    else:
-        print_ini("change", change)
-    if wait is not None:
-        await wait_for_version(client, change["revision"], wait)
--- a/packages/mustardquay-cli/src/mustardquay_cli/commands.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/commands.py
@@ -6,7 +6,7 @@
 
 from mustardquay import __version__
 
-from . import changes, checks, contracts
+from . import changes, checks, contracts, releases
 from .statuses import show_status
 from .timelines import show_timeline
 
@@ -43,6 +43,7 @@
 app.add_typer(checks.app, name="settings")
 app.add_typer(contracts.app, name="contract")
 app.add_typer(changes.app, name="change")
+app.add_typer(releases.app, name="release")
 app.command("status")(show_status)
 app.command("timeline")(show_timeline)
 
--- a/packages/mustardquay-cli/src/mustardquay_cli/contracts.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/contracts.py
@@ -7,15 +7,14 @@
 import typer
 
 from mustardquay.documents import (
-    ContractDocument,
-    describe_contract,
     hash_keys,
     read_contract,
 )
-from mustardquay.errors import DocumentError
 
+from .applications import apply_documents, explain_conflict
 from .clients import AdminClient, join_path
-from .failures import CommandError, ConflictFailure, ExitCode
+from .failures import ConflictFailure
+from .files import read_file
 from .options import (
     AdminOption,
     JSONOption,
@@ -186,8 +185,8 @@
 async def _apply(
     client: AdminClient, files: list[Path], wait: timedelta | None, json: bool
 ) -> None:
-    documents = [_read_file(file) for file in files]
-    result = await _send(client, documents)
+    documents = [read_file(file, read_contract) for file in files]
+    result = await apply_documents(client, documents)
     if json:
         print_json(result)
     else:
@@ -198,67 +197,6 @@
         await wait_for_version(client, result["version"], wait)
 
 
-async def _send(
-    client: AdminClient, documents: list[ContractDocument]
-) -> dict[str, Any]:
-    """Apply what differs from what is in force; return how each came out."""
-    unchanged: dict[str, dict[str, Any]] = {}
-    try:
-        answer = await _post(client, documents)
-    except ConflictFailure as failure:
-        unchanged = _find_unchanged(documents, failure)
-        if len(unchanged) < len(failure.conflicts):
-            raise _explain_conflict(failure) from None
-        rest = [item for item in documents if item.customer not in unchanged]
-        version = max(item["revision"] for item in unchanged.values())
-        answer = {"version": version, "contracts": []}
-        if rest:
-            answer = await _post(client, rest)
-    results = {
-        item["customer"]: item | {"result": "applied"} for item in answer["contracts"]
-    }
-    results |= {
-        name: item | {"result": "unchanged"} for name, item in unchanged.items()
-    }
-    ordered = [results[document.customer] for document in documents]
-    return {"version": answer["version"], "contracts": ordered}
-
-
-async def _post(client: AdminClient, documents: list[ContractDocument]) -> Any:
-    # Digests are made here already; plain keys don't leave this machine.
-    contracts = [describe_contract(document.to_contract()) for document in documents]
-    return await client.edit("POST", join_path("contracts"), {"contracts": contracts})
-
-
-def _find_unchanged(
-    documents: list[ContractDocument], failure: ConflictFailure
-) -> dict[str, dict[str, Any]]:
-    """Return the present contracts that say the same as their documents."""
-    wanted = {
-        document.customer: describe_contract(document.to_contract())
-        for document in documents
-    }
-    unchanged = {}
-    for conflict in failure.conflicts:
-        present = conflict.get("present")
-        name = conflict.get("name", "")
-        if present and name in wanted:
-            same = wanted[name] | {"revision": present["revision"]} == present
-            if same:
-                unchanged[name] = present
-    return unchanged
-
-
-def _explain_conflict(failure: ConflictFailure) -> CommandError:
-    lines = [str(failure)]
-    for conflict in failure.conflicts:
-        present = conflict.get("present")
-        if present:
-            shown = ", ".join(f"{name}={value}" for name, value in present.items())
-            lines.append(f"  now: {shown}")
-    return CommandError("\n".join(lines), ExitCode.CONFLICT)
-
-
 async def _list(client: AdminClient) -> list[dict[str, Any]]:
     contracts: list[dict[str, Any]] = []
     after = ""
@@ -282,7 +220,7 @@
     try:
         contract = await client.edit("PATCH", path, body)
     except ConflictFailure as failure:
-        raise _explain_conflict(failure) from None
+        raise explain_conflict(failure) from None
     if json:
         print_json(contract)
     else:
@@ -299,15 +237,6 @@
     body.setdefault("revision", present["revision"])
 
 
-def _read_file(file: Path) -> ContractDocument:
-    try:
-        return read_contract(file.read_text(encoding="utf-8"), str(file))
-    except (OSError, UnicodeDecodeError) as error:
-        raise DocumentError(
-            f"{file}: can't be read ({error}); check the path."
-        ) from None
-
-
 def _read_changes(changes: list[str]) -> dict[str, Any]:
     """Return the JSON fields of `FIELD=VALUE` arguments."""
     body: dict[str, Any] = {}
--- a/packages/mustardquay-cli/tests/test_commands.py
+++ b/packages/mustardquay-cli/tests/test_commands.py
@@ -38,6 +38,11 @@
         "change announce",
         "change list",
         "change cancel",
+        "release",
+        "release announce",
+        "release show",
+        "release list",
+        "release remove",
         "status",
         "timeline",
     ],
@@ -198,3 +203,27 @@
 def test_a_wrong_key_is_explained(site):
     result = site.run("contract", "list", "--key", "wrong", code=1)
     assert "MUSTARDQUAY_KEY" in result.stderr
+
+
+def test_a_release_goes_round_and_back_to_the_version_before(site, snapshot, tmp_path):
+    file = SITE / "releases" / "bulletin-reader.ini"
+    site.run("release", "announce", file, "--dry-run")
+    assert site.actions.configuration.version == 0
+    site.run("release", "announce", file, "--wait")
+    site.run("release", "announce", file, code=3)
+    shown = site.run("release", "show", "bulletin-reader").stdout
+    assert shown == snapshot(name="show")
+    newer = tmp_path / "newer.ini"
+    changed = shown.replace("version = 1", "version = 2").replace(
+        "previous =", "previous = 1"
+    )
+    newer.write_text(changed)
+    site.run("release", "announce", newer)
+    assert site.run("release", "list").stdout == snapshot(name="list")
+    site.run("release", "remove", "bulletin-reader", "--revision", 1, code=3)
+    site.run("release", "remove", "bulletin-reader", "--revision", 2)
+    site.run("release", "show", "bulletin-reader", code=1)
+    newer.write_text(changed.replace("version = 2", "versoin = 2"))
+    result = site.run("release", "announce", newer, code=1)
+    assert f"{newer}: [release] version: is missing; add it" in result.stderr
+    assert f"{newer}: [release] versoin: is unknown" in result.stderr
--- a/packages/mustardquay-cli/tests/test_examples.py
+++ b/packages/mustardquay-cli/tests/test_examples.py
@@ -3,6 +3,7 @@
 import pytest
 
 from mustardquay.documents import read_change, read_contract
+from mustardquay.releases import read_release
 from mustardquay_node.settings import read_settings
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
@@ -32,5 +33,11 @@
     ]
     assert sum(contract.share for contract in contracts) <= 1
     assert len({key for item in contracts for key in item.key_hashes}) == 3
+    models = {name for contract in contracts for name in contract.models}
+    releases = [
+        read_release(path.read_text(), path.name)
+        for path in (root / "releases").glob("*.ini")
+    ]
+    assert {release.model for release in releases} == models
     for path in (root / "changes").glob("*.ini"):
         assert read_change(path.read_text(), path.name).name == path.stem
--- a/packages/mustardquay-node/src/mustardquay_node/admins.py
+++ b/packages/mustardquay-node/src/mustardquay_node/admins.py
@@ -16,9 +16,12 @@
 from mustardquay.events import EventRing, Stamp, select_events
 from mustardquay.records import describe_event
 
-from .amendments import AdminActions, list_editors
+from .amendments import AdminActions
+from .changes import ChangeHandler, ChangesHandler
+from .contracts import ContractHandler, ContractsHandler
 from .handlers import AdminHandler, BaseHandler, FallbackHandler, hash_keys
 from .metrics import CONTENT_TYPE_LATEST, NodeMetrics
+from .releases import ReleaseHandler, ReleasesHandler
 from .statuses import Probe, ProcessStatus, describe_status
 
 __all__ = ["AdminActions", "AdminParts", "AdminServer", "make_application"]
@@ -29,6 +32,16 @@
 EVENT_LIMIT = 10_000
 
 
+_EDITORS = (
+    (r"/admin/contracts", ContractsHandler),
+    (r"/admin/contracts/([^/]+)", ContractHandler),
+    (r"/admin/changes", ChangesHandler),
+    (r"/admin/changes/([^/]+)", ChangeHandler),
+    (r"/admin/releases", ReleasesHandler),
+    (r"/admin/releases/([^/]+)", ReleaseHandler),
+)
+
+
 @dataclass(frozen=True, slots=True)
 class AdminParts:
     """What the admin port of one process shows and does."""
@@ -57,7 +70,8 @@
         (r"/admin/events", _EventsHandler, keyed | {"ring": parts.ring}),
     ]
     if parts.actions is not None:
-        rules += list_editors(parts.actions, keyed)
+        options = keyed | {"actions": parts.actions}
+        rules += [(path, handler, options) for path, handler in _EDITORS]
     return Application(
         rules,
         default_handler_class=FallbackHandler,
--- a/packages/mustardquay/src/mustardquay/documents.py
+++ b/packages/mustardquay/src/mustardquay/documents.py
@@ -31,7 +31,9 @@
 __all__ = [
     "ChangeDocument",
     "ContractDocument",
+    "Document",
     "LatenessDocument",
+    "Texts",
     "check_document",
     "describe_change",
     "describe_contract",
@@ -39,6 +41,7 @@
     "hash_keys",
     "read_change",
     "read_contract",
+    "read_sections",
 ]
 
 Model = TypeVar("Model", bound=BaseModel)
@@ -80,11 +83,13 @@
     return value
 
 
-class _Document(BaseModel):
+class Document(BaseModel):
+    """Base of the models of documents: no unknown field, never changed."""
+
     model_config = ConfigDict(extra="forbid", frozen=True, hide_input_in_errors=True)
 
 
-class LatenessDocument(_Document):
+class LatenessDocument(Document):
     """Section `lateness`: how late answers may be, in seconds."""
 
     first_token: Duration = Lateness().first_token
@@ -100,7 +105,7 @@
         return self
 
 
-class ContractDocument(_Document):
+class ContractDocument(Document):
     """Section `contract`: the agreement with one customer."""
 
     customer: Name
@@ -151,7 +156,7 @@
         )
 
 
-class ChangeDocument(_Document):
+class ChangeDocument(Document):
     """Section `change`: a planned change to a part of the fleet."""
 
     name: Name
