--- a/packages/mustardquay-cli/src/mustardquay_cli/clients.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/clients.py
@@ -120,7 +120,8 @@
                 break
             await self._sleep(PAUSE.total_seconds())
         if not unclear:
-            raise failure
+            message = f"Nothing was changed. {failure}"
+            raise CommandError(message, ExitCode.UNAVAILABLE)
         raise CommandError(
             f"The edit may or may not be in force ({failure}) Show it, and send it "
             "again if it is not.",
