--- a/packages/mustardquay-cli/src/mustardquay_cli/clients.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/clients.py
@@ -26,6 +26,8 @@
 
 ATTEMPTS = 3
 BODY_LIMIT = 64 << 20
+SERVER = "mustardquay/"
+"""How the admin port names itself in `Server`; the port for callers does not."""
 PAUSE = timedelta(seconds=0.5)
 
 _UNREACHABLE = (errno.EHOSTUNREACH, errno.ENETUNREACH)
@@ -138,6 +140,11 @@
         self, url: str, method: str, path: str, body: Any = None, change_id: str = ""
     ) -> Any:
         response = await self._fetch(self._build(url, method, path, body, change_id))
+        if not response.headers.get("Server", "").startswith(SERVER):
+            raise CommandError(
+                f"{url}: answered {response.code}, but is no admin port; give the URL "
+                "of one, not that of callers.",
+            )
         value = _decode(response)
         if response.code == 200:
             return value
--- a/packages/mustardquay-cli/src/mustardquay_cli/statuses.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/statuses.py
@@ -1,5 +1,6 @@
 """Statuses: `mustardquay status`."""
 
+from collections import Counter
 from typing import Any
 
 import typer
@@ -9,7 +10,7 @@
 from .options import AdminOption, JSONOption, KeyOption, TimeoutOption, make_client
 from .outputs import print_json, print_note, print_table, run
 
-__all__ = ["show_status"]
+__all__ = ["merge_upstreams", "show_status"]
 
 _PROCESS = (
     "process",
@@ -22,14 +23,14 @@
     "version",
 )
 _UPSTREAM = (
-    "seen by",
-    "name",
+    "upstream",
     "availability_zone",
     "role",
     "state",
     "queued_tokens",
     "running",
     "age",
+    "seen by",
     "models",
 )
 
@@ -42,8 +43,10 @@
 ) -> None:
     """Show processes and the upstreams that they see.
 
-    Each --admin is asked; one that does not answer is shown as such, and the command
-    then exits with 4. age is the time in seconds since the last load report.
+    Each --admin is asked; one that does not answer is named, and the command then
+    exits with 4. An upstream is shown by the freshest view of it; age is the time in
+    seconds since its last load report, "seen by" the number of entries that see it.
+    --json has the view of each.
 
     \b
     Examples:
@@ -75,16 +78,10 @@
     ]
     if rows:
         print_table(_PROCESS, rows)
-    upstreams = [
-        {"seen by": item["process"]} | upstream
-        for item in found
-        for upstream in item.get("upstreams", ())
-    ]
-    if upstreams:
+    rows = [[row[head] for head in _UPSTREAM] for row in merge_upstreams(found)]
+    if rows:
         typer.echo()
-        print_table(
-            _UPSTREAM, [[item.get(head) for head in _UPSTREAM] for item in upstreams]
-        )
+        print_table(_UPSTREAM, rows)
     for item in found:
         for fault in item.get("faults", ()):
             print_note(f"{item['process']}: {fault}")
@@ -93,6 +90,27 @@
             print_note(f"error: {answer.error}")
 
 
+def merge_upstreams(found: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Return one row for each upstream, by the freshest of the views of it.
+
+    Where entries see it in different states, each state is given with their number.
+    """
+    views: dict[str, list[dict[str, Any]]] = {}
+    for item in found:
+        for upstream in item.get("upstreams", ()):
+            views.setdefault(upstream["name"], []).append(upstream)
+    rows = []
+    for name, seen in sorted(views.items()):
+        freshest = min(seen, key=lambda view: view["age"])
+        states = Counter(view["state"] for view in seen)
+        state = ", ".join(f"{state} {count}" for state, count in states.items())
+        merged = {"upstream": name, "seen by": len(seen)}
+        if len(states) > 1:
+            merged["state"] = state
+        rows.append(freshest | merged)
+    return rows
+
+
 def _name_state(item: dict[str, Any]) -> dict[str, str]:
     if item.get("draining"):
         return {"state": "draining"}
--- a/packages/mustardquay-cli/tests/conftest.py
+++ b/packages/mustardquay-cli/tests/conftest.py
@@ -88,7 +88,9 @@
         self._thread.join()
         self._loop.close()
 
-    def run(self, *arguments: object, code: int = 0, urls: list[str] | None = None):
+    def run(
+        self, *arguments: object, code: int | None = 0, urls: list[str] | None = None
+    ):
         environment = {
             "MUSTARDQUAY_ADMIN": " ".join(self.urls if urls is None else urls),
             "MUSTARDQUAY_KEY": KEY,
@@ -98,7 +100,8 @@
         result = CliRunner().invoke(
             app, list(map(str, arguments)), env=environment, prog_name="mustardquay"
         )
-        assert result.exit_code == code, result.output
+        assert not result.exception or isinstance(result.exception, SystemExit)
+        assert code in (None, result.exit_code), result.output
         return result
 
     def _call(self, work):
--- a/packages/mustardquay-cli/tests/test_commands.py
+++ b/packages/mustardquay-cli/tests/test_commands.py
@@ -1,11 +1,14 @@
 import json
+import socketserver
+import threading
+from http.server import SimpleHTTPRequestHandler
 from pathlib import Path
 
 import pytest
 from typer.testing import CliRunner
 
 from mustardquay.errors import StoreUnavailable, StoreUnclear
-from mustardquay_cli import clients
+from mustardquay_cli import clients, statuses
 from mustardquay_cli.commands import app
 from mustardquay_cli.failures import ExitCode
 
@@ -155,6 +158,17 @@
     assert [len(item) > 2 for item in json.loads(both.stdout)] == [False, True, True]
 
 
+def test_an_upstream_is_shown_once_with_the_states_on_which_entries_differ():
+    view = {"name": "engine-1", "age": 0.5, "running": 4}
+    found = [
+        {"upstreams": [view | {"state": "draining", "age": 0.1, "running": 3}]},
+        {"upstreams": [view | {"state": "ready"}]},
+    ]
+    (row,) = statuses.merge_upstreams(found)
+    assert (row["running"], row["seen by"]) == (3, 2)
+    assert row["state"] == "draining 1, ready 1"
+
+
 def test_a_lost_answer_to_an_edit_does_not_apply_it_twice(site):
     # The store takes an edit, but its answer is lost and the operator's command
     # sends the edit again. Under a new id it would conflict with itself.
@@ -200,6 +214,20 @@
     site.run(*announce, "--dry-run", code=3)
 
 
+def test_a_port_that_is_no_admin_port_is_told(site):
+    # An operator takes the port for callers, or that of some other server: the
+    # command must say so instead of tripping over the answer.
+    with socketserver.TCPServer(("127.0.0.1", 0), SimpleHTTPRequestHandler) as other:
+        thread = threading.Thread(target=other.serve_forever)
+        thread.start()
+        url = f"http://127.0.0.1:{other.server_address[1]}"
+        for command in (("status",), ("contract", "list"), ("timeline",)):
+            result = site.run(*command, urls=[url], code=None)
+            assert "is no admin port" in result.stderr
+        other.shutdown()
+        thread.join()
+
+
 def test_a_wrong_key_is_explained(site):
     result = site.run("contract", "list", "--key", "wrong", code=1)
     assert "MUSTARDQUAY_KEY" in result.stderr
