--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/controllers.py
@@ -0,0 +1,276 @@
+"""Controllers: hold the lease of a control domain and write its order rows.
+
+Entry processes hold the leases. The holder carries out what the configuration and
+the deciders ask for, and what is under way stands in the order rows: after its
+death another holder goes on from them.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+from datetime import datetime, timedelta
+from random import Random
+from typing import TypeAlias
+
+from blinker import Signal
+
+from mustardquay.clocks import Clock
+from mustardquay.costs import Cost, FleetUpstream, check_costs
+from mustardquay.encodings import decode, encode
+from mustardquay.errors import MustardquayError
+from mustardquay.leases import BEATS, LEASES, Lease, LeaseRows, fence_writes
+from mustardquay.orders import ORDERS, REPORTS, EngineReport, OrderRow
+from mustardquay.plans import PlannedChange, Release
+from mustardquay.revisions import Configuration, Edit
+from mustardquay.rollouts import EngineStatus, propose_rows
+from mustardquay.tables import Condition, Row, TableService, Write
+
+from .editors import EditCheck
+from .sleeps import Sleep, sleep as default_sleep
+
+__all__ = [
+    "Controller",
+    "Decider",
+    "lease_changed",
+    "make_cost_check",
+    "read_engines",
+    "rows_written",
+]
+
+logger = logging.getLogger(__name__)
+
+lease_changed = Signal("Sent by a controller, with `held` and `fence`.")
+rows_written = Signal("Sent by a controller, with `rows`, the new ones by engine.")
+
+Decider: TypeAlias = Callable[
+    [Configuration, Sequence[EngineStatus], datetime],
+    list[tuple[EngineStatus, OrderRow]],
+]
+"""Returns the rows to write now; an empty list leaves the turn to the next one."""
+
+SCAN_LIMIT = 1000
+IDLE_ROUNDS = 10
+"""While nothing is under way, the rows are read in one turn of so many."""
+
+
+class Controller:
+    """Holds or waits for the lease of one domain.
+
+    `candidate` must be unique for each start of a process. `is_candidate` says at
+    each turn whether this process is one of those that may hold the lease, and
+    `find_instance` names the instance of an upstream.
+    """
+
+    def __init__(
+        self,
+        domain: str,
+        candidate: str,
+        tables: TableService,
+        get_configuration: Callable[[], Configuration],
+        clock: Clock,
+        random: Random,
+        is_candidate: Callable[[], bool] = lambda: True,
+        find_instance: Callable[[str], str] = lambda upstream: upstream,
+        deciders: tuple[Decider, ...] = (propose_rows,),
+        term: timedelta = timedelta(seconds=10),
+        sleep: Sleep = default_sleep,
+    ):
+        self._domain = domain
+        self._tables = tables
+        self._get_configuration = get_configuration
+        self._clock = clock
+        self._random = random
+        self._is_candidate = is_candidate
+        self._find_instance = find_instance
+        self._deciders = deciders
+        self._interval = term / 4
+        self._sleep = sleep
+        self._lease = Lease(domain, candidate, term)
+        self._held = False
+        self._idle_rounds = 0
+        self._seen_version = -1
+        self._engines: list[EngineStatus] = []
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def held(self) -> bool:
+        """Return whether this process was the holder at its last turn."""
+        return self._held
+
+    @property
+    def fence(self) -> int:
+        """Return the fence under which it last held the lease."""
+        return self._lease.fence
+
+    @property
+    def engines(self) -> Sequence[EngineStatus]:
+        """Return the engines of the domain as the holder last read them."""
+        return self._engines
+
+    async def start(self) -> None:
+        """Begin to compete for the lease."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop, and give up the lease so that another goes on at once."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+            self._task = None
+        transaction = self._lease.release()
+        if transaction is None:
+            return
+        try:
+            await self._tables.transact(transaction)
+        except MustardquayError as error:
+            logger.info("%s: the lease runs out by itself: %s", self._domain, error)
+
+    def wake(self) -> None:
+        """Read the rows at the next turn, since a decider has something new."""
+        self._idle_rounds = 0
+
+    async def turn(self) -> None:
+        """Renew or compete, then write what is due; never raises store errors."""
+        try:
+            if self._held or self._is_candidate():
+                await self._compete()
+            self._note_lease()
+            if self._held:
+                await self._carry_out()
+        except MustardquayError as error:
+            logger.info("%s: nothing can be ordered: %s", self._domain, error)
+            self._note_lease()
+
+    async def _run(self) -> None:
+        while True:
+            await self.turn()
+            await self._sleep(self._interval * (0.75 + self._random.random() / 2))
+
+    async def _compete(self) -> None:
+        lease = await self._tables.read(LEASES, self._domain)
+        beat = await self._tables.read(BEATS, self._domain)
+        self._lease.observe(LeaseRows(lease, beat), self._clock.monotonic())
+        transaction = self._lease.propose(self._clock.monotonic())
+        if transaction is not None:
+            result = await self._tables.transact(transaction)
+            self._lease.settle(result, transaction)
+
+    def _note_lease(self) -> None:
+        held = self._lease.is_held(self._clock.monotonic())
+        if held != self._held:
+            self._held = held
+            self._idle_rounds = 0
+            lease_changed.send(self, held=held, fence=self._lease.fence)
+
+    async def _carry_out(self) -> None:
+        configuration = self._get_configuration()
+        if configuration.version != self._seen_version:
+            self._idle_rounds = 0
+        self._idle_rounds -= 1
+        if self._idle_rounds > 0:
+            return
+        self._engines = await read_engines(
+            self._tables, self._domain, self._find_instance
+        )
+        self._seen_version = configuration.version
+        proposals = self._decide(configuration)
+        if proposals:
+            await self._write(proposals)
+        if proposals or not all(status.is_available for status in self._engines):
+            return
+        self._idle_rounds = IDLE_ROUNDS
+
+    def _decide(
+        self, configuration: Configuration
+    ) -> list[tuple[EngineStatus, OrderRow]]:
+        now = self._clock.now()
+        for decide in self._deciders:
+            proposals = decide(configuration, self._engines, now)
+            if proposals:
+                return proposals
+        return []
+
+    async def _write(self, proposals: list[tuple[EngineStatus, OrderRow]]) -> None:
+        keys = [f"{self._domain}/{status.upstream.name}" for status, _ in proposals]
+        conditions = tuple(
+            Condition(ORDERS, key, status.row_revision)
+            for key, (status, _) in zip(keys, proposals, strict=True)
+        )
+        writes = tuple(
+            Write(ORDERS, key, encode(row))
+            for key, (_, row) in zip(keys, proposals, strict=True)
+        )
+        # An answer that is lost needs no reading back: the rows are read anew
+        # before the next ones are decided.
+        result = await self._tables.transact(
+            fence_writes(
+                self._domain, self._lease.fence, *writes, conditions=conditions
+            )
+        )
+        if result:
+            rows = {status.upstream.name: row for status, row in proposals}
+            logger.info("%s: new order rows: %s", self._domain, rows)
+            rows_written.send(self, rows=rows)
+
+
+async def read_engines(
+    tables: TableService,
+    domain: str = "",
+    find_instance: Callable[[str], str] = lambda upstream: upstream,
+) -> list[EngineStatus]:
+    """Return what the tables say of the engines of a domain, or of all domains."""
+    prefix = f"{domain}/" if domain else ""
+    orders = await _scan(tables, ORDERS, prefix)
+    reports = await _scan(tables, REPORTS, prefix)
+    engines = []
+    for key in sorted(orders.keys() | reports.keys()):
+        zone, _, name = key.partition("/")
+        row, report = orders.get(key), reports.get(key)
+        status = EngineStatus(
+            FleetUpstream(name, zone, find_instance(name)),
+            None if row is None else decode(OrderRow, row.value),
+            0 if row is None else row.revision,
+            None if report is None else decode(EngineReport, report.value),
+        )
+        engines.append(_note_models(status))
+    return engines
+
+
+def make_cost_check(
+    tables: TableService, find_instance: Callable[[str], str]
+) -> EditCheck:
+    """Return a check of edits that tells and weighs the cost of planned changes."""
+
+    async def check(result: Configuration, edit: Edit) -> list[Cost]:
+        values = [amendment.value for amendment in edit.amendments]
+        if not any(isinstance(value, PlannedChange | Release) for value in values):
+            return []
+        engines = await read_engines(tables, find_instance=find_instance)
+        return check_costs(result, edit, [status.upstream for status in engines])
+
+    return check
+
+
+async def _scan(tables: TableService, table: str, prefix: str) -> dict[str, Row]:
+    found: dict[str, Row] = {}
+    after = prefix
+    while True:
+        rows = await tables.scan(table, after, SCAN_LIMIT)
+        for row in rows:
+            if not row.key.startswith(prefix):
+                return found
+            found[row.key] = row
+        if len(rows) < SCAN_LIMIT:
+            return found
+        after = rows[-1].key
+
+
+def _note_models(status: EngineStatus) -> EngineStatus:
+    models: set[str] = set()
+    if status.row is not None:
+        models.update(status.row.desired.models)
+    elif status.report is not None:
+        models.update(status.report.models)
+    upstream = replace(status.upstream, models=frozenset(models))
+    return replace(status, upstream=upstream)
--- a/packages/mustardquay-node/src/mustardquay_node/editors.py
+++ b/packages/mustardquay-node/src/mustardquay_node/editors.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from random import Random
 
@@ -42,7 +42,7 @@
 
 logger = logging.getLogger(__name__)
 
-EditCheck = Callable[[Configuration, Edit], object]
+EditCheck = Callable[[Configuration, Edit], Awaitable[object]]
 """Raises `DocumentError` when the edit must not lead to this configuration."""
 
 FIRST_WAIT = timedelta(milliseconds=100)
@@ -110,7 +110,7 @@
             configuration = self._keeper.configuration
         result = check_edit(configuration, edit, self._catalogue())
         for check in self._checks:
-            check(result, edit)
+            await check(result, edit)
         return Entry(read_version(head) + 1, edit), head
 
     async def _commit(
--- a/packages/mustardquay/src/mustardquay/rollouts.py
+++ b/packages/mustardquay/src/mustardquay/rollouts.py
@@ -43,7 +43,7 @@
     configuration: Configuration, engines: Sequence[EngineStatus], now: datetime
 ) -> list[tuple[EngineStatus, OrderRow]]:
     """Return the rows to write now; the next ones follow when these are reached."""
-    adopted = [status for status in engines if status.row is None and status.report]
+    adopted = [status for status in engines if _is_adoptable(status)]
     if adopted:
         return [(status, _adopt(status.report)) for status in adopted[:ADOPTIONS]]
     engines = [status for status in engines if status.row is not None]
@@ -56,6 +56,12 @@
     return proposals
 
 
+def _is_adoptable(status: EngineStatus) -> bool:
+    if status.row is not None or status.report is None:
+        return False
+    return status.report.ready
+
+
 def _adopt(report: EngineReport) -> OrderRow:
     desired = Desired(report.role, dict(report.models), report.adapters)
     return OrderRow(1, desired, "adopted")
