--- a/packages/mustardquay-node/src/mustardquay_node/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/exchanges.py
@@ -75,9 +75,8 @@
 class Dispatch(Protocol):
     """What an exchange needs of the process it runs in."""
 
-    def choose(
-        self, call: Call, avoid: frozenset[str]
-    ) -> "UpstreamView | Refusal": ...
+    def choose(self, call: Call, avoid: frozenset[str]) -> UpstreamView | Refusal:
+        """Return the upstream for the next attempt."""
 
     def reserve(self, exchange: "Exchange") -> int:
         """Return the stream number of a new attempt."""
@@ -91,6 +90,9 @@
     def reach(self, upstream: str, incarnation: int) -> bool | None:
         """Return whether this incarnation has a link; None if it is gone."""
 
+    def expect_cached(self, upstream: str, work: Work) -> int:
+        """Return the prompt tokens that the upstream should have cached."""
+
     def now(self) -> timedelta:
         """Return the monotonic time."""
 
@@ -179,9 +181,7 @@
         """Note that the caller has taken `size` bytes; lets more be sent."""
         self._taken += size
         if self._taken >= CREDIT_STEP and self._state.phase is not Phase.ENDED:
-            self._dispatch.send(
-                self._state.upstream, Credit(self._stream, self._taken)
-            )
+            self._dispatch.send(self._state.upstream, Credit(self._stream, self._taken))
             self._taken = 0
 
     def _act(self, actions: list[Action]) -> None:
@@ -279,6 +279,8 @@
             repeatable=work.repeatable,
             streamed=call.streamed,
             version=call.version,
+            cached_tokens=self._dispatch.expect_cached(action.upstream, work),
+            between_tokens=work.between_tokens,
         )
 
     def _begin_reattach(self, action: ReattachAttempt) -> None:
--- a/packages/mustardquay-node/src/mustardquay_node/frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/frames.py
@@ -11,10 +11,12 @@
 
 import capnp
 
+from mustardquay.caches import CacheEvent
 from mustardquay.errors import ProtocolError, Reason
 from mustardquay.events import Stamp
 from mustardquay.messages import (
     Attempt,
+    CacheEvents,
     Cancel,
     Chunk,
     ConfigurationEntries,
@@ -160,6 +162,8 @@
     built.repeatable = attempt.repeatable
     built.streamed = attempt.streamed
     built.version = attempt.version
+    built.cachedTokens = attempt.cached_tokens
+    built.betweenTokens = _to_microseconds(attempt.between_tokens)
 
 
 def _read_attempt(read: Any) -> Attempt:
@@ -186,6 +190,8 @@
         repeatable=read.repeatable,
         streamed=read.streamed,
         version=read.version,
+        cached_tokens=read.cachedTokens,
+        between_tokens=timedelta(microseconds=read.betweenTokens),
     )
 
 
@@ -199,9 +205,7 @@
 
 
 def _read_reattach(read: Any) -> Reattach:
-    return Reattach(
-        read.stream, read.request, read.number, read.incarnation, read.have
-    )
+    return Reattach(read.stream, read.request, read.number, read.incarnation, read.have)
 
 
 def _write_cancel(frame: Any, cancel: Cancel) -> None:
@@ -307,6 +311,7 @@
     built.running = heartbeat.running
     built.prefillRate = heartbeat.prefill_rate
     built.decodeRate = heartbeat.decode_rate
+    built.concurrency = heartbeat.concurrency
     if heartbeat.crashes:
         _write_crashes(built, heartbeat.crashes)
 
@@ -326,6 +331,7 @@
         running=read.running,
         prefill_rate=read.prefillRate,
         decode_rate=read.decodeRate,
+        concurrency=read.concurrency,
         crashes=tuple(_read_crash_record(record) for record in read.crashes),
     )
 
@@ -335,8 +341,12 @@
     for position, record in enumerate(records):
         built[position].fingerprint = record.fingerprint
         built[position].remaining = _to_microseconds(record.remaining)
-        _write_crash_ids(built[position].init("crashes", len(record.crashes)), record.crashes)
-        _write_crash_ids(built[position].init("cleared", len(record.cleared)), record.cleared)
+        _write_crash_ids(
+            built[position].init("crashes", len(record.crashes)), record.crashes
+        )
+        _write_crash_ids(
+            built[position].init("cleared", len(record.cleared)), record.cleared
+        )
 
 
 def _write_crash_ids(built: Any, crashes: Iterable[CrashId]) -> None:
@@ -354,6 +364,24 @@
     )
 
 
+def _write_cache_events(frame: Any, message: CacheEvents) -> None:
+    built = frame.init("cacheEvents")
+    built.boot = message.boot
+    built.oldest = message.oldest
+    events = built.init("events", len(message.events))
+    for position, event in enumerate(message.events):
+        events[position].number = event.number
+        events[position].stored = event.stored
+        events[position].piece = event.piece
+
+
+def _read_cache_events(read: Any) -> CacheEvents:
+    events = tuple(
+        CacheEvent(event.number, event.stored, event.piece) for event in read.events
+    )
+    return CacheEvents(read.boot, read.oldest, events)
+
+
 def _write_entries(frame: Any, message: ConfigurationEntries) -> None:
     frame.configurationEntries = list(message.entries)
 
@@ -379,6 +407,7 @@
     Refused: _write_refused,
     Failed: _write_failed,
     Heartbeat: _write_heartbeat,
+    CacheEvents: _write_cache_events,
     ConfigurationEntries: _write_entries,
     ConfigurationWanted: _write_wanted,
 }
@@ -396,6 +425,7 @@
     "refused": _read_refused,
     "failed": _read_failed,
     "heartbeat": _read_heartbeat,
+    "cacheEvents": _read_cache_events,
     "configurationEntries": _read_entries,
     "configurationWanted": ConfigurationWanted,
 }
--- a/packages/mustardquay-node/src/mustardquay_node/reports.py
+++ b/packages/mustardquay-node/src/mustardquay_node/reports.py
@@ -2,14 +2,17 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import Any, Literal
 
 import orjson
 
+from mustardquay.caches import CacheEvent
+from mustardquay.messages import CacheEvents
 from mustardquay.works import Role
 
+from .loops import start_loop
 from .upstreams import CallEnd, UpstreamCall, UpstreamClient
 
 __all__ = ["Reporter", "UpstreamReport"]
@@ -32,6 +35,8 @@
     running: int = 0
     prefill_rate: float = 0.0
     decode_rate: float = 0.0
+    cache_events: CacheEvents | None = None
+    """The events since the report before; None when there are none."""
 
 
 class Reporter:
@@ -52,6 +57,8 @@
         self._report = UpstreamReport()
         self._task: asyncio.Task[None] | None = None
         self._probing: asyncio.Future[str] | None = None
+        self._cache_boot = ""
+        self._cache_number = 0
 
     @property
     def report(self) -> UpstreamReport:
@@ -60,7 +67,7 @@
 
     def start(self) -> None:
         """Begin to ask."""
-        self._task = asyncio.create_task(self._ask_always())
+        self._task = start_loop(self.ask, self._interval)
 
     async def close(self) -> None:
         """Ask no more."""
@@ -78,21 +85,15 @@
             self._probing = asyncio.ensure_future(self._ask_boot())
         return self._probing
 
-    async def ask(self) -> UpstreamReport:
+    async def ask(self) -> None:
         """Ask now, over a new connection."""
         before = self._report
         self._report = await self._read_report()
         self._changed(before, self._report)
-        return self._report
 
     async def _ask_boot(self) -> str:
-        report = await self.ask()
-        return report.boot if report.reachable else ""
-
-    async def _ask_always(self) -> None:
-        while True:
-            await self.ask()
-            await asyncio.sleep(self._interval.total_seconds())
+        await self.ask()
+        return self._report.boot
 
     async def _read_report(self) -> UpstreamReport:
         load = await self._get("/load")
@@ -108,7 +109,22 @@
         state = await self._get("/state")
         if state is None:
             return UpstreamReport()
-        return _make_engine_report(state, load)
+        report = _make_engine_report(state, load)
+        return replace(report, cache_events=await self._read_cache_events(report.boot))
+
+    async def _read_cache_events(self, boot: str) -> CacheEvents | None:
+        if boot != self._cache_boot:
+            self._cache_boot = boot
+            self._cache_number = 0
+        answer = await self._get(f"/cache/events?after={self._cache_number}")
+        if answer is None or not answer.get("events"):
+            return None
+        events = tuple(
+            CacheEvent(event["number"], event["kind"] == "stored", event["piece"])
+            for event in answer["events"]
+        )
+        self._cache_number = max(event.number for event in events)
+        return CacheEvents(boot, int(answer["oldest"]), events)
 
     async def _get(self, path: str) -> dict[str, Any] | None:
         parts: list[bytes] = []
--- a/packages/mustardquay/src/mustardquay/attempts.py
+++ b/packages/mustardquay/src/mustardquay/attempts.py
@@ -231,6 +231,8 @@
         """Wait for an upstream within the budget, or give up at once."""
         if self._phase is not Phase.CHOOSING:
             return []
+        if refusal.reason in FINAL_REASONS:
+            return self._finish(refusal)
         return self._back_off_or_finish(refusal)
 
     def send_failed(self) -> list[Action]:
@@ -335,9 +337,7 @@
     def _reattach(self) -> list[Action]:
         self._phase = Phase.REATTACHING
         return [
-            ReattachAttempt(
-                self._number, self._upstream, self._incarnation, self._have
-            )
+            ReattachAttempt(self._number, self._upstream, self._incarnation, self._have)
         ]
 
     def _after_refusal(self, refusal: Refusal) -> list[Action]:
