--- a/packages/mustardquay-node/src/mustardquay_node/engines.py
+++ b/packages/mustardquay-node/src/mustardquay_node/engines.py
@@ -33,7 +33,7 @@
 
 
 class _StateDocument(BaseModel):
-    model_config = ConfigDict(extra="ignore")
+    model_config = ConfigDict(extra="ignore", coerce_numbers_to_str=True)
 
     boot: str
     fence: int
--- a/packages/mustardquay/src/mustardquay/machines.py
+++ b/packages/mustardquay/src/mustardquay/machines.py
@@ -211,7 +211,7 @@
         return not self._state.changing
 
     def _is_over(self, state: EngineState, asked_at: timedelta) -> bool:
-        if state.changing or asked_at < self._sent_at:
+        if state.changing or asked_at <= self._sent_at:
             return False
         if self._accepted:
             # Carried out, or lost in a crash of the engine: it can't come again.
--- a/packages/mustardquay/tests/test_leases.py
+++ b/packages/mustardquay/tests/test_leases.py
@@ -54,6 +54,12 @@
         self.deliver(number, copy=False, lost=False)
         self.settle(number)
 
+    @rule(number=CANDIDATES)
+    def prepare(self, number):
+        """Do all the steps of a turn up to a transaction that comes late."""
+        self.read(number)
+        self.propose(number)
+
     @rule(seconds=st.sampled_from([1, 3, 5, 10]))
     def advance(self, seconds):
         self.now += timedelta(seconds=seconds)
