--- a/packages/mustardquay/tests/test_machines.py
+++ b/packages/mustardquay/tests/test_machines.py
@@ -320,6 +320,21 @@
     assert machine.decide(seconds(6)) is Step.REREAD
 
 
+def test_a_state_from_before_an_order_does_not_end_it():
+    """The engine would get the next order while it carries out this one.
+
+    Its state was asked for just before the order, and the answer comes behind the
+    confirmation, so that it seems to show an engine that is done.
+    """
+    machine = make_machine()
+    machine.observe(make_state(m="1"), seconds(0))
+    machine.reread(OrderRow(1, Desired(models={"m": "2"})), 1, seconds(1))
+    machine.begin_order(seconds(1))
+    machine.end_order(OrderAnswer.ACCEPTED, seconds(2))
+    machine.observe(make_state(m="1"), seconds(2))
+    assert machine.decide(seconds(3)) is Step.WAIT
+
+
 def test_an_order_that_failed_is_not_taken_for_its_repetition():
     """The engine would get a third order while the second is still on its way.
 
