--- a/packages/mustardquay/src/mustardquay/costs.py
+++ b/packages/mustardquay/src/mustardquay/costs.py
@@ -4,6 +4,7 @@
 honour the contracts is refused unless the operator accepts just that.
 """
 
+from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -86,8 +87,14 @@
     rates = {item.name: item.rate for item in fleet}
     fresh = [name for name in targets if name not in away]
     if change.action is Action.REPLACE:
-        # One at a time: the worst moment is that of the largest one.
-        fresh = sorted(fresh, key=lambda name: rates[name])[-1:]
+        # One instance at a time: the worst moment is that of the largest one.
+        instances: dict[str, list[str]] = defaultdict(list)
+        for item in fleet:
+            if item.name in fresh:
+                instances[item.instance].append(item.name)
+        fresh = max(
+            instances.values(), key=lambda names: sum(map(rates.get, names)), default=[]
+        )
     lost = sum(rates[name] for name in fresh) / whole
     gone = away | set(fresh)
     remaining = sum(rate for name, rate in rates.items() if name not in gone) / whole
