Count spare engines of a small fleet over all its zones

A zone of two engines never has one to spare by itself, and three zones that each took one at a time would take half of a small fleet. Its zones now take a release one after the other, by the rows of all of them. An engine that fails at a version gets the previous one when the release is taken back.

--- a/packages/mustardquay-node/src/mustardquay_node/controllers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/controllers.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 from datetime import datetime, timedelta
 from random import Random
@@ -16,7 +16,7 @@
 from blinker import Signal
 
 from mustardquay.clocks import Clock
-from mustardquay.costs import Cost, FleetUpstream, check_costs
+from mustardquay.costs import SMALL_FLEET, Cost, FleetUpstream, check_costs
 from mustardquay.encodings import decode, encode
 from mustardquay.errors import MustardquayError
 from mustardquay.leases import BEATS, LEASES, Lease, LeaseRows, fence_writes
@@ -44,10 +44,12 @@
 rows_written = Signal("Sent by a controller, with `rows`, the new ones by engine.")
 
 Decider: TypeAlias = Callable[
-    [Configuration, Sequence[EngineStatus], datetime],
+    [Configuration, Sequence[EngineStatus], datetime, Sequence[EngineStatus]],
     list[tuple[EngineStatus, OrderRow]],
 ]
-"""Returns the rows to write now; an empty list leaves the turn to the next one."""
+"""Returns the rows to write now; an empty list leaves the turn to the next one.
+
+The engines are those of the domain and, in a small fleet, those of all domains."""
 
 SCAN_LIMIT = 1000
 IDLE_ROUNDS = 10
@@ -58,8 +60,9 @@
     """Holds or waits for the lease of one domain.
 
     `candidate` must be unique for each start of a process. `is_candidate` says at
-    each turn whether this process is one of those that may hold the lease, and
-    `find_instance` names the instance of an upstream.
+    each turn whether this process is one of those that may hold the lease,
+    `find_instance` names the instance of an upstream, and `count_agents` says how
+    many agents the fleet has.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         random: Random,
         is_candidate: Callable[[], bool] = lambda: True,
         find_instance: Callable[[str], str] = lambda upstream: upstream,
+        count_agents: Callable[[], int] = lambda: 1,
         deciders: tuple[Decider, ...] = (propose_rows,),
         term: timedelta = timedelta(seconds=10),
         sleep: Sleep = default_sleep,
@@ -83,6 +87,7 @@
         self._random = random
         self._is_candidate = is_candidate
         self._find_instance = find_instance
+        self._count_agents = count_agents
         self._deciders = deciders
         self._interval = term / 4
         self._sleep = sleep
@@ -170,23 +175,36 @@
         self._idle_rounds -= 1
         if self._idle_rounds > 0:
             return
-        self._engines = await read_engines(
-            self._tables, self._domain, self._find_instance
-        )
+        fleet = await self._read_fleet()
         self._seen_version = configuration.version
-        proposals = self._decide(configuration)
+        proposals = self._decide(configuration, fleet)
         if proposals:
             await self._write(proposals)
-        if proposals or not all(status.is_available for status in self._engines):
+        # Also while another zone has the turn in a release.
+        if proposals or not all(
+            status.is_available for status in fleet or self._engines
+        ):
             return
         self._idle_rounds = IDLE_ROUNDS
 
+    async def _read_fleet(self) -> list[EngineStatus]:
+        """Read the rows of the domain and, in a small fleet, those of all."""
+        small = self._count_agents() <= SMALL_FLEET
+        domain = "" if small else self._domain
+        fleet = await read_engines(self._tables, domain, self._find_instance)
+        self._engines = [
+            status
+            for status in fleet
+            if status.upstream.availability_zone == self._domain
+        ]
+        return fleet if small else []
+
     def _decide(
-        self, configuration: Configuration
+        self, configuration: Configuration, fleet: Sequence[EngineStatus]
     ) -> list[tuple[EngineStatus, OrderRow]]:
         now = self._clock.now()
         for decide in self._deciders:
-            proposals = decide(configuration, self._engines, now)
+            proposals = decide(configuration, self._engines, now, fleet)
             if proposals:
                 return proposals
         return []
@@ -267,10 +285,9 @@
 
 
 def _note_models(status: EngineStatus) -> EngineStatus:
-    models: set[str] = set()
+    models: Mapping[str, str] = {}
     if status.row is not None:
-        models.update(status.row.desired.models)
+        models = status.row.desired.models
     elif status.report is not None:
-        models.update(status.report.models)
-    upstream = replace(status.upstream, models=frozenset(models))
-    return replace(status, upstream=upstream)
+        models = status.report.models
+    return replace(status, upstream=replace(status.upstream, models=models))
--- a/packages/mustardquay/src/mustardquay/costs.py
+++ b/packages/mustardquay/src/mustardquay/costs.py
@@ -14,6 +14,7 @@
 from .revisions import Configuration, Edit
 
 __all__ = [
+    "SMALL_FLEET",
     "Cost",
     "FleetUpstream",
     "check_costs",
@@ -23,6 +24,8 @@
 ]
 
 TOLERANCE = 1e-9
+SMALL_FLEET = 300
+"""Up to so many engines, spare engines are counted over all zones together."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,7 +35,8 @@
     name: str
     availability_zone: str
     instance: str
-    models: frozenset[str] = frozenset()
+    models: Mapping[str, str] = field(default_factory=dict)
+    """Version by model."""
     rate: float = 1.0
     """Its part in the fleet's work, in any unit that is the same for all."""
 
@@ -159,25 +163,29 @@
     release: Release, result: Configuration, fleet: Sequence[FleetUpstream]
 ) -> None:
     shares = sum(contract.share for contract in result.contracts.values())
-    for zone, engines in _group_engines(release, fleet).items():
-        if count_spare(shares, engines, release.accept_overload) < 1:
+    for name, engines in _group_engines(release, fleet).items():
+        if all(item.models[release.model] == release.version for item in engines):
+            continue
+        if count_spare(shares, len(engines), release.accept_overload) < 1:
             raise DocumentError(
                 f"The contracts over {shares:.4f} of the fleet spare none of the "
-                f"{engines} engines in {zone} for the release of {release.model}; "
-                "lower shares or set accept_overload."
+                f"{len(engines)} engines {name} for the release of "
+                f"{release.model}; lower shares or set accept_overload."
             )
 
 
-def _group_engines(release: Release, fleet: Iterable[FleetUpstream]) -> dict[str, int]:
-    engines: dict[str, int] = {}
+def _group_engines(
+    release: Release, fleet: Sequence[FleetUpstream]
+) -> dict[str, list[FleetUpstream]]:
+    groups: dict[str, list[FleetUpstream]] = defaultdict(list)
     for item in fleet:
         if release.model not in item.models:
             continue
-        if release.availability_zones:
-            if item.availability_zone not in release.availability_zones:
-                continue
-        engines[item.availability_zone] = engines.get(item.availability_zone, 0) + 1
-    return engines
+        zone = item.availability_zone
+        if release.availability_zones and zone not in release.availability_zones:
+            continue
+        groups["in all" if len(fleet) <= SMALL_FLEET else f"in {zone}"].append(item)
+    return groups
 
 
 def _is_target(change: PlannedChange, upstream: FleetUpstream) -> bool:
--- a/packages/mustardquay/src/mustardquay/rollouts.py
+++ b/packages/mustardquay/src/mustardquay/rollouts.py
@@ -40,9 +40,17 @@
 
 
 def propose_rows(
-    configuration: Configuration, engines: Sequence[EngineStatus], now: datetime
+    configuration: Configuration,
+    engines: Sequence[EngineStatus],
+    now: datetime,
+    fleet: Sequence[EngineStatus] = (),
 ) -> list[tuple[EngineStatus, OrderRow]]:
-    """Return the rows to write now; the next ones follow when these are reached."""
+    """Return the rows to write now; the next ones follow when these are reached.
+
+    `engines` are those of the domain. `fleet` is given for a small fleet and has
+    those of all domains: its zones may be too small to spare an engine each, so
+    that they take a release one after the other.
+    """
     adopted = [status for status in engines if _is_adoptable(status)]
     if adopted:
         return [(status, _adopt(status.report)) for status in adopted[:ADOPTIONS]]
@@ -52,7 +60,7 @@
     if not proposals:
         proposals = _propose_removals(engines, causes)
     if not proposals:
-        proposals = _propose_releases(configuration, engines, causes)
+        proposals = _propose_releases(configuration, engines, fleet or engines)
     return proposals
 
 
@@ -169,45 +177,65 @@
 def _propose_releases(
     configuration: Configuration,
     engines: Sequence[EngineStatus],
-    causes: dict[str, PlannedChange],
+    fleet: Sequence[EngineStatus],
 ) -> list[tuple[EngineStatus, OrderRow]]:
     shares = sum(contract.share for contract in configuration.contracts.values())
     releases = sorted(configuration.releases.values(), key=lambda item: item.model)
     for release in releases:
-        proposals = _propose_release(release, shares, engines)
+        proposals = _propose_release(release, shares, engines, fleet)
         if proposals:
             return proposals
     return []
 
 
 def _propose_release(
-    release: Release, shares: float, engines: Sequence[EngineStatus]
+    release: Release,
+    shares: float,
+    engines: Sequence[EngineStatus],
+    fleet: Sequence[EngineStatus],
 ) -> list[tuple[EngineStatus, OrderRow]]:
-    serving = [item for item in engines if release.model in item.row.desired.models]
-    late = [item for item in serving if _needs_release(item, release)]
-    if not late:
+    late = [item for item in engines if _can_take(item, release)]
+    zones = {
+        item.upstream.availability_zone for item in fleet if _can_take(item, release)
+    }
+    # The first zone goes first. Two holders that each looked before the other wrote
+    # would otherwise take an engine each where only one can be spared.
+    if not late or late[0].upstream.availability_zone != min(zones):
         return []
+    serving = [
+        item for item in fleet if item.row and release.model in item.row.desired.models
+    ]
     spare = count_spare(shares, len(serving), release.accept_overload)
     largest = max(1, len(serving) // LARGEST_PART)
     away = sum(not item.is_available for item in serving)
     free = min(spare, largest) - away
-    # An engine that is away already costs nothing more; of the others, those that
-    # come last by name wait, so that a version that fails stops at the first ones.
+    # One that is away costs nothing more. Of the others the first by name go first,
+    # so that a version that fails stops at these.
     late.sort(key=lambda item: (item.is_available, item.upstream.name))
     chosen = []
     for status in late:
-        if not status.is_available:
-            if status.row.desired.serving:
-                continue
-        elif free <= 0:
-            break
-        else:
+        if status.is_available:
+            if free <= 0:
+                break
             free -= 1
         chosen.append((status, _release(status.row, release)))
     return chosen
 
 
+def _can_take(status: EngineStatus, release: Release) -> bool:
+    """Whether the engine lacks the release and is up to take it."""
+    if not _needs_release(status, release):
+        return False
+    if status.is_available or not status.row.desired.serving:
+        return True
+    # It can't do what its row asks for, perhaps the version that is taken back. One
+    # that is only down keeps its row: it comes back as it was.
+    return status.report is None or status.report.generation < status.row.generation
+
+
 def _needs_release(status: EngineStatus, release: Release) -> bool:
+    if status.row is None or release.model not in status.row.desired.models:
+        return False
     zones = release.availability_zones
     if zones and status.upstream.availability_zone not in zones:
         return False
