Learn how late first tokens come, and refuse by it

Cause: near and over capacity one answer in three to ten was accepted and came late, because the wait was reckoned from the prefill rate alone; the step's length, streams beside the prefill and earlier prompts were left out. Change: the queue learns the error of each expected first token (mean and twice the mean deviation) and adds it before it accepts work or gives up on it.

--- a/benchmarks/engine_costs.py
+++ b/benchmarks/engine_costs.py
@@ -15,7 +15,8 @@
   scheduling are taken as 0.1 ms a stream.
 - Roles set the prompt tokens of a step and the streams run at once. 512 is the budget
   that Agrawal et al. (Sarathi-Serve, OSDI 2024) use where gaps between tokens are
-  limited to about this contract's; 8192 is a whole prompt; 256 leaves room for twice the streams.
+  limited to about this contract's; 8192 is a whole prompt; 256 leaves
+  room for twice the streams.
 - A role change restarts the engine's scheduler: 5 s, and its prefix cache is lost.
 
 Nothing here was measured on an engine; change the constants to those of yours.
--- a/packages/mustardquay/src/mustardquay/queues.py
+++ b/packages/mustardquay/src/mustardquay/queues.py
@@ -41,6 +41,38 @@
     charge: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Prefill:
+    duration: timedelta
+    expected_at: timedelta
+    """When the first token would come at the known rate."""
+
+
+class _Margin:
+    """How much later than expected first tokens come, learned from each.
+
+    The mean error and twice its mean deviation, as for retransmission timers
+    (Jacobson, SIGCOMM 1988). It holds what no rate says: the length of a step, streams
+    beside the prefill, an engine that has grown slow.
+    """
+
+    def __init__(self):
+        self._mean = 0.0
+        self._deviation = 0.0
+
+    @property
+    def value(self) -> timedelta:
+        """Return the margin, 0 before the first token, at most a second."""
+        margin = self._mean + 2.0 * self._deviation
+        return timedelta(seconds=min(max(margin, 0.0), 1.0))
+
+    def learn(self, error: float) -> None:
+        """Take in an error in seconds; positive when the token came late."""
+        error = min(max(error, -1.0), 2.0)
+        self._deviation += 0.1 * (abs(error - self._mean) - self._deviation)
+        self._mean += 0.1 * (error - self._mean)
+
+
 class FairQueue:
     """Work that waits at one agent, bounded in number.
 
@@ -71,7 +103,8 @@
         self._waiting: dict[tuple[str, int], tuple[timedelta, int, Work]] = {}
         self._running: dict[tuple[str, int], _Running] = {}
         self._running_of: dict[str, int] = {}
-        self._prefilling: dict[tuple[str, int], timedelta] = {}
+        self._prefilling: dict[tuple[str, int], _Prefill] = {}
+        self._margin = _Margin()
         self._prefilled_at = timedelta()
         self._given_up: list[Work] = []
         self._waiting_tokens = 0
@@ -112,7 +145,7 @@
         wait = self.predict_wait(work, now)
         if len(self._waiting) >= self._capacity:
             return _refuse(Reason.OVERLOAD, "The queue of this upstream is full", wait)
-        late = now + wait + self._prefill_time(work.uncached_tokens) - work.start_by
+        late = now + wait + self._first_token_time(work) - work.start_by
         if late > timedelta():
             return _refuse(Reason.DEADLINE, "The deadline can't be met here", late)
         self._enqueue(work)
@@ -155,8 +188,11 @@
 
     def note_first_token(self, key: tuple[str, int], now: timedelta) -> None:
         """Note that the prefill of a running attempt is over."""
-        if self._prefilling.pop(key, None) is not None:
-            self._prefilled_at = now + sum(self._prefilling.values(), timedelta())
+        prefill = self._prefilling.pop(key, None)
+        if prefill is not None:
+            self._margin.learn((now - prefill.expected_at).total_seconds())
+            left = (other.duration for other in self._prefilling.values())
+            self._prefilled_at = now + sum(left, timedelta())
 
     def finish(self, key: tuple[str, int], output_tokens: int, now: timedelta) -> None:
         """Note that a running attempt has ended and what it produced."""
@@ -260,7 +296,7 @@
             self._close_turn(lane)
         own = self._prefill_time(work.uncached_tokens)
         self._prefilled_at = max(self._prefilled_at, now) + own
-        self._prefilling[work.key] = own
+        self._prefilling[work.key] = _Prefill(own, self._prefilled_at)
         self._running[work.key] = _Running(work, cost)
         self._running_of[customer] = self._running_of.get(customer, 0) + 1
         self._usage.charge(customer, cost, now)
@@ -274,7 +310,7 @@
     def _drop_hopeless(self, lane: _Lane, now: timedelta) -> None:
         while lane.entries:
             entry = lane.entries[0]
-            if now + self._prefill_time(entry[-1].uncached_tokens) <= entry[0]:
+            if now + self._first_token_time(entry[-1]) <= entry[0]:
                 return
             self._remove(lane, entry)
             self._given_up.append(entry[-1])
@@ -286,6 +322,9 @@
     def _prefill_time(self, tokens: float) -> timedelta:
         return timedelta(seconds=tokens / self._prefill_rate)
 
+    def _first_token_time(self, work: Work) -> timedelta:
+        return self._prefill_time(work.uncached_tokens) + self._margin.value
+
     def _prefill_left(self, now: timedelta) -> timedelta:
         return max(self._prefilled_at - now, timedelta())
 
