Let the benchmark's loop void older returns of an engine

Change: only the latest return counts and waits for an empty engine; a run that loses a request now fails.

--- a/benchmarks/loops.py
+++ b/benchmarks/loops.py
@@ -110,6 +110,8 @@
     draining: bool = False
     jobs: dict[tuple[str, int], tuple[Arrival, int]] = field(default_factory=dict)
     version: int = 0
+    epoch: int = 0
+    """Raised whenever the engine goes away or is drained: older returns are void."""
 
 
 class Loop:
@@ -127,6 +129,7 @@
     ):
         self._clock = VirtualClock()
         self._seconds = seconds
+        self._offered = len(arrivals)
         self._lag = report_lag
         self._events_lost = events_lost
         self._random = Random(seed)
@@ -154,6 +157,8 @@
             now = timedelta(seconds=at)
             self._clock.advance(max(now - self._clock.monotonic(), timedelta()))
             function(at, *arguments)
+        if len(self._run.answers) != self._offered:
+            raise RuntimeError("A request was lost by the loop; mend the loop.")
         return self._run
 
     def _at(self, at: float, function: Callable[..., None], *arguments: Any) -> None:
@@ -366,10 +371,19 @@
     def _restart(self, at: float, agent: _Agent) -> None:
         agent.away = True
         agent.version += 1
-        self._at(at + CHANGE_SECONDS, self._return, agent.engine.name, agent.planned)
+        self._plan_return(at + CHANGE_SECONDS, agent, agent.planned)
 
-    def _return(self, at: float, upstream: str, role: Role | None) -> None:
+    def _plan_return(self, at: float, agent: _Agent, role: Role | None) -> None:
+        agent.epoch += 1
+        self._at(at, self._return, agent.engine.name, role, agent.epoch)
+
+    def _return(self, at: float, upstream: str, role: Role | None, epoch: int) -> None:
         agent = self._agents[upstream]
+        if epoch != agent.epoch:
+            return
+        if agent.engine.running:
+            self._at(at + 1.0, self._return, upstream, role, epoch)
+            return
         agent.engine.restart(role or agent.engine.role, at)
         agent.away = agent.draining = False
         agent.planned = None
@@ -386,11 +400,12 @@
             agent.engine.slowness = 1.0
         elif fault.kind == "drain":
             agent.draining = True
+            agent.planned = None
             self._hand_back(at, agent)
-            self._at(at + fault.seconds, self._return, agent.engine.name, None)
+            self._plan_return(at + fault.seconds, agent, None)
         elif fault.kind == "lose":
             self._lose(at, agent)
-            self._at(at + fault.seconds, self._return, agent.engine.name, None)
+            self._plan_return(at + fault.seconds, agent, None)
         self._pump(at, agent)
 
     def _lose(self, at: float, agent: _Agent) -> None:
