Reckon with slots, and let customers within their share go first

Cause: work that waited for one of the engine's slots was accepted though it could not start in time; and in a flood customers within their share waited behind the flooder's turn on engines where they happened to want more than their local part. Change: the expected wait counts the slots that must become free; turns of customers under their share of the fleet go before all others.

--- a/packages/mustardquay/src/mustardquay/queues.py
+++ b/packages/mustardquay/src/mustardquay/queues.py
@@ -39,6 +39,7 @@
 class _Running:
     work: Work
     charge: float
+    started_at: timedelta
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,12 +100,13 @@
         self._lookahead = lookahead
         self._engines = max(engines, 1)
         self._lanes: dict[str, _Lane] = {}
-        self._turns: list[tuple[float, int, int, str]] = []
+        self._turns: list[tuple[bool, float, int, int, str]] = []
         self._waiting: dict[tuple[str, int], tuple[timedelta, int, Work]] = {}
         self._running: dict[tuple[str, int], _Running] = {}
         self._running_of: dict[str, int] = {}
         self._prefilling: dict[tuple[str, int], _Prefill] = {}
         self._margin = _Margin()
+        self._residence = 0.0
         self._prefilled_at = timedelta()
         self._given_up: list[Work] = []
         self._waiting_tokens = 0
@@ -148,7 +150,7 @@
         late = now + wait + self._first_token_time(work) - work.start_by
         if late > timedelta():
             return _refuse(Reason.DEADLINE, "The deadline can't be met here", late)
-        self._enqueue(work)
+        self._enqueue(work, now)
         return None
 
     def take(self, now: timedelta) -> Work | None:
@@ -201,6 +203,7 @@
         if running is None:
             return
         work = running.work
+        self._learn_residence(now - running.started_at)
         self._running_of[work.customer] -= 1
         if not self._running_of[work.customer]:
             del self._running_of[work.customer]
@@ -214,18 +217,20 @@
         whole queue is the most that can be ahead.
         """
         lane = self._lanes.get(work.customer)
-        own = lane.tokens if lane else 0
+        tokens = lane.tokens if lane else 0
+        count = len(lane.entries) if lane else 0
         shares = self._waiting_shares
-        if lane is None or not lane.entries:
+        if not count:
             shares += max(work.share, MINIMUM_SHARE)
-        fair = own * shares / max(work.share, MINIMUM_SHARE)
-        ahead = min(fair, self._waiting_tokens)
-        return self._prefill_left(now) + self._prefill_time(ahead)
+        stretch = shares / max(work.share, MINIMUM_SHARE)
+        prefill = self._prefill_time(min(tokens * stretch, self._waiting_tokens))
+        ahead = min(count * stretch, len(self._waiting))
+        return max(self._prefill_left(now) + prefill, self._slot_time(ahead))
 
-    def _enqueue(self, work: Work) -> None:
+    def _enqueue(self, work: Work, now: timedelta) -> None:
         lane = self._open_lane(work)
         if not lane.entries:
-            self._open_turn(work, lane)
+            self._open_turn(work, lane, now)
         self._sequence += 1
         entry = (work.start_by, self._sequence, work)
         insort(lane.entries, entry)
@@ -257,18 +262,19 @@
             if lane.in_turns or lane.tag > self._virtual
         }
 
-    def _open_turn(self, work: Work, lane: _Lane) -> None:
+    def _open_turn(self, work: Work, lane: _Lane, now: timedelta) -> None:
         if lane.in_turns:
             return
         lane.in_turns = True
         lane.share = max(work.share, MINIMUM_SHARE)
         self._waiting_shares += lane.share
-        self._push_turn(work, lane)
+        self._push_turn(work, lane, now)
 
-    def _push_turn(self, work: Work, lane: _Lane) -> None:
+    def _push_turn(self, work: Work, lane: _Lane, now: timedelta) -> None:
         lane.tag = max(lane.tag, self._virtual)
         self._sequence += 1
-        turn = (lane.tag, -work.priority, self._sequence, work.customer)
+        over = self._over_share(work.customer, lane, now) > 1.0
+        turn = (over, lane.tag, -work.priority, self._sequence, work.customer)
         heappush(self._turns, turn)
 
     def _close_turn(self, lane: _Lane) -> None:
@@ -291,21 +297,24 @@
         self._remove(lane, entry)
         lane.tag += cost * self._correct(customer, lane, now) / lane.share
         if lane.entries:
-            self._push_turn(lane.entries[0][-1], lane)
+            self._push_turn(lane.entries[0][-1], lane, now)
         else:
             self._close_turn(lane)
         own = self._prefill_time(work.uncached_tokens)
         self._prefilled_at = max(self._prefilled_at, now) + own
         self._prefilling[work.key] = _Prefill(own, self._prefilled_at)
-        self._running[work.key] = _Running(work, cost)
+        self._running[work.key] = _Running(work, cost, now)
         self._running_of[customer] = self._running_of.get(customer, 0) + 1
         self._usage.charge(customer, cost, now)
         return work
 
+    def _over_share(self, customer: str, lane: _Lane, now: timedelta) -> float:
+        """Return the customer's use of the fleet over its share of it."""
+        return self._usage.rate(customer, now) / (lane.share * self._engines)
+
     def _correct(self, customer: str, lane: _Lane, now: timedelta) -> float:
         """Return how much dearer a customer is that is over its share elsewhere."""
-        over = self._usage.rate(customer, now) / (lane.share * self._engines)
-        return min(max(over, 1.0), LARGEST_CORRECTION)
+        return min(max(self._over_share(customer, lane, now), 1.0), LARGEST_CORRECTION)
 
     def _drop_hopeless(self, lane: _Lane, now: timedelta) -> None:
         while lane.entries:
@@ -322,6 +331,16 @@
     def _prefill_time(self, tokens: float) -> timedelta:
         return timedelta(seconds=tokens / self._prefill_rate)
 
+    def _learn_residence(self, residence: timedelta) -> None:
+        seconds = min(max(residence.total_seconds(), 0.0), 60.0)
+        self._residence += 0.05 * (seconds - self._residence)
+
+    def _slot_time(self, ahead: float) -> timedelta:
+        """Return when a slot is free behind so many others, as slots have been."""
+        missing = len(self._running) + ahead + 1 - self._concurrency
+        seconds = max(missing, 0.0) * self._residence / self._concurrency
+        return timedelta(seconds=seconds)
+
     def _first_token_time(self, work: Work) -> timedelta:
         return self._prefill_time(work.uncached_tokens) + self._margin.value
 
