Reckon the wait by what a customer will not overtake

Change: the expected wait of a customer within its share counts only the others within theirs; that of one over its share counts all of the former.

--- a/packages/mustardquay/src/mustardquay/queues.py
+++ b/packages/mustardquay/src/mustardquay/queues.py
@@ -33,6 +33,8 @@
     tokens: int = 0
     """Uncached prompt tokens that wait."""
     in_turns: bool = False
+    over: bool = False
+    """Whether the customer was over its share when its turn was set."""
 
 
 @dataclass(slots=True)
@@ -42,6 +44,15 @@
     started_at: timedelta
 
 
+@dataclass(slots=True)
+class _Backlog:
+    """What waits of all the customers over their share, or of all the others."""
+
+    shares: float = 0.0
+    tokens: int = 0
+    count: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class _Prefill:
     duration: timedelta
@@ -109,15 +120,14 @@
         self._residence = 0.0
         self._prefilled_at = timedelta()
         self._given_up: list[Work] = []
-        self._waiting_tokens = 0
-        self._waiting_shares = 0.0
+        self._backlogs = (_Backlog(), _Backlog())
         self._virtual = 0.0
         self._sequence = 0
 
     @property
     def waiting_tokens(self) -> int:
         """Return the sum of the uncached prompt tokens that wait."""
-        return self._waiting_tokens
+        return sum(backlog.tokens for backlog in self._backlogs)
 
     @property
     def waiting(self) -> int:
@@ -217,15 +227,19 @@
         whole queue is the most that can be ahead.
         """
         lane = self._lanes.get(work.customer)
-        tokens = lane.tokens if lane else 0
-        count = len(lane.entries) if lane else 0
-        shares = self._waiting_shares
-        if not count:
-            shares += max(work.share, MINIMUM_SHARE)
-        stretch = shares / max(work.share, MINIMUM_SHARE)
-        prefill = self._prefill_time(min(tokens * stretch, self._waiting_tokens))
-        ahead = min(count * stretch, len(self._waiting))
-        return max(self._prefill_left(now) + prefill, self._slot_time(ahead))
+        share = max(work.share, MINIMUM_SHARE)
+        known = lane is not None and lane.in_turns
+        over = self._over_share(work.customer, share, now) > 1.0
+        # A customer within its share overtakes all that are over theirs.
+        first = _Backlog() if not over else self._backlogs[False]
+        level = self._backlogs[over]
+        stretch = (level.shares + (0.0 if known else share)) / share
+        tokens = min(lane.tokens * stretch if known else 0.0, level.tokens)
+        count = min(len(lane.entries) * stretch if known else 0.0, level.count)
+        prefill = self._prefill_time(first.tokens + tokens)
+        return max(
+            self._prefill_left(now) + prefill, self._slot_time(first.count + count)
+        )
 
     def _enqueue(self, work: Work, now: timedelta) -> None:
         lane = self._open_lane(work)
@@ -235,15 +249,19 @@
         entry = (work.start_by, self._sequence, work)
         insort(lane.entries, entry)
         self._waiting[work.key] = entry
-        lane.tokens += work.uncached_tokens
-        self._waiting_tokens += work.uncached_tokens
+        self._add(lane, work.uncached_tokens, 1)
 
     def _remove(self, lane: _Lane, entry: tuple[timedelta, int, Work]) -> None:
         work = entry[-1]
         del lane.entries[bisect_left(lane.entries, entry)]
         del self._waiting[work.key]
-        lane.tokens -= work.uncached_tokens
-        self._waiting_tokens -= work.uncached_tokens
+        self._add(lane, -work.uncached_tokens, -1)
+
+    def _add(self, lane: _Lane, tokens: int, count: int) -> None:
+        lane.tokens += tokens
+        backlog = self._backlogs[lane.over]
+        backlog.tokens += tokens
+        backlog.count += count
 
     def _open_lane(self, work: Work) -> _Lane:
         if len(self._lanes) > 2 * self._capacity:
@@ -267,19 +285,32 @@
             return
         lane.in_turns = True
         lane.share = max(work.share, MINIMUM_SHARE)
-        self._waiting_shares += lane.share
+        self._backlogs[lane.over].shares += lane.share
         self._push_turn(work, lane, now)
 
     def _push_turn(self, work: Work, lane: _Lane, now: timedelta) -> None:
         lane.tag = max(lane.tag, self._virtual)
         self._sequence += 1
-        over = self._over_share(work.customer, lane, now) > 1.0
-        turn = (over, lane.tag, -work.priority, self._sequence, work.customer)
+        self._set_over(lane, self._over_share(work.customer, lane.share, now) > 1.0)
+        turn = (lane.over, lane.tag, -work.priority, self._sequence, work.customer)
         heappush(self._turns, turn)
 
+    def _set_over(self, lane: _Lane, over: bool) -> None:
+        if over == lane.over:
+            return
+        old, new = self._backlogs[lane.over], self._backlogs[over]
+        old.shares = max(old.shares - lane.share, 0.0)
+        new.shares += lane.share
+        old.tokens -= lane.tokens
+        new.tokens += lane.tokens
+        old.count -= len(lane.entries)
+        new.count += len(lane.entries)
+        lane.over = over
+
     def _close_turn(self, lane: _Lane) -> None:
         lane.in_turns = False
-        self._waiting_shares = max(self._waiting_shares - lane.share, 0.0)
+        backlog = self._backlogs[lane.over]
+        backlog.shares = max(backlog.shares - lane.share, 0.0)
 
     def _may_take(self, customer: str, lane: _Lane) -> bool:
         # The last slots stay free for customers that hold less than their share, so
@@ -308,13 +339,15 @@
         self._usage.charge(customer, cost, now)
         return work
 
-    def _over_share(self, customer: str, lane: _Lane, now: timedelta) -> float:
+    def _over_share(self, customer: str, share: float, now: timedelta) -> float:
         """Return the customer's use of the fleet over its share of it."""
-        return self._usage.rate(customer, now) / (lane.share * self._engines)
+        return self._usage.rate(customer, now) / (share * self._engines)
 
     def _correct(self, customer: str, lane: _Lane, now: timedelta) -> float:
         """Return how much dearer a customer is that is over its share elsewhere."""
-        return min(max(self._over_share(customer, lane, now), 1.0), LARGEST_CORRECTION)
+        return min(
+            max(self._over_share(customer, lane.share, now), 1.0), LARGEST_CORRECTION
+        )
 
     def _drop_hopeless(self, lane: _Lane, now: timedelta) -> None:
         while lane.entries:
