Order customers within their share by deadline

Change: among customers within their share the earliest deadline goes first; those over their share keep taking turns by weight.

--- a/packages/mustardquay/src/mustardquay/queues.py
+++ b/packages/mustardquay/src/mustardquay/queues.py
@@ -292,7 +292,8 @@
         lane.tag = max(lane.tag, self._virtual)
         self._sequence += 1
         self._set_over(lane, self._over_share(work.customer, lane.share, now) > 1.0)
-        turn = (lane.over, lane.tag, -work.priority, self._sequence, work.customer)
+        place = lane.tag if lane.over else work.start_by.total_seconds()
+        turn = (lane.over, place, -work.priority, self._sequence, work.customer)
         heappush(self._turns, turn)
 
     def _set_over(self, lane: _Lane, over: bool) -> None:
