Plan roles on ten seconds of demand and by the true cost of drafts

Cause: the first change came after one second of demand, and the price of a draft on a decode engine counted the step's fixed time twice, once for its prompt. Change: no plan before ten seconds are seen; prompts beside full streams are priced by their arithmetic alone.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -25,7 +25,7 @@
     make_round_robin,
 )
 from .bounds import bound_goodput
-from .engine_costs import ROLE_COSTS, step_seconds
+from .engine_costs import PREFILL_SECONDS, ROLE_COSTS, step_seconds
 from .figures import Figures, measure
 from .loops import Fault, Loop, Policy
 from .workloads import ENGINES, USERS, User, make_arrivals
@@ -41,6 +41,7 @@
         0.0
         if role is Role.PREFILL
         else costs.streams / step_seconds(0, costs.streams, 400 * costs.streams),
+        1.0 / PREFILL_SECONDS,
     )
     for role, costs in ROLE_COSTS.items()
 }
--- a/packages/mustardquay/src/mustardquay/roles.py
+++ b/packages/mustardquay/src/mustardquay/roles.py
@@ -28,6 +28,7 @@
 FULL = 0.85
 """Use of an engine above which queues make answers late."""
 HEADROOM_WEIGHT = 0.02
+OBSERVED_LEAST = timedelta(seconds=10)
 GENERATION_ROLES = (Role.PREFILL, Role.MIXED, Role.DECODE)
 
 
@@ -51,6 +52,9 @@
     prefill: float
     output: float
     """Over all the streams that it runs at once; 0 when it runs none."""
+    prefill_beside: float = 0.0
+    """Prompt tokens a second beside full streams, which pay for the step itself; 0
+    when not known."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +102,11 @@
             total + part for total, part in zip(self._sums, added, strict=True)
         ]
 
+    @property
+    def observed(self) -> timedelta:
+        """Return the time over which demand has been counted."""
+        return self._at - self._since if self._since is not None else timedelta()
+
     def read(self, now: timedelta) -> Demand:
         """Return the demand a second; during the first seconds over these only."""
         self._decay(now)
@@ -146,7 +155,8 @@
 
 
 def _draft_seconds(demand: Demand, rates: RoleRates) -> float:
-    return demand.draft_tokens / rates.prefill + demand.output_tokens / rates.output
+    prefill = rates.prefill_beside or rates.prefill
+    return demand.draft_tokens / prefill + demand.output_tokens / rates.output
 
 
 class RolePlanner:
@@ -173,6 +183,8 @@
         if not engines or not all(_is_serving(view) for view in engines):
             return None
         demands = (self._fast.read(now), self._slow.read(now))
+        if self._slow.observed < OBSERVED_LEAST:
+            return None
         split = _count_roles(engines)
         best = max(
             self._propose(engines, split, demands, now),
