Plan roles for what contracts entitle to first

Cause: in overload the plan counted every request alike, and gave up the engines that readers within their share needed for drafts far over theirs. Change: the planner splits each customer's demand into the part its share covers and the rest; the former is given room first and counts three times.

--- a/packages/mustardquay/src/mustardquay/roles.py
+++ b/packages/mustardquay/src/mustardquay/roles.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from .admissions import UsageMeter
 from .works import Role, UpstreamView, Work
 
 __all__ = [
@@ -28,6 +29,7 @@
 FULL = 0.85
 """Use of an engine above which queues make answers late."""
 HEADROOM_WEIGHT = 0.02
+ENTITLED_WEIGHT = 3.0
 OBSERVED_LEAST = timedelta(seconds=10)
 GENERATION_ROLES = (Role.PREFILL, Role.MIXED, Role.DECODE)
 
@@ -87,71 +89,90 @@
 
     def __init__(self, memory: timedelta):
         self._memory = memory.total_seconds()
-        self._sums = [0.0] * 5
+        self._sums = [[0.0] * 5, [0.0] * 5]
         self._at = timedelta()
         self._since: timedelta | None = None
 
-    def note(self, work: Work, uncached_tokens: int, now: timedelta) -> None:
-        """Count a request at its arrival."""
+    @property
+    def observed(self) -> timedelta:
+        """Return the time over which demand has been counted."""
+        return self._at - self._since if self._since is not None else timedelta()
+
+    def note(
+        self, work: Work, uncached_tokens: int, now: timedelta, entitled: float = 1.0
+    ) -> None:
+        """Count a request at its arrival; `entitled` is its part within the share."""
         self._decay(now)
         if work.output_tokens <= SHORT_ANSWER:
             added = (1, uncached_tokens, 0, 0, 0)
         else:
             added = (0, 0, 1, uncached_tokens, work.output_tokens)
-        self._sums = [
-            total + part for total, part in zip(self._sums, added, strict=True)
-        ]
+        for sums, part in zip(self._sums, (entitled, 1.0 - entitled), strict=True):
+            for position, value in enumerate(added):
+                sums[position] += part * value
 
-    @property
-    def observed(self) -> timedelta:
-        """Return the time over which demand has been counted."""
-        return self._at - self._since if self._since is not None else timedelta()
+    def read(self, now: timedelta) -> tuple[Demand, Demand]:
+        """Return the demand a second that contracts entitle to, and the rest.
 
-    def read(self, now: timedelta) -> Demand:
-        """Return the demand a second; during the first seconds over these only."""
+        During the first seconds it is the mean over these only.
+        """
         self._decay(now)
         elapsed = (now - (self._since or now)).total_seconds()
         span = self._memory * (1.0 - math.exp(-max(elapsed, 1.0) / self._memory))
-        return Demand(*(total / span for total in self._sums))
+        entitled, rest = (Demand(*(v / span for v in sums)) for sums in self._sums)
+        return entitled, rest
 
     def _decay(self, now: timedelta) -> None:
         if self._since is None:
             self._since = self._at = now
         elapsed = max((now - self._at).total_seconds(), 0.0)
         factor = math.exp(-elapsed / self._memory)
-        self._sums = [total * factor for total in self._sums]
+        self._sums = [[total * factor for total in sums] for sums in self._sums]
         self._at = max(now, self._at)
 
 
 Split = Mapping[Role, int]
+Rates = Mapping[Role, RoleRates]
 
 
-def predict_served(
-    demand: Demand, split: Split, rates: Mapping[Role, RoleRates]
-) -> float:
-    """Return the answers a second that a split of roles is expected to give in time.
+def predict_served(demands: tuple[Demand, Demand], split: Split, rates: Rates) -> float:
+    """Return the worth of the answers a second that a split gives in time.
+
+    The demand that contracts entitle to is served first and counts three times, the
+    rest from what is left. Idle capacity counts a little, so that of two splits that
+    serve all the one with more room is taken.
+    """
+    room = {role: FULL * split.get(role, 0) for role in GENERATION_ROLES}
+    entitled, rest = demands
+    worth = ENTITLED_WEIGHT * _fill(entitled, room, rates) + _fill(rest, room, rates)
+    headroom = sum(room.values()) / max(sum(split.values()), 1)
+    total = entitled.reads + entitled.drafts + rest.reads + rest.drafts
+    return worth + HEADROOM_WEIGHT * total * headroom
+
+
+def _fill(demand: Demand, room: dict[Role, float], rates: Rates) -> float:
+    """Take the room that the demand needs; return the answers a second.
 
     Longer answers fill the decode engines and then the mixed ones; short ones fill
-    the prefill engines, then what is left. Idle capacity counts a little, so that of
-    two splits that serve all the one with more room is taken.
+    the prefill engines, then what is left.
     """
     drafts_left = 1.0
-    room = {role: FULL * split.get(role, 0) for role in GENERATION_ROLES}
     for role in (Role.DECODE, Role.MIXED):
         need = _draft_seconds(demand, rates[role])
-        part = min(drafts_left, room[role] / need) if need > 0 else drafts_left
-        drafts_left -= part
-        room[role] -= part * need
+        drafts_left -= _take_room(room, role, need, drafts_left)
     reads_left = 1.0
     for role in GENERATION_ROLES:
         need = demand.read_tokens / rates[role].prefill
-        part = min(reads_left, room[role] / need) if need > 0 else reads_left
-        reads_left -= part
-        room[role] -= part * need
-    total = demand.reads + demand.drafts
-    headroom = sum(room.values()) / max(sum(split.values()), 1)
-    served = demand.reads * (1 - reads_left) + demand.drafts * (1 - drafts_left)
-    return served + HEADROOM_WEIGHT * total * headroom
+        reads_left -= _take_room(room, role, need, reads_left)
+    return demand.reads * (1 - reads_left) + demand.drafts * (1 - drafts_left)
+
+
+def _take_room(
+    room: dict[Role, float], role: Role, need: float, wanted: float
+) -> float:
+    part = min(wanted, room[role] / need) if need > 0 else wanted
+    room[role] -= part * need
+    return part
 
 
 def _draft_seconds(demand: Demand, rates: RoleRates) -> float:
@@ -167,11 +188,14 @@
         self._fast = DemandMeter(timedelta(seconds=5))
         self._slow = DemandMeter(timedelta(seconds=15))
         self._changed_at: dict[str, timedelta] = {}
+        self._offered = UsageMeter(memory=timedelta(seconds=10))
+        self._engines = 1
 
     def note(self, work: Work, uncached_tokens: int, now: timedelta) -> None:
         """Count a request at its arrival at any entry."""
-        self._fast.note(work, uncached_tokens, now)
-        self._slow.note(work, uncached_tokens, now)
+        entitled = self._entitled_part(work, uncached_tokens, now)
+        self._fast.note(work, uncached_tokens, now, entitled)
+        self._slow.note(work, uncached_tokens, now, entitled)
 
     def plan(self, views: Sequence[UpstreamView], now: timedelta) -> RoleChange | None:
         """Return the change to order now, or None.
@@ -180,6 +204,7 @@
         engines less at once is what a small pool can't bear.
         """
         engines = [view for view in views if view.role is not Role.SERVICE]
+        self._engines = max(len(engines), 1)
         if not engines or not all(_is_serving(view) for view in engines):
             return None
         demands = (self._fast.read(now), self._slow.read(now))
@@ -196,11 +221,19 @@
         self._note_change(best.upstream, engines, now)
         return best
 
+    def _entitled_part(self, work: Work, uncached_tokens: int, now: timedelta) -> float:
+        """Return the part of what the customer asks for that its share covers."""
+        rates = self._settings.rates[Role.MIXED]
+        seconds = uncached_tokens / rates.prefill + work.output_tokens / rates.output
+        self._offered.charge(work.customer, seconds, now)
+        offered = self._offered.rate(work.customer, now)
+        return min(work.share * self._engines / max(offered, 1e-9), 1.0)
+
     def _propose(
         self,
         engines: Sequence[UpstreamView],
         split: Split,
-        demands: Iterable[Demand],
+        demands: Iterable[tuple[Demand, Demand]],
         now: timedelta,
     ) -> Iterator[RoleChange]:
         demands = tuple(demands)
@@ -216,7 +249,9 @@
                 gain = min(self._gain(d, split, during, after) for d in demands)
                 yield RoleChange(view.name, new, gain)
 
-    def _gain(self, demand: Demand, split: Split, during: Split, after: Split) -> float:
+    def _gain(
+        self, demand: tuple[Demand, Demand], split: Split, during: Split, after: Split
+    ) -> float:
         settings = self._settings
         now = predict_served(demand, split, settings.rates)
         then = predict_served(demand, after, settings.rates)
