Route a customer within its share by the work it would not overtake

Cause: in a flood all customers were routed by the whole queue of an engine, so that those within their share, who overtake the flood, crowded on the one engine that the flood had left short of queue (341 of 486 refusals expired there). Change: agents report the tokens waiting of customers within their share beside all of them; an entry knows from the digests who is over its share, and routes the others by the former and without regard to slots.

--- a/benchmarks/loops.py
+++ b/benchmarks/loops.py
@@ -13,7 +13,7 @@
 from random import Random
 from typing import Any
 
-from mustardquay.admissions import set_deadlines
+from mustardquay.admissions import UsageDigest, UsageMeter, set_deadlines
 from mustardquay.caches import PrefixIndex
 from mustardquay.clocks import VirtualClock
 from mustardquay.errors import Refusal
@@ -85,6 +85,7 @@
         self.index = PrefixIndex()
         self.rates = RateEstimator()
         self.lengths = OutputLengths()
+        self.usage = UsageMeter(f"entry-{number}")
         self.random = Random(number)
         self.zone = ZONES[number]
         self.sent: dict[str, list[tuple[float, int]]] = {e.name: [] for e in engines}
@@ -170,6 +171,7 @@
         entry = self._entries[number]
         contract = arrival.contract
         deadlines = set_deadlines(contract, timedelta(seconds=at))
+        used = entry.usage.rate(contract.customer, _span(at))
         work = Work(
             arrival.name,
             1,
@@ -182,6 +184,7 @@
             start_by=deadlines.start_by,
             finish_by=deadlines.finish_by,
             prefix=arrival.prefix,
+            over_share=used > contract.share * ENGINES,
             between_tokens=contract.lateness.between_tokens,
         )
         if self._planner is not None:
@@ -264,6 +267,11 @@
     def _bounce(self, at, upstream, arrival, work, number, avoid, refusal) -> None:
         view = self._view(number, upstream)
         view.own_running = max(view.own_running - 1, 0)
+        sent = self._entries[number].sent[upstream]
+        known = [s for s in sent if s[1] == work.uncached_tokens]
+        if known:
+            sent.remove(known[-1])
+            view.own_tokens -= work.uncached_tokens
         again = replace(work, attempt=work.attempt + 1, cached_tokens=0)
         self._at(
             at + LINK_SECONDS,
@@ -428,9 +436,13 @@
             self._pump(at, agent)
             prefill_rate, decode_rate = agent.engine.rates()
             waiting = agent.queue.waiting_tokens + int(agent.engine.queued_tokens)
+            within = getattr(agent.queue, "waiting_tokens_within", None)
+            if within is not None:
+                within += int(agent.engine.queued_tokens)
             state = (
                 agent.engine.role,
                 waiting,
+                within,
                 agent.engine.running,
                 prefill_rate,
                 decode_rate,
@@ -453,11 +465,12 @@
             return
         digests = [meter.digest(_span(at)) for meter in meters]
         for meter in meters:
-            for digest in digests:
-                meter.merge(digest, _span(at))
+            _merge(meter, digests, at)
+        for entry in self._entries:
+            _merge(entry.usage, digests, at)
 
     def _hear(self, at: float, upstream: str, taken: float, state: tuple) -> None:
-        role, waiting, running, prefill_rate, decode_rate, ready = state
+        role, waiting, within, running, prefill_rate, decode_rate, ready = state
         for entry in (*self._entries, self._plan_views):
             view = _find(entry.views, upstream)
             entry.sent[upstream] = [s for s in entry.sent[upstream] if s[0] > taken]
@@ -465,6 +478,7 @@
             view.role = role
             view.concurrency = ROLE_COSTS[role].streams
             view.queued_tokens = waiting
+            view.queued_tokens_within = within
             view.running = running
             view.reported_at = _span(taken)
             view.own_tokens = sum(tokens for _, tokens in entry.sent[upstream])
@@ -508,6 +522,11 @@
     return Answer(arrival, outcome, job.finished, first, gap if arrival.streamed else 0)
 
 
+def _merge(meter: UsageMeter, digests: Sequence[UsageDigest], at: float) -> None:
+    for digest in digests:
+        meter.merge(digest, _span(at))
+
+
 def _find(views: Sequence[UpstreamView], name: str) -> UpstreamView:
     return next(view for view in views if view.name == name)
 
--- a/packages/mustardquay/src/mustardquay/predictions.py
+++ b/packages/mustardquay/src/mustardquay/predictions.py
@@ -202,11 +202,17 @@
         return min(ratios)
 
 
-def discount_queue(view: UpstreamView, now: timedelta) -> float:
+def discount_queue(
+    view: UpstreamView, now: timedelta, within_share: bool = False
+) -> float:
     """Return the prompt tokens still queued, if the engine went on since its report.
 
-    An old report says less and less: the engine has worked on what it named.
+    An old report says less and less: the engine has worked on what it named. Work
+    within its share overtakes all other, so that only its like is ahead of it.
     """
+    queued = view.queued_tokens
+    if within_share and view.queued_tokens_within is not None:
+        queued = view.queued_tokens_within
     age = max((now - view.reported_at).total_seconds(), 0.0)
     done = age * view.prefill_rate / view.slowness
-    return max(view.queued_tokens - done, 0.0) + view.own_tokens
+    return max(queued - done, 0.0) + view.own_tokens
--- a/packages/mustardquay/src/mustardquay/queues.py
+++ b/packages/mustardquay/src/mustardquay/queues.py
@@ -129,6 +129,11 @@
         """Return the sum of the uncached prompt tokens that wait."""
         return sum(backlog.tokens for backlog in self._backlogs)
 
+    @property
+    def waiting_tokens_within(self) -> int:
+        """Return the part of them that customers within their share wait for."""
+        return self._backlogs[False].tokens
+
     @property
     def waiting(self) -> int:
         """Return how many attempts wait."""
--- a/packages/mustardquay/src/mustardquay/routes.py
+++ b/packages/mustardquay/src/mustardquay/routes.py
@@ -68,9 +68,9 @@
     rate = view.prefill_rate / view.slowness
     cached = index.expected_tokens(view.name, work.prefix) if index else 0
     uncached = max(work.prompt_tokens - cached, 1)
-    seconds = (discount_queue(view, now) + uncached) / rate
+    seconds = (discount_queue(view, now, not work.over_share) + uncached) / rate
     busy = max(view.running, view.own_running)
-    if busy >= view.concurrency:
+    if busy >= view.concurrency and work.over_share:
         # Every slot is taken: the work waits until some streams end.
         seconds += (busy - view.concurrency + 1) / view.concurrency
     return seconds
--- a/packages/mustardquay/src/mustardquay/works.py
+++ b/packages/mustardquay/src/mustardquay/works.py
@@ -45,6 +45,8 @@
     """Whether the work is idempotent and may be retried."""
     cached_tokens: int = 0
     """Leading prompt tokens that the engine is expected to have cached."""
+    over_share: bool = False
+    """Whether the customer uses more than its share of the fleet just now."""
     between_tokens: timedelta = timedelta(milliseconds=60)
     """Mean gap between two tokens that the customer tolerates."""
 
@@ -81,6 +83,8 @@
     """Monotonic instant at which the last load report arrived here."""
     queued_tokens: int = 0
     """Prefill tokens waiting at the agent, as reported."""
+    queued_tokens_within: int | None = None
+    """The part of them that customers within their share wait for, if reported."""
     running: int = 0
     """Requests running on the engine, as reported."""
     prefill_rate: float = 8000.0
