Keep streams away from engines that fail slow

Change: a stream is not routed where its predicted gap, the learned decode gap times the engine's slowness, is over its contract.

--- a/packages/mustardquay/src/mustardquay/routes.py
+++ b/packages/mustardquay/src/mustardquay/routes.py
@@ -25,7 +25,7 @@
 RANDOM_CANDIDATES = 4
 RANDOM_TRIES = 16
 ZONE_SECONDS = 0.001
-ADAPTER_SECONDS = 2.0
+UNFIT_SECONDS = 60.0
 SHORT_ANSWER = 8
 """Output tokens up to which an answer is as good as only its prefill."""
 
@@ -92,14 +92,25 @@
 
 def _weigh_role(work: Work, view: UpstreamView) -> float:
     """Return seconds for an answer in a role that is not made for it."""
-    if view.role is Role.PREFILL and work.output_tokens > SHORT_ANSWER:
-        return 60.0
+    if work.output_tokens > SHORT_ANSWER and _is_too_slow(work, view):
+        return UNFIT_SECONDS
     busy = max(view.running, view.own_running) / view.concurrency
     if view.role is not Role.PREFILL and work.output_tokens <= SHORT_ANSWER:
         return busy * work.prompt_tokens / view.prefill_rate
     return busy
 
 
+def _is_too_slow(work: Work, view: UpstreamView) -> bool:
+    """Tell whether a stream's tokens would come too far apart at this upstream.
+
+    Prefill engines give a stream a token only between whole prompts. The reported
+    decode rate is that without prompts beside it, so that an engine known to be slow
+    is doubted once more.
+    """
+    gap = view.slowness / max(view.decode_rate, 0.1)
+    return view.role is Role.PREFILL or gap >= work.between_tokens.total_seconds()
+
+
 def _sample_views(
     work: Work,
     views: Sequence[UpstreamView],
