--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/reports.py
@@ -0,0 +1,170 @@
+"""Reports: what the upstream beside an agent says of itself, asked for regularly."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from typing import Any, Literal
+
+import orjson
+
+from mustardquay.caches import CacheEvent
+from mustardquay.messages import CacheEvents
+from mustardquay.works import Role
+
+from .loops import start_loop
+from .upstreams import CallEnd, UpstreamCall, UpstreamClient
+
+__all__ = ["Reporter", "UpstreamReport"]
+
+TIMEOUT = timedelta(seconds=2)
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamReport:
+    """The last that the upstream said of itself."""
+
+    reachable: bool = False
+    boot: str = ""
+    changing: bool = False
+    generation: int = 0
+    role: Role = Role.MIXED
+    models: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    queued_tokens: int = 0
+    running: int = 0
+    prefill_rate: float = 0.0
+    decode_rate: float = 0.0
+    cache_events: CacheEvents | None = None
+    """The events since the report before; None when there are none."""
+
+
+class Reporter:
+    """Asks one upstream for its state and load."""
+
+    def __init__(
+        self,
+        url: str,
+        kind: Literal["engine", "service"],
+        interval: timedelta,
+        changed: Callable[[UpstreamReport, UpstreamReport], None],
+    ):
+        """`changed` hears of the earlier and the present report after each try."""
+        self._client = UpstreamClient(url)
+        self._kind = kind
+        self._interval = interval
+        self._changed = changed
+        self._report = UpstreamReport()
+        self._task: asyncio.Task[None] | None = None
+        self._probing: asyncio.Future[str] | None = None
+        self._cache_boot = ""
+        self._cache_number = 0
+
+    @property
+    def report(self) -> UpstreamReport:
+        """Return the last report."""
+        return self._report
+
+    def start(self) -> None:
+        """Begin to ask."""
+        self._task = start_loop(self.ask, self._interval)
+
+    async def close(self) -> None:
+        """Ask no more."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        self._client.close()
+
+    def probe(self) -> "asyncio.Future[str]":
+        """Ask over a new connection for the boot, "" when there is no answer.
+
+        Calls that broke together share one probe.
+        """
+        if self._probing is None or self._probing.done():
+            self._probing = asyncio.ensure_future(self._ask_boot())
+        return self._probing
+
+    async def ask(self) -> None:
+        """Ask now, over a new connection."""
+        before = self._report
+        self._report = await self._read_report()
+        self._changed(before, self._report)
+
+    async def _ask_boot(self) -> str:
+        await self.ask()
+        return self._report.boot
+
+    async def _read_report(self) -> UpstreamReport:
+        load = await self._get("/load")
+        if load is None:
+            return UpstreamReport()
+        if self._kind == "service":
+            return UpstreamReport(
+                reachable=True,
+                boot="service",
+                role=Role.SERVICE,
+                running=int(load.get("running", 0)),
+            )
+        state = await self._get("/state")
+        if state is None:
+            return UpstreamReport()
+        report = _make_engine_report(state, load)
+        return replace(report, cache_events=await self._read_cache_events(report.boot))
+
+    async def _read_cache_events(self, boot: str) -> CacheEvents | None:
+        if boot != self._cache_boot:
+            self._cache_boot = boot
+            self._cache_number = 0
+        answer = await self._get(f"/cache/events?after={self._cache_number}")
+        if answer is None or not answer.get("events"):
+            return None
+        events = tuple(
+            CacheEvent(event["number"], event["kind"] == "stored", event["piece"])
+            for event in answer["events"]
+        )
+        self._cache_number = max(event.number for event in events)
+        return CacheEvents(boot, int(answer["oldest"]), events)
+
+    async def _get(self, path: str) -> dict[str, Any] | None:
+        parts: list[bytes] = []
+        statuses: list[int] = []
+        call = UpstreamCall(
+            "GET",
+            path,
+            (),
+            b"",
+            lambda status, headers: statuses.append(status),
+            parts.append,
+        )
+        try:
+            async with asyncio.timeout(TIMEOUT.total_seconds()):
+                # A new connection, since a kept one that was forgotten on its way
+                # would make a healthy upstream look dead.
+                end = await self._client.run(call, fresh=True)
+        except TimeoutError:
+            call.cancel()
+            return None
+        if end is not CallEnd.WHOLE or statuses[-1] != 200:
+            return None
+        try:
+            answer = orjson.loads(b"".join(parts))
+        except orjson.JSONDecodeError:
+            return None
+        return answer if isinstance(answer, dict) else None
+
+
+def _make_engine_report(state: dict[str, Any], load: dict[str, Any]) -> UpstreamReport:
+    return UpstreamReport(
+        reachable=True,
+        boot=str(state.get("boot", "")),
+        changing=bool(state.get("changing", False)),
+        generation=int(state.get("generation", 0)),
+        role=Role(state.get("role", Role.MIXED)),
+        models=tuple(sorted(state.get("models", {}))),
+        adapters=tuple(sorted(state.get("adapters", ()))),
+        queued_tokens=int(load.get("queued_tokens", 0)),
+        running=int(load.get("running", 0)),
+        prefill_rate=float(load.get("prefill_rate", 0.0)),
+        decode_rate=float(load.get("decode_rate", 0.0)),
+    )
