--- a/packages/mustardquay-node/src/mustardquay_node/frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/frames.py
@@ -3,7 +3,7 @@
 Durations travel in microseconds.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
@@ -11,10 +11,12 @@
 
 import capnp
 
+from mustardquay.caches import CacheEvent
 from mustardquay.errors import ProtocolError, Reason
 from mustardquay.events import Stamp
 from mustardquay.messages import (
     Attempt,
+    CacheEvents,
     Cancel,
     Chunk,
     ConfigurationEntries,
@@ -31,6 +33,7 @@
     Refused,
     Started,
 )
+from mustardquay.quarantines import CrashId, CrashRecord
 from mustardquay.works import Role
 
 __all__ = ["Batch", "Hello", "decode_batch", "encode_batch"]
@@ -53,6 +56,8 @@
     availability_zone: str
     nonce: bytes
     proof: bytes
+    link: int
+    """Number of the link among those of the entry to this agent, from 1."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +123,7 @@
     built.availabilityZone = hello.availability_zone
     built.nonce = hello.nonce
     built.proof = hello.proof
+    built.link = hello.link
 
 
 def _read_hello(read: Any) -> Hello:
@@ -127,6 +133,7 @@
         read.availabilityZone,
         bytes(read.nonce),
         bytes(read.proof),
+        read.link,
     )
 
 
@@ -155,6 +162,8 @@
     built.repeatable = attempt.repeatable
     built.streamed = attempt.streamed
     built.version = attempt.version
+    built.cachedTokens = attempt.cached_tokens
+    built.betweenTokens = _to_microseconds(attempt.between_tokens)
 
 
 def _read_attempt(read: Any) -> Attempt:
@@ -181,6 +190,8 @@
         repeatable=read.repeatable,
         streamed=read.streamed,
         version=read.version,
+        cached_tokens=read.cachedTokens,
+        between_tokens=timedelta(microseconds=read.betweenTokens),
     )
 
 
@@ -288,6 +299,7 @@
 def _write_heartbeat(frame: Any, heartbeat: Heartbeat) -> None:
     built = frame.init("heartbeat")
     built.version = heartbeat.version
+    built.upstream = heartbeat.upstream
     built.confirmed = heartbeat.confirmed
     built.draining = heartbeat.draining
     built.ready = heartbeat.ready
@@ -299,14 +311,15 @@
     built.running = heartbeat.running
     built.prefillRate = heartbeat.prefill_rate
     built.decodeRate = heartbeat.decode_rate
-    built.suspects = list(heartbeat.suspects)
-    built.quarantined = list(heartbeat.quarantined)
-    built.cleared = list(heartbeat.cleared)
+    built.concurrency = heartbeat.concurrency
+    if heartbeat.crashes:
+        _write_crashes(built, heartbeat.crashes)
 
 
 def _read_heartbeat(read: Any) -> Heartbeat:
     return Heartbeat(
         version=read.version,
+        upstream=read.upstream,
         confirmed=read.confirmed,
         draining=read.draining,
         ready=read.ready,
@@ -318,12 +331,57 @@
         running=read.running,
         prefill_rate=read.prefillRate,
         decode_rate=read.decodeRate,
-        suspects=tuple(read.suspects),
-        quarantined=tuple(read.quarantined),
-        cleared=tuple(read.cleared),
+        concurrency=read.concurrency,
+        crashes=tuple(_read_crash_record(record) for record in read.crashes),
     )
 
 
+def _write_crashes(target: Any, records: Sequence[CrashRecord]) -> None:
+    built = target.init("crashes", len(records))
+    for position, record in enumerate(records):
+        built[position].fingerprint = record.fingerprint
+        built[position].remaining = _to_microseconds(record.remaining)
+        _write_crash_ids(
+            built[position].init("crashes", len(record.crashes)), record.crashes
+        )
+        _write_crash_ids(
+            built[position].init("cleared", len(record.cleared)), record.cleared
+        )
+
+
+def _write_crash_ids(built: Any, crashes: Iterable[CrashId]) -> None:
+    for position, crash in enumerate(sorted(crashes)):
+        built[position].upstream = crash.upstream
+        built[position].boot = crash.boot
+
+
+def _read_crash_record(read: Any) -> CrashRecord:
+    return CrashRecord(
+        read.fingerprint,
+        frozenset(CrashId(crash.upstream, crash.boot) for crash in read.crashes),
+        frozenset(CrashId(crash.upstream, crash.boot) for crash in read.cleared),
+        timedelta(microseconds=read.remaining),
+    )
+
+
+def _write_cache_events(frame: Any, message: CacheEvents) -> None:
+    built = frame.init("cacheEvents")
+    built.boot = message.boot
+    built.oldest = message.oldest
+    events = built.init("events", len(message.events))
+    for position, event in enumerate(message.events):
+        events[position].number = event.number
+        events[position].stored = event.stored
+        events[position].piece = event.piece
+
+
+def _read_cache_events(read: Any) -> CacheEvents:
+    events = tuple(
+        CacheEvent(event.number, event.stored, event.piece) for event in read.events
+    )
+    return CacheEvents(read.boot, read.oldest, events)
+
+
 def _write_entries(frame: Any, message: ConfigurationEntries) -> None:
     frame.configurationEntries = list(message.entries)
 
@@ -349,6 +407,7 @@
     Refused: _write_refused,
     Failed: _write_failed,
     Heartbeat: _write_heartbeat,
+    CacheEvents: _write_cache_events,
     ConfigurationEntries: _write_entries,
     ConfigurationWanted: _write_wanted,
 }
@@ -366,6 +425,7 @@
     "refused": _read_refused,
     "failed": _read_failed,
     "heartbeat": _read_heartbeat,
+    "cacheEvents": _read_cache_events,
     "configurationEntries": _read_entries,
     "configurationWanted": ConfigurationWanted,
 }
--- a/packages/mustardquay-node/src/mustardquay_node/links.py
+++ b/packages/mustardquay-node/src/mustardquay_node/links.py
@@ -26,6 +26,7 @@
 LENGTH_SIZE = 4
 HELLO_LIMIT = 4096
 """Bytes that an end which has not proved itself may send in one frame."""
+FINISH_TIMEOUT = timedelta(seconds=2)
 SEND_LIMIT = 64 * 1024 * 1024
 """Bytes that may wait in a link's buffer before the peer counts as stuck."""
 
@@ -37,6 +38,8 @@
     process: str
     incarnation: int
     availability_zone: str
+    link: int = 0
+    """Number that an entry gives the link; rises with each link to an agent."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,10 +58,10 @@
     def __init__(
         self,
         side: Literal["entry", "agent"],
-        identity: Callable[[], Identity],
+        identity: Identity,
         options: LinkOptions,
         clock: HybridClock,
-        make_heartbeat: Callable[[], Heartbeat],
+        make_heartbeat: "Callable[[Link], Heartbeat]",
         opened: "Callable[[Link], None]",
         received: "Callable[[Link, Message], None]",
         lost: "Callable[[Link, str], None]",
@@ -83,6 +86,7 @@
         self._peer_nonce = b""
         self._open = False
         self._closed = False
+        self._ended = asyncio.Event()
         self._heard = self._loop.time()
         self._timer: asyncio.TimerHandle | None = None
 
@@ -105,6 +109,11 @@
         self._queue(message)
         return True
 
+    def beat(self) -> None:
+        """Send a heartbeat now, since something in it has changed."""
+        if self.is_open:
+            self._queue(self._make_heartbeat(self))
+
     def close(self, reason: str) -> None:
         """Close the link at once and tell the owner."""
         if self._closed:
@@ -112,10 +121,29 @@
         self._closed = True
         if self._timer is not None:
             self._timer.cancel()
+        self._ended.set()
         if self._transport is not None:
             self._transport.abort()
         self._lost(self, reason)
 
+    async def finish(self) -> None:
+        """Send all that is queued and wait until the peer has closed the link.
+
+        To close at once could lose the last frames: bytes of the peer that are
+        still unread here make TCP reset the connection, and the peer would drop
+        what it has not read yet, such as the end of an answer.
+        """
+        if not self.is_open or self._transport is None:
+            self.close("the link was not open")
+            return
+        self.flush()
+        self._transport.write_eof()
+        try:
+            async with asyncio.timeout(FINISH_TIMEOUT.total_seconds()):
+                await self._ended.wait()
+        except TimeoutError:
+            self.close("the peer did not close the link")
+
     def flush(self) -> None:
         """Write what was queued in this turn of the loop, as one batch."""
         self._flush_scheduled = False
@@ -227,7 +255,7 @@
         return make_proof(
             key,
             self._side,
-            self._identity().process,
+            self._identity.process,
             self.peer.process,
             self._nonces(),
         )
@@ -239,7 +267,7 @@
             hello.proof,
             other,
             hello.process,
-            self._identity().process,
+            self._identity.process,
             self._nonces(),
         )
 
@@ -249,14 +277,21 @@
         return (self._peer_nonce, self._nonce)
 
     def _say_hello(self, proof: bytes) -> None:
-        me = self._identity()
+        me = self._identity
         self._queue(
-            Hello(me.process, me.incarnation, me.availability_zone, self._nonce, proof)
+            Hello(
+                me.process,
+                me.incarnation,
+                me.availability_zone,
+                self._nonce,
+                proof,
+                me.link,
+            )
         )
 
     def _become_open(self) -> None:
         self._open = True
-        self._queue(self._make_heartbeat())
+        self._queue(self._make_heartbeat(self))
         self._opened(self)
 
     def _queue(self, message: Message | Hello) -> None:
@@ -277,5 +312,5 @@
             self.close("no heartbeat within the time of silence")
             return
         if self._open:
-            self._queue(self._make_heartbeat())
+            self._queue(self._make_heartbeat(self))
         self._schedule_beat()
--- a/packages/mustardquay-node/src/mustardquay_node/wire.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/wire.capnp
@@ -13,6 +13,20 @@
   availabilityZone @2 :Text;
   nonce @3 :Data;
   proof @4 :Data;
+  # Number of the link among those of the entry process to this agent, from 1.
+  link @5 :UInt64;
+}
+
+struct CrashId {
+  upstream @0 :Text;
+  boot @1 :Text;
+}
+
+struct CrashRecord {
+  fingerprint @0 :UInt64;
+  crashes @1 :List(CrashId);
+  cleared @2 :List(CrashId);
+  remaining @3 :UInt64;
 }
 
 struct Attempt {
@@ -38,6 +52,8 @@
   repeatable @19 :Bool;
   streamed @20 :Bool;
   version @21 :UInt64;
+  cachedTokens @22 :UInt32;
+  betweenTokens @23 :UInt64;
 }
 
 struct Reattach {
@@ -100,9 +116,21 @@
   running @9 :UInt32;
   prefillRate @10 :Float64;
   decodeRate @11 :Float64;
-  suspects @12 :List(UInt64);
-  quarantined @13 :List(UInt64);
-  cleared @14 :List(UInt64);
+  crashes @12 :List(CrashRecord);
+  upstream @13 :Text;
+  concurrency @14 :UInt32;
+}
+
+struct CacheEvent {
+  number @0 :UInt64;
+  stored @1 :Bool;
+  piece @2 :UInt64;
+}
+
+struct CacheEvents {
+  boot @0 :Text;
+  oldest @1 :UInt64;
+  events @2 :List(CacheEvent);
 }
 
 struct Frame {
@@ -121,6 +149,7 @@
     heartbeat @11 :Heartbeat;
     configurationEntries @12 :List(Data);
     configurationWanted @13 :UInt64;
+    cacheEvents @14 :CacheEvents;
   }
 }
 
