Test attempts in every interleaving; mend two faults found

Cause: work that must not be repeated was sent again when an agent refused it after it had said that it started; and work whose caller had already heard unknown at its deadline was begun on another upstream after a refusal. Change: the first ends as unknown, the second as a true not-run. The stateful test failed for both before (sent again although it was started).

--- a/packages/mustardquay/src/mustardquay/attempts.py
+++ b/packages/mustardquay/src/mustardquay/attempts.py
@@ -182,6 +182,7 @@
         self._have = 0
         self._avoid: frozenset[str] = frozenset()
         self._may_have_run = False
+        self._is_late = False
         self._head_delivered = False
         self._tokens_delivered = 0
         self._resumable = True
@@ -284,6 +285,7 @@
             "The tolerated lateness has passed; ask again when load is lower.",
             timedelta(seconds=1),
         )
+        self._is_late = True
         if not self._repeatable and self._phase in (Phase.SENT, Phase.REATTACHING):
             return [AnswerEarly(refusal)]
         return self._give_up(refusal)
@@ -343,6 +345,10 @@
     def _after_refusal(self, refusal: Refusal) -> list[Action]:
         if refusal.reason in FINAL_REASONS:
             return self._finish(refusal)
+        if not self._repeatable and self._may_have_run:
+            # An agent that refuses what it has started breaks its protocol. The
+            # work would run twice if it were sent again on that word.
+            return self._finish(refusal)
         if self._number >= self._attempts:
             return self._finish(refusal)
         if refusal.reason not in FREE_REASONS and not self._spend_retry():
@@ -366,7 +372,9 @@
 
     def _choose_other(self) -> list[Action]:
         self._avoid |= {self._upstream}
-        if self._number >= self._attempts:
+        # Once the caller has heard `unknown` at its deadline, work that was refused
+        # is not begun elsewhere: its true end is a not-run, which frees its key.
+        if self._is_late or self._number >= self._attempts:
             return self._finish(
                 Refusal(
                     Reason.NO_UPSTREAM,
--- /dev/null
+++ b/packages/mustardquay/tests/test_attempts.py
@@ -0,0 +1,300 @@
+"""Stateful tests of a request's attempts: every interleaving of what can happen."""
+
+from datetime import timedelta
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from mustardquay.attempts import (
+    AnswerEarly,
+    CancelAttempt,
+    DeliverData,
+    DeliverHead,
+    Finish,
+    Phase,
+    ReattachAttempt,
+    RequestState,
+    SendAttempt,
+    WaitBeforeRetry,
+)
+from mustardquay.errors import Reason, Refusal
+from mustardquay.messages import (
+    Chunk,
+    Done,
+    Failed,
+    FailureKind,
+    Head,
+    Refused,
+    Started,
+)
+from mustardquay.outcomes import Outcome
+
+TOKENS = [f"token{number} ".encode() for number in range(4)]
+WHOLE = b"".join(TOKENS)
+ERROR = b"an engine's error"
+REASONS = [
+    Reason.OVERLOAD,
+    Reason.DRAINING,
+    Reason.QUARANTINE,
+    Reason.STALE_INCARNATION,
+    Reason.DEADLINE,
+]
+
+
+class Agent:
+    """What one agent does with one attempt; its frames are kept for a new link."""
+
+    def __init__(self, number, script):
+        self.number = number
+        self.script = script
+        self.frames = []
+        self.started = False
+
+    def step(self):
+        if self.script:
+            make = self.script.pop(0)
+            self.frames.append(make(self.number, len(self.frames)))
+            self.started = self.started or isinstance(self.frames[-1], Started)
+            return self.frames[-1]
+        return None
+
+
+def make_script(skip, end, status):
+    """Return what makes the frames of an attempt whose first tokens are known."""
+    parts = [lambda s, i: Started(s, i), lambda s, i: Head(s, i, status, ())]
+    texts = TOKENS[skip:] if status == 200 else [ERROR]
+    for text in texts:
+        parts.append(lambda s, i, text=text: Chunk(s, i, 1, text))
+    if end == "done":
+        return [*parts, lambda s, i: Done(s, i)]
+    kept = parts[: min(end, len(parts))]
+    return [*kept, lambda s, i: Failed(s, i, FailureKind.CRASH, "")]
+
+
+class Attempts(RuleBasedStateMachine):
+    """One caller, its entry's state machine, and agents behind bad links."""
+
+    @initialize(
+        repeatable=st.booleans(),
+        streamed=st.booleans(),
+        budget=st.integers(0, 3),
+    )
+    def begin(self, repeatable, streamed, budget):
+        self.repeatable = repeatable
+        # A stream is idempotent: plain services are not streamed.
+        self.streamed = streamed and repeatable
+        self.budget = budget
+        self.state = RequestState(
+            repeatable, self.streamed, 4, self._spend, lambda retry: timedelta(1)
+        )
+        self.on_the_way = {}
+        self.agents = {}
+        self.tombstones = set()
+        self.history = []
+        self.heads = []
+        self.body = b""
+        self.finish = None
+        self.early = False
+        self.starts = []
+        self.upstreams = 0
+        self._do(self.state.start())
+
+    def _spend(self):
+        self.budget -= 1
+        return self.budget >= 0
+
+    def _do(self, actions):
+        for action in actions:
+            assert self.finish is None, f"{action} follows the outcome"
+            self._act(action)
+
+    def _act(self, action):
+        match action:
+            case SendAttempt():
+                assert not self.early, "sent although the caller has its answer"
+                self._check_that_it_may_be_sent()
+                skip = self.state.tokens_delivered if action.resume else 0
+                self.on_the_way[action.number] = skip
+            case DeliverHead():
+                self.heads.append(action.status)
+                if not self.streamed or action.status != 200:
+                    self.body = b""
+            case DeliverData():
+                self.body += action.data
+            case AnswerEarly():
+                assert not self.repeatable
+                self.early = True
+            case Finish():
+                self.finish = action
+                self._check_outcome(action)
+            case ReattachAttempt() | CancelAttempt() | WaitBeforeRetry():
+                pass
+
+    def _check_that_it_may_be_sent(self):
+        if not self.repeatable:
+            assert not self.starts, "sent again although it was started"
+
+    def _check_outcome(self, finish):
+        if finish.outcome is Outcome.NOT_RUN:
+            assert not self.starts, "not run, yet it was started"
+            assert not self.body
+        if finish.outcome is Outcome.ANSWERED:
+            expected = WHOLE if self.heads[-1] == 200 else ERROR
+            assert self.body == expected, "not its own whole answer"
+        if self.streamed and 200 in self.heads:
+            assert self.heads.count(200) == 1
+            assert WHOLE.startswith(self.body), "tokens twice or foreign"
+
+    @precondition(lambda self: self.state.phase is Phase.CHOOSING)
+    @rule(found=st.booleans())
+    def choose(self, found):
+        if found:
+            self.upstreams += 1
+            self._do(self.state.upstream_chosen(f"u{self.upstreams}", 1))
+        else:
+            refusal = Refusal(Reason.NO_UPSTREAM, "none", timedelta(seconds=1))
+            self._do(self.state.upstream_missing(refusal))
+
+    @precondition(lambda self: self._is_sent_only())
+    @rule()
+    def sending_fails(self):
+        del self.on_the_way[self.state.number]
+        self._do(self.state.send_failed())
+
+    def _is_sent_only(self):
+        number = self.state.number
+        return self.state.phase is Phase.SENT and number in self.on_the_way
+
+    @precondition(lambda self: self.on_the_way)
+    @rule(
+        data=st.data(),
+        end=st.sampled_from(["done", "done", 1, 2, 4]),
+        status=st.sampled_from([200, 200, 400, 503]),
+        refused=st.one_of(st.none(), st.none(), st.sampled_from(REASONS)),
+        started=st.sampled_from([0, 0, 0, 1]),
+    )
+    def agent_receives(self, data, end, status, refused, started):
+        """Also frames of attempts that the entry has long given up."""
+        number = data.draw(st.sampled_from(sorted(self.on_the_way)))
+        skip = self.on_the_way.pop(number)
+        if number in self.tombstones:
+            return
+        script = make_script(skip, end, status)
+        if refused is not None:
+            # An agent that refuses what it has started breaks its protocol; even so
+            # a booking must not be sent again.
+            script = script[:started] + [lambda s, i: Refused(s, i, refused, "", None)]
+        self.agents[number] = Agent(number, script)
+
+    @precondition(lambda self: self.agents)
+    @rule(data=st.data())
+    def agent_goes_on(self, data):
+        number = data.draw(st.sampled_from(sorted(self.agents)))
+        agent = self.agents[number]
+        before = agent.started
+        frame = agent.step()
+        if frame is None:
+            return
+        if agent.started and not before:
+            self.starts.append(number)
+            assert self.repeatable or len(self.starts) == 1, "run twice"
+            ended = self.finish
+            assert not ended or ended.outcome is not Outcome.NOT_RUN, (
+                "ran after not-run"
+            )
+        self.history.append(frame)
+
+    @precondition(lambda self: self.history)
+    @rule(data=st.data())
+    def frame_arrives(self, data):
+        """Any frame at any time: late, doubled, or before one that was lost."""
+        frame = data.draw(st.sampled_from(self.history))
+        self._do(self.state.frame_received(frame.stream, frame))
+
+    @precondition(lambda self: self.history)
+    @rule()
+    def all_frames_arrive(self):
+        for frame in list(self.history):
+            self._do(self.state.frame_received(frame.stream, frame))
+
+    @precondition(lambda self: self.state.phase is Phase.SENT)
+    @rule(lost=st.booleans())
+    def link_is_lost(self, lost):
+        if lost:
+            self.on_the_way.pop(self.state.number, None)
+        self._do(self.state.link_lost())
+
+    @precondition(lambda self: self.state.phase is Phase.REATTACHING)
+    @rule()
+    def agent_answers_over_a_new_link(self):
+        number = self.state.number
+        agent = self.agents.get(number)
+        if agent is None:
+            self.tombstones.add(number)
+            frame = Refused(number, 0, Reason.TOMBSTONE, "", None)
+            self._do(self.state.frame_received(number, frame))
+            return
+        for frame in list(agent.frames):
+            self._do(self.state.frame_received(number, frame))
+
+    @precondition(lambda self: self.state.phase is Phase.REATTACHING)
+    @rule()
+    def agent_is_gone(self):
+        self.agents.pop(self.state.number, None)
+        self.on_the_way.pop(self.state.number, None)
+        self._do(self.state.reattach_failed())
+
+    @precondition(lambda self: self.state.phase is Phase.BACKING_OFF)
+    @rule()
+    def back_off_ends(self):
+        self._do(self.state.back_off_ended())
+
+    @rule()
+    def resume_becomes_impossible(self):
+        self.state.resume_impossible()
+
+    @precondition(lambda self: self.state.number > 1)
+    @rule()
+    def deadline_passes(self):
+        self._do(self.state.deadline_passed())
+
+    @precondition(lambda self: self.state.number > 1)
+    @rule()
+    def caller_leaves(self):
+        self._do(self.state.caller_left())
+
+    def teardown(self):
+        if not hasattr(self, "state"):
+            return
+        self._do(self.state.deadline_passed())
+        assert self.finish is not None or self.early, "the caller has no answer"
+        # Work that must not be repeated goes on until its end is known.
+        self._do(self.state.link_lost())
+        self._do(self.state.reattach_failed())
+        assert self.finish is not None, "the request has no outcome"
+        assert self.state.phase is Phase.ENDED
+        for number in sorted(self.on_the_way):
+            if number not in self.tombstones:
+                assert self.finish.outcome is not Outcome.NOT_RUN
+
+
+def test_a_request_ends_once_and_truly_whatever_happens():
+    """One call behind bad links: a user would see a booking made twice, "not run"
+    for one that ran, another's or half an answer, or none at all. Frames come late,
+    twice or after a gap, links are lost, agents die and deadlines pass."""
+    run_state_machine_as_test(
+        Attempts,
+        settings=settings(
+            derandomize=True,
+            deadline=None,
+            database=None,
+            max_examples=300,
+            stateful_step_count=30,
+        ),
+    )
