--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,401 @@
+"""Failures named for requests, caused over real sockets, alone and in pairs."""
+
+import asyncio
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from mustardquay_node.agents import Agent
+from mustardquay_standins.answers import expected_text
+from mustardquay_standins.clients import SiteClient, read_stream_text
+from mustardquay_standins.instances import Instance
+from mustardquay_standins.relays import RelayStandin
+from mustardquay_standins.services import ServiceStandin
+from mustardquay_standins.sites import Site
+
+pytestmark = pytest.mark.fault
+
+LIMIT = 30.0
+"""Seconds after which a wait has failed."""
+LINK = {"heartbeat": "0.1", "silence": "0.5"}
+TOKENS = 200
+PROMPT = "Draft the alert for the ramp at Linz"
+ALERT = {"text": "ramp closed"}
+
+
+class Rig:
+    """A site, its caller, relays before its agents and processes of its own."""
+
+    def __init__(self, folder: Path):
+        self.site = Site("strassenmeldung", seed=1, overrides={"link": LINK})
+        self.client = SiteClient(self.site.customer.keys[0])
+        self.relays: dict[str, RelayStandin] = {}
+        self._folder = folder
+        self._processes: list[subprocess.Popen] = []
+        self._services: list[ServiceStandin] = []
+
+    @property
+    def model(self) -> str:
+        return self.site.customer.models[0]
+
+    @property
+    def entries(self) -> list[str]:
+        return [entry.url for entry in self.site.entries.values()]
+
+    @property
+    def executions(self) -> int:
+        services = [*self.site.services.values(), *self._services]
+        return sum(service.counters.executions for service in services)
+
+    @property
+    def runs(self) -> int:
+        engines = self.site.engines.values()
+        return sum(sum(item.counters.runs_by_prompt.values()) for item in engines)
+
+    async def start(self) -> None:
+        await self.site.start()
+
+    async def close(self) -> None:
+        for process in self._processes:
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
+        self.client.close()
+        await self.site.close()
+        for item in (*self.relays.values(), *self._services):
+            await item.close()
+
+    async def put_relays(self) -> None:
+        """Lead every link through a relay."""
+        lines = []
+        for name, agent in self.site.agents.items():
+            relay = RelayStandin("127.0.0.1", agent.port)
+            await relay.start()
+            self.relays[name] = relay
+            zone = agent.availability_zone
+            lines.append(Instance(name, "agent", "127.0.0.1", relay.port, zone))
+        self.list_instances(lines)
+        names = set(self.site.agents)
+        await until(
+            lambda: all(r.counters.connections >= 2 for r in self.relays.values())
+        )
+        await until(
+            lambda: all(len(e.list_reachable()) == len(names) for e in self._all())
+        )
+
+    def _all(self):
+        return list(self.site.entries.values())
+
+    def list_instances(self, agents: list[Instance]) -> None:
+        entries = [
+            Instance(name, "entry", "127.0.0.1", 0, entry.availability_zone)
+            for name, entry in self.site.entries.items()
+        ]
+        self.site.platform.instances.set_instances([*agents, *entries])
+
+    async def start_process_agent(self) -> tuple[subprocess.Popen, ServiceStandin]:
+        """Have all alerts go through an agent that is a process of its own."""
+        service = ServiceStandin()
+        await service.start()
+        self._services.append(service)
+        for agent in self.service_agents():
+            await agent.close()
+            del self.site.agents[agent.name]
+        port = find_free_port()
+        path = self._folder / "agent.ini"
+        path.write_text(self._write_settings(port, service.url), encoding="utf-8")
+        command = [sys.executable, "-m", "mustardquay_node.programs", str(path)]
+        process = subprocess.Popen(command, stdout=subprocess.DEVNULL)
+        self._processes.append(process)
+        lines = [
+            Instance(name, "agent", "127.0.0.1", agent.port, agent.availability_zone)
+            for name, agent in self.site.agents.items()
+        ]
+        self.list_instances(
+            [*lines, Instance("agent-alone", "agent", "127.0.0.1", port, "linz")]
+        )
+        await until(lambda: all("alone" in e.list_reachable() for e in self._all()))
+        return process, service
+
+    def service_agents(self) -> list[Agent]:
+        return [a for name, a in self.site.agents.items() if "alerts" in name]
+
+    def _write_settings(self, port: int, upstream: str) -> str:
+        platform = self.site.platform
+        link = "\n".join(f"{name} = {value}" for name, value in LINK.items())
+        keys = next(iter(self._all()))._parts.settings.link.keys[0]
+        return f"""
+[node]
+name = agent-alone
+kind = agent
+availability_zone = linz
+[platform]
+tables = {platform.tables.url}
+objects = {platform.objects.url}
+instances = {platform.instances.url}
+[link]
+keys = {keys}
+{link}
+[agent]
+port = {port}
+kind = service
+upstream = {upstream}
+upstream_name = alone
+service = alerts
+"""
+
+    def alert(self, key: str, entry: int = 0, body: dict | None = None):
+        url = f"{self.entries[entry]}/services/alerts/alerts"
+        headers = {"Idempotency-Key": key}
+        call = self.client.call("POST", url, body or ALERT, headers)
+        return asyncio.ensure_future(call)
+
+    def stream(self, prompt: str = PROMPT, entry: int = 0):
+        call = self.client.chat(self.entries[entry], self.model, prompt, TOKENS, True)
+        return asyncio.ensure_future(call)
+
+    def find_running(self) -> str:
+        """Return the name of the engine that runs a request, or nothing."""
+        names = [name for name, item in self.site.engines.items() if item.running]
+        return names[0] if names else ""
+
+    async def wait_for_tokens(self, count: int = 20) -> str:
+        """Wait until a stream is in its middle; return the engine that runs it."""
+        engines = self.site.engines.values()
+        await until(lambda: sum(item.counters.tokens for item in engines) >= count)
+        return self.find_running()
+
+    def find_agent(self, upstream: str) -> Agent:
+        return next(
+            agent
+            for agent in self.site.agents.values()
+            if agent._settings.upstream_name == upstream
+        )
+
+
+def find_free_port() -> int:
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        return found.getsockname()[1]
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    async with asyncio.timeout(LIMIT):
+        while not holds():
+            await asyncio.sleep(0.005)
+
+
+def check_whole(answer, prompt: str = PROMPT) -> None:
+    text, done = read_stream_text(answer.body)
+    assert (answer.status, done) == (200, True)
+    assert text == expected_text(prompt, TOKENS)
+
+
+@pytest.fixture
+async def rig(tmp_path):
+    running = Rig(tmp_path)
+    await running.start()
+    yield running
+    await running.close()
+
+
+async def test_killed_agent_leaves_an_alert_unknown_and_unrepeated(rig):
+    """An alert is with the service when the agent beside it is killed. The caller
+    must hear "unknown", not "not run", and so must each repeat, at any entry."""
+    process, service = await rig.start_process_agent()
+    service.faults.frozen = True
+    call = rig.alert("a1")
+    await until(lambda: service.counters.running == 1)
+    process.kill()
+    first = await call
+    assert first.outcome == "unknown"
+    service.faults.frozen = False
+    again = await asyncio.gather(rig.alert("a1"), rig.alert("a1", 1))
+    assert [answer.outcome for answer in again] == ["unknown", "unknown"]
+    assert service.counters.executions == 1
+
+
+async def test_paused_agent_that_wakes_runs_nothing_twice(rig):
+    """The agent is stopped with SIGSTOP before the alert comes, and its link goes
+    silent. The frame waits in its socket while the caller hears an end; woken, the
+    agent finds it. "Not run" would be a lie if it ran it then."""
+    process, service = await rig.start_process_agent()
+    process.send_signal(signal.SIGSTOP)
+    first = await rig.alert("p1")
+    assert first.outcome in ("unknown", "not-run")
+    process.send_signal(signal.SIGCONT)
+    await until(lambda: all("alone" in e.list_reachable() for e in rig._all()))
+    again = await rig.alert("p1", 1)
+    if first.outcome == "not-run":
+        assert (again.outcome, service.counters.executions) == ("answered", 1)
+    else:
+        assert again.outcome in ("unknown", "answered")
+        assert service.counters.executions <= 1
+
+
+async def test_cut_links_cost_a_stream_no_token(rig):
+    """All links are cut while a stream is in its middle: the caller sees each
+    token once, since the frames are asked for again over a new link."""
+    await rig.put_relays()
+    call = rig.stream()
+    await rig.wait_for_tokens()
+    for relay in rig.relays.values():
+        relay.cut_connections()
+    check_whole(await call)
+
+
+async def test_link_that_goes_silent_costs_seconds_and_no_outcome(rig):
+    """A middlebox forgets the links: TCP says that all is well and no byte comes.
+    Heartbeats are missed, a new link is opened, the stream goes on."""
+    await rig.put_relays()
+    call = rig.stream()
+    await rig.wait_for_tokens()
+    for relay in rig.relays.values():
+        relay.forget()
+    check_whole(await call)
+
+
+async def test_silent_link_does_not_run_an_alert_twice(rig):
+    """The links go silent while an alert is with the service, whose answer can't
+    come back over them. The entry asks over a new link and passes it on."""
+    await rig.put_relays()
+    services = rig.site.services.values()
+    for service in services:
+        service.faults.frozen = True
+    call = rig.alert("s1")
+    await until(lambda: rig.executions == 1)
+    for relay in rig.relays.values():
+        relay.forget()
+    for service in services:
+        service.faults.frozen = False
+    answer = await call
+    assert (answer.status, answer.outcome) == (201, "answered")
+    assert rig.executions == 1
+
+
+async def test_lost_answer_to_a_claim_does_not_lose_the_alert(rig):
+    """The claim is written and the store's answer lost: the alert would be refused
+    for its own claim. The row is read back and shows whose it is."""
+    rig.site.platform.tables.faults.lose_answers = 1
+    answer = await rig.alert("l1")
+    assert (answer.status, answer.outcome) == (201, "answered")
+    again = await rig.alert("l1", 1)
+    assert again.body == answer.body
+    assert rig.executions == 1
+
+
+async def test_service_that_drops_its_answer_leaves_the_alert_unknown(rig):
+    """The alert is sent and the service's connection closes before its answer: a
+    retry would send it to all commuters twice."""
+    for service in rig.site.services.values():
+        service.faults.drop_answers = 1
+    first = await rig.alert("d1")
+    again = await rig.alert("d1", 1)
+    assert [first.outcome, again.outcome] == ["unknown", "unknown"]
+    assert rig.executions == 1
+
+
+async def test_crashed_engine_costs_a_stream_no_token(rig):
+    """The engine dies in the middle of a stream; another one goes on behind the
+    last token that the caller has seen."""
+    call = rig.stream()
+    name = await rig.wait_for_tokens()
+    await rig.site.engines[name].crash()
+    check_whole(await call)
+
+
+async def test_poisonous_request_crashes_two_engines_and_no_innocent_is_lost(rig):
+    """One prompt crashes each engine that runs it and its caller sends it again
+    through both entries, while others stream. After the second crash it is refused
+    everywhere; all the others come through whole."""
+    for engine in rig.site.engines.values():
+        engine.faults.crash_marker = "poison"
+    prompts = [f"{PROMPT} {number}" for number in range(6)]
+    others = [rig.stream(text, number % 2) for number, text in enumerate(prompts)]
+    await rig.wait_for_tokens()
+    for entry in (0, 1, 0, 1, 0, 1):
+        answer = await rig.stream("poison", entry)
+        assert answer.status != 200
+    for call, prompt in zip(others, prompts, strict=True):
+        check_whole(await call, prompt)
+    assert sum(item.counters.crashes for item in rig.site.engines.values()) == 2
+
+
+async def test_repeat_at_another_entry_joins_the_running_alert(rig):
+    """The caller loses patience and sends the alert again, at the other entry,
+    while the first is still running: both hear the one answer."""
+    services = rig.site.services.values()
+    for service in services:
+        service.faults.frozen = True
+    first = rig.alert("j1")
+    await until(lambda: rig.executions == 1)
+    second = rig.alert("j1", 1)
+    events = list(rig.site.entries.values())[1].events
+    await until(lambda: any(e.kind == "request.arrived" for e in events.list_events()))
+    for service in services:
+        service.faults.frozen = False
+    answers = await asyncio.gather(first, second)
+    assert [answer.status for answer in answers] == [201, 201]
+    assert answers[0].body == answers[1].body
+    assert rig.executions == 1
+
+
+async def test_drain_in_mid_stream_cuts_nothing(rig):
+    """The agent of a running stream is stopped gracefully: the stream ends whole,
+    and new work goes elsewhere."""
+    call = rig.stream()
+    name = await rig.wait_for_tokens()
+    agent = rig.find_agent(name)
+    drained = asyncio.ensure_future(agent.drain())
+    entries = rig._all()
+    await until(
+        lambda: all(
+            view.draining
+            for entry in entries
+            for view in entry._dispatcher.views
+            if view.name == name
+        )
+    )
+    before = sum(rig.site.engines[name].counters.runs_by_prompt.values())
+    for number in range(4):
+        check_whole(await rig.stream(f"other {number}"), f"other {number}")
+    check_whole(await call)
+    await drained
+    assert sum(rig.site.engines[name].counters.runs_by_prompt.values()) == before
+
+
+async def test_store_that_is_down_makes_a_true_not_run(rig):
+    """The table service is down, so that no claim can be written. Idempotent work
+    goes on; an alert waits, hears "not run", and runs when it is sent again."""
+    rig.site.platform.tables.faults.down = True
+    refused = await rig.alert("n1")
+    assert refused.outcome == "not-run"
+    assert refused.headers.get("Retry-After")
+    assert rig.executions == 0
+    check_whole(await rig.stream())
+    rig.site.platform.tables.faults.down = False
+    answer = await rig.alert("n1", 1)
+    assert (answer.status, rig.executions) == (201, 1)
+
+
+async def test_store_that_goes_down_in_mid_alert_holds_up_no_answer(rig):
+    """The store goes down after the claim: the alert's answer reaches the caller,
+    and is recorded when the store is back, for a repeat at the other entry."""
+    services = rig.site.services.values()
+    for service in services:
+        service.faults.frozen = True
+    call = rig.alert("n2")
+    await until(lambda: rig.executions == 1)
+    rig.site.platform.tables.faults.down = True
+    for service in services:
+        service.faults.frozen = False
+    answer = await call
+    assert answer.outcome == "answered"
+    rig.site.platform.tables.faults.down = False
+    again = await rig.alert("n2", 1)
+    assert (again.body, rig.executions) == (answer.body, 1)
