--- a/packages/mustardquay-node/src/mustardquay_node/agents.py
+++ b/packages/mustardquay-node/src/mustardquay_node/agents.py
@@ -28,6 +28,7 @@
 from .links import Link
 from .loops import start_loop
 from .nodes import NodeParts, connect_configuration, spread_configuration
+from .orphans import OrphanRecorder
 from .reports import Reporter, UpstreamReport
 from .runs import Owner
 from .services import name_service
@@ -61,6 +62,13 @@
             self._settings.report_interval,
             self._note_report,
         )
+        self._orphans = OrphanRecorder(
+            self._parts.platform.tables,
+            self._parts.platform.objects,
+            self._parts.clock,
+            self._parts.random,
+            f"{settings.node.name}-{self._parts.incarnation}",
+        )
         self._executor = Executor(
             ExecutorOptions(
                 self._settings.upstream_name,
@@ -76,6 +84,7 @@
             self._parts.events,
             self._reporter.probe,
             self._beat,
+            self._orphans.record,
         )
         self._keeper = ConfigurationKeeper(
             self._parts.platform.tables,
@@ -144,6 +153,7 @@
         parts.metrics.watch("mustardquay.links", lambda: len(self._links))
         parts.metrics.start()
         await parts.platform.start()
+        self._orphans.start()
         self._disconnect = connect_configuration(self._keeper, self._beat)
         await self._keeper.start()
         self._reporter.start()
@@ -181,6 +191,7 @@
             self._server.close()
         await asyncio.gather(*(link.finish() for link in list(self._links)))
         await self._executor.close()
+        await self._orphans.close()
         await self._reporter.close()
         await self._keeper.close()
         await self._admin.close()
--- a/packages/mustardquay-node/src/mustardquay_node/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/exchanges.py
@@ -54,6 +54,8 @@
     streamed: bool
     version: int
     """Configuration version under which it was admitted."""
+    claim: bytes = b""
+    """Claim of work that must not be repeated, in JSON."""
 
 
 class Sink(Protocol):
@@ -281,6 +283,7 @@
             version=call.version,
             cached_tokens=self._dispatch.expect_cached(action.upstream, work),
             between_tokens=work.between_tokens,
+            claim=call.claim,
         )
 
     def _begin_reattach(self, action: ReattachAttempt) -> None:
--- a/packages/mustardquay-node/src/mustardquay_node/executors.py
+++ b/packages/mustardquay-node/src/mustardquay_node/executors.py
@@ -25,6 +25,8 @@
 FIRST_ERROR = 500
 """Lowest status with which an engine says that it failed, not the request."""
 RETRY_AFTER = timedelta(seconds=1)
+UNSURE = timedelta(seconds=15)
+"""Frames sent so long before a link was lost may have been lost with it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,11 +53,13 @@
         events: EventRing,
         probe: Callable[[], "asyncio.Future[str]"],
         crashed: Callable[[], None],
+        orphaned: Callable[[Run], None],
     ):
         """Take the parts.
 
         `probe` asks the upstream over a new connection for its boot, "" when it
-        does not answer; `crashed` hears of each crash once it is recorded.
+        does not answer; `crashed` hears of each crash once it is recorded, and
+        `orphaned` of each run that ended while its entry had no link.
         """
         self._options = options
         self._client = client
@@ -67,6 +71,7 @@
         self._events = events
         self._probe = probe
         self._crashed = crashed
+        self._orphaned = orphaned
         self._table = RunTable()
         self._by_work: dict[tuple[str, int], Run] = {}
         self._calls: dict[tuple[Owner, int], UpstreamCall] = {}
@@ -180,6 +185,12 @@
         for run in self._table:
             if run.link is link:
                 run.link = None
+        # What was sent shortly before the link was lost may not have arrived.
+        since = self._clock.monotonic() - UNSURE
+        for run in self._table.list_ended():
+            if run.link is link and run.ended_at is not None and run.ended_at > since:
+                run.link = None
+                self._orphaned(run)
 
     def sweep(self) -> None:
         """End what waits too long or makes no progress; call it several times a
@@ -390,6 +401,8 @@
             tokens = self._output_tokens.pop(key, 0)
             self._queue.finish(key, tokens, self._clock.monotonic())
         self._table.note_end(run)
+        if run.link is None:
+            self._orphaned(run)
         if self.is_empty:
             self._empty.set()
         asyncio.get_running_loop().call_soon(self._pump)
--- a/packages/mustardquay-node/src/mustardquay_node/frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/frames.py
@@ -164,6 +164,8 @@
     built.version = attempt.version
     built.cachedTokens = attempt.cached_tokens
     built.betweenTokens = _to_microseconds(attempt.between_tokens)
+    if attempt.claim:
+        built.claim = attempt.claim
 
 
 def _read_attempt(read: Any) -> Attempt:
@@ -192,6 +194,7 @@
         version=read.version,
         cached_tokens=read.cachedTokens,
         between_tokens=timedelta(microseconds=read.betweenTokens),
+        claim=read.claim,
     )
 
 
--- a/packages/mustardquay-node/src/mustardquay_node/runs.py
+++ b/packages/mustardquay-node/src/mustardquay_node/runs.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator
 from datetime import timedelta
 
+from mustardquay.claims import RecordedAnswer
 from mustardquay.errors import Refusal
 from mustardquay.messages import (
     Attempt,
@@ -107,6 +108,14 @@
         stream = self.attempt.stream
         self._end(Failed(stream, len(self._frames), kind, message), now)
 
+    def build_answer(self) -> RecordedAnswer | None:
+        """Return the whole answer, or None when there is none."""
+        if not self._frames or not isinstance(self._frames[-1], Done):
+            return None
+        heads = [frame for frame in self._frames if isinstance(frame, Head)]
+        parts = [frame.data for frame in self._frames if isinstance(frame, Chunk)]
+        return RecordedAnswer(heads[0].status, heads[0].headers, b"".join(parts))
+
     def reattach(self, link: Link, have: int) -> None:
         """Send what comes behind the first `have` frames over a new link."""
         self.link = link
@@ -165,6 +174,10 @@
         """Return the run, whether it goes on or has ended."""
         return self._runs.get(key) or self._ended.get(key)
 
+    def list_ended(self) -> list[Run]:
+        """Return the runs that ended lately, the oldest first."""
+        return list(self._ended.values())
+
     def note_end(self, run: Run) -> None:
         """Move a run that has ended among those that are kept for a while."""
         self._runs.pop(run.key, None)
--- a/packages/mustardquay-node/src/mustardquay_node/services.py
+++ b/packages/mustardquay-node/src/mustardquay_node/services.py
@@ -1,8 +1,10 @@
 """Services: calls of plain services, among them those that may run only once."""
 
+from dataclasses import replace
 from datetime import timedelta
 from hashlib import sha256
 
+import orjson
 from xxhash import xxh3_64_intdigest
 
 from mustardquay.attempts import Finish
@@ -13,6 +15,7 @@
     Judgement,
     RecordedAnswer,
     Verdict,
+    describe_claim,
 )
 from mustardquay.errors import Reason, Refusal
 from mustardquay.messages import Header
@@ -137,7 +140,9 @@
 
     async def _run_claimed(self, claim: Claim, path: str) -> None:
         sink = BufferedSink()
-        self.parts.dispatcher.run(self._make_call(path, repeatable=False), sink)
+        call = self._make_call(path, repeatable=False)
+        call = replace(call, claim=orjson.dumps(describe_claim(claim)))
+        self.parts.dispatcher.run(call, sink)
         first = await sink.first
         if not sink.ended.done():
             # The caller's time is over. The work goes on, and its answer is still
--- a/packages/mustardquay-node/src/mustardquay_node/wire.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/wire.capnp
@@ -54,6 +54,7 @@
   version @21 :UInt64;
   cachedTokens @22 :UInt32;
   betweenTokens @23 :UInt64;
+  claim @24 :Data;
 }
 
 struct Reattach {
--- a/packages/mustardquay/src/mustardquay/claims.py
+++ b/packages/mustardquay/src/mustardquay/claims.py
@@ -29,10 +29,12 @@
     "RecordedAnswer",
     "Verdict",
     "decode_claim",
+    "describe_claim",
     "encode_claim",
     "group_writes",
     "judge_claim",
     "plan_expiry",
+    "restore_claim",
     "settle_write",
     "split_conflict",
 ]
@@ -286,6 +288,25 @@
     )
 
 
+def describe_claim(claim: Claim) -> Value:
+    """Return a written claim as JSON, for the process that is to run its work."""
+    key = claim.key
+    return {
+        "customer": key.customer,
+        "service": key.service,
+        "key": key.key,
+        "revision": claim.revision,
+        "value": encode_claim(claim),
+    }
+
+
+def restore_claim(described: Value) -> Claim:
+    """Return the claim that `describe_claim` described."""
+    key = ClaimKey(described["customer"], described["service"], described["key"])
+    row = Row(CLAIMS, key.row_key, described["value"], described["revision"])
+    return decode_claim(key, row)
+
+
 def _decode_answer(value: Value | None) -> RecordedAnswer | None:
     if value is None:
         return None
--- a/packages/mustardquay/src/mustardquay/messages.py
+++ b/packages/mustardquay/src/mustardquay/messages.py
@@ -86,6 +86,9 @@
     cached_tokens: int = 0
     """Prompt tokens that the entry expects the engine to have cached."""
     between_tokens: timedelta = timedelta(milliseconds=60)
+    claim: bytes = b""
+    """Claim of non-repeatable work, in JSON, under which the agent records an
+    answer that the entry can't take any more."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import pytest
+from tornado.httpclient import HTTPError
 
 from mustardquay_node.agents import Agent
 from mustardquay_standins.answers import expected_text
@@ -122,9 +123,29 @@
         await until(lambda: all("alone" in e.list_reachable() for e in self._all()))
         return process, service
 
+    async def start_process_entry(self) -> tuple[subprocess.Popen, str]:
+        """Start another entry, which is a process of its own."""
+        port = find_free_port()
+        path = self._folder / "entry.ini"
+        path.write_text(self._write_entry_settings(port), encoding="utf-8")
+        command = [sys.executable, "-m", "mustardquay_node.programs", str(path)]
+        process = subprocess.Popen(command, stdout=subprocess.DEVNULL)
+        self._processes.append(process)
+        url = f"http://127.0.0.1:{port}"
+        hours = f"{url}/services/alerts/hours"
+        async with asyncio.timeout(LIMIT):
+            while await read_status(self.client.call("GET", hours)) != 200:
+                await asyncio.sleep(0.05)
+        return process, url
+
     def service_agents(self) -> list[Agent]:
         return [a for name, a in self.site.agents.items() if "alerts" in name]
 
+    def _write_entry_settings(self, port: int) -> str:
+        text = self._write_settings(port, "").partition("[agent]")[0]
+        text = text.replace("agent-alone", "entry-alone").replace("agent", "entry")
+        return f"{text}[entry]\nport = {port}\noperator_keys = key\n"
+
     def _write_settings(self, port: int, upstream: str) -> str:
         platform = self.site.platform
         link = "\n".join(f"{name} = {value}" for name, value in LINK.items())
@@ -149,11 +170,11 @@
 service = alerts
 """
 
-    def alert(self, key: str, entry: int = 0, body: dict | None = None):
-        url = f"{self.entries[entry]}/services/alerts/alerts"
+    def alert(self, key: str, entry: int | str = 0):
+        base = entry if isinstance(entry, str) else self.entries[entry]
         headers = {"Idempotency-Key": key}
-        call = self.client.call("POST", url, body or ALERT, headers)
-        return asyncio.ensure_future(call)
+        url = f"{base}/services/alerts/alerts"
+        return asyncio.ensure_future(self.client.call("POST", url, ALERT, headers))
 
     def stream(self, prompt: str = PROMPT, entry: int = 0):
         call = self.client.chat(self.entries[entry], self.model, prompt, TOKENS, True)
@@ -190,6 +211,14 @@
             await asyncio.sleep(0.005)
 
 
+async def read_status(call) -> int:
+    """Return the status, 0 when the connection broke or was refused."""
+    try:
+        return (await call).status
+    except (OSError, HTTPError):
+        return 0
+
+
 def check_whole(answer, prompt: str = PROMPT) -> None:
     text, done = read_stream_text(answer.body)
     assert (answer.status, done) == (200, True)
@@ -399,3 +428,118 @@
     rig.site.platform.tables.faults.down = False
     again = await rig.alert("n2", 1)
     assert (again.body, rig.executions) == (answer.body, 1)
+
+
+async def test_repeat_after_the_death_of_the_entry_joins_the_running_alert(rig):
+    """The entry is killed while the alert is with the service. The caller repeats
+    it at another entry, which must neither send it again nor miss its answer:
+    the agent, whose entry is gone, records it."""
+    process, url = await rig.start_process_entry()
+    services = rig.site.services.values()
+    for service in services:
+        service.faults.frozen = True
+    first = rig.alert("e1", url)
+    await until(lambda: rig.executions == 1)
+    process.kill()
+    assert await read_status(first) == 0
+    second = rig.alert("e1", 1)
+    for service in services:
+        service.faults.frozen = False
+    answer = await second
+    assert (answer.status, answer.outcome) == (201, "answered")
+    assert rig.executions == 1
+
+
+async def test_paused_entry_that_wakes_sends_nothing_twice(rig):
+    """The entry is paused with SIGSTOP while its alert runs; agents close its links.
+    The repeat at another entry hears the recorded answer, and the first entry,
+    woken, gives its own caller the same."""
+    process, url = await rig.start_process_entry()
+    services = rig.site.services.values()
+    for service in services:
+        service.faults.frozen = True
+    first = rig.alert("e2", url)
+    await until(lambda: rig.executions == 1)
+    process.send_signal(signal.SIGSTOP)
+    second = rig.alert("e2", 1)
+    for service in services:
+        service.faults.frozen = False
+    answer = await second
+    assert (answer.status, rig.executions) == (201, 1)
+    process.send_signal(signal.SIGCONT)
+    late = await first
+    assert late.outcome in ("answered", "unknown")
+    assert late.outcome == "unknown" or late.body == answer.body
+    assert rig.executions == 1
+
+
+# Pairs of failures.
+
+
+async def test_lost_claim_answer_and_dropped_answer_send_one_alert(rig):
+    """The store's answer to the claim is lost, then the service's answer as well:
+    each alone invites a repeat of an alert that went out."""
+    rig.site.platform.tables.faults.lose_answers = 2
+    for service in rig.site.services.values():
+        service.faults.drop_answers = 1
+    first = await rig.alert("x1")
+    again = await asyncio.gather(rig.alert("x1"), rig.alert("x1", 1))
+    assert {answer.outcome for answer in (first, *again)} == {"unknown"}
+    assert rig.executions == 1
+
+
+async def test_engine_that_crashes_as_links_go_silent_costs_no_token(rig):
+    """The links go silent and, before anyone has noticed, the engine dies: the
+    crash is heard over the new link and the stream goes on elsewhere."""
+    await rig.put_relays()
+    call = rig.stream()
+    name = await rig.wait_for_tokens()
+    for relay in rig.relays.values():
+        relay.forget()
+    await rig.site.engines[name].crash()
+    check_whole(await call)
+
+
+async def test_drained_engine_that_crashes_hands_its_stream_on(rig):
+    """An agent drains and waits for a stream, and then its engine dies."""
+    call = rig.stream()
+    name = await rig.wait_for_tokens()
+    drained = asyncio.ensure_future(rig.find_agent(name).drain())
+    await rig.site.engines[name].crash()
+    check_whole(await call)
+    await drained
+
+
+async def test_store_down_and_killed_agent_leave_no_false_word(rig):
+    """The store goes down after the claim, then the agent is killed: nobody can
+    record anything. The first call and each repeat hear "unknown"."""
+    process, service = await rig.start_process_agent()
+    service.faults.frozen = True
+    call = rig.alert("x2")
+    await until(lambda: service.counters.running == 1)
+    rig.site.platform.tables.faults.down = True
+    process.kill()
+    assert (await call).outcome == "unknown"
+    service.faults.frozen = False
+    assert (await rig.alert("x2", 1)).outcome in ("not-run", "unknown")
+    rig.site.platform.tables.faults.down = False
+    assert (await rig.alert("x2", 1)).outcome == "unknown"
+    assert service.counters.executions == 1
+
+
+async def test_stream_that_saw_two_crashes_is_cut_and_never_called_whole(rig):
+    """The engine dies in mid-stream, and so does the one that goes on: by then the
+    request is held for the cause. Its caller sees a stream without an end mark."""
+    seen = []
+    body = {"model": rig.model, "prompt": PROMPT, "max_tokens": TOKENS, "stream": True}
+    url = f"{rig.entries[0]}/v1/completions"
+    call = rig.client.call("POST", url, body, on_data=seen.append)
+    status = asyncio.ensure_future(read_status(call))
+    first = await rig.wait_for_tokens()
+    crashed = asyncio.ensure_future(rig.site.engines[first].crash())
+    await until(lambda: rig.find_running() not in ("", first))
+    await rig.site.engines[rig.find_running()].crash()
+    await asyncio.gather(crashed, status)
+    text, done = read_stream_text(b"".join(seen))
+    assert text and expected_text(PROMPT, TOKENS).startswith(text)
+    assert not done
