Pass streamed tokens straight to the connection

Cause: for each token the entry went through tornado's write and flush of the handler and left a callback on a future that was already done. Now both are skipped past the headers.

--- a/packages/mustardquay-node/src/mustardquay_node/generations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generations.py
@@ -137,10 +137,18 @@
         self.set_header(OUTCOME_HEADER, Outcome.ANSWERED.value)
 
     def _write(self, data: bytes) -> "asyncio.Future[None]":
-        self.write(data)
-        future = self.flush()
+        if self._headers_written:
+            # Past the headers, `flush` only passes data on to the connection; that
+            # costs as much again for each token.
+            future = self.request.connection.write(data)
+        else:
+            self.write(data)
+            future = self.flush()
         # A caller that is gone shows here too; on_connection_close deals with it.
-        future.add_done_callback(lambda done: done.exception())
+        if future.done():
+            future.exception()
+        else:
+            future.add_done_callback(lambda done: done.exception())
         return future
 
     async def _end_stream(self, end: Finish, sink: StreamSink) -> None:
