--- a/packages/mustardquay-node/src/mustardquay_node/frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/frames.py
@@ -3,7 +3,7 @@
 Durations travel in microseconds.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from itertools import groupby
@@ -12,7 +12,6 @@
 
 import capnp
 
-from mustardquay.caches import CacheEvent
 from mustardquay.errors import ProtocolError, Reason
 from mustardquay.events import Stamp
 from mustardquay.messages import (
@@ -34,18 +33,21 @@
     Refused,
     Started,
 )
-from mustardquay.quarantines import CrashId, CrashRecord
-from mustardquay.works import Role
 
 from .columns import read_chunks, write_chunks
+from .heartbeats import (
+    read_cache_events,
+    read_heartbeat,
+    to_microseconds,
+    write_cache_events,
+    write_heartbeat,
+)
 
 __all__ = ["Batch", "Hello", "decode_batch", "encode_batch"]
 
 capnp.remove_import_hook()
 WIRE = capnp.load(str(Path(__file__).with_name("wire.capnp")))
 
-MICROSECOND = timedelta(microseconds=1)
-LONGEST = timedelta(days=1)
 TRAVERSAL_LIMIT = 64 * 1024 * 1024
 """Words that one decoded message may have read, against decompression bombs."""
 
@@ -122,10 +124,6 @@
     return type(message) is Chunk
 
 
-def _to_microseconds(duration: timedelta) -> int:
-    return max(min(duration, LONGEST) // MICROSECOND, 0)
-
-
 def _write_headers(target: Any, headers: Sequence[Header]) -> None:
     built = target.init("headers", len(headers))
     for position, (name, value) in enumerate(headers):
@@ -175,8 +173,8 @@
     built.outputTokens = attempt.output_tokens
     built.share = attempt.share
     built.priority = attempt.priority
-    built.startWithin = _to_microseconds(attempt.start_within)
-    built.finishWithin = _to_microseconds(attempt.finish_within)
+    built.startWithin = to_microseconds(attempt.start_within)
+    built.finishWithin = to_microseconds(attempt.finish_within)
     if attempt.prefix:
         built.prefix = list(attempt.prefix)
     built.fingerprint = attempt.fingerprint
@@ -184,7 +182,7 @@
     built.streamed = attempt.streamed
     built.version = attempt.version
     built.cachedTokens = attempt.cached_tokens
-    built.betweenTokens = _to_microseconds(attempt.between_tokens)
+    built.betweenTokens = to_microseconds(attempt.between_tokens)
 
 
 def _read_attempt(read: Any) -> Attempt:
@@ -279,7 +277,7 @@
     built.reason = refused.reason.value
     built.message = refused.message
     if refused.retry_after is not None:
-        built.retryAfter = _to_microseconds(refused.retry_after)
+        built.retryAfter = to_microseconds(refused.retry_after)
 
 
 def _read_refused(read: Any) -> Refused:
@@ -305,92 +303,6 @@
     return Failed(read.stream, read.index, FailureKind(read.kind), read.message)
 
 
-def _write_heartbeat(frame: Any, heartbeat: Heartbeat) -> None:
-    built = frame.init("heartbeat")
-    built.version = heartbeat.version
-    built.upstream = heartbeat.upstream
-    built.confirmed = heartbeat.confirmed
-    built.draining = heartbeat.draining
-    built.ready = heartbeat.ready
-    built.role = heartbeat.role.value
-    built.models = list(heartbeat.models)
-    built.adapters = list(heartbeat.adapters)
-    built.queuedTokens = heartbeat.queued_tokens
-    built.waiting = heartbeat.waiting
-    built.running = heartbeat.running
-    built.prefillRate = heartbeat.prefill_rate
-    built.decodeRate = heartbeat.decode_rate
-    built.concurrency = heartbeat.concurrency
-    if heartbeat.crashes:
-        _write_crashes(built, heartbeat.crashes)
-
-
-def _read_heartbeat(read: Any) -> Heartbeat:
-    return Heartbeat(
-        version=read.version,
-        upstream=read.upstream,
-        confirmed=read.confirmed,
-        draining=read.draining,
-        ready=read.ready,
-        role=Role(read.role),
-        models=tuple(read.models),
-        adapters=tuple(read.adapters),
-        queued_tokens=read.queuedTokens,
-        waiting=read.waiting,
-        running=read.running,
-        prefill_rate=read.prefillRate,
-        decode_rate=read.decodeRate,
-        concurrency=read.concurrency,
-        crashes=tuple(_read_crash_record(record) for record in read.crashes),
-    )
-
-
-def _write_crashes(target: Any, records: Sequence[CrashRecord]) -> None:
-    built = target.init("crashes", len(records))
-    for position, record in enumerate(records):
-        built[position].fingerprint = record.fingerprint
-        built[position].remaining = _to_microseconds(record.remaining)
-        _write_crash_ids(
-            built[position].init("crashes", len(record.crashes)), record.crashes
-        )
-        _write_crash_ids(
-            built[position].init("cleared", len(record.cleared)), record.cleared
-        )
-
-
-def _write_crash_ids(built: Any, crashes: Iterable[CrashId]) -> None:
-    for position, crash in enumerate(sorted(crashes)):
-        built[position].upstream = crash.upstream
-        built[position].boot = crash.boot
-
-
-def _read_crash_record(read: Any) -> CrashRecord:
-    return CrashRecord(
-        read.fingerprint,
-        frozenset(CrashId(crash.upstream, crash.boot) for crash in read.crashes),
-        frozenset(CrashId(crash.upstream, crash.boot) for crash in read.cleared),
-        timedelta(microseconds=read.remaining),
-    )
-
-
-def _write_cache_events(frame: Any, message: CacheEvents) -> None:
-    built = frame.init("cacheEvents")
-    built.boot = message.boot
-    built.oldest = message.oldest
-    events = built.init("events", len(message.events))
-    for position, event in enumerate(message.events):
-        events[position].number = event.number
-        events[position].stored = event.stored
-        events[position].piece = event.piece
-
-
-def _read_cache_events(read: Any) -> CacheEvents:
-    events = tuple(
-        CacheEvent(event.number, event.stored, event.piece) for event in read.events
-    )
-    return CacheEvents(read.boot, read.oldest, events)
-
-
 def _write_entries(frame: Any, message: ConfigurationEntries) -> None:
     frame.configurationEntries = list(message.entries)
 
@@ -414,8 +326,8 @@
     Done: _write_mark("done"),
     Refused: _write_refused,
     Failed: _write_failed,
-    Heartbeat: _write_heartbeat,
-    CacheEvents: _write_cache_events,
+    Heartbeat: write_heartbeat,
+    CacheEvents: write_cache_events,
     ConfigurationEntries: _write_entries,
     ConfigurationWanted: _write_wanted,
 }
@@ -431,8 +343,8 @@
     "done": _read_done,
     "refused": _read_refused,
     "failed": _read_failed,
-    "heartbeat": _read_heartbeat,
-    "cacheEvents": _read_cache_events,
+    "heartbeat": read_heartbeat,
+    "cacheEvents": read_cache_events,
     "configurationEntries": _read_entries,
     "configurationWanted": ConfigurationWanted,
 }
