--- a/packages/mustardquay-standins/src/mustardquay_standins/answers.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/answers.py
@@ -9,16 +9,12 @@
 
 import xxhash
 
-from .costs import PIECE_TOKENS
-
 __all__ = [
     "ONE_WORD_MARKER",
-    "PIECE_LENGTH",
     "count_tokens",
     "expected_text",
     "expected_token",
     "expected_tokens",
-    "hash_pieces",
     "hash_prompt",
     "read_prompt",
 ]
@@ -26,8 +22,6 @@
 ONE_WORD_MARKER = "answer in one word"
 """A prompt with this text is answered by `open` or `shut`."""
 CHARACTERS_PER_TOKEN = 4
-PIECE_LENGTH = PIECE_TOKENS * CHARACTERS_PER_TOKEN
-"""Bytes of prompt in one piece of cache."""
 WORDS = (
     "road bridge ramp lane tunnel valley tram bus north south east west early late "
     "booth hour microphone studio evening morning host guest quiet ready closed near"
@@ -86,17 +80,6 @@
     return max(1, len(prompt) // CHARACTERS_PER_TOKEN)
 
 
-def hash_pieces(prompt: str) -> tuple[int, ...]:
-    """Return the hash of each whole piece and of all the pieces before it."""
-    data = prompt.encode()
-    digest = xxhash.xxh64()
-    hashes = []
-    for start in range(0, len(data) - PIECE_LENGTH + 1, PIECE_LENGTH):
-        digest.update(data[start : start + PIECE_LENGTH])
-        hashes.append(digest.intdigest())
-    return tuple(hashes)
-
-
 def _read_content(content: Any) -> str:
     if isinstance(content, str):
         return content
--- a/packages/mustardquay-standins/src/mustardquay_standins/caches.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/caches.py
@@ -7,8 +7,7 @@
 from typing import Any
 
 from mustardquay import Clock
-
-from .costs import PIECE_TOKENS
+from mustardquay.caches import PIECE_TOKENS
 
 __all__ = ["PrefixCache"]
 
--- a/packages/mustardquay-standins/src/mustardquay_standins/costs.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/costs.py
@@ -24,9 +24,9 @@
 from datetime import timedelta
 
 from mustardquay import Role
+from mustardquay.caches import PIECE_TOKENS
 
 __all__ = [
-    "PIECE_TOKENS",
     "Batch",
     "Changes",
     "EngineCosts",
@@ -39,8 +39,6 @@
     "estimate_transfer_time",
 ]
 
-PIECE_TOKENS = 2000
-"""Tokens in one piece of the prefix cache."""
 BYTES_PER_PARAMETER = 2
 
 
--- a/packages/mustardquay-standins/src/mustardquay_standins/engine_calls.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/engine_calls.py
@@ -6,10 +6,11 @@
 
 import orjson
 
+from mustardquay.caches import hash_prefix
+
 from .answers import (
     count_tokens,
     expected_tokens,
-    hash_pieces,
     read_prompt,
 )
 from .servers import Call
@@ -63,7 +64,7 @@
         adapter=adapter,
         prompt=prompt,
         prompt_tokens=count_tokens(prompt) + position,
-        pieces=hash_pieces(prompt),
+        pieces=hash_prefix(prompt),
         tokens=tokens,
         stream=bool(body.get("stream")),
         include_usage=bool(options.get("include_usage")),
