Log under one action for each process

Cause: outside an action eliot made a new id, with a system call, for each line. The lines of a process now belong to one action.

--- a/packages/mustardquay-node/src/mustardquay_node/programs.py
+++ b/packages/mustardquay-node/src/mustardquay_node/programs.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Annotated, NoReturn
 
+import eliot
 import typer
 
 from mustardquay import __version__
@@ -19,6 +20,8 @@
 
 __all__ = ["main", "run_node"]
 
+PROCESS_ACTION = "mustardquay:process"
+"""Type of the eliot action that all the lines of a process belong to."""
 SETTINGS_ERROR = 2
 """Exit code for settings that can't be used."""
 
@@ -73,9 +76,11 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     try:
-        await node.start()
-        await stop.wait()
-        await node.close()
+        # Without an action around them, eliot makes up an id for every line.
+        with eliot.start_task(action_type=PROCESS_ACTION, process=settings.node.name):
+            await node.start()
+            await stop.wait()
+            await node.close()
     finally:
         logs.close()
 
