--- a/benchmarks/all.py
+++ b/benchmarks/all.py
@@ -9,11 +9,12 @@
 
 import typer
 
-from . import paths, policies
+from . import counts, paths, policies
 
 __all__ = ["BENCHMARKS", "main"]
 
 BENCHMARKS: dict[str, Callable[[bool], bool]] = {
+    "counts": counts.run,
     "paths": paths.run,
     "policies": lambda short: short or bool(policies.run()),
 }
