Keep an upstream's socket watched between reads

Cause: tornado takes three reads for a chunk of an answer, stops watching the socket after the first and starts again at the last, with two system calls and a new handle for each token. The connection now says that it is reading unless a slow caller holds the answer back, as tornado's own TLS stream does during its handshake.

--- a/packages/mustardquay-node/src/mustardquay_node/upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstreams.py
@@ -60,6 +60,24 @@
     """The connection ended before the answer did."""
 
 
+class UpstreamStream(IOStream):
+    """A connection whose socket stays watched between two reads.
+
+    Tornado takes three reads for a chunk of an answer, and after the first it stops
+    watching the socket and starts again at the last: two system calls and a new
+    handle for each token, over a third of what reading it takes.
+    """
+
+    def __init__(self, connection: socket.socket):
+        super().__init__(connection)
+        self.held_back = False
+        """Whether the reader can't take more now, so that nothing is read ahead."""
+
+    def reading(self) -> bool:
+        """Return whether the socket is to be watched."""
+        return not self.held_back or super().reading()
+
+
 class UpstreamCall(HTTPMessageDelegate):
     """One call: what to send, and whom to tell of the answer."""
 
@@ -84,13 +102,13 @@
         self._head = head
         self._data = data
         self._sending = sending
-        self._stream: IOStream | None = None
+        self._stream: UpstreamStream | None = None
         self.answered = False
         """Whether the head of the answer has come."""
         self.whole = False
         self.reusable = True
 
-    def attach(self, stream: IOStream) -> None:
+    def attach(self, stream: UpstreamStream) -> None:
         """Note the connection that carries the call."""
         if self._stream is None:
             self._sending()
@@ -119,7 +137,8 @@
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Pass on a part of the body; waits while the receiver can't take more."""
-        return self._data(chunk)
+        waiting = self._data(chunk)
+        return None if waiting is None else self._hold_back(waiting)
 
     def finish(self) -> None:
         """Note the end of the answer."""
@@ -128,6 +147,16 @@
     def on_connection_close(self) -> None:
         """Leave the answer as broken."""
 
+    async def _hold_back(self, waiting: Awaitable[None]) -> None:
+        # Read ahead, a long answer to a slow caller would fill this process's
+        # memory; the engine has to feel that nobody takes it.
+        assert self._stream is not None
+        self._stream.held_back = True
+        try:
+            await waiting
+        finally:
+            self._stream.held_back = False
+
 
 class UpstreamClient:
     """Calls one upstream over connections that it keeps."""
@@ -137,7 +166,7 @@
         self._address = parts.hostname or ""
         self._port = parts.port or 80
         self._host = parts.netloc
-        self._idle: deque[tuple[IOStream, float]] = deque()
+        self._idle: deque[tuple[UpstreamStream, float]] = deque()
         self._parameters = HTTP1ConnectionParameters(max_body_size=ANSWER_LIMIT)
 
     def close(self) -> None:
@@ -169,7 +198,7 @@
         end = await self.run(call, fresh=True)
         return CallEnd.BROKEN if end is CallEnd.NOT_SENT else end
 
-    def _take_idle(self) -> IOStream | None:
+    def _take_idle(self) -> UpstreamStream | None:
         oldest = asyncio.get_running_loop().time() - IDLE_LIMIT.total_seconds()
         while self._idle:
             stream, since = self._idle.pop()
@@ -178,7 +207,7 @@
             stream.close()
         return None
 
-    def _keep(self, call: UpstreamCall, stream: IOStream) -> None:
+    def _keep(self, call: UpstreamCall, stream: UpstreamStream) -> None:
         if stream.closed():
             return
         if not call.reusable or len(self._idle) >= IDLE_CONNECTIONS:
@@ -186,9 +215,9 @@
             return
         self._idle.append((stream, asyncio.get_running_loop().time()))
 
-    async def _connect(self) -> IOStream | None:
+    async def _connect(self) -> UpstreamStream | None:
         family = socket.AF_INET6 if ":" in self._address else socket.AF_INET
-        stream = IOStream(socket.socket(family))
+        stream = UpstreamStream(socket.socket(family))
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
                 await stream.connect((self._address, self._port))
@@ -198,7 +227,7 @@
         stream.set_nodelay(True)
         return stream
 
-    async def _exchange(self, call: UpstreamCall, stream: IOStream) -> None:
+    async def _exchange(self, call: UpstreamCall, stream: UpstreamStream) -> None:
         call.attach(stream)
         connection = HTTP1Connection(stream, True, self._parameters)
         headers = HTTPHeaders({"Host": self._host})
