Gather the messages of a link for up to a millisecond

Cause: an agent sends the tokens of one engine step over some turns of its loop, and each turn made a batch of its own; a batch costs the entry some 14 us before the first token in it. A message after a pause of a millisecond still goes at once; in a burst, batches are a millisecond apart.

--- a/benchmarks/counts.py
+++ b/benchmarks/counts.py
@@ -188,7 +188,7 @@
         return Link(
             side,
             Identity(f"{side}-1", 1, "zone-a", 1),
-            LinkOptions(("benchmark-link-key",), HOUR, HOUR, 1 << 24),
+            LinkOptions(("benchmark-link-key",), HOUR, HOUR, 1 << 24, timedelta()),
             HybridClock(self._clock),
             lambda link: Heartbeat(),
             lambda link: None,
--- a/packages/mustardquay-node/src/mustardquay_node/links.py
+++ b/packages/mustardquay-node/src/mustardquay_node/links.py
@@ -50,6 +50,8 @@
     heartbeat: timedelta
     silence: timedelta
     frame_limit: int
+    gather: timedelta = timedelta(milliseconds=1)
+    """Least time between two batches; a message after a pause goes at once."""
 
 
 class Link(asyncio.Protocol):
@@ -79,6 +81,7 @@
         self._buffer = bytearray()
         self._outgoing: list[Message | Hello] = []
         self._flush_scheduled = False
+        self._flushed_at = 0.0
         self._sent = 0
         self._expected = 0
         self._nonce = secrets.token_bytes(NONCE_SIZE)
@@ -145,7 +148,7 @@
             self.close("the peer did not close the link")
 
     def flush(self) -> None:
-        """Write what was queued in this turn of the loop, as one batch."""
+        """Write what was queued, as one batch."""
         self._flush_scheduled = False
         if self._closed or not self._outgoing or self._transport is None:
             return
@@ -153,6 +156,7 @@
         self._outgoing.clear()
         data = encode_batch(Batch(self._sent, self._clock.tick(), messages))
         self._sent += 1
+        self._flushed_at = self._loop.time()
         self._transport.write(len(data).to_bytes(LENGTH_SIZE, "big") + data)
         if self._transport.get_write_buffer_size() > SEND_LIMIT:
             # A peer that was stopped takes nothing in, which would show here as
@@ -298,6 +302,16 @@
         self._outgoing.append(message)
         if not self._flush_scheduled:
             self._flush_scheduled = True
+            self._schedule_flush()
+
+    def _schedule_flush(self) -> None:
+        # The tokens of one step of an engine come over some turns of the loop. A
+        # batch for each turn costs both ends more than what is in it.
+        gather = self._options.gather.total_seconds()
+        wait = self._flushed_at + gather - self._loop.time()
+        if wait > 0:
+            self._loop.call_later(wait, self.flush)
+        else:
             self._loop.call_soon(self.flush)
 
     def _schedule_beat(self) -> None:
