Bound the path benchmark's ratios, and show memory after the load

Bounds are ratios within one run: processor time of a request over the path at most 1.8 times the proxy's, tokens per CPU second at least 1.9 times the proxy's for the entry and 1.25 times for the agent, 128 MiB when idle.

--- a/benchmarks/paths.py
+++ b/benchmarks/paths.py
@@ -42,6 +42,11 @@
 TOKEN_TARGET = 24_000
 """Tokens a second that one node must relay: 13 million by 540 nodes."""
 MEMORY_TARGET = 128 * 1024 * 1024
+"""Bytes resident of an idle process."""
+REQUEST_BOUND = 1.8
+"""Processor time of a request, path to proxy; the aim is 1."""
+TOKEN_BOUNDS = {"entry": 1.9, "agent": 1.25}
+"""Tokens relayed for each CPU second, as a multiple of the proxy's."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,21 +84,26 @@
     stack = Stack()
     try:
         await stack.start()
-        memory = {name: stack.children[name].memory for name in ("entry", "agent")}
+        memory = _read_memory(stack)
         samples = [
             await measure(stack, way, WORDS, CALLERS)
             for _ in range(ROUNDS)
             for way in ("proxy", "path")
         ]
+        later = _read_memory(stack)
     finally:
         await stack.close()
     for sample in samples:
         _show_requests(sample)
     ratio = _sum_cpu(samples, "path") / _sum_cpu(samples, "proxy")
-    typer.echo(f"CPU per request, path to proxy: {ratio:.2f}")
+    typer.echo(f"CPU per request, path to proxy: {ratio:.2f}, bound {REQUEST_BOUND}")
     for name, size in memory.items():
-        typer.echo(f"idle {name}: {size / 2**20:.1f} MiB resident")
-    return _are_whole(samples) and max(memory.values()) < MEMORY_TARGET
+        typer.echo(
+            f"{name}: {size / 2**20:.0f} MiB resident when idle, bound "
+            f"{MEMORY_TARGET / 2**20:.0f}; {later[name] / 2**20:.0f} MiB after the load"
+        )
+    good = ratio <= REQUEST_BOUND and max(memory.values()) <= MEMORY_TARGET
+    return good and _are_whole(samples)
 
 
 async def _measure_tokens() -> bool:
@@ -110,7 +120,28 @@
     for sample in samples:
         _show_tokens(sample)
     typer.echo(f"target: {TOKEN_TARGET} tokens per CPU second of a node")
-    return _are_whole(samples)
+    return _meet_token_bounds(samples) and _are_whole(samples)
+
+
+def _meet_token_bounds(samples: list[Sample]) -> bool:
+    base = _rate_tokens(samples, "proxy")
+    good = True
+    for name, bound in TOKEN_BOUNDS.items():
+        ratio = _rate_tokens(samples, name) / base
+        typer.echo(
+            f"tokens per CPU second, {name} to proxy: {ratio:.2f}, bound {bound}"
+        )
+        good = good and ratio >= bound
+    return good
+
+
+def _rate_tokens(samples: list[Sample], name: str) -> float:
+    used = [one for one in samples if name in one.cpu]
+    return sum(one.report.tokens for one in used) / sum(one.cpu[name] for one in used)
+
+
+def _read_memory(stack: Stack) -> dict[str, int]:
+    return {name: stack.children[name].memory for name in ("entry", "agent")}
 
 
 def _sum_cpu(samples: list[Sample], way: str) -> float:
