Don't count a process's own pause as the silence of its peers

Cause: on a machine at load 15 two fault tests failed in one run of two: every link of a starved process was closed as it woke, and attempts were used up. A trace of the reasons showed silence on all links at once. Ruled out: the relays, and the gathering of messages on links. A unit test with a stopped loop shows the fault. Conclusion: a pause costs what it lasts and not the links.

--- a/packages/mustardquay-node/src/mustardquay_node/executors.py
+++ b/packages/mustardquay-node/src/mustardquay_node/executors.py
@@ -25,6 +25,8 @@
 FIRST_ERROR = 500
 """Lowest status with which an engine says that it failed, not the request."""
 RETRY_AFTER = timedelta(seconds=1)
+PAUSE = timedelta(milliseconds=500)
+"""A longer time between two sweeps means that the process did not run."""
 UNSURE = timedelta(seconds=15)
 """Frames sent so long before a link was lost may have been lost with it."""
 
@@ -77,6 +79,7 @@
         self._calls: dict[tuple[Owner, int], UpstreamCall] = {}
         self._stalled: set[tuple[Owner, int]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._swept_at = clock.monotonic()
         self._draining = False
         self._empty = asyncio.Event()
         self._empty.set()
@@ -197,6 +200,7 @@
         second.
         """
         now = self._clock.monotonic()
+        self._excuse_pause(now)
         for work in self._queue.expire(now):
             self._refuse(self._by_work[work.key], _make_late())
         for run in [run for run in self._suspects if run.work.start_by < now]:
@@ -212,6 +216,18 @@
         self._table.forget(now)
         self._pump()
 
+    def _excuse_pause(self, now: timedelta) -> None:
+        """Don't count the time in which this process did not run.
+
+        After a pause every stream looks stalled, though what the upstream sent
+        meanwhile only waits to be read.
+        """
+        gap = now - self._swept_at
+        self._swept_at = now
+        if gap > PAUSE:
+            for run in self._table:
+                run.progress_at += gap
+
     def start_drain(self) -> None:
         """Refuse new work, and hand back what has not started."""
         self._draining = True
--- a/packages/mustardquay-node/src/mustardquay_node/links.py
+++ b/packages/mustardquay-node/src/mustardquay_node/links.py
@@ -90,7 +90,8 @@
         self._open = False
         self._closed = False
         self._ended = asyncio.Event()
-        self._heard = self._loop.time()
+        self._silent = 0.0
+        self._beaten = self._loop.time()
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -173,14 +174,14 @@
         connection = transport.get_extra_info("socket")
         if connection is not None:
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._heard = self._loop.time()
+        self._beaten = self._loop.time()
         self._schedule_beat()
         if self._side == "entry":
             self._say_hello(b"")
 
     def data_received(self, data: bytes) -> None:
         """Cut the bytes into batches and hand on their messages."""
-        self._heard = self._loop.time()
+        self._silent = 0.0
         self._buffer += data
         try:
             self._take_batches()
@@ -325,9 +326,22 @@
         # A connection that was forgotten on its way looks healthy to TCP for many
         # minutes. The peer beats at all times, so silence means that this
         # connection is of no use, and a new one is worth a try.
-        if self._loop.time() - self._heard > self._options.silence.total_seconds():
+        self._silent += self._measure_beat()
+        if self._silent > self._options.silence.total_seconds():
             self.close("no heartbeat within the time of silence")
             return
         if self._open:
             self._queue(self._make_heartbeat(self))
         self._schedule_beat()
+
+    def _measure_beat(self) -> float:
+        """Return the seconds since the last beat, without pauses.
+
+        A process that was paused, or starved of processor time, finds that nothing
+        came for long, although its peers were well and what they sent waits in the
+        socket. Were the pause counted, it would close all its links as it wakes.
+        """
+        now = self._loop.time()
+        elapsed = now - self._beaten
+        self._beaten = now
+        return min(elapsed, 2 * self._options.heartbeat.total_seconds())
--- /dev/null
+++ b/packages/mustardquay-node/tests/test_links.py
@@ -0,0 +1,73 @@
+from datetime import timedelta
+
+import pytest
+
+from mustardquay import HybridClock, VirtualClock
+from mustardquay.messages import Heartbeat
+from mustardquay_node.links import Identity, Link, LinkOptions
+
+
+class StoppedLoop:
+    """A loop whose time the test sets, and whose timers it calls."""
+
+    def __init__(self):
+        self.now = 0.0
+
+    def time(self):
+        return self.now
+
+    def call_later(self, delay, callback):
+        return self
+
+    def call_soon(self, callback):
+        return self
+
+    def cancel(self):
+        return None
+
+
+@pytest.fixture
+async def link():
+    lost = []
+    options = LinkOptions(
+        ("key",), timedelta(seconds=1), timedelta(seconds=4), 1_000_000
+    )
+    link = Link(
+        "entry",
+        Identity("entry-1", 1, "zone-a"),
+        options,
+        HybridClock(VirtualClock()),
+        lambda link: Heartbeat(),
+        lambda link: None,
+        lambda link, message: None,
+        lambda link, reason: lost.append(reason),
+    )
+    link.lost = lost
+    link._loop = StoppedLoop()
+    link._beaten = 0.0
+    return link
+
+
+def beat_at(link, *instants):
+    for instant in instants:
+        link._loop.now = instant
+        link._beat()
+
+
+async def test_link_is_closed_after_the_time_of_silence(link):
+    beat_at(link, 1, 2, 3, 4)
+    assert not link.lost
+    beat_at(link, 5)
+    assert link.lost
+
+
+async def test_process_that_was_paused_does_not_take_its_links_for_silent(link):
+    """
+    A host under load stops the entry for a minute. All agents are well, and their
+    heartbeats wait in the sockets. As the entry wakes it must read them, and not
+    close every link and disturb every request on them.
+    """
+    beat_at(link, 1, 61)
+    assert not link.lost
+    beat_at(link, 62, 63)
+    assert link.lost
