--- a/benchmarks/all.py
+++ b/benchmarks/all.py
@@ -9,13 +9,14 @@
 
 import typer
 
-from . import controls, paths
+from . import controls, paths, spreads
 
 __all__ = ["BENCHMARKS", "main"]
 
 BENCHMARKS: dict[str, Callable[[bool], bool]] = {
     "controls": controls.run,
     "paths": paths.run,
+    "spreads": spreads.run,
 }
 """Each takes whether the run is short, and returns whether its bounds were met."""
 
--- a/benchmarks/controls.py
+++ b/benchmarks/controls.py
@@ -59,6 +59,8 @@
 LETTER_CONTRACTS = 23_000
 LINK_LIMIT = 64
 HTTP_CALLS = 500
+TERM = timedelta(seconds=10)
+TAKEOVERS = 200
 FRAME_OVERHEAD = 4 + 52
 """Bytes of the length of a frame and of the IP and TCP headers around it."""
 WRITE_BOUND = 0.05
@@ -68,6 +70,7 @@
 def run(short: bool = False) -> bool:
     """Print all the figures; return whether the bounds were met."""
     met = print_fleets(SIZES[:2] if short else SIZES)
+    asyncio.run(print_takeovers())
     print_configurations()
     print_heartbeats()
     print_membership()
@@ -158,6 +161,44 @@
         clock.advance(timedelta(seconds=1))
 
 
+async def print_takeovers() -> None:
+    """Print the virtual time from a holder's death to the next one's hold."""
+    times = sorted([await _time_takeover(seed) for seed in range(TAKEOVERS)])
+    middle, longest = times[len(times) // 2], times[-1]
+    print(f"\ntakeover: median {middle:.1f} s, longest of {TAKEOVERS} {longest:.1f} s")
+
+
+async def _time_takeover(seed: int) -> float:
+    """Let three controllers take turns as they do, and stop the holder."""
+    clock, tables, random = VirtualClock(), Tables(), Random(seed)
+
+    def make(number: int) -> Controller:
+        return Controller(
+            "zone",
+            f"entry-{number}",
+            LocalTables(tables),
+            Configuration,
+            clock,
+            Random(seed),
+            term=TERM,
+        )
+
+    due = [(TERM / 4 * random.random(), make(number)) for number in range(3)]
+    died_at = 10 * TERM + TERM * random.random()
+    dead: Controller | None = None
+    while True:
+        due.sort(key=lambda item: item[0])
+        now, controller = due.pop(0)
+        if dead is None and now >= died_at:
+            dead = next(item for _, item in [(now, controller), *due] if item.held)
+        clock.advance(now - clock.monotonic())
+        if controller is not dead:
+            await controller.turn()
+            due.append((now + TERM / 4 * (0.75 + random.random() / 2), controller))
+        if dead is not None and controller is not dead and controller.held:
+            return (now - died_at).total_seconds()
+
+
 def make_configuration(contracts: int) -> Configuration:
     """Return a configuration of so many contracts."""
     items = {}
