--- a/packages/mustardquay-cli/src/mustardquay_cli/changes.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/changes.py
@@ -12,10 +12,12 @@
     describe_change,
     read_change,
 )
-from mustardquay.errors import DocumentError, MustardquayError
+from mustardquay.errors import MustardquayError
 from mustardquay.plans import Action, Scope
 
-from .clients import AdminClient, join_path
+from .announcements import Announcement
+from .clients import join_path
+from .files import read_file
 from .options import (
     AdminOption,
     JSONOption,
@@ -26,7 +28,7 @@
     WaitTimeoutOption,
     make_client,
 )
-from .outputs import finish, print_ini, print_json, print_note, print_table, run
+from .outputs import finish, print_json, print_note, print_table, run
 from .waits import limit_wait, wait_for_version
 
 __all__ = ["app"]
@@ -66,6 +68,9 @@
             help="Go ahead though the rest of the fleet can't honour every contract.",
         ),
     ] = False,
+    dry_run: Annotated[
+        bool, typer.Option("--dry-run", help="Tell the cost and announce nothing.")
+    ] = False,
     admin: AdminOption = [],  # noqa: B006
     key: KeyOption = "",
     timeout: TimeoutOption = 10,
@@ -77,11 +82,12 @@
 
     drain takes no new work on the target and lets running work finish; replace does
     the same, and serves again once the instance was restarted; withdraw drains for
-    good. Nothing that runs is cut.
+    good. Nothing that runs is cut. What the change costs is told first; one that leaves
+    too little for the contracts is refused.
 
     \b
     Examples:
-      mustardquay change announce --action drain --target engine-3
+      mustardquay change announce --action drain --target engine-3 --dry-run
       mustardquay change announce --action replace --scope availability_zone \\
           --target linz --starts-at 2027-01-15T02:00:00Z
       mustardquay change announce changes/drain-engine-3.ini --wait
@@ -97,14 +103,10 @@
     if (file is None) == (action is None or not target):
         raise typer.BadParameter("Give either a FILE, or --action and --target.")
     document = _read(file, options)
-    run(
-        _announce(
-            make_client(admin, key, timeout),
-            document,
-            limit_wait(wait, wait_timeout),
-            json,
-        )
-    )
+    client = make_client(admin, key, timeout)
+    body = describe_change(document.to_change())
+    announcement = Announcement("change", body, dry_run, json)
+    run(announcement.send(client, limit_wait(wait, wait_timeout)))
 
 
 @app.command("list")
@@ -159,21 +161,6 @@
     try:
         if file is None:
             return check_document(ChangeDocument, options, "options")
-        return read_change(file.read_text(encoding="utf-8"), str(file))
+        return read_file(file, read_change)
     except MustardquayError as error:
         finish(error)
-    except (OSError, UnicodeDecodeError) as error:
-        finish(DocumentError(f"{file}: can't be read ({error}); check the path."))
-
-
-async def _announce(
-    client: AdminClient, document: ChangeDocument, wait: timedelta | None, json: bool
-) -> None:
-    body = describe_change(document.to_change())
-    change = await client.edit("POST", join_path("changes"), body)
-    if json:
-        print_json(change)
-    else:
-        print_ini("change", change)
-    if wait is not None:
-        await wait_for_version(client, change["revision"], wait)
