Derive order rows from the present head of the configuration

A fresh holder, whose configuration was a moment old, returned a drained engine to service until the newest version had come to it. It now reads the head before it decides, and its transaction has the condition that the head has not moved.

--- a/benchmarks/controls.py
+++ b/benchmarks/controls.py
@@ -131,11 +131,11 @@
             "zone",
             f"entry-{number}",
             make_store(),
-            Configuration,
+            keeper,
             clock,
             Random(number),
         )
-        for number in range(min(entries, 3))
+        for number, keeper in enumerate(keepers)
     ]
     await _turn(clock, agents, keepers, controllers, 60)
     before = [(s.counters.reads, s.counters.writes) for s in stores]
@@ -173,11 +173,12 @@
     clock, tables, random = VirtualClock(), Tables(), Random(seed)
 
     def make(number: int) -> Controller:
+        store = LocalTables(tables)
         return Controller(
             "zone",
             f"entry-{number}",
-            LocalTables(tables),
-            Configuration,
+            store,
+            ConfigurationKeeper(store, LocalObjects(), Random(seed), lambda: True),
             clock,
             Random(seed),
             term=TERM,
--- a/packages/mustardquay-node/src/mustardquay_node/controllers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/controllers.py
@@ -20,12 +20,14 @@
 from mustardquay.encodings import decode, encode
 from mustardquay.errors import MustardquayError
 from mustardquay.leases import BEATS, LEASES, Lease, LeaseRows, fence_writes
+from mustardquay.logs import HEAD, TABLE, read_version
 from mustardquay.orders import ORDERS, REPORTS, EngineReport, OrderRow
 from mustardquay.plans import PlannedChange, Release
 from mustardquay.revisions import Configuration, Edit
 from mustardquay.rollouts import EngineStatus, propose_rows
 from mustardquay.tables import Condition, Row, TableService, Write
 
+from .configurations import ConfigurationKeeper
 from .editors import EditCheck
 from .sleeps import Sleep, sleep as default_sleep
 
@@ -70,7 +72,7 @@
         domain: str,
         candidate: str,
         tables: TableService,
-        get_configuration: Callable[[], Configuration],
+        keeper: ConfigurationKeeper,
         clock: Clock,
         random: Random,
         is_candidate: Callable[[], bool] = lambda: True,
@@ -82,7 +84,7 @@
     ):
         self._domain = domain
         self._tables = tables
-        self._get_configuration = get_configuration
+        self._keeper = keeper
         self._clock = clock
         self._random = random
         self._is_candidate = is_candidate
@@ -169,17 +171,20 @@
             lease_changed.send(self, held=held, fence=self._lease.fence)
 
     async def _carry_out(self) -> None:
-        configuration = self._get_configuration()
-        if configuration.version != self._seen_version:
+        if self._keeper.version != self._seen_version:
             self._idle_rounds = 0
         self._idle_rounds -= 1
         if self._idle_rounds > 0:
             return
+        head = await self._keeper.poll()
+        configuration = self._keeper.configuration
+        if configuration.version != read_version(head):
+            return
         fleet = await self._read_fleet()
         self._seen_version = configuration.version
         proposals = self._decide(configuration, fleet)
         if proposals:
-            await self._write(proposals)
+            await self._write(proposals, head)
         # Also while another zone has the turn in a release.
         if proposals or not all(
             status.is_available for status in fleet or self._engines
@@ -209,9 +214,14 @@
                 return proposals
         return []
 
-    async def _write(self, proposals: list[tuple[EngineStatus, OrderRow]]) -> None:
+    async def _write(
+        self, proposals: list[tuple[EngineStatus, OrderRow]], head: Row | None
+    ) -> None:
         keys = [f"{self._domain}/{status.upstream.name}" for status, _ in proposals]
-        conditions = tuple(
+        # A holder whose configuration is a moment old would return an engine to
+        # service that was just drained: the rows follow from the present head.
+        configured = Condition(TABLE, HEAD, 0 if head is None else head.revision)
+        unchanged = (
             Condition(ORDERS, key, status.row_revision)
             for key, (status, _) in zip(keys, proposals, strict=True)
         )
@@ -223,7 +233,10 @@
         # before the next ones are decided.
         result = await self._tables.transact(
             fence_writes(
-                self._domain, self._lease.fence, *writes, conditions=conditions
+                self._domain,
+                self._lease.fence,
+                *writes,
+                conditions=(configured, *unchanged),
             )
         )
         if result:
--- a/packages/mustardquay-node/src/mustardquay_node/reconcilers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/reconcilers.py
@@ -146,7 +146,6 @@
                 if not await self._take(step):
                     break
             await self._report()
-            self._machine.note_store(True)
         except (StoreUnavailable, StoreUnclear) as error:
             self._machine.note_store(False)
             logger.info("%s: the table service can't be used: %s", self._key, error)
@@ -254,6 +253,9 @@
 
     async def _read_row(self) -> OrderRow | None:
         row = await self._tables.read(ORDERS, self._key)
+        # Only where the store has answered: a turn that asks it nothing, while work
+        # runs, would else take an engine out of service that can't be changed.
+        self._machine.note_store(True)
         return None if row is None else decode(OrderRow, row.value)
 
     def _announce(self) -> None:
--- a/packages/mustardquay-node/tests/test_controls.py
+++ b/packages/mustardquay-node/tests/test_controls.py
@@ -1,15 +1,20 @@
 """Controllers and reconcilers together, on a virtual clock, with their faults."""
 
+from dataclasses import replace
 from datetime import timedelta
 from random import Random
+from unittest.mock import AsyncMock
 
 import pytest
 
 from mustardquay import Contract, Role, VirtualClock
 from mustardquay.errors import StoreUnclear
+from mustardquay.leases import LEASES
+from mustardquay.logs import HEAD, TABLE
 from mustardquay.orders import CLAIMS, ORDERS, Desired
 from mustardquay.plans import Action, PlannedChange, Release, Scope
 from mustardquay.revisions import Configuration
+from mustardquay.tables import Transaction, Write
 from mustardquay_node.controllers import Controller
 from mustardquay_node.reconcilers import Reconciler
 from mustardquay_standins.stores import LocalEngine, LocalTables
@@ -19,6 +24,26 @@
 TERM = timedelta(seconds=10)
 
 
+class Keeper:
+    """Has the head row of a configuration that tests set."""
+
+    def __init__(self, tables):
+        self._tables = tables
+        self.configuration = Configuration()
+
+    @property
+    def version(self):
+        return self.configuration.version
+
+    def put(self, configuration):
+        self.configuration = configuration
+        write = Write(TABLE, HEAD, {"version": configuration.version})
+        self._tables.apply(Transaction(writes=(write,)))
+
+    async def poll(self):
+        return self._tables.read(TABLE, HEAD)
+
+
 class Fleet:
     """Engines of one zone with their agents, and the entries that control them."""
 
@@ -33,10 +58,19 @@
         self.fencing = fencing
         self.agents = {name: self.make_agent(name, 1) for name in self.names}
         self.share = share
+        self.keeper = Keeper(self.tables)
         self.configuration = self.make_configuration()
         self.entries = [self.make_entry(number) for number in range(2)]
         self.lowest = size
 
+    @property
+    def configuration(self):
+        return self.keeper.configuration
+
+    @configuration.setter
+    def configuration(self, configuration):
+        self.keeper.put(configuration)
+
     def make_agent(self, name, number):
         store = LocalTables(self.tables)
         agent = Reconciler(
@@ -60,7 +94,7 @@
             ZONE,
             f"entry-{number}",
             store,
-            lambda: self.configuration,
+            self.keeper,
             self.clock,
             Random(number),
             term=TERM,
@@ -218,16 +252,8 @@
     wakes up and sends its transaction.
     """
     holder, other = fleet.entries if fleet.entries[0].held else fleet.entries[::-1]
-    held_back = []
     transact = holder.store.transact
-
-    async def hold_back(transaction):
-        if transaction.writes[0].table != ORDERS:
-            return await transact(transaction)
-        held_back.append(transaction)
-        raise StoreUnclear("The process was paused here.")
-
-    holder.store.transact = hold_back
+    held_back = hold_back_orders(holder)
     fleet.configuration = fleet.make_configuration(2, releases=[NEW])
     await holder.turn()
     assert held_back and holder.held
@@ -235,11 +261,46 @@
     await fleet.run(30, [other])
     assert other.held
     for transaction in held_back:
-        assert not await transact(transaction)
+        result = await transact(transaction)
+        assert not result and LEASES in [row.table for row in result.rows]
     await fleet.run(30, [other])
     assert fleet.list_versions() == ["1"] * 4 and fleet.count_ready() == 4
 
 
+@pytest.mark.fault
+async def test_a_late_copy_of_an_older_transaction_changes_nothing(fleet):
+    """An engine would be told to go back to an older row by its own holder.
+
+    A transaction is held up in the network and given up as unclear. The holder
+    reads the rows and writes others; then the first one arrives.
+    """
+    holder = next(entry for entry in fleet.entries if entry.held)
+    transact = holder.store.transact
+    held_back = hold_back_orders(holder)
+    fleet.configuration = fleet.make_configuration(2, releases=[NEW])
+    await holder.turn()
+    holder.store.transact = transact
+    await fleet.run(60)
+    (transaction,) = held_back
+    result = await transact(transaction)
+    assert not result and ORDERS in [row.table for row in result.rows]
+
+
+def hold_back_orders(holder):
+    """Keep the holder's transactions on order rows from the store; return them."""
+    held_back = []
+    transact = holder.store.transact
+
+    async def hold_back(transaction):
+        if transaction.writes[0].table != ORDERS:
+            return await transact(transaction)
+        held_back.append(transaction)
+        raise StoreUnclear("The transaction is still under way.")
+
+    holder.store.transact = hold_back
+    return held_back
+
+
 @pytest.mark.fault
 async def test_an_agent_is_replaced_while_its_engine_loads_a_model(fleet):
     """Two agents would order one engine about, each from its own half of the story.
@@ -288,10 +349,11 @@
     assert "2" in fleet.list_versions() and fleet.count_ready() == 3
     for process in processes:
         process.store.down = True
-    fleet.busy = set()
-    await fleet.run(1)
+    await fleet.run(3)
     fleet.lowest = 4
-    await fleet.run(3600)
+    await fleet.run(1800)
+    fleet.busy = set()
+    await fleet.run(1800)
     assert fleet.lowest == 4
     assert not any(entry.held for entry in fleet.entries)
     assert not any(engine.orders for engine in fleet.engines.values())
@@ -317,6 +379,30 @@
     fleet.check_orders()
 
 
+@pytest.mark.fault
+async def test_a_new_holder_with_an_old_configuration_returns_no_engine(fleet):
+    """An engine that was drained for its replacement would get work again.
+
+    The drain is accepted and carried out. A fresh entry takes the lease over before
+    the newest version has come to it: it must read the head, and its writes must
+    not pass if the head has moved since.
+    """
+    drain = PlannedChange("d", Action.DRAIN, Scope.UPSTREAM, "runner-2")
+    before = fleet.configuration
+    fleet.configuration = fleet.make_configuration(2, changes=[drain])
+    await fleet.run(10)
+    old = Keeper(fleet.tables)
+    old.configuration = before
+    fleet.keeper = old
+    fresh = fleet.make_entry(9)
+    await fleet.run(60, [fresh])
+    assert fresh.held and fleet.agents["runner-2"].draining
+    head = fleet.tables.read(TABLE, HEAD)
+    old.poll = AsyncMock(return_value=replace(head, value={"version": 1}, revision=1))
+    await fleet.run(60, [fresh])
+    assert fleet.agents["runner-2"].draining and fleet.count_ready() == 3
+
+
 async def test_a_holder_that_stops_hands_over_at_once(fleet):
     holder, other = fleet.entries if fleet.entries[0].held else fleet.entries[::-1]
     await holder.close()
--- a/packages/mustardquay-node/tests/test_engine_controls.py
+++ b/packages/mustardquay-node/tests/test_engine_controls.py
@@ -6,17 +6,20 @@
 
 import pytest
 
-from mustardquay import Contract, Role, VirtualClock
+from mustardquay import Role, VirtualClock
 from mustardquay.machines import OrderAnswer
 from mustardquay.orders import Desired, Order
 from mustardquay.plans import Release
-from mustardquay.revisions import Configuration
+from mustardquay.revisions import Edit, ReleaseAmendment
+from mustardquay_node.configurations import ConfigurationKeeper
 from mustardquay_node.controllers import Controller
+from mustardquay_node.editors import ConfigurationEditor
 from mustardquay_node.engines import HttpEngine
 from mustardquay_node.reconcilers import Reconciler
 from mustardquay_node.stores import HttpTables, PlatformClient, StoreLimits
 from mustardquay_standins.engines import EngineStandin
 from mustardquay_standins.states import Substance
+from mustardquay_standins.stores import LocalObjects
 from mustardquay_standins.tables import TableStandin
 
 ZONE = "linz"
@@ -36,18 +39,23 @@
             change_time=timedelta(),
             restart_time=timedelta(),
         )
-        self.release = Release("m", "1")
         self.clients = []
         self.agents = []
 
     async def start(self):
         await self.tables.start()
         await self.engine.start()
+        store = await self.make_store()
+        self.objects = LocalObjects()
+        self.keeper = ConfigurationKeeper(store, self.objects, Random(1), lambda: True)
+        self.editor = ConfigurationEditor(
+            self.keeper, store, self.objects, self.clock, Random(1)
+        )
         self.entry = Controller(
             ZONE,
             "entry-1",
-            await self.make_store(),
-            self.make_configuration,
+            store,
+            self.keeper,
             self.clock,
             Random(1),
         )
@@ -88,11 +96,13 @@
         self.agents.append(agent)
         return agent
 
-    def make_configuration(self):
-        contract = Contract("radio", ("hash",), 0.5, models=("m",))
-        version = int(self.release.version)
-        releases = {"m": self.release}
-        return Configuration(version, {"radio": contract}, {}, releases)
+    async def apply_release(self, version):
+        await self.keeper.poll()
+        present = self.keeper.configuration.releases.get("m")
+        revision = present.revision if present else 0
+        release = Release("m", version, accept_overload=True)
+        amendment = ReleaseAmendment("m", revision, release)
+        await self.editor.propose(Edit(version, "operator", (amendment,)))
 
     async def run_until(self, agent, condition):
         for _ in range(TURNS):
@@ -146,7 +156,7 @@
 async def test_a_release_reaches_the_engine(site):
     agent = await site.make_agent(1)
     await site.run_until(agent, lambda: agent.ready and site.entry.engines)
-    site.release = Release("m", "2", previous="1", accept_overload=True)
+    await site.apply_release("2")
     engine = site.engine.orders
     await site.run_until(agent, lambda: engine.substance.models == {"m": "2"})
     await site.run_until(agent, lambda: agent.ready)
@@ -169,7 +179,7 @@
         await go_on.wait()
 
     site.engine.orders._load_weights = load_weights
-    site.release = Release("m", "2", previous="1", accept_overload=True)
+    await site.apply_release("2")
     await site.run_until(first, lambda: site.engine.orders.changing)
     await loading.wait()
     second = await site.make_agent(2)
@@ -180,7 +190,7 @@
     go_on.set()
     await site.run_until(second, lambda: second.ready)
     assert site.engine.orders.substance.models == {"m": "2"}
-    site.release = Release("m", "3", previous="2", accept_overload=True)
+    await site.apply_release("3")
     await site.run_until(second, lambda: second.row.desired.models == {"m": "3"})
     for _ in range(20):
         await first.turn()
@@ -196,7 +206,7 @@
     """Callers would be answered by an engine that has lost half of its models."""
     agent = await site.make_agent(1)
     await site.run_until(agent, lambda: agent.ready and site.entry.engines)
-    site.release = Release("m", "2", previous="1", accept_overload=True)
+    await site.apply_release("2")
     loading = asyncio.Event()
 
     async def load_weights(name, version):
