--- a/benchmarks/all.py
+++ b/benchmarks/all.py
@@ -9,13 +9,15 @@
 
 import typer
 
-from . import controls, paths, spreads
+from . import controls, counts, paths, policies, spreads
 
 __all__ = ["BENCHMARKS", "main"]
 
 BENCHMARKS: dict[str, Callable[[bool], bool]] = {
     "controls": controls.run,
+    "counts": counts.run,
     "paths": paths.run,
+    "policies": lambda short: short or bool(policies.run()),
     "spreads": spreads.run,
 }
 """Each takes whether the run is short, and returns whether its bounds were met."""
--- a/benchmarks/controls.py
+++ b/benchmarks/controls.py
@@ -44,11 +44,10 @@
 from mustardquay_node.frames import Batch, decode_batch, encode_batch
 from mustardquay_node.reconcilers import Reconciler
 from mustardquay_node.stores import HttpTables, PlatformClient, StoreLimits
+from mustardquay_standins.children import start_child
 from mustardquay_standins.stores import LocalEngine, LocalObjects, LocalTables
 from mustardquay_standins.tables import Tables
 
-from .processes import start_child
-
 __all__ = ["main", "run"]
 
 SIZES = (10, 30, 100)
