--- a/benchmarks/all.py
+++ b/benchmarks/all.py
@@ -9,7 +9,7 @@
 
 import typer
 
-from . import controls, counts, paths, policies
+from . import controls, counts, paths, policies, spreads
 
 __all__ = ["BENCHMARKS", "main"]
 
@@ -18,6 +18,7 @@
     "counts": counts.run,
     "paths": paths.run,
     "policies": lambda short: short or bool(policies.run()),
+    "spreads": spreads.run,
 }
 """Each takes whether the run is short, and returns whether its bounds were met."""
 
