--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -30,7 +30,7 @@
 from .loops import Fault, Loop, Policy
 from .workloads import ENGINES, USERS, User, make_arrivals
 
-__all__ = ["SCENARIOS", "Scenario", "make_policies", "play", "run"]
+__all__ = ["SCENARIOS", "Scenario", "compare_runs", "make_policies", "play", "run"]
 
 TUNING_SEED = 11
 REPORTING_SEED = 2027
@@ -167,29 +167,34 @@
     return loop.run(), arrivals
 
 
-def compare(job: tuple[int, int, int, tuple[int, ...], bool]) -> list[Figures]:
-    """Return the figures of every policy and the bound, for one user and scenario."""
-    user_number, scenario_number, seed, numbers, bounded = job
-    user, scenario = USERS[user_number], SCENARIOS[scenario_number]
+def compare_runs(
+    user: User,
+    scenario: Scenario,
+    seed: int,
+    numbers: Sequence[int],
+) -> list[Figures]:
+    """Return the figures of some of the policies on the same arrivals."""
     arrivals = _make_input(user, scenario, seed)
-    bound = bound_goodput(arrivals, scenario.faults) if bounded else float("nan")
+    bound = bound_goodput(arrivals, scenario.faults)
     flooder = user.contracts[-1].customer if scenario.flood else ""
     policies = make_policies(user)
-    figures = []
-    for number in numbers:
-        result, _ = play(user, scenario, policies[number], seed)
-        figures.append(
-            measure(
-                user,
-                scenario.name,
-                policies[number].name,
-                result,
-                bound,
-                flooder,
-                scenario.seconds,
-            )
+    return [
+        measure(
+            user,
+            scenario.name,
+            policies[number].name,
+            play(user, scenario, policies[number], seed)[0],
+            bound,
+            flooder,
+            scenario.seconds,
         )
-    return figures
+        for number in numbers
+    ]
+
+
+def _compare_numbered(job: tuple[int, int, int, tuple[int, ...]]) -> list[Figures]:
+    user, scenario, seed, numbers = job
+    return compare_runs(USERS[user], SCENARIOS[scenario], seed, numbers)
 
 
 def run(
@@ -200,13 +205,15 @@
 ) -> list[Figures]:
     """Play all the runs and print the table."""
     jobs = [
-        (user, number, seed, tuple(policies), True)
+        (user, number, seed, tuple(policies))
         for user in range(len(USERS))
         for number, scenario in enumerate(SCENARIOS)
         if not scenarios or scenario.name in scenarios
     ]
     with ProcessPoolExecutor(workers) as pool:
-        figures = [figure for part in pool.map(compare, jobs) for figure in part]
+        figures = [
+            figure for part in pool.map(_compare_numbered, jobs) for figure in part
+        ]
     print_table(figures)
     return figures
 
