--- /dev/null
+++ b/packages/mustardquay/tests/test_predictions.py
@@ -0,0 +1,243 @@
+"""Predictions, the cache index, routes and role plans: sane whatever they are fed."""
+
+from datetime import timedelta
+from random import Random
+
+from hypothesis import given, settings, strategies as st
+
+from mustardquay.caches import CacheEvent, PrefixIndex
+from mustardquay.predictions import (
+    OutputLengths,
+    PromptLengths,
+    RateEstimator,
+    discount_queue,
+)
+from mustardquay.roles import RolePlanner, RoleRates, RoleSettings
+from mustardquay.routes import choose_upstream
+from mustardquay.works import Role, UpstreamView, Work
+
+CHECK = settings(derandomize=True, deadline=None, database=None, max_examples=60)
+RATES = {
+    Role.PREFILL: RoleRates(13_000.0, 0.0),
+    Role.MIXED: RoleRates(9_000.0, 2_000.0, 14_000.0),
+    Role.DECODE: RoleRates(7_000.0, 3_000.0, 14_000.0),
+}
+
+
+def span(seconds):
+    return timedelta(seconds=seconds)
+
+
+def make_view(number, role=Role.MIXED, **changes):
+    models = frozenset({"m"})
+    return UpstreamView(f"e{number}", "a", role, models, reachable=True, **changes)
+
+
+def make_work(output_tokens=1, prompt_tokens=4000, **changes):
+    return Work(
+        "r",
+        1,
+        "c",
+        "m",
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
+        **changes,
+    )
+
+
+@CHECK
+@given(st.lists(st.integers(-5, 200_000)), st.integers(0, 50))
+def test_output_lengths_stay_within_what_was_seen(samples, limit):
+    lengths = OutputLengths(prior=100, capacity=4)
+    for position, sample in enumerate(samples):
+        lengths.learn(f"c{position % 7}", "draft", sample)
+    assert len(lengths) <= 4
+    predicted = lengths.predict("c0", "draft", limit)
+    possible = [100, *(s for s in samples if 0 < s <= 100_000)]
+    assert 0 < predicted <= max(possible)
+    assert not limit or predicted <= limit
+
+
+def test_output_lengths_follow_a_change():
+    lengths = OutputLengths()
+    for length in [10] * 200 + [90] * 64:
+        lengths.learn("c", "draft", length)
+    assert lengths.predict("c", "draft") == 90
+
+
+@CHECK
+@given(st.lists(st.tuples(st.integers(-9, 10**6), st.integers(-9, 10**6))))
+def test_prompt_lengths_stay_sane(samples):
+    lengths = PromptLengths()
+    for size, tokens in samples:
+        lengths.learn("m", size, tokens)
+    assert 1000 / 8 - 1 <= lengths.predict("m", 1000) <= 1000
+
+
+@CHECK
+@given(st.lists(st.floats(allow_nan=True, allow_infinity=True), max_size=20))
+def test_rates_survive_wrong_reports(reports):
+    rates = RateEstimator()
+    for report in reports:
+        rates.learn("e", Role.MIXED, report, report)
+    assert 1.0 <= rates.prefill_rate("e", 8000.0) < 1e7
+    assert 0.1 <= rates.decode_rate("e", 40.0) < 1e5
+    assert rates.slowness("e") >= 1.0
+
+
+def test_a_slow_engine_is_found_and_forgiven():
+    rates = RateEstimator()
+
+    def report(rate):
+        for name in ("a", "b", "c"):
+            rates.learn(name, Role.MIXED, rate if name == "c" else 9000.0, 40.0)
+
+    for rate, slow in ((9000, False), (2000, False), (2000, False), (2000, True)):
+        report(rate)
+        assert (rates.slowness("c") > 1.0) is slow
+    report(8500)
+    assert rates.slowness("c") == rates.slowness("a") == 1.0
+
+
+@CHECK
+@given(st.floats(0, 100), st.floats(0, 100))
+def test_an_older_report_says_less(earlier, later):
+    view = make_view(0, queued_tokens=50_000, own_tokens=7)
+    first, second = sorted((earlier, later))
+    assert discount_queue(view, span(first)) >= discount_queue(view, span(second)) >= 7
+
+
+@CHECK
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 3), st.booleans(), st.integers(0, 40), st.integers(1, 3)
+        ),
+        max_size=200,
+    )
+)
+def test_the_index_is_bounded_and_matches_only_runs(events):
+    index = PrefixIndex(pieces_per_upstream=8, upstreams=3)
+    numbers = {}
+    for engine, stored, piece, step in events:
+        number = numbers[engine] = numbers.get(engine, 0) + step
+        name = f"e{engine}"
+        index.apply(name, 1, [CacheEvent(number, stored, piece)])
+        assert 0.5 <= index.trust(name) <= 1.0
+        assert index.expected_tokens(name, [piece]) <= 2000 * stored
+    assert len(index) <= 24
+    for engine in range(4):
+        assert index.match(f"e{engine}", [999, *range(40)]) == 0
+
+
+def test_a_gap_makes_an_index_doubtful_until_it_is_confirmed():
+    """Prompts go to an engine that no longer has their prefix, and come late.
+
+    The engine evicted the piece; that event was lost, and the entry knows no better
+    until the piece is seen again or named as evicted.
+    """
+    index = PrefixIndex()
+    index.apply("e", 1, [CacheEvent(1, True, 7)])
+    assert index.expected_tokens("e", [7]) == 2000
+    index.apply("e", 5, [CacheEvent(5, True, 8)])
+    assert index.expected_tokens("e", [7]) < 2000
+    index.apply("e", 5, [CacheEvent(6, True, 7)])
+    assert index.expected_tokens("e", [7]) == 2000
+    index.forget("e")
+    assert len(index) == 0
+
+
+class CountingIndex(PrefixIndex):
+    """Counts the upstreams that are weighed."""
+
+    weighed = 0
+
+    def expected_tokens(self, upstream, prefix):
+        self.weighed += 1
+        return super().expected_tokens(upstream, prefix)
+
+
+@CHECK
+@given(st.integers(9, 600), st.integers(0, 99))
+def test_few_of_many_upstreams_are_weighed(count, seed):
+    views = [make_view(number) for number in range(count)]
+    index = CountingIndex()
+    for view in views[:20]:
+        index.note_sent(view.name, [1, 2])
+    work = make_work(prefix=(1, 2))
+    assert choose_upstream(work, views, span(0), Random(seed), index=index)
+    assert index.weighed <= 9
+
+
+@CHECK
+@given(st.lists(st.tuples(st.booleans(), st.booleans(), st.booleans()), max_size=30))
+def test_an_upstream_that_may_not_run_it_is_never_chosen(states):
+    views = [
+        make_view(number, draining=draining, ready=ready)
+        for number, (draining, ready, _) in enumerate(states)
+    ]
+    avoid = [view.name for view, state in zip(views, states, strict=True) if state[2]]
+    chosen = choose_upstream(make_work(), views, span(0), Random(1), avoid)
+    usable = [v for v in views if v.ready and not v.draining and v.name not in avoid]
+    if chosen:
+        assert chosen in usable
+    else:
+        assert not usable and chosen.retry_after > timedelta()
+
+
+def test_streams_avoid_prefill_engines_and_slow_ones():
+    views = [
+        make_view(0, Role.PREFILL),
+        make_view(1, decode_rate=14.0),
+        make_view(2, queued_tokens=5000),
+    ]
+    chosen = choose_upstream(make_work(output_tokens=80), views, span(0), Random(1))
+    assert chosen.name == "e2"
+
+
+def plan_for(works, seconds, views, price=2.0):
+    """Feed a planner a constant demand; return its changes, which take effect."""
+    planner = RolePlanner(RoleSettings(RATES, change_price=price))
+    changes = []
+    for second in range(seconds):
+        for work in works(second):
+            planner.note(work, work.prompt_tokens, span(second))
+        change = planner.plan(views, span(second))
+        if change is not None:
+            changes.append((second, change))
+            view = next(view for view in views if view.name == change.upstream)
+            view.role = change.role
+    return changes
+
+
+@settings(CHECK, max_examples=15)
+@given(st.integers(0, 10**6), st.integers(0, 40), st.integers(0, 40))
+def test_role_plans_dwell_and_keep_an_engine_for_streams(seed, reads, drafts):
+    random = Random(seed)
+    views = [make_view(number) for number in range(6)]
+
+    def make(second):
+        read = make_work(prompt_tokens=random.randint(500, 6000))
+        draft = make_work(output_tokens=80, prompt_tokens=150)
+        return [read] * random.randint(0, reads) + [draft] * random.randint(0, drafts)
+
+    last = {}
+    for second, change in plan_for(make, 90, views):
+        assert second - last.get(change.upstream, -20) >= 20
+        assert second >= 10
+        last[change.upstream] = second
+    assert any(view.role is not Role.PREFILL for view in views)
+
+
+def test_no_change_while_an_engine_is_away():
+    """Hosts meet refusals while two of six engines are away at once.
+
+    One engine is drained for a replacement when the demand shifts, and the plan takes
+    a second one for its change of role.
+    """
+    views = [make_view(number) for number in range(6)]
+    views[3].draining = True
+    works = [make_work(prompt_tokens=6000)] * 12
+    assert plan_for(lambda second: works, 60, views) == []
+    views[3].draining = False
+    assert plan_for(lambda second: works, 60, views)
