Price the prompts of short answers higher on decode engines

Cause: near capacity long prompts overflowed on to decode engines, where each of them delays the first tokens and the streams of many drafts. Change: there such a prompt weighs its prefill time once more.

--- a/packages/mustardquay/src/mustardquay/routes.py
+++ b/packages/mustardquay/src/mustardquay/routes.py
@@ -96,7 +96,8 @@
         return UNFIT_SECONDS
     busy = max(view.running, view.own_running) / view.concurrency
     if view.role is not Role.PREFILL and work.output_tokens <= SHORT_ANSWER:
-        return busy * work.prompt_tokens / view.prefill_rate
+        weight = 1.0 if view.role is Role.DECODE else 0.0
+        return (weight + busy) * work.prompt_tokens / view.prefill_rate
     return busy
 
 
