--- a/benchmarks/all.py
+++ b/benchmarks/all.py
@@ -9,11 +9,14 @@
 
 import typer
 
-from . import paths
+from . import paths, promises
 
 __all__ = ["BENCHMARKS", "main"]
 
-BENCHMARKS: dict[str, Callable[[bool], bool]] = {"paths": paths.run}
+BENCHMARKS: dict[str, Callable[[bool], bool]] = {
+    "paths": paths.run,
+    "promises": promises.run,
+}
 """Each takes whether the run is short, and returns whether its bounds were met."""
 
 
