--- a/benchmarks/all.py
+++ b/benchmarks/all.py
@@ -9,11 +9,12 @@
 
 import typer
 
-from . import paths, promises
+from . import controls, paths, promises
 
 __all__ = ["BENCHMARKS", "main"]
 
 BENCHMARKS: dict[str, Callable[[bool], bool]] = {
+    "controls": controls.run,
     "paths": paths.run,
     "promises": promises.run,
 }
--- a/packages/mustardquay-cli/tests/test_commands.py
+++ b/packages/mustardquay-cli/tests/test_commands.py
@@ -1,11 +1,14 @@
 import json
+import socketserver
+import threading
+from http.server import SimpleHTTPRequestHandler
 from pathlib import Path
 
 import pytest
 from typer.testing import CliRunner
 
 from mustardquay.errors import StoreUnavailable, StoreUnclear
-from mustardquay_cli import clients
+from mustardquay_cli import clients, statuses
 from mustardquay_cli.commands import app
 from mustardquay_cli.failures import ExitCode
 
@@ -38,6 +41,11 @@
         "change announce",
         "change list",
         "change cancel",
+        "release",
+        "release announce",
+        "release show",
+        "release list",
+        "release remove",
         "status",
         "timeline",
     ],
@@ -76,7 +84,7 @@
     file = tmp_path / "tram-app.ini"
     file.write_text(shown.replace("share = 0.3", "share = 0.25"))
     result = site.run("contract", "apply", file, "--wait")
-    assert "Version 2 is in force at every --admin" in result.stderr
+    assert "Version 2 is in force at 2 processes" in result.stderr
     contracts = json.loads(site.run("contract", "list", "--json").stdout)
     assert [item["share"] for item in contracts] == [0.5, 0.2, 0.25]
     site.run("contract", "remove", "tram-app", "--revision", 1, code=3)
@@ -119,6 +127,10 @@
     assert after["models"] == ["a", "b"]
     assert after["key_hashes"][:-1] == before["key_hashes"]
     assert after["share"] == before["share"]
+    short = site.run("contract", "amend", "tram-app", "keys=short", code=1)
+    assert "arguments: keys" in short.stderr
+    late = site.run("contract", "amend", "tram-app", "lateness.whole=1", code=1)
+    assert "first_token must not be over whole" in late.stderr
     site.run("contract", "amend", "tram-app", "share", code=2)
     result = site.run("contract", "amend", "tram-app", "share=none", code=1)
     assert "share: must be a number" in result.stderr
@@ -133,8 +145,9 @@
     site.run("change", "cancel", "drain-engine-3", "--wait")
     site.run("change", "cancel", "drain-engine-3", code=1)
     site.run("change", "announce", code=2)
-    late = site.run("change", "announce", *options, "--starts-at", "soon", code=1)
-    assert "write one such as 2026-12-03T04:00:00Z" in late.stderr
+    for text in ("soon", "0400", "2026-12-03"):
+        late = site.run("change", "announce", *options, "--starts-at", text, code=1)
+        assert "write one such as 2026-12-03T04:00:00Z" in late.stderr
 
 
 def test_status_shows_processes_upstreams_and_faults(site, snapshot):
@@ -145,6 +158,17 @@
     assert [len(item) > 2 for item in json.loads(both.stdout)] == [False, True, True]
 
 
+def test_an_upstream_is_shown_once_with_the_states_on_which_entries_differ():
+    view = {"name": "engine-1", "age": 0.5, "running": 4}
+    found = [
+        {"upstreams": [view | {"state": "draining", "age": 0.1, "running": 3}]},
+        {"upstreams": [view | {"state": "ready"}]},
+    ]
+    (row,) = statuses.merge_upstreams(found)
+    assert (row["running"], row["seen by"]) == (3, 2)
+    assert row["state"] == "draining 1, ready 1"
+
+
 def test_a_lost_answer_to_an_edit_does_not_apply_it_twice(site):
     # The store takes an edit, but its answer is lost and the operator's command
     # sends the edit again. Under a new id it would conflict with itself.
@@ -171,12 +195,63 @@
 
 
 def test_waiting_ends_with_the_processes_that_are_behind(site):
-    urls = [site.urls[0], NOWHERE]
+    # One process does not answer and one that the entry links to still has the
+    # version before: the operator is told both, not that the edit is everywhere.
+    site.peers |= {"agent-1": 0, "agent-2": 0, "agent-3": 1}
+    urls = [*site.urls, NOWHERE]
     announce = ("change", "announce", "--action", "drain", "--target", "a")
     result = site.run(*announce, "--wait", "--wait-timeout", 0, urls=urls, code=4)
-    assert "not yet in force at 1 of 2 processes" in result.stderr
+    assert "in force at 2 processes (agent-2 at 0; http://" in result.stderr
+
+
+def test_the_cost_of_a_change_is_told_before_it_is_announced(site):
+    site.actions.notes = ["It touches 1 upstreams."]
+    announce = ("change", "announce", "--action", "drain", "--target", "a")
+    result = site.run(*announce, "--dry-run", "--json")
+    assert json.loads(result.stdout)["notes"] == site.actions.notes
+    assert site.actions.configuration.version == 0
+    assert "It touches 1 upstreams." in site.run(*announce).stderr
+    site.run(*announce, "--dry-run", code=3)
+
+
+def test_a_port_that_is_no_admin_port_is_told(site):
+    # An operator takes the port for callers, or that of some other server: the
+    # command must say so instead of tripping over the answer.
+    with socketserver.TCPServer(("127.0.0.1", 0), SimpleHTTPRequestHandler) as other:
+        thread = threading.Thread(target=other.serve_forever)
+        thread.start()
+        url = f"http://127.0.0.1:{other.server_address[1]}"
+        for command in (("status",), ("contract", "list"), ("timeline",)):
+            result = site.run(*command, urls=[url], code=None)
+            assert "is no admin port" in result.stderr
+        other.shutdown()
+        thread.join()
 
 
 def test_a_wrong_key_is_explained(site):
     result = site.run("contract", "list", "--key", "wrong", code=1)
     assert "MUSTARDQUAY_KEY" in result.stderr
+
+
+def test_a_release_goes_round_and_back_to_the_version_before(site, snapshot, tmp_path):
+    file = SITE / "releases" / "bulletin-reader.ini"
+    site.run("release", "announce", file, "--dry-run")
+    assert site.actions.configuration.version == 0
+    site.run("release", "announce", file, "--wait")
+    site.run("release", "announce", file, code=3)
+    shown = site.run("release", "show", "bulletin-reader").stdout
+    assert shown == snapshot(name="show")
+    newer = tmp_path / "newer.ini"
+    changed = shown.replace("version = 1", "version = 2").replace(
+        "previous =", "previous = 1"
+    )
+    newer.write_text(changed)
+    site.run("release", "announce", newer)
+    assert site.run("release", "list").stdout == snapshot(name="list")
+    site.run("release", "remove", "bulletin-reader", "--revision", 1, code=3)
+    site.run("release", "remove", "bulletin-reader", "--revision", 2)
+    site.run("release", "show", "bulletin-reader", code=1)
+    newer.write_text(changed.replace("version = 2", "versoin = 2"))
+    result = site.run("release", "announce", newer, code=1)
+    assert f"{newer}: [release] version: is missing; add it" in result.stderr
+    assert f"{newer}: [release] versoin: is unknown" in result.stderr
--- a/packages/mustardquay/src/mustardquay/queues.py
+++ b/packages/mustardquay/src/mustardquay/queues.py
@@ -33,12 +33,56 @@
     tokens: int = 0
     """Uncached prompt tokens that wait."""
     in_turns: bool = False
+    over: bool = False
+    """Whether the customer was over its share when its turn was set."""
 
 
 @dataclass(slots=True)
 class _Running:
     work: Work
     charge: float
+    started_at: timedelta
+
+
+@dataclass(slots=True)
+class _Backlog:
+    """What waits of all the customers over their share, or of all the others."""
+
+    shares: float = 0.0
+    tokens: int = 0
+    count: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Prefill:
+    duration: timedelta
+    expected_at: timedelta
+    """When the first token would come at the known rate."""
+
+
+class _Margin:
+    """How much later than expected first tokens come, learned from each.
+
+    The mean error and twice its mean deviation, as for retransmission timers
+    (Jacobson, SIGCOMM 1988). It holds what no rate says: the length of a step, streams
+    beside the prefill, an engine that has grown slow.
+    """
+
+    def __init__(self):
+        self._mean = 0.0
+        self._deviation = 0.0
+
+    @property
+    def value(self) -> timedelta:
+        """Return the margin, 0 before the first token, at most a second."""
+        margin = self._mean + 2.0 * self._deviation
+        return timedelta(seconds=min(max(margin, 0.0), 1.0))
+
+    def learn(self, error: float) -> None:
+        """Take in an error in seconds; positive when the token came late."""
+        error = min(max(error, -1.0), 2.0)
+        self._deviation += 0.1 * (abs(error - self._mean) - self._deviation)
+        self._mean += 0.1 * (error - self._mean)
 
 
 class FairQueue:
@@ -67,22 +111,28 @@
         self._lookahead = lookahead
         self._engines = max(engines, 1)
         self._lanes: dict[str, _Lane] = {}
-        self._turns: list[tuple[float, int, int, str]] = []
+        self._turns: list[tuple[bool, float, int, int, str]] = []
         self._waiting: dict[tuple[str, int], tuple[timedelta, int, Work]] = {}
         self._running: dict[tuple[str, int], _Running] = {}
         self._running_of: dict[str, int] = {}
-        self._prefilling: dict[tuple[str, int], timedelta] = {}
+        self._prefilling: dict[tuple[str, int], _Prefill] = {}
+        self._margin = _Margin()
+        self._residence = 0.0
         self._prefilled_at = timedelta()
         self._given_up: list[Work] = []
-        self._waiting_tokens = 0
-        self._waiting_shares = 0.0
+        self._backlogs = (_Backlog(), _Backlog())
         self._virtual = 0.0
         self._sequence = 0
 
     @property
     def waiting_tokens(self) -> int:
         """Return the sum of the uncached prompt tokens that wait."""
-        return self._waiting_tokens
+        return sum(backlog.tokens for backlog in self._backlogs)
+
+    @property
+    def waiting_tokens_within(self) -> int:
+        """Return the part of them that customers within their share wait for."""
+        return self._backlogs[False].tokens
 
     @property
     def waiting(self) -> int:
@@ -112,10 +162,10 @@
         wait = self.predict_wait(work, now)
         if len(self._waiting) >= self._capacity:
             return _refuse(Reason.OVERLOAD, "The queue of this upstream is full", wait)
-        late = now + wait + self._prefill_time(work.uncached_tokens) - work.start_by
+        late = now + wait + self._first_token_time(work) - work.start_by
         if late > timedelta():
             return _refuse(Reason.DEADLINE, "The deadline can't be met here", late)
-        self._enqueue(work)
+        self._enqueue(work, now)
         return None
 
     def take(self, now: timedelta) -> Work | None:
@@ -155,8 +205,11 @@
 
     def note_first_token(self, key: tuple[str, int], now: timedelta) -> None:
         """Note that the prefill of a running attempt is over."""
-        if self._prefilling.pop(key, None) is not None:
-            self._prefilled_at = now + sum(self._prefilling.values(), timedelta())
+        prefill = self._prefilling.pop(key, None)
+        if prefill is not None:
+            self._margin.learn((now - prefill.expected_at).total_seconds())
+            left = (other.duration for other in self._prefilling.values())
+            self._prefilled_at = now + sum(left, timedelta())
 
     def finish(self, key: tuple[str, int], output_tokens: int, now: timedelta) -> None:
         """Note that a running attempt has ended and what it produced."""
@@ -165,6 +218,7 @@
         if running is None:
             return
         work = running.work
+        self._learn_residence(now - running.started_at)
         self._running_of[work.customer] -= 1
         if not self._running_of[work.customer]:
             del self._running_of[work.customer]
@@ -178,31 +232,41 @@
         whole queue is the most that can be ahead.
         """
         lane = self._lanes.get(work.customer)
-        own = lane.tokens if lane else 0
-        shares = self._waiting_shares
-        if lane is None or not lane.entries:
-            shares += max(work.share, MINIMUM_SHARE)
-        fair = own * shares / max(work.share, MINIMUM_SHARE)
-        ahead = min(fair, self._waiting_tokens)
-        return self._prefill_left(now) + self._prefill_time(ahead)
-
-    def _enqueue(self, work: Work) -> None:
+        share = max(work.share, MINIMUM_SHARE)
+        known = lane is not None and lane.in_turns
+        over = self._over_share(work.customer, share, now) > 1.0
+        # A customer within its share overtakes all that are over theirs.
+        first = _Backlog() if not over else self._backlogs[False]
+        level = self._backlogs[over]
+        stretch = (level.shares + (0.0 if known else share)) / share
+        tokens = min(lane.tokens * stretch if known else 0.0, level.tokens)
+        count = min(len(lane.entries) * stretch if known else 0.0, level.count)
+        prefill = self._prefill_time(first.tokens + tokens)
+        return max(
+            self._prefill_left(now) + prefill, self._slot_time(first.count + count)
+        )
+
+    def _enqueue(self, work: Work, now: timedelta) -> None:
         lane = self._open_lane(work)
         if not lane.entries:
-            self._open_turn(work, lane)
+            self._open_turn(work, lane, now)
         self._sequence += 1
         entry = (work.start_by, self._sequence, work)
         insort(lane.entries, entry)
         self._waiting[work.key] = entry
-        lane.tokens += work.uncached_tokens
-        self._waiting_tokens += work.uncached_tokens
+        self._add(lane, work.uncached_tokens, 1)
 
     def _remove(self, lane: _Lane, entry: tuple[timedelta, int, Work]) -> None:
         work = entry[-1]
         del lane.entries[bisect_left(lane.entries, entry)]
         del self._waiting[work.key]
-        lane.tokens -= work.uncached_tokens
-        self._waiting_tokens -= work.uncached_tokens
+        self._add(lane, -work.uncached_tokens, -1)
+
+    def _add(self, lane: _Lane, tokens: int, count: int) -> None:
+        lane.tokens += tokens
+        backlog = self._backlogs[lane.over]
+        backlog.tokens += tokens
+        backlog.count += count
 
     def _open_lane(self, work: Work) -> _Lane:
         if len(self._lanes) > 2 * self._capacity:
@@ -221,23 +285,38 @@
             if lane.in_turns or lane.tag > self._virtual
         }
 
-    def _open_turn(self, work: Work, lane: _Lane) -> None:
+    def _open_turn(self, work: Work, lane: _Lane, now: timedelta) -> None:
         if lane.in_turns:
             return
         lane.in_turns = True
         lane.share = max(work.share, MINIMUM_SHARE)
-        self._waiting_shares += lane.share
-        self._push_turn(work, lane)
+        self._backlogs[lane.over].shares += lane.share
+        self._push_turn(work, lane, now)
 
-    def _push_turn(self, work: Work, lane: _Lane) -> None:
+    def _push_turn(self, work: Work, lane: _Lane, now: timedelta) -> None:
         lane.tag = max(lane.tag, self._virtual)
         self._sequence += 1
-        turn = (lane.tag, -work.priority, self._sequence, work.customer)
+        self._set_over(lane, self._over_share(work.customer, lane.share, now) > 1.0)
+        place = lane.tag if lane.over else work.start_by.total_seconds()
+        turn = (lane.over, place, -work.priority, self._sequence, work.customer)
         heappush(self._turns, turn)
 
+    def _set_over(self, lane: _Lane, over: bool) -> None:
+        if over == lane.over:
+            return
+        old, new = self._backlogs[lane.over], self._backlogs[over]
+        old.shares = max(old.shares - lane.share, 0.0)
+        new.shares += lane.share
+        old.tokens -= lane.tokens
+        new.tokens += lane.tokens
+        old.count -= len(lane.entries)
+        new.count += len(lane.entries)
+        lane.over = over
+
     def _close_turn(self, lane: _Lane) -> None:
         lane.in_turns = False
-        self._waiting_shares = max(self._waiting_shares - lane.share, 0.0)
+        backlog = self._backlogs[lane.over]
+        backlog.shares = max(backlog.shares - lane.share, 0.0)
 
     def _may_take(self, customer: str, lane: _Lane) -> bool:
         # The last slots stay free for customers that hold less than their share, so
@@ -255,26 +334,31 @@
         self._remove(lane, entry)
         lane.tag += cost * self._correct(customer, lane, now) / lane.share
         if lane.entries:
-            self._push_turn(lane.entries[0][-1], lane)
+            self._push_turn(lane.entries[0][-1], lane, now)
         else:
             self._close_turn(lane)
         own = self._prefill_time(work.uncached_tokens)
         self._prefilled_at = max(self._prefilled_at, now) + own
-        self._prefilling[work.key] = own
-        self._running[work.key] = _Running(work, cost)
+        self._prefilling[work.key] = _Prefill(own, self._prefilled_at)
+        self._running[work.key] = _Running(work, cost, now)
         self._running_of[customer] = self._running_of.get(customer, 0) + 1
         self._usage.charge(customer, cost, now)
         return work
 
+    def _over_share(self, customer: str, share: float, now: timedelta) -> float:
+        """Return the customer's use of the fleet over its share of it."""
+        return self._usage.rate(customer, now) / (share * self._engines)
+
     def _correct(self, customer: str, lane: _Lane, now: timedelta) -> float:
         """Return how much dearer a customer is that is over its share elsewhere."""
-        over = self._usage.rate(customer, now) / (lane.share * self._engines)
-        return min(max(over, 1.0), LARGEST_CORRECTION)
+        return min(
+            max(self._over_share(customer, lane.share, now), 1.0), LARGEST_CORRECTION
+        )
 
     def _drop_hopeless(self, lane: _Lane, now: timedelta) -> None:
         while lane.entries:
             entry = lane.entries[0]
-            if now + self._prefill_time(entry[-1].uncached_tokens) <= entry[0]:
+            if now + self._first_token_time(entry[-1]) <= entry[0]:
                 return
             self._remove(lane, entry)
             self._given_up.append(entry[-1])
@@ -286,6 +370,19 @@
     def _prefill_time(self, tokens: float) -> timedelta:
         return timedelta(seconds=tokens / self._prefill_rate)
 
+    def _learn_residence(self, residence: timedelta) -> None:
+        seconds = min(max(residence.total_seconds(), 0.0), 60.0)
+        self._residence += 0.05 * (seconds - self._residence)
+
+    def _slot_time(self, ahead: float) -> timedelta:
+        """Return when a slot is free behind so many others, as slots have been."""
+        missing = len(self._running) + ahead + 1 - self._concurrency
+        seconds = max(missing, 0.0) * self._residence / self._concurrency
+        return timedelta(seconds=seconds)
+
+    def _first_token_time(self, work: Work) -> timedelta:
+        return self._prefill_time(work.uncached_tokens) + self._margin.value
+
     def _prefill_left(self, now: timedelta) -> timedelta:
         return max(self._prefilled_at - now, timedelta())
 
