--- a/packages/mustardquay/tests/test_attempts.py
+++ b/packages/mustardquay/tests/test_attempts.py
@@ -81,17 +81,15 @@
     """One caller, its entry's state machine, and agents behind bad links."""
 
     @initialize(
-        repeatable=st.booleans(),
-        streamed=st.booleans(),
+        kind=st.sampled_from(["booking", "enquiry", "stream", "stream"]),
         budget=st.integers(0, 3),
     )
-    def begin(self, repeatable, streamed, budget):
-        self.repeatable = repeatable
-        # A stream is idempotent: plain services are not streamed.
-        self.streamed = streamed and repeatable
+    def begin(self, kind, budget):
+        self.repeatable = kind != "booking"
+        self.streamed = kind == "stream"
         self.budget = budget
         self.state = RequestState(
-            repeatable, self.streamed, 4, self._spend, lambda retry: timedelta(1)
+            self.repeatable, self.streamed, 4, self._spend, lambda retry: timedelta(1)
         )
         self.on_the_way = {}
         self.agents = {}
@@ -127,6 +125,8 @@
                     self.body = b""
             case DeliverData():
                 self.body += action.data
+                if self.heads[-1:] == [200]:
+                    assert WHOLE.startswith(self.body), "tokens twice or foreign"
             case AnswerEarly():
                 assert not self.repeatable
                 self.early = True
@@ -152,7 +152,7 @@
             assert WHOLE.startswith(self.body), "tokens twice or foreign"
 
     @precondition(lambda self: self.state.phase is Phase.CHOOSING)
-    @rule(found=st.booleans())
+    @rule(found=st.sampled_from([True, True, True, False]))
     def choose(self, found):
         if found:
             self.upstreams += 1
@@ -162,8 +162,10 @@
             self._do(self.state.upstream_missing(refusal))
 
     @precondition(lambda self: self._is_sent_only())
-    @rule()
-    def sending_fails(self):
+    @rule(fails=st.sampled_from([False, False, False, True]))
+    def sending_fails(self, fails):
+        if not fails:
+            return
         del self.on_the_way[self.state.number]
         self._do(self.state.send_failed())
 
@@ -221,11 +223,20 @@
         self._do(self.state.frame_received(frame.stream, frame))
 
     @precondition(lambda self: self.history)
-    @rule()
-    def all_frames_arrive(self):
-        for frame in list(self.history):
+    @rule(times=st.integers(1, 2))
+    def all_frames_arrive(self, times):
+        for frame in list(self.history) * times:
             self._do(self.state.frame_received(frame.stream, frame))
 
+    @precondition(lambda self: self.state.number in self.agents)
+    @rule(steps=st.integers(1, 7))
+    def answer_goes_on(self, steps):
+        number = self.state.number
+        for _ in range(steps):
+            self._step(self.agents[number], number)
+        for frame in self.agents[number].frames:
+            self._do(self.state.frame_received(number, frame))
+
     @precondition(lambda self: self.state.phase is Phase.SENT)
     @rule(lost=st.booleans())
     def link_is_lost(self, lost):
@@ -258,6 +269,7 @@
     def back_off_ends(self):
         self._do(self.state.back_off_ended())
 
+    @precondition(lambda self: self.state.number > 1)
     @rule()
     def resume_becomes_impossible(self):
         self.state.resume_impossible()
@@ -272,6 +284,10 @@
     def caller_leaves(self):
         self._do(self.state.caller_left())
 
+    @rule()
+    def nothing_happens(self):
+        """A state from which all has been tried; the run may stay in it."""
+
     def teardown(self):
         if not hasattr(self, "state"):
             return
