--- a/packages/mustardquay-node/tests/test_recorders.py
+++ b/packages/mustardquay-node/tests/test_recorders.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from random import Random
 
+import pytest
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -360,3 +361,111 @@
     assert len(tables.rows) == 40
     assert {row.table for row in tables.rows.values()} == {CLAIMS}
     loop.close()
+
+
+class ClaimSession:
+    """Callers of one key at two entries, and the writes that the store sees."""
+
+    def __init__(self, loop):
+        self.clock = LoopClock(loop)
+        self.lines = []
+        self.tables = Tables()
+        self.entries = [
+            Process(self, self.clock, f"entry-{number}", number) for number in (1, 2)
+        ]
+
+    def note(self, line):
+        self.lines.append(f"{self.clock.monotonic().total_seconds():7.3f}  {line}")
+
+    async def transact(self, transaction):
+        states = [write.value["state"] for write in transaction.writes]
+        try:
+            result = await self.tables.transact(transaction)
+        except (StoreUnavailable, StoreUnclear) as error:
+            self.note(f"store: {states} {type(error).__name__}")
+            raise
+        self.note(f"store: {states} {type(result).__name__}")
+        return result
+
+    async def read(self, table, key):
+        row = await self.tables.read(table, key)
+        self.note(f"store: read {row.value['state'] if row else 'nothing'}")
+        return row
+
+    async def claim(self, entry, body="body", patience=1.0):
+        begun = self.clock.monotonic()
+        judged = await self.entries[entry - 1].recorder.claim(
+            ClaimKey("syndesmos", "bookings", "k"),
+            body,
+            f"r{entry}/1",
+            begun + timedelta(seconds=patience),
+            begun + DEADLINE,
+        )
+        answer = f" {judged.answer.body!r}" if judged.answer else ""
+        self.note(f"entry-{entry}: {judged.verdict}{answer}")
+        return judged
+
+    async def end(self, entry, judged):
+        self.note("service: booked")
+        recorder = self.entries[entry - 1].recorder
+        await recorder.record_answer(judged.claim, RecordedAnswer(201, (), b"booked"))
+
+
+async def repeat_at_another_entry(session):
+    judged = await session.claim(1)
+    repeat = asyncio.ensure_future(session.claim(2))
+    await asyncio.sleep(0.3)
+    await session.end(1, judged)
+    await repeat
+    await session.claim(1, body="another")
+
+
+async def answer_lost_after_the_write(session):
+    session.tables.fates.append(Fate.LOST)
+    await session.end(1, await session.claim(1))
+
+
+async def store_down(session):
+    session.tables.down = True
+    await session.claim(1)
+    session.tables.down = False
+    await asyncio.sleep(1)
+    await session.end(2, await session.claim(2))
+
+
+async def write_applied_after_the_caller_gave_up(session):
+    session.tables.fates.extend([Fate.DELAYED, *[Fate.DOWN] * 6])
+    await session.claim(1)
+    await asyncio.sleep(5)
+    await session.end(2, await session.claim(2))
+
+
+async def killed_entry(session):
+    await session.claim(1)
+    await session.entries[0].kill()
+    await session.claim(2)
+
+
+SCRIPTS = [
+    repeat_at_another_entry,
+    answer_lost_after_the_write,
+    store_down,
+    write_applied_after_the_caller_gave_up,
+    killed_entry,
+]
+
+
+@pytest.mark.parametrize("script", SCRIPTS, ids=lambda script: script.__name__)
+def test_claim_session_is_as_it_was(script, snapshot):
+    loop = VirtualLoop()
+
+    async def play():
+        session = ClaimSession(loop)
+        await script(session)
+        for process in session.entries:
+            await process.kill()
+        return session.lines
+
+    lines = loop.run_until_complete(play())
+    loop.close()
+    assert lines == snapshot
