Keep tombstones apart from the runs at an agent

Cause: an agent that was paused for longer than it keeps runs forgot, on waking, what it had affirmed as never to be run. Change: tombstones age only while the process runs, and without room for one the outcome is unknown.

--- a/packages/mustardquay-node/src/mustardquay_node/executors.py
+++ b/packages/mustardquay-node/src/mustardquay_node/executors.py
@@ -13,6 +13,7 @@
 from mustardquay.messages import Attempt, FailureKind, Header, Reattach
 from mustardquay.quarantines import CrashId, Quarantine, Standing, SuspectGate
 from mustardquay.queues import FairQueue
+from mustardquay.tombstones import Tombstones
 from mustardquay.works import Work
 
 from .links import Link
@@ -73,6 +74,7 @@
         self._crashed = crashed
         self._orphaned = orphaned
         self._table = RunTable()
+        self._tombstones = Tombstones(now=clock.monotonic())
         self._by_work: dict[tuple[str, int], Run] = {}
         self._calls: dict[tuple[Owner, int], UpstreamCall] = {}
         self._stalled: set[tuple[Owner, int]] = set()
@@ -125,6 +127,9 @@
         run = Run(owner, attempt, work, link)
         if self._table.find(run.key) is not None:
             return
+        if self._tombstones.holds(run.key, now):
+            # The entry has been told that this attempt will not run.
+            return
         self._table.add(run)
         self._empty.clear()
         refusal = self._judge(run, now)
@@ -152,6 +157,8 @@
         now = self._clock.monotonic()
         if self._table.may_be_forgotten(run.key):
             run.end_failed(FailureKind.LOST, "The run is no longer kept.", now)
+        elif not self._tombstones.bury(run.key, now):
+            run.end_failed(FailureKind.LOST, "There is no room to affirm it.", now)
         else:
             # The frame of the attempt can't come any more: it was sent on an older
             # link, and this agent reads nothing from those. The record stays as a
@@ -210,6 +217,7 @@
                 self._stalled.add(run.key)
                 self._calls[run.key].cancel()
         self._table.forget(now)
+        self._tombstones.tick(now)
         self._pump()
 
     def start_drain(self) -> None:
--- a/packages/mustardquay/src/mustardquay/tombstones.py
+++ b/packages/mustardquay/src/mustardquay/tombstones.py
@@ -19,12 +19,11 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Hashable
 from datetime import timedelta
 
 __all__ = ["Tombstones"]
 
-Key = tuple[str, int]
-
 
 class Tombstones:
     """The tombstones of one agent incarnation, bounded in number and time."""
@@ -41,12 +40,12 @@
         self._capacity = capacity
         self._last = now
         self._age = timedelta()
-        self._buried: OrderedDict[Key, timedelta] = OrderedDict()
+        self._buried: OrderedDict[Hashable, timedelta] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._buried)
 
-    def bury(self, key: Key, now: timedelta) -> bool:
+    def bury(self, key: Hashable, now: timedelta) -> bool:
         """Keep a tombstone; False when there is no room to promise it.
 
         Without room the agent must not affirm: the attempt's outcome is unknown.
@@ -59,7 +58,7 @@
         self._buried.move_to_end(key)
         return True
 
-    def holds(self, key: Key, now: timedelta) -> bool:
+    def holds(self, key: Hashable, now: timedelta) -> bool:
         """Return whether the attempt must not be started."""
         self.tick(now)
         return key in self._buried
