--- a/packages/mustardquay/tests/test_attempts.py
+++ b/packages/mustardquay/tests/test_attempts.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+import pytest
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -317,3 +318,28 @@
             stateful_step_count=30,
         ),
     )
+
+
+@pytest.mark.parametrize(
+    "late",
+    [
+        Started(1, 0),
+        Head(1, 0, 200, ()),
+        Chunk(1, 0, 1, b"late"),
+        Done(1, 0),
+        Refused(1, 0, Reason.QUARANTINE, "", None),
+        Failed(1, 0, FailureKind.CRASH, ""),
+    ],
+    ids=lambda frame: type(frame).__name__,
+)
+def test_late_frame_of_a_replaced_attempt_changes_nothing(late):
+    """An engine stalls and the request goes to another one. Then the first wakes and
+    its frames arrive: they must not be taken for those of the second."""
+    state = RequestState(True, True, 4, lambda: True, lambda retry: timedelta(1))
+    state.upstream_chosen("u1", 1)
+    state.frame_received(1, Failed(1, 0, FailureKind.STALLED, ""))
+    state.back_off_ended()
+    state.upstream_chosen("u2", 1)
+    assert state.frame_received(1, late) == []
+    assert state.frame_received(2, Started(2, 0)) == []
+    assert state.frame_received(2, Head(2, 1, 200, ())) == [DeliverHead(200, ())]
