--- a/benchmarks/all.py
+++ b/benchmarks/all.py
@@ -9,7 +9,15 @@
 
 import typer
 
-from . import controls, counts, decision_costs, paths, regressions, spreads
+from . import (
+    controls,
+    counts,
+    decision_costs,
+    paths,
+    promises,
+    regressions,
+    spreads,
+)
 
 __all__ = ["BENCHMARKS", "main"]
 
@@ -19,6 +27,7 @@
     "decisions": decision_costs.run,
     "paths": paths.run,
     "policies": regressions.run,
+    "promises": promises.run,
     "spreads": spreads.run,
 }
 """Each takes whether the run is short, and returns whether its bounds were met."""
