Withdraw work that a queue has given up and not yet told of

Cause: the property test of queues found work that neither waits nor can be withdrawn: found too late inside take, it waits for expire. Change: withdraw looks there too. Conclusion: each work leaves the queue once.

--- a/packages/mustardquay/src/mustardquay/queues.py
+++ b/packages/mustardquay/src/mustardquay/queues.py
@@ -202,10 +202,19 @@
         """Remove waiting work; False when it does not wait here."""
         entry = self._waiting.get(key)
         if entry is None:
-            return False
+            return self._withdraw_given_up(key)
         self._remove(self._lanes[entry[-1].customer], entry)
         return True
 
+    def _withdraw_given_up(self, key: tuple[str, int]) -> bool:
+        # Work that was found too late waits here to be told by `expire`. Were it
+        # left, its agent would hear of it once more after it had let go of it.
+        for work in self._given_up:
+            if work.key == key:
+                self._given_up.remove(work)
+                return True
+        return False
+
     def note_first_token(self, key: tuple[str, int], now: timedelta) -> None:
         """Note that the prefill of a running attempt is over."""
         prefill = self._prefilling.pop(key, None)
