--- a/packages/mustardquay-node/src/mustardquay_node/executors.py
+++ b/packages/mustardquay-node/src/mustardquay_node/executors.py
@@ -13,6 +13,7 @@
 from mustardquay.messages import Attempt, FailureKind, Header, Reattach
 from mustardquay.quarantines import CrashId, Quarantine, Standing, SuspectGate
 from mustardquay.queues import FairQueue
+from mustardquay.tombstones import Tombstones
 from mustardquay.works import Work
 
 from .links import Link
@@ -25,6 +26,8 @@
 FIRST_ERROR = 500
 """Lowest status with which an engine says that it failed, not the request."""
 RETRY_AFTER = timedelta(seconds=1)
+PAUSE = timedelta(milliseconds=500)
+"""A longer time between two sweeps means that the process did not run."""
 UNSURE = timedelta(seconds=15)
 """Frames sent so long before a link was lost may have been lost with it."""
 
@@ -73,10 +76,12 @@
         self._crashed = crashed
         self._orphaned = orphaned
         self._table = RunTable()
+        self._tombstones = Tombstones(now=clock.monotonic())
         self._by_work: dict[tuple[str, int], Run] = {}
         self._calls: dict[tuple[Owner, int], UpstreamCall] = {}
         self._stalled: set[tuple[Owner, int]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._swept_at = clock.monotonic()
         self._draining = False
         self._empty = asyncio.Event()
         self._empty.set()
@@ -125,6 +130,9 @@
         run = Run(owner, attempt, work, link)
         if self._table.find(run.key) is not None:
             return
+        if self._tombstones.holds(run.key, now):
+            # The entry has been told that this attempt will not run.
+            return
         self._table.add(run)
         self._empty.clear()
         refusal = self._judge(run, now)
@@ -152,6 +160,8 @@
         now = self._clock.monotonic()
         if self._table.may_be_forgotten(run.key):
             run.end_failed(FailureKind.LOST, "The run is no longer kept.", now)
+        elif not self._tombstones.bury(run.key, now):
+            run.end_failed(FailureKind.LOST, "There is no room to affirm it.", now)
         else:
             # The frame of the attempt can't come any more: it was sent on an older
             # link, and this agent reads nothing from those. The record stays as a
@@ -197,6 +207,7 @@
         second.
         """
         now = self._clock.monotonic()
+        self._excuse_pause(now)
         for work in self._queue.expire(now):
             self._refuse(self._by_work[work.key], _make_late())
         for run in [run for run in self._suspects if run.work.start_by < now]:
@@ -210,8 +221,21 @@
                 self._stalled.add(run.key)
                 self._calls[run.key].cancel()
         self._table.forget(now)
+        self._tombstones.tick(now)
         self._pump()
 
+    def _excuse_pause(self, now: timedelta) -> None:
+        """Don't count the time in which this process did not run.
+
+        After a pause every stream looks stalled, though what the upstream sent
+        meanwhile only waits to be read.
+        """
+        gap = now - self._swept_at
+        self._swept_at = now
+        if gap > PAUSE:
+            for run in self._table:
+                run.progress_at += gap
+
     def start_drain(self) -> None:
         """Refuse new work, and hand back what has not started."""
         self._draining = True
--- a/packages/mustardquay/tests/test_attempts.py
+++ b/packages/mustardquay/tests/test_attempts.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+import pytest
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -81,17 +82,15 @@
     """One caller, its entry's state machine, and agents behind bad links."""
 
     @initialize(
-        repeatable=st.booleans(),
-        streamed=st.booleans(),
+        kind=st.sampled_from(["booking", "enquiry", "stream", "stream"]),
         budget=st.integers(0, 3),
     )
-    def begin(self, repeatable, streamed, budget):
-        self.repeatable = repeatable
-        # A stream is idempotent: plain services are not streamed.
-        self.streamed = streamed and repeatable
+    def begin(self, kind, budget):
+        self.repeatable = kind != "booking"
+        self.streamed = kind == "stream"
         self.budget = budget
         self.state = RequestState(
-            repeatable, self.streamed, 4, self._spend, lambda retry: timedelta(1)
+            self.repeatable, self.streamed, 4, self._spend, lambda retry: timedelta(1)
         )
         self.on_the_way = {}
         self.agents = {}
@@ -127,6 +126,8 @@
                     self.body = b""
             case DeliverData():
                 self.body += action.data
+                if self.heads[-1:] == [200]:
+                    assert WHOLE.startswith(self.body), "tokens twice or foreign"
             case AnswerEarly():
                 assert not self.repeatable
                 self.early = True
@@ -152,7 +153,7 @@
             assert WHOLE.startswith(self.body), "tokens twice or foreign"
 
     @precondition(lambda self: self.state.phase is Phase.CHOOSING)
-    @rule(found=st.booleans())
+    @rule(found=st.sampled_from([True, True, True, False]))
     def choose(self, found):
         if found:
             self.upstreams += 1
@@ -162,8 +163,10 @@
             self._do(self.state.upstream_missing(refusal))
 
     @precondition(lambda self: self._is_sent_only())
-    @rule()
-    def sending_fails(self):
+    @rule(fails=st.sampled_from([False, False, False, True]))
+    def sending_fails(self, fails):
+        if not fails:
+            return
         del self.on_the_way[self.state.number]
         self._do(self.state.send_failed())
 
@@ -174,7 +177,7 @@
     @precondition(lambda self: self.on_the_way)
     @rule(
         data=st.data(),
-        end=st.sampled_from(["done", "done", 1, 2, 4]),
+        end=st.sampled_from(["done", 1, 2, 4, 4]),
         status=st.sampled_from([200, 200, 400, 503]),
         refused=st.one_of(st.none(), st.none(), st.sampled_from(REASONS)),
         started=st.sampled_from([0, 0, 0, 1]),
@@ -193,10 +196,13 @@
         self.agents[number] = Agent(number, script)
 
     @precondition(lambda self: self.agents)
-    @rule(data=st.data())
-    def agent_goes_on(self, data):
+    @rule(data=st.data(), steps=st.sampled_from([1, 3, 9]))
+    def agent_goes_on(self, data, steps):
         number = data.draw(st.sampled_from(sorted(self.agents)))
-        agent = self.agents[number]
+        for _ in range(steps):
+            self._step(self.agents[number], number)
+
+    def _step(self, agent, number):
         before = agent.started
         frame = agent.step()
         if frame is None:
@@ -218,11 +224,20 @@
         self._do(self.state.frame_received(frame.stream, frame))
 
     @precondition(lambda self: self.history)
-    @rule()
-    def all_frames_arrive(self):
-        for frame in list(self.history):
+    @rule(times=st.integers(1, 2))
+    def all_frames_arrive(self, times):
+        for frame in list(self.history) * times:
             self._do(self.state.frame_received(frame.stream, frame))
 
+    @precondition(lambda self: self.state.number in self.agents)
+    @rule(steps=st.integers(1, 7))
+    def answer_goes_on(self, steps):
+        number = self.state.number
+        for _ in range(steps):
+            self._step(self.agents[number], number)
+        for frame in self.agents[number].frames:
+            self._do(self.state.frame_received(number, frame))
+
     @precondition(lambda self: self.state.phase is Phase.SENT)
     @rule(lost=st.booleans())
     def link_is_lost(self, lost):
@@ -255,6 +270,7 @@
     def back_off_ends(self):
         self._do(self.state.back_off_ended())
 
+    @precondition(lambda self: self.state.number > 1)
     @rule()
     def resume_becomes_impossible(self):
         self.state.resume_impossible()
@@ -269,6 +285,10 @@
     def caller_leaves(self):
         self._do(self.state.caller_left())
 
+    @rule()
+    def nothing_happens(self):
+        """A state from which all has been tried; the run may stay in it."""
+
     def teardown(self):
         if not hasattr(self, "state"):
             return
@@ -298,3 +318,28 @@
             stateful_step_count=30,
         ),
     )
+
+
+@pytest.mark.parametrize(
+    "late",
+    [
+        Started(1, 0),
+        Head(1, 0, 200, ()),
+        Chunk(1, 0, 1, b"late"),
+        Done(1, 0),
+        Refused(1, 0, Reason.QUARANTINE, "", None),
+        Failed(1, 0, FailureKind.CRASH, ""),
+    ],
+    ids=lambda frame: type(frame).__name__,
+)
+def test_late_frame_of_a_replaced_attempt_changes_nothing(late):
+    """An engine stalls and the request goes to another one. Then the first wakes and
+    its frames arrive: they must not be taken for those of the second."""
+    state = RequestState(True, True, 4, lambda: True, lambda retry: timedelta(1))
+    state.upstream_chosen("u1", 1)
+    state.frame_received(1, Failed(1, 0, FailureKind.STALLED, ""))
+    state.back_off_ended()
+    state.upstream_chosen("u2", 1)
+    assert state.frame_received(1, late) == []
+    assert state.frame_received(2, Started(2, 0)) == []
+    assert state.frame_received(2, Head(2, 1, 200, ())) == [DeliverHead(200, ())]
