--- a/packages/mustardquay/src/mustardquay/costs.py
+++ b/packages/mustardquay/src/mustardquay/costs.py
@@ -85,26 +85,20 @@
     change: PlannedChange, configuration: Configuration, fleet: Sequence[FleetUpstream]
 ) -> Cost:
     """Return what the change takes, on top of the others that stand."""
-    targets = select_targets(change, fleet)
-    away = _list_away(configuration.changes, fleet, skip=change.name)
-    whole = sum(item.rate for item in fleet) or 1.0
+    changes = configuration.changes.values()
+    others = (item for item in changes if item.name != change.name)
+    away: set[str] = set()
+    for other in sorted(others, key=lambda item: item.action is Action.REPLACE):
+        away |= _list_taken(other, fleet, away)
+    fresh = _list_taken(change, fleet, away)
     rates = {item.name: item.rate for item in fleet}
-    fresh = [name for name in targets if name not in away]
-    if change.action is Action.REPLACE:
-        # One instance at a time: the worst moment is that of the largest one.
-        instances: dict[str, list[str]] = defaultdict(list)
-        for item in fleet:
-            if item.name in fresh:
-                instances[item.instance].append(item.name)
-        fresh = max(
-            instances.values(), key=lambda names: sum(map(rates.get, names)), default=[]
-        )
+    whole = sum(rates.values()) or 1.0
+    gone = away | fresh
     lost = sum(rates[name] for name in fresh) / whole
-    gone = away | set(fresh)
     remaining = sum(rate for name, rate in rates.items() if name not in gone) / whole
     contracts = configuration.contracts.values()
     return Cost(
-        targets,
+        select_targets(change, fleet),
         lost,
         remaining,
         sum(contract.share for contract in contracts),
@@ -196,14 +190,21 @@
     return change.target == upstream.availability_zone
 
 
-def _list_away(
-    changes: Mapping[str, PlannedChange], fleet: Sequence[FleetUpstream], skip: str
+def _list_taken(
+    change: PlannedChange, fleet: Sequence[FleetUpstream], away: set[str]
 ) -> set[str]:
-    away: set[str] = set()
-    for change in changes.values():
-        if change.name != skip and change.action is not Action.REPLACE:
-            away.update(select_targets(change, fleet))
-    return away
+    """Return what the change takes at its worst moment, beside what is away."""
+    taken = set(select_targets(change, fleet)) - away
+    if change.action is not Action.REPLACE:
+        return taken
+    # One instance at a time: the worst moment is that of the largest one.
+    instances: dict[str, set[str]] = defaultdict(set)
+    rates: dict[str, float] = defaultdict(float)
+    for item in fleet:
+        if item.name in taken:
+            instances[item.instance].add(item.name)
+            rates[item.instance] += item.rate
+    return instances[max(rates, key=rates.get)] if rates else set()
 
 
 def _list_missing(
--- a/packages/mustardquay/tests/test_costs.py
+++ b/packages/mustardquay/tests/test_costs.py
@@ -39,7 +39,8 @@
 
 
 def check_change(change, share, *others):
-    configuration = make_configuration(share, change, *others)
+    accepted = replace(change, revision=5)
+    configuration = make_configuration(share, accepted, *others)
     edit = Edit("x", "operator", (ChangeAmendment(change.name, 0, change),))
     return check_costs(configuration, edit, FLEET)
 
@@ -69,6 +70,12 @@
     assert cost.lost == pytest.approx(1 / 9) and len(cost.upstreams) == 3
 
 
+def test_replacements_in_two_zones_take_one_each():
+    other = make_change(Action.REPLACE, target="zone-1")
+    (cost,) = check_change(make_change(Action.REPLACE), 0.7, other)
+    assert cost.remaining == pytest.approx(7 / 9)
+
+
 def test_an_unknown_target_is_refused():
     with pytest.raises(DocumentError, match="no upstream; mend the name"):
         check_change(make_change(target="zone-9"), 0.1)
