Let loops of control outlive faults, and a drain that was ended be seen

A loop that met an unexpected exception ended unseen. Leaving was for good within an incarnation, so an agent whose drain was ended got no work any more; heartbeats come in their order on a link, so the last one counts.

--- a/packages/mustardquay-node/src/mustardquay_node/configurations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/configurations.py
@@ -31,7 +31,7 @@
 from mustardquay.revisions import Configuration, Entry, apply_entry
 from mustardquay.tables import ObjectStore, Row, TableService
 
-from .sleeps import Sleep, sleep as default_sleep
+from .loops import start_loop
 
 __all__ = ["ConfigurationKeeper", "configuration_changed"]
 
@@ -63,14 +63,12 @@
         random: Random,
         is_reader: Callable[[], bool],
         interval: timedelta = timedelta(seconds=2),
-        sleep: Sleep = default_sleep,
     ):
         self._tables = tables
         self._objects = objects
         self._random = random
         self._is_reader = is_reader
         self._interval = interval
-        self._sleep = sleep
         self._configuration = Configuration()
         self._current = False
         self._store_up = True
@@ -110,7 +108,7 @@
 
     async def start(self) -> None:
         """Begin to poll."""
-        self._task = asyncio.create_task(self._run())
+        self._task = start_loop(self._poll_if_due, self._interval, self._random)
 
     async def close(self) -> None:
         """Stop polling."""
@@ -191,17 +189,13 @@
             self._snapshot = (self.version, data)
         return (self._snapshot[1],)
 
-    async def _run(self) -> None:
-        while True:
-            if self._is_reader() or not self._current:
-                try:
-                    await self.poll()
-                except MustardquayError as error:
-                    logger.info("The configuration can't be polled: %s", error)
-            # Spread out, so that the readers don't ask all at once, least of all
-            # when the store comes back.
-            spread = 0.75 + self._random.random() / 2
-            await self._sleep(self._interval * spread)
+    async def _poll_if_due(self) -> None:
+        if not self._is_reader() and self._current:
+            return
+        try:
+            await self.poll()
+        except MustardquayError as error:
+            logger.info("The configuration can't be polled: %s", error)
 
     async def _catch_up(self, head: int) -> None:
         self._highest = max(self._highest, head)
--- a/packages/mustardquay-node/src/mustardquay_node/controllers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/controllers.py
@@ -29,7 +29,7 @@
 
 from .configurations import ConfigurationKeeper
 from .editors import EditCheck
-from .sleeps import Sleep, sleep as default_sleep
+from .loops import start_loop
 
 __all__ = [
     "Controller",
@@ -80,7 +80,6 @@
         count_agents: Callable[[], int] = lambda: 1,
         deciders: tuple[Decider, ...] = (propose_rows,),
         term: timedelta = timedelta(seconds=10),
-        sleep: Sleep = default_sleep,
     ):
         self._domain = domain
         self._tables = tables
@@ -92,7 +91,6 @@
         self._count_agents = count_agents
         self._deciders = deciders
         self._interval = term / 4
-        self._sleep = sleep
         self._lease = Lease(domain, candidate, term)
         self._held = False
         self._idle_rounds = 0
@@ -117,7 +115,7 @@
 
     async def start(self) -> None:
         """Begin to compete for the lease."""
-        self._task = asyncio.create_task(self._run())
+        self._task = start_loop(self.turn, self._interval, self._random)
 
     async def close(self) -> None:
         """Stop, and give up the lease so that another goes on at once."""
@@ -149,11 +147,6 @@
             logger.info("%s: nothing can be ordered: %s", self._domain, error)
             self._note_lease()
 
-    async def _run(self) -> None:
-        while True:
-            await self.turn()
-            await self._sleep(self._interval * (0.75 + self._random.random() / 2))
-
     async def _compete(self) -> None:
         lease = await self._tables.read(LEASES, self._domain)
         beat = await self._tables.read(BEATS, self._domain)
--- a/packages/mustardquay-node/src/mustardquay_node/reconcilers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/reconcilers.py
@@ -29,7 +29,7 @@
 from mustardquay.tables import Committed, Condition, TableService, Transaction, Write
 
 from .engines import EngineControl
-from .sleeps import Sleep, sleep as default_sleep
+from .loops import start_loop
 
 __all__ = ["Reconciler", "order_ended", "order_sent", "readiness_changed"]
 
@@ -70,7 +70,6 @@
         count_agents: Callable[[], int] = lambda: 1,
         interval: timedelta = timedelta(seconds=1),
         permit: timedelta = PERMIT,
-        sleep: Sleep = default_sleep,
     ):
         self._key = name_engine(domain, upstream)
         self._agent = agent
@@ -81,7 +80,6 @@
         self._is_idle = is_idle
         self._count_agents = count_agents
         self._interval = interval
-        self._sleep = sleep
         self._machine = OrderMachine(fencing, longest_order, permit)
         self._poll_at = timedelta.min
         self._reported: EngineReport | None = None
@@ -122,7 +120,7 @@
     async def start(self) -> None:
         """Begin to reconcile."""
         await self._engine.start()
-        self._task = asyncio.create_task(self._run())
+        self._task = start_loop(self.turn, self._interval, self._random)
 
     async def close(self) -> None:
         """Stop; an order under way stays with the engine."""
@@ -153,11 +151,6 @@
             logger.error("%s: %s", self._key, error)
         self._announce()
 
-    async def _run(self) -> None:
-        while True:
-            await self.turn()
-            await self._sleep(self._interval * (0.75 + self._random.random() / 2))
-
     async def _observe(self) -> None:
         asked_at = self._clock.monotonic()
         self._machine.observe(await self._engine.read_state(), asked_at)
--- a/packages/mustardquay/src/mustardquay/members.py
+++ b/packages/mustardquay/src/mustardquay/members.py
@@ -84,16 +84,15 @@
     def hear(self, name: str, incarnation: int, leaving: bool, now: timedelta) -> None:
         """Take in a heartbeat; `incarnation` rises when the process is replaced.
 
-        Within an incarnation, leaving is for good: a heartbeat that was overtaken
-        by the announcement must not bring the member back.
+        Heartbeats of one incarnation must come in their order, as they do on links,
+        so that a drain that was ended is seen as such. Those of an older incarnation
+        are ignored: a link that was forgotten may still hold some.
         """
         member = self._members.setdefault(name, _Member())
         if incarnation < member.incarnation:
             return
-        if incarnation > member.incarnation:
-            member.leaving = False
         member.incarnation = incarnation
-        member.leaving = member.leaving or leaving
+        member.leaving = leaving
         member.heard_at = now
 
     def get_state(self, name: str, now: timedelta) -> MemberState | None:
