--- a/packages/mustardquay/src/mustardquay/queues.py
+++ b/packages/mustardquay/src/mustardquay/queues.py
@@ -12,10 +12,11 @@
 from bisect import bisect_left, insort
 from dataclasses import dataclass, field
 from datetime import timedelta
-from heapq import heappop, heappush
+from heapq import heappop, heappush, nlargest
 
 from .admissions import UsageMeter
 from .errors import Reason, Refusal
+from .estimates import EngineEstimate
 from .works import Work
 
 __all__ = ["FairQueue"]
@@ -23,6 +24,8 @@
 MINIMUM_SHARE = 1e-4
 MINIMUM_RETRY = timedelta(milliseconds=100)
 LARGEST_CORRECTION = 8.0
+RESERVED_PART = 8
+"""One slot in so many is lent to nobody who holds its share of them."""
 
 
 @dataclass(slots=True)
@@ -40,13 +43,6 @@
     """Whether the customer was over its share when its turn was set."""
 
 
-@dataclass(slots=True)
-class _Running:
-    work: Work
-    charge: float
-    started_at: timedelta
-
-
 @dataclass(slots=True)
 class _Backlog:
     """What waits of all the customers over their share, or of all the others."""
@@ -56,38 +52,6 @@
     count: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class _Prefill:
-    duration: timedelta
-    expected_at: timedelta
-    """When the first token would come at the known rate."""
-
-
-class _Margin:
-    """How much later than expected first tokens come, learned from each.
-
-    The mean error and twice its mean deviation, as for retransmission timers
-    (Jacobson, SIGCOMM 1988). It holds what no rate says: the length of a step, streams
-    beside the prefill, an engine that has grown slow.
-    """
-
-    def __init__(self):
-        self._mean = 0.0
-        self._deviation = 0.0
-
-    @property
-    def value(self) -> timedelta:
-        """Return the margin, 0 before the first token, at most a second."""
-        margin = self._mean + 2.0 * self._deviation
-        return timedelta(seconds=min(max(margin, 0.0), 1.0))
-
-    def learn(self, error: float) -> None:
-        """Take in an error in seconds; positive when the token came late."""
-        error = min(max(error, -1.0), 2.0)
-        self._deviation += 0.1 * (abs(error - self._mean) - self._deviation)
-        self._mean += 0.1 * (error - self._mean)
-
-
 class FairQueue:
     """Work that waits at one agent, bounded in number.
 
@@ -107,21 +71,13 @@
         engines: int = 1,
     ):
         self._capacity = capacity
-        self._concurrency = concurrency
-        self._prefill_rate = prefill_rate
-        self._decode_rate = decode_rate
+        self._engine = EngineEstimate(concurrency, prefill_rate, decode_rate)
         self._usage = usage or UsageMeter()
         self._lookahead = lookahead
         self._engines = max(engines, 1)
         self._lanes: dict[str, _Lane] = {}
         self._turns: list[tuple[bool, int, float, int, str]] = []
         self._waiting: dict[tuple[str, int], tuple[timedelta, int, Work]] = {}
-        self._running: dict[tuple[str, int], _Running] = {}
-        self._running_of: dict[str, int] = {}
-        self._prefilling: dict[tuple[str, int], _Prefill] = {}
-        self._margin = _Margin()
-        self._residence = 0.0
-        self._prefilled_at = timedelta()
         self._given_up: list[Work] = []
         self._backlogs = (_Backlog(), _Backlog())
         self._virtual = 0.0
@@ -145,7 +101,7 @@
     @property
     def running(self) -> int:
         """Return how many attempts run."""
-        return len(self._running)
+        return self._engine.running
 
     @property
     def usage(self) -> UsageMeter:
@@ -156,16 +112,14 @@
         self, concurrency: int, prefill_rate: float, decode_rate: float
     ) -> None:
         """Take over what the engine can do in its present role."""
-        self._concurrency = max(concurrency, 1)
-        self._prefill_rate = max(prefill_rate, 1.0)
-        self._decode_rate = max(decode_rate, 0.1)
+        self._engine.set_rates(concurrency, prefill_rate, decode_rate)
 
     def offer(self, work: Work, now: timedelta) -> Refusal | None:
         """Queue the work, or say at once that it can't be done in time."""
         wait = self.predict_wait(work, now)
         if len(self._waiting) >= self._capacity:
             return _refuse(Reason.OVERLOAD, "The queue of this upstream is full", wait)
-        late = now + wait + self._first_token_time(work) - work.start_by
+        late = now + wait + self._engine.first_token_time(work) - work.start_by
         if late > timedelta():
             return _refuse(Reason.DEADLINE, "The deadline can't be met here", late)
         self._enqueue(work, now)
@@ -173,7 +127,7 @@
 
     def take(self, now: timedelta) -> Work | None:
         """Return the next work to start, or None while the engine is full."""
-        if len(self._running) >= self._concurrency or self._is_prefilling(now):
+        if self._is_busy(now):
             return None
         passed_over = []
         chosen = None
@@ -208,25 +162,14 @@
 
     def note_first_token(self, key: tuple[str, int], now: timedelta) -> None:
         """Note that the prefill of a running attempt is over."""
-        prefill = self._prefilling.pop(key, None)
-        if prefill is not None:
-            self._margin.learn((now - prefill.expected_at).total_seconds())
-            left = (other.duration for other in self._prefilling.values())
-            self._prefilled_at = now + sum(left, timedelta())
+        self._engine.note_first_token(key, now)
 
     def finish(self, key: tuple[str, int], output_tokens: int, now: timedelta) -> None:
         """Note that a running attempt has ended and what it produced."""
-        self.note_first_token(key, now)
-        running = self._running.pop(key, None)
-        if running is None:
-            return
-        work = running.work
-        self._learn_residence(now - running.started_at)
-        self._running_of[work.customer] -= 1
-        if not self._running_of[work.customer]:
-            del self._running_of[work.customer]
-        used = self._cost(work.uncached_tokens, output_tokens)
-        self._usage.charge(work.customer, used - running.charge, now)
+        ended = self._engine.finish(key, output_tokens, now)
+        if ended is not None:
+            customer, difference = ended
+            self._usage.charge(customer, difference, now)
 
     def predict_wait(self, work: Work, now: timedelta) -> timedelta:
         """Return how long the work would wait for its turn, if offered now.
@@ -244,9 +187,10 @@
         stretch = (level.shares + (0.0 if known else share)) / share
         tokens = min(lane.tokens * stretch if known else 0.0, level.tokens)
         count = min(len(lane.entries) * stretch if known else 0.0, level.count)
-        prefill = self._prefill_time(first.tokens + tokens)
+        prefill = self._engine.prefill_time(first.tokens + tokens)
         return max(
-            self._prefill_left(now) + prefill, self._slot_time(first.count + count)
+            self._engine.prefill_left(now) + prefill,
+            self._engine.slot_time(first.count + count),
         )
 
     def _enqueue(self, work: Work, now: timedelta) -> None:
@@ -281,11 +225,18 @@
         return lane
 
     def _forget_lanes(self) -> None:
-        # An idle customer's tag matters only while it is ahead of the turns.
+        # An idle customer's tag matters only while it is ahead of the turns. Of many
+        # that are, those furthest ahead are kept: they have used most.
+        idle = [
+            (lane.tag, customer)
+            for customer, lane in self._lanes.items()
+            if not lane.in_turns and lane.tag > self._virtual
+        ]
+        kept = {customer for _, customer in nlargest(self._capacity // 2, idle)}
         self._lanes = {
             customer: lane
             for customer, lane in self._lanes.items()
-            if lane.in_turns or lane.tag > self._virtual
+            if lane.in_turns or customer in kept
         }
 
     def _open_turn(self, work: Work, lane: _Lane, now: timedelta) -> None:
@@ -330,15 +281,15 @@
     def _may_take(self, customer: str, lane: _Lane) -> bool:
         # The last slots stay free for customers that hold less than their share, so
         # that one that comes back gets its share without waiting for others' ends.
-        spare = self._concurrency - len(self._running)
-        held = self._running_of.get(customer, 0)
-        within = held < max(lane.share * self._concurrency, 1.0)
-        return within or spare > self._concurrency // 8
+        slots = self._engine.concurrency
+        held = self._engine.count_running(customer)
+        within = held < max(lane.share * slots, 1.0)
+        return within or slots - self._engine.running > slots // RESERVED_PART
 
     def _start(self, customer: str, lane: _Lane, now: timedelta) -> Work:
         entry = lane.entries[0]
         work = entry[-1]
-        cost = self._cost(work.uncached_tokens, work.output_tokens)
+        cost = self._engine.start(work, now)
         self._virtual = max(self._virtual, lane.tag)
         self._remove(lane, entry)
         lane.tag += cost * self._correct(customer, lane, now) / lane.share
@@ -346,11 +297,6 @@
             self._push_turn(lane.entries[0][-1], lane, now)
         else:
             self._close_turn(lane)
-        own = self._prefill_time(work.uncached_tokens)
-        self._prefilled_at = max(self._prefilled_at, now) + own
-        self._prefilling[work.key] = _Prefill(own, self._prefilled_at)
-        self._running[work.key] = _Running(work, cost, now)
-        self._running_of[customer] = self._running_of.get(customer, 0) + 1
         self._usage.charge(customer, cost, now)
         return work
 
@@ -367,36 +313,15 @@
     def _drop_hopeless(self, lane: _Lane, now: timedelta) -> None:
         while lane.entries:
             entry = lane.entries[0]
-            if now + self._first_token_time(entry[-1]) <= entry[0]:
+            if now + self._engine.first_token_time(entry[-1]) <= entry[0]:
                 return
             self._remove(lane, entry)
             self._given_up.append(entry[-1])
 
-    def _cost(self, prefill_tokens: int, output_tokens: int) -> float:
-        decode = output_tokens / (self._decode_rate * self._concurrency)
-        return prefill_tokens / self._prefill_rate + decode
-
-    def _prefill_time(self, tokens: float) -> timedelta:
-        return timedelta(seconds=tokens / self._prefill_rate)
-
-    def _learn_residence(self, residence: timedelta) -> None:
-        seconds = min(max(residence.total_seconds(), 0.0), 60.0)
-        self._residence += 0.05 * (seconds - self._residence)
-
-    def _slot_time(self, ahead: float) -> timedelta:
-        """Return when a slot is free behind so many others, as slots have been."""
-        missing = len(self._running) + ahead + 1 - self._concurrency
-        seconds = max(missing, 0.0) * self._residence / self._concurrency
-        return timedelta(seconds=seconds)
-
-    def _first_token_time(self, work: Work) -> timedelta:
-        return self._prefill_time(work.uncached_tokens) + self._margin.value
-
-    def _prefill_left(self, now: timedelta) -> timedelta:
-        return max(self._prefilled_at - now, timedelta())
-
-    def _is_prefilling(self, now: timedelta) -> bool:
-        return self._prefill_left(now) > self._lookahead
+    def _is_busy(self, now: timedelta) -> bool:
+        if self._engine.running >= self._engine.concurrency:
+            return True
+        return self._engine.prefill_left(now) > self._lookahead
 
 
 def _refuse(reason: Reason, message: str, wait: timedelta) -> Refusal:
--- a/packages/mustardquay/tests/test_fair_queues.py
+++ b/packages/mustardquay/tests/test_fair_queues.py
@@ -226,3 +226,12 @@
     assert here.rate("c", span(0)) == 1.0
     here.merge(UsageMeter("other").digest(span(60)), span(60))
     assert here.rate("c", span(60)) == 0.0
+
+
+def test_the_queue_forgets_idle_customers():
+    queue = FairQueue(capacity=10, prefill_rate=1e6, lookahead=span(100))
+    for number in range(500):
+        queue.offer(make_work(number, f"c{number}"), span(0))
+        work = queue.take(span(0))
+        queue.finish(work.key, 1, span(0))
+    assert len(queue._lanes) <= 21
