Carry out planned changes: leases on entries, orders at agents

Cause: an announced drain stood in the log and nothing followed from it. Change: entries stand for the leases of their zones and write order rows; agents claim their upstream, follow its row, hand waiting work back while it must not serve, and are told at once when a row has changed; edits are checked against the capacity of the fleet. The demo drains by an announcement. Conclusion: operators announce, the system carries out.

--- a/packages/mustardquay-node/src/mustardquay_node/agents.py
+++ b/packages/mustardquay-node/src/mustardquay_node/agents.py
@@ -17,6 +17,7 @@
     FailureKind,
     Heartbeat,
     Message,
+    OrderChanged,
     Reattach,
 )
 from mustardquay.queues import FairQueue
@@ -24,11 +25,13 @@
 
 from .admins import AdminParts, AdminServer
 from .configurations import ConfigurationKeeper
+from .engines import HttpEngine, PlainService
 from .executors import Executor, ExecutorOptions
 from .links import Link
 from .loops import start_loop
 from .nodes import NodeParts, connect_configuration, spread_configuration
 from .orphans import OrphanRecorder
+from .reconcilers import Reconciler
 from .reports import Reporter, UpstreamReport
 from .runs import Owner
 from .services import name_service
@@ -92,6 +95,9 @@
             self._parts.random,
             is_reader=lambda: False,
         )
+        self._agents_known = 1
+        self._drain_asked = False
+        self._reconciler = self._make_reconciler()
         self._admin = AdminServer(
             self._make_admin_parts(), settings.node.address, settings.node.admin_port
         )
@@ -157,9 +163,10 @@
         self._disconnect = connect_configuration(self._keeper, self._beat)
         await self._keeper.start()
         self._reporter.start()
+        await self._reconciler.start()
         await self._listen()
         self._admin.start()
-        self._sweeper = start_loop(self._executor.sweep, SWEEP_INTERVAL)
+        self._sweeper = start_loop(self._sweep, SWEEP_INTERVAL)
         parts.events.record("process.started", upstream=self._settings.upstream_name)
 
     async def drain(self) -> None:
@@ -167,15 +174,16 @@
         self._parts.events.record(
             "drain.started", upstream=self._settings.upstream_name
         )
+        self._drain_asked = True
         self._executor.start_drain()
         self._beat()
         await self._executor.wait_until_empty()
         self._parts.events.record("drain.ended", upstream=self._settings.upstream_name)
 
     def end_drain(self) -> None:
-        """Take new work again."""
-        self._executor.end_drain()
-        self._beat()
+        """Take new work again, unless an order says otherwise."""
+        self._drain_asked = False
+        self._follow_orders()
 
     async def close(self) -> None:
         """Drain, then stop."""
@@ -190,6 +198,7 @@
         if self._server is not None:
             self._server.close()
         await asyncio.gather(*(link.finish() for link in list(self._links)))
+        await self._reconciler.close()
         await self._executor.close()
         await self._orphans.close()
         await self._reporter.close()
@@ -227,7 +236,7 @@
             version=self._keeper.version,
             confirmed=self._keeper.current,
             draining=executor.draining,
-            ready=report.reachable and not report.changing and self._keeper.current,
+            ready=self._may_serve,
             upstream=self._settings.upstream_name,
             role=report.role,
             models=self._list_models(report),
@@ -280,10 +289,13 @@
                 self._executor.cancel(owner, message.stream)
             case Reattach():
                 self._take_reattach(owner, message, link)
+            case OrderChanged():
+                self._reconciler.nudge()
             case _:
                 if isinstance(message, Heartbeat):
                     now = self._parts.clock.monotonic()
                     self._parts.quarantine.merge(message.crashes, now)
+                    self._agents_known = max(message.agents, 1)
                 spread_configuration(self._keeper, link, message)
 
     def _take_attempt(self, owner: Owner, attempt: Attempt, link: Link) -> None:
@@ -300,6 +312,9 @@
         if not self._keeper.current:
             message = "The agent's configuration is not confirmed yet; use another."
             return Refusal(Reason.NOT_CURRENT, message, timedelta(seconds=1))
+        if not self._reconciler.ready:
+            message = "The upstream is not in the state of its order; use another."
+            return Refusal(Reason.DRAINING, message, timedelta(seconds=1))
         if attempt.version < self._keeper.version:
             return self._check_contract(attempt)
         return None
@@ -339,6 +354,55 @@
             )
             self._beat()
 
+    @property
+    def _may_serve(self) -> bool:
+        report = self._reporter.report
+        if not report.reachable or report.changing or not self._keeper.current:
+            return False
+        return self._reconciler.ready
+
+    def _make_reconciler(self) -> Reconciler:
+        parts, settings = self._parts, self._settings
+        is_service = settings.kind == "service"
+        return Reconciler(
+            settings.upstream_name,
+            parts.identity.availability_zone,
+            f"{parts.identity.process}-{parts.incarnation}",
+            parts.platform.tables,
+            PlainService() if is_service else HttpEngine(settings.upstream),
+            parts.clock,
+            parts.random,
+            settings.fencing,
+            settings.longest_order,
+            is_idle=lambda: not self._executor.running,
+            count_agents=lambda: self._agents_known,
+        )
+
+    def _sweep(self) -> None:
+        self._executor.sweep()
+        self._follow_orders()
+
+    def _follow_orders(self) -> None:
+        """Drain while an order asks for it, or while the engine must be changed.
+
+        Work that waits is handed back then: it would else be started, and the
+        engine would never be idle for its order.
+        """
+        wanted = self._drain_asked or not self._reconciler.ready
+        if wanted == self._executor.draining:
+            return
+        kind = "drain.started" if wanted else "drain.ended"
+        row = self._reconciler.row
+        cause = row.cause if row is not None else "no order yet"
+        self._parts.events.record(
+            kind, upstream=self._settings.upstream_name, cause=cause
+        )
+        if wanted:
+            self._executor.start_drain()
+        else:
+            self._executor.end_drain()
+        self._beat()
+
     def _beat(self) -> None:
         for link in self._links:
             link.beat()
@@ -353,6 +417,10 @@
             faults.append("The upstream carries out an order.")
         if not self._keeper.current:
             faults.append("The configuration is not confirmed.")
+        if self._reconciler.superseded:
+            faults.append("Another agent has claimed the upstream; stop this one.")
+        elif not self._reconciler.ready:
+            faults.append("The upstream is not in the state of its order.")
         return tuple(faults)
 
     def _make_admin_parts(self) -> AdminParts:
--- a/packages/mustardquay-node/src/mustardquay_node/dispatchers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/dispatchers.py
@@ -143,6 +143,11 @@
             if not peer.streams and peer.link is None:
                 self._drop(peer)
 
+    def find_instance(self, upstream: str) -> str:
+        """Return the instance beside an upstream; the upstream's name if unknown."""
+        peer = self._upstreams.get(upstream)
+        return upstream if peer is None else peer.name
+
     def run(self, call: Call, sink: Sink) -> Exchange:
         """Begin a request that was admitted."""
         work = call.work
--- a/packages/mustardquay-node/src/mustardquay_node/entries.py
+++ b/packages/mustardquay-node/src/mustardquay_node/entries.py
@@ -22,13 +22,15 @@
     choose_agents,
     choose_readers,
 )
-from mustardquay.messages import Heartbeat, Message
+from mustardquay.messages import Heartbeat, Message, OrderChanged
 from mustardquay.predictions import OutputLengths
 from mustardquay.revisions import Catalogue, Configuration, Edit
 
 from .admins import AdminParts, AdminServer
+from .authorities import Authorities
 from .callers import CallerParts, InFlight, NotFoundHandler
 from .configurations import ConfigurationKeeper
+from .controllers import make_cost_check
 from .dispatchers import Dispatcher, DispatcherOptions
 from .editors import ConfigurationEditor
 from .generations import ChatHandler, CompletionHandler, ModelsHandler
@@ -81,6 +83,7 @@
             parts.clock,
             parts.random,
             self._make_catalogue,
+            checks=(make_cost_check(parts.platform.tables, self._find_instance),),
         )
         self._recorder = Recorder(
             parts.platform.tables,
@@ -103,6 +106,14 @@
             self._make_heartbeat,
             self._receive,
         )
+        self._authorities = Authorities(
+            parts,
+            self._keeper,
+            self._settings.lease_term,
+            self._find_instance,
+            self._tell_order_changed,
+        )
+        self._agents = 0
         self._in_flight = InFlight()
         self._streams: set[Any] = set()
         self._admin = AdminServer(
@@ -154,6 +165,11 @@
         """Return whether callers may send new work here."""
         return not self._list_faults()
 
+    @property
+    def held_domains(self) -> list[str]:
+        """Return the control domains whose lease this process holds."""
+        return self._authorities.held
+
     def list_reachable(self) -> set[str]:
         """Return the names of the upstreams that take work from here."""
         return {
@@ -178,6 +194,7 @@
         self._disconnect = connect_configuration(self._keeper, self._dispatcher.beat)
         await self._keeper.start()
         self._recorder.start()
+        self._authorities.start()
         self._listen()
         self._admin.start()
         self._tasks = [
@@ -206,6 +223,7 @@
         self._disconnect()
         for task in self._tasks:
             task.cancel()
+        await self._authorities.close()
         await self._recorder.close()
         if self._server is not None:
             self._server.stop()
@@ -303,8 +321,15 @@
             version=self._keeper.version,
             confirmed=self._keeper.current,
             draining=self._draining,
+            agents=self._agents,
         )
 
+    def _find_instance(self, upstream: str) -> str:
+        return self._dispatcher.find_instance(upstream)
+
+    def _tell_order_changed(self, upstream: str) -> None:
+        self._dispatcher.send(upstream, OrderChanged())
+
     def _receive(self, link: Link, message: Message) -> None:
         if isinstance(message, Heartbeat):
             now = self._parts.clock.monotonic()
@@ -343,9 +368,9 @@
             # Without the list the links stand as they are; heartbeats tell who
             # lives, and who leaves.
             return
-        self._take_list(instances)
+        await self._take_list(instances)
 
-    def _take_list(self, instances: tuple[Instance, ...]) -> None:
+    async def _take_list(self, instances: tuple[Instance, ...]) -> None:
         now = self._parts.clock.monotonic()
         self._membership.update(instances, now)
         agents = self._membership.list_instances("agent", now)
@@ -356,7 +381,9 @@
             if self._membership.get_state(instance.name, now) is MemberState.LEAVING
         ]
         chosen = choose_agents(self.name, entries, agents, self._settings.agents)
+        self._agents = len(agents)
         self._dispatcher.set_agents(chosen, leaving)
+        await self._authorities.follow(entries, agents)
 
     def _drop_slow_callers(self) -> None:
         """Drop callers that take nothing in of what is streamed to them.
--- a/packages/mustardquay-node/src/mustardquay_node/frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/frames.py
@@ -29,6 +29,7 @@
     Header,
     Heartbeat,
     Message,
+    OrderChanged,
     Reattach,
     Refused,
     Started,
@@ -314,6 +315,10 @@
     return ConfigurationEntries(tuple(bytes(entry) for entry in read))
 
 
+def _write_order_changed(frame: Any, message: OrderChanged) -> None:
+    frame.orderChanged = None
+
+
 def _write_wanted(frame: Any, message: ConfigurationWanted) -> None:
     frame.configurationWanted = message.after
 
@@ -333,6 +338,7 @@
     CacheEvents: write_cache_events,
     ConfigurationEntries: _write_entries,
     ConfigurationWanted: _write_wanted,
+    OrderChanged: _write_order_changed,
 }
 
 DECODERS: dict[str, Callable[[Any], Message | Hello]] = {
@@ -350,4 +356,5 @@
     "cacheEvents": read_cache_events,
     "configurationEntries": _read_entries,
     "configurationWanted": ConfigurationWanted,
+    "orderChanged": lambda read: OrderChanged(),
 }
--- a/packages/mustardquay-node/src/mustardquay_node/heartbeats.py
+++ b/packages/mustardquay-node/src/mustardquay_node/heartbeats.py
@@ -43,6 +43,7 @@
     built.prefillRate = heartbeat.prefill_rate
     built.decodeRate = heartbeat.decode_rate
     built.concurrency = heartbeat.concurrency
+    built.agents = heartbeat.agents
     if heartbeat.crashes:
         _write_crashes(built, heartbeat.crashes)
 
@@ -64,6 +65,7 @@
         prefill_rate=read.prefillRate,
         decode_rate=read.decodeRate,
         concurrency=read.concurrency,
+        agents=read.agents,
         crashes=tuple(_read_crash_record(record) for record in read.crashes),
     )
 
--- a/packages/mustardquay-node/src/mustardquay_node/keys.py
+++ b/packages/mustardquay-node/src/mustardquay_node/keys.py
@@ -131,6 +131,14 @@
         "s",
         "A caller that takes nothing of its answer for so long is dropped.",
     ),
+    Key(
+        "entry",
+        "lease_term",
+        "10",
+        "s",
+        "An entry takes the lease of a zone over from one that it has not seen renew "
+        "it for so long.",
+    ),
     Key(
         "entry",
         "drain_timeout",
--- a/packages/mustardquay-node/src/mustardquay_node/settings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/settings.py
@@ -101,6 +101,7 @@
     body_timeout: Duration
     idle_timeout: Duration
     progress_timeout: Duration
+    lease_term: Duration
     drain_timeout: Duration
     claim_lifetime: Duration
     claim_window: Duration
--- a/packages/mustardquay-node/src/mustardquay_node/wire.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/wire.capnp
@@ -124,6 +124,7 @@
   crashes @12 :List(CrashRecord);
   upstream @13 :Text;
   concurrency @14 :UInt32;
+  agents @15 :UInt32;
 }
 
 struct CacheEvent {
@@ -155,6 +156,7 @@
     configurationEntries @12 :List(Data);
     configurationWanted @13 :UInt64;
     cacheEvents @14 :CacheEvents;
+    orderChanged @15 :Void;
   }
 }
 
--- a/packages/mustardquay-standins/src/mustardquay_standins/demos.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/demos.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Annotated
 from uuid import uuid4
@@ -15,6 +16,8 @@
 from rich.table import Table
 
 from mustardquay.events import select_events
+from mustardquay.plans import Action, PlannedChange, Scope
+from mustardquay.revisions import ChangeAmendment, Edit
 
 from .answers import ONE_WORD_MARKER, expected_text
 from .clients import Answer, SiteClient, read_stream_text
@@ -26,6 +29,9 @@
 BULLETIN_SENTENCES = 200
 DRAFT_TOKENS = 60
 TIMELINE_LINES = 24
+LIMIT = 60.0
+"""Seconds for a planned change to take effect."""
+POLL = 0.02
 FAILED = 1
 
 SUBJECTS = {
@@ -139,13 +145,27 @@
         self._samples.append(Sample(kind, answers[1], good and same))
 
     async def _drain_one(self) -> None:
-        agent = next(
-            agent for name, agent in self._site.agents.items() if name.endswith("-3")
+        """Announce a drain of one engine, as an operator does, and take it back."""
+        upstream = next(iter(self._site.engines))
+        entry = next(iter(self._site.entries.values()))
+        agent = self._site.find_agent(upstream)
+        self._say(f"Announcing a drain of {upstream} …")
+        change = PlannedChange(
+            "demo", Action.DRAIN, Scope.UPSTREAM, upstream, accept_overload=True
         )
-        self._say(f"Draining {agent.name} …")
-        await agent.drain()
-        self._say(f"{agent.name} is empty; it takes work again.")
-        agent.end_drain()
+        amendment = ChangeAmendment("demo", 0, change)
+        version = await entry.apply_edit(Edit(uuid4().hex, "demo", (amendment,)))
+        await self._wait_for(lambda: not agent.is_ready)
+        self._say(f"{upstream} takes no new work and finishes what runs; taking back.")
+        amendment = ChangeAmendment("demo", version, None)
+        await entry.apply_edit(Edit(uuid4().hex, "demo", (amendment,)))
+        await self._wait_for(lambda: agent.is_ready)
+        self._say(f"{upstream} is back.")
+
+    async def _wait_for(self, holds: Callable[[], bool]) -> None:
+        async with asyncio.timeout(LIMIT):
+            while not holds():
+                await asyncio.sleep(POLL)
 
     def _check_counts(self) -> bool:
         runs = dict.fromkeys(self._keys, 0)
--- a/packages/mustardquay/src/mustardquay/messages.py
+++ b/packages/mustardquay/src/mustardquay/messages.py
@@ -29,6 +29,7 @@
     "Header",
     "Heartbeat",
     "Message",
+    "OrderChanged",
     "Reattach",
     "Refused",
     "Started",
@@ -199,6 +200,8 @@
     """Prompt tokens a second; 0 when not known."""
     decode_rate: float = 0.0
     """Tokens a second of one stream; 0 when not known."""
+    agents: int = 0
+    """Agents in the fleet, as an entry has them from the instance list."""
     concurrency: int = 0
     """Attempts that the agent runs at once; 0 when not told."""
     crashes: tuple[CrashRecord, ...] = ()
@@ -218,6 +221,11 @@
     events: tuple[CacheEvent, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class OrderChanged:
+    """Entry to agent: the order row of your upstream has changed; read it."""
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationEntries:
     """Both ways: entries of the configuration log, encoded, in order."""
@@ -240,6 +248,7 @@
     | AttemptFrame
     | Heartbeat
     | CacheEvents
+    | OrderChanged
     | ConfigurationEntries
     | ConfigurationWanted
 )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,7 +11,7 @@
 
 QUICK = {
     "link": {"heartbeat": "0.1", "silence": "0.6"},
-    "entry": {"progress_timeout": "2"},
+    "entry": {"progress_timeout": "2", "lease_term": "1"},
     "agent": {"progress_timeout": "1", "report_interval": "0.1"},
 }
 """Settings under which failures are noticed soon enough for tests."""
