--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/domains.py
@@ -0,0 +1,40 @@
+"""Domains: the controllers of one entry, which follow what the entry is to hold."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from .controllers import Controller
+
+__all__ = ["Domains"]
+
+
+class Domains:
+    """Starts and closes controllers as the domains of the entry change."""
+
+    def __init__(self, make_controller: Callable[[str], Controller]):
+        self._make_controller = make_controller
+        self._controllers: dict[str, Controller] = {}
+
+    @property
+    def held(self) -> list[str]:
+        """Return the domains whose lease this entry holds."""
+        return sorted(
+            name for name, controller in self._controllers.items() if controller.held
+        )
+
+    async def set_domains(self, domains: Iterable[str]) -> None:
+        """Compete for the leases of these domains and give up those of others."""
+        wanted = set(domains)
+        for domain in sorted(wanted - self._controllers.keys()):
+            controller = self._make_controller(domain)
+            self._controllers[domain] = controller
+            await controller.start()
+        await self._close(self._controllers.keys() - wanted)
+
+    async def close(self) -> None:
+        """Give up all leases."""
+        await self._close(set(self._controllers))
+
+    async def _close(self, domains: set[str]) -> None:
+        controllers = [self._controllers.pop(domain) for domain in sorted(domains)]
+        await asyncio.gather(*(controller.close() for controller in controllers))
