--- a/benchmarks/bounds.py
+++ b/benchmarks/bounds.py
@@ -24,7 +24,7 @@
 from mustardquay.caches import PIECE_TOKENS
 
 from .engine_costs import PREFILL_SECONDS
-from .loops import Fault
+from .runs import Fault
 from .workloads import ENGINES, Arrival
 
 __all__ = ["bound_goodput"]
--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from .loops import Answer, Run
+from .runs import Answer, Run
 from .workloads import ENGINES, User
 
 __all__ = ["Figures", "measure"]
--- a/benchmarks/loops.py
+++ b/benchmarks/loops.py
@@ -6,113 +6,40 @@
 """
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from datetime import timedelta
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
 from typing import Any
 
-from mustardquay.admissions import UsageDigest, UsageMeter, set_deadlines
-from mustardquay.caches import PrefixIndex
 from mustardquay.clocks import VirtualClock
 from mustardquay.errors import Refusal
-from mustardquay.predictions import OutputLengths, RateEstimator
 from mustardquay.works import Role, UpstreamView, Work
 
-from .engine_costs import CHANGE_SECONDS, ROLE_COSTS
-from .engines import Engine, Job
-from .workloads import ENGINES, MODEL, Arrival
-
-__all__ = ["Answer", "Fault", "Loop", "Policy", "Run"]
+from .engine_costs import CHANGE_SECONDS
+from .engines import Engine
+from .runs import (
+    Agent,
+    Answer,
+    Entry,
+    Fault,
+    Policy,
+    Run,
+    find_view,
+    judge,
+    make_work,
+    merge_digests,
+    span,
+)
+from .workloads import ENGINES, Arrival
+
+__all__ = ["Loop"]
 
 LINK_SECONDS = 0.0005
 REPORT_SECONDS = 0.5
 PLAN_SECONDS = 1.0
 ATTEMPTS = 3
-ZONES = ("a", "b", "c")
-Decide = Callable[..., UpstreamView | Refusal]
-
-
-@dataclass(frozen=True, slots=True)
-class Policy:
-    """The decisions that are compared."""
-
-    name: str
-    make_choose: Callable[[], Decide]
-    make_queue: Callable[[str], Any]
-    make_planner: Callable[[], Any] = lambda: None
-    split: tuple[Role, ...] = (Role.MIXED,) * ENGINES
-
-
-@dataclass(frozen=True, slots=True)
-class Fault:
-    """Something done to one engine: `drain`, `lose`, `slow` or `heal`."""
-
-    at: float
-    engine: int
-    kind: str
-    seconds: float = 0.0
-    """How long the engine is away behind it."""
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """What became of one arrival."""
-
-    arrival: Arrival
-    outcome: str
-    """`met`, `late` or `refused`."""
-    at: float
-    first_token: float = 0.0
-    between_tokens: float = 0.0
-    retry_after: float = 0.0
-
-
-@dataclass(slots=True)
-class Run:
-    """The results of a run, with a sample of the state every second."""
-
-    answers: list[Answer] = field(default_factory=list)
-    role_changes: int = 0
-    samples: list[tuple[float, int, tuple[str, ...]]] = field(default_factory=list)
-    decisions: list[str] = field(default_factory=list)
-
-
-class _Entry:
-    def __init__(self, number: int, policy: Policy, engines: Sequence[Engine]):
-        self.choose = policy.make_choose()
-        self.index = PrefixIndex()
-        self.rates = RateEstimator()
-        self.lengths = OutputLengths()
-        self.usage = UsageMeter(f"entry-{number}")
-        self.random = Random(number)
-        self.zone = ZONES[number]
-        self.sent: dict[str, list[tuple[float, int]]] = {e.name: [] for e in engines}
-        self.views = [self._make_view(i, e) for i, e in enumerate(engines)]
-
-    def _make_view(self, position: int, engine: Engine) -> UpstreamView:
-        return UpstreamView(
-            engine.name,
-            ZONES[position % 3],
-            engine.role,
-            frozenset({MODEL}),
-            reachable=True,
-            concurrency=ROLE_COSTS[engine.role].streams,
-        )
-
-
-@dataclass(slots=True)
-class _Agent:
-    engine: Engine
-    queue: Any
-    planned: Role | None = None
-    away: bool = False
-    draining: bool = False
-    jobs: dict[tuple[str, int], tuple[Arrival, int]] = field(default_factory=dict)
-    version: int = 0
-    epoch: int = 0
-    """Raised whenever the engine goes away or is drained: older returns are void."""
 
 
 class Loop:
@@ -138,10 +65,10 @@
         self._sequence = count()
         self._run = Run()
         engines = [Engine(f"engine-{i}", r) for i, r in enumerate(policy.split)]
-        self._agents = {e.name: _Agent(e, policy.make_queue(e.name)) for e in engines}
-        self._entries = [_Entry(number, policy, engines) for number in range(2)]
+        self._agents = {e.name: Agent(e, policy.make_queue(e.name)) for e in engines}
+        self._entries = [Entry(number, policy, engines) for number in range(2)]
         self._planner = policy.make_planner()
-        self._plan_views = _Entry(2, policy, engines)
+        self._plan_views = Entry(2, policy, engines)
         for agent in self._agents.values():
             self._tell_queue(agent)
         for position, arrival in enumerate(arrivals):
@@ -170,26 +97,12 @@
     def _arrive(self, at: float, arrival: Arrival, number: int) -> None:
         entry = self._entries[number]
         contract = arrival.contract
-        deadlines = set_deadlines(contract, timedelta(seconds=at))
-        used = entry.usage.rate(contract.customer, _span(at))
-        work = Work(
-            arrival.name,
-            1,
-            contract.customer,
-            MODEL,
-            prompt_tokens=arrival.prompt_tokens,
-            output_tokens=entry.lengths.predict(contract.customer, arrival.kind),
-            share=contract.share,
-            priority=contract.priority,
-            start_by=deadlines.start_by,
-            finish_by=deadlines.finish_by,
-            prefix=arrival.prefix,
-            over_share=used > contract.share * ENGINES,
-            between_tokens=contract.lateness.between_tokens,
-        )
+        used = entry.usage.rate(contract.customer, span(at))
+        over_share = used > contract.share * ENGINES
+        work = make_work(entry, arrival, 1, over_share)
         if self._planner is not None:
             best = max(entry.index.match(v.name, arrival.prefix) for v in entry.views)
-            self._planner.note(work, arrival.prompt_tokens - 2000 * best, _span(at))
+            self._planner.note(work, arrival.prompt_tokens - 2000 * best, span(at))
         self._send(at, arrival, work, number, ())
 
     def _send(
@@ -206,7 +119,7 @@
             chosen = entry.choose(
                 work,
                 entry.views,
-                _span(at),
+                span(at),
                 entry.random,
                 avoid,
                 entry.zone,
@@ -256,7 +169,7 @@
         if agent.draining or agent.away or agent.planned is not None:
             refused = True
         else:
-            refusal = agent.queue.offer(work, _span(at))
+            refusal = agent.queue.offer(work, span(at))
             refused = refusal is not None
         if refused:
             self._bounce(at, upstream, arrival, work, number, avoid, refusal)
@@ -267,11 +180,7 @@
     def _bounce(self, at, upstream, arrival, work, number, avoid, refusal) -> None:
         view = self._view(number, upstream)
         view.own_running = max(view.own_running - 1, 0)
-        sent = self._entries[number].sent[upstream]
-        known = [s for s in sent if s[1] == work.uncached_tokens]
-        if known:
-            sent.remove(known[-1])
-            view.own_tokens -= work.uncached_tokens
+        self._entries[number].forget_sent(view, work.uncached_tokens)
         again = replace(work, attempt=work.attempt + 1, cached_tokens=0)
         self._at(
             at + LINK_SECONDS,
@@ -283,8 +192,8 @@
             refusal,
         )
 
-    def _pump(self, at: float, agent: _Agent) -> None:
-        now = _span(at)
+    def _pump(self, at: float, agent: Agent) -> None:
+        now = span(at)
         agent.engine.advance(at)
         self._collect(at, agent)
         if agent.away:
@@ -309,12 +218,12 @@
         if agent.version == version:
             self._pump(at, agent)
 
-    def _collect(self, at: float, agent: _Agent) -> None:
+    def _collect(self, at: float, agent: Agent) -> None:
         first, done = agent.engine.collect()
         for job in first:
-            agent.queue.note_first_token(job.work.key, _span(at))
+            agent.queue.note_first_token(job.work.key, span(at))
         for job in done:
-            agent.queue.finish(job.work.key, job.output_tokens, _span(at))
+            agent.queue.finish(job.work.key, job.output_tokens, span(at))
             arrival, number = agent.jobs.pop(job.work.key)
             self._release(number, agent.engine.name)
             lengths = self._entries[number].lengths
@@ -322,7 +231,7 @@
             index = self._entries[number].index
             pieces = (job.work.prompt_tokens - job.uncached) // 2000
             index.note_cached(agent.engine.name, job.work.prefix, pieces)
-            self._answer(_judge(arrival, job))
+            self._answer(judge(arrival, job))
 
     def _release(self, number: int, upstream: str) -> None:
         view = self._view(number, upstream)
@@ -332,7 +241,7 @@
 
     def _plan(self, at: float) -> None:
         if self._planner is not None:
-            change = self._planner.plan(self._plan_views.views, _span(at))
+            change = self._planner.plan(self._plan_views.views, span(at))
             for order in change if isinstance(change, list) else [change]:
                 if order is not None:
                     self._order(at, order.upstream, order.role)
@@ -347,41 +256,27 @@
         self._run.decisions.append(f"{at:.3f} {upstream} becomes {role.value}")
         agent.planned = role
         for entry in (*self._entries, self._plan_views):
-            _find(entry.views, upstream).ready = False
+            find_view(entry.views, upstream).ready = False
         self._hand_back(at, agent)
         self._pump(at, agent)
 
-    def _hand_back(self, at: float, agent: _Agent) -> None:
+    def _hand_back(self, at: float, agent: Agent) -> None:
         for key in [key for key in agent.jobs if agent.queue.withdraw(key)]:
             arrival, number = agent.jobs.pop(key)
             self._bounce_waiting(at, agent.engine.name, arrival, key, number)
 
     def _bounce_waiting(self, at, upstream, arrival, key, number) -> None:
         self._release(number, upstream)
-        deadlines = set_deadlines(arrival.contract, timedelta(seconds=arrival.at))
-        entry = self._entries[number]
-        customer = arrival.contract.customer
-        work = Work(
-            arrival.name,
-            key[1] + 1,
-            customer,
-            MODEL,
-            prompt_tokens=arrival.prompt_tokens,
-            output_tokens=entry.lengths.predict(customer, arrival.kind),
-            share=arrival.contract.share,
-            start_by=deadlines.start_by,
-            finish_by=deadlines.finish_by,
-            prefix=arrival.prefix,
-        )
+        work = make_work(self._entries[number], arrival, key[1] + 1)
         delay = LINK_SECONDS
         self._at(at + delay, self._send, arrival, work, number, (upstream,))
 
-    def _restart(self, at: float, agent: _Agent) -> None:
+    def _restart(self, at: float, agent: Agent) -> None:
         agent.away = True
         agent.version += 1
         self._plan_return(at + CHANGE_SECONDS, agent, agent.planned)
 
-    def _plan_return(self, at: float, agent: _Agent, role: Role | None) -> None:
+    def _plan_return(self, at: float, agent: Agent, role: Role | None) -> None:
         agent.epoch += 1
         self._at(at, self._return, agent.engine.name, role, agent.epoch)
 
@@ -416,7 +311,7 @@
             self._plan_return(at + fault.seconds, agent, None)
         self._pump(at, agent)
 
-    def _lose(self, at: float, agent: _Agent) -> None:
+    def _lose(self, at: float, agent: Agent) -> None:
         # All these requests are idempotent: each is run again elsewhere.
         agent.away = True
         agent.version += 1
@@ -425,7 +320,7 @@
         for key in list(agent.jobs):
             arrival, number = agent.jobs.pop(key)
             if not agent.queue.withdraw(key):
-                agent.queue.finish(key, 0, _span(at))
+                agent.queue.finish(key, 0, span(at))
             self._bounce_waiting(at + 0.5, agent.engine.name, arrival, key, number)
 
     # Reports
@@ -463,32 +358,18 @@
         meters = [getattr(a.queue, "usage", None) for a in self._agents.values()]
         if None in meters:
             return
-        digests = [meter.digest(_span(at)) for meter in meters]
+        digests = [meter.digest(span(at)) for meter in meters]
         for meter in meters:
-            _merge(meter, digests, at)
+            merge_digests(meter, digests, at)
         for entry in self._entries:
-            _merge(entry.usage, digests, at)
+            merge_digests(entry.usage, digests, at)
 
     def _hear(self, at: float, upstream: str, taken: float, state: tuple) -> None:
-        role, waiting, within, running, prefill_rate, decode_rate, ready = state
         for entry in (*self._entries, self._plan_views):
-            view = _find(entry.views, upstream)
-            entry.sent[upstream] = [s for s in entry.sent[upstream] if s[0] > taken]
-            entry.rates.learn(upstream, role, prefill_rate, decode_rate)
-            view.role = role
-            view.concurrency = ROLE_COSTS[role].streams
-            view.queued_tokens = waiting
-            view.queued_tokens_within = within
-            view.running = running
-            view.reported_at = _span(taken)
-            view.own_tokens = sum(tokens for _, tokens in entry.sent[upstream])
-            view.prefill_rate = entry.rates.prefill_rate(upstream, prefill_rate)
-            view.decode_rate = entry.rates.decode_rate(upstream, decode_rate)
-            view.slowness = entry.rates.slowness(upstream)
-            view.ready = ready
+            entry.hear(upstream, span(taken), state)
             self._hear_events(entry, upstream)
 
-    def _hear_events(self, entry: _Entry, upstream: str) -> None:
+    def _hear_events(self, entry: Entry, upstream: str) -> None:
         if self._random.random() < self._events_lost:
             # The range is lost on the way, and the engine no longer has it.
             oldest, events = self._agents[upstream].engine.read_events(0, kept=4)
@@ -497,39 +378,14 @@
             oldest, events = self._agents[upstream].engine.read_events(after)
         entry.index.apply(upstream, oldest, events)
 
-    def _tell_queue(self, agent: _Agent) -> None:
+    def _tell_queue(self, agent: Agent) -> None:
         set_engine = getattr(agent.queue, "set_engine", None)
         if set_engine is not None:
             prefill_rate, decode_rate = agent.engine.rates()
             set_engine(agent.engine.costs.streams, prefill_rate, decode_rate)
 
     def _view(self, number: int, upstream: str) -> UpstreamView:
-        return _find(self._entries[number].views, upstream)
+        return find_view(self._entries[number].views, upstream)
 
     def _answer(self, answer: Answer) -> None:
         self._run.answers.append(answer)
-
-
-def _judge(arrival: Arrival, job: Job) -> Answer:
-    lateness = arrival.contract.lateness
-    first = job.first_token - arrival.at
-    gap = (job.finished - job.first_token) / max(job.output_tokens - 1, 1)
-    met = first <= lateness.first_token.total_seconds()
-    met = met and job.finished - arrival.at <= lateness.whole.total_seconds()
-    if arrival.streamed:
-        met = met and gap <= lateness.between_tokens.total_seconds()
-    outcome = "met" if met else "late"
-    return Answer(arrival, outcome, job.finished, first, gap if arrival.streamed else 0)
-
-
-def _merge(meter: UsageMeter, digests: Sequence[UsageDigest], at: float) -> None:
-    for digest in digests:
-        meter.merge(digest, _span(at))
-
-
-def _find(views: Sequence[UpstreamView], name: str) -> UpstreamView:
-    return next(view for view in views if view.name == name)
-
-
-def _span(at: float) -> timedelta:
-    return timedelta(seconds=at)
--- a/benchmarks/plots.py
+++ b/benchmarks/plots.py
@@ -6,7 +6,7 @@
 import matplotlib
 from matplotlib.figure import Figure
 
-from .loops import Run
+from .runs import Run
 
 __all__ = ["plot_run"]
 
--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -27,8 +27,9 @@
 from .bounds import bound_goodput
 from .engine_costs import PREFILL_SECONDS, ROLE_COSTS, step_seconds
 from .figures import Figures, measure
-from .loops import Fault, Loop, Policy
+from .loops import Loop
 from .plots import plot_run
+from .runs import Fault, Policy
 from .workloads import ENGINES, USERS, User, make_arrivals
 
 __all__ = [
