--- a/benchmarks/all.py
+++ b/benchmarks/all.py
@@ -9,15 +9,26 @@
 
 import typer
 
-from . import controls, decision_costs, paths, regressions
+from . import (
+    controls,
+    counts,
+    decision_costs,
+    paths,
+    promises,
+    regressions,
+    spreads,
+)
 
 __all__ = ["BENCHMARKS", "main"]
 
 BENCHMARKS: dict[str, Callable[[bool], bool]] = {
     "controls": controls.run,
+    "counts": counts.run,
     "decisions": decision_costs.run,
     "paths": paths.run,
     "policies": regressions.run,
+    "promises": promises.run,
+    "spreads": spreads.run,
 }
 """Each takes whether the run is short, and returns whether its bounds were met."""
 
--- a/packages/mustardquay-node/src/mustardquay_node/controllers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/controllers.py
@@ -20,14 +20,16 @@
 from mustardquay.encodings import decode, encode
 from mustardquay.errors import MustardquayError
 from mustardquay.leases import BEATS, LEASES, Lease, LeaseRows, fence_writes
+from mustardquay.logs import HEAD, TABLE, read_version
 from mustardquay.orders import ORDERS, REPORTS, EngineReport, OrderRow
 from mustardquay.plans import PlannedChange, Release
 from mustardquay.revisions import Configuration, Edit
 from mustardquay.rollouts import EngineStatus, propose_rows
 from mustardquay.tables import Condition, Row, TableService, Write
 
+from .configurations import ConfigurationKeeper
 from .editors import EditCheck
-from .sleeps import Sleep, sleep as default_sleep
+from .loops import start_loop
 
 __all__ = [
     "Controller",
@@ -70,7 +72,7 @@
         domain: str,
         candidate: str,
         tables: TableService,
-        get_configuration: Callable[[], Configuration],
+        keeper: ConfigurationKeeper,
         clock: Clock,
         random: Random,
         is_candidate: Callable[[], bool] = lambda: True,
@@ -78,11 +80,10 @@
         count_agents: Callable[[], int] = lambda: 1,
         deciders: tuple[Decider, ...] = (propose_rows,),
         term: timedelta = timedelta(seconds=10),
-        sleep: Sleep = default_sleep,
     ):
         self._domain = domain
         self._tables = tables
-        self._get_configuration = get_configuration
+        self._keeper = keeper
         self._clock = clock
         self._random = random
         self._is_candidate = is_candidate
@@ -90,7 +91,6 @@
         self._count_agents = count_agents
         self._deciders = deciders
         self._interval = term / 4
-        self._sleep = sleep
         self._lease = Lease(domain, candidate, term)
         self._held = False
         self._idle_rounds = 0
@@ -115,7 +115,7 @@
 
     async def start(self) -> None:
         """Begin to compete for the lease."""
-        self._task = asyncio.create_task(self._run())
+        self._task = start_loop(self.turn, self._interval, self._random)
 
     async def close(self) -> None:
         """Stop, and give up the lease so that another goes on at once."""
@@ -147,11 +147,6 @@
             logger.info("%s: nothing can be ordered: %s", self._domain, error)
             self._note_lease()
 
-    async def _run(self) -> None:
-        while True:
-            await self.turn()
-            await self._sleep(self._interval * (0.75 + self._random.random() / 2))
-
     async def _compete(self) -> None:
         lease = await self._tables.read(LEASES, self._domain)
         beat = await self._tables.read(BEATS, self._domain)
@@ -169,17 +164,20 @@
             lease_changed.send(self, held=held, fence=self._lease.fence)
 
     async def _carry_out(self) -> None:
-        configuration = self._get_configuration()
-        if configuration.version != self._seen_version:
+        if self._keeper.version != self._seen_version:
             self._idle_rounds = 0
         self._idle_rounds -= 1
         if self._idle_rounds > 0:
             return
+        head = await self._keeper.poll()
+        configuration = self._keeper.configuration
+        if configuration.version != read_version(head):
+            return
         fleet = await self._read_fleet()
         self._seen_version = configuration.version
         proposals = self._decide(configuration, fleet)
         if proposals:
-            await self._write(proposals)
+            await self._write(proposals, head)
         # Also while another zone has the turn in a release.
         if proposals or not all(
             status.is_available for status in fleet or self._engines
@@ -209,9 +207,14 @@
                 return proposals
         return []
 
-    async def _write(self, proposals: list[tuple[EngineStatus, OrderRow]]) -> None:
+    async def _write(
+        self, proposals: list[tuple[EngineStatus, OrderRow]], head: Row | None
+    ) -> None:
         keys = [f"{self._domain}/{status.upstream.name}" for status, _ in proposals]
-        conditions = tuple(
+        # A holder whose configuration is a moment old would return an engine to
+        # service that was just drained: the rows follow from the present head.
+        configured = Condition(TABLE, HEAD, 0 if head is None else head.revision)
+        unchanged = (
             Condition(ORDERS, key, status.row_revision)
             for key, (status, _) in zip(keys, proposals, strict=True)
         )
@@ -223,7 +226,10 @@
         # before the next ones are decided.
         result = await self._tables.transact(
             fence_writes(
-                self._domain, self._lease.fence, *writes, conditions=conditions
+                self._domain,
+                self._lease.fence,
+                *writes,
+                conditions=(configured, *unchanged),
             )
         )
         if result:
--- a/packages/mustardquay-node/src/mustardquay_node/links.py
+++ b/packages/mustardquay-node/src/mustardquay_node/links.py
@@ -50,6 +50,8 @@
     heartbeat: timedelta
     silence: timedelta
     frame_limit: int
+    gather: timedelta = timedelta(milliseconds=1)
+    """Least time between two batches; a message after a pause goes at once."""
 
 
 class Link(asyncio.Protocol):
@@ -79,6 +81,7 @@
         self._buffer = bytearray()
         self._outgoing: list[Message | Hello] = []
         self._flush_scheduled = False
+        self._flushed_at = 0.0
         self._sent = 0
         self._expected = 0
         self._nonce = secrets.token_bytes(NONCE_SIZE)
@@ -87,7 +90,8 @@
         self._open = False
         self._closed = False
         self._ended = asyncio.Event()
-        self._heard = self._loop.time()
+        self._silent = 0.0
+        self._beaten = self._loop.time()
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -148,7 +152,7 @@
             self.close(f"connection lost: {error}")
 
     def flush(self) -> None:
-        """Write what was queued in this turn of the loop, as one batch."""
+        """Write what was queued, as one batch."""
         self._flush_scheduled = False
         if self._closed or not self._outgoing or self._transport is None:
             return
@@ -156,6 +160,7 @@
         self._outgoing.clear()
         data = encode_batch(Batch(self._sent, self._clock.tick(), messages))
         self._sent += 1
+        self._flushed_at = self._loop.time()
         self._transport.write(len(data).to_bytes(LENGTH_SIZE, "big") + data)
         if self._transport.get_write_buffer_size() > SEND_LIMIT:
             # A peer that was stopped takes nothing in, which would show here as
@@ -169,14 +174,14 @@
         connection = transport.get_extra_info("socket")
         if connection is not None:
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._heard = self._loop.time()
+        self._beaten = self._loop.time()
         self._schedule_beat()
         if self._side == "entry":
             self._say_hello(b"")
 
     def data_received(self, data: bytes) -> None:
         """Cut the bytes into batches and hand on their messages."""
-        self._heard = self._loop.time()
+        self._silent = 0.0
         self._buffer += data
         try:
             self._take_batches()
@@ -301,6 +306,16 @@
         self._outgoing.append(message)
         if not self._flush_scheduled:
             self._flush_scheduled = True
+            self._schedule_flush()
+
+    def _schedule_flush(self) -> None:
+        # The tokens of one step of an engine come over some turns of the loop. A
+        # batch for each turn costs both ends more than what is in it.
+        gather = self._options.gather.total_seconds()
+        wait = self._flushed_at + gather - self._loop.time()
+        if wait > 0:
+            self._loop.call_later(wait, self.flush)
+        else:
             self._loop.call_soon(self.flush)
 
     def _schedule_beat(self) -> None:
@@ -311,9 +326,22 @@
         # A connection that was forgotten on its way looks healthy to TCP for many
         # minutes. The peer beats at all times, so silence means that this
         # connection is of no use, and a new one is worth a try.
-        if self._loop.time() - self._heard > self._options.silence.total_seconds():
+        self._silent += self._measure_beat()
+        if self._silent > self._options.silence.total_seconds():
             self.close("no heartbeat within the time of silence")
             return
         if self._open:
             self._queue(self._make_heartbeat(self))
         self._schedule_beat()
+
+    def _measure_beat(self) -> float:
+        """Return the seconds since the last beat, without pauses.
+
+        A process that was paused, or starved of processor time, finds that nothing
+        came for long, although its peers were well and what they sent waits in the
+        socket. Were the pause counted, it would close all its links as it wakes.
+        """
+        now = self._loop.time()
+        elapsed = now - self._beaten
+        self._beaten = now
+        return min(elapsed, 2 * self._options.heartbeat.total_seconds())
