Ignore impossible rates, and tell given-up work when to come back

A report of 0 or infinity had all work refused or accepted; it is now ignored. The queue makes the refusal of work that it gave up on, with the time after which what is ahead will be done.

--- a/benchmarks/loops.py
+++ b/benchmarks/loops.py
@@ -204,7 +204,8 @@
         for work in agent.queue.expire(now):
             arrival, number = agent.jobs.pop(work.key)
             self._release(number, agent.engine.name)
-            self._answer(Answer(arrival, "refused", at, retry_after=1.0))
+            wait = _read_wait(agent.queue, work, now)
+            self._answer(Answer(arrival, "refused", at, retry_after=wait))
         if agent.planned is not None and not agent.engine.running:
             self._restart(at, agent)
             return
@@ -389,3 +390,8 @@
 
     def _answer(self, answer: Answer) -> None:
         self._run.answers.append(answer)
+
+
+def _read_wait(queue: Any, work: Work, now: timedelta) -> float:
+    refuse = getattr(queue, "refuse_late", None)
+    return refuse(work, now).retry_after.total_seconds() if refuse else 1.0
--- a/packages/mustardquay/src/mustardquay/estimates.py
+++ b/packages/mustardquay/src/mustardquay/estimates.py
@@ -11,6 +11,11 @@
 
 __all__ = ["EngineEstimate"]
 
+DEFAULT_PREFILL_RATE = 8000.0
+DEFAULT_DECODE_RATE = 40.0
+LEAST_RATE = 1.0
+MOST_RATE = 1e7
+
 
 @dataclass(slots=True)
 class _Running:
@@ -55,6 +60,8 @@
     """The requests on one engine, and when it will be ready for the next."""
 
     def __init__(self, concurrency: int, prefill_rate: float, decode_rate: float):
+        self._prefill_rate = DEFAULT_PREFILL_RATE
+        self._decode_rate = DEFAULT_DECODE_RATE
         self.set_rates(concurrency, prefill_rate, decode_rate)
         self._running: dict[tuple[str, int], _Running] = {}
         self._running_of: dict[str, int] = {}
@@ -76,10 +83,16 @@
     def set_rates(
         self, concurrency: int, prefill_rate: float, decode_rate: float
     ) -> None:
-        """Take over what the engine can do in its present role."""
+        """Take over what the engine can do in its present role.
+
+        Rates that no engine has are ignored: one wrong report of 0 or infinity would
+        have all work refused, or all accepted.
+        """
         self._concurrency = max(concurrency, 1)
-        self._prefill_rate = max(prefill_rate, 1.0)
-        self._decode_rate = max(decode_rate, 0.1)
+        if LEAST_RATE <= prefill_rate < MOST_RATE:
+            self._prefill_rate = prefill_rate
+        if LEAST_RATE <= decode_rate < MOST_RATE:
+            self._decode_rate = decode_rate
 
     def count_running(self, customer: str) -> int:
         """Return how many requests of a customer run."""
--- a/packages/mustardquay/src/mustardquay/queues.py
+++ b/packages/mustardquay/src/mustardquay/queues.py
@@ -152,6 +152,14 @@
         late, self._given_up = self._given_up, []
         return late
 
+    def refuse_late(self, work: Work, now: timedelta) -> Refusal:
+        """Return the refusal of work that `expire` gave up.
+
+        It names the time after which what is ahead of it now will be done.
+        """
+        wait = self.predict_wait(work, now)
+        return _refuse(Reason.DEADLINE, "The deadline can't be met here", wait)
+
     def withdraw(self, key: tuple[str, int]) -> bool:
         """Remove waiting work; False when it does not wait here."""
         entry = self._waiting.get(key)
--- a/packages/mustardquay/tests/test_fair_queues.py
+++ b/packages/mustardquay/tests/test_fair_queues.py
@@ -235,3 +235,21 @@
         work = queue.take(span(0))
         queue.finish(work.key, 1, span(0))
     assert len(queue._lanes) <= 21
+
+
+@CHECK
+@given(st.floats(allow_nan=True, allow_infinity=True))
+def test_wrong_rates_are_ignored(rate):
+    queue = FairQueue(prefill_rate=5000.0)
+    queue.set_engine(32, rate if not 1.0 <= rate < 1e7 else 0.0, rate)
+    assert queue.offer(make_work(1, tokens=4000, start_by=1.0), span(0)) is None
+
+
+def test_given_up_work_is_told_when_the_queue_will_be_done():
+    queue = FairQueue(prefill_rate=1000.0, lookahead=timedelta())
+    queue.offer(make_work(1, tokens=3000, start_by=9.0), span(0))
+    assert queue.take(span(0)) is not None
+    queue.offer(make_work(2, tokens=100, start_by=3.5), span(0))
+    (late,) = queue.expire(span(3.45))
+    assert queue.refuse_late(late, span(2)).retry_after == span(1)
+    assert queue.refuse_late(late, span(9)).retry_after == span(0.1)
