--- a/benchmarks/decision_costs.py
+++ b/benchmarks/decision_costs.py
@@ -25,6 +25,8 @@
 LINKED = 64
 """An entry links to at most so many upstreams, whatever the size of the fleet."""
 REPEATS = 2000
+BATCHES = 9
+"""The quickest counts, as the machine may be shared."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,16 +146,24 @@
     for work in works[: REPEATS // 10]:
         decide(work)
     rest = works[REPEATS // 10 :]
+    size = len(rest) // BATCHES
     gc.collect()
     gc.disable()
     blocks = sys.getallocatedblocks()
-    start = perf_counter()
-    for work in rest:
-        decide(work)
-    elapsed = perf_counter() - start
+    least = min(
+        _time_batch(decide, rest[start : start + size])
+        for start in range(0, len(rest), size)
+    )
     blocks = sys.getallocatedblocks() - blocks
     gc.enable()
-    return elapsed / len(rest) * 1e6, blocks / len(rest)
+    return least / size * 1e6, blocks / len(rest)
+
+
+def _time_batch(decide: Callable[[Work], object], works: list[Work]) -> float:
+    start = perf_counter()
+    for work in works:
+        decide(work)
+    return perf_counter() - start
 
 
 if __name__ == "__main__":
