Tell calls with other queries apart, bound an entry's drain, one choice of domains

Cause: the claim's digest left the query string out, so one key with another query got the recorded answer (found by reading); entry.drain_timeout was read by nothing; two choices of who competes for a zone's lease stood side by side, and the demo rendered events in its own way. Change: the digest has the query; a drain ends at its limit with an event; members.choose_domains and domains.Domains decide; the demo uses the command's rendering. Conclusion: each decision stands once.

--- a/packages/mustardquay-node/src/mustardquay_node/authorities.py
+++ b/packages/mustardquay-node/src/mustardquay_node/authorities.py
@@ -1,39 +1,27 @@
 """Authorities: the control domains that an entry may hold the lease of.
 
-A domain is an availability zone. Its candidates are a few entries of the zone, or of
-others where it has none, chosen by rendezvous hash over the instance list.
+A domain is an availability zone; `members.choose_domains` says which entries compete
+for its lease.
 """
 
 import logging
 from collections.abc import Callable, Sequence
-from dataclasses import replace
 from datetime import timedelta
 from typing import Any
 
-from mustardquay.members import Instance, choose_readers
+from mustardquay.members import Instance, choose_domains
 from mustardquay.orders import OrderRow
 
 from .configurations import ConfigurationKeeper
 from .controllers import Controller, lease_changed, rows_written
+from .domains import Domains
 from .nodes import NodeParts
 
-__all__ = ["Authorities", "choose_candidates"]
+__all__ = ["Authorities"]
 
 logger = logging.getLogger(__name__)
 
 
-def choose_candidates(entries: Sequence[Instance], domain: str) -> list[str]:
-    """Return the names of the entries that may hold the lease of a zone.
-
-    >>> entry = Instance("entry-1", "entry", "127.0.0.1", 0, "north")
-    >>> choose_candidates([entry], "south")
-    ['entry-1']
-    """
-    own = [entry for entry in entries if entry.availability_zone == domain]
-    pool = own or [replace(entry, availability_zone=domain) for entry in entries]
-    return choose_readers(pool, domain)
-
-
 class Authorities:
     """The controllers of one entry, one for each domain it may hold."""
 
@@ -55,21 +43,19 @@
         self._term = term
         self._find_instance = find_instance
         self._tell_changed = tell_changed
-        self._controllers: dict[str, Controller] = {}
-        self._candidacies: set[str] = set()
+        self._domains = Domains(self._make_controller)
         self._agents = 1
 
     @property
     def held(self) -> list[str]:
         """Return the domains whose lease this process holds."""
-        return [name for name, item in self._controllers.items() if item.held]
+        return self._domains.held
 
     async def close(self) -> None:
         """Give up the leases, so that others go on at once."""
         lease_changed.disconnect(self._note_lease)
         rows_written.disconnect(self._note_rows)
-        for controller in self._controllers.values():
-            await controller.close()
+        await self._domains.close()
 
     def start(self) -> None:
         """Begin to listen to the controllers that follow."""
@@ -81,15 +67,8 @@
     ) -> None:
         """Stand for the domains that the lists give this process."""
         self._agents = max(len(agents), 1)
-        domains = {agent.availability_zone for agent in agents}
         name = self._parts.identity.process
-        self._candidacies = {
-            domain for domain in domains if name in choose_candidates(entries, domain)
-        }
-        for domain in sorted(self._candidacies - self._controllers.keys()):
-            controller = self._make_controller(domain)
-            self._controllers[domain] = controller
-            await controller.start()
+        await self._domains.set_domains(choose_domains(name, entries, agents))
 
     def _make_controller(self, domain: str) -> Controller:
         parts = self._parts
@@ -100,20 +79,18 @@
             self._keeper,
             parts.clock,
             parts.random,
-            is_candidate=lambda: domain in self._candidacies,
             find_instance=self._find_instance,
             count_agents=lambda: self._agents,
             term=self._term,
         )
 
     def _note_lease(self, sender: Controller, held: bool, fence: int) -> None:
-        for domain, controller in self._controllers.items():
-            if controller is sender:
-                kind = "lease.acquired" if held else "lease.lost"
-                self._parts.events.record(kind, domain=domain, fence=fence)
+        if self._domains.owns(sender):
+            kind = "lease.acquired" if held else "lease.lost"
+            self._parts.events.record(kind, domain=sender.domain, fence=fence)
 
     def _note_rows(self, sender: Controller, rows: dict[str, OrderRow]) -> None:
-        if sender not in self._controllers.values():
+        if not self._domains.owns(sender):
             return
         for upstream, row in rows.items():
             self._parts.events.record(
--- a/packages/mustardquay-node/src/mustardquay_node/controllers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/controllers.py
@@ -98,6 +98,11 @@
         self._engines: list[EngineStatus] = []
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def domain(self) -> str:
+        """Return the domain whose lease it competes for."""
+        return self._domain
+
     @property
     def held(self) -> bool:
         """Return whether this process was the holder at its last turn."""
--- a/packages/mustardquay-node/src/mustardquay_node/domains.py
+++ b/packages/mustardquay-node/src/mustardquay_node/domains.py
@@ -22,6 +22,10 @@
             name for name, controller in self._controllers.items() if controller.held
         )
 
+    def owns(self, controller: Controller) -> bool:
+        """Return whether a controller is one of these."""
+        return controller in self._controllers.values()
+
     async def set_domains(self, domains: Iterable[str]) -> None:
         """Compete for the leases of these domains and give up those of others."""
         wanted = set(domains)
--- a/packages/mustardquay-node/src/mustardquay_node/entries.py
+++ b/packages/mustardquay-node/src/mustardquay_node/entries.py
@@ -205,11 +205,21 @@
         parts.events.record("process.started")
 
     async def drain(self) -> None:
-        """Refuse new callers and wait until every request has its outcome."""
+        """Refuse new callers and wait until every request has its outcome.
+
+        What exceeds the time limit of the settings is left: its callers see the
+        connection break, and repeats with an idempotency key hear what became of it.
+        """
         self._draining = True
         self._parts.events.record("drain.started")
-        await self._in_flight.wait_until_empty()
-        await self._dispatcher.wait_until_empty()
+        try:
+            async with asyncio.timeout(self._settings.drain_timeout.total_seconds()):
+                await self._in_flight.wait_until_empty()
+                await self._dispatcher.wait_until_empty()
+        except TimeoutError:
+            left = self._dispatcher.running
+            self._parts.events.record("drain.timed_out", running=left)
+            return
         self._parts.events.record("drain.ended")
 
     async def close(self) -> None:
--- a/packages/mustardquay-node/src/mustardquay_node/services.py
+++ b/packages/mustardquay-node/src/mustardquay_node/services.py
@@ -104,9 +104,9 @@
     async def _claim(self, service: str, key: str, path: str) -> Judgement:
         contract = self.customer
         assert contract is not None
-        digest = sha256(
-            b"\0".join(((self.request.method or "").encode(), path.encode(), self.body))
-        ).hexdigest()
+        method, query = self.request.method or "", self.request.query
+        parts = (method.encode(), path.encode(), query.encode(), self.body)
+        digest = sha256(b"\0".join(parts)).hexdigest()
         return await self.parts.recorder.claim(
             ClaimKey(contract.customer, service, key),
             digest,
--- a/packages/mustardquay-standins/src/mustardquay_standins/demos.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/demos.py
@@ -18,6 +18,7 @@
 from mustardquay.events import select_events
 from mustardquay.plans import Action, PlannedChange, Scope
 from mustardquay.revisions import ChangeAmendment, Edit
+from mustardquay_cli.texts import render_event
 
 from .answers import ONE_WORD_MARKER, expected_text
 from .clients import Answer, SiteClient, read_stream_text
@@ -203,16 +204,8 @@
         events = [event for node in nodes for event in node.events.list_events()]
         self._say("The last of the time line:")
         for event in select_events(events)[-TIMELINE_LINES:]:
-            seconds = event.stamp.physical % 60_000_000 / 1_000_000
-            details = " ".join(
-                f"{name}={value}" for name, value in event.details.items()
-            )
-            self._console.print(
-                f"{seconds:9.6f} {event.process:<16} {event.kind:<20} "
-                f"{event.request[:8]} {event.upstream} {details}",
-                highlight=False,
-                soft_wrap=True,
-            )
+            line = render_event(event)
+            self._console.print(line, highlight=False, soft_wrap=True, markup=False)
 
     def _say(self, text: str) -> None:
         self._console.print(text)
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -119,6 +119,14 @@
     assert answer.status == 422
 
 
+async def test_key_with_another_query_is_refused(site, client):
+    url = f"{get_entry(site)}/services/alerts/alerts"
+    headers = {"Idempotency-Key": "alert-3"}
+    await client.call("POST", f"{url}?lane=1", {"text": "closed"}, headers)
+    answer = await client.call("POST", f"{url}?lane=2", {"text": "closed"}, headers)
+    assert answer.status == 422
+
+
 async def test_unknown_path_and_service_are_refused(site, client):
     entry = get_entry(site)
     assert (await client.call("GET", f"{entry}/nowhere")).status == 404
