--- a/packages/mustardquay-standins/src/mustardquay_standins/engines.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/engines.py
@@ -6,8 +6,6 @@
 """
 
 import asyncio
-from collections import Counter
-from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Any
 
@@ -19,8 +17,9 @@
 from .caches import PrefixCache
 from .costs import Batch, EngineCosts, estimate_step_time
 from .engine_calls import EngineRequest, OpenAIWriter, parse_request
+from .engine_switches import EngineCounters, EngineFaults
 from .servers import Call, Route, StandinServer
-from .states import EngineOrders, OrderCounters, Substance
+from .states import EngineOrders, Substance
 
 __all__ = ["EngineCounters", "EngineFaults", "EngineStandin"]
 
@@ -31,50 +30,6 @@
 """Seconds between looks at a switch that holds something up."""
 
 
-@dataclass(slots=True)
-class EngineFaults:
-    """Switches of an engine."""
-
-    crash_marker: str = ""
-    """A prompt with this text crashes the engine."""
-    freeze_streams: bool = False
-    """No request gets a further token until the switch is off."""
-    drop_after: int = 0
-    """Close a request's connection after so many tokens; 0 for never."""
-    drops: int = 0
-    """How many requests `drop_after` still hits."""
-    refuse: bool = False
-    """Generations answer 503 and aren't run."""
-    ignore_fences: bool = False
-    """Carry out orders that have an old fencing number too."""
-    forget_fence: bool = False
-    """A crash makes the engine forget the highest fencing number."""
-    slow_factor: float = 1.0
-    """Every step takes so many times as long."""
-    report_lag: timedelta = timedelta()
-    """Age of the load reports and delay of the cache events."""
-    lost_events: float = 0.0
-    """Part of the cache events that are never published."""
-
-
-@dataclass(slots=True)
-class EngineCounters:
-    """What an engine has seen."""
-
-    runs_by_request: Counter[str] = field(default_factory=Counter)
-    """Generations begun, by the value of `X-Request-Id`."""
-    runs_by_prompt: Counter[int] = field(default_factory=Counter)
-    """Generations begun, by `answers.hash_prompt`."""
-    tokens: int = 0
-    finished: int = 0
-    cancelled: int = 0
-    """Generations ended by a cancel, or by a caller that went away."""
-    cut_by_change: int = 0
-    """Generations that an order took the engine away from."""
-    crashes: int = 0
-    orders: OrderCounters = field(default_factory=OrderCounters)
-
-
 class EngineStandin(StandinServer):
     """A model engine over HTTP."""
 
@@ -205,6 +160,7 @@
                 await asyncio.sleep(POLL)
 
     def _step(self) -> timedelta:
+        self.counters.steps += 1
         self._admit()
         budget = self._find_prefill_budget()
         prefilled = attended = sequences = context = 0
--- a/packages/mustardquay-standins/tests/test_engine_standins.py
+++ b/packages/mustardquay-standins/tests/test_engine_standins.py
@@ -1,4 +1,5 @@
 import asyncio
+from dataclasses import replace
 from datetime import timedelta
 
 import orjson
@@ -7,6 +8,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
 
 from mustardquay_standins.answers import expected_text, expected_tokens
+from mustardquay_standins.costs import derive_costs
 from mustardquay_standins.engines import EngineStandin
 from mustardquay_standins.relays import RelayStandin
 from mustardquay_standins.services import ServiceStandin
@@ -213,3 +215,15 @@
         end.close()
     await relay.close()
     server.close()
+
+
+async def test_the_cost_model_splits_a_prompt_over_steps():
+    fast = replace(derive_costs(), overhead=0.0, weight_read=0.001, token=0.0)
+    engine = EngineStandin(costs=fast)
+    await engine.start()
+    body = {"model": "model", "prompt": "x" * 4 * 1000, "max_tokens": 3}
+    answer = (await call(engine.url + "/v1/completions", body=body))[1]
+    assert answer["choices"][0]["text"] == expected_text(body["prompt"], 3)
+    # 1,000 tokens of prompt in chunks of 512, then three tokens, a step each.
+    assert engine.counters.steps == 5
+    await engine.close()
