--- a/packages/mustardquay/src/mustardquay/members.py
+++ b/packages/mustardquay/src/mustardquay/members.py
@@ -20,6 +20,7 @@
     "MemberState",
     "Membership",
     "choose_agents",
+    "choose_domains",
     "choose_readers",
 ]
 
@@ -163,6 +164,23 @@
     return _rank(pool, f"readers/{zone}", seed)[:count]
 
 
+def choose_domains(
+    name: str, entries: Sequence[Instance], agents: Iterable[Instance], seed: int = 0
+) -> list[str]:
+    """Return the zones with agents for whose lease the entry `name` competes.
+
+    Entries of the zone do while there are enough; others help out in the same way
+    as they link to its agents, so that a zone without entries has a holder too.
+    """
+    entry_zones = _group(entries)
+    chosen = []
+    for zone in sorted({agent.availability_zone for agent in agents}):
+        pool = _pool_entries(zone, entry_zones, seed)
+        if name in _rank(pool, f"holders/{zone}", seed)[:READERS]:
+            chosen.append(zone)
+    return chosen
+
+
 def _group(instances: Iterable[Instance]) -> dict[str, list[Instance]]:
     zones: dict[str, list[Instance]] = defaultdict(list)
     for instance in instances:
--- a/packages/mustardquay/tests/test_members.py
+++ b/packages/mustardquay/tests/test_members.py
@@ -11,6 +11,7 @@
     Membership,
     MemberState,
     choose_agents,
+    choose_domains,
     choose_readers,
 )
 
@@ -125,3 +126,18 @@
     assert len(readers) == 3 and len(choose_readers(entries, "zone-1")) == 2
     left = [entry for entry in entries if entry.name != readers[1]]
     assert choose_readers(left, "zone-0")[:2] == [readers[0], readers[2]]
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=100)
+@given(zones=ZONES)
+def test_every_zone_with_agents_has_candidates_for_its_lease(zones):
+    entries, agents = make_fleet(zones)
+    candidates = Counter(
+        zone
+        for entry in entries
+        for zone in choose_domains(entry.name, entries, agents)
+    )
+    wanted = min(len(entries), COPIES)
+    zones_with_agents = {agent.availability_zone for agent in agents}
+    if wanted:
+        assert candidates == dict.fromkeys(zones_with_agents, wanted)
