--- a/benchmarks/spreads.py
+++ b/benchmarks/spreads.py
@@ -12,6 +12,7 @@
 from uuid import uuid4
 
 from mustardquay import Contract
+from mustardquay.orders import REPORTS
 from mustardquay.revisions import ContractAmendment, Edit
 from mustardquay_node.agents import Agent
 from mustardquay_node.entries import Entry
@@ -48,7 +49,7 @@
         return self._entries
 
     async def start(self) -> None:
-        """Start everything and wait until all are current and linked."""
+        """Start everything and wait until all are linked and have their order rows."""
         await self._platform.start()
         await self._service.start()
         for number in range(self._count):
@@ -70,7 +71,7 @@
             ]
         )
         async with asyncio.timeout(START_LIMIT):
-            while not self._is_linked():
+            while not self._is_linked() or not self._is_settled():
                 await asyncio.sleep(POLL)
 
     async def close(self) -> None:
@@ -111,6 +112,11 @@
             reached |= entry.list_reachable()
         return len(reached) == self._count
 
+    def _is_settled(self) -> bool:
+        """Whether every agent has reported that it reached its order row."""
+        rows = self._platform.tables.tables.scan(REPORTS)
+        return sum(row.value["generation"] > 0 for row in rows) == self._count
+
     def _make_settings(self, kind: str, number: int) -> Settings:
         sections = {
             "node": {
