Wait for both upstreams in the test of separate processes

Change: the fixture waits until the entry reaches both. Conclusion: the test's fault; what it checks is as before.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -165,9 +165,19 @@
         for name in nodes:
             ready = f"http://127.0.0.1:{ports['admin-' + name]}/readyz"
             wait_until(lambda url=ready: ask("GET", url))
+        # The entry is ready with its first upstream, and here both are called.
+        status = f"http://127.0.0.1:{ports['admin-entry-1']}/admin/status"
+        wait_until(lambda: count_ready(status) == 2)
         yield processes, ports
 
 
+def count_ready(status: str) -> int:
+    """Return how many upstreams the entry reaches."""
+    _, answer = ask("GET", status, key=OPERATOR_KEY)
+    upstreams = json.loads(answer)["upstreams"]
+    return sum(upstream["state"] == "ready" for upstream in upstreams)
+
+
 def test_a_site_of_separate_processes_is_driven_by_the_command(site, tmp_path):
     # Operators apply a contract and callers are served by processes that only know
     # their settings; each then stops gracefully, and the time line is put together
