Note an execution when its work is taken, not when its task first runs

Cause: between the queue giving work out and the first step of its task, a drain or a cancellation took the run for one that waits, refused it as never started, and the task ran it all the same: the entry would send a Booking to another service and it would be carried out twice. Found by reading. Ruled out: the order of callbacks saving it; a drain in the same turn is enough (test_executors). Routing also gets the waiting tokens within share, takes refused prompts back, and late work is told when to come back by the queue's estimate. Conclusion: a refusal says never started only when nothing can start.

--- a/packages/mustardquay-node/src/mustardquay_node/agents.py
+++ b/packages/mustardquay-node/src/mustardquay_node/agents.py
@@ -242,6 +242,7 @@
             models=self._list_models(report),
             adapters=report.adapters,
             queued_tokens=executor.waiting_tokens + report.queued_tokens,
+            queued_tokens_within=executor.waiting_tokens_within + report.queued_tokens,
             waiting=executor.waiting,
             running=executor.running,
             prefill_rate=report.prefill_rate,
--- a/packages/mustardquay-node/src/mustardquay_node/dispatchers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/dispatchers.py
@@ -342,6 +342,8 @@
             # here and can reach nobody else's caller.
             found = self._streams.get(message.stream)
             if found is not None and found[1] is peer:
+                if isinstance(message, Refused):
+                    _take_back(peer, found[0].call.work)
                 found[0].receive(message)
             return
         if isinstance(message, CacheEvents):
@@ -365,6 +367,7 @@
         view.models = frozenset(heartbeat.models)
         view.adapters = frozenset(heartbeat.adapters)
         view.queued_tokens = heartbeat.queued_tokens
+        view.queued_tokens_within = heartbeat.queued_tokens_within
         view.running = heartbeat.running
         view.own_tokens = 0
         view.reported_at = self.now()
@@ -412,3 +415,9 @@
         self._exchanges.discard(exchange)
         if not self._exchanges:
             self._empty.set()
+
+
+def _take_back(peer: _Peer, work: Work) -> None:
+    """Count the prompt of refused work no longer as queued at its upstream."""
+    if peer.view is not None:
+        peer.view.own_tokens = max(peer.view.own_tokens - work.prompt_tokens, 0)
--- a/packages/mustardquay-node/src/mustardquay_node/executors.py
+++ b/packages/mustardquay-node/src/mustardquay_node/executors.py
@@ -10,21 +10,18 @@
 from mustardquay.clocks import Clock
 from mustardquay.errors import Reason, Refusal
 from mustardquay.events import EventRing
-from mustardquay.messages import Attempt, FailureKind, Header, Reattach
+from mustardquay.messages import Attempt, FailureKind, Reattach
 from mustardquay.quarantines import CrashId, Quarantine, Standing, SuspectGate
 from mustardquay.queues import FairQueue
 from mustardquay.tombstones import Tombstones
-from mustardquay.works import Work
 
+from .executions import Execution
 from .links import Link
-from .runs import Owner, Run, RunTable
-from .streams import EventCutter
-from .upstreams import CallEnd, UpstreamCall, UpstreamClient
+from .runs import Owner, Run, RunTable, make_unseen, make_work
+from .upstreams import CallEnd, UpstreamClient
 
 __all__ = ["Executor", "ExecutorOptions"]
 
-FIRST_ERROR = 500
-"""Lowest status with which an engine says that it failed, not the request."""
 RETRY_AFTER = timedelta(seconds=1)
 PAUSE = timedelta(milliseconds=500)
 """A longer time between two sweeps means that the process did not run."""
@@ -78,14 +75,12 @@
         self._table = RunTable()
         self._tombstones = Tombstones(now=clock.monotonic())
         self._by_work: dict[tuple[str, int], Run] = {}
-        self._calls: dict[tuple[Owner, int], UpstreamCall] = {}
-        self._stalled: set[tuple[Owner, int]] = set()
+        self._executions: dict[tuple[Owner, int], Execution] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._swept_at = clock.monotonic()
         self._draining = False
         self._empty = asyncio.Event()
         self._empty.set()
-        self._output_tokens: dict[tuple[str, int], int] = {}
         self._boot = ""
 
     @property
@@ -98,6 +93,11 @@
         """Return the prompt tokens that wait here."""
         return self._queue.waiting_tokens
 
+    @property
+    def waiting_tokens_within(self) -> int:
+        """Return the part of them that customers within their share wait for."""
+        return self._queue.waiting_tokens_within
+
     @property
     def waiting(self) -> int:
         """Return how many attempts wait here."""
@@ -106,7 +106,7 @@
     @property
     def running(self) -> int:
         """Return how many attempts run on the upstream."""
-        return len(self._calls)
+        return len(self._executions)
 
     @property
     def is_empty(self) -> bool:
@@ -126,7 +126,7 @@
     def accept(self, owner: Owner, attempt: Attempt, link: Link) -> None:
         """Take an attempt in, or refuse it for good."""
         now = self._clock.monotonic()
-        work = _make_work(attempt, now)
+        work = make_work(attempt, now)
         run = Run(owner, attempt, work, link)
         if self._table.find(run.key) is not None:
             return
@@ -146,7 +146,7 @@
         self, owner: Owner, attempt: Attempt, link: Link, refusal: Refusal
     ) -> None:
         """Refuse an attempt that must not be taken in."""
-        run = Run(owner, attempt, _make_work(attempt, self._clock.monotonic()), link)
+        run = Run(owner, attempt, make_work(attempt, self._clock.monotonic()), link)
         if self._table.find(run.key) is None:
             self._refuse(run, refusal)
 
@@ -156,7 +156,7 @@
         if run is not None:
             run.reattach(link, reattach.have)
             return
-        run = _make_unseen(owner, reattach, link)
+        run = make_unseen(owner, reattach, link)
         now = self._clock.monotonic()
         if self._table.may_be_forgotten(run.key):
             run.end_failed(FailureKind.LOST, "The run is no longer kept.", now)
@@ -177,9 +177,9 @@
             return
         run.cancelled = True
         run.give_credit(0)
-        call = self._calls.get(run.key)
-        if call is not None:
-            call.cancel()
+        execution = self._executions.get(run.key)
+        if execution is not None:
+            execution.stop()
             return
         self._withdraw(run)
         self._refuse(run, Refusal(Reason.DEADLINE, "The entry has cancelled it."))
@@ -209,17 +209,16 @@
         now = self._clock.monotonic()
         self._excuse_pause(now)
         for work in self._queue.expire(now):
-            self._refuse(self._by_work[work.key], _make_late())
+            self._refuse(self._by_work[work.key], self._queue.refuse_late(work, now))
         for run in [run for run in self._suspects if run.work.start_by < now]:
             self._suspects.remove(run)
             self._refuse(run, _make_late())
-        for run in self._table:
-            if run.key in self._calls and self._is_stalled(run, now):
+        for execution in self._executions.values():
+            if self._is_stalled(execution.run, now):
                 # An engine that hangs, or a connection that was forgotten on its
                 # way, shows as silence. The time is bounded here, so that the
                 # entry can go on elsewhere while the caller still waits.
-                self._stalled.add(run.key)
-                self._calls[run.key].cancel()
+                execution.stop(stalled=True)
         self._table.forget(now)
         self._tombstones.tick(now)
         self._pump()
@@ -241,7 +240,7 @@
         self._draining = True
         refusal = _make_draining()
         for run in self._table:
-            if run.key not in self._calls and not run.started:
+            if run.key not in self._executions:
                 self._withdraw(run)
                 self._refuse(run, refusal)
 
@@ -259,10 +258,9 @@
             async with asyncio.timeout(self._options.drain_timeout.total_seconds()):
                 await self._empty.wait()
         except TimeoutError:
-            for run in self._table:
-                if run.attempt.repeatable and run.key in self._calls:
-                    self._stalled.add(run.key)
-                    self._calls[run.key].cancel()
+            for execution in self._executions.values():
+                if execution.run.attempt.repeatable:
+                    execution.stop(stalled=True)
             await self._empty.wait()
 
     async def close(self) -> None:
@@ -297,10 +295,7 @@
             work = self._queue.take(now)
             if work is None:
                 return
-            run = self._by_work[work.key]
-            task = asyncio.create_task(self._execute(run))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._begin(self._by_work[work.key])
 
     def _admit_suspect(self, now: timedelta) -> None:
         if not self._suspects or not self._gate.admit(self._suspects[0].work.key):
@@ -312,75 +307,53 @@
         if refusal is not None:
             self._refuse(run, refusal)
 
-    async def _execute(self, run: Run) -> None:
-        cutter = EventCutter()
-        statuses: list[int] = []
-        streaming = run.attempt.streamed
-
-        def take_head(status: int, headers: tuple[Header, ...]) -> None:
-            statuses.append(status)
-            run.progress_at = self._clock.monotonic()
-            if not self._is_engine_error(status):
-                run.add_head(status, headers)
-
-        def take_data(data: bytes) -> "asyncio.Future[None] | None":
-            run.progress_at = self._clock.monotonic()
-            if self._is_engine_error(statuses[-1]):
-                return None
-            self._note_first_data(run)
-            tokens = 0
-            if streaming and statuses[-1] == 200:
-                data = cutter.feed(data)
-                tokens = data.count(b"\n\n")
-                self._count_tokens(run, tokens)
-            if data:
-                run.add_chunk(data, tokens)
-            if run.is_held_back:
-                return asyncio.ensure_future(run.wait_for_credit())
-            return None
+    def _begin(self, run: Run) -> None:
+        """Start the call of a run.
 
-        def note_sending() -> None:
-            run.start(self._clock.monotonic())
-            self._record("attempt.started", run)
-
-        call = UpstreamCall(
-            run.attempt.method,
-            run.attempt.path,
-            self._make_headers(run),
-            run.attempt.body,
-            take_head,
-            take_data,
-            note_sending,
+        The execution is noted at once, not when its task first runs: a drain or a
+        cancellation that came between would take the run for one that waits, and
+        say that it never started while it does.
+        """
+        execution = Execution(
+            run,
+            self._options.kind,
+            self._clock.monotonic,
+            lambda run: self._record("attempt.started", run),
+            self._note_first_data,
         )
-        self._calls[run.key] = call
-        end = await self._client.run(call, fresh=not run.attempt.repeatable)
-        status = statuses[-1] if statuses else 0
-        whole = not streaming or status != 200 or cutter.is_done
-        await self._settle(run, end, status, whole)
-
-    async def _settle(self, run: Run, end: CallEnd, status: int, whole: bool) -> None:
-        now = self._clock.monotonic()
+        self._executions[run.key] = execution
+        task = asyncio.create_task(self._execute(execution))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _execute(self, execution: Execution) -> None:
+        fresh = not execution.run.attempt.repeatable
+        end = await self._client.run(execution.call, fresh)
+        await self._settle(execution, end)
+
+    async def _settle(self, execution: Execution, end: CallEnd) -> None:
+        run = execution.run
         if end is CallEnd.NOT_SENT:
             message = "The upstream takes no connection; ask again later."
             refusal = Refusal(Reason.NO_UPSTREAM, message, RETRY_AFTER)
             self._refuse(run, refusal)
-            return
-        if end is CallEnd.WHOLE and self._is_engine_error(status):
-            message = f"The engine answered with status {status}."
+        elif end is CallEnd.WHOLE and execution.has_engine_error:
+            message = f"The engine answered with status {execution.status}."
             self._fail(run, FailureKind.ERROR, message)
-            return
-        if end is CallEnd.WHOLE and whole:
+        elif end is CallEnd.WHOLE and execution.has_end_mark:
+            now = self._clock.monotonic()
             self._quarantine.note_answer(run.attempt.fingerprint, now)
             run.end_whole(now)
             self._finish(run, "attempt.done")
-            return
-        await self._settle_broken(run)
+        else:
+            await self._settle_broken(execution)
 
-    async def _settle_broken(self, run: Run) -> None:
+    async def _settle_broken(self, execution: Execution) -> None:
+        run = execution.run
         if run.cancelled:
             self._fail(run, FailureKind.LOST, "The entry has cancelled it.")
             return
-        if run.key in self._stalled:
+        if execution.stalled:
             self._fail(run, FailureKind.STALLED, "The upstream made no progress.")
             return
         boot = self._boot
@@ -393,7 +366,7 @@
         self._fail(run, FailureKind.CRASH, "The upstream died.")
 
     def _note_crash(self, boot: str) -> None:
-        running = [run for run in self._table if run.key in self._calls]
+        running = [run for run in self._table if run.key in self._executions]
         fingerprints = {run.attempt.fingerprint for run in running}
         now = self._clock.monotonic()
         self._quarantine.note_crash(
@@ -418,11 +391,10 @@
     def _finish(self, run: Run, kind: str, **details: str) -> None:
         self._record(kind, run, **details)
         key = run.work.key
-        self._calls.pop(run.key, None)
-        self._stalled.discard(run.key)
+        execution = self._executions.pop(run.key, None)
         self._gate.finish(key)
         if self._by_work.pop(key, None) is not None:
-            tokens = self._output_tokens.pop(key, 0)
+            tokens = execution.tokens if execution is not None else 0
             self._queue.finish(key, tokens, self._clock.monotonic())
         self._table.note_end(run)
         if run.link is None:
@@ -436,9 +408,6 @@
         if run in self._suspects:
             self._suspects.remove(run)
 
-    def _is_engine_error(self, status: int) -> bool:
-        return self._options.kind == "engine" and status >= FIRST_ERROR
-
     def _is_stalled(self, run: Run, now: timedelta) -> bool:
         if run.is_held_back or not run.started:
             return False
@@ -448,25 +417,9 @@
         return now - run.progress_at > self._options.progress_timeout
 
     def _note_first_data(self, run: Run) -> None:
-        if run.first_data:
-            return
-        run.first_data = True
         self._queue.note_first_token(run.work.key, run.progress_at)
         self._pump()
 
-    def _count_tokens(self, run: Run, tokens: int) -> None:
-        key = run.work.key
-        self._output_tokens[key] = self._output_tokens.get(key, 0) + tokens
-
-    def _make_headers(self, run: Run) -> tuple[Header, ...]:
-        if self._options.kind == "service":
-            return run.attempt.headers
-        return (
-            *run.attempt.headers,
-            ("X-Request-Id", run.attempt.request),
-            ("X-Priority", str(run.attempt.priority)),
-        )
-
     def _record(self, kind: str, run: Run, **details: str) -> None:
         self._events.record(
             kind,
@@ -478,56 +431,6 @@
         )
 
 
-def _make_work(attempt: Attempt, now: timedelta) -> Work:
-    return Work(
-        request=attempt.request,
-        attempt=attempt.number,
-        customer=attempt.customer,
-        model=attempt.model,
-        adapter=attempt.adapter,
-        prompt_tokens=attempt.prompt_tokens,
-        output_tokens=attempt.output_tokens,
-        share=attempt.share,
-        priority=attempt.priority,
-        start_by=now + attempt.start_within,
-        finish_by=now + attempt.finish_within,
-        prefix=attempt.prefix,
-        fingerprint=attempt.fingerprint,
-        repeatable=attempt.repeatable,
-        cached_tokens=attempt.cached_tokens,
-        between_tokens=attempt.between_tokens,
-    )
-
-
-def _make_unseen(owner: Owner, reattach: Reattach, link: Link) -> Run:
-    work = Work(reattach.request, reattach.number, "", "")
-    attempt = Attempt(
-        stream=reattach.stream,
-        request=reattach.request,
-        number=reattach.number,
-        incarnation=reattach.incarnation,
-        customer="",
-        model="",
-        adapter="",
-        method="",
-        path="",
-        headers=(),
-        body=b"",
-        prompt_tokens=0,
-        output_tokens=0,
-        share=1.0,
-        priority=0,
-        start_within=timedelta(),
-        finish_within=timedelta(),
-        prefix=(),
-        fingerprint=0,
-        repeatable=False,
-        streamed=False,
-        version=0,
-    )
-    return Run(owner, attempt, work, link)
-
-
 def _make_late() -> Refusal:
     return Refusal(
         Reason.DEADLINE,
--- a/packages/mustardquay-node/src/mustardquay_node/heartbeats.py
+++ b/packages/mustardquay-node/src/mustardquay_node/heartbeats.py
@@ -38,6 +38,7 @@
     built.models = list(heartbeat.models)
     built.adapters = list(heartbeat.adapters)
     built.queuedTokens = heartbeat.queued_tokens
+    built.queuedTokensWithin = heartbeat.queued_tokens_within
     built.waiting = heartbeat.waiting
     built.running = heartbeat.running
     built.prefillRate = heartbeat.prefill_rate
@@ -60,6 +61,7 @@
         models=tuple(read.models),
         adapters=tuple(read.adapters),
         queued_tokens=read.queuedTokens,
+        queued_tokens_within=read.queuedTokensWithin,
         waiting=read.waiting,
         running=read.running,
         prefill_rate=read.prefillRate,
--- a/packages/mustardquay-node/src/mustardquay_node/runs.py
+++ b/packages/mustardquay-node/src/mustardquay_node/runs.py
@@ -22,6 +22,7 @@
     FailureKind,
     Head,
     Header,
+    Reattach,
     Refused,
     Started,
 )
@@ -29,7 +30,7 @@
 
 from .links import Link
 
-__all__ = ["Owner", "Run", "RunTable"]
+__all__ = ["Owner", "Run", "RunTable", "make_unseen", "make_work"]
 
 Owner = tuple[str, int]
 """Name and incarnation of an entry process."""
@@ -212,3 +213,55 @@
         if len(self._forgotten) > OWNERS:
             self._forgotten.popitem(last=False)
             self._owners_forgotten = True
+
+
+def make_work(attempt: Attempt, now: timedelta) -> Work:
+    """Return the attempt as the decisions see it, with instants of this process."""
+    return Work(
+        request=attempt.request,
+        attempt=attempt.number,
+        customer=attempt.customer,
+        model=attempt.model,
+        adapter=attempt.adapter,
+        prompt_tokens=attempt.prompt_tokens,
+        output_tokens=attempt.output_tokens,
+        share=attempt.share,
+        priority=attempt.priority,
+        start_by=now + attempt.start_within,
+        finish_by=now + attempt.finish_within,
+        prefix=attempt.prefix,
+        fingerprint=attempt.fingerprint,
+        repeatable=attempt.repeatable,
+        cached_tokens=attempt.cached_tokens,
+        between_tokens=attempt.between_tokens,
+    )
+
+
+def make_unseen(owner: Owner, reattach: Reattach, link: Link) -> Run:
+    """Return a run in the place of an attempt that never came."""
+    work = Work(reattach.request, reattach.number, "", "")
+    attempt = Attempt(
+        stream=reattach.stream,
+        request=reattach.request,
+        number=reattach.number,
+        incarnation=reattach.incarnation,
+        customer="",
+        model="",
+        adapter="",
+        method="",
+        path="",
+        headers=(),
+        body=b"",
+        prompt_tokens=0,
+        output_tokens=0,
+        share=1.0,
+        priority=0,
+        start_within=timedelta(),
+        finish_within=timedelta(),
+        prefix=(),
+        fingerprint=0,
+        repeatable=False,
+        streamed=False,
+        version=0,
+    )
+    return Run(owner, attempt, work, link)
--- a/packages/mustardquay-node/src/mustardquay_node/upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstreams.py
@@ -107,6 +107,7 @@
         """Whether the head of the answer has come."""
         self.whole = False
         self.reusable = True
+        self.cancelled = False
 
     def attach(self, stream: UpstreamStream) -> None:
         """Note the connection that carries the call."""
@@ -115,7 +116,11 @@
         self._stream = stream
 
     def cancel(self) -> None:
-        """Close the connection, which ends the call as broken."""
+        """Close the connection, which ends the call as broken.
+
+        A call that has no connection yet gets none, and ends as not sent.
+        """
+        self.cancelled = True
         if self._stream is not None:
             self._stream.close()
 
@@ -182,12 +187,15 @@
             stream = await self._connect()
         if stream is None:
             return CallEnd.NOT_SENT
+        if call.cancelled:
+            self._keep(call, stream)
+            return CallEnd.NOT_SENT
         await self._exchange(call, stream)
         if call.whole:
             self._keep(call, stream)
             return CallEnd.WHOLE
         stream.close()
-        if kept and not call.answered:
+        if kept and not call.answered and not call.cancelled:
             # A kept connection may have been closed by the other end just before
             # it was used, which looks like a crash. The call is idempotent, so it
             # may be sent once more over a new one.
--- a/packages/mustardquay-node/src/mustardquay_node/wire.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/wire.capnp
@@ -125,6 +125,7 @@
   upstream @13 :Text;
   concurrency @14 :UInt32;
   agents @15 :UInt32;
+  queuedTokensWithin @16 :UInt64;
 }
 
 struct CacheEvent {
--- /dev/null
+++ b/packages/mustardquay-node/tests/test_executors.py
@@ -0,0 +1,145 @@
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from mustardquay import EventRing, HybridClock, VirtualClock
+from mustardquay.messages import Attempt, Refused
+from mustardquay.quarantines import Quarantine
+from mustardquay.queues import FairQueue
+from mustardquay_node.executors import Executor, ExecutorOptions
+from mustardquay_node.upstreams import CallEnd
+
+SECOND = timedelta(seconds=1)
+OWNER = ("entry-1", 1)
+
+
+class KeptLink:
+    """A link that keeps what is sent on it."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+        return True
+
+
+class CountingClient:
+    """An upstream that counts the calls that reach it, and answers them."""
+
+    def __init__(self):
+        self.reached = 0
+
+    async def run(self, call, fresh):
+        await asyncio.sleep(0)
+        if call.cancelled:
+            return CallEnd.NOT_SENT
+        self.reached += 1
+        call._sending()
+        call._head(201, ())
+        return CallEnd.WHOLE
+
+    def close(self):
+        return None
+
+
+@pytest.fixture
+async def executor():
+    clock = VirtualClock()
+    client = CountingClient()
+    executor = Executor(
+        ExecutorOptions("bookings-1", "service", SECOND, SECOND, 32),
+        client,
+        FairQueue(),
+        Quarantine(),
+        clock,
+        EventRing("agent-1", HybridClock(clock)),
+        lambda: None,
+        lambda: None,
+        lambda run: None,
+    )
+    executor.client = client
+    yield executor
+    await executor.close()
+
+
+def make_attempt(stream, repeatable=False):
+    return Attempt(
+        stream=stream,
+        request=f"r{stream}",
+        number=1,
+        incarnation=1,
+        customer="host-desk",
+        model="services/bookings",
+        adapter="",
+        method="POST",
+        path="/bookings",
+        headers=(),
+        body=b"{}",
+        prompt_tokens=0,
+        output_tokens=0,
+        share=1.0,
+        priority=0,
+        start_within=10 * SECOND,
+        finish_within=10 * SECOND,
+        prefix=(),
+        fingerprint=stream,
+        repeatable=repeatable,
+        streamed=False,
+        version=1,
+    )
+
+
+def was_refused(link):
+    return any(isinstance(message, Refused) for message in link.sent)
+
+
+async def settle():
+    for _ in range(10):
+        await asyncio.sleep(0)
+
+
+async def test_drain_just_after_the_start_does_not_call_a_run_not_started(executor):
+    """
+    A host books in the moment in which the service's agent begins to drain. The
+    call was taken from the queue and its task has not run yet. Were it refused as
+    never started, the entry would send the Booking to another service, and it
+    would be carried out twice.
+    """
+    link = KeptLink()
+    executor.accept(OWNER, make_attempt(1), link)
+    executor.start_drain()
+    await settle()
+    assert executor.client.reached == 1
+    assert not was_refused(link)
+
+
+async def test_cancelled_work_does_not_reach_the_upstream(executor):
+    """
+    A caller leaves in the moment in which its work is started. The cancellation
+    comes before the first byte, so the upstream is spared the work.
+    """
+    link = KeptLink()
+    executor.accept(OWNER, make_attempt(1, repeatable=True), link)
+    executor.cancel(OWNER, 1)
+    await settle()
+    assert executor.client.reached == 0
+    assert was_refused(link)
+
+
+async def test_work_that_waits_is_handed_back_by_a_drain(executor):
+    """
+    More is asked of an engine than it takes at once, and its agent drains. What
+    waits is refused as never started, and is free to run elsewhere.
+    """
+    link = KeptLink()
+    for stream in range(1, 60):
+        executor.accept(OWNER, make_attempt(stream), link)
+    waiting = executor.waiting
+    assert waiting > 0
+    executor.start_drain()
+    refused = [message for message in link.sent if isinstance(message, Refused)]
+    assert len(refused) == waiting
+    await settle()
+    assert executor.client.reached == 59 - waiting
--- a/packages/mustardquay/src/mustardquay/messages.py
+++ b/packages/mustardquay/src/mustardquay/messages.py
@@ -194,6 +194,8 @@
     models: tuple[str, ...] = ()
     adapters: tuple[str, ...] = ()
     queued_tokens: int = 0
+    queued_tokens_within: int = 0
+    """The part of them that customers within their share wait for."""
     waiting: int = 0
     running: int = 0
     prefill_rate: float = 0.0
