Split the entry, the agent and the request's machine into smaller modules

Change: caller_servers, listeners, views and actions take their parts out; deadlines come from admissions; a report compares without its load.

--- a/benchmarks/promises.py
+++ b/benchmarks/promises.py
@@ -13,15 +13,15 @@
 from datetime import timedelta
 from random import Random
 
-from mustardquay.attempts import (
+from mustardquay.actions import (
     AnswerEarly,
     ChooseUpstream,
     Finish,
     ReattachAttempt,
-    RequestState,
     SendAttempt,
     WaitBeforeRetry,
 )
+from mustardquay.attempts import RequestState
 from mustardquay.claims import ClaimKey, RecordedAnswer, Verdict
 from mustardquay.errors import Reason
 from mustardquay.messages import Done, Failed, FailureKind, Head, Refused, Started
--- a/packages/mustardquay-node/src/mustardquay_node/agents.py
+++ b/packages/mustardquay-node/src/mustardquay_node/agents.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import replace
 from datetime import timedelta
 
 from mustardquay import __version__
@@ -28,6 +27,7 @@
 from .engines import HttpEngine, PlainService
 from .executors import Executor, ExecutorOptions
 from .links import Link
+from .listeners import Listener, get_owner
 from .loops import start_loop
 from .nodes import NodeParts, connect_configuration, spread_configuration
 from .orphans import OrphanRecorder
@@ -57,8 +57,13 @@
         assert settings.agent is not None
         self._settings = settings.agent
         self._parts = NodeParts(settings, clock, seed, write_event)
-        self._links: dict[Link, int] = {}
-        self._newest_links: dict[Owner, int] = {}
+        self._listener = Listener(
+            self._parts,
+            self._settings.port,
+            self._make_heartbeat,
+            self._receive,
+            self._note_lost,
+        )
         self._reporter = Reporter(
             self._settings.upstream,
             self._settings.kind,
@@ -101,7 +106,6 @@
         self._admin = AdminServer(
             self._make_admin_parts(), settings.node.address, settings.node.admin_port
         )
-        self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
         self._disconnect: Callable[[], None] = lambda: None
 
@@ -113,9 +117,7 @@
     @property
     def port(self) -> int:
         """Return the port of the links; the real one after `start`."""
-        if self._server is None:
-            return self._settings.port
-        return self._server.sockets[0].getsockname()[1]
+        return self._listener.port
 
     @property
     def admin_port(self) -> int:
@@ -156,7 +158,7 @@
             "mustardquay.configuration.version", lambda: self._keeper.version
         )
         parts.metrics.watch("mustardquay.ready", lambda: float(self.is_ready))
-        parts.metrics.watch("mustardquay.links", lambda: len(self._links))
+        parts.metrics.watch("mustardquay.links", lambda: len(self._listener))
         parts.metrics.start()
         await parts.platform.start()
         self._orphans.start()
@@ -164,7 +166,7 @@
         await self._keeper.start()
         self._reporter.start()
         await self._reconciler.start()
-        await self._listen()
+        await self._listener.start()
         self._admin.start()
         self._sweeper = start_loop(self._sweep, SWEEP_INTERVAL)
         parts.events.record("process.started", upstream=self._settings.upstream_name)
@@ -195,9 +197,7 @@
         self._disconnect()
         if self._sweeper is not None:
             self._sweeper.cancel()
-        if self._server is not None:
-            self._server.close()
-        await asyncio.gather(*(link.finish() for link in list(self._links)))
+        await self._listener.close()
         await self._reconciler.close()
         await self._executor.close()
         await self._orphans.close()
@@ -207,31 +207,9 @@
         await self._parts.platform.close()
         self._parts.metrics.close()
 
-    async def _listen(self) -> None:
-        node = self._parts.settings.node
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._make_link, node.address, self._settings.port
-        )
-
-    def _make_link(self) -> Link:
-        return Link(
-            "agent",
-            self._parts.identity,
-            self._parts.links,
-            self._parts.events.clock,
-            self._make_heartbeat,
-            self._note_open,
-            self._receive,
-            self._note_lost,
-        )
-
-    def _make_heartbeat(self, link: Link) -> Heartbeat:
+    def _make_heartbeat(self) -> Heartbeat:
         report = self._reporter.report
         executor = self._executor
-        crashes, self._links[link] = self._parts.quarantine.list_changes(
-            self._links.get(link, 0), self._parts.clock.monotonic()
-        )
         return Heartbeat(
             version=self._keeper.version,
             confirmed=self._keeper.current,
@@ -248,7 +226,6 @@
             prefill_rate=report.prefill_rate,
             decode_rate=report.decode_rate,
             concurrency=self._settings.concurrency,
-            crashes=crashes,
         )
 
     def _list_models(self, report: UpstreamReport) -> tuple[str, ...]:
@@ -256,31 +233,12 @@
             return (name_service(self._settings.service),)
         return report.models
 
-    def _note_open(self, link: Link) -> None:
-        owner = _get_owner(link)
-        newest = self._newest_links.get(owner, 0)
-        if link.peer.link <= newest:
-            # A link that was dialled before the present one, and opened only now,
-            # because this process was paused. Its frames must not be run: the
-            # entry may have been told by the newer link that they never came.
-            link.close("a newer link of the same entry is open")
-            return
-        self._newest_links[owner] = link.peer.link
-        for other in list(self._links):
-            if other is not link and other.is_open and _get_owner(other) == owner:
-                other.close("the entry has opened a newer link")
-        self._links.setdefault(link, 0)
-        self._parts.events.record("link.opened", peer=link.peer.process)
-
-    def _note_lost(self, link: Link, reason: str) -> None:
-        if self._links.pop(link, None) is None:
-            return
+    def _note_lost(self, link: Link) -> None:
         self._executor.detach(link)
         self._keeper.forget(link.peer.process)
-        self._parts.events.record("link.lost", peer=link.peer.process, reason=reason)
 
     def _receive(self, link: Link, message: Message) -> None:
-        owner = _get_owner(link)
+        owner = get_owner(link)
         match message:
             case Attempt():
                 self._take_attempt(owner, message, link)
@@ -343,9 +301,8 @@
             self._executor.note_boot(after.boot)
             self._executor.set_engine(after.prefill_rate, after.decode_rate)
         if after.cache_events is not None:
-            for link in self._links:
-                link.send(after.cache_events)
-        if _strip_load(after) != _strip_load(before):
+            self._listener.send(after.cache_events)
+        if after.without_load() != before.without_load():
             self._parts.events.record(
                 "upstream.changed",
                 upstream=self._settings.upstream_name,
@@ -405,8 +362,7 @@
         self._beat()
 
     def _beat(self) -> None:
-        for link in self._links:
-            link.beat()
+        self._listener.beat()
 
     def _list_faults(self) -> tuple[str, ...]:
         faults = []
@@ -456,18 +412,3 @@
             waiting=self._executor.waiting,
             running=self._executor.running,
         )
-
-
-def _strip_load(report: UpstreamReport) -> UpstreamReport:
-    return replace(
-        report,
-        queued_tokens=0,
-        running=0,
-        prefill_rate=0.0,
-        decode_rate=0.0,
-        cache_events=None,
-    )
-
-
-def _get_owner(link: Link) -> Owner:
-    return (link.peer.process, link.peer.incarnation)
--- a/packages/mustardquay-node/src/mustardquay_node/answers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/answers.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from mustardquay.attempts import Finish
+from mustardquay.actions import Finish
 from mustardquay.errors import Reason, Refusal
 from mustardquay.messages import Header
 from mustardquay.outcomes import Outcome
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_servers.py
@@ -0,0 +1,116 @@
+"""Caller servers: the port of an entry that callers meet."""
+
+import socket
+import ssl
+from datetime import timedelta
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from mustardquay.clocks import Clock
+from mustardquay.errors import SettingsError
+
+from .callers import CallerParts, NotFoundHandler
+from .generations import ChatHandler, CompletionHandler, ModelsHandler
+from .services import ServiceHandler
+from .settings import EntrySettings
+
+__all__ = ["CallerServer"]
+
+SEND_BUFFER = 128 * 1024
+"""Bytes that the kernel keeps for a caller; it doubles the number itself."""
+BUFFER_SIZE = 1024 * 1024 * 1024
+"""Bytes that tornado lets a body have; handlers hold to the limit of settings."""
+
+
+class CallerServer:
+    """Serves callers over HTTP, or HTTPS where a certificate is set."""
+
+    def __init__(
+        self, settings: EntrySettings, address: str, parts: CallerParts, clock: Clock
+    ):
+        self._settings = settings
+        self._address = address
+        self._parts = parts
+        self._clock = clock
+        self._port = settings.port
+        self._server: HTTPServer | None = None
+
+    @property
+    def port(self) -> int:
+        """Return the port; the real one after `start`."""
+        return self._port
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+        scheme = "https" if self._settings.certificate else "http"
+        return f"{scheme}://{self._address}:{self._port}"
+
+    def start(self) -> None:
+        """Begin to listen; raises `OSError` and `SettingsError`."""
+        tls = self._make_tls()
+        sockets = bind_sockets(self._port, self._address)
+        for listener in sockets:
+            # Connections inherit it. The kernel would else buffer some megabytes
+            # for each caller that takes nothing in, out of sight of the window.
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
+        self._port = sockets[0].getsockname()[1]
+        self._server = HTTPServer(
+            self._make_application(),
+            ssl_options=tls,
+            max_body_size=BUFFER_SIZE,
+            max_buffer_size=BUFFER_SIZE,
+            idle_connection_timeout=self._settings.idle_timeout.total_seconds(),
+            body_timeout=self._settings.body_timeout.total_seconds(),
+        )
+        self._server.add_sockets(sockets)
+
+    async def close(self) -> None:
+        """Stop listening and close the connections."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+            self._server = None
+
+    def drop_slow_callers(self) -> None:
+        """Drop callers that take nothing in of what is streamed to them.
+
+        A caller that hangs, or is half gone, would hold its stream's memory here
+        and its place on the engine for as long as TCP keeps the connection.
+        """
+        limit: timedelta = self._settings.progress_timeout
+        oldest = self._clock.monotonic() - limit
+        for handler, sink in list(self._parts.streams):
+            if sink.blocked_since is not None and sink.blocked_since < oldest:
+                handler.drop()
+
+    def _make_tls(self) -> ssl.SSLContext | None:
+        if not self._settings.certificate:
+            return None
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        try:
+            context.load_cert_chain(
+                self._settings.certificate, self._settings.private_key
+            )
+        except (OSError, ssl.SSLError) as error:
+            raise SettingsError(
+                f"[entry] certificate: can't be used with private_key ({error}); "
+                "give PEM files that belong together."
+            ) from None
+        return context
+
+    def _make_application(self) -> Application:
+        options = {"parts": self._parts}
+        return Application(
+            [
+                (r"/v1/chat/completions", ChatHandler, options),
+                (r"/v1/completions", CompletionHandler, options),
+                (r"/v1/models", ModelsHandler, options),
+                (r"/services/([A-Za-z0-9._-]+)(/.*)?", ServiceHandler, options),
+            ],
+            default_handler_class=NotFoundHandler,
+            default_handler_args=options,
+            log_function=lambda handler: None,
+        )
--- a/packages/mustardquay-node/src/mustardquay_node/callers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/callers.py
@@ -13,7 +13,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import RequestHandler, stream_request_body
 
-from mustardquay.attempts import Finish
+from mustardquay.actions import Finish
 from mustardquay.clocks import Clock
 from mustardquay.contracts import Contract
 from mustardquay.errors import Reason, Refusal
--- a/packages/mustardquay-node/src/mustardquay_node/dispatchers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/dispatchers.py
@@ -33,6 +33,7 @@
 from .dialers import Dialer
 from .exchanges import Call, Exchange, Sink
 from .links import Identity, Link, LinkOptions
+from .views import take_back, update_view
 
 __all__ = ["Dispatcher", "DispatcherOptions"]
 
@@ -343,7 +344,7 @@
             found = self._streams.get(message.stream)
             if found is not None and found[1] is peer:
                 if isinstance(message, Refused):
-                    _take_back(peer, found[0].call.work)
+                    take_back(peer.view, found[0].call.work)
                 found[0].receive(message)
             return
         if isinstance(message, CacheEvents):
@@ -360,29 +361,11 @@
             peer.view = view
         self._upstreams[view.name] = peer
         view.incarnation = peer.incarnation
-        view.reachable = True
-        view.draining = heartbeat.draining or peer.leaving
-        view.ready = heartbeat.ready
-        view.role = heartbeat.role
-        view.models = frozenset(heartbeat.models)
-        view.adapters = frozenset(heartbeat.adapters)
-        view.queued_tokens = heartbeat.queued_tokens
-        view.queued_tokens_within = heartbeat.queued_tokens_within
-        view.running = heartbeat.running
-        view.own_tokens = 0
-        view.reported_at = self.now()
-        view.concurrency = heartbeat.concurrency or view.concurrency
-        self._learn_rates(view, heartbeat)
+        update_view(view, heartbeat, self._rates, self.now())
+        view.draining = view.draining or peer.leaving
         if self._quarantine.merge(heartbeat.crashes, self.now()):
             self.beat()
 
-    def _learn_rates(self, view: UpstreamView, heartbeat: Heartbeat) -> None:
-        rates = self._rates
-        rates.learn(view.name, view.role, heartbeat.prefill_rate, heartbeat.decode_rate)
-        view.prefill_rate = rates.prefill_rate(view.name, view.prefill_rate)
-        view.decode_rate = rates.decode_rate(view.name, view.decode_rate)
-        view.slowness = rates.slowness(view.name)
-
     def _take_cache_events(self, peer: _Peer, message: CacheEvents) -> None:
         if peer.view is None:
             return
@@ -415,9 +398,3 @@
         self._exchanges.discard(exchange)
         if not self._exchanges:
             self._empty.set()
-
-
-def _take_back(peer: _Peer, work: Work) -> None:
-    """Count the prompt of refused work no longer as queued at its upstream."""
-    if peer.view is not None:
-        peer.view.own_tokens = max(peer.view.own_tokens - work.prompt_tokens, 0)
--- a/packages/mustardquay-node/src/mustardquay_node/entries.py
+++ b/packages/mustardquay-node/src/mustardquay_node/entries.py
@@ -1,19 +1,12 @@
 """Entries: the process that callers meet."""
 
 import asyncio
-import socket
-import ssl
 from collections.abc import Callable
 from datetime import timedelta
-from typing import Any
-
-from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
-from tornado.web import Application
 
 from mustardquay import __version__
 from mustardquay.clocks import Clock
-from mustardquay.errors import MustardquayError, SettingsError
+from mustardquay.errors import MustardquayError
 from mustardquay.events import Event, EventRing
 from mustardquay.members import (
     Instance,
@@ -28,17 +21,17 @@
 
 from .admins import AdminParts, AdminServer
 from .authorities import Authorities
-from .callers import CallerParts, InFlight, NotFoundHandler
+from .caller_servers import CallerServer
+from .callers import CallerParts, InFlight
 from .configurations import ConfigurationKeeper
 from .controllers import make_cost_check
 from .dispatchers import Dispatcher, DispatcherOptions
 from .editors import ConfigurationEditor
-from .generations import ChatHandler, CompletionHandler, ModelsHandler
 from .links import Link
 from .loops import start_loop
 from .nodes import NodeParts, connect_configuration, spread_configuration
 from .recorders import Recorder
-from .services import SERVICE_PREFIX, ServiceHandler
+from .services import SERVICE_PREFIX
 from .settings import Settings
 from .statuses import Probe, ProcessStatus, UpstreamStatus
 from .sweepers import ClaimSweeper
@@ -49,10 +42,6 @@
 SWEEP_INTERVAL = timedelta(seconds=1)
 CLAIMS_INTERVAL = timedelta(seconds=1)
 """Time between two pages of the table of claims, in search of expired ones."""
-SEND_BUFFER = 128 * 1024
-"""Bytes that the kernel keeps for a caller; it doubles the number itself."""
-BUFFER_SIZE = 1024 * 1024 * 1024
-"""Bytes that tornado lets a body have; handlers hold to the limit of settings."""
 
 
 class Entry:
@@ -115,12 +104,10 @@
         )
         self._agents = 0
         self._in_flight = InFlight()
-        self._streams: set[Any] = set()
+        self._server = self._make_server()
         self._admin = AdminServer(
             self._make_admin_parts(), settings.node.address, settings.node.admin_port
         )
-        self._server: HTTPServer | None = None
-        self._port = self._settings.port
         self._tasks: list[asyncio.Task[None]] = []
         self._disconnect: Callable[[], None] = lambda: None
 
@@ -132,13 +119,12 @@
     @property
     def port(self) -> int:
         """Return the port for callers; the real one after `start`."""
-        return self._port
+        return self._server.port
 
     @property
     def url(self) -> str:
         """Return the base URL for callers."""
-        scheme = "https" if self._settings.certificate else "http"
-        return f"{scheme}://{self._parts.settings.node.address}:{self._port}"
+        return self._server.url
 
     @property
     def admin_port(self) -> int:
@@ -195,11 +181,11 @@
         await self._keeper.start()
         self._recorder.start()
         self._authorities.start()
-        self._listen()
+        self._server.start()
         self._admin.start()
         self._tasks = [
             start_loop(self._follow_list, LIST_INTERVAL, parts.random),
-            start_loop(self._drop_slow_callers, SWEEP_INTERVAL),
+            start_loop(self._server.drop_slow_callers, SWEEP_INTERVAL),
             start_loop(self._sweep_claims, CLAIMS_INTERVAL, parts.random),
         ]
         parts.events.record("process.started")
@@ -235,9 +221,7 @@
             task.cancel()
         await self._authorities.close()
         await self._recorder.close()
-        if self._server is not None:
-            self._server.stop()
-            await self._server.close_all_connections()
+        await self._server.close()
         self._dispatcher.close()
         await self._keeper.close()
         await self._admin.close()
@@ -265,40 +249,7 @@
         """Return what an operator's edit would cost, without applying it."""
         return await self._editor.preview(edit)
 
-    def _listen(self) -> None:
-        node = self._parts.settings.node
-        sockets = bind_sockets(self._port, node.address)
-        for listener in sockets:
-            # Connections inherit it. The kernel would else buffer some megabytes
-            # for each caller that takes nothing in, out of sight of the window.
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
-        self._port = sockets[0].getsockname()[1]
-        self._server = HTTPServer(
-            self._make_application(),
-            ssl_options=self._make_tls(),
-            max_body_size=BUFFER_SIZE,
-            max_buffer_size=BUFFER_SIZE,
-            idle_connection_timeout=self._settings.idle_timeout.total_seconds(),
-            body_timeout=self._settings.body_timeout.total_seconds(),
-        )
-        self._server.add_sockets(sockets)
-
-    def _make_tls(self) -> ssl.SSLContext | None:
-        if not self._settings.certificate:
-            return None
-        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-        try:
-            context.load_cert_chain(
-                self._settings.certificate, self._settings.private_key
-            )
-        except (OSError, ssl.SSLError) as error:
-            raise SettingsError(
-                f"[entry] certificate: can't be used with private_key ({error}); "
-                "give PEM files that belong together."
-            ) from None
-        return context
-
-    def _make_application(self) -> Application:
+    def _make_server(self) -> CallerServer:
         parts = CallerParts(
             settings=self._settings,
             services=self._parts.settings.services,
@@ -311,20 +262,10 @@
             lengths=OutputLengths(),
             in_flight=self._in_flight,
             draining=lambda: self._draining,
-            streams=self._streams,
-        )
-        options = {"parts": parts}
-        return Application(
-            [
-                (r"/v1/chat/completions", ChatHandler, options),
-                (r"/v1/completions", CompletionHandler, options),
-                (r"/v1/models", ModelsHandler, options),
-                (r"/services/([A-Za-z0-9._-]+)(/.*)?", ServiceHandler, options),
-            ],
-            default_handler_class=NotFoundHandler,
-            default_handler_args=options,
-            log_function=lambda handler: None,
+            streams=set(),
         )
+        address = self._parts.settings.node.address
+        return CallerServer(self._settings, address, parts, self._parts.clock)
 
     def _make_heartbeat(self) -> Heartbeat:
         return Heartbeat(
@@ -395,17 +336,6 @@
         self._dispatcher.set_agents(chosen, leaving)
         await self._authorities.follow(entries, agents)
 
-    def _drop_slow_callers(self) -> None:
-        """Drop callers that take nothing in of what is streamed to them.
-
-        A caller that hangs, or is half gone, would hold its stream's memory here
-        and its place on the engine for as long as TCP keeps the connection.
-        """
-        oldest = self._parts.clock.monotonic() - self._settings.progress_timeout
-        for handler, sink in list(self._streams):
-            if sink.blocked_since is not None and sink.blocked_since < oldest:
-                handler.drop()
-
     def _list_faults(self) -> tuple[str, ...]:
         faults = []
         if self._draining:
--- a/packages/mustardquay-node/src/mustardquay_node/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/exchanges.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from typing import Protocol
 
-from mustardquay.attempts import (
+from mustardquay.actions import (
     Action,
     AnswerEarly,
     CancelAttempt,
@@ -14,12 +14,11 @@
     DeliverData,
     DeliverHead,
     Finish,
-    Phase,
     ReattachAttempt,
-    RequestState,
     SendAttempt,
     WaitBeforeRetry,
 )
+from mustardquay.attempts import Phase, RequestState
 from mustardquay.errors import Refusal
 from mustardquay.messages import (
     Attempt,
--- a/packages/mustardquay-node/src/mustardquay_node/generations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generations.py
@@ -7,7 +7,8 @@
 from tornado.iostream import StreamClosedError
 from xxhash import xxh3_64_intdigest
 
-from mustardquay.attempts import Finish
+from mustardquay.actions import Finish
+from mustardquay.admissions import set_deadlines
 from mustardquay.caches import hash_prefix
 from mustardquay.messages import Header
 from mustardquay.outcomes import Outcome
@@ -73,6 +74,7 @@
         assert contract is not None
         data = name_adapter(self.body, adapter) if adapter else self.body
         prompt = body.read_prompt()
+        deadlines = set_deadlines(contract, self.arrived)
         work = Work(
             request=self.request_id,
             attempt=0,
@@ -87,8 +89,8 @@
             between_tokens=contract.lateness.between_tokens,
             share=contract.share,
             priority=contract.priority,
-            start_by=self.arrived + contract.lateness.first_token,
-            finish_by=self.arrived + contract.lateness.whole,
+            start_by=deadlines.start_by,
+            finish_by=deadlines.finish_by,
             fingerprint=xxh3_64_intdigest(self.request.path.encode() + data),
         )
         version = self.parts.configurations.configuration.version
--- a/packages/mustardquay-node/src/mustardquay_node/reports.py
+++ b/packages/mustardquay-node/src/mustardquay_node/reports.py
@@ -38,6 +38,17 @@
     cache_events: CacheEvents | None = None
     """The events since the report before; None when there are none."""
 
+    def without_load(self) -> "UpstreamReport":
+        """Return the report without what changes all the time."""
+        return replace(
+            self,
+            queued_tokens=0,
+            running=0,
+            prefill_rate=0.0,
+            decode_rate=0.0,
+            cache_events=None,
+        )
+
 
 class Reporter:
     """Asks one upstream for its state and load."""
--- a/packages/mustardquay-node/src/mustardquay_node/services.py
+++ b/packages/mustardquay-node/src/mustardquay_node/services.py
@@ -7,7 +7,8 @@
 import orjson
 from xxhash import xxh3_64_intdigest
 
-from mustardquay.attempts import Finish
+from mustardquay.actions import Finish
+from mustardquay.admissions import set_deadlines
 from mustardquay.claims import (
     KEY_LIMIT,
     Claim,
@@ -182,6 +183,7 @@
         # The customer counts here: two may well send the same short body, and one
         # of them must not be refused for what the other's service does.
         named = f"{contract.customer}\n{self.model}\n{method}\n{target}\n".encode()
+        deadlines = set_deadlines(contract, self.arrived)
         work = Work(
             request=self.request_id,
             attempt=0,
@@ -189,8 +191,8 @@
             model=self.model,
             share=contract.share,
             priority=contract.priority,
-            start_by=self.arrived + contract.lateness.first_token,
-            finish_by=self.arrived + contract.lateness.whole,
+            start_by=deadlines.start_by,
+            finish_by=deadlines.finish_by,
             fingerprint=xxh3_64_intdigest(named + data),
             repeatable=repeatable,
         )
--- a/packages/mustardquay/tests/test_attempts.py
+++ b/packages/mustardquay/tests/test_attempts.py
@@ -12,18 +12,17 @@
     run_state_machine_as_test,
 )
 
-from mustardquay.attempts import (
+from mustardquay.actions import (
     AnswerEarly,
     CancelAttempt,
     DeliverData,
     DeliverHead,
     Finish,
-    Phase,
     ReattachAttempt,
-    RequestState,
     SendAttempt,
     WaitBeforeRetry,
 )
+from mustardquay.attempts import Phase, RequestState
 from mustardquay.errors import Reason, Refusal
 from mustardquay.messages import (
     Chunk,
