Print the command's items and documents in one place

Cause: contracts, changes and releases each chose between JSON and table, or JSON and INI, in the same lines; two functions were called by nothing. Change: outputs.print_items and print_document; callers.make_refusal and Site.add_agent are gone. Conclusion: behaviour is as it was. What still stands twice are typer's option lists, which each command must spell out.

--- a/packages/mustardquay-cli/src/mustardquay_cli/changes.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/changes.py
@@ -28,7 +28,7 @@
     WaitTimeoutOption,
     make_client,
 )
-from .outputs import finish, print_json, print_note, print_table, run
+from .outputs import finish, print_items, print_note, run
 from .waits import limit_wait, wait_for_version
 
 __all__ = ["app"]
@@ -124,11 +124,8 @@
     """
     client = make_client(admin, key, timeout)
     changes = run(client.get(join_path("changes")))["changes"]
-    if json:
-        print_json(changes)
-        return
     heads = ("name", "action", "scope", "target", "starts_at", "revision")
-    print_table(heads, ([item[head] for head in heads] for item in changes))
+    print_items(heads, changes, json)
 
 
 @app.command()
--- a/packages/mustardquay-cli/src/mustardquay_cli/contracts.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/contracts.py
@@ -25,7 +25,15 @@
     WaitTimeoutOption,
     make_client,
 )
-from .outputs import print_ini, print_json, print_note, print_table, run
+from .outputs import (
+    print_document,
+    print_ini,
+    print_items,
+    print_json,
+    print_note,
+    print_table,
+    run,
+)
 from .waits import limit_wait, wait_for_version
 
 __all__ = ["app"]
@@ -90,10 +98,7 @@
     """
     client = make_client(admin, key, timeout)
     contract = run(client.get(join_path("contracts", customer)))
-    if json:
-        print_json(contract)
-    else:
-        print_ini("contract", contract)
+    print_document("contract", contract, json)
 
 
 @app.command("list")
@@ -111,11 +116,8 @@
       mustardquay contract list --json
     """
     contracts = run(_list(make_client(admin, key, timeout)))
-    if json:
-        print_json(contracts)
-        return
     heads = ("customer", "share", "priority", "models", "services", "revision")
-    print_table(heads, ([item[head] for head in heads] for item in contracts))
+    print_items(heads, contracts, json)
 
 
 @app.command()
--- a/packages/mustardquay-cli/src/mustardquay_cli/outputs.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/outputs.py
@@ -15,7 +15,16 @@
 
 from .failures import CommandError, ExitCode
 
-__all__ = ["finish", "print_ini", "print_json", "print_note", "print_table", "run"]
+__all__ = [
+    "finish",
+    "print_document",
+    "print_ini",
+    "print_items",
+    "print_json",
+    "print_note",
+    "print_table",
+    "run",
+]
 
 PLAIN_WIDTH = 200
 """Columns where the output is no terminal, so that nothing is wrapped."""
@@ -62,6 +71,24 @@
     typer.echo("\n".join(line.rstrip() for line in lines if line.strip()))
 
 
+def print_items(
+    heads: Sequence[str], items: Sequence[Mapping[str, Any]], json: bool
+) -> None:
+    """Print items as JSON, or their fields under `heads` as a table."""
+    if json:
+        print_json(items)
+    else:
+        print_table(heads, ([item[head] for head in heads] for item in items))
+
+
+def print_document(section: str, fields: Mapping[str, Any], json: bool) -> None:
+    """Print a document as JSON, or as an INI file that can be applied again."""
+    if json:
+        print_json(fields)
+    else:
+        print_ini(section, fields)
+
+
 def print_ini(section: str, fields: Mapping[str, Any]) -> None:
     """Print fields as an INI document that can be applied again."""
     nested = {name: value for name, value in fields.items() if isinstance(value, dict)}
--- a/packages/mustardquay-cli/src/mustardquay_cli/releases.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/releases.py
@@ -21,7 +21,7 @@
     WaitTimeoutOption,
     make_client,
 )
-from .outputs import finish, print_ini, print_json, print_note, print_table, run
+from .outputs import finish, print_document, print_items, print_note, run
 from .waits import limit_wait, wait_for_version
 
 __all__ = ["app"]
@@ -85,10 +85,7 @@
     """
     client = make_client(admin, key, timeout)
     release = run(client.get(join_path("releases", model)))
-    if json:
-        print_json(release)
-    else:
-        print_ini("release", release)
+    print_document("release", release, json)
 
 
 @app.command("list")
@@ -106,12 +103,9 @@
     """
     client = make_client(admin, key, timeout)
     releases = run(client.get(join_path("releases")))["releases"]
-    if json:
-        print_json(releases)
-        return
     heads = ("model", "version", "previous", "adapters", "availability_zones")
     heads = (*heads, "revision")
-    print_table(heads, ([item[head] for head in heads] for item in releases))
+    print_items(heads, releases, json)
 
 
 @app.command()
--- a/packages/mustardquay-node/src/mustardquay_node/callers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/callers.py
@@ -16,7 +16,7 @@
 from mustardquay.actions import Finish
 from mustardquay.clocks import Clock
 from mustardquay.contracts import Contract
-from mustardquay.errors import Reason, Refusal
+from mustardquay.errors import Reason
 from mustardquay.events import EventRing
 from mustardquay.messages import Header
 from mustardquay.outcomes import Outcome
@@ -345,8 +345,3 @@
     """Give the request its id, once."""
     if not hasattr(request, "request_id"):
         request.request_id = uuid4().hex
-
-
-def make_refusal(refusal: Refusal) -> Finish:
-    """Return the end of a request that was refused before it was sent."""
-    return Finish(Outcome.NOT_RUN, refusal)
--- a/packages/mustardquay-standins/src/mustardquay_standins/sites.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/sites.py
@@ -209,18 +209,6 @@
         """Return the agent beside an upstream."""
         return self.agents[f"agent-{upstream}"]
 
-    async def add_agent(self, name: str) -> Agent:
-        """Start the agent of this name anew, as after its instance was replaced."""
-        path = self._folder / "processes" / f"{name}.ini"
-        sections = _read_sections(self._folder / "common.ini", path)
-        upstream = self.upstreams[sections["agent"]["upstream_name"]]
-        sections["agent"]["upstream"] = upstream.url
-        agent = Agent(self.make_settings(sections), write_event=self._write_event)
-        await agent.start()
-        self.agents[agent.name] = agent
-        self.list_instances()
-        return agent
-
     def _make_upstream(self, section: dict[str, str]) -> EngineStandin | ServiceStandin:
         seed = self._seed + len(self.upstreams)
         if section.get("kind", "engine") == "service":
