--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -216,6 +216,13 @@
         except asyncio.CancelledError:
             self._answer.abort()
             raise
+        except Exception:
+            # A fault of this program must not leave its caller waiting.
+            if not self._answer.has_begun:
+                self._fail(502, "fault", "It is not known whether this was run.")
+            else:
+                self._answer.abort()
+            raise
 
     def _read(self) -> Route | None:
         """Return the route, or answer that there is none."""
--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -171,10 +171,10 @@
     shared = prompt.shared_parts
     if not shared:
         return {}
-    seed = xxh3_64_intdigest(shared[-1].id)
+    seed = xxh3_64_intdigest(shared[-1].id.encode())
     choice: dict[Stage, tuple[int, str]] = {}
     for engine in engines:
-        rank = xxh3_64_intdigest(engine.address, seed=seed)
+        rank = xxh3_64_intdigest(engine.address.encode(), seed=seed)
         if engine.stage not in choice or rank > choice[engine.stage][0]:
             choice[engine.stage] = (rank, engine.id)
     return {stage: id for stage, (_, id) in choice.items()}
