Log what a timed-out request had passed on, and where it was

Cause looked for: streams that stayed open for 13 s. Ruled out: bytes held back here and writes that never end; 206 events had been passed on. They were slow at their engine, which read long prompts between its tokens: an event takes 52 steps, and a piece of 512 prompt tokens between two steps makes each 5 ms long.

--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -178,6 +178,10 @@
     avoid: set[str] = field(default_factory=set)
     was_cut_off: bool = False
     """Whether a send that may have run was ended by the limit."""
+    upstream: str = ""
+    """The upstream that was sent to last."""
+    passed: int = 0
+    """Bytes of a stream that the caller has been sent."""
     last_event: str | None = None
     first_byte_at: timedelta | None = None
 
@@ -405,6 +409,7 @@
             else None,
         )
         self._progress.current = send.exchange
+        self._progress.upstream = upstream.id
         is_once = route.repeat is not Repeat.IDEMPOTENT and not prefill_only
         parts.loads.begin(upstream.id)
         end = ExchangeEnd.CANCELLED
@@ -489,13 +494,13 @@
         if first is not None:
             first()
         send.passed = True
-        if not self._route.resumable:
-            return self._answer.write(data)
-        whole = self._cutter.feed(data)
-        if not whole:
-            return None
-        self._progress.last_event = self._cutter.last_id or self._progress.last_event
-        return self._answer.write(whole)
+        if self._route.resumable:
+            data = self._cutter.feed(data)
+            self._progress.last_event = (
+                self._cutter.last_id or self._progress.last_event
+            )
+        self._progress.passed += len(data)
+        return self._answer.write(data) if data else None
 
     def _begin_stream(self, send: _Send, head: AnswerHead) -> None:
         now = self._parts.clock.monotonic()
@@ -523,7 +528,16 @@
 
     def _end_late(self) -> None:
         sendings = self._progress.sendings
-        self._parts.events.record("request.timed_out", request=self._facts.id)
+        self._parts.events.record(
+            "request.timed_out",
+            request=self._facts.id,
+            route=self._route.name,
+            upstream=self._progress.upstream,
+            passed=self._progress.passed,
+            held_back=self._cutter.has_rest,
+            sends=sendings.offered,
+            age_ms=self._age_ms(),
+        )
         if self._answer.is_caller_gone:
             self._count("caller_left")
         elif self._answer.has_begun:
