Read long prompts only at engines that read, copy cached parts, follow the streams

Cause: engines that generate also read long prompts when the others had a queue, and each of their steps took five times as long: 132 of 433 drafts had pauses over 200 ms, and the longest tenth missed its time. Change: they read up to 1,024 tokens only; the number of engines that generate follows the streams that run; a reader copies the parts that another engine holds. Ruled out: more patience in the queue (p50 of the first event was 12.6 ms).

--- a/packages/mustardquay-node/src/mustardquay_node/adapters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/adapters.py
@@ -56,6 +56,8 @@
     prefill_only: bool = False
     kv_source: str = ""
     """Where the upstream fetches the prefilled prompt, as `Prefilled` has it."""
+    fetch_from: str = ""
+    """Address of an engine from which cached parts of the prompt are copied first."""
     resumes_after: str | None = None
     urgency: int | None = None
     """0 goes first, 9 last."""
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -368,8 +368,9 @@
         try:
             source = ""
             if placement.prefiller is not None:
-                prefilled = await self._prefill(route, placement.prefiller)
+                prefilled = await self._prefill(route, placement)
                 planner.end_reading(ticket)
+                self._log_read(placement, now)
                 if isinstance(prefilled, _Send):
                     return prefilled
                 address = placement.prefiller.address
@@ -379,6 +380,20 @@
         finally:
             planner.end(ticket)
 
+    def _log_read(self, placement: Placement, started: timedelta) -> None:
+        """Note how long a prompt took to be read, beside what was expected."""
+        took = self._parts.clock.monotonic() - started
+        self._parts.events.record(
+            "prompt.read",
+            request=self._facts.id,
+            upstream=placement.reader.id,
+            decoder=placement.decoder.id,
+            copied_from=placement.holder.id if placement.holder else "",
+            wait_ms=round(placement.wait_seconds * 1000, 1),
+            read_ms=round(placement.read_seconds * 1000, 1),
+            took_ms=round(took.total_seconds() * 1000, 1),
+        )
+
     def _refuse_crowded(self, placement: Placement, time_left: timedelta) -> None:
         """Tell the caller that the engines have more to read than is of use to it."""
         back = draw_return(placement, time_left, self._parts.random)
@@ -391,9 +406,15 @@
         else:
             self._refuse("no_upstream", RETRY_SOON)
 
-    async def _prefill(self, route: Route, engine: UpstreamRecord) -> Prefilled | _Send:
+    async def _prefill(self, route: Route, placement: Placement) -> Prefilled | _Send:
         """Have an engine read the prompt; returns the failed send if it does not."""
-        send = await self._exchange(route, engine, prefill_only=True)
+        holder = placement.holder
+        send = await self._exchange(
+            route,
+            placement.reader,
+            prefill_only=True,
+            fetch_from=holder.address if holder else "",
+        )
         if send.end is SendEnd.ANSWERED and send.exchange.head.status == 200:
             try:
                 return self._parts.adapter.read_prefilled(send.exchange.content)
@@ -410,6 +431,7 @@
         source: str = "",
         first: Callable[[], None] | None = None,
         prefill_only: bool = False,
+        fetch_from: str = "",
     ) -> _Send:
         """Send to an upstream and take in or pass on what comes."""
         parts = self._parts
@@ -422,6 +444,7 @@
             time_left=self._limit_at - now,
             prefill_only=prefill_only,
             kv_source=source,
+            fetch_from=fetch_from,
             resumes_after=self._progress.last_event,
         )
         headers = parts.adapter.build_headers(self._request.headers, target)
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -253,6 +253,7 @@
             upstreams=self._upstreams,
             list_services=self._list_engine_services,
             get_pool=self._forwarder.get_pool,
+            count_streams=self._planner.count_streams,
             is_serving=lambda: self._forwarder.has_served,
         )
         return StageKeeper(f"{self._settings.node.name}-{self._incarnation}", parts)
--- a/packages/mustardquay-node/src/mustardquay_node/generators.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generators.py
@@ -101,6 +101,10 @@
         )
         return PeerDigest(name, incarnation, number, configuration, engines, placed)
 
+    def count_streams(self, engine: str) -> int:
+        """Return the generations that run at an engine, of all gateways."""
+        return self._books.works.sum_running(engine)
+
     def forget(self, id: str) -> None:
         """Drop an engine that is gone or has started anew."""
         self._books.works.works.pop(id, None)
--- a/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
@@ -34,6 +34,9 @@
 orders of two holders within 3 s as a conflict; validity, that and a second for calls
 that hang are less than the term."""
 TURN = timedelta(seconds=1)
+SETTLING = timedelta(seconds=3)
+"""After the start nothing is ordered for so long: the list of engines fills up as
+they write their first records, and a part of it makes another plan."""
 CALL_TIMEOUT = timedelta(milliseconds=500)
 ORDER_PATIENCE = timedelta(seconds=6)
 """How long an engine that was ordered may show its old stage before it is asked
@@ -55,6 +58,8 @@
     list_services: Callable[[], list[str]]
     """Names the services whose upstreams are engines."""
     get_pool: Callable[[UpstreamRecord], ConnectionPool]
+    count_streams: Callable[[str], int]
+    """Counts the generations that run at an engine."""
     is_serving: Callable[[], bool]
     """Whether callers have come."""
 
@@ -75,6 +80,7 @@
         self._planner = StagePlanner()
         self._lease = Lease(DOMAIN, name, LEASE_TERM, ORDER_VALIDITY)
         self._ordered: dict[str, _Ordered] = {}
+        self._started = parts.clock.monotonic()
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -98,6 +104,8 @@
 
     async def turn(self) -> None:
         """Order what is due, if this process holds or gets the lease."""
+        if self._parts.clock.monotonic() - self._started < SETTLING:
+            return
         changes = self._plan()
         if not changes:
             return
@@ -122,7 +130,12 @@
             ordered = {id: each.stage for id, each in self._ordered.items()}
             if engines:
                 changes += self._planner.plan(
-                    service, engines, ordered, now, parts.is_serving()
+                    service,
+                    engines,
+                    ordered,
+                    sum(parts.count_streams(engine.id) for engine in engines),
+                    now,
+                    parts.is_serving(),
                 )
         return changes
 
--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -30,8 +30,11 @@
 SHORT_READ = 1_024
 """Tokens up to which an engine that generates reads a prompt itself: two pieces
 between its steps, against a turn in the queue of an engine that reads."""
-DISTURBANCE = 0.03
-"""Seconds that reading for a second costs each stream that runs beside it."""
+FETCH_SECONDS = 0.012
+"""What it is taken to cost to copy cached parts from another engine. The copy takes 1
+to 2 ms; the rest stands for the parts that the copy displaces."""
+FETCH_LEAST = 512
+"""Tokens that a copy must save: reading them takes 2 ms."""
 NEAR_SECONDS = 0.004
 """By how much the rendezvous choice goes before others that expect the same."""
 FAILURE_SECONDS = 0.2
@@ -45,6 +48,8 @@
     decoder: UpstreamRecord
     prefiller: UpstreamRecord | None
     """Reads the prompt first; None when the decoder reads it itself."""
+    holder: UpstreamRecord | None
+    """Another engine, from which the reader first copies the parts that it lacks."""
     read_seconds: float
     """Expected reading at the engine that reads."""
     wait_seconds: float
@@ -74,20 +79,35 @@
     decoders = [engine for engine in usable if engine.stage is not Stage.PREFILL]
     if not decoders:
         return None
-    best = min(
+    prefillers = [engine for engine in usable if engine.stage is Stage.PREFILL]
+    alone = min(
         (_weigh_alone(engine, prompt, parts, books) for engine in decoders),
         key=_get_cost,
     )
-    prefillers = [engine for engine in usable if engine.stage is Stage.PREFILL]
-    if not prefillers or _is_short(prompt, parts, best.decoder, books):
-        return best
+    # An engine that reads a long prompt makes each of its steps some five times as
+    # long, and all of its streams pause for too long. It reads short ones only, and
+    # long ones for want of an engine that reads.
+    if not prefillers or _is_short(prompt, parts, alone.decoder, books):
+        return alone
     decoder = min(decoders, key=lambda engine: _weigh_decoder(engine, books))
     favourite = _rank_first(parts, prefillers)
-    for engine in prefillers:
-        placement = _weigh_pair(engine, decoder, prompt, parts, books, favourite)
-        if placement.cost < best.cost:
-            best = placement
-    return best
+    holder = _find_holder(parts, usable, books)
+    return min(
+        (
+            _weigh_pair(engine, decoder, holder, prompt, parts, books, favourite)
+            for engine in prefillers
+        ),
+        key=_get_cost,
+    )
+
+
+def _find_holder(
+    parts: Sequence[HashedPart], engines: Sequence[UpstreamRecord], books: EngineBooks
+) -> tuple[UpstreamRecord, int] | None:
+    """Return the engine that is believed to hold most of the prompt, with how much."""
+    held = [(books.prefixes.count_cached(each.id, parts), each) for each in engines]
+    tokens, engine = max(held, key=lambda pair: pair[0])
+    return (engine, tokens) if tokens >= FETCH_LEAST else None
 
 
 def _list_usable(
@@ -132,45 +152,42 @@
     ).id
 
 
-def _expect_read(
-    engine: UpstreamRecord,
-    prompt: PromptTraits,
-    parts: Sequence[HashedPart],
-    books: EngineBooks,
-) -> float:
-    cached = books.prefixes.count_cached(engine.id, parts)
-    new = max(prompt.prompt_tokens - cached, 1)
-    return books.speeds.read_seconds(new, cached)
-
-
 def _weigh_alone(
     engine: UpstreamRecord,
     prompt: PromptTraits,
     parts: Sequence[HashedPart],
     books: EngineBooks,
 ) -> Placement:
-    read = _expect_read(engine, prompt, parts, books) * DECODE_SLOWDOWN
+    cached = books.prefixes.count_cached(engine.id, parts)
+    new = max(prompt.prompt_tokens - cached, 1)
+    read = books.speeds.read_seconds(new, cached) * DECODE_SLOWDOWN
     wait = books.works.sum_seconds(engine.id)
     running = books.works.sum_running(engine.id)
-    cost = wait + read * (1 + DISTURBANCE * running) + _penalty(engine, books)
-    cost += TOKEN_SECONDS * running
-    return Placement(engine, None, read, wait, cost)
+    cost = wait + read + TOKEN_SECONDS * running + _penalty(engine, books)
+    return Placement(engine, None, None, read, wait, cost)
 
 
 def _weigh_pair(
     engine: UpstreamRecord,
     decoder: UpstreamRecord,
+    holder: tuple[UpstreamRecord, int] | None,
     prompt: PromptTraits,
     parts: Sequence[HashedPart],
     books: EngineBooks,
     favourite: str,
 ) -> Placement:
-    read = _expect_read(engine, prompt, parts, books)
-    wait = books.works.sum_seconds(engine.id)
-    cost = wait + read + SWITCH_SECONDS + _penalty(engine, books)
-    if engine.id != favourite:
+    cached = books.prefixes.count_cached(engine.id, parts)
+    source = None
+    cost = SWITCH_SECONDS + _penalty(engine, books)
+    if holder is not None and holder[1] - cached >= FETCH_LEAST:
+        source, cached = holder
+        cost += FETCH_SECONDS
+    elif engine.id != favourite:
         cost += NEAR_SECONDS
-    return Placement(decoder, engine, read, wait, cost)
+    new = max(prompt.prompt_tokens - cached, 1)
+    read = books.speeds.read_seconds(new, cached)
+    wait = books.works.sum_seconds(engine.id)
+    return Placement(decoder, engine, source, read, wait, cost + wait + read)
 
 
 def _weigh_decoder(engine: UpstreamRecord, books: EngineBooks) -> float:
--- a/packages/mustardquay/src/mustardquay/stage_plans.py
+++ b/packages/mustardquay/src/mustardquay/stage_plans.py
@@ -17,15 +17,21 @@
 
 __all__ = ["StageChange", "StagePlanner"]
 
-DECODE_SHARE = 0.3
-"""Part of the engines that generate. At the usual mix of the operators' sheets some
-40 streams run at once, of 64 that one engine takes; bursts triple it."""
+STREAMS_PER_DECODER = 26
+"""Streams that one engine should generate at once. With 26 a step takes 0.9 ms, with
+50 it takes 1.25 ms, and the longest answers of some 11,000 steps miss their time."""
+LARGEST_SHARE = 0.5
+"""Most of the engines that generate."""
+DEMAND_MEMORY = timedelta(seconds=3)
+"""Over which the number of streams is averaged: one short burst changes nothing."""
 LEAST_DECODERS = 2
 """So that the loss of one leaves one, from four engines on."""
 SMALL_SERVICE = 4
-DECODER_PATIENCE = timedelta(seconds=4)
-"""How long a lack of decoders lasts before an engine that reads changes. Most crashed
-engines are back by then, and the change itself takes 3 s."""
+DECODER_PATIENCE = timedelta(seconds=2)
+"""How long a lack of decoders lasts before an engine that reads changes."""
+SLACK = 0.8
+"""Part of the streams of the smaller number of decoders, above which one more than is
+needed stays: otherwise the number would swing with each burst."""
 PREFILLER_PATIENCE = timedelta(seconds=6)
 
 
@@ -41,6 +47,7 @@
     """Plans changes from the list of engines; asks for patience between them."""
 
     def __init__(self) -> None:
+        self._streams: dict[str, tuple[float, timedelta]] = {}
         self._off_since: dict[tuple[str, Stage], timedelta] = {}
 
     def plan(
@@ -48,17 +55,22 @@
         service: str,
         engines: Sequence[UpstreamRecord],
         ordered: Mapping[str, Stage],
+        streams: int,
         now: timedelta,
         is_settled: bool,
     ) -> list[StageChange]:
         """Return the changes that are due.
 
-        `ordered` holds the stages that engines are changing to. Without `is_settled`
-        (before callers come) nothing is waited for.
+        `ordered` holds the stages that engines are changing to, `streams` is how many
+        generations run. Without `is_settled` (before callers come) nothing is waited
+        for.
         """
         stages = {engine.id: ordered.get(engine.id, engine.stage) for engine in engines}
         decoders = [each for each in engines if stages[each.id] is Stage.DECODE]
-        wanted = count_decoders(len(engines))
+        mean = self._average(service, streams, now)
+        wanted = count_decoders(len(engines), mean)
+        if len(decoders) > wanted and mean > SLACK * STREAMS_PER_DECODER * wanted:
+            wanted = len(decoders)
         missing = wanted - len(decoders)
         if missing > 0:
             stage, patience = Stage.DECODE, DECODER_PATIENCE
@@ -77,15 +89,23 @@
         chosen = _choose(others, abs(missing), decoders)
         return [StageChange(engine, stage) for engine in chosen]
 
+    def _average(self, service: str, streams: int, now: timedelta) -> float:
+        mean, at = self._streams.get(service, (float(streams), now))
+        weight = 1 - 0.5 ** ((now - at) / DEMAND_MEMORY)
+        mean += weight * (streams - mean)
+        self._streams[service] = (mean, now)
+        return mean
 
-def count_decoders(engines: int) -> int:
-    """Return how many of so many engines generate.
 
-    >>> [count_decoders(number) for number in (1, 2, 3, 4, 6, 24)]
-    [1, 1, 1, 2, 2, 8]
+def count_decoders(engines: int, streams: float) -> int:
+    """Return how many of so many engines generate so many streams.
+
+    >>> [count_decoders(number, 60) for number in (1, 2, 3, 4, 6, 24)]
+    [1, 1, 1, 2, 3, 3]
     """
     least = LEAST_DECODERS if engines >= SMALL_SERVICE else 1
-    return min(max(ceil(engines * DECODE_SHARE), least), max(engines, 1))
+    most = max(int(engines * LARGEST_SHARE), 1)
+    return min(max(ceil(streams / STREAMS_PER_DECODER), least), most)
 
 
 def _choose(
