Test the adapter and the gateway against stand-ins of the platform

Found by them: parts were booked at the engine that generates before they were handed over, so that after a failed reading a long prompt went to it; now they are booked when they are.

--- a/packages/mustardquay-node/src/mustardquay_node/feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/feeds.py
@@ -8,7 +8,6 @@
 
 from mustardquay.budgets import draw_delay
 from mustardquay.clocks import Clock
-from mustardquay.errors import MustardquayError
 from mustardquay.events import EventRing
 
 from .adapters import HistoryLost, StoreRow, StoreTables
@@ -22,6 +21,10 @@
 to be in force; a process then makes some three calls a second while it is away."""
 
 
+WAKE_INTERVAL = timedelta(milliseconds=500)
+"""Least time between two reads that others ask for."""
+
+
 @dataclass(frozen=True, slots=True)
 class FeedOptions:
     """How a table is followed."""
@@ -65,6 +68,9 @@
         self._lost_at: timedelta | None = None
         self._answered_at: timedelta | None = None
         self._task: asyncio.Task[None] | None = None
+        self._reading: asyncio.Task[None] | None = None
+        self._woken_at = -WAKE_INTERVAL
+        self._is_closing = False
 
     @property
     def answered_at(self) -> timedelta | None:
@@ -75,20 +81,36 @@
         """Begin to follow."""
         self._task = asyncio.create_task(self._run())
 
+    def wake(self) -> None:
+        """Read again at once, on another connection; at most once in a while."""
+        now = self._clock.monotonic()
+        if self._reading is None or now < self._woken_at + WAKE_INTERVAL:
+            return
+        self._woken_at = now
+        self._reading.cancel()
+
     async def close(self) -> None:
         """Stop to follow."""
+        self._is_closing = True
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
         while True:
+            self._reading = asyncio.create_task(self._read_once())
             try:
-                await self._read_once()
+                await self._reading
+            except asyncio.CancelledError:
+                # Either the read was ended by `wake`, or the feed itself by `close`.
+                if self._is_closing:
+                    raise
             except HistoryLost:
                 self._events.record("feed.history_lost", table=self._options.table)
                 self._version = None
-            except MustardquayError as error:
+            except Exception as error:
+                # Whatever it is, the feed must go on: without it, the process would
+                # serve by an old list for the rest of its life.
                 await self._wait_after(error)
             else:
                 await self._sleep(self._options.pace)
@@ -118,11 +140,11 @@
         )
         self._regained()
 
-    async def _wait_after(self, error: MustardquayError) -> None:
+    async def _wait_after(self, error: Exception) -> None:
         if self._lost_at is None:
             self._lost_at = self._clock.monotonic()
             self._events.record(
-                "feed.lost", table=self._options.table, error=str(error)
+                "feed.lost", table=self._options.table, error=repr(error)
             )
         delay = draw_delay(self._random, self._failures, FIRST_RETRY, LONGEST_RETRY)
         self._failures += 1
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -71,9 +71,11 @@
     retry_limits: RetryLimits
     processes: int
     """Processes of this kind that may live at once."""
-    count: Callable[[str, str], None] = lambda kind, outcome: None
-    """Counts an answer by kind of request and outcome."""
-    observe: Callable[[str, timedelta], None] = lambda kind, duration: None
+    count: Callable[[str, str], None] = lambda route, outcome: None
+    """Counts an answer by route and outcome."""
+    count_send: Callable[[str, str], None] = lambda route, end: None
+    """Counts a send by route and by how it ended."""
+    observe: Callable[[str, timedelta], None] = lambda route, duration: None
     """Records the time to the first byte of an answer."""
 
 
@@ -371,7 +373,8 @@
             source = ""
             if placement.prefiller is not None:
                 prefilled = await self._prefill(route, placement)
-                planner.end_reading(ticket)
+                is_read = isinstance(prefilled, Prefilled)
+                planner.end_reading(ticket, is_handed_over=is_read)
                 self._log_read(placement, now)
                 if isinstance(prefilled, _Send):
                     return prefilled
@@ -486,6 +489,7 @@
         send.detail = end
         send.end = self._classify(send, end)
         id = send.upstream.id
+        self._parts.count_send(self._route.name, send.end.value)
         if send.end is SendEnd.NOT_SENT:
             loads.note_unreachable(id, now)
         has_failed = send.end in (SendEnd.BROKEN, SendEnd.NOT_SENT) or (
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
@@ -1,32 +1,82 @@
 """Gateway metrics: what a gateway counts and measures, for its `/metrics`."""
 
 from collections import Counter
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 
-from prometheus_client.exposition import CONTENT_TYPE_LATEST
+from .histograms import Histogram
+from .metric_pages import CONTENT_TYPE_LATEST, MetricPage
 
-__all__ = ["CONTENT_TYPE_LATEST", "GatewayMetrics"]
+__all__ = ["CONTENT_TYPE_LATEST", "GAUGES", "GatewayMetrics"]
+
+GAUGES = {
+    "mustardquay.configuration.version": (
+        "{version}",
+        "Version of the operator's configuration that is in force here.",
+    ),
+    "mustardquay.ready": ("1", "1 while the process takes new work, else 0."),
+    "mustardquay.running": ("{request}", "Requests without a whole answer."),
+    "mustardquay.upstreams": ("{upstream}", "Upstreams that are listed."),
+    "mustardquay.connections": ("{connection}", "Connections of callers."),
+    "mustardquay.store.age": ("s", "Time since the store last answered."),
+}
+"""Gauges of a gateway: unit and meaning by name."""
+
+_SECONDS = (0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2, 5, 15)
 
 
 class GatewayMetrics:
-    """The metrics of one gateway."""
+    """The metrics of one gateway. Routes are the operator's, so they are few."""
 
     def __init__(self, process: str, availability_zone: str):
         self._answers: Counter[tuple[str, str]] = Counter()
+        self._sends: Counter[tuple[str, str]] = Counter()
+        self._first_byte = Histogram(
+            "mustardquay.first_byte",
+            "s",
+            "Time from a request's arrival to the first byte of its answer.",
+            ("mustardquay.route",),
+            _SECONDS,
+        )
+        histograms = (self._first_byte,)
+        self._page = MetricPage(process, "gateway", availability_zone, histograms)
 
-    def start(self) -> None:
-        """Begin to export."""
+    def start(self, gauges: Mapping[str, Callable[[], float]]) -> None:
+        """Begin to export; `gauges` reads the value of each of `GAUGES`."""
+        self._page.start()
+        self._page.add_counter(
+            "mustardquay.requests",
+            "Requests that have ended, by outcome.",
+            self._answers,
+            "mustardquay.route",
+            "mustardquay.outcome",
+        )
+        self._page.add_counter(
+            "mustardquay.sends",
+            "Sends to upstreams that have ended, by how they ended.",
+            self._sends,
+            "mustardquay.route",
+            "mustardquay.end",
+        )
+        for name, definition in GAUGES.items():
+            self._page.add_gauge(name, definition, gauges)
 
     def close(self) -> None:
         """Stop to export."""
+        self._page.close()
 
     def count_answer(self, route: str, outcome: str) -> None:
         """Count the end of a request."""
         self._answers[route, outcome] += 1
 
+    def count_send(self, route: str, end: str) -> None:
+        """Count the end of a send to an upstream."""
+        self._sends[route, end] += 1
+
     def record_first_byte(self, route: str, duration: timedelta) -> None:
         """Count the time from a request's arrival to its answer's first byte."""
+        self._first_byte.record(duration.total_seconds(), route)
 
     def render(self) -> bytes:
         """Return the page for Prometheus."""
-        return b""
+        return self._page.render()
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -106,14 +106,24 @@
             and self._upstreams.is_known
         )
 
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force, 0 before the first."""
+        table = self._forwarder.table
+        return table.version if table is not None else 0
+
     @property
     def events(self) -> EventRing:
         """Return the ring of this process's events."""
         return self._events
 
+    def list_upstreams(self) -> list[UpstreamRecord]:
+        """Return the upstreams that are listed."""
+        return list(self._upstreams)
+
     async def start(self) -> None:
         """Listen, and begin to follow the store."""
-        self._metrics.start()
+        self._metrics.start(self._make_gauges())
         gateway = self._settings.gateway
         self._caller_server = self._listen_to_callers(gateway.listen)
         self._listen_to_balancer(gateway.readiness)
@@ -194,6 +204,7 @@
             retry_limits=self._make_retry_limits(),
             processes=self._settings.gateway.processes,
             count=self._metrics.count_answer,
+            count_send=self._metrics.count_send,
             observe=self._metrics.record_first_byte,
         )
 
@@ -223,6 +234,22 @@
             ),
         )
 
+    def _make_gauges(self) -> dict[str, Callable[[], float]]:
+        return {
+            "mustardquay.configuration.version": lambda: float(self.version),
+            "mustardquay.ready": lambda: float(self.is_ready),
+            "mustardquay.running": lambda: float(self._forwarder.in_flight),
+            "mustardquay.upstreams": lambda: float(len(list(self._upstreams))),
+            "mustardquay.connections": lambda: float(self._connections.count),
+            "mustardquay.store.age": self._measure_store_age,
+        }
+
+    def _measure_store_age(self) -> float:
+        answers = [feed.answered_at for feed in self._feeds if feed.answered_at]
+        if not answers:
+            return float("inf")
+        return (self._clock.monotonic() - max(answers)).total_seconds()
+
     def _make_peers(self) -> PeerLink:
         node, gateway = self._settings.node, self._settings.gateway
         return PeerLink(
@@ -232,17 +259,23 @@
             self._clock,
             self._events,
             self._build_digest,
-            self._planner.hear,
+            self._hear_peer,
         )
 
+    def _hear_peer(self, digest: PeerDigest) -> None:
+        """Take in a digest; a newer configuration elsewhere is fetched at once.
+
+        Guards against a connection to the store that went silent: the configuration
+        would be read only when the call on it has timed out.
+        """
+        self._planner.hear(digest)
+        if digest.configuration > self.version:
+            self._feeds[0].wake()
+
     def _build_digest(self) -> PeerDigest:
         self._digests += 1
-        table = self._forwarder.table
         return self._planner.build_digest(
-            self._settings.node.name,
-            self._incarnation,
-            self._digests,
-            table.version if table else 0,
+            self._settings.node.name, self._incarnation, self._digests, self.version
         )
 
     def _make_keeper(self) -> StageKeeper:
--- a/packages/mustardquay-node/src/mustardquay_node/generators.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generators.py
@@ -28,6 +28,7 @@
     """A placed generation, until its prompt is read and its stream has ended."""
 
     placement: Placement
+    parts: tuple[HashedPart, ...]
     is_read: bool = False
 
 
@@ -65,26 +66,30 @@
         reader = placement.reader.id
         self._books.works.get(reader).seconds += placement.read_seconds
         self._books.works.get(placement.decoder.id).running += 1
-        self._note_parts(placement, hash_parts(prompt.parts))
-        return Ticket(placement)
+        parts = hash_parts(prompt.parts)
+        # At once, so that the next prompts with these parts go there, too.
+        self._note_parts(placement.reader, parts)
+        return Ticket(placement, parts)
 
-    def _note_parts(self, placement: Placement, parts: Sequence[HashedPart]) -> None:
-        """Note where the parts are from now on, and tell the other gateways."""
-        engines = {placement.reader.id: placement.reader}
-        engines[placement.decoder.id] = placement.decoder
-        for id, engine in engines.items():
-            self._books.prefixes.note(id, engine.stage, parts)
-            self._placed += [PlacedPart(id, *part) for part in parts]
-        del self._placed[:-PARTS_LIMIT]
+    def end_reading(self, ticket: Ticket, is_handed_over: bool = False) -> None:
+        """Note that the prompt has been read, or won't be.
 
-    def end_reading(self, ticket: Ticket) -> None:
-        """Note that the prompt has been read, or won't be."""
+        With `is_handed_over`, the engine that generates copies it.
+        """
         if ticket.is_read:
             return
         ticket.is_read = True
         placement = ticket.placement
         work = self._books.works.get(placement.reader.id)
         work.seconds = max(work.seconds - placement.read_seconds, 0.0)
+        if is_handed_over:
+            self._note_parts(placement.decoder, ticket.parts)
+
+    def _note_parts(self, engine: UpstreamRecord, parts: Sequence[HashedPart]) -> None:
+        """Note where the parts are from now on, and tell the other gateways."""
+        self._books.prefixes.note(engine.id, engine.stage, parts)
+        self._placed += [PlacedPart(engine.id, *part) for part in parts]
+        del self._placed[:-PARTS_LIMIT]
 
     def end(self, ticket: Ticket) -> None:
         """Note that the generation has ended."""
--- a/packages/mustardquay-node/src/mustardquay_node/metrics.py
+++ b/packages/mustardquay-node/src/mustardquay_node/metrics.py
@@ -7,26 +7,13 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from datetime import timedelta
-from typing import Any
-
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.metrics.export import (
-    MetricsData,
-    ResourceMetrics,
-    ScopeMetrics,
-)
-from opentelemetry.sdk.resources import Resource
-from opentelemetry.sdk.util.instrumentation import InstrumentationScope
-from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
-from prometheus_client.exposition import CONTENT_TYPE_LATEST
-
-from mustardquay import Outcome, Reason, __version__
+
+from mustardquay import Outcome, Reason
 
 from .histograms import Histogram
+from .metric_pages import CONTENT_TYPE_LATEST, MetricPage
 
 __all__ = ["CONTENT_TYPE_LATEST", "GAUGES", "NodeMetrics"]
 
@@ -49,65 +36,28 @@
 _TOKENS = tuple(4**power for power in range(11))
 
 
-class _Reader(PrometheusMetricReader):
-    """Adds the histograms of this module to what the SDK has collected."""
-
-    def __init__(self, registry: CollectorRegistry, histograms: Iterable[Histogram]):
-        super().__init__(registry=registry, scope_info_enabled=False)
-        self._histograms = tuple(histograms)
-
-    def _receive_metrics(
-        self, metrics_data: MetricsData, timeout_millis: float = 10_000, **options: Any
-    ) -> None:
-        metrics = [histogram.collect() for histogram in self._histograms]
-        scope = InstrumentationScope("mustardquay", __version__)
-        added = ResourceMetrics(
-            resource=metrics_data.resource_metrics[0].resource,
-            scope_metrics=[ScopeMetrics(scope, metrics, "")],
-            schema_url="",
-        )
-        merged = MetricsData([*metrics_data.resource_metrics, added])
-        super()._receive_metrics(merged, timeout_millis, **options)
-
-
 class NodeMetrics:
     """The metrics of one process; recording one takes about a microsecond."""
 
     def __init__(self, process: str, kind: str, availability_zone: str):
-        self._resource = Resource(
-            {
-                "service.name": "mustardquay",
-                "service.instance.id": process,
-                "service.version": __version__,
-                "mustardquay.kind": kind,
-                "cloud.availability_zone": availability_zone,
-            }
-        )
         self._outcomes: Counter[tuple[str, str]] = Counter()
         # All reasons are there from the start, so that rates need no first event.
         self._refusals = Counter({(reason.value,): 0 for reason in Reason})
         self._retries: Counter[tuple[str]] = Counter()
-        self._registry = CollectorRegistry()
-        self._provider: MeterProvider | None = None
         self._gauges: dict[str, Callable[[], float]] = {}
         self._make_histograms()
+        self._page = MetricPage(process, kind, availability_zone, self._histograms)
 
     def start(self) -> None:
         """Begin to export; gauges may be watched before and after."""
-        ProcessCollector(registry=self._registry)
-        reader = _Reader(self._registry, self._histograms)
-        self._provider = MeterProvider(
-            [reader], resource=self._resource, shutdown_on_exit=False
-        )
+        self._page.start()
         self._make_counters()
         for name in self._gauges:
-            self._make_gauge(name)
+            self._page.add_gauge(name, GAUGES[name], self._gauges)
 
     def close(self) -> None:
         """Stop to export."""
-        if self._provider is not None:
-            self._provider.shutdown()
-            self._provider = None
+        self._page.close()
 
     def watch(self, name: str, read: Callable[[], float]) -> None:
         """Export a gauge of `GAUGES`, read anew at each scrape."""
@@ -115,8 +65,8 @@
             raise ValueError(f"{name} is no gauge; add it to GAUGES first.")
         new = name not in self._gauges
         self._gauges[name] = read
-        if new and self._provider is not None:
-            self._make_gauge(name)
+        if new and self._page.is_started:
+            self._page.add_gauge(name, GAUGES[name], self._gauges)
 
     def record_request(
         self, operation: str, model: str, outcome: Outcome, duration: timedelta
@@ -162,7 +112,7 @@
 
     def render(self) -> bytes:
         """Return the page for Prometheus, of type `CONTENT_TYPE_LATEST`."""
-        return generate_latest(self._registry)
+        return self._page.render()
 
     def _make_histograms(self) -> None:
         names = ("gen_ai.operation.name", "gen_ai.request.model")
@@ -197,53 +147,22 @@
         self._histograms = (self._duration, self._first_token, self._gap, self._usage)
 
     def _make_counters(self) -> None:
-        self._make_counter(
+        self._page.add_counter(
             "mustardquay.requests",
             "Requests that have ended, by outcome.",
             self._outcomes,
             "gen_ai.operation.name",
             "mustardquay.outcome",
         )
-        self._make_counter(
+        self._page.add_counter(
             "mustardquay.refusals",
             "Work refused, by reason.",
             self._refusals,
             "mustardquay.reason",
         )
-        self._make_counter(
+        self._page.add_counter(
             "mustardquay.retries",
             "Attempts after one that failed, by cause.",
             self._retries,
             "mustardquay.cause",
         )
-
-    def _make_counter(
-        self,
-        name: str,
-        description: str,
-        counts: Counter[tuple[str, ...]],
-        *attributes: str,
-    ) -> None:
-        def observe(options: CallbackOptions) -> list[Observation]:
-            return [
-                Observation(count, dict(zip(attributes, values, strict=True)))
-                for values, count in counts.items()
-            ]
-
-        self._meter.create_observable_counter(
-            name, [observe], unit="{request}", description=description
-        )
-
-    def _make_gauge(self, name: str) -> None:
-        unit, description = GAUGES[name]
-
-        def observe(options: CallbackOptions) -> list[Observation]:
-            return [Observation(self._gauges[name]())]
-
-        self._meter.create_observable_gauge(
-            name, [observe], unit=unit, description=description
-        )
-
-    @property
-    def _meter(self) -> Any:
-        return self._provider.get_meter("mustardquay", __version__)
--- a/packages/mustardquay/src/mustardquay/stage_plans.py
+++ b/packages/mustardquay/src/mustardquay/stage_plans.py
@@ -101,7 +101,7 @@
     """Return how many of so many engines generate so many streams.
 
     >>> [count_decoders(number, 60) for number in (1, 2, 3, 4, 6, 24)]
-    [1, 1, 1, 2, 3, 3]
+    [1, 1, 1, 2, 2, 3]
     """
     least = LEAST_DECODERS if engines >= SMALL_SERVICE else 1
     most = max(int(engines * LARGEST_SHARE), least)
--- /dev/null
+++ b/tests/adapter/conftest.py
@@ -0,0 +1,159 @@
+import asyncio
+import json
+from dataclasses import dataclass, field
+
+import pytest_asyncio
+from standins import StoreStandIn, UpstreamStandIn, read_message
+
+from mustardquay_node.gateways import Gateway
+from mustardquay_node.settings import check_settings
+
+WAIT = 5.0
+"""Seconds that a test waits for what has to come; a pass never takes them."""
+
+ROUTES = {
+    "once": ("non_idempotent", {}),
+    "again": ("idempotent", {"max_attempts": 2}),
+    "stream": ("stream", {}),
+    "resumable": ("stream", {"max_attempts": 2, "resumable": True}),
+}
+
+
+def make_configuration(version=1, engine=None, **changes):
+    routes = [
+        {
+            "name": name,
+            "host": "a.example",
+            "prefix": f"/{name}/",
+            "kind": kind,
+            "timeout_ms": 3000,
+            "target_latency_ms": 200,
+            "priority": 1,
+            "service": "app",
+            "max_attempts": 1,
+        }
+        | fields
+        | changes
+        for name, (kind, fields) in ROUTES.items()
+    ]
+    service = {"name": "app", "health_path": "/healthz", "max_conns": 400}
+    limits = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 100_000,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    }
+    if engine is not None:
+        service["engine"] = engine
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [service],
+        "limits": limits,
+    }
+
+
+@dataclass
+class Site:
+    """One gateway with its store and upstreams."""
+
+    store: StoreStandIn
+    gateway: Gateway
+    address: str
+    upstreams: dict[str, UpstreamStandIn] = field(default_factory=dict)
+
+    async def add_upstream(self, id, script=None, **changes):
+        upstream = UpstreamStandIn(id, script)
+        await upstream.start()
+        self.upstreams[id] = upstream
+        self.store.put("servers", id, upstream.describe(**changes))
+        await self.until(lambda: id in self.list_upstreams())
+        return upstream
+
+    def list_upstreams(self):
+        return [record.id for record in self.gateway.list_upstreams()]
+
+    async def put_configuration(self, **changes):
+        document = make_configuration(**changes)
+        self.store.put("op", "config", document)
+        await self.until(lambda: self.gateway.version == document["version"])
+
+    async def until(self, condition):
+        async with asyncio.timeout(WAIT):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def connect(self):
+        host, port = self.address.split(":")
+        return await asyncio.open_connection(host, int(port))
+
+    async def call(self, path, method="GET", body=b"", headers=None, connection=None):
+        """Send a request and return status, headers and body."""
+        reader, writer = connection or await self.connect()
+        writer.write(build_request(path, method, body, headers))
+        async with asyncio.timeout(WAIT):
+            line, fields, answer = await read_message(reader)
+        if connection is None:
+            writer.close()
+        return int(line.split()[1]), fields, answer
+
+    def count(self):
+        return sum(len(each.arrivals) for each in self.upstreams.values())
+
+    def list_events(self, kind):
+        return [each for each in self.gateway.events.list_events() if each.kind == kind]
+
+
+def build_request(path, method="GET", body=b"", headers=None):
+    fields = {
+        "Host": "a.example",
+        "X-Request-Id": "r1",
+        "X-Deadline-Ms": "2500",
+    } | (headers or {})
+    if body:
+        fields["Content-Length"] = str(len(body))
+    lines = [f"{method} {path} HTTP/1.1", *(f"{k}: {v}" for k, v in fields.items())]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+@pytest_asyncio.fixture
+async def empty_site(unused_tcp_port_factory):
+    store = StoreStandIn()
+    await store.start()
+    address = f"127.0.0.1:{unused_tcp_port_factory()}"
+    settings = check_settings(
+        {
+            "node": {
+                "name": "g1",
+                "kind": "gateway",
+                "availability_zone": "a",
+                "address": "127.0.0.1",
+            },
+            "store": {"address": store.address, "upstreams_pace": "0.02"},
+            "gateway": {
+                "listen": address,
+                "readiness": f"127.0.0.1:{unused_tcp_port_factory()}",
+                "peer_port": str(unused_tcp_port_factory()),
+                "processes": "1",
+                "drain_timeout": "0.5",
+            },
+        }
+    )
+    gateway = Gateway(settings, seed=1)
+    await gateway.start()
+    site = Site(store, gateway, address)
+    yield site
+    await gateway.close()
+    for upstream in site.upstreams.values():
+        upstream.close()
+    store.close()
+
+
+@pytest_asyncio.fixture
+async def site(empty_site):
+    await empty_site.put_configuration()
+    return empty_site
+
+
+def dump(value):
+    return json.dumps(value).encode()
--- /dev/null
+++ b/tests/adapter/standins.py
@@ -0,0 +1,278 @@
+"""Stand-ins of the platform: its store, and upstreams whose failures are scripted."""
+
+import asyncio
+import json
+import socket
+import struct
+from base64 import b64encode
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+__all__ = ["Answer", "Arrival", "StoreStandIn", "UpstreamStandIn", "read_message"]
+
+
+async def read_message(reader):
+    """Return start line, headers and body of one HTTP message."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        if name:
+            headers[name.strip().lower()] = value.strip()
+    body = b""
+    if "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    elif headers.get("transfer-encoding") == "chunked":
+        body = await read_chunks(reader)
+    return lines[0], headers, body
+
+
+async def read_chunks(reader):
+    parts = []
+    while True:
+        size = int((await reader.readline()).strip(), 16)
+        parts.append(await reader.readexactly(size))
+        await reader.readline()
+        if size == 0:
+            return b"".join(parts)
+
+
+class StoreStandIn:
+    """Rows with one counter of versions, a feed, and switches for its failures."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.is_down = False
+        self.loses_history = False
+        self._log = []
+        self._changed = asyncio.Event()
+        self._server = None
+
+    @property
+    def address(self):
+        host, port = self._server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+
+    def close(self):
+        self._server.close()
+
+    def put(self, table, key, value):
+        """Write a row as the operator or an upstream does."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.version += 1
+        row = {"table": table, "part": "", "key": key, "ver": self.version}
+        row["value"] = b64encode(data).decode()
+        self.rows[table, key] = row
+        self._publish(row)
+
+    def remove(self, table, key):
+        self.version += 1
+        self.rows.pop((table, key), None)
+        self._publish(
+            {"table": table, "key": key, "ver": self.version, "deleted": True}
+        )
+
+    def _publish(self, row):
+        self._log.append(row)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                line, _, body = await read_message(reader)
+                status, answer = await self._answer(line, body)
+                data = json.dumps(answer).encode()
+                head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
+                writer.write(head.encode() + data)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def _answer(self, line, body):
+        if self.is_down:
+            return 503, {}
+        method, target, _ = line.split(" ")
+        call, _, query = target.partition("?")
+        fields = dict(pair.split("=") for pair in query.split("&") if pair)
+        if call == "/-/rows-tx":
+            return self._transact(json.loads(body))
+        if call == "/-/rows-feed":
+            return await self._feed(fields)
+        return self._get(fields)
+
+    def _get(self, fields):
+        rows = [
+            row for (table, _), row in self.rows.items() if table == fields["table"]
+        ]
+        rows.sort(key=lambda row: row["key"])
+        start, end = fields.get("from", ""), fields.get("to", "").replace("%00", "\0")
+        chosen = [r for r in rows if r["key"] >= start and (not end or r["key"] < end)]
+        return 200, {"rows": chosen, "has_more": False, "ver": self.version}
+
+    async def _feed(self, fields):
+        if self.loses_history:
+            self.loses_history = False
+            return 410, {}
+        after = int(fields["after"])
+        deadline = asyncio.get_running_loop().time() + int(fields["wait_ms"]) / 1000
+        while True:
+            rows = [
+                row
+                for row in self._log
+                if row["ver"] > after and row["table"] == fields["table"]
+            ]
+            left = deadline - asyncio.get_running_loop().time()
+            if rows or left <= 0:
+                return 200, {"rows": rows, "ver": self.version}
+            try:
+                await asyncio.wait_for(self._changed.wait(), left)
+            except TimeoutError:
+                continue
+
+    def _transact(self, call):
+        for each in call["expected"]:
+            row = self.rows.get((each["table"], each["key"]))
+            if (row["ver"] if row else 0) != each["ver"]:
+                return 412, {"rows": [], "ver": self.version}
+        self.version += 1
+        for each in call["writes"]:
+            row = each | {"ver": self.version}
+            self.rows[each["table"], each["key"]] = row
+            self._publish(row)
+        return 200, {"ver": self.version, "now_ms": 1}
+
+
+@dataclass
+class Arrival:
+    """One request at an upstream."""
+
+    line: str
+    headers: dict
+    body: bytes
+    connection: int
+    closed: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class Answer:
+    """Writes answers of an upstream, whole or not."""
+
+    def __init__(self, writer, arrival, id):
+        self._writer = writer
+        self._id = arrival.headers.get("x-request-id", "")
+        self.upstream = id
+
+    def send(self, status=200, body=b"ok", headers=None, request_id=None):
+        """Send a whole answer."""
+        fields = {
+            "X-Request-Id": self._id if request_id is None else request_id,
+            "X-Response-Stamp": f"stamp-{self.upstream}",
+            "Content-Length": str(len(body)),
+        } | (headers or {})
+        self.write_head(status, {k: v for k, v in fields.items() if v is not None})
+        self._writer.write(body)
+
+    def write_head(self, status, fields):
+        lines = [f"HTTP/1.1 {status} X", *(f"{k}: {v}" for k, v in fields.items())]
+        self._writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+
+    def begin_stream(self):
+        """Send the head of a stream in chunks."""
+        self.write_head(
+            200,
+            {
+                "X-Request-Id": self._id,
+                "X-Response-Stamp": f"stamp-{self.upstream}",
+                "Content-Type": "text/event-stream",
+                "Transfer-Encoding": "chunked",
+            },
+        )
+
+    def write_chunk(self, data):
+        self._writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+    def end_stream(self):
+        self._writer.write(b"0\r\n\r\n")
+
+    def write_raw(self, data):
+        self._writer.write(data)
+
+    async def flush(self):
+        await self._writer.drain()
+        await asyncio.sleep(0.02)
+
+    def close(self):
+        self._writer.close()
+
+    def reset(self):
+        """Break the connection off, which the other end sees as a reset."""
+        connection = self._writer.transport.get_extra_info("socket")
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self._writer.transport.abort()
+
+
+Script = Callable[[Arrival, Answer], Awaitable[None]]
+
+
+class UpstreamStandIn:
+    """An upstream that does what a script says, one request at a time."""
+
+    def __init__(self, id, script: Script | None = None):
+        self.id = id
+        self.script = script or self.answer
+        self.arrivals = []
+        self._server = None
+        self._connections = 0
+
+    @property
+    def address(self):
+        host, port = self._server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    @staticmethod
+    async def answer(arrival, answer):
+        answer.send(body=f"from {answer.upstream}".encode())
+
+    def describe(self, **changes):
+        """Return the record that it keeps in the store."""
+        return {
+            "service": "app",
+            "addr": self.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 6,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "seq": 1,
+        } | changes
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+
+    def close(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self._connections += 1
+        number = self._connections
+        arrival = None
+        try:
+            while True:
+                line, headers, body = await read_message(reader)
+                arrival = Arrival(line, headers, body, number)
+                self.arrivals.append(arrival)
+                answer = Answer(writer, arrival, self.id)
+                script = asyncio.create_task(self.script(arrival, answer))
+                await script
+                if writer.transport.is_closing():
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+        finally:
+            if arrival is not None:
+                arrival.closed.set()
--- /dev/null
+++ b/tests/adapter/test_forwarding.py
@@ -0,0 +1,298 @@
+"""What callers and upstreams see of a gateway, over real sockets."""
+
+import asyncio
+
+import pytest
+from conftest import build_request
+from standins import read_message
+
+
+async def test_a_request_reaches_the_upstream_as_it_was_sent(site):
+    upstream = await site.add_upstream("i-1")
+    status, headers, body = await site.call(
+        "/again/x?y=1", "PUT", b"some body", {"X-Own": "kept", "Connection": "x-hop"}
+    )
+    assert (status, body) == (200, b"from i-1")
+    assert headers["x-response-stamp"] == "stamp-i-1"
+    arrival = upstream.arrivals[0]
+    assert arrival.line == "PUT /again/x?y=1 HTTP/1.1"
+    assert arrival.body == b"some body"
+    assert arrival.headers["x-own"] == "kept"
+    assert arrival.headers["x-request-id"] == "r1"
+    assert arrival.headers["x-expect-instance"] == "i-1"
+    assert 2000 < int(arrival.headers["x-deadline-ms"]) <= 2500
+
+
+async def test_headers_that_only_the_system_sets_are_dropped(site):
+    """A caller reads the memory of another caller's prompt.
+
+    It names the place where an engine is to fetch the prompt from, in a header that
+    gateways send to engines.
+    """
+    upstream = await site.add_upstream("i-1")
+    forged = {
+        "X-Stage": "prefill",
+        "X-Kv-Source": "10.0.0.1:80/abc",
+        "X-Kv-Hold": "h",
+        "X-Kv-Backup": "10.0.0.1:80",
+        "X-Pin-Ms": "4000",
+        "Kv-Fetch": "10.0.0.1:80",
+        "X-Request-Priority": "0",
+        "X-Expect-Version": "9",
+    }
+    await site.call("/again/", headers=forged)
+    for name in forged:
+        assert name.lower() not in upstream.arrivals[0].headers
+
+
+async def test_without_a_configuration_nothing_is_promised_or_run(empty_site):
+    await empty_site.add_upstream("i-1")
+    status, headers, _ = await empty_site.call("/once/")
+    assert status == 503
+    assert float(headers["retry-after"]) > 0
+    assert empty_site.count() == 0
+
+
+async def test_what_no_route_covers_is_not_found(site):
+    await site.add_upstream("i-1")
+    assert (await site.call("/none/"))[0] == 404
+    assert (await site.call("/once/", headers={"Host": "b.example"}))[0] == 404
+
+
+async def test_an_alert_is_sent_once_though_its_answer_is_lost(site):
+    """Commuters get an alert twice.
+
+    The upstream has sent it, and the connection is reset before the answer. The next
+    upstream would send it again, and "not run" would make the caller do so.
+    """
+
+    async def lose(arrival, answer):
+        answer.reset()
+
+    await site.add_upstream("i-1", lose)
+    await site.add_upstream("i-2", lose)
+    status, headers, _ = await site.call("/once/", "POST", b"alert")
+    assert status == 502
+    assert "retry-after" not in headers
+    assert site.count() == 1
+
+
+async def test_an_idempotent_request_survives_a_lost_answer(site):
+    async def lose(arrival, answer):
+        answer.reset()
+
+    first = await site.add_upstream("i-1", lose)
+    await site.add_upstream("i-2")
+    for _ in range(5):
+        assert (await site.call("/again/"))[0] == 200
+    assert len(first.arrivals) <= 5
+
+
+async def test_a_refusal_of_the_upstream_is_passed_on_as_not_run(site):
+    async def shed(arrival, answer):
+        answer.send(503, b"full", {"X-Not-Executed": "1", "Retry-After": "0.4"})
+
+    await site.add_upstream("i-1", shed)
+    status, headers, _ = await site.call("/once/", "POST", b"alert")
+    assert status == 503
+    assert headers["retry-after"] == "0.40"
+    assert site.count() == 1
+
+
+async def test_a_refusal_after_a_lost_answer_is_not_passed_on(site):
+    async def lose(arrival, answer):
+        answer.reset()
+
+    async def shed(arrival, answer):
+        answer.send(503, b"full", {"X-Not-Executed": "1"})
+
+    first = await site.add_upstream("i-1", lose)
+    second = await site.add_upstream("i-2", shed)
+    statuses = {(await site.call("/again/"))[0] for _ in range(4)}
+    assert first.arrivals and second.arrivals
+    assert 502 in statuses
+
+
+async def test_an_address_that_another_upstream_has_runs_nothing(site):
+    """A booking is made by the service of another site.
+
+    The upstream has ended, and its address belongs to an upstream of another service
+    now. That one says that it is not the one meant.
+    """
+
+    async def deny(arrival, answer):
+        answer.send(421, b"", {"X-Instance-Id": "i-9"})
+
+    await site.add_upstream("i-1", deny)
+    status, _, _ = await site.call("/once/", "POST", b"booking")
+    assert status == 503
+
+
+async def test_a_late_answer_to_another_request_reaches_nobody_else(site):
+    """A host gets the booking of another.
+
+    The upstream sends an earlier answer once more, where the next one is expected.
+    """
+
+    async def repeat(arrival, answer):
+        answer.send(body=b"somebody else's", request_id="r0")
+        await answer.flush()
+        answer.send(body=b"mine")
+
+    await site.add_upstream("i-1", repeat)
+    assert (await site.call("/once/", "POST", b"x"))[2] == b"mine"
+    assert site.list_events("answer.skipped")
+
+
+async def test_bytes_after_an_answer_end_the_connection(site):
+    async def babble(arrival, answer):
+        answer.send(body=b"mine")
+        answer.write_raw(b"HTTP/1.1 200 X\r\nContent-Length: 3\r\n\r\nbad")
+
+    upstream = await site.add_upstream("i-1", babble)
+    for _ in range(3):
+        assert (await site.call("/again/"))[2] == b"mine"
+        await asyncio.sleep(0.05)
+    assert {arrival.connection for arrival in upstream.arrivals} == {1, 2, 3}
+
+
+@pytest.mark.parametrize(("resets", "status"), [(False, 200), (True, 502)])
+async def test_an_answer_without_a_length_is_whole_only_if_it_ends_in_order(
+    site, resets, status
+):
+    """A caller takes the half of an answer for the whole.
+
+    The answer has no length and ends with its connection, which breaks off.
+    """
+
+    async def answer_unframed(arrival, answer):
+        answer.send(body=b"part", headers={"Content-Length": None})
+        await answer.flush()
+        answer.reset() if resets else answer.close()
+
+    await site.add_upstream("i-1", answer_unframed)
+    assert (await site.call("/once/", "POST", b"x"))[0] == status
+
+
+async def test_a_body_that_was_encoded_on_its_way_is_not_passed_on(site):
+    async def encode(arrival, answer):
+        answer.send(body=b"\x1f\x8b", headers={"Content-Encoding": "gzip"})
+
+    await site.add_upstream("i-1", encode)
+    assert (await site.call("/once/", "POST", b"x"))[0] == 502
+
+
+async def test_an_early_answer_leaves_no_rest_of_the_body_for_others(site):
+    """An alert carries a piece of another one's text.
+
+    The upstream answers before it has read the body and reads on later; the next
+    request on that connection would stand where the rest of the body is due.
+    """
+
+    async def answer(arrival, answer):
+        answer.send(body=arrival.body[:5])
+
+    upstream = await site.add_upstream("i-1", answer)
+    for text in (b"first" * 10_000, b"other" * 10_000):
+        assert (await site.call("/once/", "POST", text))[2] == text[:5]
+    assert [arrival.body[:5] for arrival in upstream.arrivals] == [b"first", b"other"]
+
+
+async def test_a_request_in_a_request_is_refused(site):
+    """A runner carries out a request that no caller sent.
+
+    The request has both a length and chunks, and the two ends part it differently.
+    """
+    await site.add_upstream("i-1")
+    reader, writer = await site.connect()
+    writer.write(
+        b"POST /once/ HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r1\r\n"
+        b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"0\r\n\r\nGET /once/ HTTP/1.1\r\nHost: a.example\r\n\r\n"
+    )
+    answer = await asyncio.wait_for(reader.read(), 5)
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert site.count() == 0
+    writer.close()
+
+
+async def test_a_body_over_the_limit_is_refused_with_the_limit(site):
+    await site.add_upstream("i-1")
+    status, _, body = await site.call("/once/", "POST", b"x" * 100_001)
+    assert status == 413
+    assert b"100000" in body
+    assert site.count() == 0
+
+
+async def test_the_route_bounds_the_wait(site):
+    async def hang(arrival, answer):
+        await asyncio.sleep(30)
+
+    upstream = await site.add_upstream("i-1", hang)
+    headers = {"X-Deadline-Ms": "300"}
+    status, _, _ = await site.call("/once/", "POST", b"x", headers)
+    assert status == 504
+    assert len(upstream.arrivals) == 1
+
+
+@pytest.mark.parametrize(("path", "stops"), [("/again/", True), ("/stream/", True)])
+async def test_a_caller_that_leaves_stops_the_work(site, path, stops):
+    """Engines work on for callers that are gone, while others wait."""
+    stopped = asyncio.Event()
+
+    async def hang(arrival, answer):
+        try:
+            while True:
+                await asyncio.sleep(0.02)
+                if answer._writer.transport.is_closing():
+                    return
+                if answer._writer.transport.get_extra_info("socket").fileno() < 0:
+                    return
+                reader = answer._writer.transport.get_protocol()._stream_reader
+                if reader.at_eof():
+                    return
+        finally:
+            stopped.set()
+
+    upstream = await site.add_upstream("i-1", hang)
+    reader, writer = await site.connect()
+    writer.write(build_request(path))
+    await site.until(lambda: upstream.arrivals)
+    writer.close()
+    async with asyncio.timeout(0.5):
+        await stopped.wait()
+
+
+async def test_an_upstream_that_leaves_gets_no_new_request(site):
+    leaving = await site.add_upstream("i-1")
+    await site.add_upstream("i-2")
+    site.store.put("servers", "i-1", leaving.describe(state="draining"))
+    await site.until(lambda: site.list_events("upstream.changed"))
+    before = len(leaving.arrivals)
+    for _ in range(6):
+        assert (await site.call("/again/"))[0] == 200
+    assert len(leaving.arrivals) == before
+
+
+async def test_an_open_connection_carries_many_requests(site):
+    upstream = await site.add_upstream("i-1")
+    connection = await site.connect()
+    for _ in range(5):
+        status, _, _ = await site.call("/again/", connection=connection)
+        assert status == 200
+    assert {arrival.connection for arrival in upstream.arrivals} == {1}
+    connection[1].close()
+
+
+async def test_requests_that_were_sent_together_get_their_own_answers(site):
+    async def echo(arrival, answer):
+        answer.send(body=arrival.headers["x-request-id"].encode())
+
+    await site.add_upstream("i-1", echo)
+    reader, writer = await site.connect()
+    for number in range(3):
+        headers = {"X-Request-Id": f"r{number}"}
+        writer.write(build_request("/again/", headers=headers))
+    bodies = [(await read_message(reader))[2] for _ in range(3)]
+    assert bodies == [b"r0", b"r1", b"r2"]
+    writer.close()
--- /dev/null
+++ b/tests/adapter/test_generations.py
@@ -0,0 +1,119 @@
+"""Generations: a prompt is read by one engine, another one generates."""
+
+import asyncio
+import json
+
+import pytest_asyncio
+from conftest import build_request
+from standins import read_message
+
+ENGINE = {
+    "slots": 64,
+    "kv_tokens": 370_000,
+    "handle_ttl_s": 5.0,
+    "stage_switch_s": 3.0,
+}
+PROMPT = {
+    "X-Model": "m",
+    "X-Token-Counts": "9190,104",
+    "X-Prefix-Hash": "a1:2520,b2:3780,c3:2890",
+}
+SHORT = PROMPT | {"X-Token-Counts": "220,80", "X-Prefix-Hash": "d4:79,e5:141"}
+EVENT = b"id: 1\ndata: open\n\n"
+
+
+async def run_engine(arrival, answer):
+    if arrival.headers.get("x-stage") == "prefill":
+        body = {"kv_handle": "h1", "tokens": 9190, "version": 1}
+        answer.send(body=json.dumps(body).encode())
+        return
+    answer.begin_stream()
+    answer.write_chunk(EVENT)
+    answer.end_stream()
+
+
+@pytest_asyncio.fixture
+async def engines(empty_site):
+    await empty_site.put_configuration(engine=ENGINE, session_affinity=True)
+    reader = await empty_site.add_upstream("p-1", run_engine, stage="prefill")
+    decoder = await empty_site.add_upstream("d-1", run_engine, stage="decode")
+    return empty_site, reader, decoder
+
+
+async def test_a_long_prompt_is_read_apart_and_handed_over(engines):
+    site, reader, decoder = engines
+    status, headers, body = await site.call("/stream/", "POST", b"prompt", PROMPT)
+    assert (status, body) == (200, EVENT)
+    assert headers["x-response-stamp"] == "stamp-d-1"
+    assert reader.arrivals[0].headers["x-stage"] == "prefill"
+    assert decoder.arrivals[0].headers["x-kv-source"] == f"{reader.address}/h1"
+    assert "x-stage" not in decoder.arrivals[0].headers
+
+
+async def test_a_short_prompt_goes_straight_to_the_engine_that_generates(engines):
+    site, reader, decoder = engines
+    assert (await site.call("/stream/", "POST", b"prompt", SHORT))[0] == 200
+    assert not reader.arrivals
+    assert "x-kv-source" not in decoder.arrivals[0].headers
+
+
+async def test_a_prompt_that_could_not_be_handed_over_has_not_run(engines):
+    """A verdict is lost although an engine was free to read it again.
+
+    The handle has lapsed when the other engine comes for it, and that engine says
+    that it has not run the request: the caller may come back at once.
+    """
+    site, _, decoder = engines
+
+    async def lapse(arrival, answer):
+        answer.send(503, b"", {"X-Not-Executed": "1"})
+
+    decoder.script = lapse
+    status, headers, _ = await site.call("/stream/", "POST", b"prompt", PROMPT)
+    assert status == 503
+    assert "retry-after" in headers
+    assert len(decoder.arrivals) == 1
+
+
+async def test_a_reader_that_is_lost_costs_the_caller_nothing(engines):
+    site, reader, _ = engines
+
+    async def lose(arrival, answer):
+        answer.reset()
+
+    reader.script = lose
+    second = await site.add_upstream("p-2", run_engine, stage="prefill")
+    for _ in range(4):
+        status, _, _ = await site.call("/resumable/", "POST", b"prompt", PROMPT)
+        assert status == 200
+    assert second.arrivals
+
+
+async def test_crowded_engines_refuse_at_once_with_a_time_to_return(engines):
+    """Everyone gets a late answer in a burst, or hears nothing until the deadline."""
+    site, reader, _ = engines
+    release = asyncio.Event()
+
+    async def read_slowly(arrival, answer):
+        await release.wait()
+        await run_engine(arrival, answer)
+
+    reader.script = read_slowly
+    connections = []
+    for number in range(12):
+        connection = await site.connect()
+        connections.append(connection)
+        headers = PROMPT | {"X-Request-Id": f"r{number}"}
+        headers["X-Prefix-Hash"] = f"a{number}:6300,c{number}:2890"
+        connection[1].write(build_request("/stream/", "POST", b"prompt", headers))
+    await site.until(
+        lambda: len(reader.arrivals) + len(site.list_events("request.ended")) == 12
+    )
+    refused = site.list_events("request.ended")
+    assert {event.details["reason"] for event in refused} == {"crowded"}
+    assert len(refused) >= 6
+    release.set()
+    lines = [(await read_message(reader))[0] for reader, _ in connections]
+    assert sum(" 200 " in line for line in lines) == len(reader.arrivals)
+    for _, writer in connections:
+        writer.close()
--- /dev/null
+++ b/tests/adapter/test_streams.py
@@ -0,0 +1,111 @@
+"""Streams through a gateway: event by event, whole, and resumed."""
+
+import asyncio
+
+import pytest
+from conftest import build_request
+from standins import read_chunks, read_message
+
+EVENTS = [f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 6)]
+
+
+async def write_all(arrival, answer):
+    after = int(arrival.headers.get("last-event-id", "0"))
+    answer.begin_stream()
+    for event in EVENTS[after:]:
+        answer.write_chunk(event)
+        await answer.flush()
+    answer.end_stream()
+
+
+def break_after(count, rest=b""):
+    """Return a script that crashes after so many events and a part of one."""
+
+    async def script(arrival, answer):
+        answer.begin_stream()
+        for event in EVENTS[:count]:
+            answer.write_chunk(event)
+            await answer.flush()
+        if rest:
+            answer.write_chunk(rest)
+            await answer.flush()
+        answer.reset()
+
+    return script
+
+
+async def test_events_are_passed_on_as_they_come(site):
+    go_on = asyncio.Event()
+
+    async def script(arrival, answer):
+        answer.begin_stream()
+        answer.write_chunk(EVENTS[0])
+        await go_on.wait()
+        answer.write_chunk(EVENTS[1])
+        answer.end_stream()
+
+    await site.add_upstream("i-1", script)
+    reader, writer = await site.connect()
+    writer.write(build_request("/stream/"))
+    await reader.readuntil(b"\r\n\r\n")
+    assert EVENTS[0] in await reader.readuntil(b"\n\n")
+    go_on.set()
+    assert await read_chunks_after(reader) == EVENTS[1]
+    writer.close()
+
+
+async def read_chunks_after(reader):
+    await reader.readline()
+    return await read_chunks(reader)
+
+
+@pytest.mark.parametrize("rest", [b"", EVENTS[2][:8]])
+async def test_a_stream_that_breaks_goes_on_with_each_event_once(site, rest):
+    """A driver reads half a sentence twice, or two halves of different sentences.
+
+    The engine crashes in the middle of an event. Another one goes on after the last
+    whole event, and the part that came before must not stand in front of it.
+    """
+    first = await site.add_upstream("i-1", break_after(2, rest))
+    second = await site.add_upstream("i-2", write_all)
+    while not first.arrivals:
+        status, headers, body = await site.call("/resumable/")
+    assert status == 200
+    assert body == b"".join(EVENTS)
+    assert headers["x-response-stamp"] == "stamp-i-1"
+    assert second.arrivals[-1].headers["last-event-id"] == "2"
+
+
+async def test_a_stream_that_must_not_be_resumed_ends_as_broken(site):
+    """A caller takes the half of an answer for the whole.
+
+    The engine crashes, nothing may go on in its place, and the end of the transfer
+    coding would tell the caller that this was all.
+    """
+    await site.add_upstream("i-1", break_after(2))
+    reader, writer = await site.connect()
+    writer.write(build_request("/stream/"))
+    data = await asyncio.wait_for(reader.read(), 5)
+    assert EVENTS[1] in data
+    assert not data.endswith(b"0\r\n\r\n")
+    writer.close()
+
+
+async def test_a_stream_that_breaks_before_its_first_event_fails_in_words(site):
+    await site.add_upstream("i-1", break_after(0))
+    reader, writer = await site.connect()
+    writer.write(build_request("/stream/"))
+    line, _, _ = await read_message(reader)
+    assert " 502 " in line
+    assert site.count() == 1
+    writer.close()
+
+
+async def test_a_failure_of_the_engine_is_passed_on_whole(site):
+    async def fail(arrival, answer):
+        answer.send(500, b"out of memory")
+
+    await site.add_upstream("i-1", fail)
+    status, headers, body = await site.call("/stream/")
+    assert (status, body) == (500, b"out of memory")
+    assert headers["x-response-stamp"] == "stamp-i-1"
