Copy prompts whose handles lapse, leave refusing engines alone, plan without lost ones

An engine that changed its stage refused at once and was chosen again and again; a lost one held each request for 0.8 s; pauses doubled past what a duration holds, and requests failed with a fault; a caller that had left took from the retry allowance. Change: see the title; a connection gets 0.25 s.

--- a/packages/mustardquay-node/src/mustardquay_node/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections.py
@@ -31,9 +31,9 @@
     "split_address",
 ]
 
-CONNECT_TIMEOUT = timedelta(milliseconds=800)
-"""Longest wait for a connection. A lost first packet is sent again after a second,
-by which time another upstream has answered."""
+CONNECT_TIMEOUT = timedelta(milliseconds=250)
+"""Longest wait for a connection. It takes some 2 ms; a lost first packet is sent again
+only after a second, by which time another try has come through."""
 ANSWER_LIMIT = 64 * 1024 * 1024
 """Bytes of one answer."""
 KEEPALIVE_IDLE = 1
@@ -53,6 +53,8 @@
 
     WHOLE = "whole"
     NOT_CONNECTED = "not_connected"
+    NO_ROOM = "no_room"
+    """As many connections as may be are in use."""
     BROKEN = "broken"
     MALFORMED = "malformed"
     CANCELLED = "cancelled"
@@ -210,6 +212,8 @@
         """
         stream = self._take_idle(idle_limit)
         exchange.was_kept = stream is not None
+        if stream is None and not self._make_room():
+            return ExchangeEnd.NO_ROOM
         if stream is None:
             stream = await self._connect()
         if stream is None:
@@ -248,11 +252,13 @@
             self._drop(stream)
         return None
 
-    async def _connect(self) -> IOStream | None:
+    def _make_room(self) -> bool:
+        """Return whether another connection may be opened."""
         if self._open >= self._limit and self._idle:
             self._drop(self._idle.popleft()[0])
-        if self._open >= self._limit:
-            return None
+        return self._open < self._limit
+
+    async def _connect(self) -> IOStream | None:
         stream = IOStream(_make_socket())
         self._open += 1
         connected = False
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -291,6 +291,10 @@
     def _goes_on(self, route: Route, send: _Send) -> bool:
         """Decide what follows; returns whether the request is sent again."""
         progress = self._progress
+        if self._answer.is_caller_gone:
+            self._log_send(send, "stop")
+            self._count("caller_left")
+            return False
         status = send.exchange.head.status if send.exchange.head else 0
         now = self._parts.clock.monotonic()
         step = decide_next(
@@ -316,9 +320,7 @@
         return NextStep.REFUSE
 
     def _conclude(self, step: NextStep, send: _Send) -> None:
-        if self._answer.is_caller_gone:
-            self._count("caller_left")
-        elif step is NextStep.PASS_ON:
+        if step is NextStep.PASS_ON:
             self._pass_on(send)
         elif step is NextStep.REFUSE:
             retry_after = send.facts.retry_after if send.facts else None
@@ -370,7 +372,6 @@
             return None
         ticket = planner.begin(prompt, placement)
         try:
-            source = ""
             if placement.prefiller is not None:
                 prefilled = await self._prefill(route, placement)
                 is_read = isinstance(prefilled, Prefilled)
@@ -378,13 +379,39 @@
                 self._log_read(placement, now)
                 if isinstance(prefilled, _Send):
                     return prefilled
-                address = placement.prefiller.address
-                source = self._parts.adapter.build_kv_source(address, prefilled)
-            first = None if source else (lambda: planner.end_reading(ticket))
-            return await self._exchange(route, placement.decoder, source, first)
+                return await self._hand_over(route, placement, prefilled)
+            return await self._exchange(
+                route, placement.decoder, first=lambda: planner.end_reading(ticket)
+            )
         finally:
             planner.end(ticket)
 
+    async def _hand_over(
+        self, route: Route, placement: Placement, prefilled: Prefilled
+    ) -> _Send:
+        """Have the other engine generate from what was read.
+
+        Guards against handles that lapse at once: the engine that generates refuses,
+        and the reading is lost. The engine that read still holds the prompt among its
+        cached parts, so the other one copies it from there; for some seconds nothing
+        else is tried with that engine.
+        """
+        parts = self._parts
+        address = placement.reader.address
+        reader = placement.reader.id
+        now = parts.clock.monotonic()
+        if not parts.loads.has_lapsing_handles(reader, now):
+            source = parts.adapter.build_kv_source(address, prefilled)
+            send = await self._exchange(route, placement.decoder, source)
+            if send.end is not SendEnd.NOT_RUN:
+                return send
+            now = parts.clock.monotonic()
+            parts.loads.note_lapsed_handle(reader, now)
+            self._log_send(send, "copy")
+            if not self._forwarder.get_window(self._service).take(now):
+                return send
+        return await self._exchange(route, placement.decoder, fetch_from=address)
+
     def _log_read(self, placement: Placement, started: timedelta) -> None:
         """Note how long a prompt took to be read, beside what was expected."""
         took = self._parts.clock.monotonic() - started
@@ -479,10 +506,10 @@
             raise
         finally:
             self._progress.current = None
-            self._settle(send, end)
+            self._settle(send, end, source)
         return send
 
-    def _settle(self, send: _Send, end: str) -> None:
+    def _settle(self, send: _Send, end: str, source: str) -> None:
         """Name the end of a send and take it into the loads."""
         now = self._parts.clock.monotonic()
         loads = self._parts.loads
@@ -490,10 +517,16 @@
         send.end = self._classify(send, end)
         id = send.upstream.id
         self._parts.count_send(self._route.name, send.end.value)
-        if send.end is SendEnd.NOT_SENT:
+        if end == ExchangeEnd.NOT_CONNECTED:
             loads.note_unreachable(id, now)
-        has_failed = send.end in (SendEnd.BROKEN, SendEnd.NOT_SENT) or (
-            send.end is SendEnd.ANSWERED and send.exchange.head.status >= 500
+        elif send.end in (SendEnd.NOT_RUN, SendEnd.OTHER_UPSTREAM) and not source:
+            loads.note_refusal(id, now)
+        elif send.end is SendEnd.ANSWERED:
+            loads.note_reached(id)
+        has_failed = (
+            end == ExchangeEnd.NOT_CONNECTED
+            or send.end is SendEnd.BROKEN
+            or (send.end is SendEnd.ANSWERED and send.exchange.head.status >= 500)
         )
         if loads.end(id, has_failed, now):
             self._parts.events.record(
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -286,6 +286,7 @@
             random=self._random,
             events=self._events,
             upstreams=self._upstreams,
+            is_lost=lambda id: self._loads.is_lost(id, self._clock.monotonic()),
             list_services=self._list_engine_services,
             get_pool=self._forwarder.get_pool,
             count_streams=self._planner.count_streams,
--- a/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
@@ -55,6 +55,8 @@
     random: Random
     events: EventRing
     upstreams: UpstreamList
+    is_lost: Callable[[str], bool]
+    """Says whether an engine has been out of reach for long."""
     list_services: Callable[[], list[str]]
     """Names the services whose upstreams are engines."""
     get_pool: Callable[[UpstreamRecord], ConnectionPool]
@@ -124,7 +126,7 @@
             engines = [
                 engine
                 for engine in parts.upstreams.list_usable(service)
-                if engine.stage is not Stage.NONE
+                if engine.stage is not Stage.NONE and not parts.is_lost(engine.id)
             ]
             self._forget_settled(engines, now)
             ordered = {id: each.stage for id, each in self._ordered.items()}
--- a/packages/mustardquay/src/mustardquay/upstream_loads.py
+++ b/packages/mustardquay/src/mustardquay/upstream_loads.py
@@ -28,6 +28,14 @@
 gets no sends that could show that it is well again."""
 UNREACHABLE_TIME = timedelta(milliseconds=700)
 """How long an upstream that did not take a connection is left alone."""
+REFUSAL_TIME = timedelta(milliseconds=250)
+"""How long an upstream that refused work is left alone at first; twice as long after
+each refusal in a row. An engine that changes its stage refuses for some 3 s."""
+LONGEST_REFUSAL = timedelta(seconds=1)
+LOST_TIME = timedelta(seconds=1)
+"""How long no connection to an upstream comes about until it counts as lost."""
+LAPSING_TIME = timedelta(seconds=3)
+"""How long handles of an engine aren't used after one had lapsed."""
 LOAD_LIFETIME = timedelta(milliseconds=300)
 """Age up to which the load in an answer counts: some ten requests of plain work."""
 FAILURE_COST = 10.0
@@ -48,6 +56,10 @@
     sends: int = 0
     ejections: int = 0
     ejected_until: timedelta = timedelta()
+    refusals: int = 0
+    """Refusals in a row."""
+    unreachable_since: timedelta | None = None
+    lapsing_until: timedelta = timedelta()
     reported: int = 0
     """Requests of all processes there, by the newest answer."""
     reported_at: timedelta | None = None
@@ -88,7 +100,7 @@
             return False
         if load.sends < EJECTION_LEAST or load.failure_rate < EJECTION_RATE:
             return False
-        pause = min(EJECTION_TIME * 2**load.ejections, LONGEST_EJECTION)
+        pause = min(EJECTION_TIME * 2 ** min(load.ejections, 8), LONGEST_EJECTION)
         load.ejections += 1
         load.ejected_until = now + pause
         return True
@@ -104,6 +116,35 @@
         """Note that no connection came about."""
         load = self.get(id)
         load.ejected_until = max(load.ejected_until, now + UNREACHABLE_TIME)
+        if load.unreachable_since is None:
+            load.unreachable_since = now
+
+    def note_refusal(self, id: str, now: timedelta) -> None:
+        """Note that an upstream refused work, so that the next goes elsewhere."""
+        load = self.get(id)
+        pause = min(REFUSAL_TIME * 2 ** min(load.refusals, 8), LONGEST_REFUSAL)
+        load.refusals += 1
+        load.ejected_until = max(load.ejected_until, now + pause)
+
+    def note_reached(self, id: str) -> None:
+        """Note that an upstream has answered."""
+        load = self.get(id)
+        load.refusals = 0
+        load.unreachable_since = None
+
+    def is_lost(self, id: str, now: timedelta) -> bool:
+        """Return whether an upstream has been out of reach for long."""
+        load = self.loads.get(id)
+        since = load.unreachable_since if load else None
+        return since is not None and now - since >= LOST_TIME
+
+    def note_lapsed_handle(self, id: str, now: timedelta) -> None:
+        """Note that what an engine had read could not be fetched."""
+        self.get(id).lapsing_until = now + LAPSING_TIME
+
+    def has_lapsing_handles(self, id: str, now: timedelta) -> bool:
+        """Return whether handles of an engine lapsed lately."""
+        return now < self.get(id).lapsing_until
 
     def note_report(self, id: str, running: int, waiting: int, now: timedelta) -> None:
         """Take in the load that an answer tells."""
--- a/packages/mustardquay/tests/test_upstream_loads.py
+++ b/packages/mustardquay/tests/test_upstream_loads.py
@@ -65,3 +65,28 @@
     book.note_unreachable("u0", NOW)
     assert choose_plain(upstreams, book, NOW, "a", Random(4)).id == "u0"
     assert choose_plain(upstreams, book, NOW, "a", Random(4), ["u0"]) is None
+
+
+def test_an_upstream_that_fails_for_an_hour_can_still_be_chosen():
+    """Requests fail with a fault of the gateway.
+
+    An engine is lost for long, each try doubles its pause, and the pause grows past
+    what a duration can hold.
+    """
+    book = LoadBook()
+    for step in range(2_000):
+        now = NOW + timedelta(seconds=step)
+        book.begin("u0")
+        book.end("u0", True, now)
+        book.note_refusal("u0", now)
+    assert not book.get("u0").is_ejected(now + timedelta(seconds=5))
+
+
+def test_an_upstream_out_of_reach_counts_as_lost_until_it_answers():
+    book = LoadBook()
+    book.note_unreachable("u0", NOW)
+    assert not book.is_lost("u0", NOW)
+    later = NOW + timedelta(seconds=1)
+    assert book.is_lost("u0", later)
+    book.note_reached("u0")
+    assert not book.is_lost("u0", later)
