--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -70,7 +70,9 @@
     planner: GenerationPlanner
     retry_limits: RetryLimits
     processes: int
-    """Processes of this kind that may live at once."""
+    """Processes of this kind that may live at once, at least."""
+    count_gateways: Callable[[], int] = lambda: 1
+    """Counts the processes of this kind that the store lists."""
     count: Callable[[str, str], None] = lambda route, outcome: None
     """Counts an answer by route and outcome."""
     count_send: Callable[[str, str], None] = lambda route, end: None
@@ -136,7 +138,8 @@
         if pool is None:
             service = self._table and self._table.services.get(upstream.service)
             most = service.max_connections if service else 64
-            limit = max(int(most * CONNECTION_SHARE / self._parts.processes), 2)
+            gateways = max(self._parts.count_gateways(), 1)
+            limit = max(int(most * CONNECTION_SHARE / gateways), 2)
             pool = ConnectionPool(
                 upstream.address, self._parts.clock, limit, UPSTREAM_IDLE
             )
@@ -156,7 +159,8 @@
         window = self._windows.get(service)
         if window is None:
             parts = self._parts
-            window = RetryWindow(parts.retry_limits, parts.processes)
+            processes = max(parts.processes, parts.count_gateways())
+            window = RetryWindow(parts.retry_limits, processes)
             self._windows[service] = window
         return window
 
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -202,6 +202,7 @@
                 self._clock, self._upstreams, self._loads, speeds
             ),
             retry_limits=self._make_retry_limits(),
+            count_gateways=lambda: self._peers.count,
             processes=self._settings.gateway.processes,
             count=self._metrics.count_answer,
             count_send=self._metrics.count_send,
@@ -290,6 +291,7 @@
             list_services=self._list_engine_services,
             get_pool=self._forwarder.get_pool,
             count_streams=self._planner.count_streams,
+            tell_changing=self._planner.tell_changing,
             is_serving=lambda: self._forwarder.has_served,
         )
         return StageKeeper(f"{self._settings.node.name}-{self._incarnation}", parts)
--- a/packages/mustardquay-node/src/mustardquay_node/generators.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generators.py
@@ -48,6 +48,7 @@
             loads, WorkBook(), PrefixBook(), speeds or EngineSpeeds()
         )
         self._placed: list[PlacedPart] = []
+        self._changing: set[str] = set()
 
     def choose(
         self,
@@ -59,6 +60,9 @@
         now = self._clock.monotonic()
         self._books.works.peers.expire(now)
         parts = hash_parts(prompt.parts)
+        changing = self._changing | self._books.works.peers.list_changing()
+        if changing:
+            engines = [engine for engine in engines if engine.id not in changing]
         return choose_engines(prompt, parts, engines, self._books, now, avoid)
 
     def begin(self, prompt: PromptTraits, placement: Placement) -> Ticket:
@@ -118,7 +122,14 @@
             for id, work in self._books.works.works.items()
             if work.running or work.seconds or id in named
         )
-        return PeerDigest(name, incarnation, number, configuration, engines, placed)
+        changing = tuple(sorted(self._changing))
+        return PeerDigest(
+            name, incarnation, number, configuration, engines, placed, changing
+        )
+
+    def tell_changing(self, engines: Collection[str]) -> None:
+        """Note the engines that this gateway has ordered to change their stage."""
+        self._changing = set(engines)
 
     def count_streams(self, engine: str) -> int:
         """Return the generations that run at an engine, of all gateways."""
--- a/packages/mustardquay-node/src/mustardquay_node/peers.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.capnp
@@ -23,4 +23,6 @@
   configuration @3 :UInt64;
   engines @4 :List(EngineWork);
   placed @5 :List(PlacedPart);
+  # Engines that the sender has ordered to change their stage.
+  changing @6 :List(Text);
 }
--- a/packages/mustardquay-node/src/mustardquay_node/peers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.py
@@ -53,6 +53,7 @@
     message.number = digest.number
     message.configuration = digest.configuration
     positions = {each.engine: index for index, each in enumerate(digest.engines)}
+    message.changing = list(digest.changing)
     engines = message.init("engines", len(digest.engines))
     for built, each in zip(engines, digest.engines, strict=True):
         built.engine = each.engine
@@ -86,6 +87,7 @@
             message.configuration,
             engines,
             placed,
+            tuple(message.changing),
         )
     except (capnp.KjException, IndexError, ValueError):
         return None
@@ -140,6 +142,11 @@
         except MustardquayError as error:
             logger.info("The address stays listed: %s", error)
 
+    @property
+    def count(self) -> int:
+        """Return how many gateways are listed, this one included."""
+        return len(self._peers) + 1
+
     def take_rows(self, rows: Sequence[StoreRow], is_whole: bool) -> None:
         """Take in the addresses of the gateways."""
         if is_whole:
--- a/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -38,6 +38,9 @@
 """After the start nothing is ordered for so long: the list of engines fills up as
 they write their first records, and a part of it makes another plan."""
 CALL_TIMEOUT = timedelta(milliseconds=500)
+NOTICE = timedelta(milliseconds=90)
+"""How long before an order the other gateways are told, who send digests each 40 ms:
+an engine that changes refuses what it has not begun."""
 ORDER_PATIENCE = timedelta(seconds=6)
 """How long an engine that was ordered may show its old stage before it is asked
 again. A change takes some 3 s and its record is written each 1.2 s."""
@@ -62,6 +65,8 @@
     get_pool: Callable[[UpstreamRecord], ConnectionPool]
     count_streams: Callable[[str], int]
     """Counts the generations that run at an engine."""
+    tell_changing: Callable[[Collection[str]], None]
+    """Tells all gateways which engines change their stage and take no work."""
     is_serving: Callable[[], bool]
     """Whether callers have come."""
 
@@ -126,7 +131,7 @@
             engines = [
                 engine
                 for engine in parts.upstreams.list_usable(service)
-                if engine.stage is not Stage.NONE and not parts.is_lost(engine.id)
+                if engine.stage is not Stage.NONE
             ]
             self._forget_settled(engines, now)
             ordered = {id: each.stage for id, each in self._ordered.items()}
@@ -138,6 +143,7 @@
                     sum(parts.count_streams(engine.id) for engine in engines),
                     now,
                     parts.is_serving(),
+                    {engine.id for engine in engines if parts.is_lost(engine.id)},
                 )
         return changes
 
@@ -148,6 +154,7 @@
                 continue
             if engine.stage is ordered.stage or now - ordered.at > ORDER_PATIENCE:
                 del self._ordered[engine.id]
+                self._parts.tell_changing(set(self._ordered))
 
     async def _renew(self) -> bool:
         parts = self._parts
@@ -178,13 +185,22 @@
         if not self._lease.is_held(now):
             return
         self._ordered[engine.id] = _Ordered(change.stage, now)
+        self._parts.tell_changing(set(self._ordered))
+        await asyncio.sleep(NOTICE.total_seconds())
+        if not self._lease.is_held(self._parts.clock.monotonic()):
+            return
         adapter = self._parts.adapter
         body = adapter.build_order(
             change.stage, self._name, self._lease.fence, report.orders_accepted
         )
         exchange = await self._call(engine, "POST", adapter.ORDER_PATH, body)
         status = exchange.head.status if exchange and exchange.head else 0
-        self._log(change, "accepted" if status in ACCEPTED else "refused", status)
+        if not status:
+            # It may still be carried out, seconds later. The next order expects the
+            # same number of orders before it, so that only one of the two holds.
+            del self._ordered[engine.id]
+            self._parts.tell_changing(set(self._ordered))
+        self._log(change, _name_outcome(status), status)
 
     async def _ask(self, engine: UpstreamRecord) -> EngineReport | None:
         adapter = self._parts.adapter
@@ -218,3 +234,9 @@
             outcome=outcome,
             status=status,
         )
+
+
+def _name_outcome(status: int) -> str:
+    if status in ACCEPTED:
+        return "accepted"
+    return "refused" if status else "unanswered"
--- a/packages/mustardquay/src/mustardquay/peer_books.py
+++ b/packages/mustardquay/src/mustardquay/peer_books.py
@@ -47,6 +47,8 @@
     """Version of the configuration in force there."""
     engines: tuple[EngineDigest, ...] = ()
     placed: tuple[PlacedPart, ...] = ()
+    changing: tuple[str, ...] = ()
+    """Engines that the gateway has ordered to change their stage."""
 
 
 @dataclass(slots=True)
@@ -80,6 +82,11 @@
     def expire(self, now: timedelta) -> None:
         """Drop what is too old."""
         if any(now - heard.at > DIGEST_LIFETIME for heard in self.heard.values()):
+            self.heard = {
+                name: heard
+                for name, heard in self.heard.items()
+                if now - heard.at <= DIGEST_LIFETIME
+            }
             self._sum_up(now)
 
     def get_read_seconds(self, engine: str) -> float:
@@ -90,12 +97,16 @@
         """Return the generations of the others that run at an engine."""
         return self._running.get(engine, 0)
 
+    def list_changing(self) -> set[str]:
+        """Return the engines that change their stage, so that they take no work."""
+        return {
+            engine for heard in self.heard.values() for engine in heard.digest.changing
+        }
+
     def _sum_up(self, now: timedelta) -> None:
         self._read_seconds = {}
         self._running = {}
         for heard in self.heard.values():
-            if now - heard.at > DIGEST_LIFETIME:
-                continue
             for each in heard.digest.engines:
                 seconds = self._read_seconds.get(each.engine, 0.0)
                 self._read_seconds[each.engine] = seconds + each.read_seconds
--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -116,14 +116,18 @@
     now: timedelta,
     avoided: set[str],
 ) -> list[UpstreamRecord]:
-    """Return the engines that may be chosen, ejected ones only for want of others."""
+    """Return the engines that may be chosen, ejected ones only for want of others.
+
+    One that has been out of reach for long is tried by a request now and then; all
+    the others would wait for a connection in vain.
+    """
     usable = [engine for engine in engines if engine.id not in avoided]
     healthy = [
         engine for engine in usable if not books.loads.get(engine.id).is_ejected(now)
     ]
     if any(engine.stage is not Stage.PREFILL for engine in healthy):
         return healthy
-    return usable
+    return [engine for engine in usable if not books.loads.is_lost(engine.id, now)]
 
 
 def _get_cost(placement: Placement) -> float:
--- a/packages/mustardquay/src/mustardquay/stage_plans.py
+++ b/packages/mustardquay/src/mustardquay/stage_plans.py
@@ -8,7 +8,7 @@
 """
 
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from math import ceil
@@ -28,7 +28,10 @@
 """So that the loss of one leaves one, from four engines on."""
 SMALL_SERVICE = 4
 DECODER_PATIENCE = timedelta(seconds=2)
-"""How long a lack of decoders lasts before an engine that reads changes."""
+"""How long a lack of decoders lasts before an engine that reads changes, where one is
+out of reach and may be back: most crashes last some four seconds."""
+GONE_PATIENCE = timedelta(milliseconds=300)
+"""The same where one has left for good, as then nothing else brings it back."""
 SLACK = 0.8
 """Part of the streams of the smaller number of decoders, above which one more than is
 needed stays: otherwise the number would swing with each burst."""
@@ -58,15 +61,18 @@
         streams: int,
         now: timedelta,
         is_settled: bool,
+        lost: Collection[str] = (),
     ) -> list[StageChange]:
         """Return the changes that are due.
 
         `ordered` holds the stages that engines are changing to, `streams` is how many
-        generations run. Without `is_settled` (before callers come) nothing is waited
-        for.
+        generations run, `lost` names engines that are listed and out of reach. Without
+        `is_settled` (before callers come) nothing is waited for.
         """
         stages = {engine.id: ordered.get(engine.id, engine.stage) for engine in engines}
-        decoders = [each for each in engines if stages[each.id] is Stage.DECODE]
+        listed = [each for each in engines if stages[each.id] is Stage.DECODE]
+        engines = [each for each in engines if each.id not in lost]
+        decoders = [each for each in listed if each.id not in lost]
         mean = self._average(service, streams, now)
         wanted = count_decoders(len(engines), mean)
         if len(decoders) > wanted and mean > SLACK * STREAMS_PER_DECODER * wanted:
@@ -74,6 +80,8 @@
         missing = wanted - len(decoders)
         if missing > 0:
             stage, patience = Stage.DECODE, DECODER_PATIENCE
+            if len(listed) < wanted:
+                patience = GONE_PATIENCE
             self._off_since.pop((service, Stage.PREFILL), None)
         elif missing < 0:
             stage, patience = Stage.PREFILL, PREFILLER_PATIENCE
--- a/packages/mustardquay/tests/test_placements.py
+++ b/packages/mustardquay/tests/test_placements.py
@@ -108,3 +108,17 @@
         book.note("e0", Stage.PREFILL, part)
     assert book.count_cached("e0", first) == 4_000
     assert book.count_cached("e0", second) == 0
+
+
+def test_nobody_waits_for_an_engine_that_has_been_out_of_reach_for_long():
+    """Callers wait for a connection in vain before they are refused.
+
+    The only engine that generates is lost. One request in 0.7 s tries it; the others
+    are told at once.
+    """
+    books = make_books()
+    engines = make_engines(4, 1)
+    books.loads.note_unreachable("e4", NOW - timedelta(seconds=2))
+    assert place(LONG, engines, books) is not None
+    books.loads.note_unreachable("e4", NOW)
+    assert place(LONG, engines, books) is None
--- a/packages/mustardquay/tests/test_stage_plans.py
+++ b/packages/mustardquay/tests/test_stage_plans.py
@@ -54,3 +54,22 @@
     changed = {change.engine.id for change in changes}
     left = [each for each in engines if each.id not in changed]
     assert len({each.availability_zone for each in left}) == 2
+
+
+def test_a_generator_that_left_is_replaced_sooner_than_one_out_of_reach():
+    """Nobody gets an answer for three seconds.
+
+    One of two engines that generate leaves, and the other one crashes while the
+    gateways still wait whether the first might come back.
+    """
+    soon = NOW + timedelta(milliseconds=500)
+    planner = StagePlanner()
+    assert plan(planner, make_engines(4, 1)) == []
+    assert len(plan(planner, make_engines(4, 1), now=soon)) == 1
+
+    planner = StagePlanner()
+    engines = make_engines(4, 2)
+    assert planner.plan("llm", engines, {}, 40, NOW, True, lost={"e5"}) == []
+    assert planner.plan("llm", engines, {}, 40, soon, True, lost={"e5"}) == []
+    later = NOW + DECODER_PATIENCE
+    assert len(planner.plan("llm", engines, {}, 40, later, True, lost={"e5"})) == 1
