Pay for both sends of a repeated generation; close idle connections in a stop

Change: two are taken from the allowance; 2.6 s into a stop nothing is taken any more and idle connections are closed. Prompts that are read in a moment wait up to a tenth of their time in place of 60 ms.

--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
@@ -5,12 +5,12 @@
 """
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 
-from tornado.http1connection import HTTP1Connection
+from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httputil import (
-    HTTPConnection,
     HTTPHeaders,
     HTTPMessageDelegate,
     HTTPServerConnectionDelegate,
@@ -140,7 +140,6 @@
     clock: Clock
     limits: Callable[[], CallerLimits]
     handle: Callable[[CallerRequest, CallerAnswer], None]
-    is_closing: Callable[[], bool] = field(default=lambda: False)
 
 
 class CallerConnections(HTTPServerConnectionDelegate):
@@ -148,7 +147,17 @@
 
     def __init__(self, options: ConnectionOptions):
         self._options = options
-        self._open: dict[object, int] = {}
+        self._open: dict[HTTP1ServerConnection, bool] = {}
+
+    def close_idle(self) -> int:
+        """Close the connections on which no request is being read or answered.
+
+        A request that crosses the close was not read, and its caller sends it anew.
+        """
+        idle = [each for each, is_busy in self._open.items() if not is_busy]
+        for connection in idle:
+            connection.stream.close()
+        return len(idle)
 
     @property
     def count(self) -> int:
@@ -156,13 +165,18 @@
         return len(self._open)
 
     def start_request(
-        self, server_conn: object, request_conn: HTTPConnection
+        self, server_conn: HTTP1ServerConnection, request_conn: HTTP1Connection
     ) -> HTTPMessageDelegate:
         """Return what takes in the next request of a connection."""
-        self._open.setdefault(server_conn, 0)
-        return _Reader(self._options, request_conn)  # type: ignore[arg-type]
+        self._open[server_conn] = False
+        note_busy = partial(self._note_busy, server_conn)
+        return _Reader(self._options, request_conn, note_busy)
+
+    def _note_busy(self, connection: HTTP1ServerConnection, is_busy: bool) -> None:
+        if connection in self._open:
+            self._open[connection] = is_busy
 
-    def on_close(self, server_conn: object) -> None:
+    def on_close(self, server_conn: HTTP1ServerConnection) -> None:
         """Forget a connection."""
         self._open.pop(server_conn, None)
 
@@ -170,7 +184,13 @@
 class _Reader(HTTPMessageDelegate):
     """Takes in one request, up to the limits."""
 
-    def __init__(self, options: ConnectionOptions, connection: HTTP1Connection):
+    def __init__(
+        self,
+        options: ConnectionOptions,
+        connection: HTTP1Connection,
+        note_busy: Callable[[bool], None],
+    ):
+        self._note_busy = note_busy
         self._options = options
         self._connection = connection
         self._request: CallerRequest | None = None
@@ -183,6 +203,7 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
+        self._note_busy(True)
         limits = self._options.limits()
         self._request = CallerRequest(
             start_line.method,
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -52,6 +52,8 @@
 """Part of an upstream's connections that all processes together open."""
 RETRY_SOON = timedelta(milliseconds=250)
 """When a caller is told to come back after a refusal that has no better estimate."""
+REPEATED_GENERATION = 2
+"""Sends that another try of a generation takes: one to read, one to generate."""
 CLOSE_MARGIN = timedelta(milliseconds=30)
 """How long before the caller's limit it gets its answer, so that it arrives."""
 
@@ -305,8 +307,7 @@
             route, progress.sendings, send.end, status, self._limit_at - now
         )
         if step in (NextStep.SEND_AGAIN, NextStep.RESUME):
-            costs = send.end is not SendEnd.NOT_SENT
-            if not costs or self._forwarder.get_window(self._service).take(now):
+            if self._pays_for_repeat(route, send, now):
                 progress.avoid.add(send.upstream.id)
                 self._log_send(send, step.value)
                 return True
@@ -315,6 +316,13 @@
         self._conclude(step, send)
         return False
 
+    def _pays_for_repeat(self, route: Route, send: _Send, now: timedelta) -> bool:
+        """Take what another try costs from the retry allowance, if it is there."""
+        if send.end is SendEnd.NOT_SENT:
+            return True
+        sends = REPEATED_GENERATION if route.has_prompt else 1
+        return self._forwarder.get_window(self._service).take(now, sends)
+
     def _replace_step(self, send: _Send) -> NextStep:
         """Return what happens where the budget allows no other send."""
         if send.end is SendEnd.ANSWERED:
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -50,7 +50,7 @@
 PEERS_WAIT = timedelta(seconds=20)
 """The list of gateways seldom changes, and digests show at once who is silent."""
 PEERS_PACE = timedelta(seconds=1)
-DRAIN_IDLE = timedelta(seconds=3)
+DRAIN_IDLE = timedelta(seconds=2.6)
 """How long a process that stops goes on taking requests on open connections: the
 balancer asks each second and takes it out after two answers that it is not ready."""
 
@@ -93,6 +93,7 @@
         self._servers: list[HTTPServer] = []
         self._caller_server: HTTPServer | None = None
         self._ticker: asyncio.Task[None] | None = None
+        self._address = settings.gateway.listen
         self._is_draining = False
         self._was_ready = False
         self._file_stamps = self._read_stamps()
@@ -106,6 +107,11 @@
             and self._upstreams.is_known
         )
 
+    @property
+    def address(self) -> str:
+        """Return the address for callers; with the real port after `start`."""
+        return self._address
+
     @property
     def version(self) -> int:
         """Return the version of the configuration in force, 0 before the first."""
@@ -395,7 +401,7 @@
 
     def _listen_to_callers(self, address: str) -> HTTPServer:
         server = HTTPServer(self._connections, max_body_size=BODY_BOUND)
-        self._add_server(server, address)
+        self._address = self._add_server(server, address)
         return server
 
     def _listen_to_balancer(self, address: str) -> None:
@@ -407,10 +413,13 @@
         application = Application(rules, log_function=lambda handler: None)
         self._add_server(HTTPServer(application), address)
 
-    def _add_server(self, server: HTTPServer, address: str) -> None:
+    def _add_server(self, server: HTTPServer, address: str) -> str:
+        """Listen, and return the address with the real port."""
         host, port = split_address(address)
-        server.add_sockets(bind_sockets(port, host, backlog=LISTEN_QUEUE))
+        sockets = bind_sockets(port, host, backlog=LISTEN_QUEUE)
+        server.add_sockets(sockets)
         self._servers.append(server)
+        return f"{host}:{sockets[0].getsockname()[1]}"
 
     async def _drain(self) -> None:
         """Wait until the balancer sends nobody any more and the requests have ended."""
@@ -419,11 +428,22 @@
         if self._caller_server is not None:
             self._caller_server.conn_params.no_keep_alive = True
         while self._clock.monotonic() < deadline:
-            waited = self._clock.monotonic() - started
-            if waited >= DRAIN_IDLE and not self._forwarder.in_flight:
-                return
+            if self._clock.monotonic() - started >= DRAIN_IDLE:
+                self._stop_taking()
+                if not self._forwarder.in_flight:
+                    return
             await asyncio.sleep(0.05)
 
+    def _stop_taking(self) -> None:
+        """Take no more requests.
+
+        Guards against a request that comes on an open connection late in a stop: it
+        would be cut off when the time is over.
+        """
+        if self._caller_server is not None:
+            self._caller_server.stop()
+        self._connections.close_idle()
+
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(TICK.total_seconds())
--- a/packages/mustardquay-node/src/mustardquay_node/peers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.py
@@ -124,6 +124,8 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=split_address(self._address)
         )
+        host, port = self._transport.get_extra_info("sockname")
+        self._address = f"{host}:{port}"
         self._tasks = [
             asyncio.create_task(self._register()),
             asyncio.create_task(self._tell_forever()),
--- a/packages/mustardquay/src/mustardquay/generation_limits.py
+++ b/packages/mustardquay/src/mustardquay/generation_limits.py
@@ -19,6 +19,12 @@
 LEAST_WAIT = timedelta(milliseconds=60)
 """Wait that is always accepted, also where the target leaves less: estimates are off
 by a prompt or two."""
+LIGHT_READ = timedelta(milliseconds=12)
+"""Reading that delays others by less than their answers vary: a prompt of some 1,000
+tokens at an engine that generates."""
+LIGHT_SHARE = 0.1
+"""Part of its time that a prompt of such a reading may wait: the tokens after it take
+most of the rest."""
 EARLIEST_RETURN = timedelta(milliseconds=250)
 RETURN_SPREAD = timedelta(milliseconds=350)
 """Returns are drawn over this time, so that those refused together don't meet again.
@@ -29,8 +35,11 @@
     """Return whether the answer is expected in time, or soon enough to be of use.
 
     What counts is the wait, not the reading: large prompts must not be refused more
-    often than small ones.
+    often than small ones. Only what is read in a moment waits longer: to refuse it
+    makes room for nobody.
     """
+    if placement.read_seconds <= LIGHT_READ.total_seconds():
+        return placement.wait_seconds <= LIGHT_SHARE * time_left.total_seconds()
     bound = max(route.latency_target - GENERATION_START, LEAST_WAIT)
     return placement.wait_seconds <= bound.total_seconds()
 
--- a/packages/mustardquay/src/mustardquay/retry_windows.py
+++ b/packages/mustardquay/src/mustardquay/retry_windows.py
@@ -45,14 +45,14 @@
         self._requests.append(now)
         self._expire(now)
 
-    def take(self, now: timedelta) -> bool:
-        """Count a repeated send if there is room for it."""
+    def take(self, now: timedelta, sends: int = 1) -> bool:
+        """Count repeated sends if there is room for all of them."""
         self._expire(now)
         share = self._limits.allowance / self._processes
         bound = RATIO_SHARE * self._limits.ratio * len(self._requests) + share
-        if len(self._repeats) + 1 > bound:
+        if len(self._repeats) + sends > bound:
             return False
-        self._repeats.append(now)
+        self._repeats.extend([now] * sends)
         return True
 
     def _expire(self, now: timedelta) -> None:
--- a/packages/mustardquay/tests/test_generation_limits.py
+++ b/packages/mustardquay/tests/test_generation_limits.py
@@ -53,3 +53,11 @@
     assert min(returns) >= EARLIEST_RETURN
     assert max(returns) <= left / 3
     assert max(returns) - min(returns) > timedelta(milliseconds=300)
+
+
+def test_what_is_read_in_a_moment_is_not_refused_for_a_short_wait():
+    """A draft is refused although there are 15 s for it and it takes 2 ms to read."""
+    placement = make_placement(0.4, read=0.002)
+    assert admits_generation(ROUTE, placement, 15 * SECOND)
+    assert not admits_generation(ROUTE, make_placement(0.4), 15 * SECOND)
+    assert not admits_generation(ROUTE, placement, SECOND)
--- a/packages/mustardquay/tests/test_retry_windows.py
+++ b/packages/mustardquay/tests/test_retry_windows.py
@@ -37,3 +37,14 @@
         pass
     assert not window.take(timedelta(seconds=9))
     assert window.take(timedelta(seconds=11))
+
+
+def test_a_try_that_takes_two_sends_is_paid_for_two():
+    """The platform counts more repeats than the gateways do.
+
+    A generation that is tried again is sent to an engine that reads and then to one
+    that generates, and both are repeats.
+    """
+    window = RetryWindow(LIMITS, PROCESSES)
+    taken = [window.take(timedelta(), sends=2) for _ in range(20)]
+    assert taken.count(True) == 56 // PROCESSES // 2
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -117,10 +117,9 @@
 
 
 @pytest_asyncio.fixture
-async def empty_site(unused_tcp_port_factory):
+async def empty_site():
     store = StoreStandIn()
     await store.start()
-    address = f"127.0.0.1:{unused_tcp_port_factory()}"
     settings = check_settings(
         {
             "node": {
@@ -131,9 +130,9 @@
             },
             "store": {"address": store.address, "upstreams_pace": "0.02"},
             "gateway": {
-                "listen": address,
-                "readiness": f"127.0.0.1:{unused_tcp_port_factory()}",
-                "peer_port": str(unused_tcp_port_factory()),
+                "listen": "127.0.0.1:0",
+                "readiness": "127.0.0.1:0",
+                "peer_port": "0",
                 "processes": "1",
                 "drain_timeout": "0.5",
             },
@@ -141,7 +140,7 @@
     )
     gateway = Gateway(settings, seed=1)
     await gateway.start()
-    site = Site(store, gateway, address)
+    site = Site(store, gateway, gateway.address)
     yield site
     await gateway.close()
     for upstream in site.upstreams.values():
--- /dev/null
+++ b/tests/adapter/test_stops.py
@@ -0,0 +1,57 @@
+"""A gateway stops or is told of new settings while callers use it."""
+
+import asyncio
+from datetime import timedelta
+
+from conftest import build_request
+from standins import read_message
+
+SHORT = timedelta(milliseconds=100)
+
+
+async def test_a_stop_lets_requests_end_and_takes_no_late_ones(site, monkeypatch):
+    """A draft is cut off in the middle by a planned stop.
+
+    It came on an open connection seconds after the stop had begun, and was still
+    running when the time was over.
+    """
+    monkeypatch.setattr("mustardquay_node.gateways.DRAIN_IDLE", SHORT)
+    release = asyncio.Event()
+
+    async def wait(arrival, answer):
+        await release.wait()
+        answer.send(body=b"whole")
+
+    await site.add_upstream("i-1", wait)
+    idle_reader, idle_writer = await site.connect()
+    reader, writer = await site.connect()
+    writer.write(build_request("/once/", "POST", b"x"))
+    await site.until(lambda: site.count() == 1)
+    stop = asyncio.create_task(site.gateway.close())
+    # The connection without a request ends, the other one only after its answer.
+    assert await asyncio.wait_for(idle_reader.read(), 3) == b""
+    release.set()
+    line, headers, body = await read_message(reader)
+    assert body == b"whole"
+    await stop
+    assert site.list_events("drain.ended")[0].details["requests"] == 0
+    for each in (idle_writer, writer):
+        each.close()
+
+
+async def test_while_it_stops_requests_are_answered_and_connections_end(site):
+    await site.add_upstream("i-1")
+    connection = await site.connect()
+    assert (await site.call("/again/", connection=connection))[0] == 200
+    stop = asyncio.create_task(site.gateway.close())
+    await asyncio.sleep(0.05)
+    assert not site.gateway.is_ready
+    # The request is being waited for since before the stop, the next one is not.
+    for _ in range(2):
+        status, headers, _ = await site.call("/again/", connection=connection)
+        assert status == 200
+        if headers.get("connection") == "close":
+            break
+    assert headers["connection"] == "close"
+    connection[1].close()
+    await stop
