Refuse requests that crash upstreams; forward nothing after its connection closed

Cause: a request that crashes each upstream had no end but its caller's. Change: a broken send is probed, an upstream that is then out of reach accuses what it had in flight, gateways merge accusations in their digests and refuse after three; a request whose connection is closed is dropped. Test of the close: fails before, passes after.

--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
@@ -229,6 +229,10 @@
         if self._is_refused:
             return
         assert self._request is not None and self._answer is not None
+        if self._connection.stream.closed():
+            # Tornado goes on with what it had read before the connection was closed.
+            # Nobody would get the answer, and the caller sends the request anew.
+            return
         self._request.body = b"".join(self._parts)
         self._options.handle(self._request, self._answer)
 
--- a/packages/mustardquay-node/src/mustardquay_node/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections.py
@@ -219,7 +219,7 @@
         if stream is None:
             return ExchangeEnd.NOT_CONNECTED
         if exchange.cancelled:
-            self._idle.append((stream, self._clock.monotonic()))
+            self._keep(stream)
             return ExchangeEnd.CANCELLED
         exchange.attach(stream)
         may_keep = False
@@ -229,11 +229,25 @@
             return end
         finally:
             if may_keep:
-                self._idle.append((stream, self._clock.monotonic()))
-                stream.set_close_callback(lambda: None)
+                self._keep(stream)
             else:
                 self._drop(stream)
 
+    async def probe(self) -> bool:
+        """Return whether a connection comes about; it is kept for the next request."""
+        if not self._make_room():
+            return True
+        stream = await self._connect()
+        if stream is None:
+            return False
+        self._keep(stream)
+        return True
+
+    def _keep(self, stream: IOStream) -> None:
+        self._idle.append((stream, self._clock.monotonic()))
+        # Tornado watches a socket without a reader only for its closing.
+        stream.set_close_callback(lambda: None)
+
     def _take_idle(self, idle_limit: timedelta | None) -> IOStream | None:
         limit = self._idle_limit if idle_limit is None else idle_limit
         oldest = self._clock.monotonic() - limit
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_reporters.py
@@ -0,0 +1,95 @@
+"""Crash reporters: requests that crash upstreams, known to all gateways.
+
+Guards against a request that crashes each upstream that runs it while its caller
+sends it again: it shows as upstreams that fail one after the other. Each gateway
+accuses what it had in flight, the digests between gateways merge the accusations, and
+after the third crash all of them refuse the request.
+"""
+
+from collections import deque
+from collections.abc import Sequence
+from datetime import timedelta
+
+from xxhash import xxh3_64_intdigest
+
+from mustardquay.clocks import Clock
+from mustardquay.crash_watches import CrashWatch
+from mustardquay.events import EventRing
+from mustardquay.quarantines import CrashRecord, Quarantine, Standing
+from mustardquay.upstream_lists import UpstreamRecord
+
+__all__ = ["CrashReporter"]
+
+CRASHES = 3
+"""Crashes of different upstreams or starts after which a request is refused. Two may
+meet an innocent one by chance, as several requests are in flight in each crash."""
+SUSPICION = timedelta(minutes=2)
+REFUSAL = timedelta(minutes=5)
+NEWS_TIME = timedelta(seconds=1)
+"""How long a change is told in each digest: some 25 of them, of which a few may be
+lost."""
+RECORDS_LIMIT = 4
+"""Records in one digest, for its size."""
+
+
+class CrashReporter:
+    """What one gateway knows of requests that crash upstreams."""
+
+    def __init__(self, clock: Clock, events: EventRing):
+        self._clock = clock
+        self._events = events
+        self._watch = CrashWatch()
+        self._quarantine = Quarantine(SUSPICION, REFUSAL, refused_after=CRASHES)
+        self._told: deque[tuple[timedelta, int]] = deque([(timedelta(), 0)])
+        self._version = 0
+
+    @staticmethod
+    def take_fingerprint(method: str, path: str, body: bytes) -> int:
+        """Return what a request is known by when it comes again."""
+        return xxh3_64_intdigest(
+            body, seed=xxh3_64_intdigest(f"{method} {path}".encode())
+        )
+
+    def is_refused(self, fingerprint: int) -> bool:
+        """Return whether a request has crashed too many upstreams."""
+        now = self._clock.monotonic()
+        return self._quarantine.judge(fingerprint, now) is Standing.REFUSED
+
+    def note_broken(self, upstream: UpstreamRecord, fingerprint: int) -> None:
+        """Note a send whose connection ended without a whole answer."""
+        now = self._clock.monotonic()
+        boot = str(upstream.started_ms)
+        self._watch.note_broken(upstream.id, boot, fingerprint, now)
+
+    def note_answer(self, fingerprint: int) -> None:
+        """Clear a request that an upstream has answered."""
+        self._quarantine.note_answer(fingerprint, self._clock.monotonic())
+
+    def note_lost(self, upstream: str) -> None:
+        """Note that an upstream is out of reach, gone or started anew."""
+        now = self._clock.monotonic()
+        accused = self._watch.note_lost(upstream, now)
+        if accused is None:
+            return
+        crash, fingerprints = accused
+        self._quarantine.note_crash(crash, fingerprints, now)
+        self._events.record(
+            "upstream.crashed", upstream=upstream, requests=len(fingerprints)
+        )
+
+    def list_news(self) -> tuple[CrashRecord, ...]:
+        """Return the records that the other gateways are told now."""
+        now = self._clock.monotonic()
+        while len(self._told) > 1 and now - self._told[1][0] > NEWS_TIME:
+            self._told.popleft()
+        since = self._told[0][1]
+        records, version = self._quarantine.list_changes(since, now, RECORDS_LIMIT)
+        if version != self._version:
+            self._version = version
+            self._told.append((now, version))
+        return records
+
+    def merge(self, records: Sequence[CrashRecord]) -> None:
+        """Take in what another gateway tells."""
+        if records and self._quarantine.merge(records, self._clock.monotonic()):
+            self._events.record("quarantine.merged", records=len(records))
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -38,6 +38,7 @@
     strip_connection_headers,
 )
 from .connections import AnswerHead, ConnectionPool, Exchange, ExchangeEnd
+from .crash_reporters import CrashReporter
 from .event_cuts import EventCutter
 from .generators import GenerationPlanner
 
@@ -50,10 +51,15 @@
 """The same for requests that must not be repeated."""
 CONNECTION_SHARE = 0.8
 """Part of an upstream's connections that all processes together open."""
+QUARANTINE_RETURN = timedelta(seconds=60)
+"""When a caller may try again what crashed upstreams; sooner is of no use."""
 RETRY_SOON = timedelta(milliseconds=250)
 """When a caller is told to come back after a refusal that has no better estimate."""
 REPEATED_GENERATION = 2
 """Sends that another try of a generation takes: one to read, one to generate."""
+PROBE_DELAY = timedelta(milliseconds=30)
+"""How long after a broken send its upstream is tried: one that crashes closes its
+connections a moment before it stops listening."""
 CLOSE_MARGIN = timedelta(milliseconds=30)
 """How long before the caller's limit it gets its answer, so that it arrives."""
 
@@ -69,6 +75,7 @@
     availability_zone: str
     upstreams: UpstreamList
     loads: LoadBook
+    crashes: CrashReporter
     planner: GenerationPlanner
     retry_limits: RetryLimits
     processes: int
@@ -92,6 +99,8 @@
         self._pools: dict[str, ConnectionPool] = {}
         self._windows: dict[str, RetryWindow] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._probes: set[asyncio.Task[None]] = set()
+        self._probed: set[str] = set()
         self._has_served = False
 
     @property
@@ -128,9 +137,10 @@
 
     async def close(self) -> None:
         """Cancel what is left and close the connections."""
-        for task in list(self._tasks):
+        tasks = self._tasks | self._probes
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         for pool in self._pools.values():
             pool.close()
 
@@ -148,6 +158,25 @@
             self._pools[upstream.id] = pool
         return pool
 
+    def probe(self, upstream: UpstreamRecord) -> None:
+        """Find out soon whether an upstream on which a send broke can be reached."""
+        if upstream.id in self._probed:
+            return
+        self._probed.add(upstream.id)
+        task = asyncio.create_task(self._probe(upstream))
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
+
+    async def _probe(self, upstream: UpstreamRecord) -> None:
+        try:
+            await asyncio.sleep(PROBE_DELAY.total_seconds())
+            if not await self.get_pool(upstream).probe():
+                now = self._parts.clock.monotonic()
+                self._parts.loads.note_unreachable(upstream.id, now)
+                self._parts.crashes.note_lost(upstream.id)
+        finally:
+            self._probed.discard(upstream.id)
+
     def forget_upstream(self, id: str) -> None:
         """Drop what is kept of an upstream that is gone."""
         pool = self._pools.pop(id, None)
@@ -220,6 +249,7 @@
         self._route: Route | None = None
         self._service = ""
         self._limit_at = timedelta()
+        self._fingerprint = 0
         self._progress = _Progress()
         self._cutter = EventCutter()
 
@@ -280,7 +310,14 @@
 
     async def _send_until_answered(self, route: Route) -> None:
         progress = self._progress
+        request = self._request
+        self._fingerprint = self._parts.crashes.take_fingerprint(
+            request.method, request.path, request.body
+        )
         while not self._answer.is_caller_gone:
+            if self._parts.crashes.is_refused(self._fingerprint):
+                self._refuse_crasher()
+                return
             send = await self._send_once(route)
             if send is None:
                 if not self._answer.has_ended:
@@ -443,6 +480,13 @@
         back = draw_return(placement, time_left, self._parts.random)
         self._refuse("crowded", back, wait_ms=round(placement.wait_seconds * 1000, 1))
 
+    def _refuse_crasher(self) -> None:
+        """Answer a request that has crashed each upstream that ran it."""
+        if self._progress.sendings.may_have_run:
+            self._fail(502, "quarantine", "The upstreams crashed on this request.")
+        else:
+            self._refuse("quarantine", QUARANTINE_RETURN)
+
     def _refuse_unplaced(self) -> None:
         """Answer a request for which there is no upstream (any more)."""
         if self._progress.sendings.may_have_run:
@@ -529,8 +573,14 @@
         send.end = self._classify(send, end)
         id = send.upstream.id
         self._parts.count_send(self._route.name, send.end.value)
+        if send.end is SendEnd.BROKEN and end == ExchangeEnd.BROKEN:
+            self._parts.crashes.note_broken(send.upstream, self._fingerprint)
+            self._forwarder.probe(send.upstream)
+        elif send.end is SendEnd.ANSWERED:
+            self._parts.crashes.note_answer(self._fingerprint)
         if end == ExchangeEnd.NOT_CONNECTED:
             loads.note_unreachable(id, now)
+            self._parts.crashes.note_lost(id)
         elif send.end in (SendEnd.NOT_RUN, SendEnd.OTHER_UPSTREAM) and not source:
             loads.note_refusal(id, now)
         elif send.end is SendEnd.ANSWERED:
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
 from random import Random
@@ -28,6 +29,7 @@
 from .adapters import Adapter, StoreRow, load_adapter
 from .caller_connections import CallerConnections, ConnectionOptions
 from .connections import split_address
+from .crash_reporters import CrashReporter
 from .feeds import FeedOptions, TableFeed
 from .forwardings import Forwarder, ForwarderParts
 from .gateway_metrics import CONTENT_TYPE_LATEST, GatewayMetrics
@@ -79,6 +81,7 @@
         self._metrics = GatewayMetrics(node.name, node.availability_zone)
         self._upstreams = UpstreamList()
         self._loads = LoadBook()
+        self._crashes = CrashReporter(self._clock, self._events)
         self._forwarder = Forwarder(self._make_parts())
         self._store = self._adapter.open_store(settings.store.address, self._clock)
         self._incarnation = int(self._clock.now().timestamp() * 1_000_000)
@@ -204,6 +207,7 @@
             availability_zone=zone,
             upstreams=self._upstreams,
             loads=self._loads,
+            crashes=self._crashes,
             planner=GenerationPlanner(
                 self._clock, self._upstreams, self._loads, speeds
             ),
@@ -276,14 +280,16 @@
         would be read only when the call on it has timed out.
         """
         self._planner.hear(digest)
+        self._crashes.merge(digest.crashes)
         if digest.configuration > self.version:
             self._feeds[0].wake()
 
     def _build_digest(self) -> PeerDigest:
         self._digests += 1
-        return self._planner.build_digest(
+        digest = self._planner.build_digest(
             self._settings.node.name, self._incarnation, self._digests, self.version
         )
+        return replace(digest, crashes=self._crashes.list_news())
 
     def _make_keeper(self) -> StageKeeper:
         parts = StageKeeperParts(
@@ -382,6 +388,7 @@
             )
         elif before.address != record.address or before.started_ms < record.started_ms:
             self._events.record("upstream.restarted", upstream=record.id)
+            self._crashes.note_lost(record.id)
             self._forwarder.forget_upstream(record.id)
         elif (before.draining, before.stage) != (record.draining, record.stage):
             self._events.record(
@@ -397,6 +404,7 @@
 
     def _note_gone(self, id: str) -> None:
         self._events.record("upstream.gone", upstream=id)
+        self._crashes.note_lost(id)
         self._forwarder.forget_upstream(id)
 
     def _listen_to_callers(self, address: str) -> HTTPServer:
--- a/packages/mustardquay-node/src/mustardquay_node/peers.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.capnp
@@ -15,6 +15,18 @@
   tokens @2 :UInt32;
 }
 
+struct Crash {
+  upstream @0 :Text;
+  boot @1 :Text;
+}
+
+struct CrashRecord {
+  fingerprint @0 :UInt64;
+  crashes @1 :List(Crash);
+  cleared @2 :List(Crash);
+  remainingMilliseconds @3 :UInt32;
+}
+
 struct Digest {
   gateway @0 :Text;
   incarnation @1 :UInt64;
@@ -25,4 +37,5 @@
   placed @5 :List(PlacedPart);
   # Engines that the sender has ordered to change their stage.
   changing @6 :List(Text);
+  crashes @7 :List(CrashRecord);
 }
--- a/packages/mustardquay-node/src/mustardquay_node/peers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.py
@@ -18,6 +18,7 @@
 from mustardquay.errors import MustardquayError
 from mustardquay.events import EventRing
 from mustardquay.peer_books import EngineDigest, PeerDigest, PlacedPart
+from mustardquay.quarantines import CrashId, CrashRecord
 from mustardquay.tables import Transaction, Write
 
 from .adapters import StoreRow, StoreTables
@@ -54,6 +55,7 @@
     message.configuration = digest.configuration
     positions = {each.engine: index for index, each in enumerate(digest.engines)}
     message.changing = list(digest.changing)
+    _write_crashes(message, digest.crashes)
     engines = message.init("engines", len(digest.engines))
     for built, each in zip(engines, digest.engines, strict=True):
         built.engine = each.engine
@@ -88,11 +90,33 @@
             engines,
             placed,
             tuple(message.changing),
+            tuple(map(_read_crash, message.crashes)),
         )
     except (capnp.KjException, IndexError, ValueError):
         return None
 
 
+def _write_crashes(message: Any, records: Sequence[CrashRecord]) -> None:
+    built_records = message.init("crashes", len(records))
+    for built, record in zip(built_records, records, strict=True):
+        built.fingerprint = record.fingerprint
+        built.remainingMilliseconds = record.remaining // timedelta(milliseconds=1)
+        for name in ("crashes", "cleared"):
+            ids = sorted(getattr(record, name))
+            for each, id in zip(built.init(name, len(ids)), ids, strict=True):
+                each.upstream = id.upstream
+                each.boot = id.boot
+
+
+def _read_crash(record: Any) -> CrashRecord:
+    return CrashRecord(
+        record.fingerprint,
+        frozenset(CrashId(each.upstream, each.boot) for each in record.crashes),
+        frozenset(CrashId(each.upstream, each.boot) for each in record.cleared),
+        timedelta(milliseconds=record.remainingMilliseconds),
+    )
+
+
 class PeerLink(asyncio.DatagramProtocol):
     """Tells the other gateways what this one has outstanding."""
 
--- a/packages/mustardquay/src/mustardquay/peer_books.py
+++ b/packages/mustardquay/src/mustardquay/peer_books.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from .quarantines import CrashRecord
+
 __all__ = ["DIGEST_LIFETIME", "EngineDigest", "PeerBook", "PeerDigest", "PlacedPart"]
 
 DIGEST_LIFETIME = timedelta(milliseconds=800)
@@ -49,6 +51,8 @@
     placed: tuple[PlacedPart, ...] = ()
     changing: tuple[str, ...] = ()
     """Engines that the gateway has ordered to change their stage."""
+    crashes: tuple[CrashRecord, ...] = ()
+    """Requests that crash upstreams, as far as that is news."""
 
 
 @dataclass(slots=True)
--- a/packages/mustardquay/src/mustardquay/quarantines.py
+++ b/packages/mustardquay/src/mustardquay/quarantines.py
@@ -90,7 +90,10 @@
         refusal: timedelta = timedelta(minutes=30),
         capacity: int = 2000,
         crashes: int = 8,
+        refused_after: int = 2,
     ):
+        """Take how long records count; `refused_after` crashes end in refusal."""
+        self._refused_after = refused_after
         self._suspicion = suspicion
         self._refusal = refusal
         self._capacity = capacity
@@ -127,7 +130,8 @@
         counted = len(entry.crashes - entry.cleared)
         if counted == 0:
             return Standing.CLEAR
-        return Standing.SUSPECT if counted == 1 else Standing.REFUSED
+        is_refused = counted >= self._refused_after
+        return Standing.REFUSED if is_refused else Standing.SUSPECT
 
     def refuse(self, fingerprint: int, now: timedelta) -> Refusal | None:
         """Return the refusal of a fingerprint that is refused, or None."""
@@ -135,8 +139,8 @@
             return None
         return Refusal(
             Reason.QUARANTINE,
-            "This request was in flight in two crashes of engines; change it, or "
-            "send it again when the quarantine ends.",
+            f"This request was in flight in {self._refused_after} crashes of engines; "
+            "change it, or send it again when the quarantine ends.",
             self._entries[fingerprint].until - now,
         )
 
@@ -206,7 +210,8 @@
         entry.cleared |= cleared
         self._bound(entry)
         entry.until = max(entry.until, until)
-        if not is_new and counted < 2 <= len(entry.crashes - entry.cleared):
+        now_counted = len(entry.crashes - entry.cleared)
+        if not is_new and counted < self._refused_after <= now_counted:
             entry.until = max(entry.until, now + self._refusal)
         self._version += 1
         entry.version = self._version
--- /dev/null
+++ b/packages/mustardquay/tests/test_crash_watches.py
@@ -0,0 +1,26 @@
+from datetime import timedelta
+
+from mustardquay.crash_watches import WATCH_TIME, CrashWatch
+from mustardquay.quarantines import CrashId
+
+NOW = timedelta(seconds=70)
+
+
+def test_a_broken_connection_alone_accuses_nobody():
+    """A saved route can't be checked for minutes though nothing is wrong with it.
+
+    Its answers were lost three times in a row while its upstreams lived.
+    """
+    watch = CrashWatch()
+    watch.note_broken("u1", "b1", 5, NOW)
+    late = NOW + WATCH_TIME + timedelta(milliseconds=1)
+    assert watch.note_lost("u1", late) is None
+    assert watch.note_lost("u2", NOW) is None
+
+
+def test_all_that_was_in_flight_in_a_crash_is_accused_once():
+    watch = CrashWatch()
+    for fingerprint in (5, 6, 5):
+        watch.note_broken("u1", "b1", fingerprint, NOW)
+    assert watch.note_lost("u1", NOW) == (CrashId("u1", "b1"), {5, 6})
+    assert watch.note_lost("u1", NOW) is None
--- /dev/null
+++ b/tests/adapter/test_crashes.py
@@ -0,0 +1,59 @@
+"""Requests that crash the upstreams which run them."""
+
+import asyncio
+
+from conftest import build_request
+from standins import read_message
+
+
+async def test_a_request_that_crashes_upstreams_is_refused_after_the_third(site):
+    """One upstream after the other is lost, for as long as a caller tries.
+
+    Each upstream that runs the request crashes; the caller sends it again, and other
+    requests of the same kind are served in between.
+    """
+
+    async def crash(arrival, answer):
+        if arrival.body == b"poison":
+            site.upstreams[answer.upstream].close()
+            answer.reset()
+        else:
+            await site.upstreams[answer.upstream].answer(arrival, answer)
+
+    for number in range(5):
+        await site.add_upstream(f"i-{number}", crash)
+    statuses = []
+    for _ in range(8):
+        statuses.append((await site.call("/once/", "POST", b"poison"))[0])
+        await asyncio.sleep(0.1)
+    assert statuses.count(502) == 3
+    assert statuses[-1] == 503
+    assert (await site.call("/once/", "POST", b"good"))[0] == 200
+
+
+async def test_answers_that_are_lost_accuse_nobody(site):
+    async def lose(arrival, answer):
+        answer.reset()
+
+    for number in range(5):
+        await site.add_upstream(f"i-{number}", lose)
+    for _ in range(8):
+        assert (await site.call("/once/", "POST", b"good"))[0] == 502
+
+
+async def test_gateways_know_of_crashes_that_others_have_seen(site):
+    reporter = site.gateway._crashes
+    fingerprint = reporter.take_fingerprint("POST", "/once/", b"poison")
+    peer = type(reporter)(site.gateway._clock, site.gateway.events)
+    for number in range(3):
+        upstream = await site.add_upstream(f"i-{number}")
+        record = site.gateway.list_upstreams()[number]
+        peer.note_broken(record, fingerprint)
+        peer.note_lost(upstream.id)
+    reporter.merge(peer.list_news())
+    reader, writer = await site.connect()
+    writer.write(build_request("/once/", "POST", b"poison"))
+    line, headers, _ = await read_message(reader)
+    assert " 503 " in line
+    assert site.count() == 0
+    writer.close()
--- a/tests/adapter/test_stops.py
+++ b/tests/adapter/test_stops.py
@@ -55,3 +55,29 @@
     assert headers["connection"] == "close"
     connection[1].close()
     await stop
+
+
+async def test_a_request_that_crosses_the_close_is_not_run(site, monkeypatch):
+    """A draft runs though its caller was told nothing and sends it anew.
+
+    The gateway had read the request's bytes when it closed the idle connection, and
+    forwards them after that.
+    """
+    upstream = await site.add_upstream("i-1")
+    reader, writer = await site.connect()
+    await asyncio.sleep(0.05)
+    writer.write(build_request("/once/", "POST", b"x"))
+    # No turn of the loop between the arrival of the bytes and the close.
+    (connection,) = site.gateway._connections._open
+    stream = connection.stream
+    original = stream._handle_read
+
+    def read_and_close():
+        original()
+        stream.close()
+
+    monkeypatch.setattr(stream, "_handle_read", read_and_close)
+    assert await asyncio.wait_for(reader.read(), 3) == b""
+    await asyncio.sleep(0.1)
+    assert not upstream.arrivals
+    writer.close()
