Refuse an output limit that no model can hold

Cause: a chat completion with max_tokens of 1,000,000 had no answer in 8 s, and from 2,147,483,648 on the engine stand-in built a list of that length and grew to 12 GB. The entry let every positive number pass. Change: the setting output_limit of [entry], 400 with the remedy above it; the stand-in bounds itself as well. The test fails before and passes after.

--- a/packages/mustardquay-node/src/mustardquay_node/generations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generations.py
@@ -47,7 +47,7 @@
             self.refuse(400, str(error), "invalid_body", error.field or None)
             return
         model, _, adapter = body.model.partition(":")
-        if not self._may_use(model, adapter):
+        if not self._may_use(model, adapter) or not self._can_hold(body):
             return
         self.model = model
         call = self._make_call(body, model, adapter)
@@ -69,6 +69,19 @@
             return False
         return True
 
+    def _can_hold(self, body: GenerationBody) -> bool:
+        """Tell whether the models can hold as many tokens as the caller asks for.
+
+        Guards against a limit beyond any memory: the engine that takes it plans for
+        the tokens, answers nobody any more and grows until it is killed.
+        """
+        limit = self.parts.settings.output_limit
+        if (body.output_limit or 0) <= limit:
+            return True
+        message = f"max_tokens is over {limit}, which the models hold; lower it."
+        self.refuse(400, message, "invalid_request", "max_tokens")
+        return False
+
     def _make_call(self, body: GenerationBody, model: str, adapter: str) -> Call:
         contract = self.customer
         assert contract is not None
--- a/packages/mustardquay-node/src/mustardquay_node/keys.py
+++ b/packages/mustardquay-node/src/mustardquay_node/keys.py
@@ -113,6 +113,14 @@
         "Largest body of a request; larger ones get 413. At least 64 KiB under the "
         "frame limit.",
     ),
+    Key(
+        "entry",
+        "output_limit",
+        "131072",
+        "tokens",
+        "Largest limit of output tokens that a caller may ask for; larger ones get "
+        "400. What the models can hold.",
+    ),
     Key(
         "entry",
         "body_timeout",
--- a/packages/mustardquay-node/src/mustardquay_node/settings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/settings.py
@@ -108,6 +108,7 @@
     port: Port
     operator_keys: SomeWords
     body_limit: Count
+    output_limit: Count
     body_timeout: Duration
     idle_timeout: Duration
     progress_timeout: Duration
--- a/packages/mustardquay-standins/src/mustardquay_standins/engine_calls.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/engine_calls.py
@@ -17,6 +17,8 @@
 
 __all__ = ["DONE", "EngineRequest", "OpenAIWriter", "parse_request", "read_event_text"]
 
+LARGEST_MAX_TOKENS = 131_072
+"""Tokens that the model holds; the answer is made as a whole list of them."""
 DEFAULT_MAX_TOKENS = 16
 EVENT_PREFIX = b"data: "
 DONE = EVENT_PREFIX + b"[DONE]\n\n"
@@ -53,6 +55,8 @@
     body = call.parse()
     prompt = read_prompt(body)
     limit = body.get("max_completion_tokens") or body.get("max_tokens")
+    if limit and int(limit) > LARGEST_MAX_TOKENS:
+        raise ValueError(f"max_tokens is over {LARGEST_MAX_TOKENS}")
     tokens = expected_tokens(prompt, int(limit or DEFAULT_MAX_TOKENS))
     position = _find_position(body.get("resume"), tokens)
     options = body.get("stream_options") or {}
--- a/tests/test_caller_faults.py
+++ b/tests/test_caller_faults.py
@@ -115,3 +115,22 @@
     await wait_until(
         lambda: any(e.kind == "request.ended" for e in entry.events.list_events())
     )
+
+
+@pytest.mark.parametrize("limit", [131_073, 1_000_000, 2_147_483_648, 10**30])
+async def test_an_output_limit_that_no_model_holds_is_refused(site, limit):
+    """
+    A caller asks for two thousand million tokens. The engine plans for all of them,
+    answers nobody any more, and grows until it is killed.
+    """
+    body = (
+        b'{"model": "bulletin-reader", "max_tokens": %d, '
+        b'"messages": [{"role": "user", "content": "long"}]}' % limit
+    )
+    reader, writer = await connect(site)
+    writer.write(make_head(site, len(body)) + body)
+    async with asyncio.timeout(5):
+        answer = await reader.readuntil(b"\r\n\r\n")
+    assert b" 400 " in answer.split(b"\r\n")[0]
+    writer.close()
+    assert all(engine.counters.tokens == 0 for engine in site.engines.values())
