--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -28,6 +28,7 @@
     choose_backend,
 )
 from mustardquay.sendings import NextStep, Sendings, decide_next
+from mustardquay.stalls import limit_reading, limit_silence
 from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import LoadBook, choose_plain
 
@@ -250,6 +251,7 @@
         self._service = ""
         self._limit_at = timedelta()
         self._fingerprint = 0
+        self._silence: asyncio.TimerHandle | None = None
         self._progress = _Progress()
         self._cutter = EventCutter()
 
@@ -497,19 +499,27 @@
     async def _prefill(self, route: Route, placement: Placement) -> Prefilled | _Send:
         """Have an engine read the prompt; returns the failed send if it does not."""
         holder = placement.holder
-        send = await self._exchange(
-            route,
-            placement.reader,
-            prefill_only=True,
-            fetch_from=holder.address if holder else "",
-        )
+        loop = asyncio.get_running_loop()
+        seconds = limit_reading(placement).total_seconds()
+        silence = loop.call_later(seconds, self._end_silence)
+        try:
+            send = await self._exchange(
+                route,
+                placement.reader,
+                prefill_only=True,
+                fetch_from=holder.address if holder else "",
+            )
+        finally:
+            silence.cancel()
         if send.end is SendEnd.ANSWERED and send.exchange.head.status == 200:
             try:
                 return self._parts.adapter.read_prefilled(send.exchange.content)
             except ProtocolError as error:
                 send.detail = str(error)
         # Reading a prompt does not run the request, whatever came of it.
-        send.end = SendEnd.NOT_RUN
+        if send.end is not SendEnd.CALLER_LEFT:
+            is_refused = send.end in (SendEnd.NOT_RUN, SendEnd.OTHER_UPSTREAM)
+            send.end = SendEnd.NOT_RUN if is_refused else SendEnd.UNREAD
         return send
 
     async def _exchange(
@@ -551,6 +561,8 @@
         self._progress.current = send.exchange
         self._progress.upstream = upstream.id
         is_once = route.repeat is not Repeat.IDEMPOTENT and not prefill_only
+        if is_stream:
+            self._watch_silence()
         parts.loads.begin(upstream.id)
         end = ExchangeEnd.CANCELLED
         try:
@@ -562,6 +574,7 @@
             raise
         finally:
             self._progress.current = None
+            self._unwatch_silence()
             self._settle(send, end, source)
         return send
 
@@ -655,9 +668,36 @@
         self._note_passed(len(data))
         return self._answer.write(data) if data else None
 
+    def _watch_silence(self) -> None:
+        """End the send if its engine stays silent, so that the stream goes on."""
+        self._unwatch_silence()
+        limit = limit_silence(self._route)
+        if limit is not None:
+            loop = asyncio.get_running_loop()
+            seconds = limit.total_seconds()
+            self._silence = loop.call_later(seconds, self._end_silence)
+
+    def _unwatch_silence(self) -> None:
+        if self._silence is not None:
+            self._silence.cancel()
+            self._silence = None
+
+    def _end_silence(self) -> None:
+        current = self._progress.current
+        if current is None:
+            return
+        self._parts.events.record(
+            "upstream.silent",
+            request=self._facts.id,
+            upstream=self._progress.upstream,
+            passed=self._progress.passed,
+        )
+        current.cancel()
+
     def _note_passed(self, size: int) -> None:
         now = self._parts.clock.monotonic()
         progress = self._progress
+        self._watch_silence()
         if progress.passed_at is not None:
             pause = now - progress.passed_at
             progress.longest_pause = max(progress.longest_pause, pause)
--- a/packages/mustardquay/src/mustardquay/requests.py
+++ b/packages/mustardquay/src/mustardquay/requests.py
@@ -52,6 +52,8 @@
     """The upstream says that it did not run it and won't."""
     OTHER_UPSTREAM = "other_upstream"
     """The address belongs to another upstream by now; not run."""
+    UNREAD = "unread"
+    """An engine did not read the prompt; the request itself was not sent."""
     BROKEN = "broken"
     """The connection ended, or what came was no answer: it may have run."""
     TIMED_OUT = "timed_out"
@@ -61,7 +63,12 @@
     @property
     def is_not_run(self) -> bool:
         """Return whether this send surely did not run the request."""
-        return self in (SendEnd.NOT_SENT, SendEnd.NOT_RUN, SendEnd.OTHER_UPSTREAM)
+        return self in (
+            SendEnd.NOT_SENT,
+            SendEnd.NOT_RUN,
+            SendEnd.OTHER_UPSTREAM,
+            SendEnd.UNREAD,
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mustardquay/src/mustardquay/sendings.py
+++ b/packages/mustardquay/src/mustardquay/sendings.py
@@ -59,7 +59,7 @@
         """Count a send that has ended."""
         if end is SendEnd.OTHER_UPSTREAM:
             self.misdirected += 1
-        elif end is not SendEnd.NOT_SENT:
+        elif end not in (SendEnd.NOT_SENT, SendEnd.UNREAD):
             self.offered += 1
         if not end.is_not_run:
             self.may_have_run = True
@@ -68,8 +68,6 @@
 MISDIRECTED_LIMIT = 2
 """Sends to an address that has changed hands before the caller is told to come
 back: the list of upstreams is then older than the fleet."""
-UNSENT_LIMIT = 3
-"""Upstreams that refuse the connection, after which a request is given up."""
 
 
 def decide_next(
--- a/tests/adapter/test_generations.py
+++ b/tests/adapter/test_generations.py
@@ -107,6 +107,25 @@
     assert second.arrivals
 
 
+async def test_a_reader_that_falls_silent_is_left_for_another(engines):
+    """A caller hears nothing until its deadline although engines are idle."""
+    site, reader, _ = engines
+    released = asyncio.Event()
+
+    async def fall_silent(arrival, answer):
+        await released.wait()
+
+    reader.script = fall_silent
+    await site.add_upstream("p-2", run_engine, stage="prefill")
+    number = 0
+    while not reader.arrivals:
+        number += 1
+        headers = PROMPT | {"X-Prefix-Hash": f"a{number}:6300,c{number}:2890"}
+        status, _, _ = await site.call("/stream/", "POST", b"prompt", headers)
+    released.set()
+    assert status == 200
+
+
 async def test_crowded_engines_refuse_at_once_with_a_time_to_return(engines):
     """Everyone gets a late answer in a burst, or hears nothing until the deadline."""
     site, reader, _ = engines
--- a/tests/adapter/test_streams.py
+++ b/tests/adapter/test_streams.py
@@ -109,3 +109,38 @@
     status, headers, body = await site.call("/stream/")
     assert (status, body) == (500, b"out of memory")
     assert headers["x-response-stamp"] == "stamp-i-1"
+
+
+async def test_a_stream_goes_on_elsewhere_when_its_engine_falls_silent(site):
+    """A draft stands still until its caller gives up.
+
+    Its engine has lost power in the middle of the stream. No connection is closed, and
+    another engine could go on.
+    """
+    released = asyncio.Event()
+
+    async def fall_silent(arrival, answer):
+        answer.begin_stream()
+        for event in EVENTS[:2]:
+            answer.write_chunk(event)
+        await released.wait()
+
+    first = await site.add_upstream("i-1", fall_silent)
+    await site.add_upstream("i-2", write_all)
+    while not first.arrivals:
+        status, _, body = await site.call("/resumable/")
+    released.set()
+    assert (status, body) == (200, b"".join(EVENTS))
+    assert site.list_events("upstream.silent")
+
+
+async def test_a_stream_that_must_not_be_resumed_waits_for_its_engine(site):
+    async def pause(arrival, answer):
+        answer.begin_stream()
+        answer.write_chunk(EVENTS[0])
+        await asyncio.sleep(1)
+        answer.write_chunk(EVENTS[1])
+        answer.end_stream()
+
+    await site.add_upstream("i-1", pause)
+    assert (await site.call("/stream/"))[2] == EVENTS[0] + EVENTS[1]
