Fill an engine that generates only up to its places, and know that it lives

One engine was left to generate, drafts held its places, and gateways took it for lost after 600 ms and sent its work once more.

--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -61,6 +61,9 @@
 PROBE_DELAY = timedelta(milliseconds=30)
 """How long after a broken send its upstream is tried: one that crashes closes its
 connections a moment before it stops listening."""
+SILENCE_STEP = 0.2
+"""Seconds until an engine that lives and has sent nothing for a request is looked at
+again."""
 CLOSE_MARGIN = timedelta(milliseconds=30)
 """How long before the caller's limit it gets its answer, so that it arrives."""
 
@@ -418,7 +421,7 @@
         now = self._parts.clock.monotonic()
         time_left = self._limit_at - now
         is_new = not self._progress.sendings.offered
-        if is_new and not admits_generation(route, placement, time_left):
+        if is_new and not admits_generation(route, prompt, placement, time_left):
             self._refuse_crowded(placement, time_left)
             return None
         ticket = planner.begin(prompt, placement)
@@ -501,7 +504,7 @@
         holder = placement.holder
         loop = asyncio.get_running_loop()
         seconds = limit_reading(placement).total_seconds()
-        silence = loop.call_later(seconds, self._end_silence)
+        self._silence = loop.call_later(seconds, self._end_silence)
         try:
             send = await self._exchange(
                 route,
@@ -510,7 +513,7 @@
                 fetch_from=holder.address if holder else "",
             )
         finally:
-            silence.cancel()
+            self._unwatch_silence()
         if send.end is SendEnd.ANSWERED and send.exchange.head.status == 200:
             try:
                 return self._parts.adapter.read_prefilled(send.exchange.content)
@@ -598,6 +601,7 @@
             loads.note_refusal(id, now)
         elif send.end is SendEnd.ANSWERED:
             loads.note_reached(id)
+            loads.note_heard(id, now)
         has_failed = (
             end == ExchangeEnd.NOT_CONNECTED
             or send.end is SendEnd.BROKEN
@@ -649,6 +653,8 @@
 
     def _receive(self, send: _Send, data: bytes, first: Callable[[], None] | None):
         """Pass on a part of a stream."""
+        now = self._parts.clock.monotonic()
+        self._parts.loads.note_heard(send.upstream.id, now)
         head = send.exchange.head
         if head is None or head.status != 200 or not send.facts.is_signed:
             send.exchange._parts.append(data)
@@ -686,6 +692,12 @@
         current = self._progress.current
         if current is None:
             return
+        now = self._parts.clock.monotonic()
+        if self._parts.loads.is_heard(self._progress.upstream, now):
+            # It lives and is busy with others; elsewhere nothing would be sooner.
+            loop = asyncio.get_running_loop()
+            self._silence = loop.call_later(SILENCE_STEP, self._end_silence)
+            return
         self._parts.events.record(
             "upstream.silent",
             request=self._facts.id,
--- a/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
@@ -27,12 +27,12 @@
 __all__ = ["StageKeeper", "StageKeeperParts"]
 
 DOMAIN = "stages"
-ORDER_VALIDITY = timedelta(seconds=1.2)
+ORDER_VALIDITY = timedelta(seconds=0.7)
 """How long after a renewal was sent its holder gives orders."""
-LEASE_TERM = timedelta(seconds=5.2)
+LEASE_TERM = timedelta(seconds=4.4)
 """How long a challenger sees no renewal before it takes over. The platform counts
-orders of two holders within 3 s as a conflict; validity, that and a second for calls
-that hang are less than the term."""
+orders of two holders within 3 s as a conflict; validity, that and 0.5 s for calls that
+hang are less than the term."""
 TURN = timedelta(seconds=1)
 SETTLING = timedelta(seconds=3)
 """After the start nothing is ordered for so long: the list of engines fills up as
--- a/packages/mustardquay/src/mustardquay/generation_limits.py
+++ b/packages/mustardquay/src/mustardquay/generation_limits.py
@@ -9,6 +9,7 @@
 from random import Random
 
 from .placements import Placement
+from .requests import PromptTraits
 from .routing_tables import Route
 
 __all__ = ["admits_generation", "draw_return"]
@@ -25,19 +26,33 @@
 LIGHT_SHARE = 0.1
 """Part of its time that a prompt of such a reading may wait: the tokens after it take
 most of the rest."""
+FULL_OCCUPANCY = 0.95
+"""Part of an engine's places up to which work is sent there; the books lag by some
+sends. What comes to a full engine waits for places until its deadline."""
+LONG_OCCUPANCY = 0.75
+"""The same for long answers. When few engines are left to generate, long answers hold
+their places for seconds and short ones for 60 ms, of which many would wait for one."""
+LONG_ANSWER = 20
+"""Limit of output tokens from which an answer is long: an engine gathers some 50 steps
+in a token of this count, about 50 ms."""
 EARLIEST_RETURN = timedelta(milliseconds=250)
 RETURN_SPREAD = timedelta(milliseconds=350)
 """Returns are drawn over this time, so that those refused together don't meet again.
 Callers follow a hint of at most a third of the time that they have left."""
 
 
-def admits_generation(route: Route, placement: Placement, time_left: timedelta) -> bool:
+def admits_generation(
+    route: Route, prompt: PromptTraits, placement: Placement, time_left: timedelta
+) -> bool:
     """Return whether the answer is expected in time, or soon enough to be of use.
 
     What counts is the wait, not the reading: large prompts must not be refused more
     often than small ones. Only what is read in a moment waits longer: to refuse it
     makes room for nobody.
     """
+    is_long = prompt.output_tokens >= LONG_ANSWER
+    if placement.occupancy >= (LONG_OCCUPANCY if is_long else FULL_OCCUPANCY):
+        return False
     if placement.read_seconds <= LIGHT_READ.total_seconds():
         return placement.wait_seconds <= LIGHT_SHARE * time_left.total_seconds()
     bound = max(route.latency_target - GENERATION_START, LEAST_WAIT)
--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -54,6 +54,8 @@
     """Expected reading at the engine that reads."""
     wait_seconds: float
     """Expected time until it begins to read."""
+    occupancy: float
+    """Part of the decoder's places that are taken."""
     cost: float
     """Seconds: the wait, the reading, and what it does to others."""
 
@@ -169,7 +171,8 @@
     wait = books.works.sum_seconds(engine.id)
     running = books.works.sum_running(engine.id)
     cost = wait + read + TOKEN_SECONDS * running + _penalty(engine, books, now)
-    return Placement(engine, None, None, read, wait, cost)
+    occupancy = running / max(engine.slots, 1)
+    return Placement(engine, None, None, read, wait, occupancy, cost)
 
 
 def _weigh_pair(
@@ -193,7 +196,8 @@
     new = max(prompt.prompt_tokens - cached, 1)
     read = books.speeds.read_seconds(new, cached)
     wait = books.works.sum_seconds(engine.id)
-    return Placement(decoder, engine, source, read, wait, cost + wait + read)
+    occupancy = books.works.sum_running(decoder.id) / max(decoder.slots, 1)
+    return Placement(decoder, engine, source, read, wait, occupancy, cost + wait + read)
 
 
 def _weigh_decoder(engine: UpstreamRecord, books: EngineBooks, now: timedelta) -> float:
--- a/packages/mustardquay/src/mustardquay/upstream_loads.py
+++ b/packages/mustardquay/src/mustardquay/upstream_loads.py
@@ -34,6 +34,9 @@
 LONGEST_REFUSAL = timedelta(seconds=1)
 LOST_TIME = timedelta(seconds=1)
 """How long no connection to an upstream comes about until it counts as lost."""
+HEARD_TIME = timedelta(milliseconds=350)
+"""How long an upstream counts as alive after a sign of it. The events of a stream come
+50 to 110 ms apart."""
 LAPSING_TIME = timedelta(seconds=3)
 """How long handles of an engine aren't used after one had lapsed."""
 LOAD_LIFETIME = timedelta(milliseconds=300)
@@ -60,6 +63,8 @@
     """Refusals in a row."""
     unreachable_since: timedelta | None = None
     lapsing_until: timedelta = timedelta()
+    heard_at: timedelta | None = None
+    """When anything came from the upstream."""
     reported: int = 0
     """Requests of all processes there, by the newest answer."""
     reported_at: timedelta | None = None
@@ -132,6 +137,15 @@
         load.refusals = 0
         load.unreachable_since = None
 
+    def note_heard(self, id: str, now: timedelta) -> None:
+        """Note that an upstream has sent something."""
+        self.get(id).heard_at = now
+
+    def is_heard(self, id: str, now: timedelta) -> bool:
+        """Return whether an upstream has sent something lately, so that it lives."""
+        heard_at = self.get(id).heard_at
+        return heard_at is not None and now - heard_at < HEARD_TIME
+
     def is_lost(self, id: str, now: timedelta) -> bool:
         """Return whether an upstream has been out of reach for long."""
         load = self.loads.get(id)
--- a/packages/mustardquay/tests/test_generation_limits.py
+++ b/packages/mustardquay/tests/test_generation_limits.py
@@ -7,6 +7,7 @@
     draw_return,
 )
 from mustardquay.placements import Placement
+from mustardquay.requests import PromptTraits
 from mustardquay.routing_tables import Repeat, Route
 from mustardquay.upstream_lists import Stage, UpstreamRecord
 
@@ -15,8 +16,16 @@
 ENGINE = UpstreamRecord("e", "llm", "10.0.0.1:80", "a", 64, False, Stage.DECODE)
 
 
-def make_placement(wait, read=0.02):
-    return Placement(ENGINE, ENGINE, None, read, wait, wait + read)
+PROMPT = PromptTraits("m", 9_190, 6, ())
+DRAFT = PromptTraits("m", 220, 211, ())
+
+
+def make_placement(wait, read=0.02, occupancy=0.1):
+    return Placement(ENGINE, ENGINE, None, read, wait, occupancy, wait + read)
+
+
+def admits(placement, time_left=SECOND, prompt=PROMPT):
+    return admits_generation(ROUTE, prompt, placement, time_left)
 
 
 def test_callers_get_answers_in_time_while_more_is_asked_than_can_be_read():
@@ -28,7 +37,7 @@
     queue, in_time, late = 0.0, 0, 0
     for _ in range(1_000):
         queue = max(queue - 0.0133, 0.0)
-        if not admits_generation(ROUTE, make_placement(queue), SECOND):
+        if not admits(make_placement(queue)):
             continue
         queue += 0.02
         if queue + 0.06 <= ROUTE.latency_target.total_seconds():
@@ -41,8 +50,8 @@
 
 def test_a_large_prompt_is_not_refused_more_often_than_a_small_one():
     for wait in (0.0, 0.05, 0.12, 0.2):
-        small = admits_generation(ROUTE, make_placement(wait, 0.005), SECOND)
-        large = admits_generation(ROUTE, make_placement(wait, 0.2), SECOND)
+        small = admits(make_placement(wait, 0.005))
+        large = admits(make_placement(wait, 0.2))
         assert small == large
 
 
@@ -58,6 +67,34 @@
 def test_what_is_read_in_a_moment_is_not_refused_for_a_short_wait():
     """A draft is refused although there are 15 s for it and it takes 2 ms to read."""
     placement = make_placement(0.4, read=0.002)
-    assert admits_generation(ROUTE, placement, 15 * SECOND)
-    assert not admits_generation(ROUTE, make_placement(0.4), 15 * SECOND)
-    assert not admits_generation(ROUTE, placement, SECOND)
+    assert admits(placement, 15 * SECOND)
+    assert not admits(make_placement(0.4), 15 * SECOND)
+    assert not admits(placement)
+
+
+def test_long_answers_leave_places_for_short_ones_when_few_engines_are_left():
+    """Nobody gets a verdict for seven seconds after two engines were lost.
+
+    One engine is left to generate. Drafts hold its places for seconds, prompts that
+    had been read wait for one until their deadline, and their reading was in vain.
+    """
+    lengths = {DRAFT: 300, PROMPT: 6}
+    ends: list[tuple[int, PromptTraits]] = []
+    served = {DRAFT: 0, PROMPT: 0}
+    for step in range(1_000):
+        ends = [each for each in ends if each[0] > step]
+        for prompt in (DRAFT, PROMPT):
+            if prompt is DRAFT and step % 3:
+                continue
+            placement = make_placement(0.0, 0.002, len(ends) / 64)
+            if admits(placement, 9 * SECOND, prompt):
+                ends.append((step + lengths[prompt], prompt))
+                served[prompt] += 1
+    assert served[PROMPT] == 1_000
+    assert served[DRAFT] > 100
+
+
+def test_a_full_engine_gets_nothing_more():
+    assert not admits(make_placement(0.0, occupancy=0.97))
+    assert admits(make_placement(0.0, occupancy=0.9))
+    assert not admits(make_placement(0.0, occupancy=0.8), prompt=DRAFT)
