--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
@@ -0,0 +1,103 @@
+"""Gateway servers: the ports of a gateway for callers, balancer and metrics."""
+
+from collections.abc import Callable
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerConnectionDelegate
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from mustardquay.routing_tables import CallerLimits
+
+from .connections import split_address
+from .gateway_metrics import CONTENT_TYPE_LATEST
+
+__all__ = ["GatewayServers"]
+
+BODY_BOUND = 64 * 1024 * 1024
+"""Bytes of a body that tornado takes; the operator's limit is checked before."""
+LISTEN_QUEUE = 512
+"""Connections that wait to be accepted: callers come back together."""
+METRICS_PATH = "/metrics"
+
+
+class GatewayServers:
+    """Listens on the addresses of one gateway."""
+
+    def __init__(self) -> None:
+        self._servers: list[HTTPServer] = []
+        self._callers: HTTPServer | None = None
+
+    def listen_to_callers(
+        self, address: str, delegate: HTTPServerConnectionDelegate
+    ) -> str:
+        """Listen for callers; returns the address with its real port."""
+        self._callers = HTTPServer(delegate, max_body_size=BODY_BOUND)
+        return self._listen(self._callers, address)
+
+    def serve_readiness(
+        self, address: str, path: str, is_ready: Callable[[], bool]
+    ) -> None:
+        """Answer the balancer whether callers may be sent here."""
+        self._serve(address, path, _ReadinessHandler, {"is_ready": is_ready})
+
+    def serve_metrics(self, address: str, render: Callable[[], bytes]) -> None:
+        """Serve the page for Prometheus."""
+        self._serve(address, METRICS_PATH, _MetricsHandler, {"render": render})
+
+    def apply_limits(self, limits: CallerLimits) -> None:
+        """Use the operator's limits for all that callers send from now on."""
+        if self._callers is None:
+            return
+        # Shared by all connections, and read anew for each request.
+        parameters = self._callers.conn_params
+        idle = limits.idle_timeout + limits.header_timeout
+        parameters.header_timeout = idle.total_seconds()
+        parameters.max_header_size = limits.header_bytes
+
+    def end_connections(self) -> None:
+        """End each connection with the answer to its next request."""
+        if self._callers is not None:
+            self._callers.conn_params.no_keep_alive = True
+
+    def stop_accepting(self) -> None:
+        """Take no more connections of callers."""
+        if self._callers is not None:
+            self._callers.stop()
+
+    async def close(self) -> None:
+        """Stop listening and close the connections."""
+        for server in self._servers:
+            server.stop()
+            await server.close_all_connections()
+
+    def _serve(
+        self, address: str, path: str, handler: type[RequestHandler], options: dict
+    ) -> None:
+        rules = [(path, handler, options)]
+        application = Application(rules, log_function=lambda handler: None)
+        self._listen(HTTPServer(application), address)
+
+    def _listen(self, server: HTTPServer, address: str) -> str:
+        host, port = split_address(address)
+        sockets = bind_sockets(port, host, backlog=LISTEN_QUEUE)
+        server.add_sockets(sockets)
+        self._servers.append(server)
+        return f"{host}:{sockets[0].getsockname()[1]}"
+
+
+class _ReadinessHandler(RequestHandler):
+    def initialize(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    def get(self) -> None:
+        self.set_status(200 if self._is_ready() else 503)
+
+
+class _MetricsHandler(RequestHandler):
+    def initialize(self, render: Callable[[], bytes]) -> None:
+        self._render = render
+
+    def get(self) -> None:
+        self.set_header("Content-Type", CONTENT_TYPE_LATEST)
+        self.write(self._render())
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -12,10 +12,6 @@
 from pathlib import Path
 from random import Random
 
-from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
-from tornado.web import Application, RequestHandler
-
 from mustardquay.clocks import Clock, SuspendClock, SystemClock
 from mustardquay.engine_books import EngineSpeeds
 from mustardquay.errors import ProtocolError, SettingsError
@@ -28,25 +24,22 @@
 
 from .adapters import Adapter, StoreRow, load_adapter
 from .caller_connections import CallerConnections, ConnectionOptions
-from .connections import split_address
 from .crash_reporters import CrashReporter
 from .feeds import FeedOptions, TableFeed
 from .forwarder_parts import ForwarderParts
 from .forwarders import Forwarder
-from .gateway_metrics import CONTENT_TYPE_LATEST, GatewayMetrics
+from .gateway_metrics import GatewayMetrics
+from .gateway_servers import GatewayServers
 from .generators import GenerationPlanner
 from .nodes import make_seed
 from .peers import PEERS_TABLE, PeerLink
 from .settings import GatewaySettings, read_settings
 from .stage_keepers import StageKeeper, StageKeeperParts
+from .upstream_intakes import UpstreamIntake
 from .upstream_pools import UpstreamPools
 
 __all__ = ["Gateway"]
 
-BODY_BOUND = 64 * 1024 * 1024
-"""Bytes of a body that tornado takes; the operator's limit is checked before."""
-LISTEN_QUEUE = 512
-"""Connections that wait to be accepted: callers come back together."""
 TICK = timedelta(milliseconds=500)
 """Time between two looks at what changes by time alone."""
 CONFIGURATION_PACE = timedelta(milliseconds=20)
@@ -92,12 +85,18 @@
         self._digests = 0
         self._peers = self._make_peers()
         self._keeper = self._make_keeper()
+        self._intake = UpstreamIntake(
+            self._adapter,
+            self._upstreams,
+            self._events,
+            self._clock,
+            self._forget_upstream,
+        )
         self._feeds = self._make_feeds()
         self._connections = CallerConnections(
             ConnectionOptions(self._clock, self._get_limits, self._forwarder.handle)
         )
-        self._servers: list[HTTPServer] = []
-        self._caller_server: HTTPServer | None = None
+        self._servers = GatewayServers()
         self._ticker: asyncio.Task[None] | None = None
         self._address = settings.gateway.listen
         self._is_draining = False
@@ -137,11 +136,15 @@
         """Listen, and begin to follow the store."""
         self._metrics.start(self._make_gauges())
         gateway = self._settings.gateway
-        self._caller_server = self._listen_to_callers(gateway.listen)
-        self._listen_to_balancer(gateway.readiness)
+        self._address = self._servers.listen_to_callers(
+            gateway.listen, self._connections
+        )
+        self._servers.serve_readiness(
+            gateway.readiness, self._adapter.READINESS_PATH, lambda: self.is_ready
+        )
         if gateway.metrics_port:
             address = f"{self._settings.node.address}:{gateway.metrics_port}"
-            self._serve(address, [("/metrics", _MetricsHandler)])
+            self._servers.serve_metrics(address, self._metrics.render)
         await self._peers.start()
         for feed in self._feeds:
             feed.start()
@@ -161,9 +164,7 @@
         for feed in self._feeds:
             await feed.close()
         await self._peers.close()
-        for server in self._servers:
-            server.stop()
-            await server.close_all_connections()
+        await self._servers.close()
         await self._forwarder.close()
         await self._pools.close()
         self._store.close()
@@ -256,9 +257,9 @@
             TableFeed(
                 self._store,
                 upstreams,
-                self._take_upstreams,
+                self._intake.take,
                 *shared,
-                regained=self._begin_grace,
+                regained=self._intake.begin_grace,
             ),
         )
 
@@ -347,7 +348,7 @@
         if current is not None and table.version <= current.version:
             return
         self._forwarder.put_table(table)
-        self._apply_limits(table.limits)
+        self._servers.apply_limits(table.limits)
         for service in table.services.values():
             if service.engine is not None:
                 self._planner.set_capacity(service.engine.kv_tokens)
@@ -358,74 +359,13 @@
             routes=len(table.routes),
         )
 
-    def _apply_limits(self, limits: CallerLimits) -> None:
-        if self._caller_server is None:
-            return
-        # Shared by all connections, and read anew for each request.
-        parameters = self._caller_server.conn_params
-        idle = limits.idle_timeout + limits.header_timeout
-        parameters.header_timeout = idle.total_seconds()
-        parameters.max_header_size = limits.header_bytes
-
     def _get_limits(self) -> CallerLimits:
         table = self._forwarder.table
         return table.limits if table is not None else CallerLimits()
 
-    def _begin_grace(self) -> None:
-        self._upstreams.begin_grace(self._clock.monotonic())
-
-    def _take_upstreams(self, rows: Sequence[StoreRow], is_whole: bool) -> None:
-        now = self._clock.monotonic()
-        records = []
-        for row in rows:
-            if row.deleted:
-                self._drop_upstream(row.key, now)
-                continue
-            try:
-                records.append(self._adapter.read_upstream(row.key, row.value))
-            except ProtocolError as error:
-                self._events.record(
-                    "upstream.refused", upstream=row.key[:80], error=str(error)
-                )
-        if is_whole:
-            for record in self._upstreams.replace(records, now):
-                self._note_gone(record.id)
-            return
-        for record in records:
-            self._put_upstream(record)
-
-    def _put_upstream(self, record: UpstreamRecord) -> None:
-        before = self._upstreams.put(record)
-        if before is None:
-            self._events.record(
-                "upstream.listed",
-                upstream=record.id,
-                service=record.service,
-                stage=record.stage.value,
-            )
-        elif before.address != record.address or before.started_ms < record.started_ms:
-            self._events.record("upstream.restarted", upstream=record.id)
-            self._crashes.note_lost(record.id)
-            self._forget_upstream(record.id)
-        elif (before.draining, before.stage) != (record.draining, record.stage):
-            self._events.record(
-                "upstream.changed",
-                upstream=record.id,
-                draining=record.draining,
-                stage=record.stage.value,
-            )
-
-    def _drop_upstream(self, id: str, now: timedelta) -> None:
-        if self._upstreams.remove(id, now):
-            self._note_gone(id)
-
-    def _note_gone(self, id: str) -> None:
-        self._events.record("upstream.gone", upstream=id)
-        self._crashes.note_lost(id)
-        self._forget_upstream(id)
-
     def _forget_upstream(self, id: str) -> None:
         """Drop what is kept of an upstream that is gone or has started anew."""
+        self._crashes.note_lost(id)
         self._pools.forget(id)
         self._loads.forget(id)
         self._planner.forget(id)
@@ -434,34 +374,11 @@
         self._loads.note_unreachable(id, self._clock.monotonic())
         self._crashes.note_lost(id)
 
-    def _listen_to_callers(self, address: str) -> HTTPServer:
-        server = HTTPServer(self._connections, max_body_size=BODY_BOUND)
-        self._address = self._add_server(server, address)
-        return server
-
-    def _listen_to_balancer(self, address: str) -> None:
-        self._serve(address, [(self._adapter.READINESS_PATH, _ReadinessHandler)])
-
-    def _serve(self, address: str, handlers: list[tuple[str, type]]) -> None:
-        options = {"gateway": self}
-        rules = [(path, handler, options) for path, handler in handlers]
-        application = Application(rules, log_function=lambda handler: None)
-        self._add_server(HTTPServer(application), address)
-
-    def _add_server(self, server: HTTPServer, address: str) -> str:
-        """Listen, and return the address with the real port."""
-        host, port = split_address(address)
-        sockets = bind_sockets(port, host, backlog=LISTEN_QUEUE)
-        server.add_sockets(sockets)
-        self._servers.append(server)
-        return f"{host}:{sockets[0].getsockname()[1]}"
-
     async def _drain(self) -> None:
         """Wait until the balancer sends nobody any more and the requests have ended."""
         started = self._clock.monotonic()
         deadline = started + self._settings.gateway.drain_timeout
-        if self._caller_server is not None:
-            self._caller_server.conn_params.no_keep_alive = True
+        self._servers.end_connections()
         while self._clock.monotonic() < deadline:
             if self._clock.monotonic() - started >= DRAIN_IDLE:
                 self._stop_taking()
@@ -475,15 +392,13 @@
         Guards against a request that comes on an open connection late in a stop: it
         would be cut off when the time is over.
         """
-        if self._caller_server is not None:
-            self._caller_server.stop()
+        self._servers.stop_accepting()
         self._connections.close_idle()
 
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(TICK.total_seconds())
-            for record in self._upstreams.expire(self._clock.monotonic()):
-                self._note_gone(record.id)
+            self._intake.expire()
             if self._read_stamps() != self._file_stamps:
                 self.reload()
             if self.is_ready != self._was_ready:
@@ -500,25 +415,3 @@
                 continue
             stamps.append((status.st_mtime_ns, status.st_size))
         return stamps
-
-    def render_metrics(self) -> bytes:
-        """Return the page for Prometheus."""
-        return self._metrics.render()
-
-
-class _Handler(RequestHandler):
-    """A handler of this process's own addresses."""
-
-    def initialize(self, gateway: Gateway) -> None:
-        self._gateway = gateway
-
-
-class _ReadinessHandler(_Handler):
-    def get(self) -> None:
-        self.set_status(200 if self._gateway.is_ready else 503)
-
-
-class _MetricsHandler(_Handler):
-    def get(self) -> None:
-        self.set_header("Content-Type", CONTENT_TYPE_LATEST)
-        self.write(self._gateway.render_metrics())
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/upstream_intakes.py
@@ -0,0 +1,93 @@
+"""Upstream intakes: the records of upstreams in the store, taken into the list."""
+
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+from mustardquay.clocks import Clock
+from mustardquay.errors import ProtocolError
+from mustardquay.events import EventRing
+from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
+
+from .adapters import Adapter, StoreRow
+
+__all__ = ["UpstreamIntake"]
+
+
+class UpstreamIntake:
+    """Keeps the list of upstreams by the rows that the store tells of."""
+
+    def __init__(
+        self,
+        adapter: Adapter,
+        upstreams: UpstreamList,
+        events: EventRing,
+        clock: Clock,
+        forget: Callable[[str], None],
+    ):
+        """Take `forget`, which hears of upstreams that are gone or started anew."""
+        self._adapter = adapter
+        self._upstreams = upstreams
+        self._events = events
+        self._clock = clock
+        self._forget = forget
+
+    def begin_grace(self) -> None:
+        """Note that the store answers again after an outage."""
+        self._upstreams.begin_grace(self._clock.monotonic())
+
+    def take(self, rows: Sequence[StoreRow], is_whole: bool) -> None:
+        """Take in rows: all there are, or those that have changed."""
+        now = self._clock.monotonic()
+        records = []
+        for row in rows:
+            if row.deleted:
+                self._drop(row.key, now)
+                continue
+            record = self._read(row)
+            if record is not None:
+                records.append(record)
+                self._put(record)
+        if is_whole:
+            for record in self._upstreams.replace(records, now):
+                self._note_gone(record.id)
+
+    def expire(self) -> None:
+        """Drop the upstreams that did not come back after an outage of the store."""
+        for record in self._upstreams.expire(self._clock.monotonic()):
+            self._note_gone(record.id)
+
+    def _read(self, row: StoreRow) -> UpstreamRecord | None:
+        try:
+            return self._adapter.read_upstream(row.key, row.value)
+        except ProtocolError as error:
+            self._events.record(
+                "upstream.refused", upstream=row.key[:80], error=str(error)
+            )
+            return None
+
+    def _put(self, record: UpstreamRecord) -> None:
+        before = self._upstreams.put(record)
+        if before is None:
+            self._log("upstream.listed", record)
+        elif before.address != record.address or before.started_ms < record.started_ms:
+            self._log("upstream.restarted", record)
+            self._forget(record.id)
+        elif (before.draining, before.stage) != (record.draining, record.stage):
+            self._log("upstream.changed", record)
+
+    def _drop(self, id: str, now: timedelta) -> None:
+        if self._upstreams.remove(id, now):
+            self._note_gone(id)
+
+    def _note_gone(self, id: str) -> None:
+        self._events.record("upstream.gone", upstream=id)
+        self._forget(id)
+
+    def _log(self, kind: str, record: UpstreamRecord) -> None:
+        self._events.record(
+            kind,
+            upstream=record.id,
+            service=record.service,
+            draining=record.draining,
+            stage=record.stage.value,
+        )
