--- a/packages/mustardquay-node/src/mustardquay_node/generators.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generators.py
@@ -30,6 +30,8 @@
     placement: Placement
     parts: tuple[HashedPart, ...]
     is_read: bool = False
+    is_running: bool = False
+    """Whether it holds a place at the engine that generates."""
 
 
 class GenerationPlanner:
@@ -69,11 +71,13 @@
         """Note a placement that is carried out."""
         reader = placement.reader.id
         self._books.works.get(reader).seconds += placement.read_seconds
-        self._books.works.get(placement.decoder.id).running += 1
         parts = hash_parts(prompt.parts)
         # At once, so that the next prompts with these parts go there, too.
         self._note_parts(placement.reader, parts)
-        return Ticket(placement, parts)
+        ticket = Ticket(placement, parts)
+        if placement.prefiller is None:
+            self._take_place(ticket)
+        return ticket
 
     def end_reading(self, ticket: Ticket, is_handed_over: bool = False) -> None:
         """Note that the prompt has been read, or won't be.
@@ -88,6 +92,11 @@
         work.seconds = max(work.seconds - placement.read_seconds, 0.0)
         if is_handed_over:
             self._note_parts(placement.decoder, ticket.parts)
+            self._take_place(ticket)
+
+    def _take_place(self, ticket: Ticket) -> None:
+        ticket.is_running = True
+        self._books.works.get(ticket.placement.decoder.id).running += 1
 
     def _note_parts(self, engine: UpstreamRecord, parts: Sequence[HashedPart]) -> None:
         """Note where the parts are from now on, and tell the other gateways."""
@@ -98,8 +107,9 @@
     def end(self, ticket: Ticket) -> None:
         """Note that the generation has ended."""
         self.end_reading(ticket)
-        work = self._books.works.get(ticket.placement.decoder.id)
-        work.running = max(work.running - 1, 0)
+        if ticket.is_running:
+            work = self._books.works.get(ticket.placement.decoder.id)
+            work.running = max(work.running - 1, 0)
 
     def hear(self, digest: PeerDigest) -> None:
         """Take in what another gateway has outstanding."""
