Tell engines the operator's rank, and let short answers wait for places

Cause: limits of 0.95 and 0.75 of the places refused too much when one engine was left, and took verdicts for long answers. Change: 1.6 and 1.2 of the places, a long answer has 1,000 tokens and more, the rank of the route goes to engines.

--- a/packages/mustardquay-node/src/mustardquay_node/sends.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sends.py
@@ -24,6 +24,8 @@
 SILENCE_STEP = timedelta(milliseconds=200)
 """Time until an engine that lives and has sent nothing for a request is looked at
 again."""
+LOWEST_RANK = 9
+"""The least urgent rank that engines know."""
 SERVER_ERRORS = 500
 """The lowest status by which an upstream says that it failed."""
 
@@ -139,6 +141,7 @@
             kv_source=options.kv_source,
             fetch_from=options.fetch_from,
             resumes_after=request.last_event,
+            urgency=self._rank(),
         )
         incoming = request.incoming
         is_stream = request.route.repeat is Repeat.STREAM and not options.prefill_only
@@ -155,6 +158,15 @@
             receive=receive if is_stream else None,
         )
 
+    def _rank(self) -> int | None:
+        """Return how urgent the request is to an engine; None for plain upstreams.
+
+        The operator's rank of the route: work of a higher rank gets the places that
+        come free at a full engine first.
+        """
+        route = self._request.route
+        return min(route.priority, LOWEST_RANK) if route.has_prompt else None
+
     def _is_mine(self, send: Send, head: AnswerHead) -> bool:
         """Tell whether an answer belongs to this request.
 
--- a/packages/mustardquay/src/mustardquay/generation_limits.py
+++ b/packages/mustardquay/src/mustardquay/generation_limits.py
@@ -26,15 +26,15 @@
 LIGHT_SHARE = 0.1
 """Part of its time that a prompt of such a reading may wait: the tokens after it take
 most of the rest."""
-FULL_OCCUPANCY = 0.95
-"""Part of an engine's places up to which work is sent there; the books lag by some
-sends. What comes to a full engine waits for places until its deadline."""
-LONG_OCCUPANCY = 0.75
-"""The same for long answers. When few engines are left to generate, long answers hold
-their places for seconds and short ones for 60 ms, of which many would wait for one."""
-LONG_ANSWER = 20
-"""Limit of output tokens from which an answer is long: an engine gathers some 50 steps
-in a token of this count, about 50 ms."""
+FULL_OCCUPANCY = 1.6
+"""Part of an engine's places up to which short answers are sent there. Those beyond
+its places wait, before long answers of a lower rank; some 40 are through in 0.2 s."""
+LONG_OCCUPANCY = 1.2
+"""The same for long answers, which hold their places for seconds. When few engines are
+left to generate, short answers would wait for one of them until their deadline."""
+LONG_ANSWER = 1_000
+"""Limit of output tokens from which an answer is long, about 0.9 s of steps. Verdicts
+have up to some 300, drafts some 4,600 on average."""
 EARLIEST_RETURN = timedelta(milliseconds=250)
 RETURN_SPREAD = timedelta(milliseconds=350)
 """Returns are drawn over this time, so that those refused together don't meet again.
--- a/tests/adapter/test_generations.py
+++ b/tests/adapter/test_generations.py
@@ -48,6 +48,8 @@
     assert reader.arrivals[0].headers["x-stage"] == "prefill"
     assert decoder.arrivals[0].headers["x-kv-source"] == f"{reader.address}/h1"
     assert "x-stage" not in decoder.arrivals[0].headers
+    # The operator's rank of the route.
+    assert decoder.arrivals[0].headers["x-request-priority"] == "1"
 
 
 async def test_a_short_prompt_goes_straight_to_the_engine_that_generates(engines):
