--- a/tests/soak/soaks.py
+++ b/tests/soak/soaks.py
@@ -12,9 +12,9 @@
 from pathlib import Path
 from random import Random
 
-sys.path.insert(0, str(Path(__file__).parents[1] / "adapter"))
+sys.path.insert(0, str(Path(__file__).parents[2] / "platform" / "adapter_tests"))
 
-from conftest import build_request, make_configuration  # noqa: E402
+from gateway_sites import build_request, make_configuration  # noqa: E402
 from standins import StoreStandIn, UpstreamStandIn, read_message  # noqa: E402
 
 from mustardquay_standins.children import Child, start_child  # noqa: E402
