--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
@@ -22,36 +22,9 @@
 from mustardquay.clocks import Clock
 from mustardquay.routing_tables import CallerLimits
 
-__all__ = ["CallerAnswer", "CallerConnections", "CallerRequest"]
-
-CONNECTION_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-"""Headers of one connection (RFC 9110, section 7.6.1), and the length, which is
-counted anew."""
+from .hop_headers import strip_hop_headers
 
-
-def strip_connection_headers(headers: HTTPHeaders) -> HTTPHeaders:
-    """Return the headers that go on to the next connection."""
-    named = {name.strip().lower() for name in headers.get("Connection", "").split(",")}
-    dropped = CONNECTION_HEADERS | named
-    kept = HTTPHeaders()
-    for name, value in headers.get_all():
-        if name.lower() not in dropped:
-            kept.add(name, value)
-    return kept
+__all__ = ["CallerAnswer", "CallerConnections", "CallerRequest"]
 
 
 @dataclass(slots=True)
@@ -208,7 +181,7 @@
         self._request = CallerRequest(
             start_line.method,
             start_line.path,
-            strip_connection_headers(headers),
+            strip_hop_headers(headers),
             self._options.clock.monotonic(),
         )
         self._answer = CallerAnswer(self._connection, start_line.method)
--- a/packages/mustardquay-node/src/mustardquay_node/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections.py
@@ -198,11 +198,6 @@
         self._open = 0
         self._parameters = HTTP1ConnectionParameters(max_body_size=ANSWER_LIMIT)
 
-    @property
-    def is_full(self) -> bool:
-        """Return whether every connection that may be open carries an exchange."""
-        return not self._idle and self._open >= self._limit
-
     def close(self) -> None:
         """Close the connections that wait; those in use end with their exchange."""
         while self._idle:
--- a/packages/mustardquay-node/src/mustardquay_node/replies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/replies.py
@@ -5,13 +5,10 @@
 
 from tornado.httputil import HTTPHeaders
 
-from .caller_connections import (
-    CallerAnswer,
-    CallerRequest,
-    strip_connection_headers,
-)
+from .caller_connections import CallerAnswer, CallerRequest
 from .connections import AnswerHead
 from .forwarder_parts import ForwarderParts
+from .hop_headers import strip_hop_headers
 
 __all__ = ["RETRY_SOON", "Reply"]
 
@@ -100,7 +97,7 @@
     def pass_on(self, head: AnswerHead, content: bytes) -> None:
         """Give the caller an upstream's whole answer."""
         self._note_first_byte()
-        headers = strip_connection_headers(head.headers)
+        headers = strip_hop_headers(head.headers)
         self._answer.send(head.status, headers, content)
         self.count("answered" if head.status < 400 else "upstream_error")
 
@@ -108,7 +105,7 @@
         """Give the caller the head of a stream."""
         self._first_byte_at = self._parts.clock.monotonic()
         self._note_first_byte()
-        self._answer.begin(head.status, strip_connection_headers(head.headers))
+        self._answer.begin(head.status, strip_hop_headers(head.headers))
 
     def write(self, data: bytes) -> Awaitable[None] | None:
         """Give the caller a part of a stream; may have to be waited for."""
--- a/packages/mustardquay-node/src/mustardquay_node/upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstreams.py
@@ -24,6 +24,8 @@
 
 from mustardquay.messages import Header
 
+from .hop_headers import HOP_HEADERS
+
 __all__ = ["CallEnd", "UpstreamCall", "UpstreamClient"]
 
 CONNECT_TIMEOUT = timedelta(seconds=2)
@@ -33,22 +35,6 @@
 ANSWER_LIMIT = 1024 * 1024 * 1024
 """Bytes of one answer; the entry's own limit is what counts for callers."""
 
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-"""Headers of one connection (RFC 9110, section 7.6.1), and the length, which is
-counted anew."""
-
 
 class CallEnd(StrEnum):
     """How a call ended."""
--- a/packages/mustardquay/src/mustardquay/requests.py
+++ b/packages/mustardquay/src/mustardquay/requests.py
@@ -1,12 +1,9 @@
 """Requests: what the decisions know of one request, and how a send of it ended."""
 
-from dataclasses import dataclass, replace
-from datetime import timedelta
+from dataclasses import dataclass
 from enum import StrEnum
 
-from .errors import Reason
-
-__all__ = ["PromptPart", "PromptTraits", "SendEnd", "SendResult", "cut_prompt"]
+__all__ = ["PromptPart", "PromptTraits", "SendEnd"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,11 +33,6 @@
         return self.parts[:-1]
 
 
-def cut_prompt(traits: PromptTraits, tokens: int) -> PromptTraits:
-    """Return the traits with an output of at most `tokens`."""
-    return replace(traits, output_tokens=min(traits.output_tokens, tokens))
-
-
 class SendEnd(StrEnum):
     """How one send of a request to an upstream ended."""
 
@@ -56,8 +48,6 @@
     """An engine did not read the prompt; the request itself was not sent."""
     BROKEN = "broken"
     """The connection ended, or what came was no answer: it may have run."""
-    TIMED_OUT = "timed_out"
-    """No whole answer in time: it may have run."""
     CALLER_LEFT = "caller_left"
 
     @property
@@ -69,13 +59,3 @@
             SendEnd.OTHER_UPSTREAM,
             SendEnd.UNREAD,
         )
-
-
-@dataclass(frozen=True, slots=True)
-class SendResult:
-    """The end of a send, with what the upstream said about it."""
-
-    end: SendEnd
-    status: int = 0
-    retry_after: timedelta | None = None
-    reason: Reason | None = None
--- a/packages/mustardquay/src/mustardquay/sendings.py
+++ b/packages/mustardquay/src/mustardquay/sendings.py
@@ -12,7 +12,7 @@
 from .requests import SendEnd
 from .routing_tables import Repeat, Route
 
-__all__ = ["Ending", "NextStep", "Sendings", "decide_next"]
+__all__ = ["NextStep", "Sendings", "decide_next"]
 
 FAILED_STATUSES = range(500, 600)
 """Answers of upstreams that a repeatable request may be sent again after."""
@@ -22,14 +22,6 @@
 shortest work of the plain services takes about as long."""
 
 
-class Ending(StrEnum):
-    """What a caller is told by this process itself."""
-
-    NOT_RUN = "not_run"
-    UNKNOWN = "unknown"
-    TIMED_OUT = "timed_out"
-
-
 class NextStep(StrEnum):
     """What happens after a send has ended without an answer for the caller."""
 
