--- a/packages/mustardquay-node/src/mustardquay_node/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections.py
@@ -40,7 +40,9 @@
 """Seconds of silence after which TCP asks whether the peer still knows the
 connection."""
 KEEPALIVE_INTERVAL = 1
+"""Seconds between two such questions."""
 KEEPALIVE_PROBES = 2
+"""Questions without an answer after which the connection is taken for lost."""
 USER_TIMEOUT = 3_000
 """Milliseconds that sent bytes may stay unacknowledged: a peer that lost power or
 is cut off answers nothing, and the connection would hang for a quarter of an hour."""
@@ -223,7 +225,7 @@
         exchange.attach(stream)
         may_keep = False
         try:
-            end, connection = await self._carry(exchange, stream)
+            end = await self._carry(exchange, stream)
             may_keep = end is ExchangeEnd.WHOLE and _is_clean(exchange, stream)
             return end
         finally:
@@ -249,14 +251,12 @@
 
     def _take_idle(self, idle_limit: timedelta | None) -> IOStream | None:
         limit = self._idle_limit if idle_limit is None else idle_limit
-        oldest = self._clock.monotonic() - limit
-        while self._idle and self._idle[0][1] < self._clock.monotonic() - (
-            self._idle_limit
-        ):
+        now = self._clock.monotonic()
+        while self._idle and self._idle[0][1] < now - self._idle_limit:
             self._drop(self._idle.popleft()[0])
         while self._idle:
             stream, since = self._idle[-1]
-            if since < oldest and not _is_spoilt(stream):
+            if since < now - limit and not _is_spoilt(stream):
                 return None
             self._idle.pop()
             if not _is_spoilt(stream):
@@ -292,9 +292,7 @@
         stream.set_close_callback(None)
         stream.close()
 
-    async def _carry(
-        self, exchange: Exchange, stream: IOStream
-    ) -> tuple[str, HTTP1Connection]:
+    async def _carry(self, exchange: Exchange, stream: IOStream) -> str:
         connection = HTTP1Connection(stream, True, self._parameters)
         headers = exchange.headers
         if exchange.body or exchange.method in ("POST", "PUT", "PATCH"):
@@ -310,12 +308,12 @@
                 if not exchange.skipped or stream.closed():
                     break
         except (OSError, StreamClosedError):
-            return ExchangeEnd.BROKEN, connection
+            return ExchangeEnd.BROKEN
         except (HTTPInputError, ValueError):
-            return ExchangeEnd.MALFORMED, connection
+            return ExchangeEnd.MALFORMED
         if exchange.is_whole:
-            return ExchangeEnd.WHOLE, connection
-        return ExchangeEnd.BROKEN, connection
+            return ExchangeEnd.WHOLE
+        return ExchangeEnd.BROKEN
 
 
 def _is_clean(exchange: Exchange, stream: IOStream) -> bool:
