Ask a store that is lost for no wait

A call that was sent just before a silent store returned was held for its wait of 2.5 s and 1.2 s more. Ruled out: a change that other gateways knew (none had told of it). Change: while the store is lost, calls ask for no wait, so that one that gets no answer ends after 1.2 s. The test fails before and passes after.

--- a/packages/mustardquay-node/src/mustardquay_node/feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/feeds.py
@@ -121,12 +121,24 @@
         if self._version is None:
             page = await self._store.list_rows(options.table)
         else:
-            page = await self._store.follow(options.table, self._version, options.wait)
+            page = await self._store.follow(
+                options.table, self._version, self._choose_wait()
+            )
         self._answered_at = self._clock.monotonic()
         self._note_answer()
         self._take(page.rows, is_whole)
         self._version = page.version
 
+    def _choose_wait(self) -> timedelta:
+        """Return how long the store may hold the next call.
+
+        Guards against a call that was sent just before a silent store returns: it
+        gets no answer and ends only when its wait is over, and changes that were made
+        since the return are seen seconds late. While the store is lost, calls ask for
+        no wait and end sooner.
+        """
+        return self._options.wait if self._lost_at is None else timedelta()
+
     def _note_answer(self) -> None:
         self._failures = 0
         if self._lost_at is None:
--- /dev/null
+++ b/packages/mustardquay-node/tests/test_feeds.py
@@ -0,0 +1,60 @@
+import asyncio
+from datetime import timedelta
+from random import Random
+
+from mustardquay.clocks import VirtualClock
+from mustardquay.errors import StoreUnavailable
+from mustardquay.events import EventRing, HybridClock
+from mustardquay_node.adapters import FeedPage
+from mustardquay_node.feeds import FeedOptions, TableFeed
+
+WAIT = timedelta(seconds=2.5)
+
+
+class Store:
+    """Notes the waits that it is asked for, and fails as it is told."""
+
+    def __init__(self, failures):
+        self.failures = failures
+        self.waits = []
+        self.done = asyncio.Event()
+
+    async def list_rows(self, table):
+        return FeedPage((), 1)
+
+    async def follow(self, table, after, wait):
+        self.waits.append(wait)
+        if len(self.waits) > self.failures + 2:
+            self.done.set()
+            await asyncio.Event().wait()
+        if 1 < len(self.waits) <= self.failures + 1:
+            raise StoreUnavailable("The store does not answer; try again later.")
+        return FeedPage((), 1)
+
+
+async def test_calls_to_a_store_that_is_lost_are_held_for_no_time():
+    """A route is served by its old service for three seconds after a change.
+
+    The store was silent and is back. The gateway's last call was sent just before,
+    gets no answer, and ends only when the wait that it asked for is over.
+    """
+    clock = VirtualClock()
+    store = Store(failures=3)
+
+    async def sleep(duration):
+        await asyncio.sleep(0)
+
+    feed = TableFeed(
+        store,
+        FeedOptions("op", WAIT),
+        lambda rows, is_whole: None,
+        EventRing("g1", HybridClock(clock)),
+        clock,
+        Random(1),
+        sleep=sleep,
+    )
+    feed.start()
+    async with asyncio.timeout(5):
+        await store.done.wait()
+    await feed.close()
+    assert store.waits[:6] == [WAIT, WAIT, *[timedelta()] * 3, WAIT]
