Keep a fifth of the engines generating from the start

Cause: before callers come, the number of streams is 0, so that a fleet of any size was left with two engines that generate. Ruled out: refusals for want of readers (no verdict was refused), the lease (taken within 0.1 s).

Change: at least a fifth of the engines generate, from four engines up; six engines keep their two.

--- a/packages/mustardquay/src/mustardquay/stage_plans.py
+++ b/packages/mustardquay/src/mustardquay/stage_plans.py
@@ -29,6 +29,10 @@
 """So that the loss of one leaves one, from four engines on."""
 SMALL_SERVICE = 4
 """Engines up from which two generate; of fewer, most are needed to read."""
+LEAST_SHARE = 0.2
+"""Least of the engines that generate, as each change takes one away for seconds. On a
+day with crashes among 24 engines, two at its start left 217 of 1,202 short prompts
+refused and 259 late; five left none refused and 19 late (worth 0.641 and 0.779)."""
 DECODER_PATIENCE = timedelta(seconds=2)
 """How long a lack of decoders lasts before an engine that reads changes, where one is
 out of reach and may be back: most crashes last some four seconds."""
@@ -113,9 +117,11 @@
     """Return how many of so many engines generate so many streams.
 
     >>> [count_decoders(number, 60) for number in (1, 2, 3, 4, 6, 24)]
-    [1, 1, 1, 2, 2, 3]
+    [1, 1, 1, 2, 2, 5]
     """
-    least = LEAST_DECODERS if engines >= SMALL_SERVICE else 1
+    least = 1
+    if engines >= SMALL_SERVICE:
+        least = max(LEAST_DECODERS, ceil(engines * LEAST_SHARE))
     most = max(int(engines * LARGEST_SHARE), least)
     return min(max(ceil(streams / STREAMS_PER_DECODER), least), most)
 
--- a/packages/mustardquay/tests/test_stage_plans.py
+++ b/packages/mustardquay/tests/test_stage_plans.py
@@ -29,6 +29,17 @@
     assert count_decoders(24, streams=130) == 5
 
 
+def test_a_large_fleet_begins_its_day_with_enough_engines_that_generate():
+    """Callers with short prompts are refused in the first ten seconds of a day.
+
+    Before they come, the holder of the lease leaves two of 24 engines to generate. One
+    of them crashes, and a change takes each other engine away for three seconds.
+    """
+    engines = make_engines(0, 24)
+    changes = plan(StagePlanner(), engines, streams=0, is_settled=False)
+    assert len(engines) - len(changes) == 5
+
+
 def test_no_long_prompt_is_left_without_a_generator_for_long():
     """No caller gets an answer although four engines are idle.
 
