Send a long prompt once while the link of its gateway is backed up

Cause: on the grown deployments some instances have links of 13 to 14 Mbit/s. A long prompt (18 KB) leaves its gateway twice, to be read and to be generated from; 60 to 80 of them a second are up to 23 Mbit/s. Ruled out: queues at engines (expected waits were alike), processor time (1.6% of a second each).

Change: a gateway keeps its own link as a queue (`uplinks`), its rate from the settings. From 20 ms of sending, a prompt goes to an engine that generates if that costs less, as long as no more than 100 ms of reading is outstanding there.

--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -19,6 +19,7 @@
 from mustardquay.peer_books import PeerDigest
 from mustardquay.retry_windows import RetryLimits
 from mustardquay.routing_tables import CallerLimits, RoutingTable
+from mustardquay.uplinks import Uplink
 from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import LoadBook
 
@@ -217,8 +218,14 @@
         return None if found is None else found.max_connections
 
     def _make_planner(self) -> GenerationPlanner:
-        speeds = EngineSpeeds(self._settings.gateway.prefill_rate)
-        return GenerationPlanner(self._clock, self._upstreams, self._loads, speeds)
+        gateway = self._settings.gateway
+        return GenerationPlanner(
+            self._clock,
+            self._upstreams,
+            self._loads,
+            EngineSpeeds(gateway.prefill_rate),
+            Uplink(gateway.link_rate),
+        )
 
     def _make_parts(self) -> ForwarderParts:
         return ForwarderParts(
--- a/packages/mustardquay-node/src/mustardquay_node/generators.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generators.py
@@ -15,6 +15,7 @@
 from mustardquay.peer_books import EngineDigest, PeerDigest, PlacedPart
 from mustardquay.placements import Placement, choose_engines
 from mustardquay.requests import PromptTraits
+from mustardquay.uplinks import Uplink
 from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import LoadBook
 
@@ -43,9 +44,11 @@
         upstreams: UpstreamList,
         loads: LoadBook,
         speeds: EngineSpeeds | None = None,
+        uplink: Uplink | None = None,
     ):
         self._clock = clock
         self._upstreams = upstreams
+        self._uplink = uplink or Uplink()
         self._books = EngineBooks(
             loads, WorkBook(), PrefixBook(), speeds or EngineSpeeds()
         )
@@ -57,18 +60,24 @@
         prompt: PromptTraits,
         engines: Sequence[UpstreamRecord],
         avoid: Collection[str],
+        size: int = 0,
     ) -> Placement | None:
-        """Return where a generation goes now."""
+        """Return where a generation of `size` bytes goes now."""
         now = self._clock.monotonic()
         self._books.works.peers.expire(now)
         parts = hash_parts(prompt.parts)
         changing = self._changing | self._books.works.peers.list_changing()
         if changing:
             engines = [engine for engine in engines if engine.id not in changing]
-        return choose_engines(prompt, parts, engines, self._books, now, avoid)
-
-    def begin(self, prompt: PromptTraits, placement: Placement) -> Ticket:
-        """Note a placement that is carried out."""
+        sending = self._uplink.measure(size, now)
+        return choose_engines(prompt, parts, engines, self._books, now, avoid, sending)
+
+    def begin(
+        self, prompt: PromptTraits, placement: Placement, size: int = 0
+    ) -> Ticket:
+        """Note a placement that is carried out, of a request of `size` bytes."""
+        sends = 1 if placement.prefiller is None else 2
+        self._uplink.take(size * sends, self._clock.monotonic())
         reader = placement.reader.id
         self._books.works.get(reader).seconds += placement.read_seconds
         parts = hash_parts(prompt.parts)
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -27,7 +27,8 @@
 ) -> Send | None:
     """Place a generation and send it; None without an engine or when refused."""
     planner = parts.planner
-    placement = planner.choose(prompt, engines, request.avoid)
+    size = len(request.incoming.body)
+    placement = planner.choose(prompt, engines, request.avoid, size)
     if placement is None:
         return None
     time_left = request.measure_left(parts.clock.monotonic())
@@ -38,7 +39,7 @@
         occupancy = round(placement.occupancy, 2)
         reply.refuse("crowded", back, wait_ms=wait_ms, occupancy=occupancy)
         return None
-    ticket = planner.begin(prompt, placement)
+    ticket = planner.begin(prompt, placement, size)
     try:
         if placement.prefiller is None:
             options = SendOptions(read=lambda: planner.end_reading(ticket))
--- a/packages/mustardquay-node/src/mustardquay_node/keys.py
+++ b/packages/mustardquay-node/src/mustardquay_node/keys.py
@@ -332,6 +332,13 @@
         "tokens/s",
         "Prompt tokens that an engine of the prefill stage reads in a second.",
     ),
+    Key(
+        "gateway",
+        "link_rate",
+        "0",
+        "Mbit/s",
+        "Rate of the link of this instance; 0 where it makes nothing wait.",
+    ),
     Key(
         "bounds",
         "retry_ratio",
--- a/packages/mustardquay-node/src/mustardquay_node/settings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/settings.py
@@ -163,6 +163,7 @@
     processes: Count
     drain_timeout: Duration
     prefill_rate: Annotated[float, Field(gt=0)]
+    link_rate: Annotated[float, Field(ge=0)]
 
 
 class BoundsSettings(_Section):
--- a/packages/mustardquay-node/tests/test_generators.py
+++ b/packages/mustardquay-node/tests/test_generators.py
@@ -1,5 +1,9 @@
+from collections import Counter, deque
+from datetime import timedelta
+
 from mustardquay.clocks import VirtualClock
 from mustardquay.requests import PromptPart, PromptTraits
+from mustardquay.uplinks import Uplink
 from mustardquay.upstream_lists import Stage, UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import LoadBook
 from mustardquay_node.generators import GenerationPlanner
@@ -49,3 +53,54 @@
     planner.end(ticket)
     other.hear(planner.build_digest("g1", 1, 2, 7))
     assert other.choose(PROMPT, ENGINES, ()).wait_seconds == 0
+
+
+FLEET = [
+    UpstreamRecord(f"{stage}{n}", "llm", f"10.0.{n}.1:80", "a", 64, False, stage)
+    for stage, count in ((Stage.PREFILL, 19), (Stage.DECODE, 5))
+    for n in range(count)
+]
+BODY = 18_000
+"""Bytes of a long prompt."""
+
+
+def play_burst(planner, clock, uplink, seconds, per_second):
+    """Place long prompts; returns how long each had to wait for the link, and where."""
+    waits, readers = [], Counter()
+    ended = deque()
+    for number in range(int(seconds * per_second)):
+        clock.advance(timedelta(seconds=1 / per_second))
+        now = clock.monotonic()
+        while ended and ended[0][0] <= now:
+            planner.end(ended.popleft()[1])
+        prompt = PromptTraits(
+            "m", 9_190, 6, (PROMPT.parts[0], PromptPart(str(number), 2_890))
+        )
+        placement = planner.choose(prompt, FLEET, (), BODY)
+        waits.append(uplink.measure(BODY, now))
+        readers[placement.reader.stage] += 1
+        ticket = planner.begin(prompt, placement, BODY)
+        took = timedelta(seconds=placement.wait_seconds + placement.read_seconds)
+        ended.append((now + waits[-1] + took, ticket))
+    return waits, readers
+
+
+def test_a_burst_of_long_prompts_does_not_wait_for_a_slow_link():
+    """Verdicts of one availability zone come a second late while engines are idle.
+
+    The gateways there have links of 14 Mbit/s. Each of 70 prompts a second left them
+    twice, to be read and to be generated from: 20 Mbit/s, and the queue only grew.
+    """
+    clock, uplink = VirtualClock(), Uplink(14)
+    planner = GenerationPlanner(clock, UpstreamList(), LoadBook(), None, uplink)
+    waits, readers = play_burst(planner, clock, uplink, 5, per_second=70)
+    assert max(waits) < timedelta(milliseconds=120)
+    # What the link has left is still used to keep streams undisturbed.
+    assert readers[Stage.PREFILL] > 50
+
+
+def test_a_fast_link_changes_nothing():
+    clock, uplink = VirtualClock(), Uplink(100)
+    planner = GenerationPlanner(clock, UpstreamList(), LoadBook(), None, uplink)
+    _, readers = play_burst(planner, clock, uplink, 5, per_second=70)
+    assert readers[Stage.DECODE] == 0
--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -37,6 +37,13 @@
 """Tokens that a copy must save: reading them takes 2 ms."""
 NEAR_SECONDS = 0.004
 """By how much the rendezvous choice goes before others that expect the same."""
+ALONE_READING = timedelta(milliseconds=100)
+"""Reading that may be outstanding at an engine that generates, where its gateway's
+link is too slow to send a prompt twice. Streams whose engine reads all the time have
+an event of 52 steps in some 260 ms; with 100 ms of reading in it, in 130 ms."""
+SLOW_SENDING = timedelta(milliseconds=20)
+"""Time to leave the process from which a long prompt may be sent once: one of 18 KB
+takes 13 ms on an idle link of 13 Mbit/s, and 1.6 ms at 100."""
 FAILURE_SECONDS = 0.2
 """What a send to an engine that always fails is taken to cost."""
 
@@ -72,10 +79,12 @@
     books: EngineBooks,
     now: timedelta,
     avoid: Iterable[str] = (),
+    sending: timedelta = timedelta(),
 ) -> Placement | None:
     """Return the placement that costs least, or None without a usable engine.
 
-    `parts` are the hashed parts of the prompt.
+    `parts` are the hashed parts of the prompt, `sending` is how long the request takes
+    to leave this process once.
     """
     usable = _list_usable(engines, books, now, set(avoid))
     decoders = [engine for engine in usable if engine.stage is not Stage.PREFILL]
@@ -94,13 +103,28 @@
     decoder = min(decoders, key=lambda engine: _weigh_decoder(engine, books, now))
     favourite = _rank_first(parts, prefillers)
     holder = _find_holder(parts, usable, books)
-    return min(
+    pair = min(
         (
             _weigh_pair(engine, decoder, holder, prompt, parts, books, favourite, now)
             for engine in prefillers
         ),
         key=_get_cost,
     )
+    return alone if _saves_sending(alone, pair, sending) else pair
+
+
+def _saves_sending(alone: Placement, pair: Placement, sending: timedelta) -> bool:
+    """Tell whether to send a long prompt once, to an engine that also generates.
+
+    Guards against a slow link: sent twice, prompts leave later than engines could
+    read them, and their callers wait for the link.
+    """
+    if sending < SLOW_SENDING:
+        return False
+    reading = alone.wait_seconds + alone.read_seconds
+    if reading > ALONE_READING.total_seconds():
+        return False
+    return alone.cost < pair.cost + sending.total_seconds()
 
 
 def _find_holder(
