Send a digest at once when an engine is about to change its stage

Cause: found by reading. An order follows its notice by 90 ms, which was two digests of 40 ms; since digests to many peers are up to 160 ms apart, other gateways would go on sending to an engine that refuses for 3 s. Ruled out: a longer notice, which delays each of some fourteen orders at the start of a fleet.

Change: the link to peers can be told to send now; the keeper of stages does so with each notice. A test of two links fails without it.

--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
@@ -328,11 +328,15 @@
             list_services=self._list_engine_services,
             get_pool=self._pools.get_pool,
             count_streams=self._planner.count_streams,
-            tell_changing=self._planner.tell_changing,
+            tell_changing=self._tell_changing,
             is_serving=lambda: self._forwarder.has_served,
         )
         return StageKeeper(f"{self._settings.node.name}-{self._incarnation}", parts)
 
+    def _tell_changing(self, engines: Collection[str]) -> None:
+        self._planner.tell_changing(engines)
+        self._peers.hurry()
+
     def _list_engine_services(self) -> list[str]:
         table = self._forwarder.table
         if table is None:
--- a/packages/mustardquay-node/src/mustardquay_node/peers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.py
@@ -150,6 +150,7 @@
         self._build = build
         self._hear = hear
         self._peers: dict[str, tuple[str, int]] = {}
+        self._hurry = asyncio.Event()
         self._transport: asyncio.DatagramTransport | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -184,6 +185,10 @@
         """Return how many gateways are listed, this one included."""
         return len(self._peers) + 1
 
+    def hurry(self) -> None:
+        """Send the next digest now: there is news that can't wait."""
+        self._hurry.set()
+
     def take_rows(self, rows: Sequence[StoreRow], is_whole: bool) -> None:
         """Take in the addresses of the gateways."""
         if is_whole:
@@ -232,7 +237,15 @@
                 told = min(len(self._peers), PEERS_LIMIT)
                 interval = max(BUSY_INTERVAL, told * PEER_INTERVAL)
             was_busy = is_busy
-            await asyncio.sleep(interval.total_seconds())
+            await self._pause(interval)
+
+    async def _pause(self, interval: timedelta) -> None:
+        try:
+            async with asyncio.timeout(interval.total_seconds()):
+                await self._hurry.wait()
+        except TimeoutError:
+            return
+        self._hurry.clear()
 
     def _send(self, data: bytes) -> None:
         assert self._transport is not None
--- a/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
@@ -39,8 +39,8 @@
 they write their first records, and a part of it makes another plan."""
 CALL_TIMEOUT = timedelta(milliseconds=500)
 NOTICE = timedelta(milliseconds=90)
-"""How long before an order the other gateways are told, who send digests each 40 ms:
-an engine that changes refuses what it has not begun."""
+"""How long before an order the other gateways are told, by a digest that is sent at
+once: an engine that changes refuses what it has not begun."""
 ORDER_PATIENCE = timedelta(seconds=6)
 """How long an engine that was ordered may show its old stage before it is asked
 again. A change takes some 3 s and its record is written each 1.2 s."""
--- a/packages/mustardquay-node/tests/test_peers.py
+++ b/packages/mustardquay-node/tests/test_peers.py
@@ -1,4 +1,12 @@
-from mustardquay_node.peers import PEERS_LIMIT, list_told
+import asyncio
+
+import orjson
+
+from mustardquay.clocks import SystemClock
+from mustardquay.events import EventRing, HybridClock
+from mustardquay.peer_books import PeerDigest
+from mustardquay_node.adapters import StoreRow
+from mustardquay_node.peers import PEERS_LIMIT, PeerLink, list_told
 
 
 def test_each_gateway_of_a_large_fleet_is_told_by_some():
@@ -13,3 +21,49 @@
         listeners = [each for each in names if name in told[each]]
         assert len(listeners) == PEERS_LIMIT
         assert name not in told[name]
+
+
+class Store:
+    """Takes the addresses of gateways."""
+
+    def __init__(self):
+        self.writes = []
+
+    async def transact(self, transaction):
+        self.writes += transaction.writes
+
+
+def make_link(name, store, hear):
+    clock = SystemClock()
+    events = EventRing(name, HybridClock(clock), 100)
+
+    def build():
+        return PeerDigest(name, 1, 1, 1)
+
+    return PeerLink(name, "127.0.0.1:0", store, clock, events, build, hear)
+
+
+async def test_gateways_hear_of_an_engine_that_changes_before_it_is_ordered():
+    """Callers are refused by an engine that has just been ordered to change.
+
+    With many peers digests are 160 ms apart, and the order follows its notice by 90.
+    """
+    store, heard = Store(), asyncio.Queue()
+    links = [make_link(name, store, heard.put_nowait) for name in ("a", "b")]
+    for link in links:
+        await link.start()
+    try:
+        async with asyncio.timeout(2):
+            while len(store.writes) < 2:
+                await asyncio.sleep(0.01)
+            address = next(each for each in store.writes if each.key == "b").value
+            links[0].take_rows([StoreRow("b", orjson.dumps(address), 1)], True)
+            links[0].hurry()
+            await heard.get()
+        links[0].hurry()
+        # Less than the time to the next digest of an idle gateway.
+        async with asyncio.timeout(0.3):
+            assert (await heard.get()).gateway == "a"
+    finally:
+        for link in links:
+            await link.close()
