--- a/packages/mustardquay-node/src/mustardquay_node/peers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.py
@@ -44,8 +44,9 @@
 """Time between digests while there is work; an engine reads some two prompts in it."""
 PEER_INTERVAL = timedelta(milliseconds=10)
 """Time between digests for each peer that is told, so that many peers don't make a
-gateway spend more of its link: with ten, 120 KB/s in place of 300. On a day of eleven
-gateways, no more prompts were read again and processor time fell by a quarter."""
+gateway spend more: some 100 digests a second at most. On a day of eleven gateways,
+processor time fell from 90 to 65 s, bytes between availability zones by a tenth, and
+no more prompts were read again."""
 IDLE_INTERVAL = timedelta(milliseconds=400)
 DATAGRAM_LIMIT = 1400
 """Bytes; more would be split into several packets, of which one lost loses all."""
--- a/packages/mustardquay-standins/src/mustardquay_standins/children.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/children.py
@@ -41,11 +41,19 @@
 
     def pause(self) -> None:
         """Stop it from running, as a host that is overloaded does."""
-        self._process.send_signal(signal.SIGSTOP)
+        self._signal(signal.SIGSTOP)
 
     def wake(self) -> None:
         """Let a paused process go on."""
-        self._process.send_signal(signal.SIGCONT)
+        self._signal(signal.SIGCONT)
+
+    def reload(self) -> None:
+        """Tell it that its settings have changed."""
+        self._signal(signal.SIGHUP)
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self._process.returncode is None:
+            self._process.send_signal(number)
 
     async def kill(self) -> None:
         """End it without notice."""
