--- a/packages/mustardquay/src/mustardquay/uplinks.py
+++ b/packages/mustardquay/src/mustardquay/uplinks.py
@@ -2,7 +2,7 @@
 
 Answers gateways of unequal instances: some have links of 13 Mbit/s beside others of
 100. A long prompt of some 18 KB that is read at one engine and generated at another
-leaves twice, and with 60 of them a second a thin link is the longest queue of all.
+leaves twice, and 60 of them a second are more than a slow link takes.
 """
 
 from datetime import timedelta
