Look at the lease before a change is due

Its holder had been restarted; others began to watch the lease when the change was due, waited 4.4 s, were killed with everything at 34 s, settled for 3 s and then began to watch again. Ruled out: the store and the list (both came in), the planner (it waits for nothing without an engine that generates).

Change: each gateway looks at the lease at its start and every 10 s (two calls). The term still has to pass between two looks that saw the same renewal, so orders of two holders stay as far apart as before. Tests: the story, a holder that renewed in between, and the calls at rest; the first fails without the change.

--- a/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
@@ -2,8 +2,9 @@
 
 Engines here don't check fences, so the orders of two holders must be apart: a renewal
 counts for the holder only `ORDER_VALIDITY`, and a challenger waits `LEASE_TERM`. The
-lease is renewed just before an order; while nothing is to be ordered, nobody calls
-the store for it.
+lease is renewed just before an order; while nothing is to be ordered, it is only
+looked at now and then, so that a holder that is gone is known to be silent when a
+change is due.
 """
 
 import asyncio
@@ -33,6 +34,10 @@
 """How long a challenger sees no renewal before it takes over. The platform counts
 orders of two holders within 3 s as a conflict; validity, that and 0.5 s for calls that
 hang are less than the term."""
+OBSERVE_INTERVAL = timedelta(seconds=10)
+"""Time between two looks at the lease while nothing is to be ordered, the first at the
+start: two calls each. A renewal seen neither then nor now has been away for the term,
+which then need not be waited out while no engine generates."""
 TURN = timedelta(seconds=1)
 SETTLING = timedelta(seconds=3)
 """After the start nothing is ordered for so long: the list of engines fills up as
@@ -88,6 +93,7 @@
         self._lease = Lease(DOMAIN, name, LEASE_TERM, ORDER_VALIDITY)
         self._ordered: dict[str, _Ordered] = {}
         self._started = parts.clock.monotonic()
+        self._observed_at: timedelta | None = None
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -111,6 +117,8 @@
 
     async def turn(self) -> None:
         """Order what is due, if this process holds or gets the lease."""
+        if self._is_observation_due():
+            await self._observe()
         if self._parts.clock.monotonic() - self._started < SETTLING:
             return
         changes = self._plan()
@@ -156,13 +164,26 @@
                 del self._ordered[engine.id]
                 self._parts.tell_changing(set(self._ordered))
 
-    async def _renew(self) -> bool:
+    def _is_observation_due(self) -> bool:
+        if not self._parts.list_services():
+            return False
+        if self._observed_at is None:
+            return True
+        return self._parts.clock.monotonic() - self._observed_at >= OBSERVE_INTERVAL
+
+    async def _observe(self) -> None:
         parts = self._parts
-        store = parts.store
+        self._observed_at = parts.clock.monotonic()
         rows = LeaseRows(
-            await store.read(LEASES, DOMAIN), await store.read(BEATS, DOMAIN)
+            await parts.store.read(LEASES, DOMAIN),
+            await parts.store.read(BEATS, DOMAIN),
         )
         self._lease.observe(rows, parts.clock.monotonic())
+
+    async def _renew(self) -> bool:
+        parts = self._parts
+        store = parts.store
+        await self._observe()
         transaction = self._lease.propose(parts.clock.monotonic())
         if transaction is None:
             return False
--- /dev/null
+++ b/packages/mustardquay-node/tests/test_stage_keepers.py
@@ -0,0 +1,127 @@
+from datetime import timedelta
+from random import Random
+
+from mustardquay.clocks import VirtualClock
+from mustardquay.events import EventRing, HybridClock
+from mustardquay.leases import BEATS, LEASES, Lease, LeaseRows
+from mustardquay.upstream_lists import Stage, UpstreamList, UpstreamRecord
+from mustardquay_node.stage_keepers import (
+    DOMAIN,
+    LEASE_TERM,
+    OBSERVE_INTERVAL,
+    ORDER_VALIDITY,
+    StageKeeper,
+    StageKeeperParts,
+)
+from mustardquay_standins.stores import LocalTables
+
+READERS = [
+    UpstreamRecord(f"p{n}", "llm", f"10.0.0.{n}:80", "a", 64, False, Stage.PREFILL)
+    for n in range(3)
+]
+
+
+class Unreachable:
+    """Connections to an engine that does not answer."""
+
+    async def run(self, exchange, limit):
+        return "not_connected"
+
+
+class Fleet:
+    """A keeper, its store, and engines, of which none generates after `lose`."""
+
+    def __init__(self):
+        self.clock = VirtualClock()
+        self.clock.advance(timedelta(seconds=100))
+        self.store = LocalTables()
+        self.events = EventRing("g", HybridClock(self.clock), 100)
+        self.upstreams = UpstreamList()
+        self.keeper = StageKeeper("g-1", self._make_parts())
+
+    def _make_parts(self):
+        class Adapter:
+            REPORT_PATH = "/report"
+
+            @staticmethod
+            def build_headers(base, target):
+                return base
+
+        return StageKeeperParts(
+            adapter=Adapter,
+            store=self.store,
+            clock=self.clock,
+            random=Random(1),
+            events=self.events,
+            upstreams=self.upstreams,
+            is_lost=lambda id: False,
+            list_services=lambda: ["llm"],
+            get_pool=lambda engine: Unreachable(),
+            count_streams=lambda id: 0,
+            tell_changing=lambda ids: None,
+            is_serving=lambda: True,
+        )
+
+    def lose(self):
+        for engine in READERS:
+            self.upstreams.put(engine)
+
+    async def renew_as_another(self, lease):
+        rows = LeaseRows(
+            await self.store.read(LEASES, DOMAIN), await self.store.read(BEATS, DOMAIN)
+        )
+        lease.observe(rows, self.clock.monotonic())
+        transaction = lease.propose(self.clock.monotonic())
+        lease.settle(await self.store.transact(transaction), transaction)
+
+    def is_taken(self):
+        return any(each.kind == "lease.taken" for each in self.events.list_events())
+
+
+def make_other():
+    return Lease(DOMAIN, "other", LEASE_TERM, ORDER_VALIDITY)
+
+
+async def test_a_holder_that_died_long_ago_is_replaced_without_waiting_out_its_term():
+    """For 18 s nobody gets an answer, as three engines read and none generates.
+
+    The gateway that held the lease was restarted. Another one first looked at the
+    lease when the change was due and waited for the term; before it was over, all
+    processes were killed, and the next ones began to wait only once they had settled.
+    """
+    fleet = Fleet()
+    await fleet.renew_as_another(make_other())
+    await fleet.keeper.turn()
+    fleet.clock.advance(LEASE_TERM + timedelta(milliseconds=1))
+    fleet.lose()
+    await fleet.keeper.turn()
+    assert fleet.is_taken()
+
+
+async def test_a_holder_that_renewed_since_is_waited_for():
+    """Two gateways order one engine within the time that the platform forbids.
+
+    The lease was seen ten seconds ago, and its holder has renewed it since.
+    """
+    fleet = Fleet()
+    other = make_other()
+    await fleet.renew_as_another(other)
+    await fleet.keeper.turn()
+    fleet.clock.advance(LEASE_TERM * 2)
+    await fleet.renew_as_another(other)
+    fleet.lose()
+    for _ in range(4):
+        await fleet.keeper.turn()
+        assert not fleet.is_taken()
+        fleet.clock.advance(LEASE_TERM / 4 - timedelta(milliseconds=1))
+    fleet.clock.advance(timedelta(seconds=1))
+    await fleet.keeper.turn()
+    assert fleet.is_taken()
+
+
+async def test_at_rest_the_lease_is_seldom_looked_at():
+    fleet = Fleet()
+    for _ in range(30):
+        await fleet.keeper.turn()
+        fleet.clock.advance(timedelta(seconds=1))
+    assert fleet.store.counters.reads == 2 * 30 // OBSERVE_INTERVAL.seconds
