Let callers who come back wait behind the others; choose who generates late

(3) Engines read by rank (of 350 pairs none of a lower rank overtook one of a higher; those of a higher one did in two of three cases), while waits were reckoned first in, first out. Change: the engine that generates is chosen again once the prompt is read; who comes back, shown by the time that it has left, waits for up to half of that and is read behind all who can be in time; outstanding work is kept and told by rank, the wait counts what goes before, the place counts all work. A wait counts in what is learned for less, not for nothing.

--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_parts.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_parts.py
@@ -63,6 +63,8 @@
     """The upstream that was sent to last."""
     was_cut_off: bool = False
     """Whether a send that may have run was ended by the limit."""
+    is_late: bool = False
+    """Whether a generation can't be in time, so that others go first."""
     last_event: str | None = None
     """The last whole event that the caller has been sent."""
 
--- a/packages/mustardquay-node/src/mustardquay_node/generators.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generators.py
@@ -1,7 +1,7 @@
 """Generators: keep the books from which generations are placed and admitted."""
 
 from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from mustardquay.clocks import Clock
@@ -14,7 +14,7 @@
 )
 from mustardquay.engine_models import EngineModels
 from mustardquay.peer_books import EngineDigest, PeerDigest, PlacedPart
-from mustardquay.placements import Placement, choose_engines
+from mustardquay.placements import Placement, choose_decoder, choose_engines
 from mustardquay.requests import PromptTraits
 from mustardquay.routing_tables import Route, RoutingTable
 from mustardquay.uplinks import Uplink
@@ -32,6 +32,7 @@
 
     placement: Placement
     parts: tuple[HashedPart, ...]
+    rank: int = 0
     is_read: bool = False
     is_running: bool = False
     """Whether it holds a place at the engine that generates."""
@@ -62,29 +63,60 @@
         engines: Sequence[UpstreamRecord],
         avoid: Collection[str],
         size: int = 0,
+        rank: int = 0,
     ) -> Placement | None:
-        """Return where a generation of `size` bytes goes now."""
+        """Return where a generation of `size` bytes goes now.
+
+        Engines read it before all that has a higher `rank`.
+        """
         now = self._clock.monotonic()
         self._books.works.peers.expire(now)
         parts = hash_parts(prompt.parts)
-        changing = self._changing | self._books.works.peers.list_changing()
-        if changing:
-            engines = [engine for engine in engines if engine.id not in changing]
+        engines = self._drop_changing(engines)
         sending = self._uplink.measure(size, now)
-        return choose_engines(prompt, parts, engines, self._books, now, avoid, sending)
+        return choose_engines(
+            prompt, parts, engines, self._books, now, avoid, sending, rank
+        )
+
+    def renew_decoder(
+        self, ticket: Ticket, engines: Sequence[UpstreamRecord], avoid: Collection[str]
+    ) -> bool:
+        """Choose anew which engine generates from a prompt that has been read.
+
+        Guards against an engine that began to leave, or to change its stage, while
+        the prompt waited to be read: after a long wait it would get a new request
+        although all know that it goes. Returns False if no engine generates.
+        """
+        now = self._clock.monotonic()
+        usable = self._drop_changing(engines)
+        decoder = choose_decoder(usable, self._books, now, avoid)
+        if decoder is None:
+            return False
+        ticket.placement = replace(ticket.placement, decoder=decoder)
+        return True
+
+    def _drop_changing(
+        self, engines: Sequence[UpstreamRecord]
+    ) -> Sequence[UpstreamRecord]:
+        changing = self._changing | self._books.works.peers.list_changing()
+        return [engine for engine in engines if engine.id not in changing]
 
     def begin(
-        self, prompt: PromptTraits, placement: Placement, size: int = 0
+        self,
+        prompt: PromptTraits,
+        placement: Placement,
+        size: int = 0,
+        rank: int = 0,
     ) -> Ticket:
         """Note a placement that is carried out, of a request of `size` bytes."""
         sends = 1 if placement.prefiller is None else 2
         self._uplink.take(size * sends, self._clock.monotonic())
         reader = placement.reader.id
-        self._books.works.get(reader).seconds += placement.read_seconds
+        self._add_reading(reader, placement.read_seconds, rank)
         parts = hash_parts(prompt.parts)
         # At once, so that the next prompts with these parts go there, too.
         self._note_parts(placement.reader, parts)
-        ticket = Ticket(placement, parts)
+        ticket = Ticket(placement, parts, rank)
         if placement.prefiller is None:
             self._take_place(ticket)
         return ticket
@@ -98,12 +130,15 @@
             return
         ticket.is_read = True
         placement = ticket.placement
-        work = self._books.works.get(placement.reader.id)
-        work.seconds = max(work.seconds - placement.read_seconds, 0.0)
+        self._add_reading(placement.reader.id, -placement.read_seconds, ticket.rank)
         if is_handed_over:
             self._note_parts(placement.decoder, ticket.parts)
             self._take_place(ticket)
 
+    def _add_reading(self, engine: str, seconds: float, rank: int) -> None:
+        outstanding = self._books.works.get(engine).seconds
+        outstanding[rank] = max(outstanding[rank] + seconds, 0.0)
+
     def _take_place(self, ticket: Ticket) -> None:
         ticket.is_running = True
         self._books.works.get(ticket.placement.decoder.id).running += 1
@@ -139,9 +174,9 @@
         placed, self._placed = tuple(self._placed), []
         named = {part.engine for part in placed}
         engines = tuple(
-            EngineDigest(id, work.seconds, work.running)
+            EngineDigest(id, trim_ranks(work.seconds), work.running)
             for id, work in self._books.works.works.items()
-            if work.running or work.seconds or id in named
+            if work.running or any(work.seconds) or id in named
         )
         return PeerDigest(
             name,
@@ -215,6 +250,16 @@
         return self._models.count_samples(service)
 
 
+def trim_ranks(seconds: Sequence[float]) -> tuple[float, ...]:
+    """Return the ranks without those at the end that have no work.
+
+    >>> trim_ranks([0.0, 0.2, 0.0])
+    (0.0, 0.2)
+    """
+    used = [rank for rank, value in enumerate(seconds) if value]
+    return tuple(seconds[: used[-1] + 1]) if used else ()
+
+
 def find_pauses(routes: Iterable[Route]) -> dict[str, timedelta]:
     """Return the shortest of the longest pauses of the routes to each service."""
     pauses: dict[str, timedelta] = {}
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -4,7 +4,13 @@
 from datetime import timedelta
 
 from mustardquay.errors import ProtocolError
-from mustardquay.generation_limits import admits_generation, draw_return
+from mustardquay.generation_limits import (
+    admits_generation,
+    admits_late,
+    draw_return,
+    has_returned,
+    rank_generation,
+)
 from mustardquay.placements import Placement
 from mustardquay.requests import PromptTraits, SendEnd
 from mustardquay.stalls import limit_reading
@@ -29,32 +35,72 @@
 ) -> Send | None:
     """Place a generation and send it; None without an engine or when refused."""
     planner = parts.planner
-    size = len(request.incoming.body)
-    placement = planner.choose(prompt, engines, request.avoid, size)
+    if request.sendings.offered:
+        placement = _choose(parts, request, prompt, engines)
+    else:
+        placement = _admit(parts, request, reply, prompt, engines)
     if placement is None:
         return None
-    time_left = request.measure_left(parts.clock.monotonic())
-    is_new = not request.sendings.offered
-    if is_new and not admits_generation(request.route, prompt, placement, time_left):
-        back = draw_return(placement, time_left, parts.random)
-        wait_ms = round(placement.wait_seconds * 1000, 1)
-        occupancy = round(placement.occupancy, 2)
-        reply.refuse("crowded", back, wait_ms=wait_ms, occupancy=occupancy)
-        return None
-    ticket = planner.begin(prompt, placement, size)
+    size = len(request.incoming.body)
+    is_late = request.is_late and placement.prefiller is not None
+    rank = rank_generation(request.route, is_late)
+    ticket = planner.begin(prompt, placement, size, rank)
     try:
         if placement.prefiller is None:
             return await _generate_alone(parts, sender, ticket)
         read = await _have_read(parts, request, sender, ticket)
-        is_read = isinstance(read, Prefilled)
-        planner.end_reading(ticket, is_handed_over=is_read)
         if isinstance(read, Send):
+            planner.end_reading(ticket)
             return read
+        engines = parts.upstreams.list_usable(request.service)
+        if not planner.renew_decoder(ticket, engines, request.avoid):
+            return None
+        planner.end_reading(ticket, is_handed_over=True)
         return await _hand_over(parts, request, sender, ticket, read)
     finally:
         planner.end(ticket)
 
 
+def _admit(
+    parts: ForwarderParts,
+    request: ForwardedRequest,
+    reply: Reply,
+    prompt: PromptTraits,
+    engines: list[UpstreamRecord],
+) -> Placement | None:
+    """Place a new generation; refuses it if its answer would be of no use.
+
+    Callers who come back wait behind those who can still be answered in time.
+    """
+    time_left = request.measure_left(parts.clock.monotonic())
+    request.is_late = has_returned(request.route, time_left)
+    placement = _choose(parts, request, prompt, engines)
+    if placement is None:
+        return None
+    if request.is_late:
+        is_admitted = admits_late(prompt, placement, time_left)
+    else:
+        is_admitted = admits_generation(request.route, prompt, placement, time_left)
+    if is_admitted:
+        return placement
+    back = draw_return(placement, time_left, parts.random)
+    wait_ms = round(placement.wait_seconds * 1000, 1)
+    occupancy = round(placement.occupancy, 2)
+    reply.refuse("crowded", back, wait_ms=wait_ms, occupancy=occupancy)
+    return None
+
+
+def _choose(
+    parts: ForwarderParts,
+    request: ForwardedRequest,
+    prompt: PromptTraits,
+    engines: list[UpstreamRecord],
+) -> Placement | None:
+    size = len(request.incoming.body)
+    rank = rank_generation(request.route, request.is_late)
+    return parts.planner.choose(prompt, engines, request.avoid, size, rank)
+
+
 async def _generate_alone(
     parts: ForwarderParts, sender: Sender, ticket: Ticket
 ) -> Send:
@@ -159,5 +205,6 @@
         new_tokens=placement.reading.new,
         cached_tokens=placement.reading.cached,
         copied_tokens=placement.reading.copied,
+        late=request.is_late,
         samples=round(parts.planner.count_samples(placement.reader.service), 1),
     )
--- a/packages/mustardquay-node/src/mustardquay_node/peers.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.capnp
@@ -3,8 +3,9 @@
 
 struct EngineWork {
   engine @0 :Text;
-  # Prompts that the sender had the engine begin to read and that aren't read yet.
-  readMicroseconds @1 :UInt32;
+  # Prompts that the sender had the engine begin to read and that aren't read yet, by
+  # rank; ranks that are missing at the end have none.
+  readMicroseconds @1 :List(UInt32);
   running @2 :UInt16;
 }
 
--- a/packages/mustardquay-node/src/mustardquay_node/peers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.py
@@ -19,7 +19,12 @@
 from mustardquay.engine_models import READ_SCALES, STREAM_SCALES, PoolSpeeds
 from mustardquay.errors import MustardquayError
 from mustardquay.events import EventRing
-from mustardquay.peer_books import EngineDigest, PeerDigest, PlacedPart
+from mustardquay.peer_books import (
+    LOWEST_RANK,
+    EngineDigest,
+    PeerDigest,
+    PlacedPart,
+)
 from mustardquay.quarantines import CrashId, CrashRecord
 from mustardquay.tables import Transaction, Write
 
@@ -39,6 +44,7 @@
 capnp.remove_import_hook()
 WIRE = capnp.load(str(Path(__file__).with_name("peers.capnp")))
 
+MICROSECONDS = 1_000_000
 PEERS_TABLE = "gateways"
 """Table where each gateway writes its address, once in its life."""
 BUSY_INTERVAL = timedelta(milliseconds=40)
@@ -73,7 +79,7 @@
     engines = message.init("engines", len(digest.engines))
     for built, each in zip(engines, digest.engines, strict=True):
         built.engine = each.engine
-        built.readMicroseconds = min(int(each.read_seconds * 1_000_000), 2**32 - 1)
+        built.readMicroseconds = [_to_microseconds(s) for s in each.read_seconds]
         built.running = min(each.running, 2**16 - 1)
     parts = [part for part in digest.placed if part.engine in positions]
     placed = message.init("placed", len(parts))
@@ -89,7 +95,7 @@
     try:
         message = WIRE.Digest.from_bytes_packed(data)
         engines = tuple(
-            EngineDigest(each.engine, each.readMicroseconds / 1_000_000, each.running)
+            EngineDigest(each.engine, _read_ranks(each.readMicroseconds), each.running)
             for each in message.engines
         )
         placed = tuple(
@@ -111,6 +117,16 @@
         return None
 
 
+def _to_microseconds(seconds: float) -> int:
+    return min(int(seconds * MICROSECONDS), 2**32 - 1)
+
+
+def _read_ranks(microseconds: Any) -> tuple[float, ...]:
+    if len(microseconds) > LOWEST_RANK + 1:
+        raise ValueError("The ranks are those of another version; upgrade it.")
+    return tuple(each / MICROSECONDS for each in microseconds)
+
+
 def _write_crashes(message: Any, records: Sequence[CrashRecord]) -> None:
     built_records = message.init("crashes", len(records))
     for built, record in zip(built_records, records, strict=True):
--- a/packages/mustardquay-node/src/mustardquay_node/sends.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sends.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from mustardquay.generation_limits import rank_generation
 from mustardquay.requests import SendEnd
 from mustardquay.routing_tables import Repeat
 from mustardquay.stalls import limit_silence
@@ -27,8 +28,6 @@
 LEAST_EVENTS = 3
 """Events of a stream up from which their mean distance is a measurement: the last one
 may come early."""
-LOWEST_RANK = 9
-"""The least urgent rank that engines know."""
 SERVER_ERRORS = 500
 """The lowest status by which an upstream says that it failed."""
 
@@ -149,7 +148,7 @@
             kv_source=options.kv_source,
             fetch_from=options.fetch_from,
             resumes_after=request.last_event,
-            urgency=self._rank(),
+            urgency=self._rank(options),
         )
         incoming = request.incoming
         is_stream = request.route.repeat is Repeat.STREAM and not options.prefill_only
@@ -166,14 +165,18 @@
             receive=receive if is_stream else None,
         )
 
-    def _rank(self) -> int | None:
+    def _rank(self, options: SendOptions) -> int | None:
         """Return how urgent the request is to an engine; None for plain upstreams.
 
         The operator's rank of the route: work of a higher rank gets the places that
-        come free at a full engine first.
+        come free at a full engine first. A late answer waits to be read, but not to be
+        generated: a stream of a low rank is taken apart for others in its middle.
         """
-        route = self._request.route
-        return min(route.priority, LOWEST_RANK) if route.has_prompt else None
+        request = self._request
+        if not request.route.has_prompt:
+            return None
+        is_late = request.is_late and options.prefill_only
+        return rank_generation(request.route, is_late)
 
     def _is_mine(self, send: Send, head: AnswerHead) -> bool:
         """Tell whether an answer belongs to this request.
--- a/packages/mustardquay-node/tests/test_generators.py
+++ b/packages/mustardquay-node/tests/test_generators.py
@@ -58,7 +58,7 @@
 
 def make_busy(planner):
     """Have the engine that generates run 30 streams of another gateway."""
-    planner.hear(PeerDigest("g9", 1, 1, 1, (EngineDigest("d", 0.0, 30),)))
+    planner.hear(PeerDigest("g9", 1, 1, 1, (EngineDigest("d", (0.0,), 30),)))
 
 
 def test_a_prompt_that_waits_to_be_read_holds_no_place_at_the_other_engine():
@@ -89,7 +89,7 @@
     make_busy(planner)
     ticket = planner.begin(PROMPT, planner.choose(PROMPT, ENGINES, ()))
     digest = planner.build_digest("g1", 1, 1, 7)
-    assert digest.engines[0].read_seconds > 0
+    assert sum(digest.engines[0].read_seconds) > 0
     assert {part.engine for part in digest.placed} == {"p"}
     other = make_planner()
     make_busy(other)
--- a/packages/mustardquay/src/mustardquay/decaying_fits.py
+++ b/packages/mustardquay/src/mustardquay/decaying_fits.py
@@ -88,19 +88,22 @@
         """Return the expected duration in seconds."""
         return dot(self.coefficients, features)
 
-    def learn(self, features: Sequence[float], seconds: float) -> None:
-        """Take in one measurement."""
+    def learn(
+        self, features: Sequence[float], seconds: float, sureness: float = 1.0
+    ) -> None:
+        """Take in one measurement, for less if it is unsure."""
         expected = self.predict(features)
         self._note_surprise(expected, seconds)
         is_change = abs(self._run) >= SURPRISES
-        weight = _weigh(expected, seconds, is_change)
-        self._decay(FORGETTING)
-        self._distrust(FORGETTING)
+        weight = sureness * _weigh(expected, seconds, is_change)
+        keep = FORGETTING**sureness
+        self._decay(keep)
+        self._distrust(keep)
         for row, left in enumerate(features):
             for column, right in enumerate(features):
                 self._matrix[row][column] += weight * left * right
             self._vector[row] += weight * left * seconds
-        self._weight += 1.0
+        self._weight += sureness
         self._solved = None
 
     def _note_surprise(self, expected: float, seconds: float) -> None:
--- a/packages/mustardquay/src/mustardquay/engine_books.py
+++ b/packages/mustardquay/src/mustardquay/engine_books.py
@@ -8,7 +8,7 @@
 from xxhash import xxh3_64_intdigest
 
 from .engine_models import EngineModels
-from .peer_books import PeerBook
+from .peer_books import LOWEST_RANK, PeerBook, make_ranks
 from .requests import PromptPart
 from .upstream_lists import Stage
 from .upstream_loads import LoadBook
@@ -93,8 +93,8 @@
 class EngineWork:
     """The work that this process has outstanding at one engine."""
 
-    seconds: float = 0.0
-    """Expected reading of the prompts that aren't read yet."""
+    seconds: list[float] = field(default_factory=make_ranks)
+    """Expected reading of the prompts that aren't read yet, by their rank."""
     running: int = 0
 
 
@@ -112,9 +112,10 @@
             work = self.works[id] = EngineWork()
         return work
 
-    def sum_seconds(self, id: str) -> float:
-        """Return the reading that is outstanding at an engine."""
-        return self.get(id).seconds + self.peers.get_read_seconds(id)
+    def sum_seconds(self, id: str, rank: int = LOWEST_RANK) -> float:
+        """Return the reading at an engine that goes before a new one of a rank."""
+        own = sum(self.get(id).seconds[: rank + 1])
+        return own + self.peers.get_read_seconds(id, rank)
 
     def sum_running(self, id: str) -> int:
         """Return the generations that run at an engine."""
--- a/packages/mustardquay/src/mustardquay/engine_models.py
+++ b/packages/mustardquay/src/mustardquay/engine_models.py
@@ -52,9 +52,9 @@
 FACTOR_HALF_LIFE = timedelta(seconds=10)
 """Time in which half of what an engine's factor differs from 1 is forgotten, so that an
 engine that was slow and got no work since is tried again."""
-CLEAR_WAIT = 2.0
-"""Measurements whose known wait is over so many times their own time tell of the queue
-and are left out."""
+LEAST_SURENESS = 0.04
+"""Sureness below which a measurement is left out: its wait was five times its reading,
+so that it tells of the queue."""
 PEER_SAMPLES = 8.0
 """Measurements from which a peer tells its speeds."""
 PEER_RATIO = 3.0
@@ -193,11 +193,13 @@
         pool = self._get_pool(engine.service)
         factor = self.read_factor(engine, now)
         expected = pool.read.predict(reading.features) * factor
-        if wait > CLEAR_WAIT * expected:
+        sureness = 1 / (1 + (wait / max(expected, 1e-6)) ** 2)
+        if sureness < LEAST_SURENESS:
             return
         seconds = max(took - wait, 0.0)
-        _learn_factor(pool, engine.id, seconds / max(expected, 1e-6), now)
-        pool.read.learn(reading.features, seconds / factor)
+        if sureness > 0.5:
+            _learn_factor(pool, engine.id, seconds / max(expected, 1e-6), now)
+        pool.read.learn(reading.features, seconds / factor, sureness)
 
     def learn_first(self, service: str, streams: int, seconds: float) -> None:
         """Take in how long the first event took after the prompt was read."""
--- a/packages/mustardquay/src/mustardquay/generation_limits.py
+++ b/packages/mustardquay/src/mustardquay/generation_limits.py
@@ -12,7 +12,13 @@
 from .requests import PromptTraits
 from .routing_tables import Route
 
-__all__ = ["admits_generation", "draw_return"]
+__all__ = [
+    "admits_generation",
+    "admits_late",
+    "draw_return",
+    "has_returned",
+    "rank_generation",
+]
 
 TARGET_SHARE = 0.85
 """Part of a route's target that waiting and the first event may fill; the rest is for
@@ -34,6 +40,15 @@
 LONG_ANSWER = 1_000
 """Limit of output tokens from which an answer is long, about 0.9 s of steps. By the
 sheet's events of 52 steps, verdicts have up to some 300 and drafts 4,600 on average."""
+FRESH_SHARE = 0.95
+"""Part of the route's timeout below which the time left shows a caller that has been
+here before, or that waits for less than others. Callers that come anew have it all."""
+LATE_RANK = 5
+"""Rank from which generations wait whose answers can't be in time, ordered by the rank
+of their route; engines know 0 to 9."""
+LATE_WAIT_SHARE = 0.5
+"""Part of its time that a request may wait whose answer is late anyway; the other half
+is for reading and generating."""
 EARLIEST_RETURN = timedelta(milliseconds=250)
 """Time in which the queue that was in the way is read, twice over."""
 RETURN_SPREAD = timedelta(milliseconds=350)
@@ -44,14 +59,13 @@
 def admits_generation(
     route: Route, prompt: PromptTraits, placement: Placement, time_left: timedelta
 ) -> bool:
-    """Return whether the answer is expected in time, or soon enough to be of use.
+    """Return whether the answer is expected in time.
 
     What counts is the wait, not the reading: large prompts must not be refused more
     often than small ones. Only what is read in a moment waits longer: to refuse it
     makes room for nobody.
     """
-    is_long = prompt.output_tokens >= LONG_ANSWER
-    if placement.occupancy >= (LONG_OCCUPANCY if is_long else FULL_OCCUPANCY):
+    if _is_full(prompt, placement):
         return False
     target = route.latency_target.total_seconds()
     bound = max(
@@ -62,6 +76,40 @@
     return placement.wait_seconds <= bound
 
 
+def admits_late(
+    prompt: PromptTraits, placement: Placement, time_left: timedelta
+) -> bool:
+    """Return whether an answer that can't be in time is expected before the deadline.
+
+    Engines read such prompts behind all others, so that they take nobody's place.
+    """
+    if _is_full(prompt, placement):
+        return False
+    return placement.wait_seconds <= LATE_WAIT_SHARE * time_left.total_seconds()
+
+
+def has_returned(route: Route, time_allowed: timedelta) -> bool:
+    """Return whether a caller has been here before, by the time that it has left."""
+    return time_allowed < FRESH_SHARE * route.timeout
+
+
+def rank_generation(route: Route, is_late: bool) -> int:
+    """Return the rank by which engines order a generation; 0 goes first.
+
+    >>> from mustardquay.routing_tables import Repeat
+    >>> late = Route("r", "h", "/", Repeat.STREAM, (), timedelta(1), timedelta(1), 2)
+    >>> rank_generation(late, is_late=False), rank_generation(late, is_late=True)
+    (2, 7)
+    """
+    rank = min(route.priority, LATE_RANK - 1)
+    return LATE_RANK + rank if is_late else rank
+
+
+def _is_full(prompt: PromptTraits, placement: Placement) -> bool:
+    is_long = prompt.output_tokens >= LONG_ANSWER
+    return placement.occupancy >= (LONG_OCCUPANCY if is_long else FULL_OCCUPANCY)
+
+
 def draw_return(
     placement: Placement | None, time_left: timedelta, random: Random
 ) -> timedelta:
--- a/packages/mustardquay/src/mustardquay/peer_books.py
+++ b/packages/mustardquay/src/mustardquay/peer_books.py
@@ -12,7 +12,24 @@
 from .engine_models import PoolSpeeds
 from .quarantines import CrashRecord
 
-__all__ = ["DIGEST_LIFETIME", "EngineDigest", "PeerBook", "PeerDigest", "PlacedPart"]
+__all__ = [
+    "DIGEST_LIFETIME",
+    "LOWEST_RANK",
+    "EngineDigest",
+    "PeerBook",
+    "PeerDigest",
+    "PlacedPart",
+    "make_ranks",
+]
+
+LOWEST_RANK = 9
+"""The least urgent rank that engines know; 0 is the most urgent."""
+
+
+def make_ranks() -> list[float]:
+    """Return no seconds of work at any rank."""
+    return [0.0] * (LOWEST_RANK + 1)
+
 
 DIGEST_LIFETIME = timedelta(milliseconds=800)
 """How long a digest counts. A gateway that is silent for longer is gone, cut off or
@@ -24,8 +41,9 @@
     """The work of one gateway at one engine."""
 
     engine: str
-    read_seconds: float
-    """Expected reading of the prompts that aren't read yet."""
+    read_seconds: tuple[float, ...]
+    """Expected reading of the prompts that aren't read yet, by their rank; ranks that
+    are missing at the end have none."""
     running: int
 
 
@@ -69,7 +87,7 @@
     """The newest digest of each gateway, and their sums by engine."""
 
     heard: dict[str, _Heard] = field(default_factory=dict)
-    _read_seconds: dict[str, float] = field(default_factory=dict)
+    _read_seconds: dict[str, list[float]] = field(default_factory=dict)
     _running: dict[str, int] = field(default_factory=dict)
 
     def hear(self, digest: PeerDigest, now: timedelta) -> bool:
@@ -96,9 +114,9 @@
             }
             self._sum_up(now)
 
-    def get_read_seconds(self, engine: str) -> float:
-        """Return the reading that the others have outstanding at an engine."""
-        return self._read_seconds.get(engine, 0.0)
+    def get_read_seconds(self, engine: str, rank: int = LOWEST_RANK) -> float:
+        """Return the reading that the others have at an engine, up to a rank."""
+        return sum(self._read_seconds.get(engine, ())[: rank + 1])
 
     def get_running(self, engine: str) -> int:
         """Return the generations of the others that run at an engine."""
@@ -115,7 +133,8 @@
         self._running = {}
         for heard in self.heard.values():
             for each in heard.digest.engines:
-                seconds = self._read_seconds.get(each.engine, 0.0)
-                self._read_seconds[each.engine] = seconds + each.read_seconds
+                seconds = self._read_seconds.setdefault(each.engine, make_ranks())
+                for rank, value in enumerate(each.read_seconds):
+                    seconds[rank] += value
                 running = self._running.get(each.engine, 0)
                 self._running[each.engine] = running + each.running
--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -19,7 +19,7 @@
 from .requests import PromptTraits
 from .upstream_lists import Stage, UpstreamRecord
 
-__all__ = ["Placement", "choose_engines"]
+__all__ = ["Placement", "choose_decoder", "choose_engines"]
 
 PAUSE_SHARE = 0.45
 """Part of the longest pause that a route allows which reading beside streams may fill.
@@ -29,12 +29,13 @@
 """Part of the longest pause that reading may always fill, so that short prompts go to
 the streams' engines although those are late. A share of what the route allows, not of
 the pauses that are seen: reading makes these longer, which would admit more reading."""
-STREAM_HARM = 0.3
+STREAM_HARM = 0.5
 """Part of the reading at an engine that generates which counts again for each of its
 streams, as all of them wait for it. Mean worth of the days with trouble at 0.1, 0.3 and
 1.0, without a bound on pauses: 0.282, 0.374 and 0.369 (six engines that read a token in
 21 microseconds), 0.517, 0.572 and 0.557 (in 4; at 0.1 a third of the largest tenth of
-long answers was served)."""
+long answers was served). With the bound, 0.3 and 0.5 gave 0.409 and 0.408, 0.559 and
+0.564; the heaviest day of long answers 0.490 and 0.538."""
 DISPLACED_SHARE = 0.3
 """Part of the reading that a copy saves which counts as its cost: the copy displaces
 other parts, of which some are asked for again."""
@@ -88,6 +89,19 @@
     """The engine that is believed to hold most of the prompt."""
     held: int
     """Tokens that it holds."""
+    rank: int
+
+    def expect_wait(self, engine: UpstreamRecord) -> float:
+        """Return the seconds until an engine reads the prompt, by its rank."""
+        return self.books.works.sum_seconds(engine.id, self.rank)
+
+    def sum_work(self, engine: UpstreamRecord) -> float:
+        """Return the seconds of all that an engine has to read.
+
+        This decides where a prompt goes: one of a high rank that is put at a busy
+        engine waits for little itself and delays all others there.
+        """
+        return self.books.works.sum_seconds(engine.id)
 
     def count_cached(self, engine: UpstreamRecord) -> int:
         return self.books.prefixes.count_cached(engine.id, self.parts)
@@ -118,11 +132,12 @@
     now: timedelta,
     avoid: Iterable[str] = (),
     sending: timedelta = timedelta(),
+    rank: int = 0,
 ) -> Placement | None:
     """Return the placement that costs least, or None without a usable engine.
 
     `parts` are the hashed parts of the prompt, `sending` is how long the request takes
-    to leave this process once.
+    to leave this process once. Engines read it before all that has a higher `rank`.
     """
     usable = _list_usable(engines, books, now, set(avoid))
     decoders = [engine for engine in usable if engine.stage is not Stage.PREFILL]
@@ -133,11 +148,11 @@
         ((books.prefixes.count_cached(each.id, parts), each) for each in usable),
         key=lambda pair: pair[0],
     )
-    question = _Question(prompt, parts, books, now, holder, held)
+    question = _Question(prompt, parts, books, now, holder, held, rank)
     alone = [_weigh_alone(engine, question) for engine in decoders]
     if not prefillers:
         return min(alone, key=_get_cost)
-    decoder = min(decoders, key=lambda engine: _weigh_decoder(engine, books, now))
+    decoder = _pick_decoder(decoders, books, now)
     favourite = _rank_first(parts, prefillers)
     pairs = [_weigh_pair(engine, decoder, favourite, question) for engine in prefillers]
     pair = min(pairs, key=_get_cost)
@@ -149,6 +164,24 @@
     return best if best.cost < pair.cost + sent_twice else pair
 
 
+def choose_decoder(
+    engines: Sequence[UpstreamRecord],
+    books: EngineBooks,
+    now: timedelta,
+    avoid: Iterable[str] = (),
+) -> UpstreamRecord | None:
+    """Return the engine to generate from a prompt that has been read, None if none."""
+    usable = _list_usable(engines, books, now, set(avoid))
+    decoders = [engine for engine in usable if engine.stage is not Stage.PREFILL]
+    return _pick_decoder(decoders, books, now) if decoders else None
+
+
+def _pick_decoder(
+    decoders: Sequence[UpstreamRecord], books: EngineBooks, now: timedelta
+) -> UpstreamRecord:
+    return min(decoders, key=lambda engine: _weigh_decoder(engine, books, now))
+
+
 def _is_harmless(placement: Placement, books: EngineBooks) -> bool:
     """Tell whether an engine that generates may read the prompt itself.
 
@@ -163,7 +196,8 @@
     pause = books.models.expect_pause(engine.service, streams)
     longest = allowed.total_seconds()
     room = max(PAUSE_SHARE * longest - pause, SHORT_SHARE * longest)
-    return placement.wait_seconds + placement.read_seconds <= room
+    outstanding = books.works.sum_seconds(engine.id)
+    return outstanding + placement.read_seconds <= room
 
 
 def _plan_reading(engine: UpstreamRecord, question: _Question) -> _PlannedReading:
@@ -221,10 +255,10 @@
 def _weigh_alone(engine: UpstreamRecord, question: _Question) -> Placement:
     books = question.books
     planned = _plan_reading(engine, question)
-    wait = books.works.sum_seconds(engine.id)
+    wait = question.expect_wait(engine)
     running = books.works.sum_running(engine.id)
     first = books.models.expect_first(engine.service, running)
-    cost = wait + planned.seconds + planned.displaced + first
+    cost = question.sum_work(engine) + planned.seconds + planned.displaced + first
     cost += _penalty(engine, books, question.now)
     cost += STREAM_HARM * running * planned.seconds
     occupancy = running / max(engine.slots, 1)
@@ -249,10 +283,10 @@
 ) -> Placement:
     books = question.books
     planned = _plan_reading(engine, question)
-    wait = books.works.sum_seconds(engine.id)
+    wait = question.expect_wait(engine)
     running = books.works.sum_running(decoder.id)
     first = books.models.expect_first(engine.service, running)
-    cost = wait + planned.seconds + planned.displaced + first
+    cost = question.sum_work(engine) + planned.seconds + planned.displaced + first
     cost += books.models.expect_overhead(engine.service)
     cost += _penalty(engine, books, question.now)
     cost += _penalty(decoder, books, question.now)
--- a/packages/mustardquay/tests/test_generation_limits.py
+++ b/packages/mustardquay/tests/test_generation_limits.py
@@ -4,7 +4,9 @@
 from mustardquay.generation_limits import (
     EARLIEST_RETURN,
     admits_generation,
+    admits_late,
     draw_return,
+    has_returned,
 )
 from mustardquay.placements import Placement
 from mustardquay.requests import PromptTraits
@@ -24,7 +26,7 @@
     return Placement(ENGINE, ENGINE, None, read, wait, occupancy, 0.05, wait + read)
 
 
-def admits(placement, time_left=SECOND, prompt=PROMPT):
+def admits(placement, time_left=ROUTE.timeout, prompt=PROMPT):
     return admits_generation(ROUTE, prompt, placement, time_left)
 
 
@@ -50,8 +52,8 @@
 
 def test_a_large_prompt_is_not_refused_more_often_than_a_small_one():
     for wait in (0.0, 0.05, 0.12, 0.2):
-        small = admits(make_placement(wait, 0.005))
-        large = admits(make_placement(wait, 0.2))
+        small = admits(make_placement(wait, 0.005), SECOND)
+        large = admits(make_placement(wait, 0.2), SECOND)
         assert small == large
 
 
@@ -72,6 +74,21 @@
     assert not admits(placement)
 
 
+def test_a_caller_who_comes_back_is_not_refused_for_a_wait_that_it_can_bear():
+    """A caller is refused, comes back when it was told, and is refused again.
+
+    Nobody else gains by it: its time would do for the answer.
+    """
+    late = make_placement(0.5)
+    left = 0.6 * ROUTE.timeout
+    assert not has_returned(ROUTE, ROUTE.timeout)
+    assert not admits(late, ROUTE.timeout)
+    assert has_returned(ROUTE, left)
+    assert admits_late(PROMPT, late, left)
+    assert not admits_late(PROMPT, make_placement(1.0), left)
+    assert not admits_late(PROMPT, make_placement(0.0, occupancy=1.7), left)
+
+
 def test_long_answers_leave_places_for_short_ones_when_few_engines_are_left():
     """Nobody gets a verdict for seven seconds after two engines were lost.
 
--- a/packages/mustardquay/tests/test_peer_books.py
+++ b/packages/mustardquay/tests/test_peer_books.py
@@ -6,7 +6,7 @@
 
 
 def make_digest(gateway, number, seconds, incarnation=1):
-    engines = (EngineDigest("e", seconds, 2),)
+    engines = (EngineDigest("e", (seconds,), 2),)
     return PeerDigest(gateway, incarnation, number, 3, engines)
 
 
--- a/packages/mustardquay/tests/test_placements.py
+++ b/packages/mustardquay/tests/test_placements.py
@@ -66,9 +66,9 @@
     assert placement.prefiller.stage is Stage.PREFILL
     assert placement.decoder.stage is Stage.DECODE
     for engine in ("e0", "e1", "e2", "e3"):
-        books.works.get(engine).seconds = 2.0
+        books.works.get(engine).seconds[0] = 2.0
     for engine in ("e4", "e5"):
-        books.works.get(engine).seconds = 0.08
+        books.works.get(engine).seconds[0] = 0.08
     assert place(LONG, make_engines(4, 2), books).prefiller is not None
 
 
@@ -76,7 +76,7 @@
     """Prompts wait in a queue while an engine that generates has nothing to do."""
     books = make_books()
     for engine in ("e0", "e1", "e2", "e3"):
-        books.works.get(engine).seconds = 0.5
+        books.works.get(engine).seconds[0] = 0.5
     placement = place(LONG, make_engines(4, 2), books)
     assert placement.prefiller is None
 
@@ -89,7 +89,7 @@
     books = make_books(slower=5)
     books.works.get("e4").running = 1
     for engine in ("e0", "e1", "e2", "e3"):
-        books.works.get(engine).seconds = 1.5
+        books.works.get(engine).seconds[0] = 1.5
     assert place(LONG, make_engines(4, 1), books).prefiller is not None
     books.pauses["llm"] = timedelta(seconds=2)
     assert place(LONG, make_engines(4, 1), books).prefiller is None
@@ -99,7 +99,7 @@
     for slower in (0.2, 1, 5):
         books = make_books(slower)
         for engine in ("e0", "e1", "e2", "e3"):
-            books.works.get(engine).seconds = 0.2 * slower
+            books.works.get(engine).seconds[0] = 0.2 * slower
         books.works.get("e4").running = books.works.get("e5").running = 5
         placement = place(SHORT, make_engines(4, 2), books)
         assert placement.prefiller is None
@@ -124,7 +124,7 @@
     books = make_books()
     engines = make_engines(4, 2)
     books.prefixes.note("e2", Stage.PREFILL, hash_parts(LONG.shared_parts))
-    books.works.get("e2").seconds = 0.3
+    books.works.get("e2").seconds[0] = 0.3
     placement = place(LONG, engines, books)
     assert placement.reader.id != "e2"
     assert placement.holder.id == "e2"
@@ -134,11 +134,37 @@
 def test_the_work_of_other_gateways_counts():
     books = make_books()
     engines = make_engines(2, 1)
-    digest = PeerDigest("g2", 1, 1, 1, (EngineDigest("e0", 0.4, 3),))
+    digest = PeerDigest("g2", 1, 1, 1, (EngineDigest("e0", (0.4,), 3),))
     books.works.peers.hear(digest, NOW)
     assert {place(LONG, engines, books).reader.id for _ in range(5)} == {"e1"}
 
 
+def test_a_late_prompt_waits_behind_all_others_and_they_not_for_it():
+    """Callers are refused for the sake of prompts that are read behind theirs."""
+    books = make_books()
+    engines = make_engines(1, 1)
+    books.works.get("e1").running = 60
+    books.works.get("e0").seconds[7] = 0.5
+    parts = hash_parts(LONG.parts)
+    waits = [
+        choose_engines(LONG, parts, engines, books, NOW, rank=rank).wait_seconds
+        for rank in (0, 6, 7, 9)
+    ]
+    assert waits == [0.0, 0.0, 0.5, 0.5]
+
+
+def test_an_urgent_prompt_goes_where_it_delays_nobody():
+    """Long prompts come late although another engine has nothing to do.
+
+    Engines read urgent prompts first, so that for these a busy engine looked idle.
+    """
+    books = make_books()
+    engines = make_engines(2, 1)
+    books.works.get("e2").running = 60
+    books.works.get("e0").seconds[2] = 0.5
+    assert place(LONG, engines, books).reader.id == "e1"
+
+
 def test_gateways_that_know_nothing_choose_alike():
     engines = make_engines(4, 2)
     chosen = {place(LONG, engines, make_books()).reader.id for _ in range(4)}
