Ask engines once what they hold when a gateway meets them

Change: cache_surveys asks each listed engine of a stage once, 64 at most; the call to an engine without a caller is one function for it and for stage orders.

--- a/packages/mustardquay-node/src/mustardquay_node/adapters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/adapters.py
@@ -13,7 +13,7 @@
 from tornado.httputil import HTTPHeaders
 
 from mustardquay.errors import SettingsError
-from mustardquay.requests import PromptTraits
+from mustardquay.requests import PromptPart, PromptTraits
 from mustardquay.routing_tables import RoutingTable
 from mustardquay.tables import TableService
 from mustardquay.upstream_lists import Stage, UpstreamRecord
@@ -157,6 +157,7 @@
     READINESS_PATH: str
     ORDER_PATH: str
     REPORT_PATH: str
+    CACHE_PATH: str
 
     def open_store(self, address: str, clock: Any) -> StoreTables:
         """Return a client of the store."""
@@ -182,6 +183,9 @@
     def read_report(self, body: bytes) -> EngineReport:
         """Return what an engine says of itself; raises `ProtocolError`."""
 
+    def read_cache(self, body: bytes) -> tuple[PromptPart, ...]:
+        """Return the parts that an engine holds; raises `ProtocolError`."""
+
     def build_kv_source(self, address: str, prefilled: Prefilled) -> str:
         """Return where an upstream fetches a prefilled prompt."""
 
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/cache_surveys.py
@@ -0,0 +1,87 @@
+"""Cache surveys: what engines hold already when a gateway meets them.
+
+Answers gateways that start among engines that went on running: they know of no cached
+part, so that each shared prompt is read once more, at another engine than before.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+from mustardquay.errors import ProtocolError
+from mustardquay.events import EventRing
+from mustardquay.requests import PromptPart
+from mustardquay.upstream_lists import Stage, UpstreamRecord
+
+from .adapters import Adapter
+from .connections import ConnectionPool
+from .engine_calls import EngineCall, call_engine
+
+__all__ = ["CacheSurvey", "CacheSurveyParts"]
+
+LOOK_INTERVAL = timedelta(milliseconds=200)
+"""Time between two looks for engines that have not been asked."""
+MOST_ENGINES = 64
+"""Engines that one process asks: each call holds up an engine's work a little, and in a
+large fleet every gateway would ask every engine."""
+
+
+@dataclass(frozen=True, slots=True)
+class CacheSurveyParts:
+    """What a survey needs of its process."""
+
+    adapter: Adapter
+    events: EventRing
+    list_upstreams: Callable[[], Sequence[UpstreamRecord]]
+    get_pool: Callable[[UpstreamRecord], ConnectionPool]
+    take_held: Callable[[UpstreamRecord, Sequence[PromptPart]], None]
+    """Takes in the parts that an engine holds."""
+
+
+class CacheSurvey:
+    """Asks each engine once, when it is first listed."""
+
+    def __init__(self, parts: CacheSurveyParts):
+        self._parts = parts
+        self._asked: set[str] = set()
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to look for engines."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while len(self._asked) < MOST_ENGINES:
+            for engine in self._parts.list_upstreams():
+                if engine.stage is Stage.NONE or engine.id in self._asked:
+                    continue
+                self._asked.add(engine.id)
+                await self._ask(engine)
+            await asyncio.sleep(LOOK_INTERVAL.total_seconds())
+
+    async def _ask(self, engine: UpstreamRecord) -> None:
+        parts = self._parts
+        call = EngineCall("GET", parts.adapter.CACHE_PATH)
+        exchange = await call_engine(
+            parts.adapter, parts.get_pool(engine), engine, call
+        )
+        if exchange is None or exchange.head is None or exchange.head.status != 200:
+            parts.events.record("cache.unknown", upstream=engine.id)
+            return
+        try:
+            held = parts.adapter.read_cache(exchange.content)
+        except ProtocolError as error:
+            parts.events.record("cache.unknown", upstream=engine.id, error=str(error))
+            return
+        parts.take_held(engine, held)
+        tokens = sum(part.tokens for part in held)
+        parts.events.record(
+            "cache.listed", upstream=engine.id, parts=len(held), tokens=tokens
+        )
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/engine_calls.py
@@ -0,0 +1,44 @@
+"""Engine calls: what a gateway asks of an engine beside callers' requests."""
+
+import asyncio
+from dataclasses import dataclass
+from datetime import timedelta
+
+from tornado.httputil import HTTPHeaders
+
+from mustardquay.upstream_lists import UpstreamRecord
+
+from .adapters import Adapter, SendTarget
+from .connections import ConnectionPool, Exchange, ExchangeEnd
+
+__all__ = ["EngineCall", "call_engine"]
+
+CALL_TIMEOUT = timedelta(milliseconds=500)
+"""Engines answer such calls within some milliseconds; a connection may be silent."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineCall:
+    """A call without a caller."""
+
+    method: str
+    path: str
+    body: bytes = b""
+
+
+async def call_engine(
+    adapter: Adapter, pool: ConnectionPool, engine: UpstreamRecord, call: EngineCall
+) -> Exchange | None:
+    """Return the whole answer of an engine, None if there was none in time."""
+    base = HTTPHeaders({"Host": engine.address})
+    if call.body:
+        base["Content-Type"] = "application/json"
+    target = SendTarget(engine.id, CALL_TIMEOUT)
+    headers = adapter.build_headers(base, target)
+    exchange = Exchange(call.method, call.path, headers, call.body)
+    try:
+        async with asyncio.timeout(CALL_TIMEOUT.total_seconds()):
+            end = await pool.run(exchange, timedelta())
+    except TimeoutError:
+        return None
+    return exchange if end == ExchangeEnd.WHOLE else None
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -23,6 +23,7 @@
 from mustardquay.upstream_loads import LoadBook
 
 from .adapters import Adapter, StoreRow, load_adapter
+from .cache_surveys import CacheSurvey, CacheSurveyParts
 from .caller_connections import CallerConnections, ConnectionOptions
 from .crash_reporters import CrashReporter
 from .feeds import FeedOptions, TableFeed
@@ -85,6 +86,7 @@
         self._digests = 0
         self._peers = self._make_peers()
         self._keeper = self._make_keeper()
+        self._survey = self._make_survey()
         self._intake = UpstreamIntake(
             self._adapter,
             self._upstreams,
@@ -149,6 +151,7 @@
         for feed in self._feeds:
             feed.start()
         self._keeper.start()
+        self._survey.start()
         self._ticker = asyncio.create_task(self._tick_forever())
         self._events.record("process.started", kind_of_process="gateway")
 
@@ -161,6 +164,7 @@
         if self._ticker is not None:
             self._ticker.cancel()
         await self._keeper.close()
+        await self._survey.close()
         for feed in self._feeds:
             await feed.close()
         await self._peers.close()
@@ -330,6 +334,16 @@
         )
         return StageKeeper(f"{self._settings.node.name}-{self._incarnation}", parts)
 
+    def _make_survey(self) -> CacheSurvey:
+        parts = CacheSurveyParts(
+            adapter=self._adapter,
+            events=self._events,
+            list_upstreams=self.list_upstreams,
+            get_pool=self._pools.get_pool,
+            take_held=self._planner.take_held,
+        )
+        return CacheSurvey(parts)
+
     def _tell_changing(self, engines: Collection[str]) -> None:
         self._planner.tell_changing(engines)
         self._peers.hurry()
--- a/packages/mustardquay-node/src/mustardquay_node/generators.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generators.py
@@ -15,7 +15,7 @@
 from mustardquay.engine_models import EngineModels
 from mustardquay.peer_books import EngineDigest, PeerDigest, PlacedPart
 from mustardquay.placements import Placement, choose_decoder, choose_engines
-from mustardquay.requests import PromptTraits
+from mustardquay.requests import PromptPart, PromptTraits
 from mustardquay.routing_tables import Route, RoutingTable
 from mustardquay.uplinks import Uplink
 from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
@@ -197,6 +197,10 @@
         """Return the generations that run at an engine, of all gateways."""
         return self._books.works.sum_running(engine)
 
+    def take_held(self, engine: UpstreamRecord, parts: Sequence[PromptPart]) -> None:
+        """Take in the parts that an engine says it holds."""
+        self._books.prefixes.note(engine.id, engine.stage, hash_parts(parts))
+
     def forget(self, id: str) -> None:
         """Drop an engine that is gone or has started anew."""
         self._books.works.works.pop(id, None)
--- a/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
@@ -13,8 +13,6 @@
 from datetime import timedelta
 from random import Random
 
-from tornado.httputil import HTTPHeaders
-
 from mustardquay.clocks import Clock
 from mustardquay.errors import MustardquayError
 from mustardquay.events import EventRing
@@ -22,8 +20,9 @@
 from mustardquay.stage_plans import StageChange, StagePlanner
 from mustardquay.upstream_lists import Stage, UpstreamList, UpstreamRecord
 
-from .adapters import Adapter, EngineReport, SendTarget, StoreTables
-from .connections import ConnectionPool, Exchange, ExchangeEnd
+from .adapters import Adapter, EngineReport, StoreTables
+from .connections import ConnectionPool, Exchange
+from .engine_calls import EngineCall, call_engine
 
 __all__ = ["StageKeeper", "StageKeeperParts"]
 
@@ -42,7 +41,6 @@
 SETTLING = timedelta(seconds=3)
 """After the start nothing is ordered for so long: the list of engines fills up as
 they write their first records, and a part of it makes another plan."""
-CALL_TIMEOUT = timedelta(milliseconds=500)
 NOTICE = timedelta(milliseconds=90)
 """How long before an order the other gateways are told, by a digest that is sent at
 once: an engine that changes refuses what it has not begun."""
@@ -214,7 +212,9 @@
         body = adapter.build_order(
             change.stage, self._name, self._lease.fence, report.orders_accepted
         )
-        exchange = await self._call(engine, "POST", adapter.ORDER_PATH, body)
+        exchange = await self._call(
+            engine, EngineCall("POST", adapter.ORDER_PATH, body)
+        )
         status = exchange.head.status if exchange and exchange.head else 0
         if not status:
             # It may still be carried out, seconds later. The next order expects the
@@ -225,26 +225,14 @@
 
     async def _ask(self, engine: UpstreamRecord) -> EngineReport | None:
         adapter = self._parts.adapter
-        exchange = await self._call(engine, "GET", adapter.REPORT_PATH, b"")
+        exchange = await self._call(engine, EngineCall("GET", adapter.REPORT_PATH))
         if exchange is None or exchange.head is None or exchange.head.status != 200:
             return None
         return adapter.read_report(exchange.content)
 
-    async def _call(
-        self, engine: UpstreamRecord, method: str, path: str, body: bytes
-    ) -> Exchange | None:
-        base = HTTPHeaders({"Host": engine.address})
-        if body:
-            base["Content-Type"] = "application/json"
-        target = SendTarget(engine.id, CALL_TIMEOUT)
-        headers = self._parts.adapter.build_headers(base, target)
-        exchange = Exchange(method, path, headers, body)
-        try:
-            async with asyncio.timeout(CALL_TIMEOUT.total_seconds()):
-                end = await self._parts.get_pool(engine).run(exchange, timedelta())
-        except TimeoutError:
-            return None
-        return exchange if end == ExchangeEnd.WHOLE else None
+    async def _call(self, engine: UpstreamRecord, call: EngineCall) -> Exchange | None:
+        pool = self._parts.get_pool(engine)
+        return await call_engine(self._parts.adapter, pool, engine, call)
 
     def _log(self, change: StageChange, outcome: str, status: int) -> None:
         self._parts.events.record(
