Tell a long answer by its stream's time, and an engine's streams by its places

Cause: 1,000 tokens and 26 streams were figures of engines with 52 steps an event and 64 places; an engine with other events or places would be filled or starved by them. Change: an answer is long from 0.9 s of its stream, by the learned pause and the operator's steps per event; an engine generates 0.4 streams for each place.

--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -78,9 +78,9 @@
     if placement is None:
         return None
     if request.is_late:
-        is_admitted = admits_late(prompt, placement, time_left)
+        is_admitted = admits_late(placement, time_left)
     else:
-        is_admitted = admits_generation(request.route, prompt, placement, time_left)
+        is_admitted = admits_generation(request.route, placement, time_left)
     if is_admitted:
         return placement
     back = draw_return(placement, time_left, parts.random)
--- a/packages/mustardquay/src/mustardquay/engine_models.py
+++ b/packages/mustardquay/src/mustardquay/engine_models.py
@@ -119,6 +119,8 @@
     read: DecayingFit = field(default_factory=_make_read)
     first: DecayingFit = field(default_factory=_make_streams)
     pause: DecayingFit = field(default_factory=_make_streams)
+    steps: int = 1
+    """Steps of generation between two events of a stream."""
     heard_at: timedelta | None = None
     """When the speeds of a peer were taken."""
 
@@ -136,6 +138,7 @@
         to copy a token between engines, 0 where it isn't declared.
         """
         pool = self._get_pool(service)
+        pool.steps = steps
         copied = copy_seconds or PRIOR_COPIED
         pool.read.set_prior((PRIOR_FIXED, PRIOR_TOKEN, PRIOR_PAIR, copied))
         streams = (PRIOR_STEP * steps, PRIOR_STREAM * steps)
@@ -164,6 +167,11 @@
         """Return the seconds between two events at an engine that reads nothing."""
         return self._get_pool(service).pause.predict((1.0, float(streams)))
 
+    def expect_stream(self, service: str, tokens: int, streams: int) -> float:
+        """Return the seconds in which a stream of so many tokens is generated."""
+        events = tokens / self._get_pool(service).steps
+        return events * self.expect_pause(service, streams)
+
     def count_samples(self, service: str) -> float:
         """Return the readings that count in the model, older ones for less."""
         return self._get_pool(service).read.samples
--- a/packages/mustardquay/src/mustardquay/generation_limits.py
+++ b/packages/mustardquay/src/mustardquay/generation_limits.py
@@ -9,7 +9,6 @@
 from random import Random
 
 from .placements import Placement
-from .requests import PromptTraits
 from .routing_tables import Route
 
 __all__ = [
@@ -37,9 +36,9 @@
 LONG_OCCUPANCY = 1.2
 """The same for long answers, which hold their places for seconds. When few engines are
 left to generate, short answers would wait for one of them until their deadline."""
-LONG_ANSWER = 1_000
-"""Limit of output tokens from which an answer is long, about 0.9 s of steps. By the
-sheet's events of 52 steps, verdicts have up to some 300 and drafts 4,600 on average."""
+LONG_ANSWER = 0.9
+"""Seconds of its stream, at the longest that it may become, from which an answer is
+long: it holds its place for longer than a caller waits for a short one."""
 FRESH_SHARE = 0.95
 """Part of the route's timeout below which the time left shows a caller that has been
 here before, or that waits for less than others. Callers that come anew have it all."""
@@ -56,16 +55,14 @@
 Callers follow a hint of at most a third of the time that they have left."""
 
 
-def admits_generation(
-    route: Route, prompt: PromptTraits, placement: Placement, time_left: timedelta
-) -> bool:
+def admits_generation(route: Route, placement: Placement, time_left: timedelta) -> bool:
     """Return whether the answer is expected in time.
 
     What counts is the wait, not the reading: large prompts must not be refused more
     often than small ones. Only what is read in a moment waits longer: to refuse it
     makes room for nobody.
     """
-    if _is_full(prompt, placement):
+    if _is_full(placement):
         return False
     target = route.latency_target.total_seconds()
     bound = max(
@@ -76,14 +73,12 @@
     return placement.wait_seconds <= bound
 
 
-def admits_late(
-    prompt: PromptTraits, placement: Placement, time_left: timedelta
-) -> bool:
+def admits_late(placement: Placement, time_left: timedelta) -> bool:
     """Return whether an answer that can't be in time is expected before the deadline.
 
     Engines read such prompts behind all others, so that they take nobody's place.
     """
-    if _is_full(prompt, placement):
+    if _is_full(placement):
         return False
     return placement.wait_seconds <= LATE_WAIT_SHARE * time_left.total_seconds()
 
@@ -105,8 +100,8 @@
     return LATE_RANK + rank if is_late else rank
 
 
-def _is_full(prompt: PromptTraits, placement: Placement) -> bool:
-    is_long = prompt.output_tokens >= LONG_ANSWER
+def _is_full(placement: Placement) -> bool:
+    is_long = placement.stream_seconds >= LONG_ANSWER
     return placement.occupancy >= (LONG_OCCUPANCY if is_long else FULL_OCCUPANCY)
 
 
--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -72,6 +72,8 @@
     """What the engine that reads does."""
     work_seconds: float = 0.0
     """All that it had to read, also what goes behind this prompt."""
+    stream_seconds: float = 0.0
+    """Expected time from the first event to the longest end that is allowed."""
 
     @property
     def reader(self) -> UpstreamRecord:
@@ -105,6 +107,10 @@
         """
         return self.books.works.sum_seconds(engine.id)
 
+    def expect_stream(self, engine: UpstreamRecord, streams: int) -> float:
+        tokens = self.prompt.output_tokens
+        return self.books.models.expect_stream(engine.service, tokens, streams)
+
     def count_cached(self, engine: UpstreamRecord) -> int:
         return self.books.prefixes.count_cached(engine.id, self.parts)
 
@@ -275,6 +281,7 @@
         cost,
         planned.reading,
         question.sum_work(engine),
+        question.expect_stream(engine, running),
     )
 
 
@@ -309,6 +316,7 @@
         cost,
         planned.reading,
         question.sum_work(engine),
+        question.expect_stream(engine, running),
     )
 
 
--- a/packages/mustardquay/src/mustardquay/stage_plans.py
+++ b/packages/mustardquay/src/mustardquay/stage_plans.py
@@ -1,10 +1,9 @@
 """Stage plans: how many engines of a service generate, and which change for it.
 
-Answers a load whose long prompts take most of the engines' time while short prompts
-with long answers keep many streams open. An engine that generates takes all its
-streams at nearly the speed of one (0.64 ms a step alone, 0.9 ms with 40), but reads
-prompts at half the speed and makes each step some 5 ms long while it does. So few
-engines generate, and the others read.
+Answers a load whose long prompts take most of the engines' time while others keep many
+streams open. An engine that generates takes all its streams at nearly the speed of one,
+but reads prompts at half the speed, and its steps get many times as long while it does.
+So few engines generate, and the others read.
 """
 
 from collections import Counter
@@ -17,9 +16,10 @@
 
 __all__ = ["StageChange", "StagePlanner"]
 
-STREAMS_PER_DECODER = 26
-"""Streams that one engine should generate at once. With 26 a step takes 0.9 ms, with
-50 it takes 1.25 ms, and the longest answers of some 11,000 steps miss their time."""
+STREAMS_PER_PLACE = 0.4
+"""Streams that one engine should generate at once, for each of its places. Of 64 places
+26 streams make a step 0.9 ms long, 50 make it 1.25 ms, and the longest answers of some
+11,000 steps miss their time."""
 LARGEST_SHARE = 0.34
 """Most of the engines that generate. On a quiet day two of six gave 0.680 of worth,
 three 0.540: the fewer engines that read could not keep up with bursts of prompts."""
@@ -91,8 +91,9 @@
         engines = [each for each in engines if each.id not in lost]
         decoders = [each for each in listed if each.id not in lost]
         mean = self._average(service, streams, now)
-        wanted = count_decoders(len(engines), mean)
-        if len(decoders) > wanted and mean > SLACK * STREAMS_PER_DECODER * wanted:
+        each_runs = count_streams(engines)
+        wanted = count_decoders(len(engines), mean, each_runs)
+        if len(decoders) > wanted and mean > SLACK * each_runs * wanted:
             wanted = len(decoders)
         missing = wanted - len(decoders)
         if missing > 0:
@@ -123,10 +124,16 @@
         return mean
 
 
-def count_decoders(engines: int, streams: float) -> int:
+def count_streams(engines: Sequence[UpstreamRecord]) -> float:
+    """Return how many streams one engine should generate at once."""
+    places = min((engine.slots for engine in engines), default=1)
+    return max(STREAMS_PER_PLACE * places, 1.0)
+
+
+def count_decoders(engines: int, streams: float, each_runs: float) -> int:
     """Return how many of so many engines generate so many streams.
 
-    >>> [count_decoders(number, 60) for number in (1, 2, 3, 4, 6, 24)]
+    >>> [count_decoders(number, 60, 26) for number in (1, 2, 3, 4, 6, 24)]
     [1, 1, 1, 2, 2, 5]
     """
     least = 1
@@ -134,7 +141,7 @@
         least = max(LEAST_DECODERS, ceil(engines * LEAST_SHARE))
     share = LARGEST_SHARE if engines < LARGE_SERVICE else LARGEST_SHARE_OF_LARGE
     most = max(int(engines * share), least)
-    return min(max(ceil(streams / STREAMS_PER_DECODER), least), most)
+    return min(max(ceil(streams / each_runs), least), most)
 
 
 def _choose(
--- a/packages/mustardquay/tests/test_generation_limits.py
+++ b/packages/mustardquay/tests/test_generation_limits.py
@@ -9,7 +9,6 @@
     has_returned,
 )
 from mustardquay.placements import Placement
-from mustardquay.requests import PromptTraits
 from mustardquay.routing_tables import Repeat, Route
 from mustardquay.upstream_lists import Stage, UpstreamRecord
 
@@ -18,16 +17,26 @@
 ENGINE = UpstreamRecord("e", "llm", "10.0.0.1:80", "a", 64, False, Stage.DECODE)
 
 
-PROMPT = PromptTraits("m", 9_190, 312, ())
-DRAFT = PromptTraits("m", 220, 4_600, ())
+VERDICT, DRAFT = 0.3, 4.4
+"""Seconds of their streams."""
 
 
-def make_placement(wait, read=0.02, occupancy=0.1):
-    return Placement(ENGINE, ENGINE, None, read, wait, occupancy, 0.05, wait + read)
+def make_placement(wait, read=0.02, occupancy=0.1, stream=0.3):
+    return Placement(
+        ENGINE,
+        ENGINE,
+        None,
+        read,
+        wait,
+        occupancy,
+        0.05,
+        wait + read,
+        stream_seconds=stream,
+    )
 
 
-def admits(placement, time_left=ROUTE.timeout, prompt=PROMPT):
-    return admits_generation(ROUTE, prompt, placement, time_left)
+def admits(placement, time_left=ROUTE.timeout):
+    return admits_generation(ROUTE, placement, time_left)
 
 
 def test_callers_get_answers_in_time_while_more_is_asked_than_can_be_read():
@@ -84,9 +93,9 @@
     assert not has_returned(ROUTE, ROUTE.timeout)
     assert not admits(late, ROUTE.timeout)
     assert has_returned(ROUTE, left)
-    assert admits_late(PROMPT, late, left)
-    assert not admits_late(PROMPT, make_placement(1.0), left)
-    assert not admits_late(PROMPT, make_placement(0.0, occupancy=1.7), left)
+    assert admits_late(late, left)
+    assert not admits_late(make_placement(1.0), left)
+    assert not admits_late(make_placement(0.0, occupancy=1.7), left)
 
 
 def test_long_answers_leave_places_for_short_ones_when_few_engines_are_left():
@@ -95,19 +104,19 @@
     One engine is left to generate. Drafts hold its places for seconds, prompts that
     had been read wait for one until their deadline, and their reading was in vain.
     """
-    lengths = {DRAFT: 300, PROMPT: 6}
-    ends: list[tuple[int, PromptTraits]] = []
-    served = {DRAFT: 0, PROMPT: 0}
+    lengths = {DRAFT: 300, VERDICT: 6}
+    ends: list[tuple[int, float]] = []
+    served = {DRAFT: 0, VERDICT: 0}
     for step in range(1_000):
         ends = [each for each in ends if each[0] > step]
-        for prompt in (DRAFT, PROMPT):
-            if prompt is DRAFT and step % 3:
+        for stream in (DRAFT, VERDICT):
+            if stream is DRAFT and step % 3:
                 continue
-            placement = make_placement(0.0, 0.002, len(ends) / 64)
-            if admits(placement, 9 * SECOND, prompt):
-                ends.append((step + lengths[prompt], prompt))
-                served[prompt] += 1
-    assert served[PROMPT] == 1_000
+            placement = make_placement(0.0, 0.002, len(ends) / 64, stream)
+            if admits(placement, 9 * SECOND):
+                ends.append((step + lengths[stream], stream))
+                served[stream] += 1
+    assert served[VERDICT] == 1_000
     assert served[DRAFT] > 100
     assert served[DRAFT] < 400
 
@@ -115,4 +124,4 @@
 def test_a_full_engine_gets_nothing_more():
     assert not admits(make_placement(0.0, occupancy=1.7))
     assert admits(make_placement(0.0, occupancy=1.5))
-    assert not admits(make_placement(0.0, occupancy=1.3), prompt=DRAFT)
+    assert not admits(make_placement(0.0, occupancy=1.3, stream=DRAFT))
--- a/packages/mustardquay/tests/test_stage_plans.py
+++ b/packages/mustardquay/tests/test_stage_plans.py
@@ -24,9 +24,9 @@
 
 
 def test_two_engines_generate_so_that_one_may_be_lost():
-    assert count_decoders(6, streams=0) == 2
-    assert count_decoders(4, streams=500) == 2
-    assert count_decoders(24, streams=130) == 5
+    assert count_decoders(6, 0, 26) == 2
+    assert count_decoders(4, 500, 26) == 2
+    assert count_decoders(24, 130, 26) == 5
 
 
 def test_a_large_fleet_begins_its_day_with_enough_engines_that_generate():
@@ -100,4 +100,4 @@
         now = NOW + timedelta(seconds=step / 2)
         changes = changes or plan(planner, engines, streams=240, now=now)
     assert len(changes) >= 2
-    assert count_decoders(24, streams=500) == 10
+    assert count_decoders(24, 500, 26) == 10
