--- a/packages/mustardquay-node/src/mustardquay_node/programs.py
+++ b/packages/mustardquay-node/src/mustardquay_node/programs.py
@@ -7,7 +7,7 @@
 import sys
 from collections.abc import Sequence
 from pathlib import Path
-from typing import Annotated, NoReturn
+from typing import Annotated, Any, NoReturn
 
 import eliot
 import typer
@@ -15,9 +15,6 @@
 from mustardquay import __version__
 from mustardquay.errors import SettingsError
 
-from .agents import Agent
-from .entries import Entry
-from .gateways import Gateway
 from .logs import Logs, write_event
 from .settings import GatewaySettings, Settings, read_settings
 
@@ -78,7 +75,7 @@
     node = _make_node(settings, files)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    if isinstance(node, Gateway):
+    if isinstance(settings, GatewaySettings):
         loop.add_signal_handler(signal.SIGHUP, node.reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
@@ -93,13 +90,20 @@
         logs.close()
 
 
-def _make_node(
-    settings: Settings | GatewaySettings, files: Sequence[Path]
-) -> Entry | Agent | Gateway:
+def _make_node(settings: Settings | GatewaySettings, files: Sequence[Path]) -> Any:
+    # Only the modules of its own kind are loaded: a process that is started again
+    # refuses connections until they are.
     if isinstance(settings, GatewaySettings):
+        from .gateways import Gateway
+
         return Gateway(settings, write_event=write_event, files=files)
-    kind = Entry if settings.node.kind == "entry" else Agent
-    return kind(settings, write_event=write_event)
+    if settings.node.kind == "entry":
+        from .entries import Entry
+
+        return Entry(settings, write_event=write_event)
+    from .agents import Agent
+
+    return Agent(settings, write_event=write_event)
 
 
 def _relieve_collector() -> None:
