Keep a peer's speeds over a change of the configuration

Cause: found by reading. Each configuration declares the engines again and set the priors anew; in a gateway that had just started from a peer's speeds they took the place of these, with their weight of twenty measurements. Change: only traits that differ set the priors. A test failed before.

--- a/packages/mustardquay/src/mustardquay/engine_models.py
+++ b/packages/mustardquay/src/mustardquay/engine_models.py
@@ -121,6 +121,8 @@
     pause: DecayingFit = field(default_factory=_make_streams)
     steps: int = 1
     """Steps of generation between two events of a stream."""
+    copy_seconds: float | None = None
+    """Seconds to copy a token, as the operator declares; None before it is known."""
     heard_at: timedelta | None = None
     """When the speeds of a peer were taken."""
 
@@ -136,9 +138,14 @@
 
         `steps` are those between two events of a stream, `copy_seconds` is the time
         to copy a token between engines, 0 where it isn't declared.
+
+        Only what is new sets the priors: each change of the configuration says it
+        all again, and would put the priors in place of the speeds of a peer.
         """
         pool = self._get_pool(service)
-        pool.steps = steps
+        if (steps, copy_seconds) == (pool.steps, pool.copy_seconds):
+            return
+        pool.steps, pool.copy_seconds = steps, copy_seconds
         copied = copy_seconds or PRIOR_COPIED
         pool.read.set_prior((PRIOR_FIXED, PRIOR_TOKEN, PRIOR_PAIR, copied))
         streams = (PRIOR_STEP * steps, PRIOR_STREAM * steps)
--- a/packages/mustardquay/tests/test_engine_models.py
+++ b/packages/mustardquay/tests/test_engine_models.py
@@ -140,3 +140,18 @@
         took = 0.04 + 2 * time_reading(reading, 3.0)
         models.learn_alone(engine, reading, 4, took, NOW)
     assert 0.7 < measure_error(models, engine, 3.0, random) / 2 < 1.4
+
+
+def test_a_change_of_the_configuration_leaves_what_peers_told():
+    """Prompts are misplaced after each change of a route for some seconds.
+
+    Each configuration tells of the engines again. For a gateway that had just started
+    from its peers' speeds, the priors went in their place, with their weight.
+    """
+    random = Random(8)
+    known, new, engine = EngineModels(), EngineModels(), make_engine()
+    teach(known, engine, 5.0, 60, random)
+    new.set_traits("llm", 13, 4e-7)
+    new.hear(known.tell(), NOW)
+    new.set_traits("llm", 13, 4e-7)
+    assert 0.75 < measure_error(new, engine, 5.0, random) < 1.5
