Weigh both kinds of placement by one function; average factors once a moment

Found by reading the change as a whole; decisions stay as they are. - Placements of one engine and of two shared most of their lines, and summed up the work of an engine twice: one function has what both cost, each adds its own. - An engine's factor against the mean went over all engines for each engine weighed.

--- a/packages/mustardquay-node/src/mustardquay_node/cache_surveys.py
+++ b/packages/mustardquay-node/src/mustardquay_node/cache_surveys.py
@@ -17,6 +17,7 @@
 from .adapters import Adapter
 from .connections import ConnectionPool
 from .engine_calls import EngineCall, call_engine
+from .loops import start_loop
 
 __all__ = ["CacheSurvey", "CacheSurveyParts"]
 
@@ -49,7 +50,7 @@
 
     def start(self) -> None:
         """Begin to look for engines."""
-        self._task = asyncio.create_task(self._run())
+        self._task = start_loop(self._look, LOOK_INTERVAL)
 
     async def close(self) -> None:
         """Stop."""
@@ -57,14 +58,14 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
-    async def _run(self) -> None:
-        while len(self._asked) < MOST_ENGINES:
-            for engine in self._parts.list_upstreams():
-                if engine.stage is Stage.NONE or engine.id in self._asked:
-                    continue
-                self._asked.add(engine.id)
-                await self._ask(engine)
-            await asyncio.sleep(LOOK_INTERVAL.total_seconds())
+    async def _look(self) -> None:
+        if len(self._asked) >= MOST_ENGINES:
+            return
+        for engine in self._parts.list_upstreams():
+            if engine.stage is Stage.NONE or engine.id in self._asked:
+                continue
+            self._asked.add(engine.id)
+            await self._ask(engine)
 
     async def _ask(self, engine: UpstreamRecord) -> None:
         parts = self._parts
--- a/packages/mustardquay/src/mustardquay/engine_models.py
+++ b/packages/mustardquay/src/mustardquay/engine_models.py
@@ -123,6 +123,9 @@
     """Steps of generation between two events of a stream."""
     copy_seconds: float | None = None
     """Seconds to copy a token, as the operator declares; None before it is known."""
+    average: float = 0.0
+    """Mean logarithm of the factors, as of `averaged_at`."""
+    averaged_at: timedelta | None = None
     heard_at: timedelta | None = None
     """When the speeds of a peer were taken."""
 
@@ -171,7 +174,7 @@
         return self._get_pool(service).first.predict((1.0, float(streams)))
 
     def expect_pause(self, service: str, streams: int) -> float:
-        """Return the seconds between two events at an engine that reads nothing."""
+        """Return the usual seconds between two events, with what is read between."""
         return self._get_pool(service).pause.predict((1.0, float(streams)))
 
     def expect_stream(self, service: str, tokens: int, streams: int) -> float:
@@ -189,12 +192,11 @@
         Against the mean of all, so that what all have in common is learned as the
         coefficients of the pool.
         """
-        factors = self._get_pool(engine.service).factors
-        factor = factors.get(engine.id)
+        pool = self._get_pool(engine.service)
+        factor = pool.factors.get(engine.id)
         if factor is None:
             return 1.0
-        mean = sum(_fade(each, now) for each in factors.values()) / len(factors)
-        return exp(_fade(factor, now) - mean)
+        return exp(_fade(factor, now) - _average_factors(pool, now))
 
     def learn_read(
         self,
@@ -274,6 +276,7 @@
         """Drop the factor of an engine that is gone or has started anew."""
         for pool in self._pools.values():
             pool.factors.pop(id, None)
+            pool.averaged_at = None
 
     def _get_pool(self, service: str) -> _Pool:
         pool = self._pools.get(service)
@@ -289,6 +292,20 @@
     weight = FACTOR_WEIGHT if error < 0 else FACTOR_WEIGHT_ABOVE
     value = max(min(value + weight * error, FACTOR_BOUND), -FACTOR_BOUND)
     factor.logarithm, factor.at = value, now
+    pool.averaged_at = None
+
+
+def _average_factors(pool: _Pool, now: timedelta) -> float:
+    """Return the mean logarithm of the factors.
+
+    Summed up once for each moment: a placement asks for every engine at the same one,
+    and would otherwise go over all engines for each of them.
+    """
+    if pool.averaged_at != now:
+        faded = [_fade(each, now) for each in pool.factors.values()]
+        pool.average = sum(faded) / len(faded)
+        pool.averaged_at = now
+    return pool.average
 
 
 def _fade(factor: _Factor, now: timedelta) -> float:
--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -9,7 +9,7 @@
 """
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from xxhash import xxh3_64_intdigest
@@ -261,28 +261,10 @@
 
 
 def _weigh_alone(engine: UpstreamRecord, question: _Question) -> Placement:
-    books = question.books
-    planned = _plan_reading(engine, question)
-    wait = question.expect_wait(engine)
-    running = books.works.sum_running(engine.id)
-    first = books.models.expect_first(engine.service, running)
-    cost = question.sum_work(engine) + planned.seconds + planned.displaced + first
-    cost += _penalty(engine, books, question.now)
-    cost += STREAM_HARM * running * planned.seconds
-    occupancy = running / max(engine.slots, 1)
-    return Placement(
-        engine,
-        None,
-        planned.holder,
-        planned.seconds,
-        wait,
-        occupancy,
-        first,
-        cost,
-        planned.reading,
-        question.sum_work(engine),
-        question.expect_stream(engine, running),
-    )
+    placement = _place(engine, None, question)
+    running = question.books.works.sum_running(engine.id)
+    harm = STREAM_HARM * running * placement.read_seconds
+    return replace(placement, cost=placement.cost + harm)
 
 
 def _weigh_pair(
@@ -291,32 +273,39 @@
     favourite: str,
     question: _Question,
 ) -> Placement:
+    placement = _place(decoder, engine, question)
     books = question.books
-    planned = _plan_reading(engine, question)
-    wait = question.expect_wait(engine)
-    running = books.works.sum_running(decoder.id)
-    first = books.models.expect_first(engine.service, running)
-    cost = question.sum_work(engine) + planned.seconds + planned.displaced + first
-    cost += books.models.expect_overhead(engine.service)
-    cost += _penalty(engine, books, question.now)
-    cost += _penalty(decoder, books, question.now)
+    extra = books.models.expect_overhead(engine.service)
+    extra += _penalty(decoder, books, question.now)
     if engine.id != favourite:
         shared = sum(tokens for _, tokens in question.parts[:-1])
-        whole = question.expect_read(engine, Reading(shared))
-        cost += FAVOUR_SHARE * whole
-    occupancy = running / max(decoder.slots, 1)
+        extra += FAVOUR_SHARE * question.expect_read(engine, Reading(shared))
+    return replace(placement, cost=placement.cost + extra)
+
+
+def _place(
+    decoder: UpstreamRecord, prefiller: UpstreamRecord | None, question: _Question
+) -> Placement:
+    """Return a placement with the cost that both kinds have: work, reading, start."""
+    books = question.books
+    reader = prefiller or decoder
+    planned = _plan_reading(reader, question)
+    work = question.sum_work(reader)
+    running = books.works.sum_running(decoder.id)
+    first = books.models.expect_first(decoder.service, running)
+    cost = work + planned.seconds + planned.displaced + first
     return Placement(
-        decoder,
-        engine,
-        planned.holder,
-        planned.seconds,
-        wait,
-        occupancy,
-        first,
-        cost,
-        planned.reading,
-        question.sum_work(engine),
-        question.expect_stream(engine, running),
+        decoder=decoder,
+        prefiller=prefiller,
+        holder=planned.holder,
+        read_seconds=planned.seconds,
+        wait_seconds=question.expect_wait(reader),
+        occupancy=running / max(decoder.slots, 1),
+        first_seconds=first,
+        cost=cost + _penalty(reader, books, question.now),
+        reading=planned.reading,
+        work_seconds=work,
+        stream_seconds=question.expect_stream(decoder, running),
     )
 
 
