Say in the log which requests the end of a stop cuts off

A request that the end of the process broke off had no line of its own; as connections were closed before their requests, it was logged as if its caller had left.

Change: requests are ended before their connections, each with a line: its age and which request of its connection it was, so that a new connection, an open one and one that waited can be told apart. A field of requests that nothing read is gone.

--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
@@ -7,7 +7,6 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
-from functools import partial
 
 from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httputil import (
@@ -37,8 +36,9 @@
     headers: HTTPHeaders
     """Without those of the connection."""
     received_at: timedelta
+    position: int = 1
+    """Which request of its connection it is, the first being 1."""
     body: bytes = b""
-    has_bad_framing: bool = False
 
 
 class CallerAnswer:
@@ -115,19 +115,29 @@
     handle: Callable[[CallerRequest, CallerAnswer], None]
 
 
+@dataclass(slots=True)
+class _Usage:
+    """How one connection is used."""
+
+    requests: int = 0
+    """Requests that came on it, with the one that is awaited."""
+    is_busy: bool = False
+    """Whether a request is being read or answered."""
+
+
 class CallerConnections(HTTPServerConnectionDelegate):
     """Gives each request of each connection to the handler."""
 
     def __init__(self, options: ConnectionOptions):
         self._options = options
-        self._open: dict[HTTP1ServerConnection, bool] = {}
+        self._open: dict[HTTP1ServerConnection, _Usage] = {}
 
     def close_idle(self) -> int:
         """Close the connections on which no request is being read or answered.
 
         A request that crosses the close was not read, and its caller sends it anew.
         """
-        idle = [each for each, is_busy in self._open.items() if not is_busy]
+        idle = [each for each, usage in self._open.items() if not usage.is_busy]
         for connection in idle:
             connection.stream.close()
         return len(idle)
@@ -141,13 +151,10 @@
         self, server_conn: HTTP1ServerConnection, request_conn: HTTP1Connection
     ) -> HTTPMessageDelegate:
         """Return what takes in the next request of a connection."""
-        self._open[server_conn] = False
-        note_busy = partial(self._note_busy, server_conn)
-        return _Reader(self._options, request_conn, note_busy)
-
-    def _note_busy(self, connection: HTTP1ServerConnection, is_busy: bool) -> None:
-        if connection in self._open:
-            self._open[connection] = is_busy
+        usage = self._open.setdefault(server_conn, _Usage())
+        usage.requests += 1
+        usage.is_busy = False
+        return _Reader(self._options, request_conn, usage)
 
     def on_close(self, server_conn: HTTP1ServerConnection) -> None:
         """Forget a connection."""
@@ -161,9 +168,9 @@
         self,
         options: ConnectionOptions,
         connection: HTTP1Connection,
-        note_busy: Callable[[bool], None],
+        usage: _Usage,
     ):
-        self._note_busy = note_busy
+        self._usage = usage
         self._options = options
         self._connection = connection
         self._request: CallerRequest | None = None
@@ -176,13 +183,14 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
-        self._note_busy(True)
+        self._usage.is_busy = True
         limits = self._options.limits()
         self._request = CallerRequest(
             start_line.method,
             start_line.path,
             strip_hop_headers(headers),
             self._options.clock.monotonic(),
+            self._usage.requests,
         )
         self._answer = CallerAnswer(self._connection, start_line.method)
         length = headers.get("Content-Length", "")
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -52,6 +52,7 @@
     except TimeoutError:
         forwarding.end_late()
     except asyncio.CancelledError:
+        forwarding.note_cut_off()
         answer.abort()
         raise
     except Exception:
@@ -146,6 +147,24 @@
             current.cancel()
         self._parts.events.record("caller.left", request=self._request.id)
 
+    def note_cut_off(self) -> None:
+        """Note a request that the end of the process breaks off.
+
+        With its age and its place on its connection: whether it came before the stop
+        or late in it, and on a new connection or on an open one.
+        """
+        request, reply = self._request, self._reply
+        self._parts.events.record(
+            "request.cut_off",
+            request=request.id,
+            route=reply.route,
+            upstream=request.upstream,
+            passed=reply.passed,
+            sends=request.sendings.offered,
+            position=request.incoming.position,
+            age_ms=reply.age_ms,
+        )
+
     def end_late(self) -> None:
         """Answer a request whose time is over."""
         request, reply = self._request, self._reply
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -169,8 +169,9 @@
         for feed in self._feeds:
             await feed.close()
         await self._peers.close()
-        await self._servers.close()
+        # The requests before their connections, which would look as if callers left.
         await self._forwarder.close()
+        await self._servers.close()
         await self._pools.close()
         self._store.close()
         self._metrics.close()
