Take a request in a stop only if it surely ends, whichever way it comes

Callers saw the answer to a draft break off in its middle, seven seconds after a gateway was told to stop. Cause: what a stop takes was decided by closing connections that were found idle, at looks 50 ms apart, and nothing was asked of a request itself. The library also fixes whether a connection is kept when it begins to wait for a request, so that those that waited when the stop began were not told that it ends.

Ruled out by the record and a play with the new lines: a stop that began late (it ended 7.05 s after its signal), a new connection (the nine requests that the stop cut off, all from before or at its start, were up to the fourteenth of their connections).

Change: one decision for each request that has been read. It is taken if the longest that its route has lately taken, doubled, or else its own limit, fits into what is left of the stop; if not, it is refused at once and truly. What still runs at the end is answered in words where nothing of its answer has been sent. Connections that wait are told to end. Why it holds: the decision stands where requests are read, so that no connection passes beside it, and its own limit ends a request that is taken before the process ends.

--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
@@ -44,9 +44,16 @@
 class CallerAnswer:
     """The answer to one request; says whether the caller is still there."""
 
-    def __init__(self, connection: HTTP1Connection, method: str):
+    def __init__(
+        self,
+        connection: HTTP1Connection,
+        method: str,
+        is_last: Callable[[], bool] = lambda: False,
+    ):
+        """Take `is_last`: whether the connection ends with this answer."""
         self._connection = connection
         self._method = method
+        self._is_last = is_last
         self._left: Callable[[], None] | None = None
         self.has_begun = False
         self.has_ended = False
@@ -93,6 +100,8 @@
     def _write_head(self, status: int, headers: HTTPHeaders, body: bytes | None):
         reason = responses.get(status, "Unknown")
         line = ResponseStartLine("HTTP/1.1", status, reason)
+        if self._is_last():
+            headers["Connection"] = "close"
         self._connection.write_headers(line, headers, body or None)
 
     def _end(self) -> None:
@@ -119,6 +128,8 @@
 class _Usage:
     """How one connection is used."""
 
+    current: HTTP1Connection
+    """Of the request that is awaited, read or answered."""
     requests: int = 0
     """Requests that came on it, with the one that is awaited."""
     is_busy: bool = False
@@ -130,8 +141,20 @@
 
     def __init__(self, options: ConnectionOptions):
         self._options = options
+        self._is_ending = False
         self._open: dict[HTTP1ServerConnection, _Usage] = {}
 
+    def end_keep_alive(self) -> None:
+        """End each connection with its next answer.
+
+        Guards against callers that go on using a connection of a gateway that stops.
+        The library fixes whether a connection is kept when it begins to wait for a
+        request, so that those which wait are told as well.
+        """
+        self._is_ending = True
+        for usage in self._open.values():
+            usage.current.no_keep_alive = True
+
     def close_idle(self) -> int:
         """Close the connections on which no request is being read or answered.
 
@@ -151,10 +174,11 @@
         self, server_conn: HTTP1ServerConnection, request_conn: HTTP1Connection
     ) -> HTTPMessageDelegate:
         """Return what takes in the next request of a connection."""
-        usage = self._open.setdefault(server_conn, _Usage())
+        usage = self._open.setdefault(server_conn, _Usage(request_conn))
+        usage.current = request_conn
         usage.requests += 1
         usage.is_busy = False
-        return _Reader(self._options, request_conn, usage)
+        return _Reader(self._options, usage, lambda: self._is_ending)
 
     def on_close(self, server_conn: HTTP1ServerConnection) -> None:
         """Forget a connection."""
@@ -167,12 +191,13 @@
     def __init__(
         self,
         options: ConnectionOptions,
-        connection: HTTP1Connection,
         usage: _Usage,
+        is_last: Callable[[], bool],
     ):
-        self._usage = usage
         self._options = options
-        self._connection = connection
+        self._usage = usage
+        self._connection = usage.current
+        self._is_last = is_last
         self._request: CallerRequest | None = None
         self._answer: CallerAnswer | None = None
         self._parts: list[bytes] = []
@@ -192,7 +217,7 @@
             self._options.clock.monotonic(),
             self._usage.requests,
         )
-        self._answer = CallerAnswer(self._connection, start_line.method)
+        self._answer = CallerAnswer(self._connection, start_line.method, self._is_last)
         length = headers.get("Content-Length", "")
         if length.isdecimal() and int(length) > limits.body_bytes:
             self._refuse_size(limits.body_bytes)
--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_parts.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_parts.py
@@ -7,6 +7,7 @@
 
 from mustardquay.clocks import Clock
 from mustardquay.events import EventRing
+from mustardquay.route_times import RouteTimes
 from mustardquay.routing_tables import Route
 from mustardquay.sendings import Sendings
 from mustardquay.upstream_lists import UpstreamList
@@ -16,6 +17,7 @@
 from .caller_connections import CallerRequest
 from .connections import Exchange
 from .crash_reporters import CrashReporter
+from .gateway_stops import GatewayStop
 from .generators import GenerationPlanner
 from .upstream_pools import UpstreamPools
 
@@ -36,6 +38,8 @@
     loads: LoadBook
     crashes: CrashReporter
     planner: GenerationPlanner
+    stop: GatewayStop
+    times: RouteTimes = field(default_factory=RouteTimes)
     count_answer: Callable[[str, str], None] = lambda route, outcome: None
     """Counts an answer by route and outcome."""
     count_send: Callable[[str, str], None] = lambda route, end: None
@@ -68,6 +72,12 @@
     last_event: str | None = None
     """The last whole event that the caller has been sent."""
 
+    @property
+    def most_tokens(self) -> int:
+        """Return how many tokens may be generated, 0 for plain services."""
+        prompt = self.facts.prompt if self.route.has_prompt else None
+        return prompt.output_tokens if prompt is not None else 0
+
     @property
     def id(self) -> str:
         """Return the caller's id of this attempt."""
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -43,6 +43,8 @@
     request = read_request(parts, table, incoming, reply)
     if request is None:
         return
+    if not _is_taken(parts, request, reply):
+        return
     forwarding = _Forwarding(parts, request, reply)
     answer.watch(forwarding.note_caller_left)
     limit = (request.limit_at - CLOSE_MARGIN).total_seconds()
@@ -52,8 +54,7 @@
     except TimeoutError:
         forwarding.end_late()
     except asyncio.CancelledError:
-        forwarding.note_cut_off()
-        answer.abort()
+        forwarding.end_with_process()
         raise
     except Exception:
         # A fault of this program must not leave its caller waiting.
@@ -107,6 +108,31 @@
     )
 
 
+def _is_taken(parts: ForwarderParts, request: ForwardedRequest, reply: Reply) -> bool:
+    """Return whether a request is taken; in a stop, what may not end in time is not."""
+    stop = parts.stop
+    if not stop.has_begun:
+        return True
+    now = parts.clock.monotonic()
+    longest = request.measure_left(now)
+    seen = parts.times.find_longest(request.route.name, now, request.most_tokens)
+    if seen is not None:
+        longest = min(longest, seen)
+    inputs = {
+        "position": request.incoming.position,
+        "longest_ms": round(longest.total_seconds() * 1000),
+        "left_ms": round(stop.left.total_seconds() * 1000),
+    }
+    if not stop.takes(longest):
+        reply.refuse("stopping", RETRY_SOON, **inputs)
+        return False
+    request.limit_at = stop.limit(request.limit_at)
+    parts.events.record(
+        "drain.taken", request=request.id, route=request.route.name, **inputs
+    )
+    return True
+
+
 class _Forwarding:
     """Sends one request until its caller has an answer."""
 
@@ -132,6 +158,7 @@
             if send.end is SendEnd.ANSWERED and send.passed:
                 self._sender.log(send, "answered")
                 self._reply.end_stream()
+                self._learn_time()
                 return
             if not self._goes_on(send):
                 return
@@ -147,11 +174,11 @@
             current.cancel()
         self._parts.events.record("caller.left", request=self._request.id)
 
-    def note_cut_off(self) -> None:
-        """Note a request that the end of the process breaks off.
+    def end_with_process(self) -> None:
+        """Answer a request that is still running when the process ends.
 
-        With its age and its place on its connection: whether it came before the stop
-        or late in it, and on a new connection or on an open one.
+        Its line has its age and its place on its connection: whether it came before
+        the stop or late in it, and on a new connection or on an open one.
         """
         request, reply = self._request, self._reply
         self._parts.events.record(
@@ -164,6 +191,9 @@
             position=request.incoming.position,
             age_ms=reply.age_ms,
         )
+        self._end_unanswered(
+            "stopped", "The gateway ended before the answer was there."
+        )
 
     def end_late(self) -> None:
         """Answer a request whose time is over."""
@@ -178,14 +208,29 @@
             sends=request.sendings.offered,
             age_ms=reply.age_ms,
         )
+        self._end_unanswered("timed_out", "There was no answer in time.")
+
+    def _end_unanswered(self, reason: str, message: str) -> None:
+        """Tell the caller truly that there will be no answer."""
+        request, reply = self._request, self._reply
         if reply.is_caller_gone:
             reply.count("caller_left")
         elif reply.has_begun:
             reply.break_off()
         elif request.sendings.may_have_run or request.was_cut_off:
-            reply.fail(504, "timed_out", "There was no answer in time.")
+            reply.fail(504, reason, message)
         else:
-            reply.refuse("timed_out", RETRY_SOON)
+            reply.refuse(reason, RETRY_SOON)
+
+    def _learn_time(self) -> None:
+        """Tell the books how long a whole answer took."""
+        self._parts.times.note(
+            self._request.route.name,
+            self._parts.clock.monotonic(),
+            self._reply.first_after,
+            self._reply.rest_after,
+            self._request.most_tokens,
+        )
 
     async def _send(self) -> Send | None:
         """Choose an upstream and send; None without one or when refused."""
@@ -245,6 +290,7 @@
         if step is NextStep.PASS_ON:
             assert send.head is not None
             self._reply.pass_on(send.head, send.content)
+            self._learn_time()
         elif self._reply.has_begun:
             self._reply.break_off()
         elif step is NextStep.REFUSE:
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
@@ -56,7 +56,7 @@
         parameters.max_header_size = limits.header_bytes
 
     def end_connections(self) -> None:
-        """End each connection with the answer to its next request."""
+        """End each connection that comes with its first answer."""
         if self._callers is not None:
             self._callers.conn_params.no_keep_alive = True
 
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -31,6 +31,7 @@
 from .forwarders import Forwarder
 from .gateway_metrics import GatewayMetrics
 from .gateway_servers import GatewayServers
+from .gateway_stops import GatewayStop, StopParts
 from .generators import GenerationPlanner
 from .nodes import make_seed
 from .peers import PEERS_TABLE, PeerLink
@@ -48,9 +49,6 @@
 PEERS_WAIT = timedelta(seconds=20)
 """The list of gateways seldom changes, and digests show at once who is silent."""
 PEERS_PACE = timedelta(seconds=1)
-DRAIN_IDLE = timedelta(seconds=2.6)
-"""How long a process that stops goes on taking requests on open connections: the
-balancer asks each second and takes it out after two answers that it is not ready."""
 
 
 class Gateway:
@@ -80,6 +78,7 @@
         self._crashes = CrashReporter(self._clock, self._events)
         self._pools = self._make_pools()
         self._planner = self._make_planner()
+        self._stop = self._make_stop()
         self._forwarder = Forwarder(self._make_parts())
         self._store = self._adapter.open_store(settings.store.address, self._clock)
         self._incarnation = int(self._clock.now().timestamp() * 1_000_000)
@@ -102,7 +101,6 @@
         self._servers = GatewayServers()
         self._ticker: asyncio.Task[None] | None = None
         self._address = settings.gateway.listen
-        self._is_draining = False
         self._was_ready = False
         self._file_stamps = self._read_stamps()
 
@@ -110,7 +108,7 @@
     def is_ready(self) -> bool:
         """Return whether callers may be sent here."""
         return (
-            not self._is_draining
+            not self._stop.has_begun
             and self._forwarder.table is not None
             and self._upstreams.is_known
         )
@@ -158,10 +156,7 @@
 
     async def close(self) -> None:
         """Let the requests end, within the time to drain, and stop."""
-        self._is_draining = True
-        self._events.record("drain.started", requests=self._forwarder.in_flight)
-        await self._drain()
-        self._events.record("drain.ended", requests=self._forwarder.in_flight)
+        await self._stop.run(self._settings.gateway.drain_timeout)
         if self._ticker is not None:
             self._ticker.cancel()
         await self._keeper.close()
@@ -230,6 +225,16 @@
             uplink=Uplink(self._settings.gateway.link_rate),
         )
 
+    def _make_stop(self) -> GatewayStop:
+        parts = StopParts(
+            clock=self._clock,
+            events=self._events,
+            count_in_flight=lambda: self._forwarder.in_flight,
+            end_keep_alive=self._end_keep_alive,
+            stop_taking=self._stop_taking,
+        )
+        return GatewayStop(parts)
+
     def _make_parts(self) -> ForwarderParts:
         return ForwarderParts(
             adapter=self._adapter,
@@ -242,6 +247,7 @@
             loads=self._loads,
             crashes=self._crashes,
             planner=self._planner,
+            stop=self._stop,
             count_answer=self._metrics.count_answer,
             count_send=self._metrics.count_send,
             record_first_byte=self._metrics.record_first_byte,
@@ -400,24 +406,11 @@
         self._loads.note_unreachable(id, self._clock.monotonic())
         self._crashes.note_lost(id)
 
-    async def _drain(self) -> None:
-        """Wait until the balancer sends nobody any more and the requests have ended."""
-        started = self._clock.monotonic()
-        deadline = started + self._settings.gateway.drain_timeout
+    def _end_keep_alive(self) -> None:
         self._servers.end_connections()
-        while self._clock.monotonic() < deadline:
-            if self._clock.monotonic() - started >= DRAIN_IDLE:
-                self._stop_taking()
-                if not self._forwarder.in_flight:
-                    return
-            await asyncio.sleep(0.05)
+        self._connections.end_keep_alive()
 
     def _stop_taking(self) -> None:
-        """Take no more requests.
-
-        Guards against a request that comes on an open connection late in a stop: it
-        would be cut off when the time is over.
-        """
         self._servers.stop_accepting()
         self._connections.close_idle()
 
--- a/packages/mustardquay-node/src/mustardquay_node/replies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/replies.py
@@ -63,6 +63,18 @@
         """Return the milliseconds since the request came."""
         return self._to_age(self._parts.clock.monotonic())
 
+    @property
+    def first_after(self) -> timedelta:
+        """Return the time to the first part of the answer, so far without one."""
+        first = self._first_byte_at or self._parts.clock.monotonic()
+        return first - self._incoming.received_at
+
+    @property
+    def rest_after(self) -> timedelta:
+        """Return the time since the first part of the answer."""
+        now = self._parts.clock.monotonic()
+        return now - self._incoming.received_at - self.first_after
+
     @property
     def first_ms(self) -> float:
         """Return the milliseconds to the first byte of a stream, 0 without one."""
--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/stops.py
@@ -0,0 +1,81 @@
+"""Stops: what a gateway that was told to end still takes, and when it ends.
+
+Each state guards against a failure of planned stops:
+
+- leaving: the balancer goes on sending callers for a while. What surely gets its whole
+  answer in the time that is left is taken; anything else is refused, since an answer
+  that is cut off is worse than none.
+- last calls: nothing is taken any more, so that the process ends as soon as what runs
+  has ended; callers that come all the same are told so and not left without a word.
+- closed: the time is over, or nothing runs.
+"""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import StrEnum
+
+__all__ = ["BALANCER_NOTICE", "StopState", "StopTimes", "find_state", "takes_request"]
+
+BALANCER_NOTICE = timedelta(seconds=2.6)
+"""Time after which the balancer sends nobody to a gateway that isn't ready: it asks
+each second and takes a gateway out after two answers."""
+ANSWER_MARGIN = timedelta(milliseconds=200)
+"""How long before the end of a stop the last answers are due, so that they arrive."""
+
+
+class StopState(StrEnum):
+    """How far a gateway is on its way to its end."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    LAST_CALLS = "last_calls"
+    CLOSED = "closed"
+
+
+@dataclass(frozen=True, slots=True)
+class StopTimes:
+    """When a stop began and ends, on the monotonic clock."""
+
+    began_at: timedelta
+    ends_at: timedelta
+
+    @property
+    def answer_by(self) -> timedelta:
+        """Return when the last answers are due."""
+        return self.ends_at - ANSWER_MARGIN
+
+
+def find_state(times: StopTimes | None, now: timedelta, in_flight: int) -> StopState:
+    """Return the state of a gateway with `in_flight` requests.
+
+    >>> second = timedelta(seconds=1)
+    >>> times = StopTimes(0 * second, 7 * second)
+    >>> [find_state(times, at * second, 1).value for at in (1, 3, 7)]
+    ['leaving', 'last_calls', 'closed']
+    >>> find_state(times, 3 * second, 0).value
+    'closed'
+    """
+    if times is None:
+        return StopState.SERVING
+    if now >= times.ends_at:
+        return StopState.CLOSED
+    if now - times.began_at < BALANCER_NOTICE:
+        return StopState.LEAVING
+    return StopState.LAST_CALLS if in_flight else StopState.CLOSED
+
+
+def takes_request(
+    state: StopState, times: StopTimes | None, now: timedelta, longest: timedelta
+) -> bool:
+    """Return whether a request is taken that ends within `longest`.
+
+    Guards against a request that comes late in a stop, be it on an open connection or
+    on a new one: it would still run at the end, and be cut off in its answer. What
+    decides is asked of each request when it has been read, so that it doesn't matter
+    how it came.
+    """
+    if state is StopState.SERVING:
+        return True
+    if state is not StopState.LEAVING or times is None:
+        return False
+    return now + longest <= times.answer_by
