Go on taking callers in a stop for as long as they have nobody better

When all gateways were stopped within three seconds, nobody was served for two to three seconds. Cause: each closed its listener 2.6 s after its signal, whoever else was there, and then waited for its longest stream, up to the whole time to drain (the log shows nine to fourteen streams of up to 9 s still running at its end). So all of them were alive and deaf at once, while the balancer, which finds fewer than half of a zone ready, asks all.

Ruled out: engines (they answered all the while), the time to start (0.6 s), the store.

Change: digests say whether a gateway is ready, and how long one that stops has left. A gateway that stops goes on listening to its end. While the balancer sends callers to it all the same (too few are ready), it takes what surely ends in time and refuses the rest at once, with the time at which somebody is back. When enough are ready it takes nothing more and ends with its last answer; needed ones that have nothing to do end early, one at a time. What still runs at the end is answered before anything waits for the store.

--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -124,7 +124,7 @@
         "left_ms": round(stop.left.total_seconds() * 1000),
     }
     if not stop.takes(longest):
-        reply.refuse("stopping", RETRY_SOON, **inputs)
+        reply.refuse("stopping", stop.draw_return(longest), **inputs)
         return False
     request.limit_at = stop.limit(request.limit_at)
     parts.events.record(
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_stops.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_stops.py
@@ -4,28 +4,50 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from random import Random
 
 from mustardquay.clocks import Clock
 from mustardquay.events import EventRing
-from mustardquay.stops import StopState, StopTimes, find_state, takes_request
+from mustardquay.fleet_books import (
+    FleetBook,
+    Member,
+    find_return,
+    is_needed,
+    is_next_to_end,
+)
+from mustardquay.peer_books import PeerDigest
+from mustardquay.stops import (
+    StopPlace,
+    StopState,
+    StopTimes,
+    find_state,
+    takes_request,
+)
 
 __all__ = ["GatewayStop", "StopParts"]
 
 LOOK_INTERVAL = timedelta(milliseconds=50)
 """Time between two looks at whether a gateway that stops can end."""
+RETURN_SPREAD = timedelta(milliseconds=350)
+"""Returns are drawn over this time, so that those refused together don't meet again."""
 
 
 @dataclass(frozen=True, slots=True)
 class StopParts:
     """What a stop needs of its process."""
 
+    name: str
+    availability_zone: str
     clock: Clock
+    random: Random
     events: EventRing
     count_in_flight: Callable[[], int]
+    tell_peers: Callable[[], None]
+    """Has the next digest sent at once."""
     end_keep_alive: Callable[[], None]
     """Has callers told that their connection ends with the next answer."""
-    stop_taking: Callable[[], None]
-    """Ends what brings callers that nobody waits for here."""
+    close_idle: Callable[[], int]
+    """Closes the connections on which no request is being read or answered."""
 
 
 class GatewayStop:
@@ -33,6 +55,7 @@
 
     def __init__(self, parts: StopParts):
         self._parts = parts
+        self._fleet = FleetBook()
         self._times: StopTimes | None = None
         self._logged = StopState.SERVING
 
@@ -42,10 +65,11 @@
         return self._times is not None
 
     @property
-    def state(self) -> StopState:
-        """Return how far the gateway is on its way to its end."""
-        now = self._parts.clock.monotonic()
-        return find_state(self._times, now, self._parts.count_in_flight())
+    def ends_in(self) -> timedelta | None:
+        """Return the time that the gateway has at most; None while it serves."""
+        if self._times is None:
+            return None
+        return max(self._times.ends_at - self._parts.clock.monotonic(), timedelta())
 
     @property
     def left(self) -> timedelta:
@@ -54,10 +78,14 @@
             return timedelta()
         return self._times.answer_by - self._parts.clock.monotonic()
 
+    def hear(self, digest: PeerDigest) -> None:
+        """Take in what another gateway says of itself."""
+        self._fleet.hear(digest, self._parts.clock.monotonic())
+
     def takes(self, longest: timedelta) -> bool:
         """Return whether a request is taken that ends within `longest`."""
         now = self._parts.clock.monotonic()
-        return takes_request(self.state, self._times, now, longest)
+        return takes_request(self._find_state(), self._times, now, longest)
 
     def limit(self, limit_at: timedelta) -> timedelta:
         """Return when a request has to have its answer that has `limit_at` for it."""
@@ -65,28 +93,63 @@
             return limit_at
         return min(limit_at, self._times.answer_by)
 
+    def draw_return(self, longest: timedelta) -> timedelta:
+        """Return when a caller that is refused should come back.
+
+        There may be nobody to come back to for some seconds, if all gateways stop.
+        """
+        assert self._times is not None
+        now = self._parts.clock.monotonic()
+        members = self._fleet.list_members(now)
+        back = find_return(members, self._times.ends_at, longest, now)
+        return back + RETURN_SPREAD * self._parts.random.random()
+
     async def run(self, time_to_drain: timedelta) -> None:
         """Let what runs end, within the time to drain."""
         now = self._parts.clock.monotonic()
         self._times = StopTimes(now, now + time_to_drain)
         self._parts.events.record("drain.started", requests=self._count())
         self._parts.end_keep_alive()
-        while (state := self.state) is not StopState.CLOSED:
+        self._parts.tell_peers()
+        while (state := self._find_state()) is not StopState.CLOSED:
             self._enter(state)
             await asyncio.sleep(LOOK_INTERVAL.total_seconds())
         self._enter(state)
         self._parts.events.record("drain.ended", requests=self._count())
 
+    def _find_state(self) -> StopState:
+        if self._times is None:
+            return StopState.SERVING
+        now = self._parts.clock.monotonic()
+        place = self._find_place(self._fleet.list_members(now))
+        return find_state(self._times, now, self._count(), place)
+
+    def _find_place(self, members: list[Member]) -> StopPlace:
+        assert self._times is not None
+        return StopPlace(
+            is_needed(self._parts.availability_zone, members),
+            is_next_to_end(self._parts.name, self._times.ends_at, members),
+        )
+
     def _enter(self, state: StopState) -> None:
+        """Note a new state; callers are better off with gateways that are ready.
+
+        Those on open connections are sent there by the end of their connection, which
+        costs them no attempt, as nothing was read from them.
+        """
         if state is self._logged:
             return
         self._logged = state
-        left_ms = round(self.left.total_seconds() * 1000)
+        closed = self._parts.close_idle() if state is StopState.LAST_CALLS else 0
+        members = self._fleet.list_members(self._parts.clock.monotonic())
         self._parts.events.record(
-            "drain.state", state=state.value, requests=self._count(), left_ms=left_ms
+            "drain.state",
+            state=state.value,
+            requests=self._count(),
+            left_ms=round(self.left.total_seconds() * 1000),
+            closed_connections=closed,
+            gateways={each.name: each.state.value for each in members},
         )
-        if state in (StopState.LAST_CALLS, StopState.CLOSED):
-            self._parts.stop_taking()
 
     def _count(self) -> int:
         return self._parts.count_in_flight()
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -157,6 +157,11 @@
     async def close(self) -> None:
         """Let the requests end, within the time to drain, and stop."""
         await self._stop.run(self._settings.gateway.drain_timeout)
+        self._servers.stop_accepting()
+        self._connections.close_idle()
+        # Before anything that waits for the store, and before the connections are
+        # closed, which would look as if the callers had left.
+        await self._forwarder.close()
         if self._ticker is not None:
             self._ticker.cancel()
         await self._keeper.close()
@@ -164,8 +169,6 @@
         for feed in self._feeds:
             await feed.close()
         await self._peers.close()
-        # The requests before their connections, which would look as if callers left.
-        await self._forwarder.close()
         await self._servers.close()
         await self._pools.close()
         self._store.close()
@@ -226,12 +229,17 @@
         )
 
     def _make_stop(self) -> GatewayStop:
+        node = self._settings.node
         parts = StopParts(
+            name=node.name,
+            availability_zone=node.availability_zone,
             clock=self._clock,
+            random=self._random,
             events=self._events,
             count_in_flight=lambda: self._forwarder.in_flight,
+            tell_peers=lambda: self._peers.hurry(),
             end_keep_alive=self._end_keep_alive,
-            stop_taking=self._stop_taking,
+            close_idle=lambda: self._connections.close_idle(),
         )
         return GatewayStop(parts)
 
@@ -314,6 +322,7 @@
         would be read only when the call on it has timed out.
         """
         self._planner.hear(digest)
+        self._stop.hear(digest)
         self._crashes.merge(digest.crashes)
         if digest.configuration > self.version:
             self._feeds[0].wake()
@@ -323,7 +332,13 @@
         digest = self._planner.build_digest(
             self._settings.node.name, self._incarnation, self._digests, self.version
         )
-        return replace(digest, crashes=self._crashes.list_news())
+        return replace(
+            digest,
+            crashes=self._crashes.list_news(),
+            availability_zone=self._settings.node.availability_zone,
+            is_ready=self.is_ready,
+            ends_in=self._stop.ends_in,
+        )
 
     def _make_keeper(self) -> StageKeeper:
         parts = StageKeeperParts(
@@ -410,10 +425,6 @@
         self._servers.end_connections()
         self._connections.end_keep_alive()
 
-    def _stop_taking(self) -> None:
-        self._servers.stop_accepting()
-        self._connections.close_idle()
-
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(TICK.total_seconds())
--- a/packages/mustardquay-node/src/mustardquay_node/peers.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.capnp
@@ -48,4 +48,9 @@
   changing @6 :List(Text);
   crashes @7 :List(CrashRecord);
   speeds @8 :List(PoolSpeeds);
+  availabilityZone @9 :Text;
+  ready @10 :Bool;
+  # For a gateway that stops: the time that it has at most.
+  stopping @11 :Bool;
+  endsInMilliseconds @12 :UInt32;
 }
--- a/packages/mustardquay-node/src/mustardquay_node/peers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.py
@@ -76,6 +76,7 @@
     message.changing = list(digest.changing)
     _write_crashes(message, digest.crashes)
     _write_speeds(message, digest.speeds)
+    _write_presence(message, digest)
     engines = message.init("engines", len(digest.engines))
     for built, each in zip(engines, digest.engines, strict=True):
         built.engine = each.engine
@@ -112,6 +113,9 @@
             tuple(message.changing),
             tuple(map(_read_crash, message.crashes)),
             tuple(map(_read_speeds, message.speeds)),
+            message.availabilityZone,
+            message.ready,
+            _read_end(message),
         )
     except (capnp.KjException, IndexError, ValueError):
         return None
@@ -163,6 +167,21 @@
     return PoolSpeeds(built.service, built.samples, read, first)
 
 
+def _write_presence(message: Any, digest: PeerDigest) -> None:
+    message.availabilityZone = digest.availability_zone
+    message.ready = digest.is_ready
+    if digest.ends_in is not None:
+        message.stopping = True
+        left = max(digest.ends_in, timedelta())
+        message.endsInMilliseconds = left // timedelta(milliseconds=1)
+
+
+def _read_end(message: Any) -> timedelta | None:
+    if not message.stopping:
+        return None
+    return timedelta(milliseconds=message.endsInMilliseconds)
+
+
 class PeerLink(asyncio.DatagramProtocol):
     """Tells the other gateways what this one has outstanding."""
 
--- a/packages/mustardquay-node/tests/test_peers.py
+++ b/packages/mustardquay-node/tests/test_peers.py
@@ -1,12 +1,20 @@
 import asyncio
+from datetime import timedelta
 
 import orjson
+import pytest
 
 from mustardquay.clocks import SystemClock
 from mustardquay.events import EventRing, HybridClock
 from mustardquay.peer_books import PeerDigest
 from mustardquay_node.adapters import StoreRow
-from mustardquay_node.peers import PEERS_LIMIT, PeerLink, list_told
+from mustardquay_node.peers import (
+    PEERS_LIMIT,
+    PeerLink,
+    decode_digest,
+    encode_digest,
+    list_told,
+)
 
 
 def test_each_gateway_of_a_large_fleet_is_told_by_some():
@@ -23,6 +31,14 @@
         assert name not in told[name]
 
 
+@pytest.mark.parametrize("ends_in", [None, timedelta(), timedelta(seconds=6.5)])
+def test_a_digest_tells_whether_its_gateway_stops(ends_in):
+    digest = PeerDigest(
+        "g", 1, 2, 3, availability_zone="a", is_ready=False, ends_in=ends_in
+    )
+    assert decode_digest(encode_digest(digest)) == digest
+
+
 class Store:
     """Takes the addresses of gateways."""
 
--- a/packages/mustardquay/src/mustardquay/peer_books.py
+++ b/packages/mustardquay/src/mustardquay/peer_books.py
@@ -74,6 +74,16 @@
     """Requests that crash upstreams, as far as that is news."""
     speeds: tuple[PoolSpeeds, ...] = ()
     """How fast the engines of each service are, as the gateway has learned."""
+    availability_zone: str = ""
+    is_ready: bool = True
+    """Whether the balancer is told that callers may be sent there."""
+    ends_in: timedelta | None = None
+    """The time that a gateway that stops has at most; None for all others."""
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return what rises with each digest of a gateway."""
+        return (self.incarnation, self.number)
 
 
 @dataclass(slots=True)
@@ -97,8 +107,7 @@
         """
         known = self.heard.get(digest.gateway)
         if known is not None:
-            old = (known.digest.incarnation, known.digest.number)
-            if (digest.incarnation, digest.number) <= old:
+            if digest.order <= known.digest.order:
                 return False
         self.heard[digest.gateway] = _Heard(digest, now)
         self._sum_up(now)
--- a/packages/mustardquay/src/mustardquay/stops.py
+++ b/packages/mustardquay/src/mustardquay/stops.py
@@ -2,11 +2,13 @@
 
 Each state guards against a failure of planned stops:
 
-- leaving: the balancer goes on sending callers for a while. What surely gets its whole
-  answer in the time that is left is taken; anything else is refused, since an answer
-  that is cut off is worse than none.
-- last calls: nothing is taken any more, so that the process ends as soon as what runs
-  has ended; callers that come all the same are told so and not left without a word.
+- leaving: the balancer goes on sending callers for a while, and for the whole stop
+  where too few other gateways are ready. What surely gets its whole answer in the time
+  that is left is taken; anything else is refused, since an answer that is cut off is
+  worse than none.
+- last calls: others are ready. Nothing is taken any more, so that the process ends as
+  soon as what runs has ended; callers that come all the same are told so and not left
+  without a word.
 - closed: the time is over, or nothing runs.
 """
 
@@ -14,7 +16,14 @@
 from datetime import timedelta
 from enum import StrEnum
 
-__all__ = ["BALANCER_NOTICE", "StopState", "StopTimes", "find_state", "takes_request"]
+__all__ = [
+    "BALANCER_NOTICE",
+    "StopPlace",
+    "StopState",
+    "StopTimes",
+    "find_state",
+    "takes_request",
+]
 
 BALANCER_NOTICE = timedelta(seconds=2.6)
 """Time after which the balancer sends nobody to a gateway that isn't ready: it asks
@@ -45,7 +54,25 @@
         return self.ends_at - ANSWER_MARGIN
 
 
-def find_state(times: StopTimes | None, now: timedelta, in_flight: int) -> StopState:
+@dataclass(frozen=True, slots=True)
+class StopPlace:
+    """What a gateway is to its fleet while it stops."""
+
+    is_needed: bool = False
+    """Whether the balancer sends callers all the same."""
+    is_next: bool = False
+    """Whether it is its turn to end early though it is needed."""
+
+
+NOT_NEEDED = StopPlace()
+
+
+def find_state(
+    times: StopTimes | None,
+    now: timedelta,
+    in_flight: int,
+    place: StopPlace = NOT_NEEDED,
+) -> StopState:
     """Return the state of a gateway with `in_flight` requests.
 
     >>> second = timedelta(seconds=1)
@@ -54,6 +81,8 @@
     ['leaving', 'last_calls', 'closed']
     >>> find_state(times, 3 * second, 0).value
     'closed'
+    >>> find_state(times, 3 * second, 0, StopPlace(is_needed=True)).value
+    'leaving'
     """
     if times is None:
         return StopState.SERVING
@@ -61,6 +90,8 @@
         return StopState.CLOSED
     if now - times.began_at < BALANCER_NOTICE:
         return StopState.LEAVING
+    if place.is_needed and (in_flight or not place.is_next):
+        return StopState.LEAVING
     return StopState.LAST_CALLS if in_flight else StopState.CLOSED
 
 
--- /dev/null
+++ b/packages/mustardquay/tests/test_fleet_books.py
@@ -0,0 +1,90 @@
+"""Which gateways take callers while some of them stop."""
+
+from datetime import timedelta
+
+from mustardquay.fleet_books import (
+    COMEBACK_TIME,
+    MEMORY,
+    FleetBook,
+    Member,
+    MemberState,
+    find_return,
+    is_needed,
+    is_next_to_end,
+)
+from mustardquay.peer_books import DIGEST_LIFETIME, PeerDigest
+
+SECOND = timedelta(seconds=1)
+READY, LEAVING, AWAY = MemberState.READY, MemberState.LEAVING, MemberState.AWAY
+
+
+def member(name, state=READY, changes_at=0.0, zone="a"):
+    return Member(name, zone, state, changes_at * SECOND)
+
+
+def digest(number=1, **changes):
+    return PeerDigest("g2", 1, number, 1, availability_zone="a", **changes)
+
+
+def test_a_gateway_is_ready_leaving_or_away():
+    book = FleetBook()
+    book.hear(digest(1), SECOND)
+    assert book.list_members(SECOND) == [member("g2", READY, 1)]
+    book.hear(digest(2, ends_in=3 * SECOND), SECOND)
+    assert book.list_members(SECOND) == [member("g2", LEAVING, 4)]
+    silent = SECOND + 2 * DIGEST_LIFETIME
+    back_at = SECOND + COMEBACK_TIME
+    assert book.list_members(silent) == [Member("g2", "a", AWAY, back_at)]
+    assert book.list_members(2 * SECOND + MEMORY) == []
+
+
+def test_a_digest_that_was_overtaken_changes_nothing():
+    book = FleetBook()
+    book.hear(digest(2, ends_in=3 * SECOND), SECOND)
+    book.hear(digest(1), SECOND)
+    assert book.list_members(SECOND)[0].state is LEAVING
+
+
+def test_fewer_than_half_of_a_zone_need_those_that_stop():
+    """One gateway in ten requests of a zone got no connection.
+
+    Two of three gateways of a zone stopped, so that the balancer asked all of it; the
+    two had closed their doors 2.6 s into their stops.
+    """
+    assert is_needed("a", [member("g2"), member("g3", LEAVING)])
+    assert not is_needed("a", [member("g2"), member("g3")])
+    assert not is_needed("a", [member("g2")])
+
+
+def test_a_zone_without_a_ready_gateway_is_served_by_another_one():
+    assert not is_needed("a", [member("g2", zone="b")])
+    assert is_needed("a", [member("g2", LEAVING, zone="b")])
+    one_of_three = [member("g2", zone="b"), member("g3", AWAY, zone="b")]
+    assert is_needed("a", [*one_of_three, member("g4", LEAVING, zone="b")])
+    assert is_needed("a", [])
+
+
+def test_gateways_that_are_needed_end_early_one_at_a_time():
+    """All gateways of a site are away at the same time, as all were told to stop.
+
+    They had nothing to wait for, and each ended as if it were the only one.
+    """
+    others = [member("g2", LEAVING, 5), member("g3", LEAVING, 6)]
+    assert is_next_to_end("g1", 4 * SECOND, others)
+    assert not is_next_to_end("g1", 5.5 * SECOND, others)
+    assert not is_next_to_end("g1", 4 * SECOND, [*others, member("g4", AWAY)])
+    assert is_next_to_end("g1", 4 * SECOND, [])
+    # Their ends are the same but for the time that a digest takes.
+    assert is_next_to_end("g1", 5.01 * SECOND, others)
+    assert not is_next_to_end("g2", 5.01 * SECOND, [member("g1", LEAVING, 5.02)])
+
+
+def test_refused_callers_come_back_when_somebody_is_there():
+    now, end = 10 * SECOND, 12 * SECOND
+    assert find_return([member("g2")], end, SECOND, now) == timedelta()
+    leaving = [member("g2", LEAVING, 16)]
+    assert find_return(leaving, end, 5 * SECOND, now) == timedelta()
+    assert find_return(leaving, end, 9 * SECOND, now) == 2 * SECOND + COMEBACK_TIME
+    away = [member("g2", AWAY, 11)]
+    assert find_return(away, end, SECOND, now) == SECOND
+    assert find_return([], end, SECOND, now) == 2 * SECOND + COMEBACK_TIME
--- /dev/null
+++ b/packages/mustardquay/tests/test_stop_fleets.py
@@ -0,0 +1,135 @@
+"""A fleet of gateways that are stopped in any order, on a virtual clock."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from mustardquay.clocks import VirtualClock
+from mustardquay.fleet_books import FleetBook, is_needed, is_next_to_end
+from mustardquay.peer_books import PeerDigest
+from mustardquay.stops import (
+    StopPlace,
+    StopState,
+    StopTimes,
+    find_state,
+    takes_request,
+)
+
+STEP = timedelta(milliseconds=50)
+TIME_TO_DRAIN = timedelta(seconds=7)
+GATEWAYS = ("g1", "g2", "g3", "g4")
+ZONES = {"g1": "a", "g2": "a", "g3": "b", "g4": "b"}
+RESTART = timedelta(seconds=1.5)
+
+
+@dataclass
+class Gateway:
+    """One gateway: what it knows, and when its requests end at the latest."""
+
+    fleet: FleetBook = field(default_factory=FleetBook)
+    times: StopTimes | None = None
+    back_at: timedelta | None = None
+    running: list[timedelta] = field(default_factory=list)
+
+
+class Fleet(RuleBasedStateMachine):
+    """Stops, requests and time in any order; digests may be lost."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = VirtualClock()
+        self.gateways = {name: Gateway() for name in GATEWAYS}
+        self.number = 0
+        self.heard = set(GATEWAYS)
+
+    @rule(name=st.sampled_from(GATEWAYS))
+    def stop(self, name):
+        gateway = self.gateways[name]
+        if gateway.times is None and gateway.back_at is None:
+            now = self.clock.monotonic()
+            gateway.times = StopTimes(now, now + TIME_TO_DRAIN)
+
+    @rule(name=st.sampled_from(GATEWAYS), longest=st.integers(1, 20_000))
+    def request(self, name, longest):
+        gateway = self.gateways[name]
+        if gateway.back_at is not None:
+            return
+        now, longest = self.clock.monotonic(), timedelta(milliseconds=longest)
+        state = self.find_state(name)
+        if takes_request(state, gateway.times, now, longest):
+            gateway.running.append(now + longest)
+            if gateway.times is not None:
+                assert now + longest < gateway.times.ends_at
+
+    @rule(name=st.sampled_from(GATEWAYS))
+    def lose_digests(self, name):
+        self.heard ^= {name}
+
+    @rule(steps=st.integers(1, 60))
+    def wait(self, steps):
+        for _ in range(steps):
+            self.clock.advance(STEP)
+            self.tell()
+            for name in GATEWAYS:
+                self.look(name)
+
+    def tell(self):
+        self.number += 1
+        now = self.clock.monotonic()
+        for name in self.heard:
+            sender = self.gateways[name]
+            if sender.back_at is not None:
+                continue
+            left = None if sender.times is None else sender.times.ends_at - now
+            digest = PeerDigest(
+                name,
+                1,
+                self.number,
+                1,
+                availability_zone=ZONES[name],
+                is_ready=sender.times is None,
+                ends_in=left,
+            )
+            for other, gateway in self.gateways.items():
+                if other != name:
+                    gateway.fleet.hear(digest, now)
+
+    def look(self, name):
+        gateway, now = self.gateways[name], self.clock.monotonic()
+        gateway.running = [end for end in gateway.running if end > now]
+        if gateway.back_at is not None and now >= gateway.back_at:
+            self.gateways[name] = Gateway()
+        elif gateway.times is not None and self.has_closed(name):
+            before_stop = [e for e in gateway.running if e >= gateway.times.ends_at]
+            assert gateway.running == before_stop, "What was taken late is cut off."
+            gateway.back_at = now + RESTART
+            gateway.times = None
+            gateway.running.clear()
+
+    def has_closed(self, name):
+        return self.find_state(name) is StopState.CLOSED
+
+    def find_state(self, name):
+        gateway, now = self.gateways[name], self.clock.monotonic()
+        if gateway.times is None:
+            return StopState.SERVING
+        members = gateway.fleet.list_members(now)
+        place = StopPlace(
+            is_needed(ZONES[name], members),
+            is_next_to_end(name, gateway.times.ends_at, members),
+        )
+        return find_state(gateway.times, now, len(gateway.running), place)
+
+    @invariant()
+    def each_stop_ends(self):
+        now = self.clock.monotonic()
+        for gateway in self.gateways.values():
+            assert gateway.times is None or now < gateway.times.ends_at + STEP
+
+
+Fleet.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=40, deadline=None
+)
+TestFleet = Fleet.TestCase
