Tell of a time to drain that is too short, and stop once however often it is asked

Cause: a gateway with less time to drain than the balancer takes to notice says nothing of it, and closing one twice went through the stop twice at the same time.

Change: an event at the start names the least time and the remedy; a second close waits for the first.

--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -18,6 +18,7 @@
 from mustardquay.peer_books import PeerDigest
 from mustardquay.retry_windows import RetryLimits
 from mustardquay.routing_tables import CallerLimits, RoutingTable
+from mustardquay.stops import BALANCER_NOTICE
 from mustardquay.uplinks import Uplink
 from mustardquay.upstream_lists import Stage, UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import LoadBook
@@ -100,6 +101,7 @@
         )
         self._servers = GatewayServers()
         self._ticker: asyncio.Task[None] | None = None
+        self._closing: asyncio.Task[None] | None = None
         self._address = settings.gateway.listen
         self._was_ready = False
         self._file_stamps = self._read_stamps()
@@ -153,9 +155,29 @@
         self._survey.start()
         self._ticker = asyncio.create_task(self._tick_forever())
         self._events.record("process.started", kind_of_process="gateway")
+        self._warn_of_short_drain()
+
+    def _warn_of_short_drain(self) -> None:
+        """Tell the operator of a time to drain in which callers can't be moved."""
+        timeout = self._settings.gateway.drain_timeout
+        if timeout < BALANCER_NOTICE:
+            self._events.record(
+                "settings.short_drain",
+                drain_ms=timeout // timedelta(milliseconds=1),
+                least_ms=BALANCER_NOTICE // timedelta(milliseconds=1),
+                remedy="Raise drain_timeout; callers come until the balancer notices.",
+            )
 
     async def close(self) -> None:
-        """Let the requests end, within the time to drain, and stop."""
+        """Let the requests end, within the time to drain, and stop.
+
+        Who asks again waits for the end that has begun.
+        """
+        if self._closing is None:
+            self._closing = asyncio.create_task(self._close())
+        await asyncio.shield(self._closing)
+
+    async def _close(self) -> None:
         await self._stop.run(self._settings.gateway.drain_timeout)
         self._servers.stop_accepting()
         self._connections.close_idle()
