Move the intake of configurations and the watch of settings out of the gateway

What takes the operator's configuration from the store and what reads the settings files anew are modules of their own, as the intake of upstreams is; behaviour stays.

--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -13,7 +13,6 @@
 from random import Random
 
 from mustardquay.clocks import Clock, SuspendClock, SystemClock
-from mustardquay.errors import ProtocolError, SettingsError
 from mustardquay.events import Event, EventRing, HybridClock
 from mustardquay.peer_books import PeerDigest
 from mustardquay.retry_windows import RetryLimits
@@ -23,9 +22,10 @@
 from mustardquay.upstream_lists import Stage, UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import LoadBook
 
-from .adapters import Adapter, StoreRow, load_adapter
+from .adapters import Adapter, load_adapter
 from .cache_surveys import CacheSurvey, CacheSurveyParts
 from .caller_connections import CallerConnections, ConnectionOptions
+from .configuration_intakes import ConfigurationIntake
 from .crash_reporters import CrashReporter
 from .feeds import FeedOptions, TableFeed
 from .forwarder_parts import ForwarderParts
@@ -36,7 +36,8 @@
 from .generators import GenerationPlanner
 from .nodes import make_seed
 from .peers import PEERS_TABLE, PeerLink
-from .settings import GatewaySettings, read_settings
+from .settings import GatewaySettings
+from .settings_watches import SettingsWatch
 from .stage_keepers import StageKeeper, StageKeeperParts
 from .upstream_intakes import UpstreamIntake
 from .upstream_pools import UpstreamPools
@@ -66,7 +67,6 @@
     ):
         node = settings.node
         self._settings = settings
-        self._files = tuple(files)
         self._clock = clock or SystemClock()
         self._random = Random(make_seed() if seed is None else seed)
         self._adapter = adapter or load_adapter(settings.store.adapter)
@@ -104,7 +104,7 @@
         self._closing: asyncio.Task[None] | None = None
         self._address = settings.gateway.listen
         self._was_ready = False
-        self._file_stamps = self._read_stamps()
+        self._watch = SettingsWatch(files, settings, self._events, self._take_settings)
 
     @property
     def is_ready(self) -> bool:
@@ -199,18 +199,7 @@
 
     def reload(self) -> None:
         """Read the settings again; what can't change in a running process is told."""
-        if not self._files:
-            return
-        try:
-            settings = read_settings(*self._files)
-        except SettingsError as error:
-            self._events.record("settings.refused", error=str(error))
-            return
-        changed = settings != self._settings
-        self._file_stamps = self._read_stamps()
-        self._events.record("settings.reloaded", changed=changed)
-        if changed and isinstance(settings, GatewaySettings):
-            self._take_settings(settings)
+        self._watch.reload()
 
     def _take_settings(self, settings: GatewaySettings) -> None:
         fixed = settings.gateway.listen != self._settings.gateway.listen or (
@@ -285,6 +274,9 @@
 
     def _make_feeds(self) -> tuple[TableFeed, ...]:
         store = self._settings.store
+        take_configuration = ConfigurationIntake(
+            self._adapter, self._events, lambda: self.version, self._put_table
+        ).take
         configuration = FeedOptions(
             self._adapter.CONFIGURATION_TABLE,
             store.configuration_wait,
@@ -298,7 +290,7 @@
         peers = FeedOptions(PEERS_TABLE, PEERS_WAIT, PEERS_PACE)
         shared = (self._events, self._clock, self._random)
         return (
-            TableFeed(self._store, configuration, self._take_configuration, *shared),
+            TableFeed(self._store, configuration, take_configuration, *shared),
             TableFeed(self._store, peers, self._peers.take_rows, *shared),
             TableFeed(
                 self._store,
@@ -399,30 +391,10 @@
             return []
         return [name for name, each in table.services.items() if each.engine]
 
-    def _take_configuration(self, rows: Sequence[StoreRow], is_whole: bool) -> None:
-        for row in rows:
-            if row.key != self._adapter.CONFIGURATION_KEY or row.deleted:
-                continue
-            try:
-                table = self._adapter.read_configuration(row.value)
-            except ProtocolError as error:
-                self._events.record("configuration.refused", error=str(error))
-                continue
-            self._offer_table(table)
-
-    def _offer_table(self, table: RoutingTable) -> None:
-        current = self._forwarder.table
-        if current is not None and table.version <= current.version:
-            return
+    def _put_table(self, table: RoutingTable) -> None:
         self._forwarder.put_table(table)
         self._servers.apply_limits(table.limits)
         self._planner.take_table(table)
-        self._events.record(
-            "configuration.in_force",
-            version=table.version,
-            before=current.version if current else 0,
-            routes=len(table.routes),
-        )
 
     def _get_limits(self) -> CallerLimits:
         table = self._forwarder.table
@@ -451,19 +423,7 @@
         while True:
             await asyncio.sleep(TICK.total_seconds())
             self._intake.expire()
-            if self._read_stamps() != self._file_stamps:
-                self.reload()
+            self._watch.look()
             if self.is_ready != self._was_ready:
                 self._was_ready = self.is_ready
                 self._events.record("process.readiness", ready=self._was_ready)
-
-    def _read_stamps(self) -> list[tuple[int, int]]:
-        stamps = []
-        for path in self._files:
-            try:
-                status = path.stat()
-            except OSError:
-                # A file that is being replaced is there again at the next look.
-                continue
-            stamps.append((status.st_mtime_ns, status.st_size))
-        return stamps
