Measure what a gateway takes until it is ready, in parts

Cause: a planned restart of a fleet leaves callers without a connection until a gateway has loaded and has seen its configuration and list; nothing measured it. Change: benchmarks.starts runs a real process against the stand-in of the store, beside one that only loads the libraries in full and one that is timed in parts.

--- a/benchmarks/all.py
+++ b/benchmarks/all.py
@@ -17,6 +17,7 @@
     promises,
     regressions,
     spreads,
+    starts,
 )
 
 __all__ = ["BENCHMARKS", "main"]
@@ -29,6 +30,7 @@
     "policies": regressions.run,
     "promises": promises.run,
     "spreads": spreads.run,
+    "starts": starts.run,
 }
 """Each takes whether the run is short, and returns whether its bounds were met."""
 
