Keep the modules of links out of a gateway

Cause: a gateway took one function from nodes, and with it loaded links, frames and their schema, the configuration log and the client of the table service.

--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -32,8 +32,8 @@
 from .gateway_metrics import GatewayMetrics
 from .gateway_servers import GatewayServers
 from .generators import GenerationPlanner
-from .nodes import make_seed
 from .peers import PEERS_TABLE, PeerLink
+from .seeds import make_seed
 from .settings import GatewaySettings, read_settings
 from .stage_keepers import StageKeeper, StageKeeperParts
 from .upstream_intakes import UpstreamIntake
--- a/packages/mustardquay-node/src/mustardquay_node/nodes.py
+++ b/packages/mustardquay-node/src/mustardquay_node/nodes.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from datetime import timedelta
-from random import Random, SystemRandom
+from random import Random
 
 from mustardquay import EventRing, HybridClock, SystemClock
 from mustardquay.breakers import CircuitBreaker
@@ -20,6 +20,7 @@
 from .configurations import ConfigurationKeeper, configuration_changed
 from .links import Identity, Link, LinkOptions
 from .metrics import NodeMetrics
+from .seeds import make_seed
 from .settings import Settings
 from .statuses import Probe
 from .stores import HttpInstances, HttpObjects, HttpTables, PlatformClient
@@ -29,7 +30,6 @@
     "NodeParts",
     "Platform",
     "connect_configuration",
-    "make_seed",
     "spread_configuration",
 ]
 
@@ -38,11 +38,6 @@
 down: 540 entries then send it at most some 400 probes a second."""
 
 
-def make_seed() -> int:
-    """Return a seed that no two processes share."""
-    return SystemRandom().getrandbits(64)
-
-
 class Platform:
     """The clients of the platform's services."""
 
