Load the libraries of metric pages when one is first asked for

Cause: OpenTelemetry and the client of Prometheus took a quarter of a gateway's start; counting needs neither. Change: a page keeps what is added to it, and makes its exporter for the first look. The libraries load in a thread, so that streams go on meanwhile. The page's text is the same.

--- a/packages/mustardquay-node/src/mustardquay_node/admins.py
+++ b/packages/mustardquay-node/src/mustardquay_node/admins.py
@@ -20,7 +20,8 @@
 from .changes import ChangeHandler, ChangesHandler
 from .contracts import ContractHandler, ContractsHandler
 from .handlers import AdminHandler, BaseHandler, FallbackHandler, hash_keys
-from .metrics import CONTENT_TYPE_LATEST, NodeMetrics
+from .metric_pages import load_exporters
+from .metrics import NodeMetrics
 from .releases import ReleaseHandler, ReleasesHandler
 from .statuses import Probe, ProcessStatus, describe_status
 
@@ -129,8 +130,9 @@
     def initialize(self, metrics: NodeMetrics) -> None:
         self._metrics = metrics
 
-    def get(self) -> None:
-        self.set_header("Content-Type", CONTENT_TYPE_LATEST)
+    async def get(self) -> None:
+        exporters = await load_exporters()
+        self.set_header("Content-Type", exporters.CONTENT_TYPE_LATEST)
         self.finish(self._metrics.render())
 
 
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
@@ -5,9 +5,9 @@
 from datetime import timedelta
 
 from .histograms import Histogram
-from .metric_pages import CONTENT_TYPE_LATEST, MetricPage
+from .metric_pages import MetricPage
 
-__all__ = ["CONTENT_TYPE_LATEST", "GAUGES", "GatewayMetrics"]
+__all__ = ["GAUGES", "GatewayMetrics"]
 
 GAUGES = {
     "mustardquay.configuration.version": (
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
@@ -10,7 +10,7 @@
 from mustardquay.routing_tables import CallerLimits
 
 from .connections import split_address
-from .gateway_metrics import CONTENT_TYPE_LATEST
+from .metric_pages import load_exporters
 
 __all__ = ["GatewayServers"]
 
@@ -98,6 +98,7 @@
     def initialize(self, render: Callable[[], bytes]) -> None:
         self._render = render
 
-    def get(self) -> None:
-        self.set_header("Content-Type", CONTENT_TYPE_LATEST)
+    async def get(self) -> None:
+        exporters = await load_exporters()
+        self.set_header("Content-Type", exporters.CONTENT_TYPE_LATEST)
         self.write(self._render())
--- a/packages/mustardquay-node/src/mustardquay_node/histograms.py
+++ b/packages/mustardquay-node/src/mustardquay_node/histograms.py
@@ -8,13 +8,10 @@
 from bisect import bisect_left
 from collections.abc import Sequence
 from time import time_ns
+from typing import TYPE_CHECKING
 
-from opentelemetry.sdk.metrics.export import (
-    AggregationTemporality,
-    Histogram as HistogramData,
-    HistogramDataPoint,
-    Metric,
-)
+if TYPE_CHECKING:
+    from opentelemetry.sdk.metrics.export import Metric
 
 __all__ = ["Histogram"]
 
@@ -67,8 +64,16 @@
         if value > series.largest:
             series.largest = value
 
-    def collect(self) -> Metric:
+    def collect(self) -> "Metric":
         """Return the metric as it stands."""
+        # Loaded for a page only: counting must not wait for it at a process's start.
+        from opentelemetry.sdk.metrics.export import (
+            AggregationTemporality,
+            Histogram as HistogramData,
+            HistogramDataPoint,
+            Metric,
+        )
+
         now = time_ns()
         points = [
             HistogramDataPoint(
--- a/packages/mustardquay-node/src/mustardquay_node/metric_pages.py
+++ b/packages/mustardquay-node/src/mustardquay_node/metric_pages.py
@@ -4,49 +4,29 @@
 Several processes may live in one Python process, each with its own registry.
 """
 
+import asyncio
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any
-
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.metrics.export import (
-    MetricsData,
-    ResourceMetrics,
-    ScopeMetrics,
-)
-from opentelemetry.sdk.resources import Resource
-from opentelemetry.sdk.util.instrumentation import InstrumentationScope
-from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
-from prometheus_client.exposition import CONTENT_TYPE_LATEST
+from importlib import import_module
+from typing import TYPE_CHECKING, Any
 
 from mustardquay import __version__
 
 from .histograms import Histogram
 
-__all__ = ["CONTENT_TYPE_LATEST", "MetricPage"]
+if TYPE_CHECKING:
+    from .metric_exporters import MetricExporter
 
+__all__ = ["MetricPage", "load_exporters"]
 
-class _Reader(PrometheusMetricReader):
-    """Adds our own histograms to what the SDK has collected."""
 
-    def __init__(self, registry: CollectorRegistry, histograms: Iterable[Histogram]):
-        super().__init__(registry=registry, scope_info_enabled=False)
-        self._histograms = tuple(histograms)
+async def load_exporters() -> Any:
+    """Return the module `metric_exporters`.
 
-    def _receive_metrics(
-        self, metrics_data: MetricsData, timeout_millis: float = 10_000, **options: Any
-    ) -> None:
-        metrics = [histogram.collect() for histogram in self._histograms]
-        scope = InstrumentationScope("mustardquay", __version__)
-        added = ResourceMetrics(
-            resource=metrics_data.resource_metrics[0].resource,
-            scope_metrics=[ScopeMetrics(scope, metrics, "")],
-            schema_url="",
-        )
-        merged = MetricsData([*metrics_data.resource_metrics, added])
-        super()._receive_metrics(merged, timeout_millis, **options)
+    Guards against a pause of all streams: the first page loads the libraries that
+    make it, in a thread, which lets the event loop run between.
+    """
+    return await asyncio.to_thread(import_module, ".metric_exporters", __package__)
 
 
 class MetricPage:
@@ -59,41 +39,42 @@
         availability_zone: str,
         histograms: Iterable[Histogram],
     ):
-        self._resource = Resource(
-            {
-                "service.name": "mustardquay",
-                "service.instance.id": process,
-                "service.version": __version__,
-                "mustardquay.kind": kind,
-                "cloud.availability_zone": availability_zone,
-            }
-        )
+        self._resource = {
+            "service.name": "mustardquay",
+            "service.instance.id": process,
+            "service.version": __version__,
+            "mustardquay.kind": kind,
+            "cloud.availability_zone": availability_zone,
+        }
         self._histograms = tuple(histograms)
-        self._registry = CollectorRegistry()
-        self._provider: MeterProvider | None = None
+        self._is_started = False
+        self._additions: list[Callable[[MetricExporter], None]] = []
+        self._exporter: MetricExporter | None = None
 
     @property
     def is_started(self) -> bool:
         """Return whether metrics may be added."""
-        return self._provider is not None
+        return self._is_started
 
     def start(self) -> None:
         """Begin to export."""
-        ProcessCollector(registry=self._registry)
-        reader = _Reader(self._registry, self._histograms)
-        self._provider = MeterProvider(
-            [reader], resource=self._resource, shutdown_on_exit=False
-        )
+        self._is_started = True
 
     def close(self) -> None:
         """Stop to export."""
-        if self._provider is not None:
-            self._provider.shutdown()
-            self._provider = None
+        self._is_started = False
+        self._additions.clear()
+        if self._exporter is not None:
+            self._exporter.close()
+            self._exporter = None
 
     def render(self) -> bytes:
-        """Return the page, of type `CONTENT_TYPE_LATEST`."""
-        return generate_latest(self._registry)
+        """Return the page; the first one takes long without `load_exporters`."""
+        if not self._is_started:
+            return b""
+        if self._exporter is None:
+            self._exporter = self._make_exporter()
+        return self._exporter.render()
 
     def add_counter(
         self,
@@ -103,16 +84,7 @@
         *attributes: str,
     ) -> None:
         """Export the numbers of a counter, whose keys hold the attributes' values."""
-
-        def observe(options: CallbackOptions) -> list[Observation]:
-            return [
-                Observation(count, dict(zip(attributes, values, strict=True)))
-                for values, count in counts.items()
-            ]
-
-        self._meter.create_observable_counter(
-            name, [observe], unit="{request}", description=description
-        )
+        self._add(lambda to: to.add_counter(name, description, counts, attributes))
 
     def add_gauge(
         self,
@@ -124,16 +96,19 @@
 
         The value is looked up at each scrape, so that it may be replaced.
         """
-
-        def observe(options: CallbackOptions) -> list[Observation]:
-            return [Observation(gauges[name]())]
-
-        unit, description = definition
-        self._meter.create_observable_gauge(
-            name, [observe], unit=unit, description=description
-        )
-
-    @property
-    def _meter(self) -> Any:
-        assert self._provider is not None
-        return self._provider.get_meter("mustardquay", __version__)
+        self._add(lambda to: to.add_gauge(name, definition, lambda: gauges[name]()))
+
+    def _add(self, addition: "Callable[[MetricExporter], None]") -> None:
+        """Add to the exporter, or keep what is to be added until a page needs it."""
+        assert self._is_started
+        self._additions.append(addition)
+        if self._exporter is not None:
+            addition(self._exporter)
+
+    def _make_exporter(self) -> "MetricExporter":
+        from .metric_exporters import MetricExporter
+
+        exporter = MetricExporter(self._resource, self._histograms)
+        for addition in self._additions:
+            addition(exporter)
+        return exporter
--- a/packages/mustardquay-node/src/mustardquay_node/metrics.py
+++ b/packages/mustardquay-node/src/mustardquay_node/metrics.py
@@ -13,9 +13,9 @@
 from mustardquay import Outcome, Reason
 
 from .histograms import Histogram
-from .metric_pages import CONTENT_TYPE_LATEST, MetricPage
+from .metric_pages import MetricPage
 
-__all__ = ["CONTENT_TYPE_LATEST", "GAUGES", "NodeMetrics"]
+__all__ = ["GAUGES", "NodeMetrics"]
 
 GAUGES = {
     "mustardquay.queue.requests": ("{request}", "Attempts that wait."),
@@ -111,7 +111,7 @@
         self._retries[(cause,)] += 1
 
     def render(self) -> bytes:
-        """Return the page for Prometheus, of type `CONTENT_TYPE_LATEST`."""
+        """Return the page for Prometheus."""
         return self._page.render()
 
     def _make_histograms(self) -> None:
--- a/packages/mustardquay-node/tests/test_metrics.py
+++ b/packages/mustardquay-node/tests/test_metrics.py
@@ -2,9 +2,14 @@
 
 import pytest
 from hypothesis import given, settings, strategies
+from prometheus_client import CONTENT_TYPE_LATEST
 from prometheus_client.parser import text_string_to_metric_families
+from tornado.httpclient import AsyncHTTPClient
+from tornado.testing import bind_unused_port
 
 from mustardquay import Outcome, Reason
+from mustardquay_node.gateway_metrics import GAUGES, GatewayMetrics
+from mustardquay_node.gateway_servers import GatewayServers
 from mustardquay_node.histograms import Histogram
 from mustardquay_node.metrics import NodeMetrics
 
@@ -66,6 +71,30 @@
         metrics.watch("mustardquay.other", lambda: 1)
 
 
+async def test_a_gateway_serves_what_it_counted_before_the_first_page():
+    # The libraries of pages are loaded when one is first asked for; what was counted
+    # until then must be on it.
+    metrics = GatewayMetrics("g1", "linz")
+    metrics.start(dict.fromkeys(GAUGES, lambda: 2.0))
+    metrics.count_answer("front", "answered")
+    metrics.record_first_byte("front", timedelta(seconds=1))
+    free, port = bind_unused_port()
+    free.close()
+    servers = GatewayServers()
+    servers.serve_metrics(f"127.0.0.1:{port}", metrics.render)
+    url = f"http://127.0.0.1:{port}/metrics"
+    pages = [await AsyncHTTPClient().fetch(url) for _ in range(2)]
+    await servers.close()
+    metrics.close()
+    for page in pages:
+        assert page.headers["Content-Type"] == CONTENT_TYPE_LATEST
+        families = text_string_to_metric_families(page.body.decode())
+        values = {each.name: each.value for f in families for each in f.samples}
+        assert values["mustardquay_requests_total"] == 1
+        assert values["mustardquay_first_byte_seconds_count"] == 1
+        assert values["mustardquay_ready"] == 2
+
+
 @settings(derandomize=True, deadline=None, database=None, max_examples=100)
 @given(strategies.lists(strategies.floats(0, 100), max_size=30))
 def test_each_value_is_in_the_bucket_of_its_upper_bound(values):
