--- a/packages/mustardquay-node/src/mustardquay_node/settings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/settings.py
@@ -65,7 +65,10 @@
 
 
 class _Section(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True, hide_input_in_errors=True)
+    # Built when first used: a process uses the sections of its own kind.
+    model_config = ConfigDict(
+        extra="forbid", frozen=True, hide_input_in_errors=True, defer_build=True
+    )
 
 
 class NodeSettings(_Section):
