--- a/benchmarks/starts.py
+++ b/benchmarks/starts.py
@@ -46,7 +46,7 @@
 """What the reference loads; the versions are pinned."""
 LOAD_LIBRARIES = "; ".join(f"import {name}" for name in LIBRARIES)
 LOAD_GATEWAY = """
-import mustardquay_node.programs
+import mustardquay_node.processes
 import mustardquay_node.gateways
 import mustardquay_platform
 """
