Don't look for plugins of pydantic at a process's start

Cause: before it builds its first model, pydantic reads the metadata of all installed packages for plugins, of which none is used. Change: the program sets pydantic's own switch, unless the environment has set it. The benchmark's parts are timed with the interpreter set up as the program does.

--- a/benchmarks/starts.py
+++ b/benchmarks/starts.py
@@ -51,9 +51,11 @@
 import mustardquay_platform
 """
 PARTS = f"""
-import time
+import gc, os, time
 def note():
     print(time.monotonic(), time.process_time())
+gc.disable()
+os.environ["PYDANTIC_DISABLE_PLUGINS"] = "__all__"
 note()
 {LOAD_GATEWAY}
 note()
@@ -63,6 +65,7 @@
 read_settings(Path(sys.argv[1]))
 note()
 """
+"""Times the parts, with the interpreter set up as the program does."""
 PACKAGES_SHOWN = 12
 FIRST_PORT = 12_000
 PORT_RANGE = 100
--- a/packages/mustardquay-node/src/mustardquay_node/programs.py
+++ b/packages/mustardquay-node/src/mustardquay_node/programs.py
@@ -1,6 +1,7 @@
 """Programs: the binary `mustardquayd`, one process of the kind its settings name."""
 
 import gc
+import os
 import sys
 from pathlib import Path
 
@@ -12,6 +13,8 @@
     # While modules are loaded nothing is given up, and the collector would go over
     # all of them again and again; a process turns it on once it has started.
     gc.disable()
+    # Pydantic would look through all installed packages for plugins; none is used.
+    os.environ.setdefault("PYDANTIC_DISABLE_PLUGINS", "__all__")
     words = sys.argv[1:]
     if words and not any(word.startswith("-") for word in words):
         from .processes import run
