Keep the settings of entries and agents in a module of their own

Cause: a gateway made the classes of six sections that it never reads. Change: these sections are in node_settings, loaded when settings name an entry or an agent; all else, also what is refused, is as before.

--- a/benchmarks/spreads.py
+++ b/benchmarks/spreads.py
@@ -16,7 +16,8 @@
 from mustardquay.revisions import ContractAmendment, Edit
 from mustardquay_node.agents import Agent
 from mustardquay_node.entries import Entry
-from mustardquay_node.settings import Settings, check_settings
+from mustardquay_node.node_settings import Settings
+from mustardquay_node.settings import check_settings
 from mustardquay_standins.instances import Instance
 from mustardquay_standins.platforms import PlatformStandin
 from mustardquay_standins.services import ServiceStandin
--- a/packages/mustardquay-cli/src/mustardquay_cli/checks.py
+++ b/packages/mustardquay-cli/src/mustardquay_cli/checks.py
@@ -6,7 +6,8 @@
 import typer
 
 from mustardquay.errors import SettingsError
-from mustardquay_node.settings import Settings, read_settings
+from mustardquay_node.node_settings import Settings
+from mustardquay_node.settings import read_settings
 
 from .failures import ExitCode
 from .options import JSONOption
--- a/packages/mustardquay-node/src/mustardquay_node/agents.py
+++ b/packages/mustardquay-node/src/mustardquay_node/agents.py
@@ -28,13 +28,13 @@
 from .links import Link
 from .listeners import Listener, get_owner
 from .loops import start_loop
+from .node_settings import Settings
 from .nodes import Node, connect_configuration, spread_configuration
 from .orphans import OrphanRecorder
 from .reconcilers import Reconciler
 from .reports import Reporter, UpstreamReport
 from .runs import Owner
 from .services import name_service
-from .settings import Settings
 from .statuses import Probe, ProcessStatus
 from .upstreams import UpstreamClient
 
--- a/packages/mustardquay-node/src/mustardquay_node/caller_servers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_servers.py
@@ -13,8 +13,8 @@
 
 from .callers import CallerParts, NotFoundHandler
 from .generations import ChatHandler, CompletionHandler, ModelsHandler
+from .node_settings import EntrySettings
 from .services import ServiceHandler
-from .settings import EntrySettings
 
 __all__ = ["CallerServer"]
 
--- a/packages/mustardquay-node/src/mustardquay_node/callers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/callers.py
@@ -31,8 +31,8 @@
 )
 from .dispatchers import Dispatcher
 from .metrics import NodeMetrics
+from .node_settings import EntrySettings, ServiceSettings
 from .recorders import Recorder
-from .settings import EntrySettings, ServiceSettings
 from .turns import TurnQueue
 
 __all__ = ["CallerHandler", "CallerParts", "ConfigurationSource", "NotFoundHandler"]
--- a/packages/mustardquay-node/src/mustardquay_node/crosschecks.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crosschecks.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from .settings import Settings
+    from .node_settings import Settings
 
 __all__ = ["FRAME_MARGIN", "Fault", "check_together"]
 
--- a/packages/mustardquay-node/src/mustardquay_node/entries.py
+++ b/packages/mustardquay-node/src/mustardquay_node/entries.py
@@ -28,10 +28,10 @@
 from .editors import ConfigurationEditor
 from .links import Link
 from .loops import start_loop
+from .node_settings import Settings
 from .nodes import Node, connect_configuration, spread_configuration
 from .recorders import Recorder
 from .services import SERVICE_PREFIX
-from .settings import Settings
 from .statuses import Probe, ProcessStatus, UpstreamStatus
 from .sweepers import ClaimSweeper
 
--- a/packages/mustardquay-node/src/mustardquay_node/nodes.py
+++ b/packages/mustardquay-node/src/mustardquay_node/nodes.py
@@ -20,8 +20,8 @@
 from .configurations import ConfigurationKeeper, configuration_changed
 from .links import Identity, Link, LinkOptions
 from .metrics import NodeMetrics
+from .node_settings import Settings
 from .seeds import make_seed
-from .settings import Settings
 from .statuses import Probe
 from .stores import HttpInstances, HttpObjects, HttpTables, PlatformClient
 
--- a/packages/mustardquay-node/src/mustardquay_node/processes.py
+++ b/packages/mustardquay-node/src/mustardquay_node/processes.py
@@ -7,14 +7,17 @@
 import sys
 from collections.abc import Sequence
 from pathlib import Path
-from typing import Any, NoReturn
+from typing import TYPE_CHECKING, Any, NoReturn
 
 import eliot
 
 from mustardquay.errors import SettingsError
 
 from .logs import Logs, write_event
-from .settings import GatewaySettings, Settings, read_settings
+from .settings import GatewaySettings, read_settings
+
+if TYPE_CHECKING:
+    from .node_settings import Settings
 
 __all__ = ["run", "run_node"]
 
@@ -45,7 +48,7 @@
 
 
 async def run_node(
-    settings: Settings | GatewaySettings, files: Sequence[Path] = ()
+    settings: "Settings | GatewaySettings", files: Sequence[Path] = ()
 ) -> None:
     """Run the process that the settings describe until a signal asks to stop."""
     logs = Logs(settings.node.log_level)
@@ -68,7 +71,7 @@
         logs.close()
 
 
-def _make_node(settings: Settings | GatewaySettings, files: Sequence[Path]) -> Any:
+def _make_node(settings: "Settings | GatewaySettings", files: Sequence[Path]) -> Any:
     # Only the modules of its own kind are loaded: a process that is started again
     # refuses connections until they are.
     if isinstance(settings, GatewaySettings):
--- a/packages/mustardquay-node/src/mustardquay_node/services.py
+++ b/packages/mustardquay-node/src/mustardquay_node/services.py
@@ -26,7 +26,7 @@
 from .answers import BufferedSink
 from .callers import SKIPPED_HEADERS, CallerHandler
 from .exchanges import Call
-from .settings import ServiceSettings
+from .node_settings import ServiceSettings
 
 __all__ = ["SERVICE_PREFIX", "ServiceHandler", "is_repeatable", "name_service"]
 
--- a/packages/mustardquay-node/src/mustardquay_node/settings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/settings.py
@@ -8,7 +8,7 @@
 from configparser import ConfigParser, Error as ConfigParserError
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 from pydantic import (
     AfterValidator,
@@ -20,41 +20,34 @@
     ValidationError,
 )
 
-from mustardquay import fields
 from mustardquay.errors import SettingsError
 from mustardquay.faults import describe_faults
 from mustardquay.fields import (
     Duration,
     check_address,
     check_socket_address,
-    check_url,
 )
 
 from .crosschecks import check_together
 from .keys import DEFAULTS, KEYS, SECTIONS, SERVICE_PREFIX
 
+if TYPE_CHECKING:
+    from .node_settings import Settings
+
 __all__ = [
     "DEFAULTS",
-    "AgentSettings",
     "BoundsSettings",
-    "EntrySettings",
     "GatewayPartSettings",
     "GatewaySettings",
-    "LinkSettings",
     "NodeSettings",
-    "PlatformSettings",
-    "ServiceSettings",
-    "Settings",
+    "Section",
     "StoreSettings",
     "check_settings",
     "read_settings",
 ]
 
 Name = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
-Words = Annotated[tuple[str, ...], fields.Words]
-SomeWords = Annotated[Words, Field(min_length=1)]
 Address = Annotated[str, AfterValidator(check_address)]
-URL = Annotated[str, AfterValidator(check_url)]
 SocketAddress = Annotated[str, AfterValidator(check_socket_address)]
 Port = Annotated[int, Field(ge=0, le=65535)]
 Count = Annotated[int, Field(ge=1)]
@@ -64,14 +57,16 @@
     return value.lower() if isinstance(value, str) else value
 
 
-class _Section(BaseModel):
+class Section(BaseModel):
+    """A section of settings, or all the sections of a process."""
+
     # Built when first used: a process uses the sections of its own kind.
     model_config = ConfigDict(
         extra="forbid", frozen=True, hide_input_in_errors=True, defer_build=True
     )
 
 
-class NodeSettings(_Section):
+class NodeSettings(Section):
     """Section `node`: what this process is and where it runs."""
 
     name: Name
@@ -86,68 +81,7 @@
     ring_capacity: Count
 
 
-class PlatformSettings(_Section):
-    """Section `platform`: where the platform's services are."""
-
-    tables: URL
-    objects: URL
-    instances: URL
-    timeout: Duration
-
-
-class LinkSettings(_Section):
-    """Section `link`: the links between entries and agents."""
-
-    keys: SomeWords
-    """Shared secrets; the first signs, all are accepted, so that they rotate."""
-    heartbeat: Duration
-    silence: Duration
-    frame_limit: Count
-
-
-class EntrySettings(_Section):
-    """Section `entry`: towards callers."""
-
-    port: Port
-    operator_keys: SomeWords
-    body_limit: Count
-    output_limit: Count
-    body_timeout: Duration
-    idle_timeout: Duration
-    progress_timeout: Duration
-    lease_term: Duration
-    drain_timeout: Duration
-    claim_lifetime: Duration
-    claim_window: Duration
-    retry_ratio: Annotated[float, Field(ge=0, le=1)]
-    attempts: Count
-    agents: Count
-    certificate: str
-    private_key: str
-
-
-class AgentSettings(_Section):
-    """Section `agent`: towards the upstream beside this process."""
-
-    port: Port
-    operator_keys: Words = ()
-    kind: Literal["engine", "service"]
-    upstream: URL
-    """Base URL of the engine or plain service, with an IP number."""
-    upstream_name: Name
-    service: Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9._-]{0,63}$")] = ""
-    """Name under which a plain service is called."""
-    fencing: bool
-    """Whether the engine refuses an order with an old fencing number."""
-    concurrency: Count
-    queue_capacity: Count
-    progress_timeout: Duration
-    report_interval: Duration
-    longest_order: Duration
-    drain_timeout: Duration
-
-
-class StoreSettings(_Section):
+class StoreSettings(Section):
     """Section `store`: the platform's store, and who speaks its protocol."""
 
     adapter: Annotated[str, StringConstraints(pattern=r"^[A-Za-z_][A-Za-z0-9_.]*$")]
@@ -156,7 +90,7 @@
     configuration_wait: Duration
 
 
-class GatewayPartSettings(_Section):
+class GatewayPartSettings(Section):
     """Section `gateway`: towards callers and upstreams without agents."""
 
     listen: SocketAddress
@@ -168,7 +102,7 @@
     link_rate: Annotated[float, Field(ge=0)]
 
 
-class BoundsSettings(_Section):
+class BoundsSettings(Section):
     """Section `bounds`: what the platform promises and asks."""
 
     retry_ratio: Annotated[float, Field(ge=0, le=1)]
@@ -176,28 +110,7 @@
     retry_window: Duration
 
 
-class ServiceSettings(_Section):
-    """Section `service:NAME`: which calls of a plain service are idempotent."""
-
-    idempotent_methods: Words = tuple(
-        DEFAULTS["service:NAME"]["idempotent_methods"].split()
-    )
-    idempotent_paths: Words = ()
-    """Path prefixes that are idempotent with any method."""
-
-
-class Settings(_Section):
-    """All the settings of one process."""
-
-    node: NodeSettings
-    platform: PlatformSettings
-    link: LinkSettings
-    entry: EntrySettings | None = None
-    agent: AgentSettings | None = None
-    services: dict[Name, ServiceSettings] = Field(default_factory=dict)
-
-
-class GatewaySettings(_Section):
+class GatewaySettings(Section):
     """All the settings of one gateway."""
 
     node: NodeSettings
@@ -236,7 +149,7 @@
         return f"{source}: [{section}] {key}".rstrip()
 
 
-def read_settings(*paths: Path) -> Settings | GatewaySettings:
+def read_settings(*paths: Path) -> "Settings | GatewaySettings":
     """Read INI files, later ones over earlier ones, and check every key.
 
     Raises `SettingsError`, which names the file, the section, the key and the
@@ -254,7 +167,7 @@
 
 def check_settings(
     sections: Mapping[str, Mapping[str, str]], source: str = "settings"
-) -> Settings | GatewaySettings:
+) -> "Settings | GatewaySettings":
     """Check sections of strings; `source` names them in errors."""
     sources = _Sources()
     sources.add(source, sections)
@@ -263,15 +176,15 @@
 
 def _check(
     sections: Mapping[str, Mapping[str, str]], sources: _Sources
-) -> Settings | GatewaySettings:
+) -> "Settings | GatewaySettings":
     _check_names(sections, sources)
     kind = sections.get("node", {}).get("kind", "")
     read = SECTIONS_BY_KIND.get(kind, SECTIONS_BY_KIND["entry"][:-1])
     tree: dict[str, Any] = {
         name: DEFAULTS.get(name, {}) | dict(sections.get(name, {})) for name in read
     }
-    model = GatewaySettings if kind == "gateway" else Settings
-    if model is Settings:
+    model = GatewaySettings if kind == "gateway" else _load_node_settings()
+    if model is not GatewaySettings:
         tree["services"] = {
             name.removeprefix(SERVICE_PREFIX): dict(values)
             for name, values in sections.items()
@@ -299,6 +212,12 @@
     return settings
 
 
+def _load_node_settings() -> "type[Settings]":
+    from .node_settings import Settings
+
+    return Settings
+
+
 def _check_names(sections: Mapping[str, Mapping[str, str]], sources: _Sources) -> None:
     """Refuse unknown names, also in the section of the other kind of process."""
     faults = []
--- a/packages/mustardquay-node/tests/test_settings.py
+++ b/packages/mustardquay-node/tests/test_settings.py
@@ -3,13 +3,15 @@
 
 from mustardquay.errors import SettingsError
 from mustardquay_node.keys import DEFAULTS, KEYS
-from mustardquay_node.settings import (
+from mustardquay_node.node_settings import (
     AgentSettings,
     EntrySettings,
     LinkSettings,
-    NodeSettings,
     PlatformSettings,
     ServiceSettings,
+)
+from mustardquay_node.settings import (
+    NodeSettings,
     check_settings,
     read_settings,
 )
--- a/packages/mustardquay-standins/src/mustardquay_standins/sites.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/sites.py
@@ -23,7 +23,8 @@
 from mustardquay.revisions import ContractAmendment, Edit, ReleaseAmendment
 from mustardquay_node.agents import Agent
 from mustardquay_node.entries import Entry
-from mustardquay_node.settings import Settings, check_settings
+from mustardquay_node.node_settings import Settings
+from mustardquay_node.settings import check_settings
 
 from .engines import EngineStandin
 from .instances import Instance
