--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -34,8 +34,8 @@
 from .gateway_servers import GatewayServers
 from .gateway_stops import GatewayStop, StopParts
 from .generators import GenerationPlanner
-from .nodes import make_seed
 from .peers import PEERS_TABLE, PeerLink
+from .seeds import make_seed
 from .settings import GatewaySettings
 from .settings_watches import SettingsWatch
 from .stage_keepers import StageKeeper, StageKeeperParts
