Stay closed once a stop has ended

A draft was passed on by a gateway whose stop had ended, and cut off: while it still waited for the store, a body became whole, or a connection that had just been accepted brought a request. That request counted as one in flight, by which a gateway that callers need goes on. Change: the end is kept. Result: three tests over sockets (a late body, the same with peers that fall silent, a connection accepted in the last turn) failed before and pass.

--- a/packages/mustardquay-node/src/mustardquay_node/gateway_stops.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_stops.py
@@ -58,6 +58,7 @@
         self._fleet = FleetBook()
         self._times: StopTimes | None = None
         self._logged = StopState.SERVING
+        self._has_closed = False
 
     @property
     def has_begun(self) -> bool:
@@ -114,12 +115,17 @@
         while (state := self._find_state()) is not StopState.CLOSED:
             self._enter(state)
             await asyncio.sleep(LOOK_INTERVAL.total_seconds())
+        # Kept, as the end takes a while: a request whose body becomes whole in it would
+        # make the gateway one with something to do again, be taken, and be cut off.
+        self._has_closed = True
         self._enter(state)
         self._parts.events.record("drain.ended", requests=self._count())
 
     def _find_state(self) -> StopState:
         if self._times is None:
             return StopState.SERVING
+        if self._has_closed:
+            return StopState.CLOSED
         now = self._parts.clock.monotonic()
         place = self._find_place(self._fleet.list_members(now))
         return find_state(self._times, now, self._count(), place)
