Answer a request that is read in the very turn in which a gateway ends

Its task was cancelled before it had begun, so that nothing could answer, and its caller got no word until the connection was closed. Tasks get one turn to begin now.

--- a/packages/mustardquay-node/src/mustardquay_node/forwarders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarders.py
@@ -48,7 +48,13 @@
         task.add_done_callback(self._forget_task)
 
     async def close(self) -> None:
-        """Cancel what is left."""
+        """Cancel what is left; each is answered.
+
+        First lets those begin whose requests were read in this turn of the loop: a
+        task that is cancelled before it began does nothing, and its caller would get
+        no word.
+        """
+        await asyncio.sleep(0)
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
