--- a/packages/mustardquay/src/mustardquay/fleet_books.py
+++ b/packages/mustardquay/src/mustardquay/fleet_books.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 
 from .peer_books import DIGEST_LIFETIME, PeerDigest
+from .stops import ANSWER_MARGIN
 
 __all__ = [
     "FleetBook",
@@ -20,8 +21,11 @@
 """Usual time from the end of a gateway to the moment when its successor is ready."""
 MEMORY = timedelta(seconds=10)
 """How long a gateway that is silent counts as one that the balancer knows."""
-SAME_END = timedelta(milliseconds=200)
-"""Ends that are nearer to each other than digests are exact count as the same."""
+LEAST_COMEBACK = timedelta(milliseconds=500)
+"""Time in which one may be back that has been away for longer than usual."""
+BALANCER_PACE = timedelta(seconds=1)
+"""Time between two questions of the balancer whether a gateway is ready: until it has
+asked, it sends nobody to one that has just become so."""
 
 
 class MemberState(StrEnum):
@@ -49,6 +53,8 @@
 class _Heard:
     digest: PeerDigest
     at: timedelta
+    ready_since: timedelta
+    """When it was first heard to be ready without a break."""
 
 
 @dataclass(slots=True)
@@ -62,7 +68,10 @@
         known = self._heard.get(digest.gateway)
         if known is not None and digest.order <= known.digest.order:
             return
-        self._heard[digest.gateway] = _Heard(digest, now)
+        ready_since = now
+        if known is not None and _goes_on(known.digest, digest):
+            ready_since = known.ready_since
+        self._heard[digest.gateway] = _Heard(digest, now, ready_since)
 
     def list_members(self, now: timedelta) -> list[Member]:
         """Return the gateways that the balancer may know."""
@@ -74,17 +83,25 @@
         return [_make_member(heard, now) for heard in self._heard.values()]
 
 
+def _goes_on(before: PeerDigest, digest: PeerDigest) -> bool:
+    """Return whether one process was ready before and may still be."""
+    return before.incarnation == digest.incarnation and before.is_ready
+
+
 def _make_member(heard: _Heard, now: timedelta) -> Member:
     digest = heard.digest
     name, availability_zone = digest.gateway, digest.availability_zone
     if now - heard.at > DIGEST_LIFETIME:
-        back_at = heard.at + COMEBACK_TIME
+        back_at = max(heard.at + COMEBACK_TIME, now + LEAST_COMEBACK)
         return Member(name, availability_zone, MemberState.AWAY, back_at)
     if digest.ends_in is not None:
         ends_at = heard.at + digest.ends_in
         return Member(name, availability_zone, MemberState.LEAVING, ends_at)
-    state = MemberState.READY if digest.is_ready else MemberState.AWAY
-    return Member(name, availability_zone, state, now)
+    asked_at = heard.ready_since + BALANCER_PACE
+    if digest.is_ready and now >= asked_at:
+        return Member(name, availability_zone, MemberState.READY, asked_at)
+    back_at = max(asked_at, now + LEAST_COMEBACK)
+    return Member(name, availability_zone, MemberState.AWAY, back_at)
 
 
 def is_needed(availability_zone: str, members: Collection[Member]) -> bool:
@@ -112,19 +129,18 @@
     return sum(each.state is MemberState.READY for each in members)
 
 
-def is_next_to_end(name: str, ends_at: timedelta, members: Collection[Member]) -> bool:
+def is_next_to_end(name: str, members: Iterable[Member]) -> bool:
     """Return whether a gateway that is needed may end early, so as to be back early.
 
-    One at a time, and only while another one takes callers: those that stop together
-    would else be away together. One that knows no other is away as long either way.
+    One at a time, in the order of their names, on which all agree whatever they have
+    heard: those that stop together would else be away together. One that knows no other
+    is away as long either way.
     """
-    if not members:
-        return True
-    if any(each.state is MemberState.AWAY for each in members):
-        return False
-    leaving = [each for each in members if each.state is MemberState.LEAVING]
-    own = (ends_at // SAME_END, name)
-    return all(own < (each.changes_at // SAME_END, each.name) for each in leaving)
+    return all(
+        each.state is MemberState.READY
+        or (each.state is MemberState.LEAVING and name < each.name)
+        for each in members
+    )
 
 
 def find_return(
@@ -137,7 +153,7 @@
     if any(each.state is MemberState.READY for each in members):
         return timedelta()
     leaving = [each for each in members if each.state is MemberState.LEAVING]
-    if any(now + longest < each.changes_at for each in leaving):
+    if any(now + longest < each.changes_at - ANSWER_MARGIN for each in leaving):
         return timedelta()
     ends = [own_end, *(each.changes_at for each in leaving)]
     backs = [each.changes_at for each in members if each.state is MemberState.AWAY]
--- a/packages/mustardquay/src/mustardquay/stops.py
+++ b/packages/mustardquay/src/mustardquay/stops.py
@@ -17,6 +17,7 @@
 from enum import StrEnum
 
 __all__ = [
+    "ANSWER_MARGIN",
     "BALANCER_NOTICE",
     "StopPlace",
     "StopState",
