Ask an entry once more whether it stops when a body is whole

The same cause as at gateways: an entry asked when the head of a request came. A body that became whole after the entry had begun to stop was run, and cut off if the time to drain ended before it. Agents ask at each frame and were not touched. Result: the test over sockets failed before (200) and passes (503).

--- a/packages/mustardquay-node/src/mustardquay_node/callers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/callers.py
@@ -192,8 +192,11 @@
 
     async def serve(self, run: Callable[[], Awaitable[None]]) -> None:
         """Refuse what is at fault, or run it; a drain waits for what runs."""
-        if self._fault is not None:
-            self._refuse_fault(self._fault)
+        # Asked again, as the body may have taken until after the entry began to stop:
+        # the call would be run, and be cut off at the end of the time to drain.
+        fault = self._fault or self._check_state()
+        if fault is not None:
+            self._refuse_fault(fault)
             return
         with self.parts.in_flight.hold():
             await self._run(run)
