Begin no stream late in a stop that its own limit doesn't end

Cause: a stream was held to end by an estimate, and once begun it can't be taken back; time was divided by the most tokens that may come, not by those that came, and answers that did not come to their end never entered the estimate.

Change: a request whose own limit is over in time is taken. A plain one may be held to what its route has lately taken, since its caller gets a word if that proves wrong. Answers that break off count in what is learned.

--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_parts.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_parts.py
@@ -58,6 +58,8 @@
     limit_at: timedelta
     """When the caller or the route's timeout ends the wait, on the monotonic clock."""
     fingerprint: int
+    begin_by: timedelta | None = None
+    """When the first part of the answer is due at the latest; None for the limit."""
     sendings: Sendings = field(default_factory=Sendings)
     avoid: set[str] = field(default_factory=set)
     """Upstreams that this request has been sent to."""
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -8,17 +8,20 @@
 
 import asyncio
 from datetime import timedelta
+from functools import partial
 
 from mustardquay.errors import ProtocolError
 from mustardquay.requests import SendEnd
 from mustardquay.routing_tables import Repeat, RoutingTable, choose_backend
 from mustardquay.sendings import NextStep, decide_next
+from mustardquay.stops import Demand
 from mustardquay.upstream_loads import choose_plain
 
 from .caller_connections import CallerAnswer, CallerRequest
 from .forwarder_parts import ForwardedRequest, ForwarderParts
+from .gateway_stops import RETRY_SOON
 from .handovers import send_generation
-from .replies import RETRY_SOON, Reply
+from .replies import Reply
 from .sends import Send, Sender
 
 __all__ = ["forward", "read_request"]
@@ -43,13 +46,15 @@
     request = read_request(parts, table, incoming, reply)
     if request is None:
         return
-    if not _is_taken(parts, request, reply):
+    if parts.stop.has_begun and not _admit(parts, request, reply):
         return
     forwarding = _Forwarding(parts, request, reply)
     answer.watch(forwarding.note_caller_left)
-    limit = (request.limit_at - CLOSE_MARGIN).total_seconds()
+    limit_at = request.limit_at - CLOSE_MARGIN
+    begin_by = min(request.begin_by or limit_at, limit_at)
     try:
-        async with asyncio.timeout_at(limit):
+        async with asyncio.timeout_at(begin_by.total_seconds()) as timer:
+            reply.begun = partial(timer.reschedule, limit_at.total_seconds())
             await forwarding.run()
     except TimeoutError:
         forwarding.end_late()
@@ -108,31 +113,35 @@
     )
 
 
-def _is_taken(parts: ForwarderParts, request: ForwardedRequest, reply: Reply) -> bool:
-    """Return whether a request is taken; in a stop, what may not end in time is not."""
-    stop = parts.stop
-    if not stop.has_begun:
-        return True
-    now = parts.clock.monotonic()
-    longest = request.measure_left(now)
-    seen = parts.times.find_longest(request.route.name, now, request.most_tokens)
-    if seen is not None:
-        longest = min(longest, seen)
+def _admit(parts: ForwarderParts, request: ForwardedRequest, reply: Reply) -> bool:
+    """Take or refuse a request that comes in a stop; returns whether it is taken."""
+    demand = _find_demand(parts, request)
     inputs = {
         "position": request.incoming.position,
-        "longest_ms": round(longest.total_seconds() * 1000),
-        "left_ms": round(stop.left.total_seconds() * 1000),
+        "expected_ms": round(demand.expected.total_seconds() * 1000),
+        "left_ms": round(parts.stop.left.total_seconds() * 1000),
     }
-    if not stop.takes(longest):
-        reply.refuse("stopping", stop.draw_return(longest), **inputs)
+    request.begin_by = parts.stop.admit(demand)
+    if request.begin_by is None:
+        reply.refuse("stopping", parts.stop.draw_return(demand.expected), **inputs)
         return False
-    request.limit_at = stop.limit(request.limit_at)
     parts.events.record(
         "drain.taken", request=request.id, route=request.route.name, **inputs
     )
     return True
 
 
+def _find_demand(parts: ForwarderParts, request: ForwardedRequest) -> Demand:
+    now = parts.clock.monotonic()
+    return Demand(
+        request.measure_left(now),
+        parts.times.find_longest(request.route.name, now),
+        request.most_tokens,
+        request.route.repeat is Repeat.STREAM,
+        request.route.resumable,
+    )
+
+
 class _Forwarding:
     """Sends one request until its caller has an answer."""
 
@@ -213,6 +222,7 @@
     def _end_unanswered(self, reason: str, message: str) -> None:
         """Tell the caller truly that there will be no answer."""
         request, reply = self._request, self._reply
+        self._learn_time()
         if reply.is_caller_gone:
             reply.count("caller_left")
         elif reply.has_begun:
@@ -220,16 +230,19 @@
         elif request.sendings.may_have_run or request.was_cut_off:
             reply.fail(504, reason, message)
         else:
-            reply.refuse(reason, RETRY_SOON)
+            reply.refuse(reason, self._parts.stop.draw_return(timedelta()))
 
     def _learn_time(self) -> None:
-        """Tell the books how long a whole answer took."""
+        """Tell the books how long an answer took, or what there was of it.
+
+        Also if it did not come to its end: it is those that take the longest.
+        """
         self._parts.times.note(
             self._request.route.name,
             self._parts.clock.monotonic(),
             self._reply.first_after,
             self._reply.rest_after,
-            self._request.most_tokens,
+            self._reply.events,
         )
 
     async def _send(self) -> Send | None:
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_stops.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_stops.py
@@ -17,17 +17,20 @@
 )
 from mustardquay.peer_books import PeerDigest
 from mustardquay.stops import (
+    Demand,
     StopPlace,
     StopState,
     StopTimes,
+    admit_request,
     find_state,
-    takes_request,
 )
 
-__all__ = ["GatewayStop", "StopParts"]
+__all__ = ["RETRY_SOON", "GatewayStop", "StopParts"]
 
 LOOK_INTERVAL = timedelta(milliseconds=50)
 """Time between two looks at whether a gateway that stops can end."""
+RETRY_SOON = timedelta(milliseconds=250)
+"""When a caller is told to come back after a refusal that has no better estimate."""
 RETURN_SPREAD = timedelta(milliseconds=350)
 """Returns are drawn over this time, so that those refused together don't meet again."""
 
@@ -83,23 +86,19 @@
         """Take in what another gateway says of itself."""
         self._fleet.hear(digest, self._parts.clock.monotonic())
 
-    def takes(self, longest: timedelta) -> bool:
-        """Return whether a request is taken that ends within `longest`."""
+    def admit(self, demand: Demand) -> timedelta | None:
+        """Return when a request that is taken must have begun; None if refused."""
+        assert self._times is not None
         now = self._parts.clock.monotonic()
-        return takes_request(self._find_state(), self._times, now, longest)
-
-    def limit(self, limit_at: timedelta) -> timedelta:
-        """Return when a request has to have its answer that has `limit_at` for it."""
-        if self._times is None:
-            return limit_at
-        return min(limit_at, self._times.answer_by)
+        return admit_request(self._find_state(), self._times, now, demand)
 
     def draw_return(self, longest: timedelta) -> timedelta:
-        """Return when a caller that is refused should come back.
+        """Return when a caller that gets no answer should come back.
 
         There may be nobody to come back to for some seconds, if all gateways stop.
         """
-        assert self._times is not None
+        if self._times is None:
+            return RETRY_SOON
         now = self._parts.clock.monotonic()
         members = self._fleet.list_members(now)
         back = find_return(members, self._times.ends_at, longest, now)
--- a/packages/mustardquay-node/src/mustardquay_node/replies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/replies.py
@@ -1,6 +1,6 @@
 """Replies: what one caller is told, with its line in the log."""
 
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 from tornado.httputil import HTTPHeaders
@@ -10,10 +10,8 @@
 from .forwarder_parts import ForwarderParts
 from .hop_headers import strip_hop_headers
 
-__all__ = ["RETRY_SOON", "Reply"]
+__all__ = ["Reply"]
 
-RETRY_SOON = timedelta(milliseconds=250)
-"""When a caller is told to come back after a refusal that has no better estimate."""
 LEAST_RETRY = timedelta(milliseconds=50)
 REFUSED = 503
 """The status that promises callers that the request has not run and won't."""
@@ -33,7 +31,11 @@
         self.route = ""
         self.version = 0
         """Version of the configuration that the request is bound to."""
+        self.begun: Callable[[], None] = lambda: None
+        """Called when the caller gets the first part of a stream."""
         self._first_byte_at: timedelta | None = None
+        self.events = 0
+        """Events of a stream that the caller has been sent."""
         self._passed = 0
         self._passed_at: timedelta | None = None
         self._longest_pause = timedelta()
@@ -118,6 +120,7 @@
         self._first_byte_at = self._parts.clock.monotonic()
         self._note_first_byte()
         self._answer.begin(head.status, strip_hop_headers(head.headers))
+        self.begun()
 
     def write(self, data: bytes) -> Awaitable[None] | None:
         """Give the caller a part of a stream; may have to be waited for."""
--- a/packages/mustardquay-node/src/mustardquay_node/sends.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sends.py
@@ -213,7 +213,9 @@
         if send.first_at is None:
             send.first_at = now
         send.last_at = now
-        send.events += count_ends(data)
+        events = count_ends(data)
+        send.events += events
+        self._reply.events += events
         self._watch_silence(limit_silence(self._request.route))
         if self._request.route.resumable:
             data = self._cutter.feed(data)
--- a/packages/mustardquay/src/mustardquay/route_times.py
+++ b/packages/mustardquay/src/mustardquay/route_times.py
@@ -1,37 +1,49 @@
 """Route times: the longest that requests have lately taken, by their route.
 
-A gateway that stops asks whether a request surely ends in time. The route's timeout
-answers that too, but it is many times what requests usually take.
+A gateway that stops asks whether a request ends in time. The route's timeout answers
+that too, but it is many times what requests usually take.
 """
 
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-__all__ = ["RouteTimes"]
+__all__ = ["LongestTimes", "RouteTimes"]
 
 WINDOW = timedelta(seconds=20)
 """Answers of the present window and the one before it count: some hundred on a route
-that is in use, and all later than the last change of what upstreams can do."""
+that is in use, and none from before a change of what upstreams can do for long."""
 LEAST_SAMPLES = 10
 """Answers below which nothing is known: the longest of a few says little."""
 HEADROOM = 2.0
 """Times the longest that was seen: upstreams that others load take longer soon."""
 
 
+@dataclass(frozen=True, slots=True)
+class LongestTimes:
+    """What a request of a route takes at the longest, with headroom."""
+
+    first: timedelta
+    """To the first part of its answer."""
+    for_event: timedelta
+    """From there to its end, for each event of a stream."""
+
+    def expect_stream(self, most_events: int) -> timedelta:
+        """Return the time to the end of a stream of at most so many events."""
+        return self.first + most_events * self.for_event
+
+
 @dataclass(slots=True)
 class _Window:
-    """The longest of the answers of one window, in seconds."""
+    """The longest of the answers of one window."""
 
     samples: int = 0
-    first: float = 0.0
-    """To the first part of the answer."""
-    for_token: float = 0.0
-    """From there to the end, for each token that might have been generated."""
+    first: timedelta = timedelta()
+    for_event: timedelta = timedelta()
 
-    def note(self, first: float, for_token: float) -> None:
+    def note(self, first: timedelta, rest: timedelta, events: int) -> None:
         self.samples += 1
         self.first = max(self.first, first)
-        self.for_token = max(self.for_token, for_token)
+        self.for_event = max(self.for_event, rest / max(events, 1))
 
 
 @dataclass(slots=True)
@@ -62,22 +74,19 @@
         now: timedelta,
         first: timedelta,
         rest: timedelta = timedelta(),
-        tokens: int = 0,
+        events: int = 0,
     ) -> None:
-        """Take in a whole answer.
+        """Take in an answer, or what there was of one that did not come to its end.
 
-        Its first part came after `first`, its end `rest` later; up to `tokens` might
-        have been generated.
+        Its first part came after `first`, its last one `rest` later, with as many
+        `events` of a stream.
         """
         recent = self._routes.setdefault(route, _Recent(now))
         recent.turn(now)
-        for_token = rest.total_seconds() / max(tokens, 1)
-        recent.present.note(first.total_seconds(), for_token)
+        recent.present.note(first, rest, events)
 
-    def find_longest(
-        self, route: str, now: timedelta, tokens: int = 0
-    ) -> timedelta | None:
-        """Return the time in which a request surely ends; None if too few were seen."""
+    def find_longest(self, route: str, now: timedelta) -> LongestTimes | None:
+        """Return what requests take at the longest; None if too few were seen."""
         recent = self._routes.get(route)
         if recent is None:
             return None
@@ -85,6 +94,7 @@
         windows = (recent.present, recent.before)
         if sum(each.samples for each in windows) < LEAST_SAMPLES:
             return None
-        first = max(each.first for each in windows)
-        for_token = max(each.for_token for each in windows)
-        return timedelta(seconds=HEADROOM * (first + for_token * max(tokens, 1)))
+        return LongestTimes(
+            HEADROOM * max(each.first for each in windows),
+            HEADROOM * max(each.for_event for each in windows),
+        )
--- a/packages/mustardquay/src/mustardquay/stops.py
+++ b/packages/mustardquay/src/mustardquay/stops.py
@@ -3,9 +3,9 @@
 Each state guards against a failure of planned stops:
 
 - leaving: the balancer goes on sending callers for a while, and for the whole stop
-  where too few other gateways are ready. What surely gets its whole answer in the time
-  that is left is taken; anything else is refused, since an answer that is cut off is
-  worse than none.
+  where too few other gateways are ready. What gets its whole answer in the time that is
+  left is taken; anything else is refused, since an answer that is cut off is worse than
+  none.
 - last calls: others are ready. Nothing is taken any more, so that the process ends as
   soon as what runs has ended; callers that come all the same are told so and not left
   without a word.
@@ -16,14 +16,17 @@
 from datetime import timedelta
 from enum import StrEnum
 
+from .route_times import LongestTimes
+
 __all__ = [
     "ANSWER_MARGIN",
     "BALANCER_NOTICE",
+    "Demand",
     "StopPlace",
     "StopState",
     "StopTimes",
+    "admit_request",
     "find_state",
-    "takes_request",
 ]
 
 BALANCER_NOTICE = timedelta(seconds=2.6)
@@ -96,18 +99,53 @@
     return StopState.LAST_CALLS if in_flight else StopState.CLOSED
 
 
-def takes_request(
-    state: StopState, times: StopTimes | None, now: timedelta, longest: timedelta
-) -> bool:
-    """Return whether a request is taken that ends within `longest`.
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a request needs of a gateway that stops."""
+
+    time_allowed: timedelta
+    """What its caller and its route leave it; it ends then in any case."""
+    longest: LongestTimes | None
+    """What requests of its route have lately taken; None if that isn't known."""
+    most_events: int = 0
+    """Events of its stream at most."""
+    is_stream: bool = False
+    is_resumable: bool = False
+
+    @property
+    def expected(self) -> timedelta:
+        """Return the time that it is held to need."""
+        if self.longest is None:
+            return self.time_allowed
+        expected = self.longest.expect_stream(self.most_events)
+        return min(self.time_allowed, expected)
+
+
+def admit_request(
+    state: StopState, times: StopTimes, now: timedelta, demand: Demand
+) -> timedelta | None:
+    """Return when the answer of a request must have begun; None if it is refused.
 
     Guards against a request that comes late in a stop, be it on an open connection or
     on a new one: it would still run at the end, and be cut off in its answer. What
     decides is asked of each request when it has been read, so that it doesn't matter
     how it came.
+
+    A request whose own limit is over in time is taken. Of the others, an answer that
+    is passed on whole is held to what its route has lately taken; should that prove
+    wrong, its caller gets a word in its place. A stream that has begun can't be taken
+    back. So it is taken only in the first seconds, in which the balancer sends callers
+    as on any day, by the events that it may have, and if its caller can resume it:
+    should it last longer, it goes on at another gateway with each event once.
     """
-    if state is StopState.SERVING:
-        return True
-    if state is not StopState.LEAVING or times is None:
-        return False
-    return now + longest <= times.answer_by
+    if state is not StopState.LEAVING:
+        return None
+    ends_at = now + demand.time_allowed
+    if ends_at <= times.answer_by:
+        return ends_at
+    if demand.longest is None or now + demand.expected > times.answer_by:
+        return None
+    is_early = now - times.began_at < BALANCER_NOTICE
+    if demand.is_stream and not (is_early and demand.is_resumable):
+        return None
+    return times.answer_by
--- a/packages/mustardquay/tests/test_route_times.py
+++ b/packages/mustardquay/tests/test_route_times.py
@@ -23,22 +23,25 @@
 def test_the_longest_counts_with_headroom():
     times = RouteTimes()
     note_many(times, SECOND)
-    assert times.find_longest("r", SECOND) == HEADROOM * SECOND
+    assert times.find_longest("r", SECOND).first == HEADROOM * SECOND
 
 
 def test_a_stream_may_become_as_long_as_its_caller_allows():
     times = RouteTimes()
     for _ in range(LEAST_SAMPLES):
-        times.note("r", SECOND, SECOND / 10, 4 * SECOND, tokens=80)
-    assert times.find_longest("r", SECOND, 20) == HEADROOM * 1.1 * SECOND
-    assert times.find_longest("r", SECOND, 160) == HEADROOM * 8.1 * SECOND
+        times.note("r", SECOND, SECOND / 10, 4 * SECOND, events=80)
+    longest = times.find_longest("r", SECOND)
+    assert longest.first == HEADROOM * SECOND / 10
+    assert longest.expect_stream(20) == HEADROOM * 1.1 * SECOND
+    assert longest.expect_stream(160) == HEADROOM * 8.1 * SECOND
 
 
 def test_what_was_long_ago_is_forgotten():
     times = RouteTimes()
     note_many(times, SECOND)
     note_many(times, SECOND / 4, SECOND + WINDOW)
-    assert times.find_longest("r", SECOND + WINDOW) == HEADROOM * SECOND
+    assert times.find_longest("r", SECOND + WINDOW).first == HEADROOM * SECOND
     note_many(times, SECOND / 4, SECOND + 2 * WINDOW)
-    assert times.find_longest("r", SECOND + 2 * WINDOW) == HEADROOM * SECOND / 4
+    longest = times.find_longest("r", SECOND + 2 * WINDOW)
+    assert longest.first == HEADROOM * SECOND / 4
     assert times.find_longest("r", SECOND + 9 * WINDOW) is None
--- a/packages/mustardquay/tests/test_stop_bounds.py
+++ b/packages/mustardquay/tests/test_stop_bounds.py
@@ -60,14 +60,14 @@
     """A stop takes a generation that then lasts longer than was foretold.
 
     The number of tokens that a request names is the most that may come. Those before
-    it ended after a tenth of theirs, so that a token seems to take a tenth of its time.
+    it ended after a tenth of theirs: 20 events of the 200 that it may have.
     """
     times = RouteTimes()
     token = timedelta(milliseconds=20)
     for _ in range(LEAST_SAMPLES):
-        times.note("r", SECOND, token, 20 * token, tokens=200)
-    longest = times.find_longest("r", SECOND, tokens=200)
-    assert longest is None or longest >= token + 200 * token
+        times.note("r", SECOND, token, 20 * token, events=20)
+    longest = times.find_longest("r", SECOND)
+    assert longest.expect_stream(200) >= token + 200 * token
 
 
 def test_a_gateway_that_has_just_become_ready_does_not_yet_relieve_others():
--- a/packages/mustardquay/tests/test_stop_fleets.py
+++ b/packages/mustardquay/tests/test_stop_fleets.py
@@ -10,11 +10,12 @@
 from mustardquay.fleet_books import FleetBook, is_needed, is_next_to_end
 from mustardquay.peer_books import PeerDigest
 from mustardquay.stops import (
+    Demand,
     StopPlace,
     StopState,
     StopTimes,
+    admit_request,
     find_state,
-    takes_request,
 )
 
 STEP = timedelta(milliseconds=50)
@@ -58,10 +59,11 @@
             return
         now, longest = self.clock.monotonic(), timedelta(milliseconds=longest)
         state = self.find_state(name)
-        if takes_request(state, gateway.times, now, longest):
+        if gateway.times is None:
+            gateway.running.append(now + longest)
+        elif admit_request(state, gateway.times, now, Demand(longest, None)):
             gateway.running.append(now + longest)
-            if gateway.times is not None:
-                assert now + longest < gateway.times.ends_at
+            assert now + longest < gateway.times.ends_at
 
     @rule(name=st.sampled_from(GATEWAYS))
     def lose_digests(self, name):
--- a/packages/mustardquay/tests/test_stops.py
+++ b/packages/mustardquay/tests/test_stops.py
@@ -4,24 +4,43 @@
 
 from hypothesis import given, strategies as st
 
-from mustardquay.stops import StopState, StopTimes, find_state, takes_request
+from mustardquay.route_times import LongestTimes
+from mustardquay.stops import (
+    Demand,
+    StopState,
+    StopTimes,
+    admit_request,
+    find_state,
+)
 
 SECOND = timedelta(seconds=1)
 TIMES = StopTimes(10 * SECOND, 17 * SECOND)
 MOMENTS = st.integers(9_000, 18_000).map(lambda ms: timedelta(milliseconds=ms))
 LENGTHS = st.integers(0, 20_000).map(lambda ms: timedelta(milliseconds=ms))
+DEMANDS = st.builds(
+    Demand,
+    LENGTHS,
+    st.none() | st.builds(LongestTimes, LENGTHS, LENGTHS),
+    st.integers(0, 200),
+    st.booleans(),
+    st.booleans(),
+)
+LEAVING = StopState.LEAVING
 
 
-def test_a_gateway_that_was_not_told_to_stop_takes_everything():
+def test_a_gateway_that_was_not_told_to_stop_serves():
     assert find_state(None, 3 * SECOND, 0) is StopState.SERVING
-    assert takes_request(StopState.SERVING, None, 3 * SECOND, 100 * SECOND)
 
 
-@given(now=MOMENTS, longest=LENGTHS, in_flight=st.integers(0, 3))
-def test_nothing_is_taken_that_may_not_end(now, longest, in_flight):
+@given(now=MOMENTS, demand=DEMANDS, in_flight=st.integers(0, 3))
+def test_what_is_taken_ends_in_time_or_can_be_told_so(now, demand, in_flight):
     state = find_state(TIMES, now, in_flight)
-    if takes_request(state, TIMES, now, longest):
-        assert now + longest < TIMES.ends_at
+    begin_by = admit_request(state, TIMES, now, demand)
+    if begin_by is None:
+        return
+    assert now <= begin_by <= TIMES.answer_by
+    ends_by_itself = now + demand.time_allowed <= TIMES.answer_by
+    assert ends_by_itself or not demand.is_stream or demand.is_resumable
 
 
 @given(now=MOMENTS)
@@ -30,7 +49,28 @@
     assert (state is StopState.CLOSED) == (now >= TIMES.ends_at)
 
 
-def test_a_short_request_is_taken_while_the_balancer_may_send_it():
-    state = find_state(TIMES, 11 * SECOND, 1)
-    assert takes_request(state, TIMES, 11 * SECOND, 2 * SECOND)
-    assert not takes_request(state, TIMES, 11 * SECOND, 6 * SECOND)
+def test_a_request_that_ends_by_its_own_limit_is_taken():
+    assert admit_request(LEAVING, TIMES, 11 * SECOND, Demand(2 * SECOND, None))
+    assert not admit_request(LEAVING, TIMES, 11 * SECOND, Demand(6 * SECOND, None))
+    last_calls = StopState.LAST_CALLS
+    assert not admit_request(last_calls, TIMES, 11 * SECOND, Demand(SECOND, None))
+
+
+def test_a_plain_request_is_taken_by_what_its_route_has_taken():
+    demand = Demand(15 * SECOND, LongestTimes(SECOND, 0 * SECOND))
+    begin_by = admit_request(LEAVING, TIMES, 15 * SECOND, demand)
+    assert begin_by == TIMES.answer_by
+    assert not admit_request(LEAVING, TIMES, 16 * SECOND, demand)
+
+
+def test_only_at_first_a_stream_is_taken_by_its_events():
+    """A draft that came late in a stop is broken off in its middle.
+
+    It was held to end in time by its events, of which each took longer than before.
+    """
+    longest = LongestTimes(SECOND, SECOND / 20)
+    demand = Demand(15 * SECOND, longest, 40, is_stream=True, is_resumable=True)
+    assert admit_request(LEAVING, TIMES, 11 * SECOND, demand)
+    assert not admit_request(LEAVING, TIMES, 13 * SECOND, demand)
+    unresumable = Demand(15 * SECOND, longest, 40, is_stream=True)
+    assert not admit_request(LEAVING, TIMES, 11 * SECOND, unresumable)
