Close no connection whose request has just been read

Cause by reading: idle connections are those on which no headers have been seen, and the library takes some turns of the loop from the bytes of a request to its headers. A close in between drops a request that was read. Change: only connections that wait for bytes count as idle, and a gateway that has ended waits up to 0.2 s until what was read has its answer.

--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
@@ -4,6 +4,7 @@
 connections are open, and a graceful end.
 """
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -25,6 +26,9 @@
 
 __all__ = ["CallerAnswer", "CallerConnections", "CallerRequest"]
 
+SETTLE_STEP = timedelta(milliseconds=10)
+"""Time between two looks at connections that are about to end."""
+
 
 @dataclass(slots=True)
 class CallerRequest:
@@ -159,12 +163,28 @@
         """Close the connections on which no request is being read or answered.
 
         A request that crosses the close was not read, and its caller sends it anew.
+        Guards against closing one whose bytes were read and are not looked at yet: the
+        library is not waiting for bytes then. Its caller would get no word.
         """
-        idle = [each for each, usage in self._open.items() if not usage.is_busy]
+        idle = [
+            connection
+            for connection, usage in self._open.items()
+            if not usage.is_busy and connection.stream.reading()
+        ]
         for connection in idle:
             connection.stream.close()
         return len(idle)
 
+    async def settle(self, limit: timedelta) -> None:
+        """Wait until all that was read has its answer, and close the connections.
+
+        Not longer than `limit`: some callers never send the rest of a request.
+        """
+        deadline = self._options.clock.monotonic() + limit
+        while self._open and self._options.clock.monotonic() < deadline:
+            self.close_idle()
+            await asyncio.sleep(SETTLE_STEP.total_seconds())
+
     @property
     def count(self) -> int:
         """Return the connections that are open."""
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -44,6 +44,8 @@
 
 __all__ = ["Gateway"]
 
+SETTLE_LIMIT = timedelta(milliseconds=200)
+"""How long a gateway that has ended waits for requests that are half read."""
 TICK = timedelta(milliseconds=500)
 """Time between two looks at what changes by time alone."""
 CONFIGURATION_PACE = timedelta(milliseconds=20)
@@ -184,6 +186,7 @@
         # Before anything that waits for the store, and before the connections are
         # closed, which would look as if the callers had left.
         await self._forwarder.close()
+        await self._connections.settle(SETTLE_LIMIT)
         if self._ticker is not None:
             self._ticker.cancel()
         await self._keeper.close()
