--- a/packages/mustardquay-standins/src/mustardquay_standins/children.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/children.py
@@ -35,6 +35,11 @@
         text = Path(f"/proc/{self._process.pid}/statm").read_text(encoding="ascii")
         return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
+    @property
+    def exit_code(self) -> int | None:
+        """Return how it has ended; None while it runs."""
+        return self._process.returncode
+
     def get_word(self, name: str) -> str:
         """Return what stood behind NAME= on the line that said it is ready."""
         return self._words[name]
@@ -56,8 +61,9 @@
             self._process.send_signal(number)
 
     async def kill(self) -> None:
-        """End it without notice."""
-        self._process.kill()
+        """End it without notice, if it has not ended yet."""
+        if self._process.returncode is None:
+            self._process.kill()
         await self._process.wait()
 
     async def stop(self) -> None:
