Hear a call to read the settings again while a gateway starts

Cause: until a gateway has loaded its modules, 1.4 s and longer beside other work, a SIGHUP ended it, since nothing was said about that signal yet. Change: the program notes the signal before it loads anything else, and the gateway reads its settings again as soon as it can.

--- a/packages/mustardquay-node/src/mustardquay_node/programs.py
+++ b/packages/mustardquay-node/src/mustardquay_node/programs.py
@@ -1,9 +1,19 @@
 """Programs: the binary `mustardquayd`, one process of the kind its settings name."""
 
+import signal
+
+_told_early: list[int] = []
+"""Calls to read the settings again that came before there was a gateway."""
+
+if __name__ == "__main__":
+    # Guards against such a call while the modules are loaded, which takes over a
+    # second: a signal that nobody has asked for ends the process.
+    signal.signal(signal.SIGHUP, lambda number, frame: _told_early.append(number))
+
+# ruff: noqa: E402
 import asyncio
 import errno
 import gc
-import signal
 import sys
 from collections.abc import Sequence
 from pathlib import Path
@@ -77,6 +87,10 @@
     loop = asyncio.get_running_loop()
     if isinstance(settings, GatewaySettings):
         loop.add_signal_handler(signal.SIGHUP, node.reload)
+        if _told_early:
+            node.reload()
+    else:
+        signal.signal(signal.SIGHUP, signal.SIG_DFL)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     try:
