--- a/packages/mustardquay-standins/src/mustardquay_standins/children.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/children.py
@@ -4,9 +4,10 @@
 import os
 import signal
 import sys
-from asyncio.subprocess import DEVNULL, PIPE, Process
+from asyncio.subprocess import PIPE, Process
 from collections.abc import Sequence
 from pathlib import Path
+from typing import IO
 
 __all__ = ["Child", "start_child"]
 
@@ -80,24 +81,36 @@
 
 
 async def start_child(
-    module: str, *arguments: str, ready: bool = True, before: Sequence[str] = ()
+    module: str,
+    *arguments: str,
+    ready: bool = True,
+    before: Sequence[str] = (),
+    output: Path | None = None,
 ) -> Child:
     """Run a Python module; with `ready`, wait for its first line of output.
 
     `before` are arguments of the interpreter ahead of the module, such as those of
-    a profiler.
+    a profiler. Without `ready`, what it writes is added to the file `output`.
     """
+    if ready:
+        return await _spawn(module, arguments, before, PIPE)
+    with open(output or os.devnull, "ab") as file:
+        return await _spawn(module, arguments, before, file)
+
+
+async def _spawn(
+    module: str, arguments: Sequence[str], before: Sequence[str], output: IO | int
+) -> Child:
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         *before,
         "-m",
         module,
         *arguments,
-        stdout=PIPE if ready else DEVNULL,
+        stdout=output,
     )
     words: dict[str, str] = {}
-    if ready:
-        assert process.stdout is not None
+    if process.stdout is not None:
         line = (await process.stdout.readline()).decode()
         pairs = (word.partition("=") for word in line.split())
         words = {name: value for name, _, value in pairs}
