--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -13,28 +13,31 @@
 from random import Random
 
 from mustardquay.clocks import Clock, SuspendClock, SystemClock
-from mustardquay.errors import ProtocolError, SettingsError
 from mustardquay.events import Event, EventRing, HybridClock
 from mustardquay.peer_books import PeerDigest
 from mustardquay.retry_windows import RetryLimits
 from mustardquay.routing_tables import CallerLimits, RoutingTable
+from mustardquay.stops import BALANCER_NOTICE
 from mustardquay.uplinks import Uplink
 from mustardquay.upstream_lists import Stage, UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import LoadBook
 
-from .adapters import Adapter, StoreRow, load_adapter
+from .adapters import Adapter, load_adapter
 from .cache_surveys import CacheSurvey, CacheSurveyParts
 from .caller_connections import CallerConnections, ConnectionOptions
+from .configuration_intakes import ConfigurationIntake
 from .crash_reporters import CrashReporter
 from .feeds import FeedOptions, TableFeed
 from .forwarder_parts import ForwarderParts
 from .forwarders import Forwarder
 from .gateway_metrics import GatewayMetrics
 from .gateway_servers import GatewayServers
+from .gateway_stops import GatewayStop, StopParts
 from .generators import GenerationPlanner
-from .nodes import make_seed
 from .peers import PEERS_TABLE, PeerLink
-from .settings import GatewaySettings, read_settings
+from .seeds import make_seed
+from .settings import GatewaySettings
+from .settings_watches import SettingsWatch
 from .stage_keepers import StageKeeper, StageKeeperParts
 from .upstream_intakes import UpstreamIntake
 from .upstream_pools import UpstreamPools
@@ -48,9 +51,6 @@
 PEERS_WAIT = timedelta(seconds=20)
 """The list of gateways seldom changes, and digests show at once who is silent."""
 PEERS_PACE = timedelta(seconds=1)
-DRAIN_IDLE = timedelta(seconds=2.6)
-"""How long a process that stops goes on taking requests on open connections: the
-balancer asks each second and takes it out after two answers that it is not ready."""
 
 
 class Gateway:
@@ -67,7 +67,6 @@
     ):
         node = settings.node
         self._settings = settings
-        self._files = tuple(files)
         self._clock = clock or SystemClock()
         self._random = Random(make_seed() if seed is None else seed)
         self._adapter = adapter or load_adapter(settings.store.adapter)
@@ -80,6 +79,7 @@
         self._crashes = CrashReporter(self._clock, self._events)
         self._pools = self._make_pools()
         self._planner = self._make_planner()
+        self._stop = self._make_stop()
         self._forwarder = Forwarder(self._make_parts())
         self._store = self._adapter.open_store(settings.store.address, self._clock)
         self._incarnation = int(self._clock.now().timestamp() * 1_000_000)
@@ -101,16 +101,16 @@
         )
         self._servers = GatewayServers()
         self._ticker: asyncio.Task[None] | None = None
+        self._closing: asyncio.Task[None] | None = None
         self._address = settings.gateway.listen
-        self._is_draining = False
         self._was_ready = False
-        self._file_stamps = self._read_stamps()
+        self._watch = SettingsWatch(files, settings, self._events, self._take_settings)
 
     @property
     def is_ready(self) -> bool:
         """Return whether callers may be sent here."""
         return (
-            not self._is_draining
+            not self._stop.has_begun
             and self._forwarder.table is not None
             and self._upstreams.is_known
         )
@@ -155,13 +155,35 @@
         self._survey.start()
         self._ticker = asyncio.create_task(self._tick_forever())
         self._events.record("process.started", kind_of_process="gateway")
+        self._warn_of_short_drain()
+
+    def _warn_of_short_drain(self) -> None:
+        """Tell the operator of a time to drain in which callers can't be moved."""
+        timeout = self._settings.gateway.drain_timeout
+        if timeout < BALANCER_NOTICE:
+            self._events.record(
+                "settings.short_drain",
+                drain_ms=timeout // timedelta(milliseconds=1),
+                least_ms=BALANCER_NOTICE // timedelta(milliseconds=1),
+                remedy="Raise drain_timeout; callers come until the balancer notices.",
+            )
 
     async def close(self) -> None:
-        """Let the requests end, within the time to drain, and stop."""
-        self._is_draining = True
-        self._events.record("drain.started", requests=self._forwarder.in_flight)
-        await self._drain()
-        self._events.record("drain.ended", requests=self._forwarder.in_flight)
+        """Let the requests end, within the time to drain, and stop.
+
+        Who asks again waits for the end that has begun.
+        """
+        if self._closing is None:
+            self._closing = asyncio.create_task(self._close())
+        await asyncio.shield(self._closing)
+
+    async def _close(self) -> None:
+        await self._stop.run(self._settings.gateway.drain_timeout)
+        self._servers.stop_accepting()
+        self._connections.close_idle()
+        # Before anything that waits for the store, and before the connections are
+        # closed, which would look as if the callers had left.
+        await self._forwarder.close()
         if self._ticker is not None:
             self._ticker.cancel()
         await self._keeper.close()
@@ -170,7 +192,6 @@
             await feed.close()
         await self._peers.close()
         await self._servers.close()
-        await self._forwarder.close()
         await self._pools.close()
         self._store.close()
         self._metrics.close()
@@ -178,18 +199,7 @@
 
     def reload(self) -> None:
         """Read the settings again; what can't change in a running process is told."""
-        if not self._files:
-            return
-        try:
-            settings = read_settings(*self._files)
-        except SettingsError as error:
-            self._events.record("settings.refused", error=str(error))
-            return
-        changed = settings != self._settings
-        self._file_stamps = self._read_stamps()
-        self._events.record("settings.reloaded", changed=changed)
-        if changed and isinstance(settings, GatewaySettings):
-            self._take_settings(settings)
+        self._watch.reload()
 
     def _take_settings(self, settings: GatewaySettings) -> None:
         fixed = settings.gateway.listen != self._settings.gateway.listen or (
@@ -229,6 +239,21 @@
             uplink=Uplink(self._settings.gateway.link_rate),
         )
 
+    def _make_stop(self) -> GatewayStop:
+        node = self._settings.node
+        parts = StopParts(
+            name=node.name,
+            availability_zone=node.availability_zone,
+            clock=self._clock,
+            random=self._random,
+            events=self._events,
+            count_in_flight=lambda: self._forwarder.in_flight,
+            tell_peers=lambda: self._peers.hurry(),
+            end_keep_alive=self._end_keep_alive,
+            close_idle=lambda: self._connections.close_idle(),
+        )
+        return GatewayStop(parts)
+
     def _make_parts(self) -> ForwarderParts:
         return ForwarderParts(
             adapter=self._adapter,
@@ -241,6 +266,7 @@
             loads=self._loads,
             crashes=self._crashes,
             planner=self._planner,
+            stop=self._stop,
             count_answer=self._metrics.count_answer,
             count_send=self._metrics.count_send,
             record_first_byte=self._metrics.record_first_byte,
@@ -248,6 +274,9 @@
 
     def _make_feeds(self) -> tuple[TableFeed, ...]:
         store = self._settings.store
+        take_configuration = ConfigurationIntake(
+            self._adapter, self._events, lambda: self.version, self._put_table
+        ).take
         configuration = FeedOptions(
             self._adapter.CONFIGURATION_TABLE,
             store.configuration_wait,
@@ -261,7 +290,7 @@
         peers = FeedOptions(PEERS_TABLE, PEERS_WAIT, PEERS_PACE)
         shared = (self._events, self._clock, self._random)
         return (
-            TableFeed(self._store, configuration, self._take_configuration, *shared),
+            TableFeed(self._store, configuration, take_configuration, *shared),
             TableFeed(self._store, peers, self._peers.take_rows, *shared),
             TableFeed(
                 self._store,
@@ -307,6 +336,7 @@
         would be read only when the call on it has timed out.
         """
         self._planner.hear(digest)
+        self._stop.hear(digest)
         self._crashes.merge(digest.crashes)
         if digest.configuration > self.version:
             self._feeds[0].wake()
@@ -316,7 +346,13 @@
         digest = self._planner.build_digest(
             self._settings.node.name, self._incarnation, self._digests, self.version
         )
-        return replace(digest, crashes=self._crashes.list_news())
+        return replace(
+            digest,
+            crashes=self._crashes.list_news(),
+            availability_zone=self._settings.node.availability_zone,
+            is_ready=self.is_ready,
+            ends_in=self._stop.ends_in,
+        )
 
     def _make_keeper(self) -> StageKeeper:
         parts = StageKeeperParts(
@@ -355,30 +391,10 @@
             return []
         return [name for name, each in table.services.items() if each.engine]
 
-    def _take_configuration(self, rows: Sequence[StoreRow], is_whole: bool) -> None:
-        for row in rows:
-            if row.key != self._adapter.CONFIGURATION_KEY or row.deleted:
-                continue
-            try:
-                table = self._adapter.read_configuration(row.value)
-            except ProtocolError as error:
-                self._events.record("configuration.refused", error=str(error))
-                continue
-            self._offer_table(table)
-
-    def _offer_table(self, table: RoutingTable) -> None:
-        current = self._forwarder.table
-        if current is not None and table.version <= current.version:
-            return
+    def _put_table(self, table: RoutingTable) -> None:
         self._forwarder.put_table(table)
         self._servers.apply_limits(table.limits)
         self._planner.take_table(table)
-        self._events.record(
-            "configuration.in_force",
-            version=table.version,
-            before=current.version if current else 0,
-            routes=len(table.routes),
-        )
 
     def _get_limits(self) -> CallerLimits:
         table = self._forwarder.table
@@ -399,44 +415,15 @@
         self._loads.note_unreachable(id, self._clock.monotonic())
         self._crashes.note_lost(id)
 
-    async def _drain(self) -> None:
-        """Wait until the balancer sends nobody any more and the requests have ended."""
-        started = self._clock.monotonic()
-        deadline = started + self._settings.gateway.drain_timeout
+    def _end_keep_alive(self) -> None:
         self._servers.end_connections()
-        while self._clock.monotonic() < deadline:
-            if self._clock.monotonic() - started >= DRAIN_IDLE:
-                self._stop_taking()
-                if not self._forwarder.in_flight:
-                    return
-            await asyncio.sleep(0.05)
-
-    def _stop_taking(self) -> None:
-        """Take no more requests.
-
-        Guards against a request that comes on an open connection late in a stop: it
-        would be cut off when the time is over.
-        """
-        self._servers.stop_accepting()
-        self._connections.close_idle()
+        self._connections.end_keep_alive()
 
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(TICK.total_seconds())
             self._intake.expire()
-            if self._read_stamps() != self._file_stamps:
-                self.reload()
+            self._watch.look()
             if self.is_ready != self._was_ready:
                 self._was_ready = self.is_ready
                 self._events.record("process.readiness", ready=self._was_ready)
-
-    def _read_stamps(self) -> list[tuple[int, int]]:
-        stamps = []
-        for path in self._files:
-            try:
-                status = path.stat()
-            except OSError:
-                # A file that is being replaced is there again at the next look.
-                continue
-            stamps.append((status.st_mtime_ns, status.st_size))
-        return stamps
