--- a/packages/mustardquay-node/src/mustardquay_node/processes.py
+++ b/packages/mustardquay-node/src/mustardquay_node/processes.py
@@ -13,6 +13,7 @@
 
 from mustardquay.errors import SettingsError
 
+from .early_reloads import was_told_early
 from .logs import Logs, write_event
 from .settings import GatewaySettings, read_settings
 
@@ -58,6 +59,10 @@
     loop = asyncio.get_running_loop()
     if isinstance(settings, GatewaySettings):
         loop.add_signal_handler(signal.SIGHUP, node.reload)
+        if was_told_early():
+            node.reload()
+    else:
+        signal.signal(signal.SIGHUP, signal.SIG_DFL)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     try:
--- a/packages/mustardquay-node/src/mustardquay_node/programs.py
+++ b/packages/mustardquay-node/src/mustardquay_node/programs.py
@@ -5,11 +5,14 @@
 import sys
 from pathlib import Path
 
+from .early_reloads import note_early_reloads
+
 __all__ = ["main"]
 
 
 def main() -> None:
     """Run the program."""
+    note_early_reloads()
     # While modules are loaded nothing is given up, and the collector would go over
     # all of them again and again; a process turns it on once it has started.
     gc.disable()
--- a/packages/mustardquay-standins/src/mustardquay_standins/children.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/children.py
@@ -4,9 +4,10 @@
 import os
 import signal
 import sys
-from asyncio.subprocess import DEVNULL, PIPE, Process
+from asyncio.subprocess import PIPE, Process
 from collections.abc import Sequence
 from pathlib import Path
+from typing import IO
 
 __all__ = ["Child", "start_child"]
 
@@ -35,6 +36,11 @@
         text = Path(f"/proc/{self._process.pid}/statm").read_text(encoding="ascii")
         return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
+    @property
+    def exit_code(self) -> int | None:
+        """Return how it has ended; None while it runs."""
+        return self._process.returncode
+
     def get_word(self, name: str) -> str:
         """Return what stood behind NAME= on the line that said it is ready."""
         return self._words[name]
@@ -56,8 +62,9 @@
             self._process.send_signal(number)
 
     async def kill(self) -> None:
-        """End it without notice."""
-        self._process.kill()
+        """End it without notice, if it has not ended yet."""
+        if self._process.returncode is None:
+            self._process.kill()
         await self._process.wait()
 
     async def stop(self) -> None:
@@ -74,24 +81,36 @@
 
 
 async def start_child(
-    module: str, *arguments: str, ready: bool = True, before: Sequence[str] = ()
+    module: str,
+    *arguments: str,
+    ready: bool = True,
+    before: Sequence[str] = (),
+    output: Path | None = None,
 ) -> Child:
     """Run a Python module; with `ready`, wait for its first line of output.
 
     `before` are arguments of the interpreter ahead of the module, such as those of
-    a profiler.
+    a profiler. Without `ready`, what it writes is added to the file `output`.
     """
+    if ready:
+        return await _spawn(module, arguments, before, PIPE)
+    with open(output or os.devnull, "ab") as file:
+        return await _spawn(module, arguments, before, file)
+
+
+async def _spawn(
+    module: str, arguments: Sequence[str], before: Sequence[str], output: IO | int
+) -> Child:
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         *before,
         "-m",
         module,
         *arguments,
-        stdout=PIPE if ready else DEVNULL,
+        stdout=output,
     )
     words: dict[str, str] = {}
-    if ready:
-        assert process.stdout is not None
+    if process.stdout is not None:
         line = (await process.stdout.readline()).decode()
         pairs = (word.partition("=") for word in line.split())
         words = {name: value for name, _, value in pairs}
