Count silence and the wait for a connection only while the gateway runs

Cause: the limits on an upstream's silence (450 ms) and on connecting (250 ms) were timers in plain time. A gateway whose process did not run for longer wakes with them due and with the upstream's bytes unread; asyncio runs the due timers in the turn in which it reads the sockets, before the tasks get what was read. So it ended streams that flowed, and one that had been resumed already had no send left and was broken off: "invalid literal for int() with base 16: b''". A connection that had come about in the pause was dropped and its upstream taken for unreachable.

Bytes that are all in the buffer at the wake are still passed on, so it takes a stream with more to come.

Change: `pauses.AwakeTimer` counts a limit in steps of at most 100 ms, and a step that ends over 100 ms late is not counted; behind each pause comes a step in which the loop reads what waits. Links and agents leave out pauses already. The caller's own limit stays in plain time and bounds the wait where every step is late.

--- a/packages/mustardquay-node/src/mustardquay_node/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections.py
@@ -4,7 +4,6 @@
 makes the connection unusable; an answer that names another request is skipped.
 """
 
-import asyncio
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -23,6 +22,8 @@
 
 from mustardquay.clocks import Clock
 
+from .pauses import awake_timeout
+
 __all__ = [
     "AnswerHead",
     "ConnectionPool",
@@ -276,7 +277,7 @@
         self._open += 1
         connected = False
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+            async with awake_timeout(CONNECT_TIMEOUT):
                 await stream.connect(self._address)
             stream.set_nodelay(True)
             connected = True
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/pauses.py
@@ -0,0 +1,64 @@
+"""Pauses: limits on waits that leave out the time in which this process did not run.
+
+A process that was stopped, or starved of processor time, wakes with its timers due and
+with what its peers sent meanwhile unread in its sockets. The timers come first, so a
+limit in plain time ends every wait as it wakes, although its peers were well. Here a
+limit is counted in steps, and a step that ends late is not counted: behind it comes at
+least one in which the loop reads what waits.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from datetime import timedelta
+from math import ceil
+
+__all__ = ["AwakeTimer", "awake_timeout"]
+
+STEP = timedelta(milliseconds=100)
+"""Longest step. Events of a stream come 50 to 110 ms apart, so that one that flows
+seldom takes a whole step."""
+PAUSE = timedelta(milliseconds=100)
+"""Lateness of a step from which the process counts as paused. A loop that starts a
+whole site in one process runs up to 40 ms late."""
+
+
+class AwakeTimer:
+    """Calls back once after a time in which this process ran."""
+
+    __slots__ = ("_callback", "_due", "_handle", "_left", "_loop", "_seconds")
+
+    def __init__(self, limit: timedelta, callback: Callable[[], None]):
+        self._loop = asyncio.get_running_loop()
+        self._callback = callback
+        self._left = max(ceil(limit / STEP), 1)
+        self._seconds = limit.total_seconds() / self._left
+        self._begin_step()
+
+    def cancel(self) -> None:
+        """Don't call back any more."""
+        self._handle.cancel()
+
+    def _begin_step(self) -> None:
+        self._due = self._loop.time() + self._seconds
+        self._handle = self._loop.call_at(self._due, self._end_step)
+
+    def _end_step(self) -> None:
+        if self._loop.time() - self._due <= PAUSE.total_seconds():
+            self._left -= 1
+        if self._left:
+            self._begin_step()
+        else:
+            self._callback()
+
+
+@asynccontextmanager
+async def awake_timeout(limit: timedelta) -> AsyncIterator[None]:
+    """Raise `TimeoutError` after a time in which this process ran."""
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(None) as scope:
+        timer = AwakeTimer(limit, lambda: scope.reschedule(loop.time()))
+        try:
+            yield
+        finally:
+            timer.cancel()
--- a/packages/mustardquay-node/src/mustardquay_node/sends.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sends.py
@@ -15,6 +15,7 @@
 from .connections import AnswerHead, Exchange, ExchangeEnd
 from .event_cuts import EventCutter, count_ends
 from .forwarder_parts import ForwardedRequest, ForwarderParts
+from .pauses import AwakeTimer
 from .replies import Reply
 
 __all__ = ["Send", "SendOptions", "Sender"]
@@ -86,7 +87,7 @@
         self._request = request
         self._reply = reply
         self._cutter = EventCutter()
-        self._silence: asyncio.TimerHandle | None = None
+        self._silence: AwakeTimer | None = None
 
     @property
     def holds_back(self) -> bool:
@@ -221,12 +222,15 @@
         return self._reply.write(data)
 
     def _watch_silence(self, limit: timedelta | None) -> None:
-        """End the send if its upstream stays silent, so that the work goes on."""
+        """End the send if its upstream stays silent, so that the work goes on.
+
+        Guards against a gateway that was paused itself: it would end all its streams
+        as it wakes, with their next events unread, and break off those that have no
+        other send left.
+        """
         self._unwatch_silence()
         if limit is not None:
-            loop = asyncio.get_running_loop()
-            seconds = limit.total_seconds()
-            self._silence = loop.call_later(seconds, self._end_silence)
+            self._silence = AwakeTimer(limit, self._end_silence)
 
     def _unwatch_silence(self) -> None:
         if self._silence is not None:
--- /dev/null
+++ b/packages/mustardquay-node/tests/test_pauses.py
@@ -0,0 +1,85 @@
+"""Limits on waits, in a process that does not run for a while."""
+
+import asyncio
+import time
+from datetime import timedelta
+
+import pytest
+
+from mustardquay.clocks import SystemClock
+from mustardquay_node.connections import ConnectionPool
+from mustardquay_node.pauses import AwakeTimer, awake_timeout
+from mustardquay_standins.virtual_loops import VirtualLoop
+
+LIMIT = 0.45
+"""Seconds."""
+PAUSE = 2.0
+
+
+class PausedLoop(VirtualLoop):
+    """A virtual loop whose process does not run for a while."""
+
+    def pause(self, seconds):
+        self._elapsed += seconds
+
+
+async def time_out(pauses):
+    """Return when a timer calls back that began at 0, with pauses by their start."""
+    loop = asyncio.get_running_loop()
+    called = asyncio.Event()
+    AwakeTimer(timedelta(seconds=LIMIT), called.set)
+    for start, seconds in pauses.items():
+        loop.call_at(start, loop.pause, seconds)
+    await called.wait()
+    return loop.time()
+
+
+def run(work):
+    loop = PausedLoop()
+    try:
+        return loop.run_until_complete(work)
+    finally:
+        loop.close()
+
+
+def test_without_a_pause_a_limit_is_kept():
+    assert run(time_out({})) == pytest.approx(LIMIT)
+
+
+@pytest.mark.parametrize("start", [0.01, 0.2, 0.44])
+def test_a_pause_is_not_counted_and_what_came_in_it_is_read_first(start):
+    ended = run(time_out({start: PAUSE}))
+    left = ended - (start + PAUSE)
+    assert LIMIT - start <= left + 0.001
+    # A step is counted anew, so that the loop reads before the limit is over.
+    assert 0.09 <= left + 0.001 <= LIMIT + 0.1
+
+
+def test_a_limit_is_over_after_many_pauses():
+    pauses = {n * 1.0: 0.5 for n in range(1, 9)}
+    assert run(time_out({0.01: 0.3} | pauses)) < 1.5
+
+
+async def test_a_block_ends_at_its_limit():
+    with pytest.raises(TimeoutError):
+        async with awake_timeout(timedelta(milliseconds=20)):
+            await asyncio.sleep(5)
+
+
+async def test_a_connection_that_came_about_in_a_pause_is_used():
+    """Upstreams that are well are left alone, and callers refused or cut off.
+
+    The gateway's process does not run for 0.4 s while it connects. It wakes with the
+    limit on connecting due and the connection there, drops it, and takes the upstream
+    for unreachable.
+    """
+    server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    limit = timedelta(seconds=1)
+    pool = ConnectionPool(f"{host}:{port}", SystemClock(), 1, limit)
+    probe = asyncio.create_task(pool.probe())
+    await asyncio.sleep(0)
+    time.sleep(0.4)
+    assert await probe
+    pool.close()
+    server.close()
