Give a call of the store the time back in which its process did not run

Cause: a call of the platform's services has 2 s, counted in plain time, and tornado times it out at a timer of the loop. A process that did not run for longer wakes with the timers of all its calls due, and they run before what came meanwhile is read: each call fails with no time left for another try, and three such failures open the breaker against a store that was well. In the set-up of the listed test an edit's first read was hit: "did not answer (Timeout while resolving 127.0.0.1)".

Change: `pauses.PauseMeter` measures by the rule of `AwakeTimer`: the time of a step that ends late is not counted. A call's deadline moves by what was lost, so that a read is tried again in the rest of its 2 s; a write that timed out stays unclear, as only its caller knows how to read back. A failure in a pause does not count for the breaker.

The new test of the client failed before with the listed message.

--- a/packages/mustardquay-node/src/mustardquay_node/pauses.py
+++ b/packages/mustardquay-node/src/mustardquay_node/pauses.py
@@ -13,7 +13,7 @@
 from datetime import timedelta
 from math import ceil
 
-__all__ = ["AwakeTimer", "awake_timeout"]
+__all__ = ["AwakeTimer", "PauseMeter", "awake_timeout"]
 
 STEP = timedelta(milliseconds=100)
 """Longest step. Events of a stream come 50 to 110 ms apart, so that one that flows
@@ -52,6 +52,41 @@
             self._callback()
 
 
+class PauseMeter:
+    """Measures for how long this process did not run, until it is closed."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._lost = 0.0
+        self._begin_step()
+
+    @property
+    def lost(self) -> timedelta:
+        """Return the time lost so far, also in a pause that has just ended."""
+        return timedelta(seconds=self._lost + self._measure_step())
+
+    def close(self) -> None:
+        """Measure no more."""
+        self._handle.cancel()
+
+    def _begin_step(self) -> None:
+        self._begun = self._loop.time()
+        self._handle = self._loop.call_later(STEP.total_seconds(), self._end_step)
+
+    def _end_step(self) -> None:
+        self._lost += self._measure_step()
+        self._begin_step()
+
+    def _measure_step(self) -> float:
+        """Return the seconds that the step has taken so far, 0 if it isn't late.
+
+        All of them: where in its step the process was paused is not known, and of
+        pauses in a row each would go unseen for up to a step.
+        """
+        taken = self._loop.time() - self._begun
+        return taken if taken > (STEP + PAUSE).total_seconds() else 0.0
+
+
 @asynccontextmanager
 async def awake_timeout(limit: timedelta) -> AsyncIterator[None]:
     """Raise `TimeoutError` after a time in which this process ran."""
--- a/packages/mustardquay-node/src/mustardquay_node/stores.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stores.py
@@ -22,6 +22,7 @@
 from mustardquay.members import Instance
 from mustardquay.tables import Committed, Conflict, Row, Transaction
 
+from .pauses import PauseMeter
 from .sleeps import Sleep, sleep as default_sleep
 
 __all__ = [
@@ -56,6 +57,16 @@
         self.retry_after = retry_after
 
 
+@dataclass(frozen=True, slots=True)
+class _Call:
+    method: str
+    path: str
+    body: bytes | None
+    is_write: bool
+    meter: PauseMeter
+    """Measures from the call's begin how long this process did not run."""
+
+
 class PlatformClient:
     """Calls one of the platform's services."""
 
@@ -102,19 +113,28 @@
         """Return an answer with status 200, 204, 404 or 409.
 
         Raises `StoreUnavailable`, `ProtocolError` and, with `is_write`,
-        `StoreUnclear`.
+        `StoreUnclear`. A pause of this process is not counted: it would wake with all
+        its calls timed out though the service had answered, and read nothing.
         """
-        deadline = self._clock.monotonic() + self._timeout
+        call = _Call(method, path, body, is_write, PauseMeter())
+        try:
+            return await self._repeat(call, budget)
+        finally:
+            call.meter.close()
+
+    async def _repeat(self, call: _Call, budget: Budget | None) -> HTTPResponse:
+        limit = self._clock.monotonic() + self._timeout
         attempt = 0
         while True:
+            deadline = limit + call.meter.lost
             await self._take_turn(budget, deadline)
             try:
-                return await self._try_once(method, path, body, deadline, is_write)
+                return await self._try_once(call, deadline)
             except StoreUnavailable as error:
                 delay = draw_delay(self._random, attempt, FIRST_RETRY, LONGEST_RETRY)
                 if isinstance(error, _Throttled):
                     delay += error.retry_after
-                if self._clock.monotonic() + delay >= deadline:
+                if self._clock.monotonic() + delay >= limit + call.meter.lost:
                     raise
             attempt += 1
             await self._sleep(delay)
@@ -132,14 +152,7 @@
         if wait:
             await self._sleep(wait)
 
-    async def _try_once(
-        self,
-        method: str,
-        path: str,
-        body: bytes | None,
-        deadline: timedelta,
-        is_write: bool,
-    ) -> HTTPResponse:
+    async def _try_once(self, call: _Call, deadline: timedelta) -> HTTPResponse:
         now = self._clock.monotonic()
         if not self._breaker.allow(now):
             raise StoreUnavailable(
@@ -148,23 +161,26 @@
             )
         seconds = max((deadline - now).total_seconds(), 0.001)
         request = HTTPRequest(
-            self._base_url + path,
-            method,
-            body=body,
-            headers={"Content-Type": "application/json"} if body else None,
+            self._base_url + call.path,
+            call.method,
+            body=call.body,
+            headers={"Content-Type": "application/json"} if call.body else None,
             connect_timeout=seconds,
             request_timeout=seconds,
         )
+        lost = call.meter.lost
         try:
             response = await self._client.fetch(request, raise_error=False)
         except ConnectionRefusedError as error:
             self._breaker.fail(self._clock.monotonic())
             raise StoreUnavailable(f"{self._base_url} refuses connections.") from error
         except (HTTPError, OSError) as error:
-            # Timed out or cut: the service may have applied what it got.
-            self._breaker.fail(self._clock.monotonic())
-            raise self._lost(is_write, str(error)) from error
-        return self._check(response, is_write)
+            # Timed out or cut: the service may have applied what it got. What ends in
+            # a pause of this process tells nothing of the service.
+            if call.meter.lost == lost:
+                self._breaker.fail(self._clock.monotonic())
+            raise self._lost(call.is_write, str(error)) from error
+        return self._check(response, call.is_write)
 
     def _check(self, response: HTTPResponse, is_write: bool) -> HTTPResponse:
         if response.code in (200, 204, 404, 409):
--- a/packages/mustardquay-node/tests/test_pauses.py
+++ b/packages/mustardquay-node/tests/test_pauses.py
@@ -8,7 +8,7 @@
 
 from mustardquay.clocks import SystemClock
 from mustardquay_node.connections import ConnectionPool
-from mustardquay_node.pauses import AwakeTimer, awake_timeout
+from mustardquay_node.pauses import AwakeTimer, PauseMeter, awake_timeout
 from mustardquay_standins.virtual_loops import VirtualLoop
 
 LIMIT = 0.45
@@ -60,6 +60,33 @@
     assert run(time_out({0.01: 0.3} | pauses)) < 1.5
 
 
+async def measure(pauses, until):
+    """Return what a meter counts as lost until a time, with pauses by their start."""
+    loop = asyncio.get_running_loop()
+    meter = PauseMeter()
+    for start, seconds in pauses.items():
+        loop.call_at(start, loop.pause, seconds)
+    await asyncio.sleep(until)
+    meter.close()
+    return meter.lost.total_seconds()
+
+
+def test_a_meter_counts_pauses_and_little_of_the_time_between():
+    assert run(measure({}, 3.0)) == 0
+    lost = run(measure({0.5: 2.0, 2.7: 1.0}, 5.0))
+    assert 3.0 <= lost <= 3.2 + 0.001
+
+
+def test_a_meter_counts_a_pause_that_has_just_ended():
+    assert run(measure({0.05: 1.0}, 0.5)) == pytest.approx(1.05)
+
+
+def test_a_meter_counts_all_of_pauses_in_a_row():
+    """A call has no time left after its process was paused some times in a row."""
+    pauses = {0.01: 0.5, 0.52: 0.5, 1.03: 0.5, 1.54: 0.5}
+    assert run(measure(pauses, 3.0)) >= 2.0
+
+
 async def test_a_block_ends_at_its_limit():
     with pytest.raises(TimeoutError):
         async with awake_timeout(timedelta(milliseconds=20)):
--- a/packages/mustardquay-node/tests/test_stores.py
+++ b/packages/mustardquay-node/tests/test_stores.py
@@ -1,11 +1,13 @@
 """The platform's HTTP clients against its stand-ins, over real sockets."""
 
+import asyncio
+import time
 from datetime import timedelta
 from random import Random
 
 import pytest
 
-from mustardquay import VirtualClock
+from mustardquay import SystemClock, VirtualClock
 from mustardquay.errors import StoreUnavailable, StoreUnclear
 from mustardquay.tables import Committed, Condition, Conflict, Row, Transaction, Write
 from mustardquay_node.stores import (
@@ -161,3 +163,23 @@
     with pytest.raises(StoreUnavailable):
         await tables.read("t", "a")
     assert not tables.is_available
+
+
+async def test_a_pause_of_the_process_is_no_failure_of_the_service(site):
+    """An edit fails, and calls are refused for seconds, though the store is well.
+
+    The process does not run for longer than a call may take. It wakes with the limits
+    of its calls due before what the store answered is read; each fails, and three
+    failures open the breaker.
+    """
+    timeout = timedelta(seconds=0.5)
+    url = site.platform.tables.url
+    client = PlatformClient(url, timeout, SystemClock(), Random(1))
+    site.clients.append(client)
+    await client.start()
+    tables = HttpTables(client)
+    reads = [asyncio.create_task(tables.read("t", "a")) for _ in range(3)]
+    await asyncio.sleep(0)
+    time.sleep(2 * timeout.total_seconds())
+    assert await asyncio.gather(*reads) == [None] * 3
+    assert tables.is_available
