Give processes of tests a port that the system gives to nobody else

test_paused_entry_that_wakes_sends_nothing_twice failed once beside load: its entry could not listen, "Address already in use". Cause by reading: the port was one that the system had just given and got back, so that it could give it to any outgoing call until the entry was there. Ports below those, another row for each test process. By whom the port was taken that time is not traced.

--- a/tests/rigs.py
+++ b/tests/rigs.py
@@ -1,12 +1,14 @@
 """Rigs: a whole site whose processes, links and stand-ins fail on demand."""
 
 import asyncio
+import os
 import signal
 import socket
 import subprocess
 import sys
 from collections.abc import Callable
 from datetime import timedelta
+from itertools import count
 from pathlib import Path
 
 from tornado.httpclient import HTTPError
@@ -22,6 +24,10 @@
 
 LIMIT = 30.0
 """Seconds after which a wait has failed."""
+PORTS = range(20_000, 32_000)
+PORTS_OF_A_RUN = 97
+"""Ports between the first ones of two test processes that began one after the other."""
+_port_numbers = count(os.getpid() * PORTS_OF_A_RUN)
 PATIENT = LatenessDocument(
     first_token=timedelta(seconds=8), whole=timedelta(seconds=60)
 )
@@ -210,9 +216,20 @@
 
 
 def find_free_port() -> int:
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return found.getsockname()[1]
+    """Return a port for a process that is started a moment later.
+
+    Guards against its being taken until then: the system gives the ports above these to
+    any outgoing call, and other test runs begin elsewhere among these.
+    """
+    for number in _port_numbers:
+        port = PORTS[number % len(PORTS)]
+        with socket.socket() as found:
+            try:
+                found.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError("The numbers never end.")
 
 
 async def until(holds: Callable[[], bool]) -> None:
