Say in the log which reads of a configuration were given up, and who is behind

What callers saw: requests to routes that had moved were run by the old service four seconds after the change was acknowledged. The log of the gateway that did it has no line on its configuration for eleven seconds, so that a read that is cut, one that is slow and one that never began look the same.

A read that is given up now is an event with its reason, its age and the bytes that it had; a version that another gateway has and this one hasn't is one too, and two gauges tell the newest version known and for how long it is missing. The line of a version in force has its size, the time since it was first heard of and the time to decode it. Versions are kept in one place (VersionBook). What is read, and when, is unchanged.

--- a/packages/mustardquay-node/src/mustardquay_node/adapters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/adapters.py
@@ -5,7 +5,7 @@
 """
 
 import importlib
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any, Protocol
@@ -26,6 +26,7 @@
     "EngineReport",
     "FeedPage",
     "HistoryLost",
+    "NoteBytes",
     "Prefilled",
     "RequestFacts",
     "SendTarget",
@@ -128,6 +129,10 @@
     """From where the next read goes on."""
 
 
+NoteBytes = Callable[[int], None]
+"""Hears of each part of an answer as it comes, by its bytes."""
+
+
 class HistoryLost(Exception):
     """The store no longer knows the changes since a version; read all rows."""
 
@@ -135,10 +140,12 @@
 class StoreTables(TableService, Protocol):
     """The platform's store: a table service whose tables can be followed."""
 
-    async def list_rows(self, table: str) -> FeedPage:
+    async def list_rows(self, table: str, note_bytes: NoteBytes) -> FeedPage:
         """Return all rows of a table, as of one moment for each page."""
 
-    async def follow(self, table: str, after: int, wait: timedelta) -> FeedPage:
+    async def follow(
+        self, table: str, after: int, wait: timedelta, note_bytes: NoteBytes
+    ) -> FeedPage:
         """Return the changes since a version, once there is one; may be empty.
 
         Raises `HistoryLost`.
--- a/packages/mustardquay-node/src/mustardquay_node/configuration_intakes.py
+++ b/packages/mustardquay-node/src/mustardquay_node/configuration_intakes.py
@@ -1,10 +1,13 @@
 """Configuration intakes: the operator's configuration, from the store into force."""
 
 from collections.abc import Callable, Sequence
+from datetime import timedelta
 
+from mustardquay.clocks import Clock
 from mustardquay.errors import ProtocolError
 from mustardquay.events import EventRing
 from mustardquay.routing_tables import RoutingTable
+from mustardquay.version_books import VersionBook
 
 from .adapters import Adapter, StoreRow
 
@@ -18,35 +21,72 @@
         self,
         adapter: Adapter,
         events: EventRing,
-        get_version: Callable[[], int],
+        clock: Clock,
         put: Callable[[RoutingTable], None],
     ):
         """Take `put`, which puts a configuration in force."""
         self._adapter = adapter
         self._events = events
-        self._get_version = get_version
+        self._clock = clock
         self._put = put
+        self._versions = VersionBook()
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 before the first."""
+        return self._versions.in_force
+
+    @property
+    def known_version(self) -> int:
+        """Return the newest version that is known to exist."""
+        return self._versions.known
+
+    @property
+    def lag(self) -> timedelta:
+        """Return for how long a version that isn't in force here is known."""
+        return self._versions.measure_lag(self._clock.monotonic())
+
+    def hear(self, gateway: str, version: int) -> bool:
+        """Take in the version of another gateway; returns whether it is newer."""
+        if self._versions.hear(version, self._clock.monotonic()):
+            self._events.record(
+                "configuration.behind",
+                version=self.version,
+                known=version,
+                gateway=gateway,
+            )
+        return version > self.version
 
     def take(self, rows: Sequence[StoreRow], is_whole: bool) -> None:
         """Take in rows: all there are, or those that have changed."""
         for row in rows:
             if row.key != self._adapter.CONFIGURATION_KEY or row.deleted:
                 continue
+            begun = self._clock.monotonic()
             try:
                 table = self._adapter.read_configuration(row.value)
             except ProtocolError as error:
                 self._events.record("configuration.refused", error=str(error))
                 continue
-            self._offer(table)
+            self._offer(table, begun, len(row.value))
 
-    def _offer(self, table: RoutingTable) -> None:
-        before = self._get_version()
+    def _offer(self, table: RoutingTable, begun: timedelta, size: int) -> None:
+        before = self.version
         if before and table.version <= before:
             return
+        lag = self.lag
         self._put(table)
+        self._versions.put(table.version)
         self._events.record(
             "configuration.in_force",
             version=table.version,
             before=before,
             routes=len(table.routes),
+            bytes=size,
+            behind_ms=_to_milliseconds(lag),
+            decode_ms=_to_milliseconds(self._clock.monotonic() - begun),
         )
+
+
+def _to_milliseconds(duration: timedelta) -> float:
+    return round(duration.total_seconds() * 1000, 1)
--- a/packages/mustardquay-node/src/mustardquay_node/feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/feeds.py
@@ -69,6 +69,9 @@
         self._answered_at: timedelta | None = None
         self._task: asyncio.Task[None] | None = None
         self._reading: asyncio.Task[None] | None = None
+        self._begun_at = timedelta()
+        self._bytes = 0
+        """Bytes that the read under way has received."""
         self._woken_at = -WAKE_INTERVAL
         self._is_closing = False
 
@@ -87,6 +90,13 @@
         if self._reading is None or now < self._woken_at + WAKE_INTERVAL:
             return
         self._woken_at = now
+        self._events.record(
+            "feed.read_ended",
+            table=self._options.table,
+            reason="woken",
+            age_ms=round((now - self._begun_at).total_seconds() * 1000),
+            bytes=self._bytes,
+        )
         self._reading.cancel()
 
     async def close(self) -> None:
@@ -118,17 +128,22 @@
     async def _read_once(self) -> None:
         options = self._options
         is_whole = self._version is None
+        self._begun_at = self._clock.monotonic()
+        self._bytes = 0
         if self._version is None:
-            page = await self._store.list_rows(options.table)
+            page = await self._store.list_rows(options.table, self._note_bytes)
         else:
             page = await self._store.follow(
-                options.table, self._version, self._choose_wait()
+                options.table, self._version, self._choose_wait(), self._note_bytes
             )
         self._answered_at = self._clock.monotonic()
         self._note_answer()
         self._take(page.rows, is_whole)
         self._version = page.version
 
+    def _note_bytes(self, count: int) -> None:
+        self._bytes += count
+
     def _choose_wait(self) -> timedelta:
         """Return how long the store may hold the next call.
 
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
@@ -14,6 +14,14 @@
         "{version}",
         "Version of the operator's configuration that is in force here.",
     ),
+    "mustardquay.configuration.known": (
+        "{version}",
+        "Newest version that this process knows of, by other gateways.",
+    ),
+    "mustardquay.configuration.behind": (
+        "s",
+        "Time for which a version that is not in force here has been known.",
+    ),
     "mustardquay.ready": ("1", "1 while the process takes new work, else 0."),
     "mustardquay.running": ("{request}", "Requests without a whole answer."),
     "mustardquay.upstreams": ("{upstream}", "Upstreams that are listed."),
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -97,6 +97,9 @@
             self._forget_upstream,
             self._note_leaving,
         )
+        self._configurations = ConfigurationIntake(
+            self._adapter, self._events, self._clock, self._put_table
+        )
         self._feeds = self._make_feeds()
         self._connections = CallerConnections(
             ConnectionOptions(self._clock, self._get_limits, self._forwarder.handle)
@@ -125,8 +128,7 @@
     @property
     def version(self) -> int:
         """Return the version of the configuration in force, 0 before the first."""
-        table = self._forwarder.table
-        return table.version if table is not None else 0
+        return self._configurations.version
 
     @property
     def events(self) -> EventRing:
@@ -277,9 +279,6 @@
 
     def _make_feeds(self) -> tuple[TableFeed, ...]:
         store = self._settings.store
-        take_configuration = ConfigurationIntake(
-            self._adapter, self._events, lambda: self.version, self._put_table
-        ).take
         configuration = FeedOptions(
             self._adapter.CONFIGURATION_TABLE,
             store.configuration_wait,
@@ -293,7 +292,7 @@
         peers = FeedOptions(PEERS_TABLE, PEERS_WAIT, PEERS_PACE)
         shared = (self._events, self._clock, self._random)
         return (
-            TableFeed(self._store, configuration, take_configuration, *shared),
+            TableFeed(self._store, configuration, self._configurations.take, *shared),
             TableFeed(self._store, peers, self._peers.take_rows, *shared),
             TableFeed(
                 self._store,
@@ -307,6 +306,12 @@
     def _make_gauges(self) -> dict[str, Callable[[], float]]:
         return {
             "mustardquay.configuration.version": lambda: float(self.version),
+            "mustardquay.configuration.known": lambda: float(
+                self._configurations.known_version
+            ),
+            "mustardquay.configuration.behind": lambda: (
+                self._configurations.lag.total_seconds()
+            ),
             "mustardquay.ready": lambda: float(self.is_ready),
             "mustardquay.running": lambda: float(self._forwarder.in_flight),
             "mustardquay.upstreams": lambda: float(len(list(self._upstreams))),
@@ -341,7 +346,7 @@
         self._planner.hear(digest)
         self._stop.hear(digest)
         self._crashes.merge(digest.crashes)
-        if digest.configuration > self.version:
+        if self._configurations.hear(digest.gateway, digest.configuration):
             self._feeds[0].wake()
 
     def _build_digest(self) -> PeerDigest:
--- a/packages/mustardquay-node/tests/test_feeds.py
+++ b/packages/mustardquay-node/tests/test_feeds.py
@@ -19,10 +19,10 @@
         self.waits = []
         self.done = asyncio.Event()
 
-    async def list_rows(self, table):
+    async def list_rows(self, table, note_bytes):
         return FeedPage((), 1)
 
-    async def follow(self, table, after, wait):
+    async def follow(self, table, after, wait, note_bytes):
         self.waits.append(wait)
         if len(self.waits) > self.failures + 2:
             self.done.set()
