Let a read of the store that gets on come to its end

What callers saw: requests to routes that had moved were run by the old service 4 s after the change had been acknowledged, by gateways on links of 25 to 29 Mbit/s. Their answers came 100 ms late meanwhile.

Cause: a read was ended for its age, whatever it had. Peers that had the new version told of it each 40 ms, and each 0.5 s their word ended the read under way and began it anew; at 1.5 MB/s the row of 4,248 routes takes 0.67 s. The link was full of reads that never ended, which is why answers were late. The limit of 1.2 s on a whole call is the same fault: a gateway behind a slower link could not have started. Class: a retry that takes the place of an attempt that makes progress.

Change: a read that moves bytes is never ended for another one. One that is silent, by what the store may hold or by the word of a peer, gets another beside it on a new connection, which asks for all rows, so that of several versions it brings the newest only; the first to end wins (read_races). Limits are on silence, and leave out the time in which the process did not run.

--- a/packages/mustardquay-node/src/mustardquay_node/adapters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/adapters.py
@@ -26,8 +26,8 @@
     "EngineReport",
     "FeedPage",
     "HistoryLost",
-    "NoteBytes",
     "Prefilled",
+    "ReadOptions",
     "RequestFacts",
     "SendTarget",
     "StoreRow",
@@ -129,8 +129,20 @@
     """From where the next read goes on."""
 
 
-NoteBytes = Callable[[int], None]
-"""Hears of each part of an answer as it comes, by its bytes."""
+def _ignore_bytes(count: int) -> None:
+    """Take no note of how a read gets on."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadOptions:
+    """How rows are read."""
+
+    wait: timedelta = timedelta()
+    """How long the store may hold a read that has nothing to tell."""
+    on_new_connection: bool = False
+    """Guards against kept connections that went silent."""
+    note_bytes: Callable[[int], None] = _ignore_bytes
+    """Hears of each part of the answer as it comes, by its bytes."""
 
 
 class HistoryLost(Exception):
@@ -140,12 +152,10 @@
 class StoreTables(TableService, Protocol):
     """The platform's store: a table service whose tables can be followed."""
 
-    async def list_rows(self, table: str, note_bytes: NoteBytes) -> FeedPage:
+    async def list_rows(self, table: str, options: ReadOptions) -> FeedPage:
         """Return all rows of a table, as of one moment for each page."""
 
-    async def follow(
-        self, table: str, after: int, wait: timedelta, note_bytes: NoteBytes
-    ) -> FeedPage:
+    async def follow(self, table: str, after: int, options: ReadOptions) -> FeedPage:
         """Return the changes since a version, once there is one; may be empty.
 
         Raises `HistoryLost`.
--- a/packages/mustardquay-node/src/mustardquay_node/feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/feeds.py
@@ -10,7 +10,8 @@
 from mustardquay.clocks import Clock
 from mustardquay.events import EventRing
 
-from .adapters import HistoryLost, StoreRow, StoreTables
+from .adapters import FeedPage, HistoryLost, ReadOptions, StoreRow, StoreTables
+from .read_races import EndedRead, RaceEvents, ReadRace
 from .sleeps import Sleep, sleep as default_sleep
 
 __all__ = ["FeedOptions", "TableFeed"]
@@ -21,10 +22,6 @@
 to be in force; a process then makes some three calls a second while it is away."""
 
 
-WAKE_INTERVAL = timedelta(milliseconds=500)
-"""Least time between two reads that others ask for."""
-
-
 @dataclass(frozen=True, slots=True)
 class FeedOptions:
     """How a table is followed."""
@@ -37,6 +34,15 @@
     """Pause between calls, for tables that change all the time."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Found:
+    """What a read brought."""
+
+    page: FeedPage
+    is_whole: bool
+    """Whether these are all rows, not those that have changed."""
+
+
 class TableFeed:
     """Calls back with the rows of a table: all of them first, then each change."""
 
@@ -68,12 +74,7 @@
         self._lost_at: timedelta | None = None
         self._answered_at: timedelta | None = None
         self._task: asyncio.Task[None] | None = None
-        self._reading: asyncio.Task[None] | None = None
-        self._begun_at = timedelta()
-        self._bytes = 0
-        """Bytes that the read under way has received."""
-        self._woken_at = -WAKE_INTERVAL
-        self._is_closing = False
+        self._race: ReadRace[_Found] | None = None
 
     @property
     def answered_at(self) -> timedelta | None:
@@ -85,36 +86,20 @@
         self._task = asyncio.create_task(self._run())
 
     def wake(self) -> None:
-        """Read again at once, on another connection; at most once in a while."""
-        now = self._clock.monotonic()
-        if self._reading is None or now < self._woken_at + WAKE_INTERVAL:
-            return
-        self._woken_at = now
-        self._events.record(
-            "feed.read_ended",
-            table=self._options.table,
-            reason="woken",
-            age_ms=round((now - self._begun_at).total_seconds() * 1000),
-            bytes=self._bytes,
-        )
-        self._reading.cancel()
+        """Note that the store has something new, which a silent read would miss."""
+        if self._race is not None:
+            self._race.note_word()
 
     async def close(self) -> None:
         """Stop to follow."""
-        self._is_closing = True
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
         while True:
-            self._reading = asyncio.create_task(self._read_once())
             try:
-                await self._reading
-            except asyncio.CancelledError:
-                # Either the read was ended by `wake`, or the feed itself by `close`.
-                if self._is_closing:
-                    raise
+                await self._read_once()
             except HistoryLost:
                 self._events.record("feed.history_lost", table=self._options.table)
                 self._version = None
@@ -126,23 +111,39 @@
                 await self._sleep(self._options.pace)
 
     async def _read_once(self) -> None:
-        options = self._options
-        is_whole = self._version is None
-        self._begun_at = self._clock.monotonic()
-        self._bytes = 0
-        if self._version is None:
-            page = await self._store.list_rows(options.table, self._note_bytes)
-        else:
-            page = await self._store.follow(
-                options.table, self._version, self._choose_wait(), self._note_bytes
-            )
+        observer = RaceEvents(self._note_silence, self._note_ended)
+        self._race = ReadRace(self._open_read, self._clock, observer)
+        try:
+            found = await self._race.run(self._choose_wait())
+        finally:
+            self._race = None
         self._answered_at = self._clock.monotonic()
         self._note_answer()
-        self._take(page.rows, is_whole)
-        self._version = page.version
+        self._take(found.page.rows, found.is_whole)
+        self._version = found.page.version
 
-    def _note_bytes(self, count: int) -> None:
-        self._bytes += count
+    async def _open_read(self, is_first: bool, options: ReadOptions) -> "_Found":
+        """Read what has changed; beside a silent read, all rows.
+
+        All rows hold only the newest value of each, where changes may hold many.
+        """
+        table = self._options.table
+        if is_first and self._version is not None:
+            page = await self._store.follow(table, self._version, options)
+            return _Found(page, is_whole=False)
+        return _Found(await self._store.list_rows(table, options), is_whole=True)
+
+    def _note_silence(self) -> None:
+        self._note_lost("The store is silent")
+
+    def _note_ended(self, read: EndedRead) -> None:
+        self._events.record(
+            "feed.read_ended",
+            table=self._options.table,
+            reason=read.reason,
+            age_ms=round(read.age.total_seconds() * 1000),
+            bytes=read.bytes,
+        )
 
     def _choose_wait(self) -> timedelta:
         """Return how long the store may hold the next call.
@@ -167,12 +168,13 @@
         )
         self._regained()
 
-    async def _wait_after(self, error: Exception) -> None:
+    def _note_lost(self, error: str) -> None:
         if self._lost_at is None:
             self._lost_at = self._clock.monotonic()
-            self._events.record(
-                "feed.lost", table=self._options.table, error=repr(error)
-            )
+            self._events.record("feed.lost", table=self._options.table, error=error)
+
+    async def _wait_after(self, error: Exception) -> None:
+        self._note_lost(repr(error))
         delay = draw_delay(self._random, self._failures, FIRST_RETRY, LONGEST_RETRY)
         self._failures += 1
         await self._sleep(FIRST_RETRY / 2 + delay)
--- a/packages/mustardquay-node/src/mustardquay_node/pauses.py
+++ b/packages/mustardquay-node/src/mustardquay_node/pauses.py
@@ -12,8 +12,9 @@
 from contextlib import asynccontextmanager
 from datetime import timedelta
 from math import ceil
+from typing import Any
 
-__all__ = ["AwakeTimer", "PauseMeter", "awake_timeout"]
+__all__ = ["AwakeTimer", "PauseMeter", "SilenceLimit", "awake_timeout"]
 
 STEP = timedelta(milliseconds=100)
 """Longest step. Events of a stream come 50 to 110 ms apart, so that one that flows
@@ -97,3 +98,40 @@
             yield
         finally:
             timer.cancel()
+
+
+class SilenceLimit:
+    """Raises `TimeoutError` in its block after a time in which nothing was noted.
+
+    Guards against limits on the whole of a long answer, by which one that comes
+    steadily over a narrow link is ended, asked for again, and ended again.
+    """
+
+    def __init__(self, first: timedelta, between: timedelta):
+        """Take the limits before anything is noted and after that."""
+        self._limit = first
+        self._between = between
+        self._scope = asyncio.timeout(None)
+        self._timer: AwakeTimer | None = None
+
+    async def __aenter__(self) -> "SilenceLimit":
+        await self._scope.__aenter__()
+        self._begin()
+        return self
+
+    async def __aexit__(self, *error: Any) -> bool | None:
+        self._timer.cancel()
+        return await self._scope.__aexit__(*error)
+
+    def note(self) -> None:
+        """Note that something has come."""
+        self._limit = self._between
+        if self._timer is not None:
+            self._timer.cancel()
+            self._begin()
+
+    def _begin(self) -> None:
+        self._timer = AwakeTimer(self._limit, self._end)
+
+    def _end(self) -> None:
+        self._scope.reschedule(asyncio.get_running_loop().time())
--- a/packages/mustardquay-node/tests/test_feeds.py
+++ b/packages/mustardquay-node/tests/test_feeds.py
@@ -19,11 +19,11 @@
         self.waits = []
         self.done = asyncio.Event()
 
-    async def list_rows(self, table, note_bytes):
+    async def list_rows(self, table, options):
         return FeedPage((), 1)
 
-    async def follow(self, table, after, wait, note_bytes):
-        self.waits.append(wait)
+    async def follow(self, table, after, options):
+        self.waits.append(options.wait)
         if len(self.waits) > self.failures + 2:
             self.done.set()
             await asyncio.Event().wait()
--- a/packages/mustardquay-node/tests/test_pauses.py
+++ b/packages/mustardquay-node/tests/test_pauses.py
@@ -8,7 +8,12 @@
 
 from mustardquay.clocks import SystemClock
 from mustardquay_node.connections import ConnectionPool
-from mustardquay_node.pauses import AwakeTimer, PauseMeter, awake_timeout
+from mustardquay_node.pauses import (
+    AwakeTimer,
+    PauseMeter,
+    SilenceLimit,
+    awake_timeout,
+)
 from mustardquay_standins.virtual_loops import VirtualLoop
 
 LIMIT = 0.45
@@ -110,3 +115,26 @@
     assert await probe
     pool.close()
     server.close()
+
+
+async def take_parts(gaps):
+    """Return when a limit on silence ends the wait for parts, None if it does not."""
+    loop = asyncio.get_running_loop()
+    try:
+        async with SilenceLimit(
+            timedelta(seconds=1), timedelta(seconds=LIMIT)
+        ) as limit:
+            for gap in gaps:
+                await asyncio.sleep(gap)
+                limit.note()
+    except TimeoutError:
+        return round(loop.time(), 2)
+    return None
+
+
+@pytest.mark.parametrize(
+    "gaps, ended", [([0.9, *[0.4] * 20], None), ([1.1], 1.0), ([0.1, 0.6], 0.55)]
+)
+def test_a_limit_on_silence_counts_from_the_last_part(gaps, ended):
+    """Guards against a long answer that is given up although it gets on."""
+    assert run(take_parts(gaps)) == ended
