Refuse truly what a newer configuration may answer otherwise

What callers saw: a gateway that was late with a version answered 404 for routes that were there, and sent requests to services that their routes had left, for as long as it was late. A caller doesn't ask again after 404.

Cause: a gateway that hears from others of a newer version went on as if its own were the newest. Class: an answer that rests on knowledge that is known to be old.

Change: a route that isn't in the version in force is refused with 503 while a newer one is known. Once it has been known for half of the time in which a version has to be in force (a new setting, filled in by the platform), all is refused and the gateway isn't ready, so that callers go to those that have it: if they are more than half of the others. While most are behind, the few that aren't couldn't take the callers of all, and a version that can't be read (the store is down) must not end the service.

Considered: waiting a moment and asking the store once more. A caller that comes back after 250 ms reaches another gateway, which has the version; nothing here would be sooner.

--- a/packages/mustardquay-node/src/mustardquay_node/configuration_intakes.py
+++ b/packages/mustardquay-node/src/mustardquay_node/configuration_intakes.py
@@ -7,7 +7,7 @@
 from mustardquay.errors import ProtocolError
 from mustardquay.events import EventRing
 from mustardquay.routing_tables import RoutingTable
-from mustardquay.version_books import VersionBook
+from mustardquay.version_books import TableState, VersionBook
 
 from .adapters import Adapter, StoreRow
 
@@ -23,12 +23,20 @@
         events: EventRing,
         clock: Clock,
         put: Callable[[RoutingTable], None],
+        list_others: Callable[[], Sequence[int]],
+        get_bound: Callable[[], timedelta],
     ):
-        """Take `put`, which puts a configuration in force."""
+        """Take `put`, which puts a configuration in force.
+
+        `list_others` returns the versions of the other gateways, `get_bound` the time
+        in which a version has to be in force everywhere.
+        """
         self._adapter = adapter
         self._events = events
         self._clock = clock
         self._put = put
+        self._list_others = list_others
+        self._get_bound = get_bound
         self._versions = VersionBook()
 
     @property
@@ -46,6 +54,14 @@
         """Return for how long a version that isn't in force here is known."""
         return self._versions.measure_lag(self._clock.monotonic())
 
+    def judge(self) -> TableState:
+        """Return what may be concluded from the configuration in force."""
+        if not self._versions.is_behind:
+            return TableState.CURRENT
+        others = self._list_others()
+        now = self._clock.monotonic()
+        return self._versions.judge(others, self._get_bound(), now)
+
     def hear(self, gateway: str, version: int) -> bool:
         """Take in the version of another gateway; returns whether it is newer."""
         if self._versions.hear(version, self._clock.monotonic()):
--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_parts.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_parts.py
@@ -12,6 +12,7 @@
 from mustardquay.sendings import Sendings
 from mustardquay.upstream_lists import UpstreamList
 from mustardquay.upstream_loads import LoadBook
+from mustardquay.version_books import TableState
 
 from .adapters import Adapter, RequestFacts
 from .caller_connections import CallerRequest
@@ -39,6 +40,7 @@
     crashes: CrashReporter
     planner: GenerationPlanner
     stop: GatewayStop
+    judge_table: Callable[[], TableState]
     times: RouteTimes = field(default_factory=RouteTimes)
     count_answer: Callable[[str, str], None] = lambda route, outcome: None
     """Counts an answer by route and outcome."""
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -16,6 +16,7 @@
 from mustardquay.sendings import NextStep, decide_next
 from mustardquay.stops import Demand
 from mustardquay.upstream_loads import choose_plain
+from mustardquay.version_books import TableState
 
 from .caller_connections import CallerAnswer, CallerRequest
 from .forwarder_parts import ForwardedRequest, ForwarderParts
@@ -81,7 +82,15 @@
         reply.refuse("no_configuration", RETRY_SOON)
         return None
     reply.version = table.version
+    state = parts.judge_table()
+    if state is TableState.OUTDATED:
+        reply.refuse("outdated", RETRY_SOON)
+        return None
     route = table.find_route(incoming.headers.get("Host", ""), incoming.path)
+    if route is None and state is TableState.BEHIND:
+        # The newer version may have the route.
+        reply.refuse("unknown_route", RETRY_SOON)
+        return None
     if route is None:
         reply.fail(404, "no_route", "There is no route for this host and path.")
         return None
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -21,6 +21,7 @@
 from mustardquay.uplinks import Uplink
 from mustardquay.upstream_lists import Stage, UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import LoadBook
+from mustardquay.version_books import TableState
 
 from .adapters import Adapter, load_adapter
 from .cache_surveys import CacheSurvey, CacheSurveyParts
@@ -98,7 +99,12 @@
             self._note_leaving,
         )
         self._configurations = ConfigurationIntake(
-            self._adapter, self._events, self._clock, self._put_table
+            self._adapter,
+            self._events,
+            self._clock,
+            self._put_table,
+            self._planner.list_configurations,
+            lambda: self._settings.bounds.configuration_delay,
         )
         self._feeds = self._make_feeds()
         self._connections = CallerConnections(
@@ -118,6 +124,7 @@
             not self._stop.has_begun
             and self._forwarder.table is not None
             and self._upstreams.is_known
+            and self._configurations.judge() is not TableState.OUTDATED
         )
 
     @property
@@ -272,6 +279,7 @@
             crashes=self._crashes,
             planner=self._planner,
             stop=self._stop,
+            judge_table=lambda: self._configurations.judge(),
             count_answer=self._metrics.count_answer,
             count_send=self._metrics.count_send,
             record_first_byte=self._metrics.record_first_byte,
--- a/packages/mustardquay-node/src/mustardquay_node/generators.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generators.py
@@ -167,6 +167,12 @@
                 hashed = ((part.part, part.tokens),)
                 self._books.prefixes.note(engine.id, engine.stage, hashed)
 
+    def list_configurations(self) -> list[int]:
+        """Return the version of the configuration that each other gateway has."""
+        peers = self._books.works.peers
+        peers.expire(self._clock.monotonic())
+        return peers.list_configurations()
+
     def build_digest(
         self, name: str, incarnation: int, number: int, configuration: int
     ) -> PeerDigest:
--- a/packages/mustardquay-node/src/mustardquay_node/keys.py
+++ b/packages/mustardquay-node/src/mustardquay_node/keys.py
@@ -347,6 +347,13 @@
         "Repeated sends of all gateways in a window beside that part.",
     ),
     Key("bounds", "retry_window", "10", "s", "Window over which repeats are counted."),
+    Key(
+        "bounds",
+        "configuration_delay",
+        "2",
+        "s",
+        "Time in which a version of the configuration has to be in force everywhere.",
+    ),
     Key(
         "service:NAME",
         "idempotent_methods",
--- a/packages/mustardquay-node/src/mustardquay_node/settings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/settings.py
@@ -108,6 +108,7 @@
     retry_ratio: Annotated[float, Field(ge=0, le=1)]
     retry_allowance: Annotated[float, Field(ge=0)]
     retry_window: Duration
+    configuration_delay: Duration
 
 
 class GatewaySettings(Section):
--- a/packages/mustardquay/src/mustardquay/peer_books.py
+++ b/packages/mustardquay/src/mustardquay/peer_books.py
@@ -131,6 +131,10 @@
         """Return the generations of the others that run at an engine."""
         return self._running.get(engine, 0)
 
+    def list_configurations(self) -> list[int]:
+        """Return the version of the configuration that each gateway has."""
+        return [heard.digest.configuration for heard in self.heard.values()]
+
     def list_changing(self) -> set[str]:
         """Return the engines that change their stage, so that they take no work."""
         return {
--- a/packages/mustardquay/src/mustardquay/version_books.py
+++ b/packages/mustardquay/src/mustardquay/version_books.py
@@ -4,10 +4,26 @@
 that it is behind, and since when.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from datetime import timedelta
+from enum import StrEnum
 
-__all__ = ["VersionBook"]
+__all__ = ["TableState", "VersionBook"]
+
+LAG_SHARE = 0.5
+"""Part of the time in which a version has to be in force after which one that is known
+and missing counts as overdue: it was written some time before it was heard of."""
+
+
+class TableState(StrEnum):
+    """What may be concluded from the configuration in force."""
+
+    CURRENT = "current"
+    BEHIND = "behind"
+    """A newer version exists: what is not in this one may be in that one."""
+    OUTDATED = "outdated"
+    """A newer version should be in force by now, and is at most other gateways."""
 
 
 @dataclass(slots=True)
@@ -41,6 +57,23 @@
         self.in_force = version
         self._newer = {each: at for each, at in self._newer.items() if each > version}
 
+    def judge(
+        self, others: Collection[int], bound: timedelta, now: timedelta
+    ) -> TableState:
+        """Return what may be concluded from the version in force.
+
+        `others` are the versions in force in the other processes, `bound` is the time
+        in which one has to be in force everywhere. While most of the others are behind
+        as well, those that aren't could not take the callers of all.
+        """
+        if not self.is_behind:
+            return TableState.CURRENT
+        ahead = sum(version > self.in_force for version in others)
+        is_overdue = self.measure_lag(now) > LAG_SHARE * bound
+        if is_overdue and 2 * ahead > len(others):
+            return TableState.OUTDATED
+        return TableState.BEHIND
+
     def measure_lag(self, now: timedelta) -> timedelta:
         """Return for how long a version that is newer than the one here is known."""
         return now - min(self._newer.values(), default=now)
--- a/packages/mustardquay/tests/test_version_books.py
+++ b/packages/mustardquay/tests/test_version_books.py
@@ -1,6 +1,8 @@
 from datetime import timedelta
 
-from mustardquay.version_books import VersionBook
+import pytest
+
+from mustardquay.version_books import TableState, VersionBook
 
 
 def at(seconds):
@@ -27,3 +29,27 @@
     assert not book.hear(4, at(1))
     assert not book.hear(3, at(1))
     assert not book.is_behind
+
+
+@pytest.mark.parametrize(
+    "others, seconds, state",
+    [
+        ([5, 5, 4], 0.9, TableState.BEHIND),
+        ([5, 5, 4], 1.1, TableState.OUTDATED),
+        ([5, 4, 4], 1.1, TableState.BEHIND),
+        ([5, 4], 1.1, TableState.BEHIND),
+        ([], 1.1, TableState.BEHIND),
+    ],
+)
+def test_a_table_is_outdated_once_most_others_have_a_newer_one(others, seconds, state):
+    """Guards against callers that are all turned to the one gateway that is ahead."""
+    book = VersionBook()
+    book.put(4)
+    book.hear(5, at(10))
+    assert book.judge(others, at(2), at(10 + seconds)) is state
+
+
+def test_a_table_with_nothing_newer_is_current():
+    book = VersionBook()
+    book.put(4)
+    assert book.judge([4, 3], at(2), at(99)) is TableState.CURRENT
