Read the limits that upstreams name, and say so in the log

What callers saw: nothing yet; two engines in need that had named 10 requests a second got 32. No line of the log has a limit, so that one that is not read looks like one that is badly divided.

An answer's limit is a typed fact now, kept with its age until answers stop naming it (LimitBook), and an event tells of each that is named anew, changes by more than a tenth or ends. It is taken in with the head of an answer, since that of a stream ends seconds later. Nothing is sent otherwise than before.

--- a/packages/mustardquay-node/src/mustardquay_node/adapters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/adapters.py
@@ -80,6 +80,9 @@
     retry_after: timedelta | None
     load: tuple[int, int, int] | None
     """Requests that run and that wait, and slots, at the time of the answer."""
+    rate_limit: float | None
+    """Requests a second that the upstream takes from all gateways together; None for
+    as many as come."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_parts.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_parts.py
@@ -7,6 +7,7 @@
 
 from mustardquay.clocks import Clock
 from mustardquay.events import EventRing
+from mustardquay.rate_limits import LimitBook
 from mustardquay.route_times import RouteTimes
 from mustardquay.routing_tables import Route
 from mustardquay.sendings import Sendings
@@ -37,6 +38,7 @@
     upstreams: UpstreamList
     pools: UpstreamPools
     loads: LoadBook
+    limits: LimitBook
     crashes: CrashReporter
     planner: GenerationPlanner
     stop: GatewayStop
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -15,6 +15,7 @@
 from mustardquay.clocks import Clock, SuspendClock, SystemClock
 from mustardquay.events import Event, EventRing, HybridClock
 from mustardquay.peer_books import PeerDigest
+from mustardquay.rate_limits import LimitBook
 from mustardquay.retry_windows import RetryLimits
 from mustardquay.routing_tables import CallerLimits, RoutingTable
 from mustardquay.stops import BALANCER_NOTICE
@@ -79,6 +80,7 @@
         self._metrics = GatewayMetrics(node.name, node.availability_zone)
         self._upstreams = UpstreamList()
         self._loads = LoadBook()
+        self._limits = LimitBook()
         self._crashes = CrashReporter(self._clock, self._events)
         self._pools = self._make_pools()
         self._planner = self._make_planner()
@@ -276,6 +278,7 @@
             upstreams=self._upstreams,
             pools=self._pools,
             loads=self._loads,
+            limits=self._limits,
             crashes=self._crashes,
             planner=self._planner,
             stop=self._stop,
@@ -421,6 +424,7 @@
         self._crashes.note_lost(id)
         self._pools.forget(id)
         self._loads.forget(id)
+        self._limits.forget(id)
         self._planner.forget(id)
 
     def _note_leaving(self, record: UpstreamRecord) -> None:
--- a/packages/mustardquay-node/src/mustardquay_node/sends.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sends.py
@@ -195,6 +195,7 @@
             )
             return False
         send.facts = facts
+        self._note_limit(send, facts)
         return True
 
     def _receive(
@@ -334,6 +335,22 @@
             running, waiting, _ = send.facts.load
             loads.note_report(id, running, waiting, now)
 
+    def _note_limit(self, send: Send, facts: AnswerFacts) -> None:
+        """Take in the limit that an answer names, or that it names none any more."""
+        if facts.is_other_upstream:
+            return
+        id = send.upstream.id
+        now = self._parts.clock.monotonic()
+        change = self._parts.limits.hear(id, facts.rate_limit, now)
+        if change is not None:
+            self._parts.events.record(
+                "upstream.limited",
+                request=self._request.id,
+                upstream=id,
+                before=change.before,
+                per_second=change.after,
+            )
+
 
 def _is_stream(send: Send, exchange: Exchange) -> bool:
     """Tell whether an answer is a stream that its caller may be given."""
