Keep the rate limits that upstreams name, all gateways together

What callers saw: nothing yet. An engine in need that had named 10 requests a second got 32, three times what it had said it could take.

Cause: no gateway read the limit. Class: a condition that an upstream states and nobody takes in; what a gateway sends was bounded by load and connections only.

Change: each gateway paces its sends by its part of the limit. The part is in proportion to what its callers ask of the service, which digests tell while any limit is known; gateways that are listed and silent keep an even part, so that both sides of a partition together stay within the limit (rate_divisions). Turns can be taken in advance (rate_limits): placements weigh the time until a turn like a queue, at the engine that reads and at the one that generates, so what is over a limit goes where it costs least, waits if it is still in time, or is refused at once with the time until the next turn. The bound on that wait is the same for all, else short prompts of long deadlines would take each turn before it is free. First tries, repeats, hand-overs and calls that only read a prompt wait for a turn; orders and reports don't, and are paid for by the next.

Considered: an even part for each gateway leaves two thirds unused when one of three has all callers; a common token bucket by digests lets all of thirty send in the moment in which one token is there.

--- a/packages/mustardquay-node/src/mustardquay_node/cache_surveys.py
+++ b/packages/mustardquay-node/src/mustardquay_node/cache_surveys.py
@@ -15,8 +15,7 @@
 from mustardquay.upstream_lists import Stage, UpstreamRecord
 
 from .adapters import Adapter
-from .connections import ConnectionPool
-from .engine_calls import EngineCall, call_engine
+from .engine_calls import CallEngine, EngineCall
 from .loops import start_loop
 
 __all__ = ["CacheSurvey", "CacheSurveyParts"]
@@ -35,7 +34,7 @@
     adapter: Adapter
     events: EventRing
     list_upstreams: Callable[[], Sequence[UpstreamRecord]]
-    get_pool: Callable[[UpstreamRecord], ConnectionPool]
+    call: CallEngine
     take_held: Callable[[UpstreamRecord, Sequence[PromptPart]], None]
     """Takes in the parts that an engine holds."""
 
@@ -70,9 +69,7 @@
     async def _ask(self, engine: UpstreamRecord) -> None:
         parts = self._parts
         call = EngineCall("GET", parts.adapter.CACHE_PATH)
-        exchange = await call_engine(
-            parts.adapter, parts.get_pool(engine), engine, call
-        )
+        exchange = await parts.call(engine, call)
         if exchange is None or exchange.head is None or exchange.head.status != 200:
             parts.events.record("cache.unknown", upstream=engine.id)
             return
--- a/packages/mustardquay-node/src/mustardquay_node/engine_calls.py
+++ b/packages/mustardquay-node/src/mustardquay_node/engine_calls.py
@@ -1,6 +1,7 @@
 """Engine calls: what a gateway asks of an engine beside callers' requests."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -11,7 +12,7 @@
 from .adapters import Adapter, SendTarget
 from .connections import ConnectionPool, Exchange, ExchangeEnd
 
-__all__ = ["EngineCall", "call_engine"]
+__all__ = ["CallEngine", "EngineCall", "call_engine"]
 
 CALL_TIMEOUT = timedelta(milliseconds=500)
 """Engines answer such calls within some milliseconds; a connection may be silent."""
@@ -26,6 +27,10 @@
     body: bytes = b""
 
 
+CallEngine = Callable[[UpstreamRecord, EngineCall], Awaitable[Exchange | None]]
+"""Calls an engine, and counts the call where its rate is limited."""
+
+
 async def call_engine(
     adapter: Adapter, pool: ConnectionPool, engine: UpstreamRecord, call: EngineCall
 ) -> Exchange | None:
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -15,6 +15,7 @@
 from mustardquay.routing_tables import Repeat, RoutingTable, choose_backend
 from mustardquay.sendings import NextStep, decide_next
 from mustardquay.stops import Demand
+from mustardquay.upstream_lists import UpstreamRecord
 from mustardquay.upstream_loads import choose_plain
 from mustardquay.version_books import TableState
 
@@ -22,6 +23,7 @@
 from .forwarder_parts import ForwardedRequest, ForwarderParts
 from .gateway_stops import RETRY_SOON
 from .handovers import send_generation
+from .rate_turns import await_turn
 from .replies import Reply
 from .sends import Send, Sender
 
@@ -33,6 +35,9 @@
 """Sends that another try of a generation takes: one to read, one to generate."""
 CLOSE_MARGIN = timedelta(milliseconds=30)
 """How long before the caller's limit it gets its answer, so that it arrives."""
+TURN_SHARE = 0.5
+"""Part of the target that a plain request may wait for the rate limit of its upstream;
+the rest is for its work."""
 UNKNOWN = "It is not known whether this was run."
 
 
@@ -106,6 +111,7 @@
         reply.refuse("no_service", RETRY_SOON)
         return None
     parts.pools.get_window(service).count_request(incoming.received_at)
+    parts.limits.demand.count_request(service, incoming.received_at)
     allowed = route.timeout
     if facts.time_allowed is not None:
         allowed = min(allowed, facts.time_allowed)
@@ -263,15 +269,35 @@
             return await send_generation(
                 parts, request, self._sender, self._reply, prompt, candidates
             )
+        now = parts.clock.monotonic()
         upstream = choose_plain(
             candidates,
             parts.loads,
-            parts.clock.monotonic(),
+            now,
             parts.availability_zone,
             parts.random,
             request.avoid,
+            lambda record: parts.limits.expect_wait(record, now),
         )
-        return None if upstream is None else await self._sender.run(upstream)
+        if upstream is None:
+            return None
+        return await self._send_in_turn(upstream, now)
+
+    async def _send_in_turn(
+        self, upstream: UpstreamRecord, now: timedelta
+    ) -> Send | None:
+        """Send once the upstream's rate limit allows it; None if that is too late."""
+        parts, request = self._parts, self._request
+        turn_after = timedelta(seconds=parts.limits.expect_wait(upstream, now))
+        if turn_after > TURN_SHARE * request.route.latency_target:
+            self._refuse_unplaced("limited", turn_after)
+            return None
+        turn = parts.limits.reserve(upstream, now)
+        try:
+            await await_turn(parts, turn)
+        finally:
+            parts.limits.release(turn)
+        return await self._sender.run(upstream)
 
     def _goes_on(self, send: Send) -> bool:
         """Decide what follows; returns whether the request is sent again."""
@@ -330,11 +356,13 @@
         else:
             self._reply.refuse("quarantine", QUARANTINE_RETURN)
 
-    def _refuse_unplaced(self) -> None:
+    def _refuse_unplaced(
+        self, reason: str = "no_upstream", retry_after: timedelta = RETRY_SOON
+    ) -> None:
         """Answer a request for which there is no upstream (any more)."""
         if self._reply.has_begun:
             self._reply.break_off()
         elif self._request.sendings.may_have_run:
-            self._reply.fail(502, "no_upstream", UNKNOWN)
+            self._reply.fail(502, reason, UNKNOWN)
         else:
-            self._reply.refuse("no_upstream", RETRY_SOON)
+            self._reply.refuse(reason, retry_after)
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -28,7 +28,9 @@
 from .cache_surveys import CacheSurvey, CacheSurveyParts
 from .caller_connections import CallerConnections, ConnectionOptions
 from .configuration_intakes import ConfigurationIntake
+from .connections import Exchange
 from .crash_reporters import CrashReporter
+from .engine_calls import EngineCall, call_engine
 from .feeds import FeedOptions, TableFeed
 from .forwarder_parts import ForwarderParts
 from .forwarders import Forwarder
@@ -251,6 +253,7 @@
             self._upstreams,
             self._loads,
             uplink=Uplink(self._settings.gateway.link_rate),
+            limits=self._limits,
         )
 
     def _make_stop(self) -> GatewayStop:
@@ -346,6 +349,9 @@
             self._events,
             self._build_digest,
             self._hear_peer,
+            lambda told, others: self._limits.demand.list_gateways(
+                told, others, self._clock.monotonic()
+            ),
         )
 
     def _hear_peer(self, digest: PeerDigest) -> None:
@@ -355,13 +361,24 @@
         would be read only when the call on it has timed out.
         """
         self._planner.hear(digest)
+        self._hear_limits(digest)
         self._stop.hear(digest)
         self._crashes.merge(digest.crashes)
         if self._configurations.hear(digest.gateway, digest.configuration):
             self._feeds[0].wake()
 
+    def _hear_limits(self, digest: PeerDigest) -> None:
+        now = self._clock.monotonic()
+        self._limits.demand.hear(digest.gateway, digest.demands, now)
+        for notice in digest.limits:
+            self._limits.hear_notice(notice, now)
+
     def _build_digest(self) -> PeerDigest:
         self._digests += 1
+        now = self._clock.monotonic()
+        demands = None
+        if self._limits.knows_any(now):
+            demands = self._limits.demand.tell(now)
         digest = self._planner.build_digest(
             self._settings.node.name, self._incarnation, self._digests, self.version
         )
@@ -370,6 +387,8 @@
             crashes=self._crashes.list_news(),
             availability_zone=self._settings.node.availability_zone,
             is_ready=self.is_ready,
+            limits=self._limits.tell(now),
+            demands=demands,
             ends_in=self._stop.ends_in,
         )
 
@@ -383,7 +402,7 @@
             upstreams=self._upstreams,
             is_lost=lambda id: self._loads.is_lost(id, self._clock.monotonic()),
             list_services=self._list_engine_services,
-            get_pool=self._pools.get_pool,
+            call=self._call_engine,
             count_streams=self._planner.count_streams,
             tell_changing=self._tell_changing,
             is_serving=lambda: self._forwarder.has_served,
@@ -395,11 +414,19 @@
             adapter=self._adapter,
             events=self._events,
             list_upstreams=self.list_upstreams,
-            get_pool=self._pools.get_pool,
+            call=self._call_engine,
             take_held=self._planner.take_held,
         )
         return CacheSurvey(parts)
 
+    async def _call_engine(
+        self, engine: UpstreamRecord, call: EngineCall
+    ) -> Exchange | None:
+        """Call an engine beside callers' requests; such calls wait for no turn."""
+        self._limits.note_sent(engine.id, self._clock.monotonic())
+        pool = self._pools.get_pool(engine)
+        return await call_engine(self._adapter, pool, engine, call)
+
     def _tell_changing(self, engines: Collection[str]) -> None:
         self._planner.tell_changing(engines)
         self._peers.hurry()
--- a/packages/mustardquay-node/src/mustardquay_node/generators.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generators.py
@@ -15,6 +15,7 @@
 from mustardquay.engine_models import EngineModels
 from mustardquay.peer_books import EngineDigest, PeerDigest, PlacedPart
 from mustardquay.placements import Placement, choose_decoder, choose_engines
+from mustardquay.rate_limits import LimitBook, Turn
 from mustardquay.requests import PromptPart, PromptTraits
 from mustardquay.routing_tables import Route, RoutingTable
 from mustardquay.uplinks import Uplink
@@ -36,6 +37,9 @@
     is_read: bool = False
     is_running: bool = False
     """Whether it holds a place at the engine that generates."""
+    reader_turn: Turn | None = None
+    decoder_turn: Turn | None = None
+    """At the engine that generates, where another one reads."""
 
 
 class GenerationPlanner:
@@ -48,12 +52,16 @@
         loads: LoadBook,
         models: EngineModels | None = None,
         uplink: Uplink | None = None,
+        limits: LimitBook | None = None,
     ):
         self._clock = clock
         self._upstreams = upstreams
         self._uplink = uplink or Uplink()
         self._models = models or EngineModels()
-        self._books = EngineBooks(loads, WorkBook(), PrefixBook(), self._models)
+        self._limits = limits or LimitBook()
+        self._books = EngineBooks(
+            loads, WorkBook(), PrefixBook(), self._models, limits=self._limits
+        )
         self._placed: list[PlacedPart] = []
         self._changing: set[str] = set()
 
@@ -92,6 +100,9 @@
         decoder = choose_decoder(usable, self._books, now, avoid)
         if decoder is None:
             return False
+        if decoder.id != ticket.placement.decoder.id:
+            self._limits.release(ticket.decoder_turn)
+            ticket.decoder_turn = self._limits.reserve(decoder, now)
         ticket.placement = replace(ticket.placement, decoder=decoder)
         return True
 
@@ -117,10 +128,18 @@
         # At once, so that the next prompts with these parts go there, too.
         self._note_parts(placement.reader, parts)
         ticket = Ticket(placement, parts, rank)
+        self._reserve_turns(ticket)
         if placement.prefiller is None:
             self._take_place(ticket)
         return ticket
 
+    def _reserve_turns(self, ticket: Ticket) -> None:
+        now = self._clock.monotonic()
+        placement = ticket.placement
+        ticket.reader_turn = self._limits.reserve(placement.reader, now)
+        if placement.prefiller is not None:
+            ticket.decoder_turn = self._limits.reserve(placement.decoder, now)
+
     def end_reading(self, ticket: Ticket, is_handed_over: bool = False) -> None:
         """Note that the prompt has been read, or won't be.
 
@@ -152,6 +171,9 @@
     def end(self, ticket: Ticket) -> None:
         """Note that the generation has ended."""
         self.end_reading(ticket)
+        for turn in (ticket.reader_turn, ticket.decoder_turn):
+            if turn is not None:
+                self._limits.release(turn)
         if ticket.is_running:
             work = self._books.works.get(ticket.placement.decoder.id)
             work.running = max(work.running - 1, 0)
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -7,6 +7,7 @@
 from mustardquay.generation_limits import (
     admits_generation,
     admits_late,
+    admits_turn,
     draw_return,
     has_returned,
     rank_generation,
@@ -19,6 +20,7 @@
 from .adapters import Prefilled
 from .forwarder_parts import ForwardedRequest, ForwarderParts
 from .generators import Ticket
+from .rate_turns import await_turn
 from .replies import Reply
 from .sends import Send, Sender, SendOptions
 
@@ -37,6 +39,8 @@
     planner = parts.planner
     if request.sendings.offered:
         placement = _choose(parts, request, prompt, engines)
+        if placement is not None and not admits_turn(request.route, placement):
+            return None
     else:
         placement = _admit(parts, request, reply, prompt, engines)
     if placement is None:
@@ -78,15 +82,19 @@
     if placement is None:
         return None
     if request.is_late:
-        is_admitted = admits_late(placement, time_left)
+        is_admitted = admits_late(request.route, placement, time_left)
     else:
         is_admitted = admits_generation(request.route, placement, time_left)
     if is_admitted:
         return placement
     back = draw_return(placement, time_left, parts.random)
-    wait_ms = round(placement.wait_seconds * 1000, 1)
-    occupancy = round(placement.occupancy, 2)
-    reply.refuse("crowded", back, wait_ms=wait_ms, occupancy=occupancy)
+    reply.refuse(
+        "crowded" if admits_turn(request.route, placement) else "limited",
+        back,
+        wait_ms=round(placement.wait_seconds * 1000, 1),
+        turn_ms=round(placement.turn_seconds * 1000, 1),
+        occupancy=round(placement.occupancy, 2),
+    )
     return None
 
 
@@ -106,6 +114,7 @@
 ) -> Send:
     """Have one engine read the prompt and generate."""
     placement = ticket.placement
+    await await_turn(parts, ticket.reader_turn)
     options = SendOptions(
         patience=limit_first(request.route, placement),
         fetch_from=placement.holder.address if placement.holder else "",
@@ -133,6 +142,7 @@
 ) -> Prefilled | Send:
     """Have an engine read the prompt; returns the failed send if it does not."""
     placement = ticket.placement
+    await await_turn(parts, ticket.reader_turn)
     started = parts.clock.monotonic()
     options = SendOptions(
         prefill_only=True,
@@ -173,6 +183,7 @@
     """
     placement = ticket.placement
     address, reader = placement.reader.address, placement.reader.id
+    await await_turn(parts, ticket.decoder_turn)
     if not parts.loads.has_lapsing_handles(reader, parts.clock.monotonic()):
         source = parts.adapter.build_kv_source(address, prefilled)
         options = SendOptions(kv_source=source, read=_note_first(parts, ticket))
@@ -184,6 +195,7 @@
         sender.log(send, "copy")
         if not parts.pools.get_window(request.service).take(now):
             return send
+        await await_turn(parts, parts.limits.reserve(placement.decoder, now))
     return await sender.run(placement.decoder, SendOptions(fetch_from=address))
 
 
--- a/packages/mustardquay-node/src/mustardquay_node/peers.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.capnp
@@ -36,6 +36,17 @@
   first @3 :List(Float32);
 }
 
+struct RateLimit {
+  upstream @0 :Text;
+  perSecond @1 :Float32;
+  ageMilliseconds @2 :UInt32;
+}
+
+struct ServiceDemand {
+  service @0 :Text;
+  perSecond @1 :Float32;
+}
+
 struct Digest {
   gateway @0 :Text;
   incarnation @1 :UInt64;
@@ -53,4 +64,8 @@
   # For a gateway that stops: the time that it has at most.
   stopping @11 :Bool;
   endsInMilliseconds @12 :UInt32;
+  limits @13 :List(RateLimit);
+  # Whether the sender knows of a limit, so that its demands count.
+  tellsDemands @14 :Bool;
+  demands @15 :List(ServiceDemand);
 }
--- a/packages/mustardquay-node/src/mustardquay_node/peers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.py
@@ -7,7 +7,7 @@
 import asyncio
 import logging
 from bisect import bisect
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
@@ -26,6 +26,8 @@
     PlacedPart,
 )
 from mustardquay.quarantines import CrashId, CrashRecord
+from mustardquay.rate_divisions import ServiceDemand
+from mustardquay.rate_limits import LimitNotice
 from mustardquay.tables import Transaction, Write
 
 from .adapters import StoreRow, StoreTables
@@ -80,6 +82,7 @@
     _write_crashes(message, digest.crashes)
     _write_speeds(message, digest.speeds)
     _write_presence(message, digest)
+    _write_limits(message, digest)
     engines = message.init("engines", len(digest.engines))
     for built, each in zip(engines, digest.engines, strict=True):
         built.engine = each.engine
@@ -118,6 +121,8 @@
             tuple(map(_read_speeds, message.speeds)),
             message.availabilityZone,
             message.ready,
+            tuple(map(_read_limit, message.limits)),
+            _read_demands(message),
             _read_end(message),
         )
     except (capnp.KjException, IndexError, ValueError):
@@ -185,6 +190,34 @@
     return timedelta(milliseconds=message.endsInMilliseconds)
 
 
+def _write_limits(message: Any, digest: PeerDigest) -> None:
+    limits = message.init("limits", len(digest.limits))
+    for built, limit in zip(limits, digest.limits, strict=True):
+        built.upstream = limit.upstream
+        built.perSecond = limit.per_second
+        built.ageMilliseconds = limit.age // timedelta(milliseconds=1)
+    if digest.demands is None:
+        return
+    message.tellsDemands = True
+    demands = message.init("demands", len(digest.demands))
+    for built, demand in zip(demands, digest.demands, strict=True):
+        built.service = demand.service
+        built.perSecond = demand.per_second
+
+
+def _read_limit(built: Any) -> LimitNotice:
+    age = timedelta(milliseconds=built.ageMilliseconds)
+    return LimitNotice(built.upstream, built.perSecond, age)
+
+
+def _read_demands(message: Any) -> tuple[ServiceDemand, ...] | None:
+    if not message.tellsDemands:
+        return None
+    return tuple(
+        ServiceDemand(each.service, each.perSecond) for each in message.demands
+    )
+
+
 class PeerLink(asyncio.DatagramProtocol):
     """Tells the other gateways what this one has outstanding."""
 
@@ -197,8 +230,13 @@
         events: EventRing,
         build: Callable[[], PeerDigest],
         hear: Callable[[PeerDigest], None],
+        note_listed: Callable[[Collection[str], int], None] = lambda told, others: None,
     ):
-        """Take `build`, which makes the next digest, and `hear` for those of others."""
+        """Take `build`, which makes the next digest, and `hear` for those of others.
+
+        `note_listed` hears of the gateways that are listed: which ones this one tells
+        and is told by, and how many there are besides.
+        """
         self._name = name
         self._address = address
         self._store = store
@@ -206,6 +244,7 @@
         self._events = events
         self._build = build
         self._hear = hear
+        self._note_listed = note_listed
         self._peers: dict[str, tuple[str, int]] = {}
         self._hurry = asyncio.Event()
         self._transport: asyncio.DatagramTransport | None = None
@@ -260,6 +299,8 @@
             else:
                 self._peers[row.key] = address
         self._events.record("peers.listed", peers=len(self._peers))
+        told = list_told(self._name, self._peers)
+        self._note_listed(told, len(self._peers) - len(told))
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Take in a datagram."""
@@ -287,7 +328,7 @@
         was_busy = False
         while True:
             digest = self._build()
-            is_busy = bool(digest.engines)
+            is_busy = bool(digest.engines) or digest.demands is not None
             if self._peers:
                 self._send(encode_digest(digest))
             interval = IDLE_INTERVAL
--- a/packages/mustardquay-node/src/mustardquay_node/sends.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sends.py
@@ -97,6 +97,8 @@
     async def run(self, upstream: UpstreamRecord, options: SendOptions = PLAIN) -> Send:
         """Send to an upstream and take in or pass on what comes."""
         request = self._request
+        if self._reply.is_caller_gone:
+            return Send(upstream, end=SendEnd.CALLER_LEFT)
         # The stream before may have ended in the middle of an event, and the next
         # one sends that event whole.
         self._cutter.drop_rest()
--- a/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
@@ -21,8 +21,7 @@
 from mustardquay.upstream_lists import Stage, UpstreamList, UpstreamRecord
 
 from .adapters import Adapter, EngineReport, StoreTables
-from .connections import ConnectionPool, Exchange
-from .engine_calls import EngineCall, call_engine
+from .engine_calls import CallEngine, EngineCall
 
 __all__ = ["StageKeeper", "StageKeeperParts"]
 
@@ -69,7 +68,7 @@
     """Says whether an engine has been out of reach for long."""
     list_services: Callable[[], list[str]]
     """Names the services whose upstreams are engines."""
-    get_pool: Callable[[UpstreamRecord], ConnectionPool]
+    call: CallEngine
     count_streams: Callable[[str], int]
     """Counts the generations that run at an engine."""
     tell_changing: Callable[[Collection[str]], None]
@@ -240,7 +239,7 @@
         body = adapter.build_order(
             change.stage, self._name, self._lease.fence, report.orders_accepted
         )
-        exchange = await self._call(
+        exchange = await self._parts.call(
             engine, EngineCall("POST", adapter.ORDER_PATH, body)
         )
         status = exchange.head.status if exchange and exchange.head else 0
@@ -253,15 +252,12 @@
 
     async def _ask(self, engine: UpstreamRecord) -> EngineReport | None:
         adapter = self._parts.adapter
-        exchange = await self._call(engine, EngineCall("GET", adapter.REPORT_PATH))
+        call = EngineCall("GET", adapter.REPORT_PATH)
+        exchange = await self._parts.call(engine, call)
         if exchange is None or exchange.head is None or exchange.head.status != 200:
             return None
         return adapter.read_report(exchange.content)
 
-    async def _call(self, engine: UpstreamRecord, call: EngineCall) -> Exchange | None:
-        pool = self._parts.get_pool(engine)
-        return await call_engine(self._parts.adapter, pool, engine, call)
-
     def _log(self, change: StageChange, outcome: str, status: int) -> None:
         self._parts.events.record(
             "stage.ordered",
--- a/packages/mustardquay-node/tests/test_peers.py
+++ b/packages/mustardquay-node/tests/test_peers.py
@@ -7,6 +7,8 @@
 from mustardquay.clocks import SystemClock
 from mustardquay.events import EventRing, HybridClock
 from mustardquay.peer_books import PeerDigest
+from mustardquay.rate_divisions import ServiceDemand
+from mustardquay.rate_limits import LimitNotice
 from mustardquay_node.adapters import StoreRow
 from mustardquay_node.peers import (
     PEERS_LIMIT,
@@ -39,6 +41,13 @@
     assert decode_digest(encode_digest(digest)) == digest
 
 
+@pytest.mark.parametrize("demands", [None, (), (ServiceDemand("llm", 7.5),)])
+def test_a_digest_tells_of_rate_limits(demands):
+    limits = (LimitNotice("e1", 9.5, timedelta(milliseconds=40)),)
+    digest = PeerDigest("g", 1, 2, 3, limits=limits, demands=demands)
+    assert decode_digest(encode_digest(digest)) == digest
+
+
 class Store:
     """Takes the addresses of gateways."""
 
--- a/packages/mustardquay-node/tests/test_stage_keepers.py
+++ b/packages/mustardquay-node/tests/test_stage_keepers.py
@@ -22,11 +22,8 @@
 ]
 
 
-class Unreachable:
-    """Connections to an engine that does not answer."""
-
-    async def run(self, exchange, limit):
-        return "not_connected"
+async def reach_nobody(engine, call):
+    """Call an engine that does not answer."""
 
 
 class Fleet:
@@ -57,7 +54,7 @@
             upstreams=self.upstreams,
             is_lost=lambda id: False,
             list_services=lambda: ["llm"],
-            get_pool=lambda engine: Unreachable(),
+            call=reach_nobody,
             count_streams=lambda id: 0,
             tell_changing=lambda ids: None,
             is_serving=lambda: True,
--- a/packages/mustardquay/src/mustardquay/engine_books.py
+++ b/packages/mustardquay/src/mustardquay/engine_books.py
@@ -9,6 +9,7 @@
 
 from .engine_models import EngineModels
 from .peer_books import LOWEST_RANK, PeerBook, make_ranks
+from .rate_limits import LimitBook
 from .requests import PromptPart
 from .upstream_lists import Stage
 from .upstream_loads import LoadBook
@@ -132,3 +133,4 @@
     models: EngineModels
     pauses: dict[str, timedelta] = field(default_factory=dict)
     """Shortest of the longest pauses that routes allow, by service."""
+    limits: LimitBook = field(default_factory=LimitBook)
--- a/packages/mustardquay/src/mustardquay/generation_limits.py
+++ b/packages/mustardquay/src/mustardquay/generation_limits.py
@@ -14,6 +14,7 @@
 __all__ = [
     "admits_generation",
     "admits_late",
+    "admits_turn",
     "draw_return",
     "has_returned",
     "rank_generation",
@@ -62,23 +63,38 @@
     often than small ones. Only what is read in a moment waits longer: to refuse it
     makes room for nobody.
     """
-    if _is_full(placement):
+    if _is_full(placement) or not admits_turn(route, placement):
         return False
     target = route.latency_target.total_seconds()
-    bound = max(
-        TARGET_SHARE * target - placement.first_seconds, LEAST_WAIT_SHARE * target
-    )
+    bound = _bound_wait(route, placement)
     if placement.read_seconds <= LIGHT_READ_SHARE * target:
         bound = max(bound, LIGHT_SHARE * time_left.total_seconds())
-    return placement.wait_seconds <= bound
+    return placement.delay_seconds <= bound
 
 
-def admits_late(placement: Placement, time_left: timedelta) -> bool:
+def admits_turn(route: Route, placement: Placement) -> bool:
+    """Return whether rate limits of engines let a generation be sent soon enough.
+
+    The bound is the same for all: who may wait longer would take each turn before it
+    is free, and nobody else would be served.
+    """
+    return placement.turn_seconds <= _bound_wait(route, placement)
+
+
+def _bound_wait(route: Route, placement: Placement) -> float:
+    """Return the seconds for which a generation may wait and still be in time."""
+    target = route.latency_target.total_seconds()
+    return max(
+        TARGET_SHARE * target - placement.first_seconds, LEAST_WAIT_SHARE * target
+    )
+
+
+def admits_late(route: Route, placement: Placement, time_left: timedelta) -> bool:
     """Return whether an answer that can't be in time is expected before the deadline.
 
     Engines read such prompts behind all others, so that they take nobody's place.
     """
-    if _is_full(placement):
+    if _is_full(placement) or not admits_turn(route, placement):
         return False
     return placement.wait_seconds <= LATE_WAIT_SHARE * time_left.total_seconds()
 
@@ -109,10 +125,8 @@
     placement: Placement | None, time_left: timedelta, random: Random
 ) -> timedelta:
     """Return when a refused caller should come back."""
-    wait = timedelta() if placement is None else _read_wait(placement)
+    wait = timedelta()
+    if placement is not None:
+        wait = timedelta(seconds=placement.delay_seconds)
     earliest = max(EARLIEST_RETURN, wait / 2)
     return min(earliest + RETURN_SPREAD * random.random(), max(time_left / 3, wait))
-
-
-def _read_wait(placement: Placement) -> timedelta:
-    return timedelta(seconds=placement.wait_seconds)
--- a/packages/mustardquay/src/mustardquay/peer_books.py
+++ b/packages/mustardquay/src/mustardquay/peer_books.py
@@ -11,6 +11,8 @@
 
 from .engine_models import PoolSpeeds
 from .quarantines import CrashRecord
+from .rate_divisions import ServiceDemand
+from .rate_limits import LimitNotice
 
 __all__ = [
     "DIGEST_LIFETIME",
@@ -77,6 +79,10 @@
     availability_zone: str = ""
     is_ready: bool = True
     """Whether the balancer is told that callers may be sent there."""
+    limits: tuple[LimitNotice, ...] = ()
+    """Rate limits that upstreams have named to the gateway."""
+    demands: tuple[ServiceDemand, ...] | None = None
+    """What its callers ask of each service; None while it knows of no limit."""
     ends_in: timedelta | None = None
     """The time that a gateway that stops has at most; None for all others."""
 
--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -74,12 +74,28 @@
     """All that it had to read, also what goes behind this prompt."""
     stream_seconds: float = 0.0
     """Expected time from the first event to the longest end that is allowed."""
+    reader_turn: float = 0.0
+    """Seconds until its rate limit lets the engine that reads be sent to."""
+    decoder_turn: float = 0.0
+    """The same for the engine that generates, where another one reads."""
 
     @property
     def reader(self) -> UpstreamRecord:
         """Return the engine that reads the prompt."""
         return self.prefiller or self.decoder
 
+    @property
+    def turn_seconds(self) -> float:
+        """Return the seconds by which rate limits hold the generation up."""
+        begun = max(self.wait_seconds, self.reader_turn)
+        is_read = begun + self.read_seconds
+        return begun - self.wait_seconds + max(self.decoder_turn - is_read, 0.0)
+
+    @property
+    def delay_seconds(self) -> float:
+        """Return the expected waiting, for other prompts and for rate limits."""
+        return self.wait_seconds + self.turn_seconds
+
 
 @dataclass(frozen=True, slots=True)
 class _Question:
@@ -293,7 +309,12 @@
     work = question.sum_work(reader)
     running = books.works.sum_running(decoder.id)
     first = books.models.expect_first(decoder.service, running)
-    cost = work + planned.seconds + planned.displaced + first
+    reader_turn = books.limits.expect_wait(reader, question.now)
+    decoder_turn = 0.0
+    if prefiller is not None:
+        decoder_turn = books.limits.expect_wait(decoder, question.now)
+    cost = max(work, reader_turn) + planned.seconds + planned.displaced + first
+    cost = max(cost, decoder_turn + first)
     return Placement(
         decoder=decoder,
         prefiller=prefiller,
@@ -306,12 +327,15 @@
         reading=planned.reading,
         work_seconds=work,
         stream_seconds=question.expect_stream(decoder, running),
+        reader_turn=reader_turn,
+        decoder_turn=decoder_turn,
     )
 
 
 def _weigh_decoder(engine: UpstreamRecord, books: EngineBooks, now: timedelta) -> float:
     running = books.works.sum_running(engine.id)
     wait = books.works.sum_seconds(engine.id)
+    wait = max(wait, books.limits.expect_wait(engine, now))
     first = books.models.expect_first(engine.service, running)
     return wait + first + _penalty(engine, books, now)
 
--- a/packages/mustardquay/src/mustardquay/upstream_loads.py
+++ b/packages/mustardquay/src/mustardquay/upstream_loads.py
@@ -4,7 +4,7 @@
 yet got back is exact, so the decisions start from that.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
@@ -182,9 +182,13 @@
     availability_zone: str,
     random: Random,
     avoid: Iterable[str] = (),
+    expect_turn: Callable[[UpstreamRecord], float] = lambda record: 0.0,
 ) -> UpstreamRecord | None:
     """Return the plain upstream with the shortest queue as far as is known.
 
+    Those that may be sent to at once go before the others; `expect_turn` returns the
+    seconds until the rate limit of one lets it be sent to.
+
     Answers the load of short calls on a few upstreams with some slots each. Ejected
     upstreams are used only when all are ejected, so that a place known to be free is
     never refused.
@@ -194,12 +198,13 @@
     if not usable:
         return None
     healthy = [record for record in usable if not book.get(record.id).is_ejected(now)]
-    best, least = None, float("inf")
+    best, least = None, (float("inf"), 0.0)
     for record in healthy or usable:
         cost = _weigh_plain(record, book, now, availability_zone)
         cost += random.random() * 0.1
-        if cost < least:
-            best, least = record, cost
+        order = (expect_turn(record), cost)
+        if order < least:
+            best, least = record, order
     return best
 
 
--- a/packages/mustardquay/tests/test_generation_limits.py
+++ b/packages/mustardquay/tests/test_generation_limits.py
@@ -1,3 +1,4 @@
+from dataclasses import replace
 from datetime import timedelta
 from random import Random
 
@@ -5,6 +6,7 @@
     EARLIEST_RETURN,
     admits_generation,
     admits_late,
+    admits_turn,
     draw_return,
     has_returned,
 )
@@ -93,9 +95,9 @@
     assert not has_returned(ROUTE, ROUTE.timeout)
     assert not admits(late, ROUTE.timeout)
     assert has_returned(ROUTE, left)
-    assert admits_late(late, left)
-    assert not admits_late(make_placement(1.0), left)
-    assert not admits_late(make_placement(0.0, occupancy=1.7), left)
+    assert admits_late(ROUTE, late, left)
+    assert not admits_late(ROUTE, make_placement(1.0), left)
+    assert not admits_late(ROUTE, make_placement(0.0, occupancy=1.7), left)
 
 
 def test_long_answers_leave_places_for_short_ones_when_few_engines_are_left():
@@ -125,3 +127,27 @@
     assert not admits(make_placement(0.0, occupancy=1.7))
     assert admits(make_placement(0.0, occupancy=1.5))
     assert not admits(make_placement(0.0, occupancy=1.3, stream=DRAFT))
+
+
+def test_a_turn_that_comes_too_late_is_refused_for_all_alike():
+    """Guards against drafts that take each turn at an engine before it is free."""
+    soon = replace(make_placement(0.0, read=0.002), decoder_turn=0.1)
+    late = replace(make_placement(0.0, read=0.002), decoder_turn=0.5)
+    assert admits_turn(ROUTE, soon)
+    for time_left in (ROUTE.timeout, 15 * SECOND):
+        assert admits(soon, time_left)
+        assert not admits(late, time_left)
+        assert not admits_late(ROUTE, late, 0.6 * time_left)
+
+
+def test_a_turn_that_comes_while_the_prompt_is_read_delays_nothing():
+    """Guards against refusals for a wait that nobody has."""
+    placement = replace(make_placement(0.1, read=0.2), decoder_turn=0.25)
+    assert placement.turn_seconds == 0.0
+    assert replace(placement, reader_turn=0.08).turn_seconds == 0.0
+
+
+def test_who_is_refused_for_a_limit_is_told_when_it_has_room():
+    """Guards against callers who come back to be refused again."""
+    placement = replace(make_placement(0.0), decoder_turn=1.5)
+    assert draw_return(placement, 2 * SECOND, Random(1)) >= 0.7 * SECOND
--- a/packages/mustardquay/tests/test_placements.py
+++ b/packages/mustardquay/tests/test_placements.py
@@ -192,3 +192,37 @@
     assert place(LONG, engines, books) is not None
     books.loads.note_unreachable("e4", NOW)
     assert place(LONG, engines, books) is None
+
+
+def limit(books, engine, per_second):
+    """Have an engine name a limit, of which the next turn is as far as can be."""
+    books.limits.hear(engine, per_second, NOW)
+
+
+def test_what_an_engine_in_need_does_not_take_goes_to_another():
+    """Guards against refusals while another engine that generates has room."""
+    books = make_books()
+    limit(books, "e4", 2.0)
+    for engine in ("e4", "e5"):
+        books.works.get(engine).running = 20
+    books.works.get("e5").running = 30
+    placement = place(LONG, make_engines(4, 2), books)
+    assert (placement.decoder.id, placement.turn_seconds) == ("e5", 0.0)
+
+
+def test_an_engine_in_need_is_used_when_its_turn_is_sooner_than_another_queue():
+    """Guards against an engine at its limit that is treated like one that failed."""
+    books = make_books()
+    limit(books, "e4", 20.0)
+    books.works.get("e5").seconds[0] = 2.0
+    placement = place(LONG, make_engines(4, 2), books)
+    assert placement.decoder.id == "e4"
+
+
+def test_a_limit_of_all_that_generate_shows_as_a_turn_to_wait_for():
+    """Guards against an answer that is promised in time and comes seconds late."""
+    books = make_books()
+    for engine in ("e4", "e5"):
+        limit(books, engine, 0.5)
+    placement = place(LONG, make_engines(4, 2), books)
+    assert placement.turn_seconds > 1.5
