Have another engine generate in place of those that name limits

Cause: how many engines generate was planned by their number and their streams; an engine that takes a third of its usual work counted as a whole one.

Change: for each engine that generates, the plan counts the part of an even share of the demand that its limit leaves it (told by digests); what is lacking in all, rounded, is made up for by engines that read, at most half of these.

--- a/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
@@ -8,7 +8,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -71,6 +71,8 @@
     call: CallEngine
     count_streams: Callable[[str], int]
     """Counts the generations that run at an engine."""
+    measure_parts: Callable[[Sequence[UpstreamRecord]], Mapping[str, float]]
+    """Measures which part of their usual work rate limits leave engines."""
     tell_changing: Callable[[Collection[str]], None]
     """Tells all gateways which engines change their stage and take no work."""
     is_serving: Callable[[], bool]
@@ -177,9 +179,14 @@
                     now,
                     parts.is_serving(),
                     {engine.id for engine in engines if parts.is_lost(engine.id)},
+                    self._measure_parts(engines),
                 )
         return changes
 
+    def _measure_parts(self, engines: list[UpstreamRecord]) -> Mapping[str, float]:
+        decoders = [engine for engine in engines if engine.stage is Stage.DECODE]
+        return self._parts.measure_parts(decoders)
+
     def _forget_settled(self, engines: list[UpstreamRecord], now: timedelta) -> None:
         for engine in engines:
             ordered = self._ordered.get(engine.id)
--- a/packages/mustardquay/src/mustardquay/rate_divisions.py
+++ b/packages/mustardquay/src/mustardquay/rate_divisions.py
@@ -125,6 +125,13 @@
             for service, meter in self._own.items()
         )
 
+    def estimate(self, service: str, now: timedelta) -> float:
+        """Return the requests a second that all gateways get for a service."""
+        meter = self._own.get(service)
+        own = meter.read(now) if meter is not None else 0.0
+        rates = [own, *self._list_heard(service, own, now)]
+        return sum(rates) * max(self._count_gateways(now) / len(rates), 1.0)
+
     def find_share(self, service: str, now: timedelta) -> float:
         """Return the part of a limit of the service's upstreams that this one may use.
 
@@ -133,11 +140,7 @@
         """
         meter = self._own.get(service)
         own = meter.read_before(now) if meter is not None else 0.0
-        heard = [
-            told.read(service, own)
-            for told in self._told.values()
-            if now - told.at <= TOLD_LIFETIME
-        ]
+        heard = self._list_heard(service, own, now)
         known = len(heard) + 1
         weights = [own, *heard]
         even = EVEN_WEIGHT * sum(weights) / known
@@ -147,6 +150,14 @@
             part = min(part, 0.5)
         return part * known / max(self._count_gateways(now), known)
 
+    def _list_heard(self, service: str, usual: float, now: timedelta) -> list[float]:
+        """Return the demand of each other gateway that is heard."""
+        return [
+            told.read(service, usual)
+            for told in self._told.values()
+            if now - told.at <= TOLD_LIFETIME
+        ]
+
     def _count_gateways(self, now: timedelta) -> float:
         """Return how many gateways may be sending, this one included.
 
--- a/packages/mustardquay/src/mustardquay/rate_limits.py
+++ b/packages/mustardquay/src/mustardquay/rate_limits.py
@@ -5,6 +5,7 @@
 can be taken in advance, by requests that can wait for their turn.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -134,6 +135,23 @@
         limit.fill(share, now)
         return max(1 - limit.tokens, 0.0) / (share * limit.per_second)
 
+    def measure_parts(
+        self, upstreams: Sequence[UpstreamRecord], now: timedelta
+    ) -> dict[str, float]:
+        """Return the part of an even share of the demand that limits leave each.
+
+        The upstreams are those of one service among which its callers' requests are
+        divided; only those with a limit are in the result.
+        """
+        limited = [each for each in upstreams if self._find(each.id, now) is not None]
+        if not limited:
+            return {}
+        even = self.demand.estimate(limited[0].service, now) / len(upstreams)
+        return {
+            each.id: min(self._limits[each.id].per_second / max(even, 0.01), 1.0)
+            for each in limited
+        }
+
     def reserve(self, upstream: UpstreamRecord, now: timedelta) -> Turn:
         """Take the next turn to send to an upstream."""
         wait = self.expect_wait(upstream, now)
--- a/packages/mustardquay/src/mustardquay/stage_plans.py
+++ b/packages/mustardquay/src/mustardquay/stage_plans.py
@@ -79,12 +79,14 @@
         now: timedelta,
         is_settled: bool,
         lost: Collection[str] = (),
+        parts: Mapping[str, float] | None = None,
     ) -> list[StageChange]:
         """Return the changes that are due.
 
         `ordered` holds the stages that engines are changing to, `streams` is how many
-        generations run, `lost` names engines that are listed and out of reach. Without
-        `is_settled` (before callers come) nothing is waited for.
+        generations run, `lost` names engines that are listed and out of reach, `parts`
+        holds the part of its usual work that the rate limit of an engine leaves it.
+        Without `is_settled` (before callers come) nothing is waited for.
         """
         stages = {engine.id: ordered.get(engine.id, engine.stage) for engine in engines}
         listed = [each for each in engines if stages[each.id] is Stage.DECODE]
@@ -95,7 +97,9 @@
         wanted = count_decoders(len(engines), mean, each_runs)
         if len(decoders) > wanted and mean > SLACK * each_runs * wanted:
             wanted = len(decoders)
-        missing = wanted - len(decoders)
+        missing = (
+            wanted - len(decoders) + _count_limited(engines, decoders, parts or {})
+        )
         if missing > 0:
             stage, patience = Stage.DECODE, DECODER_PATIENCE
             if len(listed) < wanted:
@@ -124,6 +128,20 @@
         return mean
 
 
+def _count_limited(
+    engines: Sequence[UpstreamRecord],
+    decoders: Sequence[UpstreamRecord],
+    parts: Mapping[str, float],
+) -> int:
+    """Return how many engines make up for what rate limits take from others.
+
+    At most half of those that read: without these nobody generates.
+    """
+    lacking = sum(1 - parts.get(engine.id, 1.0) for engine in decoders)
+    readers = len(engines) - len(decoders)
+    return min(round(lacking), readers // 2)
+
+
 def count_streams(engines: Sequence[UpstreamRecord]) -> float:
     """Return how many streams one engine should generate at once."""
     places = min((engine.slots for engine in engines), default=1)
--- a/packages/mustardquay/tests/test_rate_limits.py
+++ b/packages/mustardquay/tests/test_rate_limits.py
@@ -1,6 +1,7 @@
 from datetime import timedelta
 
-from mustardquay.rate_limits import LimitBook, LimitChange
+from mustardquay.rate_limits import LimitBook, LimitChange, LimitNotice
+from mustardquay.upstream_lists import UpstreamRecord
 
 
 def at(seconds):
@@ -30,3 +31,47 @@
     book.hear("e", 10.0, at(0))
     assert book.get("e", at(9.9)) == 10.0
     assert book.get("e", at(10.1)) is None
+
+
+def make_upstream(id):
+    return UpstreamRecord(id, "llm", "10.0.0.1:80", "a", 64, False)
+
+
+def test_a_limit_is_measured_by_what_callers_ask():
+    """Guards against engines that are changed for a limit that nobody feels."""
+    book = LimitBook()
+    for number in range(200):
+        book.demand.count_request("llm", at(number / 20))
+    now = at(10)
+    upstreams = [make_upstream("e1"), make_upstream("e2")]
+    assert book.measure_parts(upstreams, now) == {}
+    book.hear("e1", 5.0, now)
+    assert 0.45 < book.measure_parts(upstreams, now)["e1"] < 0.55
+    book.hear("e1", 50.0, now)
+    assert book.measure_parts(upstreams, now)["e1"] == 1.0
+
+
+def test_a_turn_that_is_not_used_is_given_back():
+    """Guards against callers who left and whose places nobody gets."""
+    book, engine = LimitBook(), make_upstream("e1")
+    book.hear("e1", 2.0, at(0))
+    first = book.reserve(engine, at(1))
+    waited = book.expect_wait(engine, at(1))
+    second = book.reserve(engine, at(1))
+    assert (first.at, second.at) == (at(1), at(1 + waited))
+    book.release(second)
+    book.release(second)
+    assert book.expect_wait(engine, at(1)) == waited
+
+
+def test_a_limit_that_another_gateway_tells_holds_until_own_answers_name_none():
+    """Guards against a gateway that sends at full rate before it has been answered."""
+    book, engine = LimitBook(), make_upstream("e1")
+    notice = LimitNotice("e1", 2.0, at(0.5))
+    book.hear_notice(notice, at(10))
+    assert book.get("e1", at(10)) == 2.0
+    assert book.tell(at(10)) == ()
+    book.hear("e1", None, at(11))
+    assert book.get("e1", at(11)) is None
+    book.hear_notice(LimitNotice("e1", 2.0, at(1)), at(11.2))
+    assert book.expect_wait(engine, at(11.2)) == 0.0
