--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_feeds.py
@@ -0,0 +1,115 @@
+"""Gateway feeds: the tables of the platform's store that one gateway follows."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+from mustardquay.clocks import Clock
+from mustardquay.events import EventRing
+
+from .adapters import Adapter, StoreRow, StoreTables
+from .configuration_intakes import ConfigurationIntake
+from .feeds import FeedOptions, TableFeed
+from .peers import PEERS_TABLE
+from .settings import StoreSettings
+from .upstream_intakes import UpstreamIntake
+
+__all__ = ["FeedParts", "GatewayFeeds"]
+
+CONFIGURATION_PACE = timedelta(milliseconds=20)
+"""Pause after each configuration: in a storm of them, several come in one read."""
+PEERS_WAIT = timedelta(seconds=20)
+"""The list of gateways seldom changes, and digests show at once who is silent."""
+PEERS_PACE = timedelta(seconds=1)
+
+
+@dataclass(frozen=True, slots=True)
+class FeedParts:
+    """The store, and who takes in its rows."""
+
+    adapter: Adapter
+    store: StoreTables
+    settings: StoreSettings
+    clock: Clock
+    random: Random
+    events: EventRing
+    configurations: ConfigurationIntake
+    upstreams: UpstreamIntake
+    take_peers: Callable[[Sequence[StoreRow], bool], None]
+
+
+class GatewayFeeds:
+    """Follows the configuration, the list of upstreams and that of gateways."""
+
+    def __init__(self, parts: FeedParts):
+        self._parts = parts
+        self._configuration = self._follow_configuration()
+        self._feeds = (
+            self._configuration,
+            self._follow_peers(),
+            self._follow_upstreams(),
+        )
+
+    @property
+    def age(self) -> timedelta | None:
+        """Return the time since the store last answered; None before that."""
+        answers = [feed.answered_at for feed in self._feeds if feed.answered_at]
+        if not answers:
+            return None
+        return self._parts.clock.monotonic() - max(answers)
+
+    def start(self) -> None:
+        """Begin to follow."""
+        for feed in self._feeds:
+            feed.start()
+
+    async def close(self) -> None:
+        """Stop to follow."""
+        for feed in self._feeds:
+            await feed.close()
+
+    def fetch_configuration(self) -> None:
+        """Note that there is a newer configuration, which a silent read would miss."""
+        self._configuration.wake()
+
+    def _follow_configuration(self) -> TableFeed:
+        parts = self._parts
+        options = FeedOptions(
+            parts.adapter.CONFIGURATION_TABLE,
+            parts.settings.configuration_wait,
+            CONFIGURATION_PACE,
+        )
+        return self._make_feed(options, parts.configurations.take)
+
+    def _follow_peers(self) -> TableFeed:
+        options = FeedOptions(PEERS_TABLE, PEERS_WAIT, PEERS_PACE)
+        return self._make_feed(options, self._parts.take_peers)
+
+    def _follow_upstreams(self) -> TableFeed:
+        parts = self._parts
+        options = FeedOptions(
+            parts.adapter.UPSTREAMS_TABLE,
+            parts.settings.configuration_wait,
+            parts.settings.upstreams_pace,
+        )
+        return self._make_feed(
+            options, parts.upstreams.take, parts.upstreams.begin_grace
+        )
+
+    def _make_feed(
+        self,
+        options: FeedOptions,
+        take: Callable[[Sequence[StoreRow], bool], None],
+        regained: Callable[[], None] = lambda: None,
+    ) -> TableFeed:
+        parts = self._parts
+        return TableFeed(
+            parts.store,
+            options,
+            take,
+            parts.events,
+            parts.clock,
+            parts.random,
+            regained,
+        )
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -7,14 +7,12 @@
 
 import asyncio
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
 from random import Random
 
 from mustardquay.clocks import Clock, SuspendClock, SystemClock
 from mustardquay.events import Event, EventRing, HybridClock
-from mustardquay.peer_books import PeerDigest
 from mustardquay.rate_limits import LimitBook
 from mustardquay.retry_windows import RetryLimits
 from mustardquay.routing_tables import CallerLimits, RoutingTable
@@ -30,15 +28,16 @@
 from .configuration_intakes import ConfigurationIntake
 from .connections import Exchange
 from .crash_reporters import CrashReporter
+from .digests import DigestBook, DigestParts
 from .engine_calls import EngineCall, call_engine
-from .feeds import FeedOptions, TableFeed
 from .forwarder_parts import ForwarderParts
 from .forwarders import Forwarder
+from .gateway_feeds import FeedParts, GatewayFeeds
 from .gateway_metrics import GatewayMetrics
 from .gateway_servers import GatewayServers
 from .gateway_stops import GatewayStop, StopParts
 from .generators import GenerationPlanner
-from .peers import PEERS_TABLE, PeerLink
+from .peers import PeerLink
 from .seeds import make_seed
 from .settings import GatewaySettings
 from .settings_watches import SettingsWatch
@@ -52,11 +51,6 @@
 """How long a gateway that has ended waits for requests that are half read."""
 TICK = timedelta(milliseconds=500)
 """Time between two looks at what changes by time alone."""
-CONFIGURATION_PACE = timedelta(milliseconds=20)
-"""Pause after each configuration: in a storm of them, several come in one read."""
-PEERS_WAIT = timedelta(seconds=20)
-"""The list of gateways seldom changes, and digests show at once who is silent."""
-PEERS_PACE = timedelta(seconds=1)
 
 
 class Gateway:
@@ -89,11 +83,6 @@
         self._stop = self._make_stop()
         self._forwarder = Forwarder(self._make_parts())
         self._store = self._adapter.open_store(settings.store.address, self._clock)
-        self._incarnation = int(self._clock.now().timestamp() * 1_000_000)
-        self._digests = 0
-        self._peers = self._make_peers()
-        self._keeper = self._make_keeper()
-        self._survey = self._make_survey()
         self._intake = UpstreamIntake(
             self._adapter,
             self._upstreams,
@@ -110,6 +99,10 @@
             self._planner.list_configurations,
             lambda: self._settings.bounds.configuration_delay,
         )
+        self._digests = self._make_digests()
+        self._peers = self._make_peers()
+        self._keeper = self._make_keeper()
+        self._survey = self._make_survey()
         self._feeds = self._make_feeds()
         self._connections = CallerConnections(
             ConnectionOptions(self._clock, self._get_limits, self._forwarder.handle)
@@ -164,8 +157,7 @@
             address = f"{self._settings.node.address}:{gateway.metrics_port}"
             self._servers.serve_metrics(address, self._metrics.render)
         await self._peers.start()
-        for feed in self._feeds:
-            feed.start()
+        self._feeds.start()
         self._keeper.start()
         self._survey.start()
         self._ticker = asyncio.create_task(self._tick_forever())
@@ -204,8 +196,7 @@
             self._ticker.cancel()
         await self._keeper.close()
         await self._survey.close()
-        for feed in self._feeds:
-            await feed.close()
+        await self._feeds.close()
         await self._peers.close()
         await self._servers.close()
         await self._pools.close()
@@ -291,31 +282,19 @@
             record_first_byte=self._metrics.record_first_byte,
         )
 
-    def _make_feeds(self) -> tuple[TableFeed, ...]:
-        store = self._settings.store
-        configuration = FeedOptions(
-            self._adapter.CONFIGURATION_TABLE,
-            store.configuration_wait,
-            CONFIGURATION_PACE,
-        )
-        upstreams = FeedOptions(
-            self._adapter.UPSTREAMS_TABLE,
-            store.configuration_wait,
-            store.upstreams_pace,
-        )
-        peers = FeedOptions(PEERS_TABLE, PEERS_WAIT, PEERS_PACE)
-        shared = (self._events, self._clock, self._random)
-        return (
-            TableFeed(self._store, configuration, self._configurations.take, *shared),
-            TableFeed(self._store, peers, self._peers.take_rows, *shared),
-            TableFeed(
-                self._store,
-                upstreams,
-                self._intake.take,
-                *shared,
-                regained=self._intake.begin_grace,
-            ),
+    def _make_feeds(self) -> GatewayFeeds:
+        parts = FeedParts(
+            adapter=self._adapter,
+            store=self._store,
+            settings=self._settings.store,
+            clock=self._clock,
+            random=self._random,
+            events=self._events,
+            configurations=self._configurations,
+            upstreams=self._intake,
+            take_peers=self._peers.take_rows,
         )
+        return GatewayFeeds(parts)
 
     def _make_gauges(self) -> dict[str, Callable[[], float]]:
         return {
@@ -334,10 +313,24 @@
         }
 
     def _measure_store_age(self) -> float:
-        answers = [feed.answered_at for feed in self._feeds if feed.answered_at]
-        if not answers:
-            return float("inf")
-        return (self._clock.monotonic() - max(answers)).total_seconds()
+        age = self._feeds.age
+        return float("inf") if age is None else age.total_seconds()
+
+    def _make_digests(self) -> DigestBook:
+        node = self._settings.node
+        parts = DigestParts(
+            name=node.name,
+            availability_zone=node.availability_zone,
+            clock=self._clock,
+            planner=self._planner,
+            stop=self._stop,
+            crashes=self._crashes,
+            limits=self._limits,
+            configurations=self._configurations,
+            is_ready=lambda: self.is_ready,
+            fetch_configuration=lambda: self._feeds.fetch_configuration(),
+        )
+        return DigestBook(parts)
 
     def _make_peers(self) -> PeerLink:
         node, gateway = self._settings.node, self._settings.gateway
@@ -347,49 +340,9 @@
             self._store,
             self._clock,
             self._events,
-            self._build_digest,
-            self._hear_peer,
-            lambda told, others: self._limits.demand.list_gateways(
-                told, others, self._clock.monotonic()
-            ),
-        )
-
-    def _hear_peer(self, digest: PeerDigest) -> None:
-        """Take in a digest; a newer configuration elsewhere is fetched at once.
-
-        Guards against a connection to the store that went silent: the configuration
-        would be read only when the call on it has timed out.
-        """
-        self._planner.hear(digest)
-        self._hear_limits(digest)
-        self._stop.hear(digest)
-        self._crashes.merge(digest.crashes)
-        if self._configurations.hear(digest.gateway, digest.configuration):
-            self._feeds[0].wake()
-
-    def _hear_limits(self, digest: PeerDigest) -> None:
-        now = self._clock.monotonic()
-        self._limits.demand.hear(digest.gateway, digest.demands, now)
-        for notice in digest.limits:
-            self._limits.hear_notice(notice, now)
-
-    def _build_digest(self) -> PeerDigest:
-        self._digests += 1
-        now = self._clock.monotonic()
-        demands = None
-        if self._limits.knows_any(now):
-            demands = self._limits.demand.tell(now)
-        digest = self._planner.build_digest(
-            self._settings.node.name, self._incarnation, self._digests, self.version
-        )
-        return replace(
-            digest,
-            crashes=self._crashes.list_news(),
-            availability_zone=self._settings.node.availability_zone,
-            is_ready=self.is_ready,
-            limits=self._limits.tell(now),
-            demands=demands,
-            ends_in=self._stop.ends_in,
+            self._digests.build,
+            self._digests.hear,
+            self._digests.note_listed,
         )
 
     def _make_keeper(self) -> StageKeeper:
@@ -410,7 +363,8 @@
             tell_changing=self._tell_changing,
             is_serving=lambda: self._forwarder.has_served,
         )
-        return StageKeeper(f"{self._settings.node.name}-{self._incarnation}", parts)
+        holder = f"{self._settings.node.name}-{self._digests.incarnation}"
+        return StageKeeper(holder, parts)
 
     def _make_survey(self) -> CacheSurvey:
         parts = CacheSurveyParts(
