Spread the returns of those who were refused for a rate limit

All plain requests that an upstream's limit refused in one moment were told the same time to come back, the next turn, and met again. They come back over as long again; not measured.

--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -290,7 +290,9 @@
         parts, request = self._parts, self._request
         turn_after = timedelta(seconds=parts.limits.expect_wait(upstream, now))
         if turn_after > TURN_SHARE * request.route.latency_target:
-            self._refuse_unplaced("limited", turn_after)
+            # Spread, so that those refused together don't meet again.
+            back = turn_after * (1 + parts.random.random())
+            self._refuse_unplaced("limited", back)
             return None
         turn = parts.limits.reserve(upstream, now)
         try:
