--- a/packages/mustardquay-node/src/mustardquay_node/read_races.py
+++ b/packages/mustardquay-node/src/mustardquay_node/read_races.py
@@ -189,7 +189,8 @@
             if error is None:
                 self._note_losers()
                 return read.task
-            self._note_ended(read, repr(error))
+            if self._reads or read.bytes:
+                self._note_ended(read, repr(error))
         if error is not None and (not self._reads or isinstance(error, HistoryLost)):
             raise error
         return None
