Give plain names to what reads, shares and plans of limits go by

Read as a newcomer would: parts meant three things, a word from a peer was news, and two literals had no name. Decisions are unchanged; the tests of both packages passed.

--- a/packages/mustardquay-node/src/mustardquay_node/feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/feeds.py
@@ -88,7 +88,7 @@
     def wake(self) -> None:
         """Note that the store has something new, which a silent read would miss."""
         if self._race is not None:
-            self._race.note_word()
+            self._race.note_news()
 
     async def close(self) -> None:
         """Stop to follow."""
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -357,7 +357,7 @@
             list_services=self._list_engine_services,
             call=self._call_engine,
             count_streams=self._planner.count_streams,
-            measure_parts=lambda engines: self._limits.measure_parts(
+            measure_capacities=lambda engines: self._limits.measure_capacities(
                 engines, self._clock.monotonic()
             ),
             tell_changing=self._tell_changing,
--- a/packages/mustardquay-node/src/mustardquay_node/read_races.py
+++ b/packages/mustardquay-node/src/mustardquay_node/read_races.py
@@ -21,7 +21,7 @@
 SPACING = timedelta(milliseconds=800)
 """Silence, beyond the time for which the store may hold a read, after which another
 one begins. A slow store answers in 300 ms."""
-WORD_PATIENCE = timedelta(milliseconds=300)
+NEWS_PATIENCE = timedelta(milliseconds=300)
 """The same where it is known that the store has something to tell."""
 STALL = timedelta(milliseconds=600)
 """Time without a byte after which a read that has moved some counts as silent."""
@@ -74,14 +74,14 @@
         self._newest_due = timedelta()
         """When the read that was begun last counts as silent."""
         self._moved_at: timedelta | None = None
-        self._word_at: timedelta | None = None
-        self._has_word = asyncio.Event()
+        self._news_at: timedelta | None = None
+        self._has_news = asyncio.Event()
 
-    def note_word(self) -> None:
+    def note_news(self) -> None:
         """Note that the store is known to have something to tell."""
-        if self._word_at is None:
-            self._word_at = self._clock.monotonic()
-            self._has_word.set()
+        if self._news_at is None:
+            self._news_at = self._clock.monotonic()
+            self._has_news.set()
 
     async def run(self, hold: timedelta) -> Found:
         """Return what the first read brings that ends; the store may hold the first.
@@ -121,10 +121,10 @@
     async def _wait(self) -> None:
         """Wait until a read has ended, another one is due, or there is news."""
         tasks: set[asyncio.Future] = {read.task for read in self._reads}
-        word = None
-        if not self._has_word.is_set():
-            word = asyncio.ensure_future(self._has_word.wait())
-            tasks.add(word)
+        news = None
+        if not self._has_news.is_set():
+            news = asyncio.ensure_future(self._has_news.wait())
+            tasks.add(news)
         try:
             await asyncio.wait(
                 tasks,
@@ -132,8 +132,8 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
-            if word is not None:
-                word.cancel()
+            if news is not None:
+                news.cancel()
 
     def _measure_patience(self) -> float | None:
         """Return the seconds until another read is due, None if there is none."""
@@ -150,7 +150,7 @@
     def _find_due(self) -> timedelta:
         due = self._newest_due
         if self._knows_news():
-            due = min(due, self._word_at + WORD_PATIENCE)
+            due = min(due, self._news_at + NEWS_PATIENCE)
         if self._moved_at is not None:
             due = max(due, self._moved_at + STALL)
         return due
@@ -160,7 +160,7 @@
 
         Once another one has begun, what is known makes the next one no more urgent.
         """
-        return self._word_at is not None and self._begun == 1
+        return self._news_at is not None and self._begun == 1
 
     def _note_bytes(self, read: _Read[Found], count: int) -> None:
         """Note that a read gets on; those without a byte are further from their end.
--- a/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
@@ -71,7 +71,7 @@
     call: CallEngine
     count_streams: Callable[[str], int]
     """Counts the generations that run at an engine."""
-    measure_parts: Callable[[Sequence[UpstreamRecord]], Mapping[str, float]]
+    measure_capacities: Callable[[Sequence[UpstreamRecord]], Mapping[str, float]]
     """Measures which part of their usual work rate limits leave engines."""
     tell_changing: Callable[[Collection[str]], None]
     """Tells all gateways which engines change their stage and take no work."""
@@ -179,13 +179,13 @@
                     now,
                     parts.is_serving(),
                     {engine.id for engine in engines if parts.is_lost(engine.id)},
-                    self._measure_parts(engines),
+                    self._measure_capacities(engines),
                 )
         return changes
 
-    def _measure_parts(self, engines: list[UpstreamRecord]) -> Mapping[str, float]:
+    def _measure_capacities(self, engines: list[UpstreamRecord]) -> Mapping[str, float]:
         decoders = [engine for engine in engines if engine.stage is Stage.DECODE]
-        return self._parts.measure_parts(decoders)
+        return self._parts.measure_capacities(decoders)
 
     def _forget_settled(self, engines: list[UpstreamRecord], now: timedelta) -> None:
         for engine in engines:
--- a/packages/mustardquay-node/tests/test_read_races.py
+++ b/packages/mustardquay-node/tests/test_read_races.py
@@ -37,12 +37,12 @@
     won_at: float | None = None
     winner: int | None = None
 
-    def run(self, hold=HOLD, word_at=None):
+    def run(self, hold=HOLD, news_at=None):
         loop = VirtualLoop()
         self.loop = loop
         race = ReadRace(self.open_read, LoopClock(loop), self.observe())
-        if word_at is not None:
-            loop.call_later(word_at, race.note_word)
+        if news_at is not None:
+            loop.call_later(news_at, race.note_news)
         try:
             self.winner = loop.run_until_complete(race.run(hold))
             self.won_at = round(loop.time(), 2)
@@ -77,13 +77,13 @@
 
 def test_a_read_that_moves_bytes_is_left_alone_however_long_it_takes():
     """Guards against a large row that is begun anew before it is whole."""
-    course = Course([Script(steps(9), 9.1)]).run(word_at=0.1)
+    course = Course([Script(steps(9), 9.1)]).run(news_at=0.1)
     assert (course.won_at, course.begun, course.ended) == (9.1, [0.0], [])
 
 
 def test_a_read_that_is_silent_although_there_is_news_gets_another_beside_it():
     """Guards against a connection that went silent without being closed."""
-    course = Course([Script(), Script(ends=0.05)]).run(word_at=1.0)
+    course = Course([Script(), Script(ends=0.05)]).run(news_at=1.0)
     assert (course.begun, course.winner, course.won_at) == ([0.0, 1.3], 1, 1.35)
     assert course.options[1].on_new_connection
     assert course.silences == 0
@@ -98,14 +98,14 @@
 
 def test_a_read_that_stops_in_its_middle_gets_another_beside_it():
     """Guards against a connection that goes silent while it carries a large row."""
-    course = Course([Script((0.1, 0.2)), Script(ends=0.1)]).run(word_at=0.0)
+    course = Course([Script((0.1, 0.2)), Script(ends=0.1)]).run(news_at=0.0)
     assert (course.begun, course.winner) == ([0.0, 0.8], 1)
 
 
 def test_the_first_read_wins_over_one_begun_beside_it():
     """Guards against a slow store whose every answer is given up for a new call."""
     course = Course([Script(ends=1.6), Script(ends=1.6), Script(ends=1.6)])
-    course.run(timedelta(), word_at=0.0)
+    course.run(timedelta(), news_at=0.0)
     assert (course.winner, course.won_at) == (0, 1.6)
     assert [each.reason for each in course.ended] == ["another_won"] * 2
 
@@ -113,7 +113,7 @@
 def test_a_read_without_a_byte_ends_once_another_gets_on():
     """Guards against a narrow link that carries the same megabyte twice."""
     scripts = [Script(steps(2, 0.5), 2.1), Script(ends=NEVER)]
-    course = Course(scripts).run(timedelta(), word_at=0.0)
+    course = Course(scripts).run(timedelta(), news_at=0.0)
     assert (course.winner, course.won_at) == (0, 2.1)
     assert [(each.reason, each.bytes) for each in course.ended] == [("outrun", 0)]
 
--- a/packages/mustardquay-node/tests/test_stage_keepers.py
+++ b/packages/mustardquay-node/tests/test_stage_keepers.py
@@ -56,7 +56,7 @@
             list_services=lambda: ["llm"],
             call=reach_nobody,
             count_streams=lambda id: 0,
-            measure_parts=lambda engines: {},
+            measure_capacities=lambda engines: {},
             tell_changing=lambda ids: None,
             is_serving=lambda: True,
         )
--- a/packages/mustardquay/src/mustardquay/rate_divisions.py
+++ b/packages/mustardquay/src/mustardquay/rate_divisions.py
@@ -20,6 +20,9 @@
 EVEN_WEIGHT = 0.1
 """Part of the mean demand that each gateway has at least, so that the first callers of
 one that had none find a place."""
+MOST_AMONG_STRANGERS = 0.5
+"""Most of what the gateways that are heard may use that one of them uses, where there
+are others: each of those hears half of them at least, and not always this one."""
 TOLD_LIFETIME = timedelta(milliseconds=800)
 """How long what a gateway tells counts as its demand now."""
 SILENT_LIFETIME = timedelta(seconds=10)
@@ -147,7 +150,7 @@
         total = sum(weights) + known * even
         part = (own + even) / total if total else 1 / known
         if self._strangers:
-            part = min(part, 0.5)
+            part = min(part, MOST_AMONG_STRANGERS)
         return part * known / max(self._count_gateways(now), known)
 
     def _list_heard(self, service: str, usual: float, now: timedelta) -> list[float]:
--- a/packages/mustardquay/src/mustardquay/rate_limits.py
+++ b/packages/mustardquay/src/mustardquay/rate_limits.py
@@ -21,6 +21,8 @@
 on several connections overtake each other."""
 NOTABLE_CHANGE = 0.1
 """Part of a limit by which the next one has to differ to be news."""
+LEAST_DEMAND = 0.01
+"""Requests a second for an upstream below which there is nothing to divide."""
 BURST_TIME = timedelta(milliseconds=500)
 """Time for which the gateways together may save up what they don't send."""
 BURST_LEAST = 2.0
@@ -135,10 +137,10 @@
         limit.fill(share, now)
         return max(1 - limit.tokens, 0.0) / (share * limit.per_second)
 
-    def measure_parts(
+    def measure_capacities(
         self, upstreams: Sequence[UpstreamRecord], now: timedelta
     ) -> dict[str, float]:
-        """Return the part of an even share of the demand that limits leave each.
+        """Return which part of an even share of the demand each may take.
 
         The upstreams are those of one service among which its callers' requests are
         divided; only those with a limit are in the result.
@@ -147,8 +149,9 @@
         if not limited:
             return {}
         even = self.demand.estimate(limited[0].service, now) / len(upstreams)
+        even = max(even, LEAST_DEMAND)
         return {
-            each.id: min(self._limits[each.id].per_second / max(even, 0.01), 1.0)
+            each.id: min(self._limits[each.id].per_second / even, 1.0)
             for each in limited
         }
 
--- a/packages/mustardquay/src/mustardquay/stage_plans.py
+++ b/packages/mustardquay/src/mustardquay/stage_plans.py
@@ -79,14 +79,14 @@
         now: timedelta,
         is_settled: bool,
         lost: Collection[str] = (),
-        parts: Mapping[str, float] | None = None,
+        capacities: Mapping[str, float] | None = None,
     ) -> list[StageChange]:
         """Return the changes that are due.
 
         `ordered` holds the stages that engines are changing to, `streams` is how many
-        generations run, `lost` names engines that are listed and out of reach, `parts`
-        holds the part of its usual work that the rate limit of an engine leaves it.
-        Without `is_settled` (before callers come) nothing is waited for.
+        generations run, `lost` names engines that are listed and out of reach,
+        `capacities` holds the part of its usual work that the rate limit of an engine
+        leaves it. Without `is_settled` (before callers come) nothing is waited for.
         """
         stages = {engine.id: ordered.get(engine.id, engine.stage) for engine in engines}
         listed = [each for each in engines if stages[each.id] is Stage.DECODE]
@@ -98,7 +98,7 @@
         if len(decoders) > wanted and mean > SLACK * each_runs * wanted:
             wanted = len(decoders)
         missing = (
-            wanted - len(decoders) + _count_limited(engines, decoders, parts or {})
+            wanted - len(decoders) + _count_limited(engines, decoders, capacities or {})
         )
         if missing > 0:
             stage, patience = Stage.DECODE, DECODER_PATIENCE
@@ -131,13 +131,13 @@
 def _count_limited(
     engines: Sequence[UpstreamRecord],
     decoders: Sequence[UpstreamRecord],
-    parts: Mapping[str, float],
+    capacities: Mapping[str, float],
 ) -> int:
     """Return how many engines make up for what rate limits take from others.
 
     At most half of those that read: without these nobody generates.
     """
-    lacking = sum(1 - parts.get(engine.id, 1.0) for engine in decoders)
+    lacking = sum(1 - capacities.get(engine.id, 1.0) for engine in decoders)
     readers = len(engines) - len(decoders)
     return min(round(lacking), readers // 2)
 
--- a/packages/mustardquay/tests/test_rate_limits.py
+++ b/packages/mustardquay/tests/test_rate_limits.py
@@ -44,11 +44,11 @@
         book.demand.count_request("llm", at(number / 20))
     now = at(10)
     upstreams = [make_upstream("e1"), make_upstream("e2")]
-    assert book.measure_parts(upstreams, now) == {}
+    assert book.measure_capacities(upstreams, now) == {}
     book.hear("e1", 5.0, now)
-    assert 0.45 < book.measure_parts(upstreams, now)["e1"] < 0.55
+    assert 0.45 < book.measure_capacities(upstreams, now)["e1"] < 0.55
     book.hear("e1", 50.0, now)
-    assert book.measure_parts(upstreams, now)["e1"] == 1.0
+    assert book.measure_capacities(upstreams, now)["e1"] == 1.0
 
 
 def test_a_turn_that_is_not_used_is_given_back():
--- a/packages/mustardquay/tests/test_stage_plans.py
+++ b/packages/mustardquay/tests/test_stage_plans.py
@@ -103,36 +103,36 @@
     assert count_decoders(24, 500, 26) == 10
 
 
-def plan_limited(planner, engines, parts, now=NOW):
-    return planner.plan("llm", engines, {}, 40, now, True, parts=parts)
+def plan_limited(planner, engines, capacities, now=NOW):
+    return planner.plan("llm", engines, {}, 40, now, True, capacities=capacities)
 
 
 def test_another_engine_stands_in_for_those_that_take_too_little():
     """Guards against callers who are refused for as long as engines name limits."""
     planner = StagePlanner()
     engines = make_engines(4, 2)
-    parts = {"e4": 0.37, "e5": 0.4}
+    capacities = {"e4": 0.37, "e5": 0.4}
     later = NOW + DECODER_PATIENCE
-    assert plan_limited(planner, engines, parts) == []
-    changes = plan_limited(planner, engines, parts, later)
+    assert plan_limited(planner, engines, capacities) == []
+    changes = plan_limited(planner, engines, capacities, later)
     assert [change.stage for change in changes] == [Stage.DECODE]
     # With the third engine the same limits leave each a larger part of its work.
     engines = make_engines(3, 3)
-    parts = {"e4": 0.55, "e5": 0.6}
-    assert plan_limited(planner, engines, parts, 2 * later) == []
+    capacities = {"e4": 0.55, "e5": 0.6}
+    assert plan_limited(planner, engines, capacities, 2 * later) == []
 
 
 def test_limits_that_leave_most_of_the_work_change_no_engine():
     """Guards against engines that are away for seconds to gain little."""
     planner = StagePlanner()
-    parts = {"e4": 0.8, "e5": 0.8}
+    capacities = {"e4": 0.8, "e5": 0.8}
     for now in (NOW, 2 * NOW):
-        assert plan_limited(planner, make_engines(4, 2), parts, now) == []
+        assert plan_limited(planner, make_engines(4, 2), capacities, now) == []
 
 
 def test_engines_that_read_are_left_however_low_the_limits_are():
     """Guards against a fleet in which nobody reads prompts."""
     planner = StagePlanner()
-    parts = {"e1": 0.01, "e2": 0.01}
+    capacities = {"e1": 0.01, "e2": 0.01}
     for now in (NOW, 2 * NOW):
-        assert plan_limited(planner, make_engines(1, 2), parts, now) == []
+        assert plan_limited(planner, make_engines(1, 2), capacities, now) == []
