Generate elsewhere from a prompt that was read, after a refused hand-over

Callers saw a second and third reading in place of an answer: an engine that generates refused the hand-over of a prompt that another one had read, and the whole began anew with another reading. The request now keeps its reading; the next try only looks for another engine that generates, and pays for one repeat in place of two. It is read again only if the engine that read is no longer listed.

--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_parts.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_parts.py
@@ -20,7 +20,7 @@
 from .connections import Exchange
 from .crash_reporters import CrashReporter
 from .gateway_stops import GatewayStop
-from .generators import GenerationPlanner
+from .generators import GenerationPlanner, KeptReading
 from .upstream_pools import UpstreamPools
 
 __all__ = ["ForwardedRequest", "ForwarderParts"]
@@ -75,6 +75,8 @@
     """Whether a send that may have run was ended by the limit."""
     is_late: bool = False
     """Whether a generation can't be in time, so that others go first."""
+    reading: KeptReading | None = None
+    """What has been read for it and not been generated from."""
     last_event: str | None = None
     """The last whole event that the caller has been sent."""
 
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -325,7 +325,8 @@
         """Take what another try costs from the retry allowance, if it is there."""
         if send.end is SendEnd.NOT_SENT:
             return True
-        sends = REPEATED_GENERATION if self._request.route.has_prompt else 1
+        is_read_anew = self._request.route.has_prompt and self._request.reading is None
+        sends = REPEATED_GENERATION if is_read_anew else 1
         window = self._parts.pools.get_window(self._request.service)
         return window.take(now, sends)
 
--- a/packages/mustardquay-node/src/mustardquay_node/generators.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generators.py
@@ -22,9 +22,10 @@
 from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import LoadBook
 
+from .adapters import Prefilled
 from .peers import PARTS_LIMIT
 
-__all__ = ["GenerationPlanner", "Ticket"]
+__all__ = ["GenerationPlanner", "KeptReading", "Ticket"]
 
 
 @dataclass(slots=True)
@@ -42,6 +43,14 @@
     """At the engine that generates, where another one reads."""
 
 
+@dataclass(frozen=True, slots=True)
+class KeptReading:
+    """A prompt that an engine has read, and from which nothing was generated yet."""
+
+    ticket: Ticket
+    prefilled: Prefilled
+
+
 class GenerationPlanner:
     """Places generations, and notes and tells what is outstanding."""
 
@@ -101,7 +110,8 @@
         if decoder is None:
             return False
         if decoder.id != ticket.placement.decoder.id:
-            self._limits.release(ticket.decoder_turn)
+            if ticket.decoder_turn is not None:
+                self._limits.release(ticket.decoder_turn)
             ticket.decoder_turn = self._limits.reserve(decoder, now)
         ticket.placement = replace(ticket.placement, decoder=decoder)
         return True
@@ -151,8 +161,28 @@
         placement = ticket.placement
         self._add_reading(placement.reader.id, -placement.read_seconds, ticket.rank)
         if is_handed_over:
-            self._note_parts(placement.decoder, ticket.parts)
-            self._take_place(ticket)
+            self._note_copied(ticket)
+
+    def take_up(
+        self, ticket: Ticket, engines: Sequence[UpstreamRecord], avoid: Collection[str]
+    ) -> Ticket | None:
+        """Return a ticket for another engine to generate from what has been read.
+
+        None if no other engine generates, or the one that read is gone.
+        """
+        reader = ticket.placement.reader.id
+        if all(engine.id != reader for engine in engines):
+            return None
+        renewed = Ticket(ticket.placement, ticket.parts, ticket.rank, is_read=True)
+        if not self.renew_decoder(renewed, engines, avoid):
+            return None
+        self._note_copied(renewed)
+        return renewed
+
+    def _note_copied(self, ticket: Ticket) -> None:
+        """Note that the engine that generates copies the prompt."""
+        self._note_parts(ticket.placement.decoder, ticket.parts)
+        self._take_place(ticket)
 
     def _add_reading(self, engine: str, seconds: float, rank: int) -> None:
         outstanding = self._books.works.get(engine).seconds
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -19,13 +19,16 @@
 
 from .adapters import Prefilled
 from .forwarder_parts import ForwardedRequest, ForwarderParts
-from .generators import Ticket
+from .generators import KeptReading, Ticket
 from .rate_turns import await_turn
 from .replies import Reply
 from .sends import Send, Sender, SendOptions
 
 __all__ = ["send_generation"]
 
+NOT_TAKEN = (SendEnd.NOT_RUN, SendEnd.NOT_SENT, SendEnd.OTHER_UPSTREAM)
+"""Ends of a hand-over after which another engine may generate from the same reading."""
+
 
 async def send_generation(
     parts: ForwarderParts,
@@ -37,6 +40,12 @@
 ) -> Send | None:
     """Place a generation and send it; None without an engine or when refused."""
     planner = parts.planner
+    kept = _take_up_reading(parts, request, engines)
+    if kept is not None:
+        try:
+            return await _hand_over(parts, request, sender, kept)
+        finally:
+            planner.end(kept.ticket)
     if request.sendings.offered:
         placement = _choose(parts, request, prompt, engines)
         if placement is not None and not admits_turn(request.route, placement):
@@ -60,11 +69,31 @@
         if not planner.renew_decoder(ticket, engines, request.avoid):
             return None
         planner.end_reading(ticket, is_handed_over=True)
-        return await _hand_over(parts, request, sender, ticket, read)
+        reading = KeptReading(ticket, read)
+        return await _hand_over(parts, request, sender, reading)
     finally:
         planner.end(ticket)
 
 
+def _take_up_reading(
+    parts: ForwarderParts, request: ForwardedRequest, engines: list[UpstreamRecord]
+) -> KeptReading | None:
+    """Return what has been read, for another engine to generate; None if nothing."""
+    reading, request.reading = request.reading, None
+    if reading is None:
+        return None
+    ticket = parts.planner.take_up(reading.ticket, engines, request.avoid)
+    if ticket is None:
+        return None
+    parts.events.record(
+        "reading.kept",
+        request=request.id,
+        upstream=ticket.placement.reader.id,
+        decoder=ticket.placement.decoder.id,
+    )
+    return KeptReading(ticket, reading.prefilled)
+
+
 def _admit(
     parts: ForwarderParts,
     request: ForwardedRequest,
@@ -171,21 +200,34 @@
     parts: ForwarderParts,
     request: ForwardedRequest,
     sender: Sender,
-    ticket: Ticket,
-    prefilled: Prefilled,
+    reading: KeptReading,
+) -> Send:
+    """Have the other engine generate from what was read; kept if it does not."""
+    send = await _generate_from(parts, request, sender, reading)
+    if send.end in NOT_TAKEN:
+        request.reading = reading
+    return send
+
+
+async def _generate_from(
+    parts: ForwarderParts,
+    request: ForwardedRequest,
+    sender: Sender,
+    reading: KeptReading,
 ) -> Send:
-    """Have the other engine generate from what was read.
+    """Send to the engine that generates, by handle or else by the cached parts.
 
     Guards against handles that lapse at once: the engine that generates refuses, and
     the reading is lost. The engine that read still holds the prompt among its cached
     parts, so the other one copies it from there; for some seconds nothing else is
     tried with that engine.
     """
+    ticket = reading.ticket
     placement = ticket.placement
     address, reader = placement.reader.address, placement.reader.id
     await await_turn(parts, ticket.decoder_turn)
     if not parts.loads.has_lapsing_handles(reader, parts.clock.monotonic()):
-        source = parts.adapter.build_kv_source(address, prefilled)
+        source = parts.adapter.build_kv_source(address, reading.prefilled)
         options = SendOptions(kv_source=source, read=_note_first(parts, ticket))
         send = await sender.run(placement.decoder, options)
         if send.end is not SendEnd.NOT_RUN:
