Take a queue that nobody knew of for no change of engines

Callers saw prompts refused in a burst at engines that were idle.

Only a measurement whose queue was surely short now counts as a surprise. The new test fails on the code before.

--- a/packages/mustardquay/src/mustardquay/decaying_fits.py
+++ b/packages/mustardquay/src/mustardquay/decaying_fits.py
@@ -27,6 +27,9 @@
 engine's answers vary by a quarter."""
 SURPRISE_KEEP = 0.05
 """Weight that older measurements and the prior keep after a row of surprises."""
+LEAST_SURENESS = 0.5
+"""Sureness above which a measurement may be a surprise: a queue that grows for a second
+makes all that wait in it late, and is no change of the engine."""
 LEAST_TRUST = 0.002
 """Weight that the prior keeps at least, so that features which always come together
 still have one solution."""
@@ -93,7 +96,8 @@
     ) -> None:
         """Take in one measurement, for less if it is unsure."""
         expected = self.predict(features)
-        self._note_surprise(expected, seconds)
+        if sureness > LEAST_SURENESS:
+            self._note_surprise(expected, seconds)
         is_change = abs(self._run) >= SURPRISES
         weight = sureness * _weigh(expected, seconds, is_change)
         keep = FORGETTING**sureness
--- a/packages/mustardquay/tests/test_engine_models.py
+++ b/packages/mustardquay/tests/test_engine_models.py
@@ -155,3 +155,22 @@
     new.hear(known.tell(), NOW)
     new.set_traits("llm", 13, 4e-7)
     assert 0.75 < measure_error(new, engine, 5.0, random) < 1.5
+
+
+def test_a_queue_that_nobody_knew_of_is_not_taken_for_slow_engines():
+    """Guards against a burst after which prompts are refused at idle engines.
+
+    For a second each reading waits for others, and takes four times as long as
+    expected, behind a known wait of twice its own time.
+    """
+    models = EngineModels()
+    reading = Reading(4_000, 6_300)
+    engine = UpstreamRecord("e", "llm", "10.0.0.1:80", "a", 12, False, Stage.PREFILL)
+    now = timedelta()
+    for _ in range(60):
+        models.learn_read(engine, reading, 0.0, 0.025, now)
+    known = models.expect_read(engine, reading, now)
+    for _ in range(20):
+        models.learn_read(engine, reading, 0.05, 0.15, now)
+    assert models.expect_read(engine, reading, now) <= 1.5 * known
+    assert models.count_samples("llm") >= 20
