--- a/packages/mustardquay/src/mustardquay/engine_books.py
+++ b/packages/mustardquay/src/mustardquay/engine_books.py
@@ -25,10 +25,7 @@
 ]
 
 HELD_SHARE = {Stage.PREFILL: 0.93, Stage.DECODE: 0.5, Stage.NONE: 0.5}
-"""Part of an engine's memory that caches, by stage; the rest is of what runs. Of
-370,000 tokens, engines that read held 347,000 to 370,000 in parts, and engines that
-generated 245,000 to 348,000 while the streams grew (their own lists, six times in a
-day with bursts)."""
+"""Part of an engine's memory that caches, by stage; the rest is of what runs."""
 
 HashedPart = tuple[int, int]
 """The hash of a part's id, and its tokens."""
--- a/packages/mustardquay/src/mustardquay/stage_plans.py
+++ b/packages/mustardquay/src/mustardquay/stage_plans.py
@@ -17,34 +17,30 @@
 __all__ = ["StageChange", "StagePlanner"]
 
 STREAMS_PER_PLACE = 0.4
-"""Streams that one engine should generate at once, for each of its places. Of 64 places
-26 streams make a step 0.9 ms long, 50 make it 1.25 ms, and the longest answers of some
-11,000 steps miss their time."""
+"""Streams that one engine should generate at once, for each of its places: each stream
+makes the steps of all longer, and long answers would miss their time."""
 LARGEST_SHARE = 0.34
-"""Most of the engines that generate. On a quiet day two of six gave 0.680 of worth,
-three 0.540: the fewer engines that read could not keep up with bursts of prompts."""
+"""Most of the engines that generate: the others keep up with bursts of prompts."""
 LARGE_SERVICE = 12
 """Engines from which more may generate."""
 LARGEST_SHARE_OF_LARGE = 0.42
-"""Most of the engines that generate, in a large service. With 8 of 23, up to 77
-streams met at an engine of 64 places; with a half, 620 of 7,745 long prompts were
-refused for want of engines that read, and 166 with 8."""
+"""Most of the engines that generate, in a large service: there one that changes takes
+less away from those that read."""
 DEMAND_MEMORY = timedelta(seconds=3)
 """Half-life of the number of streams as it falls: one short lull changes nothing."""
 RISING_MEMORY = timedelta(seconds=1)
-"""The same as it rises. Streams that have begun stay for some five seconds, so that a
-rise is no accident; with three seconds the first change came 5 s after a shift."""
+"""The same as it rises: streams that have begun stay for seconds, so that a rise is no
+accident."""
 LEAST_DECODERS = 2
 """So that the loss of one leaves one, from four engines on."""
 SMALL_SERVICE = 4
 """Engines up from which two generate; of fewer, most are needed to read."""
 LEAST_SHARE = 0.2
-"""Least of the engines that generate, as each change takes one away for seconds. On a
-day with crashes among 24 engines, two at its start left 217 of 1,202 short prompts
-refused and 259 late; five left none refused and 19 late (worth 0.641 and 0.779)."""
+"""Least of the engines that generate: each change takes one away for seconds, in which
+crashes may take others."""
 DECODER_PATIENCE = timedelta(seconds=2)
 """How long a lack of decoders lasts before an engine that reads changes, where one is
-out of reach and may be back: most crashes last some four seconds."""
+out of reach and may be back."""
 GONE_PATIENCE = timedelta(milliseconds=300)
 """The same where one has left for good, as then nothing else brings it back."""
 SLACK = 0.8
