Admit in a burst what the answers of the last moment say can be in time

Traced in the readings of one engine: all gateways took the same engines for full, then for empty, by digests 160 ms old, of which one in sixteen sums was made anew for each engine of each gateway (1.1 ms a digest at 30 engines and 28 gateways), so that digests could not come more often.

Digests are sent when work has changed, after 2.5 ms for each peer told and 40 ms at least, to 32 peers; those that are not heard count as much as the others. - Two engines at random are weighed beside those that hold the prompt's parts, more where few gateways choose (Mitzenmacher 2000). - The part of the target that is kept free follows the answers: how far they were off from what was expected, as a quantile that rises within a few answers. It was a fixed share of the target. - Who can't be in time is taken at once as late, in place of a refusal after which it comes back late; late prompts leave half of the places of engines that read, and free places at those that generate. - Late readings teach no speeds, as others go before them.

Tests play bursts on a virtual clock with 1 to 100 gateways.

--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/digest_frames.py
@@ -0,0 +1,212 @@
+"""Digest frames: the datagrams in which gateways tell each other their digests."""
+
+from collections.abc import Sequence
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import capnp
+
+from mustardquay.engine_models import READ_SCALES, STREAM_SCALES, PoolSpeeds
+from mustardquay.peer_books import (
+    LOWEST_RANK,
+    MICROSECONDS,
+    EngineDigest,
+    PeerDigest,
+    PlacedPart,
+    trim_ranks,
+)
+from mustardquay.quarantines import CrashId, CrashRecord
+from mustardquay.rate_divisions import ServiceDemand
+from mustardquay.rate_limits import LimitNotice
+
+__all__ = ["decode_digest", "encode_digest"]
+
+capnp.remove_import_hook()
+WIRE = capnp.load(str(Path(__file__).with_name("peers.capnp")))
+
+LAYOUT = 2
+"""Number of the layout of a datagram; programs of other layouts don't hear each other
+while one replaces the other."""
+MOST_MICROSECONDS = 2**32 - 1
+MOST_RUNNING = 2**16 - 1
+
+
+def encode_digest(digest: PeerDigest) -> bytes:
+    """Return a datagram."""
+    message = WIRE.Digest.new_message()
+    message.layout = LAYOUT
+    message.gateway = digest.gateway
+    message.incarnation = digest.incarnation
+    message.number = digest.number
+    message.configuration = digest.configuration
+    message.changing = list(digest.changing)
+    _write_work(message, digest.engines)
+    _write_placed(message, digest)
+    _write_crashes(message, digest.crashes)
+    _write_speeds(message, digest.speeds)
+    _write_presence(message, digest)
+    _write_limits(message, digest)
+    return message.to_bytes_packed()
+
+
+def decode_digest(data: bytes) -> PeerDigest | None:
+    """Return the digest of a datagram, or None if it can't be read."""
+    try:
+        message = WIRE.Digest.from_bytes_packed(data)
+        if message.layout != LAYOUT:
+            return None
+        engines = _read_work(message)
+        return PeerDigest(
+            message.gateway,
+            message.incarnation,
+            message.number,
+            message.configuration,
+            engines,
+            _read_placed(message, engines),
+            tuple(message.changing),
+            tuple(map(_read_crash, message.crashes)),
+            tuple(map(_read_speeds, message.speeds)),
+            message.availabilityZone,
+            message.ready,
+            tuple(map(_read_limit, message.limits)),
+            _read_demands(message),
+            _read_end(message),
+        )
+    except (capnp.KjException, IndexError, ValueError):
+        return None
+
+
+def _write_work(message: Any, engines: Sequence[EngineDigest]) -> None:
+    ranks = sorted(
+        {
+            rank
+            for each in engines
+            for rank, seconds in enumerate(each.read_seconds)
+            if seconds
+        }
+    )
+    message.engines = [each.engine for each in engines]
+    message.ranks = ranks
+    message.readMicroseconds = [
+        _to_microseconds(each, rank) for each in engines for rank in ranks
+    ]
+    message.running = [min(each.running, MOST_RUNNING) for each in engines]
+
+
+def _to_microseconds(work: EngineDigest, rank: int) -> int:
+    if rank >= len(work.read_seconds):
+        return 0
+    return min(int(work.read_seconds[rank] * MICROSECONDS), MOST_MICROSECONDS)
+
+
+def _read_work(message: Any) -> tuple[EngineDigest, ...]:
+    ranks = list(message.ranks)
+    if ranks and ranks[-1] > LOWEST_RANK:
+        raise ValueError("The ranks are those of another version; upgrade it.")
+    width = ranks[-1] + 1 if ranks else 0
+    values = iter(list(message.readMicroseconds))
+    engines = []
+    for engine, running in zip(message.engines, message.running, strict=True):
+        seconds = [0.0] * width
+        for rank in ranks:
+            seconds[rank] = next(values, 0) / MICROSECONDS
+        engines.append(EngineDigest(engine, trim_ranks(seconds), running))
+    return tuple(engines)
+
+
+def _write_placed(message: Any, digest: PeerDigest) -> None:
+    positions = {each.engine: index for index, each in enumerate(digest.engines)}
+    parts = [part for part in digest.placed if part.engine in positions]
+    message.placedEngines = [positions[part.engine] for part in parts]
+    message.placedParts = [part.part for part in parts]
+    message.placedTokens = [part.tokens for part in parts]
+
+
+def _read_placed(
+    message: Any, engines: Sequence[EngineDigest]
+) -> tuple[PlacedPart, ...]:
+    columns = (message.placedEngines, message.placedParts, message.placedTokens)
+    return tuple(
+        PlacedPart(engines[engine].engine, part, tokens)
+        for engine, part, tokens in zip(*map(list, columns), strict=True)
+    )
+
+
+def _write_crashes(message: Any, records: Sequence[CrashRecord]) -> None:
+    built_records = message.init("crashes", len(records))
+    for built, record in zip(built_records, records, strict=True):
+        built.fingerprint = record.fingerprint
+        built.remainingMilliseconds = record.remaining // timedelta(milliseconds=1)
+        for name in ("crashes", "cleared"):
+            ids = sorted(getattr(record, name))
+            for each, id in zip(built.init(name, len(ids)), ids, strict=True):
+                each.upstream = id.upstream
+                each.boot = id.boot
+
+
+def _read_crash(record: Any) -> CrashRecord:
+    return CrashRecord(
+        record.fingerprint,
+        frozenset(CrashId(each.upstream, each.boot) for each in record.crashes),
+        frozenset(CrashId(each.upstream, each.boot) for each in record.cleared),
+        timedelta(milliseconds=record.remainingMilliseconds),
+    )
+
+
+def _write_speeds(message: Any, speeds: Sequence[PoolSpeeds]) -> None:
+    for built, each in zip(message.init("speeds", len(speeds)), speeds, strict=True):
+        built.service = each.service
+        built.samples = each.samples
+        built.read = list(each.read)
+        built.first = list(each.first)
+
+
+def _read_speeds(built: Any) -> PoolSpeeds:
+    read, first = tuple(built.read), tuple(built.first)
+    if len(read) != len(READ_SCALES) or len(first) != len(STREAM_SCALES):
+        raise ValueError("The speeds are those of another version; upgrade it.")
+    return PoolSpeeds(built.service, built.samples, read, first)
+
+
+def _write_presence(message: Any, digest: PeerDigest) -> None:
+    message.availabilityZone = digest.availability_zone
+    message.ready = digest.is_ready
+    if digest.ends_in is not None:
+        message.stopping = True
+        left = max(digest.ends_in, timedelta())
+        message.endsInMilliseconds = left // timedelta(milliseconds=1)
+
+
+def _read_end(message: Any) -> timedelta | None:
+    if not message.stopping:
+        return None
+    return timedelta(milliseconds=message.endsInMilliseconds)
+
+
+def _write_limits(message: Any, digest: PeerDigest) -> None:
+    limits = message.init("limits", len(digest.limits))
+    for built, limit in zip(limits, digest.limits, strict=True):
+        built.upstream = limit.upstream
+        built.perSecond = limit.per_second
+        built.ageMilliseconds = limit.age // timedelta(milliseconds=1)
+    if digest.demands is None:
+        return
+    message.tellsDemands = True
+    demands = message.init("demands", len(digest.demands))
+    for built, demand in zip(demands, digest.demands, strict=True):
+        built.service = demand.service
+        built.perSecond = demand.per_second
+
+
+def _read_limit(built: Any) -> LimitNotice:
+    age = timedelta(milliseconds=built.ageMilliseconds)
+    return LimitNotice(built.upstream, built.perSecond, age)
+
+
+def _read_demands(message: Any) -> tuple[ServiceDemand, ...] | None:
+    if not message.tellsDemands:
+        return None
+    return tuple(
+        ServiceDemand(each.service, each.perSecond) for each in message.demands
+    )
--- a/packages/mustardquay-node/src/mustardquay_node/digests.py
+++ b/packages/mustardquay-node/src/mustardquay_node/digests.py
@@ -82,6 +82,7 @@
         """Take in which gateways tell this one, and how many there are besides."""
         now = self._parts.clock.monotonic()
         self._parts.limits.demand.list_gateways(told, others, now)
+        self._parts.planner.note_listed(len(told), others)
 
     def _hear_limits(self, digest: PeerDigest) -> None:
         now = self._parts.clock.monotonic()
--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_parts.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_parts.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from random import Random
 
+from mustardquay.answer_times import AnswerTimes
 from mustardquay.clocks import Clock
 from mustardquay.events import EventRing
 from mustardquay.rate_limits import LimitBook
@@ -44,6 +45,7 @@
     stop: GatewayStop
     judge_table: Callable[[], TableState]
     times: RouteTimes = field(default_factory=RouteTimes)
+    answer_times: AnswerTimes = field(default_factory=AnswerTimes)
     count_answer: Callable[[str, str], None] = lambda route, outcome: None
     """Counts an answer by route and outcome."""
     count_send: Callable[[str, str], None] = lambda route, end: None
@@ -75,6 +77,8 @@
     """Whether a send that may have run was ended by the limit."""
     is_late: bool = False
     """Whether a generation can't be in time, so that others go first."""
+    expected: timedelta | None = None
+    """When a generation that was admitted as in time was to be read, from then on."""
     reading: KeptReading | None = None
     """What has been read for it and not been generated from."""
     last_event: str | None = None
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -252,6 +252,14 @@
 
         Also if it did not come to its end: it is those that take the longest.
         """
+        request = self._request
+        if request.expected is not None and request.sendings.offered <= 1:
+            self._parts.answer_times.note(
+                request.route,
+                request.expected,
+                self._reply.first_after,
+                self._parts.clock.monotonic(),
+            )
         self._parts.times.note(
             self._request.route.name,
             self._parts.clock.monotonic(),
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -245,6 +245,8 @@
             self._loads,
             uplink=Uplink(self._settings.gateway.link_rate),
             limits=self._limits,
+            note_change=lambda: self._peers.note_change(),
+            random=self._random,
         )
 
     def _make_stop(self) -> GatewayStop:
--- a/packages/mustardquay-node/src/mustardquay_node/generators.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generators.py
@@ -1,8 +1,9 @@
 """Generators: keep the books from which generations are placed and admitted."""
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass, replace
 from datetime import timedelta
+from random import Random
 
 from mustardquay.clocks import Clock
 from mustardquay.engine_books import (
@@ -13,8 +14,14 @@
     hash_parts,
 )
 from mustardquay.engine_models import EngineModels
-from mustardquay.peer_books import EngineDigest, PeerDigest, PlacedPart
-from mustardquay.placements import Placement, choose_decoder, choose_engines
+from mustardquay.generation_limits import LATE_RANK
+from mustardquay.peer_books import EngineDigest, PeerDigest, PlacedPart, trim_ranks
+from mustardquay.placements import (
+    Placement,
+    choose_decoder,
+    choose_engines,
+    make_sample,
+)
 from mustardquay.rate_limits import LimitBook, Turn
 from mustardquay.requests import PromptPart, PromptTraits
 from mustardquay.routing_tables import Route, RoutingTable
@@ -62,7 +69,12 @@
         models: EngineModels | None = None,
         uplink: Uplink | None = None,
         limits: LimitBook | None = None,
+        note_change: Callable[[], None] = lambda: None,
+        random: Random | None = None,
     ):
+        """Take `note_change`, which hears that the work to be told has changed."""
+        self._random = random or Random(0)
+        self._sample = make_sample(self._random, 1)
         self._clock = clock
         self._upstreams = upstreams
         self._uplink = uplink or Uplink()
@@ -73,6 +85,7 @@
         )
         self._placed: list[PlacedPart] = []
         self._changing: set[str] = set()
+        self._note_change = note_change
 
     def choose(
         self,
@@ -92,7 +105,15 @@
         engines = self._drop_changing(engines)
         sending = self._uplink.measure(size, now)
         return choose_engines(
-            prompt, parts, engines, self._books, now, avoid, sending, rank
+            prompt,
+            parts,
+            engines,
+            self._books,
+            now,
+            avoid,
+            sending,
+            rank,
+            self._sample,
         )
 
     def renew_decoder(
@@ -134,6 +155,7 @@
         self._uplink.take(size * sends, self._clock.monotonic())
         reader = placement.reader.id
         self._add_reading(reader, placement.read_seconds, rank)
+        self._models.note_placed(placement.reader.service, placement.read_seconds)
         parts = hash_parts(prompt.parts)
         # At once, so that the next prompts with these parts go there, too.
         self._note_parts(placement.reader, parts)
@@ -185,11 +207,13 @@
         self._take_place(ticket)
 
     def _add_reading(self, engine: str, seconds: float, rank: int) -> None:
+        self._note_change()
         outstanding = self._books.works.get(engine).seconds
         outstanding[rank] = max(outstanding[rank] + seconds, 0.0)
 
     def _take_place(self, ticket: Ticket) -> None:
         ticket.is_running = True
+        self._note_change()
         self._books.works.get(ticket.placement.decoder.id).running += 1
 
     def _note_parts(self, engine: UpstreamRecord, parts: Sequence[HashedPart]) -> None:
@@ -205,6 +229,7 @@
             if turn is not None:
                 self._limits.release(turn)
         if ticket.is_running:
+            self._note_change()
             work = self._books.works.get(ticket.placement.decoder.id)
             work.running = max(work.running - 1, 0)
 
@@ -219,6 +244,11 @@
                 hashed = ((part.part, part.tokens),)
                 self._books.prefixes.note(engine.id, engine.stage, hashed)
 
+    def note_listed(self, told: int, others: int) -> None:
+        """Take in how many gateways tell this one, and how many there are besides."""
+        self._books.works.peers.unheard_ratio = others / told if told else 0.0
+        self._sample = make_sample(self._random, 1 + told + others)
+
     def list_configurations(self) -> list[int]:
         """Return the version of the configuration that each other gateway has."""
         peers = self._books.works.peers
@@ -279,7 +309,12 @@
             )
 
     def learn_read(self, ticket: Ticket, took: timedelta) -> None:
-        """Take in how long another engine than the one that generates read."""
+        """Take in how long another engine than the one that generates read.
+
+        What came later may have gone before a late one: it tells nothing of the engine.
+        """
+        if ticket.rank >= LATE_RANK:
+            return
         placement = ticket.placement
         self._models.learn_read(
             placement.reader,
@@ -312,16 +347,6 @@
         return self._models.count_samples(service)
 
 
-def trim_ranks(seconds: Sequence[float]) -> tuple[float, ...]:
-    """Return the ranks without those at the end that have no work.
-
-    >>> trim_ranks([0.0, 0.2, 0.0])
-    (0.0, 0.2)
-    """
-    used = [rank for rank, value in enumerate(seconds) if value]
-    return tuple(seconds[: used[-1] + 1]) if used else ()
-
-
 def find_pauses(routes: Iterable[Route]) -> dict[str, timedelta]:
     """Return the shortest of the longest pauses of the routes to each service."""
     pauses: dict[str, timedelta] = {}
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -105,16 +105,23 @@
 
     Callers who come back wait behind those who can still be answered in time.
     """
-    time_left = request.measure_left(parts.clock.monotonic())
+    now = parts.clock.monotonic()
+    time_left = request.measure_left(now)
     request.is_late = has_returned(request.route, time_left)
+    if not request.is_late:
+        placement = _choose(parts, request, prompt, engines)
+        if placement is None:
+            return None
+        rest = parts.answer_times.find_rest(request.route, now)
+        if admits_generation(request.route, placement, time_left, rest):
+            request.expected = timedelta(seconds=placement.expected_seconds)
+            return placement
+        # Who is told to come back can't be in time either.
+        request.is_late = True
     placement = _choose(parts, request, prompt, engines)
     if placement is None:
         return None
-    if request.is_late:
-        is_admitted = admits_late(request.route, placement, time_left)
-    else:
-        is_admitted = admits_generation(request.route, placement, time_left)
-    if is_admitted:
+    if admits_late(request.route, placement, time_left):
         return placement
     back = draw_return(placement, time_left, parts.random)
     reply.refuse(
@@ -248,6 +255,7 @@
     took: timedelta,
 ) -> None:
     """Note how long a prompt took to be read, beside what was expected."""
+    now = parts.clock.monotonic()
     parts.events.record(
         "prompt.read",
         request=request.id,
@@ -261,5 +269,8 @@
         cached_tokens=placement.reading.cached,
         copied_tokens=placement.reading.copied,
         late=request.is_late,
+        rest_ms=round(
+            parts.answer_times.find_rest(request.route, now).total_seconds() * 1000, 1
+        ),
         samples=round(parts.planner.count_samples(placement.reader.service), 1),
     )
--- a/packages/mustardquay-node/src/mustardquay_node/peers.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.capnp
@@ -1,21 +1,6 @@
 @0xb7e21c5a9d3f4408;
 # Datagrams between gateways; mustardquay.peer_books says what they mean.
 
-struct EngineWork {
-  engine @0 :Text;
-  # Prompts that the sender had the engine begin to read and that aren't read yet, by
-  # rank; ranks that are missing at the end have none.
-  readMicroseconds @1 :List(UInt32);
-  running @2 :UInt16;
-}
-
-struct PlacedPart {
-  # Position of the engine in the list of this datagram's engines.
-  engine @0 :UInt16;
-  part @1 :UInt64;
-  tokens @2 :UInt32;
-}
-
 struct Crash {
   upstream @0 :Text;
   boot @1 :Text;
@@ -47,25 +32,37 @@
   perSecond @1 :Float32;
 }
 
+# Lists of numbers in place of lists of structs: these take ten times as long to read
+# in this language, and there are hundreds of datagrams a second.
 struct Digest {
-  gateway @0 :Text;
-  incarnation @1 :UInt64;
+  # A datagram of another layout can't be read.
+  layout @0 :UInt16;
+  gateway @1 :Text;
+  incarnation @2 :UInt64;
   # Rises by one with each datagram of an incarnation.
-  number @2 :UInt64;
-  configuration @3 :UInt64;
-  engines @4 :List(EngineWork);
-  placed @5 :List(PlacedPart);
+  number @3 :UInt64;
+  configuration @4 :UInt64;
+  engines @5 :List(Text);
+  # Ranks at which there is work, and for each engine its microseconds at each of them.
+  ranks @6 :List(UInt8);
+  readMicroseconds @7 :List(UInt32);
+  # Generations that run, by engine.
+  running @8 :List(UInt16);
+  # Parts of prompts that engines have begun to read; engines by position in the list.
+  placedEngines @9 :List(UInt16);
+  placedParts @10 :List(UInt64);
+  placedTokens @11 :List(UInt32);
   # Engines that the sender has ordered to change their stage.
-  changing @6 :List(Text);
-  crashes @7 :List(CrashRecord);
-  speeds @8 :List(PoolSpeeds);
-  availabilityZone @9 :Text;
-  ready @10 :Bool;
+  changing @12 :List(Text);
+  crashes @13 :List(CrashRecord);
+  speeds @14 :List(PoolSpeeds);
+  availabilityZone @15 :Text;
+  ready @16 :Bool;
   # For a gateway that stops: the time that it has at most.
-  stopping @11 :Bool;
-  endsInMilliseconds @12 :UInt32;
-  limits @13 :List(RateLimit);
+  stopping @17 :Bool;
+  endsInMilliseconds @18 :UInt32;
+  limits @19 :List(RateLimit);
   # Whether the sender knows of a limit, so that its demands count.
-  tellsDemands @14 :Bool;
-  demands @15 :List(ServiceDemand);
+  tellsDemands @20 :Bool;
+  demands @21 :List(ServiceDemand);
 }
--- /dev/null
+++ b/packages/mustardquay-node/tests/played_bursts.py
@@ -0,0 +1,393 @@
+"""Played bursts: gateways that place long prompts on engines, on a virtual clock.
+
+Engines read one prompt after the other, those of a lower rank first. Gateways hear of
+each other by digests that are old. Only time passes: no sockets, no loop.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from functools import partial
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from mustardquay.answer_times import AnswerTimes
+from mustardquay.clocks import VirtualClock
+from mustardquay.generation_limits import (
+    admits_generation,
+    admits_late,
+    draw_return,
+    has_returned,
+    rank_generation,
+)
+from mustardquay.placements import Placement
+from mustardquay.requests import PromptPart, PromptTraits
+from mustardquay.routing_tables import Backend, Repeat, Route, RoutingTable
+from mustardquay.upstream_lists import Stage, UpstreamList, UpstreamRecord
+from mustardquay.upstream_loads import LoadBook
+from mustardquay_node.generators import GenerationPlanner, Ticket
+from mustardquay_node.peers import BUSY_INTERVAL, PEER_INTERVAL, list_told
+
+__all__ = ["Burst", "Caller", "Outcome", "play"]
+
+SHARED, OWN = 6_300, 2_890
+"""Tokens of a prompt: its shared part, and the middle of its own."""
+DOCUMENTS = 40
+"""Shared parts in use."""
+TOKEN_SECONDS = 4.24e-6
+PAIR_SECONDS = 1.4e-10
+STEP_SECONDS = 0.001
+"""An engine's true speed: once, a token, a pair of a new token and one before it."""
+SLOWDOWN = 2.0
+"""How many times longer an engine that generates reads."""
+SENDING = 0.02
+"""Seconds on the way to an engine, on average."""
+FIRST = 0.015
+"""Seconds besides until its first event is at the caller, on average."""
+LOOK = 0.005
+"""Seconds between two looks whether a gateway has something to tell."""
+ROUTE = Route(
+    "r",
+    "h",
+    "/",
+    Repeat.STREAM,
+    (Backend("llm", 1),),
+    timedelta(seconds=2.15),
+    timedelta(milliseconds=215),
+    has_prompt=True,
+    longest_pause=timedelta(milliseconds=150),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Burst:
+    """A load: what the engines can read, then more than that, then less again."""
+
+    gateways: int = 18
+    readers: int = 6
+    decoders: int = 2
+    slots: int = 12
+    calm: float = 0.4
+    """Prompts that come in the calm, against what the engines can read."""
+    peak: float = 1.3
+    generating: float = 0.004
+    """Seconds of an engine that generates which each short answer takes."""
+    seconds: tuple[float, float, float] = (4.0, 4.0, 1.0)
+    """Of the calm, the peak, and the calm after it."""
+    busy_gateways: int = 0
+    """Gateways to which all callers come, 0 for all."""
+    seed: int = 1
+
+
+@dataclass(slots=True)
+class Caller:
+    """One caller's request."""
+
+    came_at: float
+    prompt: PromptTraits
+    gateway: int
+    refusals: int = 0
+    admitted_at: float | None = None
+    expected: float = 0.0
+    """Seconds in which it was expected to be read, when it was admitted."""
+    was_late: bool = False
+    """Whether it was admitted as one that can't be in time."""
+    read_after: float | None = None
+    """Seconds from its admission until it was read."""
+    answered_after: float | None = None
+    """Seconds from its coming to the first event."""
+
+    @property
+    def is_in_time(self) -> bool:
+        """Return whether the answer met the target."""
+        target = ROUTE.latency_target.total_seconds()
+        return self.answered_after is not None and self.answered_after <= target
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What the callers of a play got."""
+
+    callers: list[Caller]
+    peak_from: float
+    peak_to: float
+
+    @property
+    def in_peak(self) -> list[Caller]:
+        """Return those who came in the peak."""
+        return [
+            each
+            for each in self.callers
+            if self.peak_from <= each.came_at < self.peak_to
+        ]
+
+    def share_in_time(self) -> float:
+        """Return the part of the peak's callers who were served in time."""
+        return _share(self.in_peak, lambda each: each.is_in_time)
+
+    def share_served(self) -> float:
+        """Return the part of the peak's callers who got an answer."""
+        return _share(self.in_peak, lambda each: each.answered_after is not None)
+
+    def share_kept(self) -> float:
+        """Return the part of those admitted as in time who were in time."""
+        admitted = [
+            each
+            for each in self.in_peak
+            if each.admitted_at is not None and not each.was_late
+        ]
+        return _share(admitted, lambda each: each.is_in_time)
+
+    def count_refusals(self) -> float:
+        """Return the refusals for each caller of the peak."""
+        return sum(each.refusals for each in self.in_peak) / len(self.in_peak)
+
+
+def _share(callers: list[Caller], holds: Callable[[Caller], bool]) -> float:
+    return sum(map(holds, callers)) / max(len(callers), 1)
+
+
+@dataclass(slots=True)
+class _Engine:
+    """Reads one prompt at a time, by rank and then in order of arrival."""
+
+    waiting: list = field(default_factory=list)
+    is_busy: bool = False
+
+
+class _Play:
+    def __init__(self, burst: Burst):
+        self._burst = burst
+        self._random = Random(burst.seed)
+        self._clock = VirtualClock()
+        self._events: list = []
+        self._order = count()
+        stages = [Stage.PREFILL] * burst.readers + [Stage.DECODE] * burst.decoders
+        self._records = [
+            UpstreamRecord(
+                f"e{n}", "llm", f"10.0.0.{n}:80", "a", burst.slots, False, stage
+            )
+            for n, stage in enumerate(stages)
+        ]
+        self._engines = {each.id: _Engine() for each in self._records}
+        self._held: dict[str, set[str]] = {each.id: set() for each in self._records}
+        self._names = [f"g{n:03}" for n in range(burst.gateways)]
+        self._changed = [False] * burst.gateways
+        self._planners = [self._make_planner(n) for n in range(burst.gateways)]
+        self._told = [self._list_told(n) for n in range(burst.gateways)]
+        self._times = [AnswerTimes() for _ in self._names]
+        self._numbers = [0] * burst.gateways
+        self._free_at: dict[str, float] = {}
+        """When each engine that generates has done so for all that it has."""
+        self._callers: list[Caller] = []
+
+    def run(self) -> Outcome:
+        burst = self._burst
+        calm, peak, rest = burst.seconds
+        end = calm + peak + rest
+        self._arrive(end, calm, calm + peak)
+        for number in range(burst.gateways):
+            self._at(self._random.random() * 0.1, lambda n=number: self._tell(n, end))
+        while self._events:
+            at, _, act = heappop(self._events)
+            self._clock.advance(
+                max(timedelta(seconds=at) - self._clock.monotonic(), timedelta())
+            )
+            act()
+        return Outcome(self._callers, calm, calm + peak)
+
+    @property
+    def _now(self) -> float:
+        return self._clock.monotonic().total_seconds()
+
+    def _at(self, at: float, act: Callable[[], None]) -> None:
+        heappush(self._events, (at, next(self._order), act))
+
+    def _after(self, seconds: float, act: Callable[[], None]) -> None:
+        self._at(self._now + seconds, act)
+
+    def _list_told(self, number: int) -> list[int]:
+        name = self._names[number]
+        others = [each for each in self._names if each != name]
+        told = list_told(name, others)
+        self._planners[number].note_listed(len(told), len(others) - len(told))
+        return [self._names.index(each) for each in told]
+
+    def _make_planner(self, number: int) -> GenerationPlanner:
+        upstreams = UpstreamList()
+        for record in self._records:
+            upstreams.put(record)
+        planner = GenerationPlanner(
+            self._clock,
+            upstreams,
+            LoadBook(),
+            note_change=lambda: self._note_change(number),
+            random=self._random,
+        )
+        planner.take_table(RoutingTable(1, (ROUTE,), {}))
+        return planner
+
+    def _arrive(self, end: float, peak_from: float, peak_to: float) -> None:
+        burst, random = self._burst, self._random
+        usual = _measure_reading(OWN, SHARED)
+        capacity = burst.readers / usual
+        at = 0.0
+        while at < end:
+            is_peak = peak_from <= at < peak_to
+            load = burst.peak if is_peak else burst.calm
+            at += random.expovariate(load * capacity)
+            gateway = random.randrange(burst.busy_gateways or burst.gateways)
+            caller = Caller(at, self._draw_prompt(), gateway)
+            self._callers.append(caller)
+            self._at(at, lambda each=caller: self._ask(each))
+
+    def _draw_prompt(self) -> PromptTraits:
+        random = self._random
+        document = min(int(random.expovariate(8 / DOCUMENTS)), DOCUMENTS - 1)
+        own = int(OWN * random.lognormvariate(-0.12, 0.5))
+        parts = (
+            PromptPart(f"d{document}", SHARED),
+            PromptPart(str(random.random()), own),
+        )
+        return PromptTraits("m", SHARED + own, 2, parts)
+
+    def _ask(self, caller: Caller) -> None:
+        planner = self._planners[caller.gateway]
+        left = ROUTE.timeout - timedelta(seconds=self._now - caller.came_at)
+        if left <= timedelta():
+            return
+        is_late = has_returned(ROUTE, left)
+        placement = self._admit(caller, left, is_late)
+        if placement is None and not is_late:
+            is_late = True
+            placement = self._admit(caller, left, is_late)
+        if placement is None:
+            self._refuse(caller, left)
+            return
+        rank = rank_generation(ROUTE, is_late)
+        caller.admitted_at, caller.was_late = self._now, is_late
+        caller.expected = placement.expected_seconds
+        ticket = planner.begin(caller.prompt, placement, 0, rank)
+        sending = SENDING * self._random.gammavariate(4, 0.25)
+        self._after(sending, lambda: self._queue(caller, planner, ticket, rank))
+
+    def _admit(
+        self, caller: Caller, left: timedelta, is_late: bool
+    ) -> Placement | None:
+        planner = self._planners[caller.gateway]
+        rank = rank_generation(ROUTE, is_late)
+        placement = planner.choose(caller.prompt, self._records, (), 0, rank)
+        if is_late:
+            is_admitted = admits_late(ROUTE, placement, left)
+        else:
+            times = self._times[caller.gateway]
+            rest = times.find_rest(ROUTE, self._clock.monotonic())
+            is_admitted = admits_generation(ROUTE, placement, left, rest)
+        return placement if is_admitted else None
+
+    def _refuse(self, caller: Caller, left: timedelta) -> None:
+        caller.refusals += 1
+        if caller.refusals == 1:
+            back = draw_return(None, left, self._random)
+            self._after(back.total_seconds(), lambda: self._ask(caller))
+
+    def _queue(
+        self, caller: Caller, planner: GenerationPlanner, ticket: Ticket, rank: int
+    ) -> None:
+        id = ticket.placement.reader.id
+        engine = self._engines[id]
+        seconds = self._measure(id, ticket, caller.prompt)
+        done = partial(self._read, caller, planner, ticket)
+        heappush(engine.waiting, (rank, next(self._order), seconds, done))
+        if not engine.is_busy:
+            self._begin_reading(engine)
+
+    def _measure(self, id: str, ticket: Ticket, prompt: PromptTraits) -> float:
+        held = self._held[id]
+        shared, own = prompt.parts
+        is_held = shared.id in held or ticket.placement.holder is not None
+        held.add(shared.id)
+        cached = shared.tokens if is_held else 0
+        seconds = _measure_reading(prompt.prompt_tokens - cached, cached)
+        return seconds if ticket.placement.prefiller else seconds * SLOWDOWN
+
+    def _begin_reading(self, engine: _Engine) -> None:
+        engine.is_busy = bool(engine.waiting)
+        if engine.is_busy:
+            _, _, seconds, done = heappop(engine.waiting)
+            self._after(seconds, lambda: self._end_reading(engine, done))
+
+    def _end_reading(self, engine: _Engine, done: Callable[[], None]) -> None:
+        done()
+        self._begin_reading(engine)
+
+    def _read(self, caller: Caller, planner: GenerationPlanner, ticket: Ticket) -> None:
+        caller.read_after = self._now - caller.admitted_at
+        if ticket.placement.prefiller:
+            planner.learn_read(ticket, timedelta(seconds=caller.read_after))
+            planner.end_reading(ticket, is_handed_over=True)
+        else:
+            planner.end_reading(ticket)
+        self._after(SENDING, lambda: self._generate(caller, planner, ticket, self._now))
+
+    def _generate(
+        self, caller: Caller, planner: GenerationPlanner, ticket: Ticket, began: float
+    ) -> None:
+        """Have the engine generate once it has done so for those before."""
+        decoder = ticket.placement.decoder.id
+        generating = self._burst.generating
+        free_at = max(self._free_at.get(decoder, 0.0), self._now)
+        self._free_at[decoder] = free_at + generating
+        first = free_at + generating + FIRST * self._random.gammavariate(4, 0.25)
+        self._at(
+            first, lambda: self._answer(caller, planner, ticket, self._now - began)
+        )
+
+    def _answer(
+        self, caller: Caller, planner: GenerationPlanner, ticket: Ticket, took: float
+    ) -> None:
+        if not ticket.placement.prefiller:
+            took += caller.read_after
+        planner.learn_first(ticket, timedelta(seconds=took))
+        planner.end(ticket)
+        caller.answered_after = self._now - caller.came_at
+        if not caller.was_late:
+            self._times[caller.gateway].note(
+                ROUTE,
+                timedelta(seconds=caller.expected),
+                timedelta(seconds=self._now - caller.admitted_at),
+                self._clock.monotonic(),
+            )
+
+    def _tell(self, number: int, end: float) -> None:
+        """Send a digest; the next one follows when something has changed."""
+        if self._now > end:
+            return
+        self._numbers[number] += 1
+        name = self._names[number]
+        digest = self._planners[number].build_digest(name, 1, self._numbers[number], 1)
+        for other in self._told[number]:
+            self._after(0.001, lambda each=self._planners[other]: each.hear(digest))
+        self._changed[number] = False
+        interval = max(BUSY_INTERVAL, len(self._told[number]) * PEER_INTERVAL)
+        self._after(interval.total_seconds(), lambda: self._look(number, end))
+
+    def _look(self, number: int, end: float) -> None:
+        if self._changed[number]:
+            self._tell(number, end)
+        elif self._now <= end:
+            self._after(LOOK, lambda: self._look(number, end))
+
+    def _note_change(self, number: int) -> None:
+        self._changed[number] = True
+
+
+def _measure_reading(new: int, cached: int) -> float:
+    pairs = new * (cached + new / 2)
+    return STEP_SECONDS + new * TOKEN_SECONDS + pairs * PAIR_SECONDS
+
+
+def play(burst: Burst) -> Outcome:
+    """Play a load to its end."""
+    return _Play(burst).run()
--- a/packages/mustardquay-node/tests/test_peers.py
+++ b/packages/mustardquay-node/tests/test_peers.py
@@ -6,17 +6,13 @@
 
 from mustardquay.clocks import SystemClock
 from mustardquay.events import EventRing, HybridClock
-from mustardquay.peer_books import PeerDigest
+from mustardquay.peer_books import EngineDigest, PeerDigest, PlacedPart
 from mustardquay.rate_divisions import ServiceDemand
 from mustardquay.rate_limits import LimitNotice
+from mustardquay_node import digest_frames
 from mustardquay_node.adapters import StoreRow
-from mustardquay_node.peers import (
-    PEERS_LIMIT,
-    PeerLink,
-    decode_digest,
-    encode_digest,
-    list_told,
-)
+from mustardquay_node.digest_frames import decode_digest, encode_digest
+from mustardquay_node.peers import PEERS_LIMIT, PeerLink, list_told
 
 
 def test_each_gateway_of_a_large_fleet_is_told_by_some():
@@ -33,6 +29,25 @@
         assert name not in told[name]
 
 
+def test_a_digest_tells_the_work_by_engine_and_rank():
+    engines = (
+        EngineDigest("e1", (0.0, 0.012, 0.0, 0.5), 3),
+        EngineDigest("e2", (), 1),
+        EngineDigest("e3", (0.25,), 0),
+    )
+    placed = (PlacedPart("e3", 2**63, 2_601), PlacedPart("e1", 7, 9))
+    digest = PeerDigest("g", 1, 2, 3, engines, placed, ("e2",))
+    assert decode_digest(encode_digest(digest)) == digest
+
+
+def test_a_datagram_of_another_layout_is_not_read():
+    """Guards against programs of two versions that misread each other."""
+    message = digest_frames.WIRE.Digest.new_message()
+    message.gateway = "g"
+    message.layout = digest_frames.LAYOUT + 1
+    assert decode_digest(message.to_bytes_packed()) is None
+
+
 @pytest.mark.parametrize("ends_in", [None, timedelta(), timedelta(seconds=6.5)])
 def test_a_digest_tells_whether_its_gateway_stops(ends_in):
     digest = PeerDigest(
--- a/packages/mustardquay/src/mustardquay/engine_models.py
+++ b/packages/mustardquay/src/mustardquay/engine_models.py
@@ -52,6 +52,8 @@
 FACTOR_HALF_LIFE = timedelta(seconds=10)
 """Time in which half of what an engine's factor differs from 1 is forgotten, so that an
 engine that was slow and got no work since is tried again."""
+USUAL_WEIGHT = 0.05
+"""Weight of the newest in the mean of readings."""
 LEAST_SURENESS = 0.04
 """Sureness below which a measurement is left out: its wait was five times its reading,
 so that it tells of the queue."""
@@ -123,6 +125,8 @@
     """Steps of generation between two events of a stream."""
     copy_seconds: float | None = None
     """Seconds to copy a token, as the operator declares; None before it is known."""
+    usual: float = 0.0
+    """Decaying mean of the expected seconds of the readings that are placed."""
     average: float = 0.0
     """Mean logarithm of the factors, as of `averaged_at`."""
     averaged_at: timedelta | None = None
@@ -165,6 +169,16 @@
             seconds *= GENERATING_SLOWDOWN
         return seconds * self.read_factor(engine, now)
 
+    def note_placed(self, service: str, seconds: float) -> None:
+        """Take in the expected seconds of a reading that is placed."""
+        pool = self._get_pool(service)
+        weight = USUAL_WEIGHT if pool.usual else 1.0
+        pool.usual += weight * (seconds - pool.usual)
+
+    def get_usual_read(self, service: str) -> float:
+        """Return the seconds of a usual reading, 0 before the first."""
+        return self._get_pool(service).usual
+
     def expect_overhead(self, service: str) -> float:
         """Return the seconds that a separate reading takes beside the work itself."""
         return self._get_pool(service).read.coefficients[0]
--- a/packages/mustardquay/src/mustardquay/generation_limits.py
+++ b/packages/mustardquay/src/mustardquay/generation_limits.py
@@ -1,8 +1,9 @@
 """Generation limits: which generations are refused, and when they should come back.
 
 Answers bursts that ask for more than the engines can read. A long queue would make
-all answers late, and a late answer is worth a third. So no more waits than can still
-be answered in time; the others are told at once when to come back.
+all answers late. So no more is read in turn than can still be answered in time. What is
+late anyway is read behind it, while it takes no places from others; the rest is told at
+once when to come back.
 """
 
 from datetime import timedelta
@@ -21,11 +22,14 @@
 ]
 
 TARGET_SHARE = 0.85
-"""Part of a route's target that waiting and the first event may fill; the rest is for
-the reading of a usual prompt and the way to the caller."""
-LEAST_WAIT_SHARE = 0.3
-"""Part of the target that is always accepted as wait, also where the first event leaves
-less: estimates are off by a prompt or two."""
+"""Part of a route's target that waiting for rate limits and the first event may fill;
+the rest is for the reading of a usual prompt and the way to the caller."""
+LEAST_TURN_SHARE = 0.3
+"""Part of the target that is always accepted as wait for rate limits, also where the
+first event leaves less."""
+CALLER_SHARE = 0.05
+"""Part of the target for the ways between the caller and this process, which are not in
+the times that it measures."""
 LIGHT_READ_SHARE = 0.06
 """Part of the target: reading that delays others by less than their answers vary."""
 LIGHT_SHARE = 0.1
@@ -46,6 +50,11 @@
 LATE_RANK = 5
 """Rank from which generations wait whose answers can't be in time, ordered by the rank
 of their route; engines know 0 to 9."""
+LATE_OCCUPANCY = 0.5
+"""Part of the places of an engine that reads up to which late prompts are sent there.
+Those that hold places are read behind others, but no other gets their places."""
+LATE_GENERATING = 1.0
+"""The same of an engine that generates, which knows no rank among its streams."""
 LATE_WAIT_SHARE = 0.5
 """Part of its time that a request may wait whose answer is late anyway; the other half
 is for reading and generating."""
@@ -56,9 +65,13 @@
 Callers follow a hint of at most a third of the time that they have left."""
 
 
-def admits_generation(route: Route, placement: Placement, time_left: timedelta) -> bool:
+def admits_generation(
+    route: Route, placement: Placement, time_left: timedelta, rest: timedelta
+) -> bool:
     """Return whether the answer is expected in time.
 
+    `rest` is the time that answers take beside what is expected of them, as learned.
+
     What counts is the wait, not the reading: large prompts must not be refused more
     often than small ones. Only what is read in a moment waits longer: to refuse it
     makes room for nobody.
@@ -66,7 +79,8 @@
     if _is_full(placement) or not admits_turn(route, placement):
         return False
     target = route.latency_target.total_seconds()
-    bound = _bound_wait(route, placement)
+    taken = placement.usual_seconds + placement.first_seconds + rest.total_seconds()
+    bound = (1 - CALLER_SHARE) * target - taken
     if placement.read_seconds <= LIGHT_READ_SHARE * target:
         bound = max(bound, LIGHT_SHARE * time_left.total_seconds())
     return placement.delay_seconds <= bound
@@ -78,14 +92,14 @@
     The bound is the same for all: who may wait longer would take each turn before it
     is free, and nobody else would be served.
     """
-    return placement.turn_seconds <= _bound_wait(route, placement)
+    return placement.turn_seconds <= _bound_turn(route, placement)
 
 
-def _bound_wait(route: Route, placement: Placement) -> float:
-    """Return the seconds for which a generation may wait and still be in time."""
+def _bound_turn(route: Route, placement: Placement) -> float:
+    """Return the seconds for which rate limits may hold a generation up."""
     target = route.latency_target.total_seconds()
     return max(
-        TARGET_SHARE * target - placement.first_seconds, LEAST_WAIT_SHARE * target
+        TARGET_SHARE * target - placement.first_seconds, LEAST_TURN_SHARE * target
     )
 
 
@@ -96,6 +110,10 @@
     """
     if _is_full(placement) or not admits_turn(route, placement):
         return False
+    if placement.reader_occupancy > LATE_OCCUPANCY:
+        return False
+    if placement.occupancy > LATE_GENERATING:
+        return False
     return placement.wait_seconds <= LATE_WAIT_SHARE * time_left.total_seconds()
 
 
--- a/packages/mustardquay/src/mustardquay/peer_books.py
+++ b/packages/mustardquay/src/mustardquay/peer_books.py
@@ -6,6 +6,7 @@
 what is lost of the parts is a prompt that is read once more.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -17,13 +18,17 @@
 __all__ = [
     "DIGEST_LIFETIME",
     "LOWEST_RANK",
+    "MICROSECONDS",
     "EngineDigest",
     "PeerBook",
     "PeerDigest",
     "PlacedPart",
     "make_ranks",
+    "trim_ranks",
 ]
 
+MICROSECONDS = 1_000_000
+"""In a second."""
 LOWEST_RANK = 9
 """The least urgent rank that engines know; 0 is the most urgent."""
 
@@ -33,6 +38,16 @@
     return [0.0] * (LOWEST_RANK + 1)
 
 
+def trim_ranks(seconds: Sequence[float]) -> tuple[float, ...]:
+    """Return the ranks without those at the end that have no work.
+
+    >>> trim_ranks([0.0, 0.2, 0.0])
+    (0.0, 0.2)
+    """
+    used = [rank for rank, value in enumerate(seconds) if value]
+    return tuple(seconds[: used[-1] + 1]) if used else ()
+
+
 DIGEST_LIFETIME = timedelta(milliseconds=800)
 """How long a digest counts. A gateway that is silent for longer is gone, cut off or
 suspended, and its callers have left it."""
@@ -98,13 +113,28 @@
     at: timedelta
 
 
+@dataclass(slots=True)
+class _EngineSum:
+    """The work of all gateways that are heard, at one engine.
+
+    Whole numbers, so that what is added and taken away again leaves nothing.
+    """
+
+    microseconds: list[int] = field(default_factory=lambda: [0] * (LOWEST_RANK + 1))
+    running: int = 0
+    digests: int = 0
+    """Digests that name the engine."""
+
+
 @dataclass(slots=True)
 class PeerBook:
     """The newest digest of each gateway, and their sums by engine."""
 
     heard: dict[str, _Heard] = field(default_factory=dict)
-    _read_seconds: dict[str, list[float]] = field(default_factory=dict)
-    _running: dict[str, int] = field(default_factory=dict)
+    unheard_ratio: float = 0.0
+    """Gateways that don't tell this one, for each that does. They are taken to have
+    as much work outstanding as the others."""
+    _sums: dict[str, _EngineSum] = field(default_factory=dict)
 
     def hear(self, digest: PeerDigest, now: timedelta) -> bool:
         """Take in a digest; returns whether it is newer than what was known.
@@ -115,27 +145,33 @@
         if known is not None:
             if digest.order <= known.digest.order:
                 return False
+            self._take_away(known.digest)
         self.heard[digest.gateway] = _Heard(digest, now)
-        self._sum_up(now)
+        self._add(digest)
         return True
 
     def expire(self, now: timedelta) -> None:
         """Drop what is too old."""
-        if any(now - heard.at > DIGEST_LIFETIME for heard in self.heard.values()):
-            self.heard = {
-                name: heard
-                for name, heard in self.heard.items()
-                if now - heard.at <= DIGEST_LIFETIME
-            }
-            self._sum_up(now)
+        silent = [
+            name
+            for name, heard in self.heard.items()
+            if now - heard.at > DIGEST_LIFETIME
+        ]
+        for name in silent:
+            self._take_away(self.heard.pop(name).digest)
 
     def get_read_seconds(self, engine: str, rank: int = LOWEST_RANK) -> float:
         """Return the reading that the others have at an engine, up to a rank."""
-        return sum(self._read_seconds.get(engine, ())[: rank + 1])
+        found = self._sums.get(engine)
+        if found is None:
+            return 0.0
+        heard = sum(found.microseconds[: rank + 1]) / MICROSECONDS
+        return heard * (1 + self.unheard_ratio)
 
     def get_running(self, engine: str) -> int:
         """Return the generations of the others that run at an engine."""
-        return self._running.get(engine, 0)
+        found = self._sums.get(engine)
+        return 0 if found is None else round(found.running * (1 + self.unheard_ratio))
 
     def list_configurations(self) -> list[int]:
         """Return the version of the configuration that each gateway has."""
@@ -147,13 +183,23 @@
             engine for heard in self.heard.values() for engine in heard.digest.changing
         }
 
-    def _sum_up(self, now: timedelta) -> None:
-        self._read_seconds = {}
-        self._running = {}
-        for heard in self.heard.values():
-            for each in heard.digest.engines:
-                seconds = self._read_seconds.setdefault(each.engine, make_ranks())
-                for rank, value in enumerate(each.read_seconds):
-                    seconds[rank] += value
-                running = self._running.get(each.engine, 0)
-                self._running[each.engine] = running + each.running
+    def _add(self, digest: PeerDigest) -> None:
+        for each in digest.engines:
+            total = self._sums.get(each.engine)
+            if total is None:
+                total = self._sums[each.engine] = _EngineSum()
+            _sum_up(total, each, 1)
+
+    def _take_away(self, digest: PeerDigest) -> None:
+        for each in digest.engines:
+            total = self._sums[each.engine]
+            _sum_up(total, each, -1)
+            if not total.digests:
+                del self._sums[each.engine]
+
+
+def _sum_up(total: _EngineSum, each: EngineDigest, sign: int) -> None:
+    for rank, seconds in enumerate(each.read_seconds):
+        total.microseconds[rank] += sign * round(seconds * MICROSECONDS)
+    total.running += sign * each.running
+    total.digests += sign
--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -8,9 +8,11 @@
 is read at one place although several processes choose at the same moment.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
 from datetime import timedelta
+from math import ceil
+from random import Random
 
 from xxhash import xxh3_64_intdigest
 
@@ -19,23 +21,24 @@
 from .requests import PromptTraits
 from .upstream_lists import Stage, UpstreamRecord
 
-__all__ = ["Placement", "choose_decoder", "choose_engines"]
+__all__ = [
+    "Placement",
+    "Sample",
+    "choose_decoder",
+    "choose_engines",
+    "make_sample",
+]
 
 PAUSE_SHARE = 0.45
 """Part of the longest pause that a route allows which reading beside streams may fill.
-The rest is for what other gateways send to the engine at the same moment. At 0.65 and
-0.45 the same days gave 0.362 and 0.391, 0.573 and 0.570."""
+The rest is for what other gateways send to the engine at the same moment."""
 SHORT_SHARE = 0.09
 """Part of the longest pause that reading may always fill, so that short prompts go to
 the streams' engines although those are late. A share of what the route allows, not of
 the pauses that are seen: reading makes these longer, which would admit more reading."""
 STREAM_HARM = 0.5
 """Part of the reading at an engine that generates which counts again for each of its
-streams, as all of them wait for it. Mean worth of the days with trouble at 0.1, 0.3 and
-1.0, without a bound on pauses: 0.282, 0.374 and 0.369 (six engines that read a token in
-21 microseconds), 0.517, 0.572 and 0.557 (in 4; at 0.1 a third of the largest tenth of
-long answers was served). With the bound, 0.3 and 0.5 gave 0.409 and 0.408, 0.559 and
-0.564; the heaviest day of long answers 0.490 and 0.538."""
+streams, as all of them wait for it."""
 DISPLACED_SHARE = 0.3
 """Part of the reading that a copy saves which counts as its cost: the copy displaces
 other parts, of which some are asked for again."""
@@ -43,12 +46,39 @@
 """Part of the reading of a prompt's shared parts by which the rendezvous choice goes
 before other engines, so that parts gather in one place."""
 SLOW_SENDING = timedelta(milliseconds=20)
-"""Time to leave the process from which a long prompt may be sent once: one of 18 KB
-takes 13 ms on an idle link of 13 Mbit/s, and 1.6 ms at 100."""
+"""Time to leave the process from which a long prompt may be sent once, as its second
+sending would delay what is behind it on the link."""
+LEAST_CHOICES = 2
+"""Engines at random that are weighed to read, at least."""
 FAILURE_SECONDS = 0.2
 """What a send to an engine that always fails is taken to cost."""
 
 
+Sample = Callable[[Sequence[UpstreamRecord]], Sequence[UpstreamRecord]]
+"""Chooses some of the engines that read."""
+
+
+def keep_all(engines: Sequence[UpstreamRecord]) -> Sequence[UpstreamRecord]:
+    """Return all the engines."""
+    return engines
+
+
+def make_sample(random: Random, processes: int) -> Sample:
+    """Return a choice of engines for one of so many processes that choose.
+
+    Guards against processes that all send to the same engine, the one with the least
+    work by news that are older than what has been sent since. Two at random are nearly
+    as good as all where news are fresh, and better where they are old (Mitzenmacher,
+    "How useful is old information?", 2000); one process alone knows all.
+    """
+
+    def sample(engines: Sequence[UpstreamRecord]) -> Sequence[UpstreamRecord]:
+        size = max(LEAST_CHOICES, ceil(len(engines) / max(processes, 1)))
+        return engines if size >= len(engines) else random.sample(engines, size)
+
+    return sample
+
+
 @dataclass(frozen=True, slots=True)
 class Placement:
     """Where a generation goes."""
@@ -72,6 +102,11 @@
     """What the engine that reads does."""
     work_seconds: float = 0.0
     """All that it had to read, also what goes behind this prompt."""
+    usual_seconds: float = 0.0
+    """Expected reading of a usual prompt."""
+    reader_occupancy: float = 0.0
+    """Part of the places of the engine that reads which are taken, as the work that it
+    has is in usual prompts."""
     stream_seconds: float = 0.0
     """Expected time from the first event to the longest end that is allowed."""
     reader_turn: float = 0.0
@@ -91,6 +126,11 @@
         is_read = begun + self.read_seconds
         return begun - self.wait_seconds + max(self.decoder_turn - is_read, 0.0)
 
+    @property
+    def expected_seconds(self) -> float:
+        """Return the expected time until the first event."""
+        return self.delay_seconds + self.read_seconds + self.first_seconds
+
     @property
     def delay_seconds(self) -> float:
         """Return the expected waiting, for other prompts and for rate limits."""
@@ -157,11 +197,13 @@
     avoid: Iterable[str] = (),
     sending: timedelta = timedelta(),
     rank: int = 0,
+    sample: Sample = keep_all,
 ) -> Placement | None:
     """Return the placement that costs least, or None without a usable engine.
 
     `parts` are the hashed parts of the prompt, `sending` is how long the request takes
     to leave this process once. Engines read it before all that has a higher `rank`.
+    `sample` chooses the engines that read which are weighed at all.
     """
     usable = _list_usable(engines, books, now, set(avoid))
     decoders = [engine for engine in usable if engine.stage is not Stage.PREFILL]
@@ -178,7 +220,8 @@
         return min(alone, key=_get_cost)
     decoder = _pick_decoder(decoders, books, now)
     favourite = _rank_first(parts, prefillers)
-    pairs = [_weigh_pair(engine, decoder, favourite, question) for engine in prefillers]
+    weighed = _sample(prefillers, favourite, holder, sample)
+    pairs = [_weigh_pair(engine, decoder, favourite, question) for engine in weighed]
     pair = min(pairs, key=_get_cost)
     harmless = [each for each in alone if _is_harmless(each, books)]
     if not harmless:
@@ -200,6 +243,22 @@
     return _pick_decoder(decoders, books, now) if decoders else None
 
 
+def _sample(
+    prefillers: Sequence[UpstreamRecord],
+    favourite: str,
+    holder: UpstreamRecord | None,
+    sample: Sample,
+) -> Sequence[UpstreamRecord]:
+    """Return the engines that are weighed to read: some, and those that hold parts."""
+    chosen = sample(prefillers)
+    known = {engine.id for engine in chosen}
+    wanted = {favourite} | ({holder.id} if holder is not None else set())
+    return [
+        *chosen,
+        *(each for each in prefillers if each.id in wanted and each.id not in known),
+    ]
+
+
 def _pick_decoder(
     decoders: Sequence[UpstreamRecord], books: EngineBooks, now: timedelta
 ) -> UpstreamRecord:
@@ -307,6 +366,7 @@
     reader = prefiller or decoder
     planned = _plan_reading(reader, question)
     work = question.sum_work(reader)
+    usual = books.models.get_usual_read(reader.service)
     running = books.works.sum_running(decoder.id)
     first = books.models.expect_first(decoder.service, running)
     reader_turn = books.limits.expect_wait(reader, question.now)
@@ -326,6 +386,8 @@
         cost=cost + _penalty(reader, books, question.now),
         reading=planned.reading,
         work_seconds=work,
+        usual_seconds=usual,
+        reader_occupancy=work / usual / max(reader.slots, 1) if usual else 0.0,
         stream_seconds=question.expect_stream(decoder, running),
         reader_turn=reader_turn,
         decoder_turn=decoder_turn,
--- a/packages/mustardquay/tests/test_generation_limits.py
+++ b/packages/mustardquay/tests/test_generation_limits.py
@@ -19,6 +19,8 @@
 ENGINE = UpstreamRecord("e", "llm", "10.0.0.1:80", "a", 64, False, Stage.DECODE)
 
 
+REST = timedelta(milliseconds=30)
+"""Time that answers take beside what was expected."""
 VERDICT, DRAFT = 0.3, 4.4
 """Seconds of their streams."""
 
@@ -33,12 +35,13 @@
         occupancy,
         0.05,
         wait + read,
+        usual_seconds=0.02,
         stream_seconds=stream,
     )
 
 
 def admits(placement, time_left=ROUTE.timeout):
-    return admits_generation(ROUTE, placement, time_left)
+    return admits_generation(ROUTE, placement, time_left, REST)
 
 
 def test_callers_get_answers_in_time_while_more_is_asked_than_can_be_read():
