Read the list of upstreams as often as its bound asks for

The setting upstreams_pace has become upstreams_delay.

Deployments with bounds of two seconds make as many calls as before.

--- a/packages/mustardquay-node/src/mustardquay_node/gateway_feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_feeds.py
@@ -19,6 +19,11 @@
 
 CONFIGURATION_PACE = timedelta(milliseconds=20)
 """Pause after each configuration: in a storm of them, several come in one read."""
+UPSTREAMS_PACE_SHARE = 0.25
+"""Part of the time in which an upstream that leaves must be known, between two reads:
+the list changes with each heartbeat, and each read is a call to the store."""
+UPSTREAMS_WAIT_SHARE = 0.5
+"""The same of the time for which the store holds a read."""
 PEERS_WAIT = timedelta(seconds=20)
 """The list of gateways seldom changes, and digests show at once who is silent."""
 PEERS_PACE = timedelta(seconds=1)
@@ -88,10 +93,11 @@
 
     def _follow_upstreams(self) -> TableFeed:
         parts = self._parts
+        delay = parts.settings.upstreams_delay
         options = FeedOptions(
             parts.adapter.UPSTREAMS_TABLE,
-            parts.settings.configuration_wait,
-            parts.settings.upstreams_pace,
+            min(parts.settings.configuration_wait, UPSTREAMS_WAIT_SHARE * delay),
+            UPSTREAMS_PACE_SHARE * delay,
         )
         return self._make_feed(
             options, parts.upstreams.take, parts.upstreams.begin_grace
--- a/packages/mustardquay-node/src/mustardquay_node/keys.py
+++ b/packages/mustardquay-node/src/mustardquay_node/keys.py
@@ -280,10 +280,11 @@
     Key("store", "address", None, "IP number:port", "Where the store is."),
     Key(
         "store",
-        "upstreams_pace",
-        "0.5",
+        "upstreams_delay",
+        "2",
         "s",
-        "Pause between two reads of what upstreams say of themselves.",
+        "Time in which an upstream that leaves must get no more work. The list of "
+        "upstreams is read four times in it.",
     ),
     Key(
         "store",
--- a/packages/mustardquay-node/src/mustardquay_node/settings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/settings.py
@@ -86,7 +86,7 @@
 
     adapter: Annotated[str, StringConstraints(pattern=r"^[A-Za-z_][A-Za-z0-9_.]*$")]
     address: SocketAddress
-    upstreams_pace: Duration
+    upstreams_delay: Duration
     configuration_wait: Duration
 
 
