Learn no speeds from short prompts behind long ones that are under way

Each gateway began anew in a burst; short prompts, expected to wait for nothing, took 50 ms behind long late ones that the engine had begun. All readings seemed to take the same time, so that a separate one was never worth it, and what engines that generate read alone was put down to their first events: nothing taught the speed of reading again.

A reading now counts as surely unhindered only if the engine had little to read at any rank; what a separate reading takes besides is bounded; long prompts read alone teach the speed of reading. The new test fails on the code before.

--- a/packages/mustardquay-node/src/mustardquay_node/generators.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generators.py
@@ -322,6 +322,7 @@
             placement.wait_seconds,
             took.total_seconds(),
             self._clock.monotonic(),
+            placement.work_seconds,
         )
 
     def learn_first(self, ticket: Ticket, took: timedelta) -> None:
--- a/packages/mustardquay/src/mustardquay/decaying_fits.py
+++ b/packages/mustardquay/src/mustardquay/decaying_fits.py
@@ -67,6 +67,11 @@
         """Return the measurements that count, older ones for less."""
         return self._weight
 
+    @property
+    def prior(self) -> tuple[float, ...]:
+        """Return the coefficients before the first measurement, or as a peer told."""
+        return self._prior
+
     @property
     def coefficients(self) -> tuple[float, ...]:
         """Return the coefficients as they are believed now."""
--- a/packages/mustardquay/src/mustardquay/engine_models.py
+++ b/packages/mustardquay/src/mustardquay/engine_models.py
@@ -21,6 +21,9 @@
 platform's engines, whatever their speed."""
 PRIOR_FIXED = 0.005
 """Seconds of a reading of nothing before any was seen: some ways through a network."""
+MOST_FIXED = 0.03
+"""Most seconds that a reading of nothing is taken to need: more is a queue that was not
+known of, and would have all prompts read by engines that generate."""
 PRIOR_TOKEN = 1e-5
 """Seconds for each token before any reading was seen: between the engines known so far
 (4 and 21 microseconds). Half of the truth or twice as much misplaces the first dozen
@@ -181,7 +184,7 @@
 
     def expect_overhead(self, service: str) -> float:
         """Return the seconds that a separate reading takes beside the work itself."""
-        return self._get_pool(service).read.coefficients[0]
+        return min(self._get_pool(service).read.coefficients[0], MOST_FIXED)
 
     def expect_first(self, service: str, streams: int) -> float:
         """Return the seconds from a prompt that is read to its first event."""
@@ -219,12 +222,17 @@
         wait: float,
         took: float,
         now: timedelta,
+        work: float = 0.0,
     ) -> None:
-        """Take in how long a reading took that was expected to wait for `wait`."""
+        """Take in how long a reading took that was expected to wait for `wait`.
+
+        `work` is all that the engine had to read: what is under way is brought to its
+        end first, whatever its rank, so that more than `wait` may be a queue.
+        """
         pool = self._get_pool(engine.service)
         factor = self.read_factor(engine, now)
         expected = pool.read.predict(reading.features) * factor
-        sureness = 1 / (1 + (wait / max(expected, 1e-6)) ** 2)
+        sureness = 1 / (1 + (max(wait, work) / max(expected, 1e-6)) ** 2)
         if sureness < LEAST_SURENESS:
             return
         seconds = max(took - wait, 0.0)
@@ -247,11 +255,13 @@
         """Take in how long an engine read a prompt and made its first event.
 
         Tells of the one that takes most of the time, as the other is a small error.
+        Guards against a model by which nothing takes long to read: long prompts would
+        all be read by engines that generate, as if these took long for their events.
         """
         pool = self._get_pool(engine.service)
         expected = self.expect_read(engine, reading, now)
         first = pool.first.predict((1.0, float(streams)))
-        if expected < first:
+        if expected < first and not _is_long(pool, reading):
             self.learn_first(engine.service, streams, seconds - expected)
             return
         read = max(seconds - first, 0.0) / GENERATING_SLOWDOWN
@@ -299,6 +309,12 @@
         return pool
 
 
+def _is_long(pool: _Pool, reading: Reading) -> bool:
+    """Return whether a reading takes longer than a first event by the priors."""
+    read = GENERATING_SLOWDOWN * dot(pool.read.prior, reading.features)
+    return read > dot(pool.first.prior, (1.0, 0.0))
+
+
 def _learn_factor(pool: _Pool, id: str, ratio: float, now: timedelta) -> None:
     factor = pool.factors.setdefault(id, _Factor(at=now))
     value = _fade(factor, now)
--- a/packages/mustardquay/tests/test_engine_models.py
+++ b/packages/mustardquay/tests/test_engine_models.py
@@ -174,3 +174,21 @@
         models.learn_read(engine, reading, 0.05, 0.15, now)
     assert models.expect_read(engine, reading, now) <= 1.5 * known
     assert models.count_samples("llm") >= 20
+
+
+def test_a_model_that_takes_reading_for_nothing_is_put_right_by_prompts_read_alone():
+    """Guards against a start in a burst after which no engine reads for others.
+
+    Short prompts waited for long ones that were under way, so that all readings seemed
+    to take the same time.
+    """
+    models = EngineModels()
+    reader = UpstreamRecord("p", "llm", "10.0.0.1:80", "a", 64, False, Stage.PREFILL)
+    decoder = UpstreamRecord("d", "llm", "10.0.0.2:80", "a", 64, False, Stage.DECODE)
+    now = timedelta()
+    for tokens in (100, 8_000, 300, 2_000, 200, 9_000) * 3:
+        models.learn_read(reader, Reading(tokens), 0.0, 0.05, now)
+    for _ in range(30):
+        models.learn_alone(decoder, Reading(9_000), 8, 0.2, now)
+    assert models.expect_read(decoder, Reading(9_000), now) >= 0.1
+    assert models.expect_overhead("llm") <= 0.03
