Notice that the store came back from a copy, and hold what was known

In a drill the platform's store may come back from a copy some seconds old and give out the same versions again.

A position in the store is an era and a version. The era is read from each answer; answers of an era that is over are dropped. At a new one all tables are read anew at once, nothing is dropped for four seconds, records that are older than known ones change nothing, gateways list their addresses again. Nobody holds the lease until somebody has taken it over a whole term after learning of the return; fences of a later era are higher. A store that tells no era works as before.

--- a/packages/mustardquay-node/src/mustardquay_node/adapters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/adapters.py
@@ -15,10 +15,12 @@
 from mustardquay.errors import SettingsError
 from mustardquay.requests import PromptPart, PromptTraits
 from mustardquay.routing_tables import RoutingTable
+from mustardquay.store_eras import StorePosition
 from mustardquay.tables import TableService
 from mustardquay.upstream_lists import Stage, UpstreamRecord
 
 from .connections import AnswerHead
+from .era_watches import EraWatch
 
 __all__ = [
     "Adapter",
@@ -119,7 +121,7 @@
     key: str
     value: bytes
     version: int
-    """Rises with each write, over all rows."""
+    """Rises with each write, over all rows, within an era of the store."""
     deleted: bool = False
 
 
@@ -128,7 +130,7 @@
     """Rows that were read together."""
 
     rows: Sequence[StoreRow]
-    version: int
+    position: StorePosition
     """From where the next read goes on."""
 
 
@@ -155,6 +157,10 @@
 class StoreTables(TableService, Protocol):
     """The platform's store: a table service whose tables can be followed."""
 
+    @property
+    def era(self) -> int:
+        """Return the newest era that the store has told, 0 where it tells none."""
+
     async def list_rows(self, table: str, options: ReadOptions) -> FeedPage:
         """Return all rows of a table, as of one moment for each page."""
 
@@ -179,8 +185,8 @@
     REPORT_PATH: str
     CACHE_PATH: str
 
-    def open_store(self, address: str, clock: Any) -> StoreTables:
-        """Return a client of the store."""
+    def open_store(self, address: str, clock: Any, eras: EraWatch) -> StoreTables:
+        """Return a client of the store, which tells the era of each answer."""
 
     def read_configuration(self, value: bytes) -> RoutingTable:
         """Return the operator's configuration; raises `ProtocolError`."""
--- a/packages/mustardquay-node/src/mustardquay_node/feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/feeds.py
@@ -9,12 +9,13 @@
 from mustardquay.budgets import draw_delay
 from mustardquay.clocks import Clock
 from mustardquay.events import EventRing
+from mustardquay.store_eras import StorePosition
 
 from .adapters import FeedPage, HistoryLost, ReadOptions, StoreRow, StoreTables
 from .read_races import EndedRead, RaceEvents, ReadRace
 from .sleeps import Sleep, sleep as default_sleep
 
-__all__ = ["FeedOptions", "TableFeed"]
+__all__ = ["RETURN_GRACE", "FeedListener", "FeedOptions", "TableFeed"]
 
 FIRST_RETRY = timedelta(milliseconds=100)
 LONGEST_RETRY = timedelta(milliseconds=600)
@@ -22,6 +23,11 @@
 to be in force; a process then makes some three calls a second while it is away."""
 
 
+RETURN_GRACE = timedelta(seconds=4)
+"""How long rows that a store lacks after it came back from a copy are kept: their
+writers write them again within a few heartbeats."""
+
+
 @dataclass(frozen=True, slots=True)
 class FeedOptions:
     """How a table is followed."""
@@ -34,6 +40,22 @@
     """Pause between calls, for tables that change all the time."""
 
 
+def _ignore() -> None:
+    """Take no note."""
+
+
+@dataclass(frozen=True, slots=True)
+class FeedListener:
+    """Who takes in what a feed brings."""
+
+    take: Callable[[Sequence[StoreRow], bool], None]
+    """Gets rows, and whether they are all there are."""
+    regained: Callable[[], None] = _ignore
+    """Called before the first rows that follow an outage."""
+    returned: Callable[[], None] = _ignore
+    """Called before the first rows after the store came back from a copy."""
+
+
 @dataclass(frozen=True, slots=True)
 class _Found:
     """What a read brought."""
@@ -50,26 +72,25 @@
         self,
         store: StoreTables,
         options: FeedOptions,
-        take: Callable[[Sequence[StoreRow], bool], None],
+        listener: FeedListener,
         events: EventRing,
         clock: Clock,
         random: Random,
-        regained: Callable[[], None] = lambda: None,
         sleep: Sleep = default_sleep,
     ):
-        """Take the callbacks: `take` gets rows and whether they are all there are.
-
-        `regained` is called before the first rows that follow an outage.
-        """
         self._store = store
         self._options = options
-        self._take = take
+        self._listener = listener
         self._events = events
         self._clock = clock
         self._random = random
-        self._regained = regained
         self._sleep = sleep
-        self._version: int | None = None
+        self._position: StorePosition | None = None
+        """From where the next read goes on; None to read all rows."""
+        self._known: StorePosition | None = None
+        """The position of the rows that were taken last."""
+        self._drop_at: timedelta | None = None
+        """When rows are dropped that are still missing after a return."""
         self._failures = 0
         self._lost_at: timedelta | None = None
         self._answered_at: timedelta | None = None
@@ -90,6 +111,11 @@
         if self._race is not None:
             self._race.note_news()
 
+    def note_era(self) -> None:
+        """Read all rows now: the store has come back from a copy."""
+        self._position = None
+        self.wake()
+
     async def close(self) -> None:
         """Stop to follow."""
         if self._task is not None:
@@ -102,7 +128,7 @@
                 await self._read_once()
             except HistoryLost:
                 self._events.record("feed.history_lost", table=self._options.table)
-                self._version = None
+                self._position = None
             except Exception as error:
                 # Whatever it is, the feed must go on: without it, the process would
                 # serve by an old list for the rest of its life.
@@ -119,8 +145,39 @@
             self._race = None
         self._answered_at = self._clock.monotonic()
         self._note_answer()
-        self._take(found.page.rows, found.is_whole)
-        self._version = found.page.version
+        self._take_in(found)
+
+    def _take_in(self, found: _Found) -> None:
+        """Take in rows; after a return of the store, nothing is dropped at first.
+
+        Guards against a copy that lacks an upstream that serves, until that one has
+        written its row again: it would get no work for seconds.
+        """
+        position = found.page.position
+        if position.follows_return(self._known):
+            if not found.is_whole:
+                # Changes after a version that stood for other changes.
+                self._position = None
+                return
+            self._begin_era(position)
+        now = self._clock.monotonic()
+        is_early = self._drop_at is not None and now < self._drop_at
+        is_whole = found.is_whole and not is_early
+        if is_whole:
+            self._drop_at = None
+        self._listener.take(found.page.rows, is_whole)
+        self._position = self._known = position
+
+    def _begin_era(self, position: StorePosition) -> None:
+        self._drop_at = self._clock.monotonic() + RETURN_GRACE
+        self._events.record(
+            "feed.read_anew",
+            table=self._options.table,
+            era=position.era,
+            version=position.version,
+            before=self._known.version if self._known else 0,
+        )
+        self._listener.returned()
 
     async def _open_read(self, is_first: bool, options: ReadOptions) -> "_Found":
         """Read what has changed; beside a silent read, all rows.
@@ -128,11 +185,15 @@
         All rows hold only the newest value of each, where changes may hold many.
         """
         table = self._options.table
-        if is_first and self._version is not None:
-            page = await self._store.follow(table, self._version, options)
+        position = self._position
+        if is_first and position is not None and not self._is_drop_due():
+            page = await self._store.follow(table, position.version, options)
             return _Found(page, is_whole=False)
         return _Found(await self._store.list_rows(table, options), is_whole=True)
 
+    def _is_drop_due(self) -> bool:
+        return self._drop_at is not None and self._clock.monotonic() >= self._drop_at
+
     def _note_silence(self) -> None:
         self._note_lost("The store is silent")
 
@@ -153,7 +214,12 @@
         since the return are seen seconds late. While the store is lost, calls ask for
         no wait and end sooner.
         """
-        return self._options.wait if self._lost_at is None else timedelta()
+        if self._lost_at is not None:
+            return timedelta()
+        if self._drop_at is None:
+            return self._options.wait
+        left = self._drop_at - self._clock.monotonic()
+        return min(self._options.wait, max(left, timedelta()))
 
     def _note_answer(self) -> None:
         self._failures = 0
@@ -166,7 +232,7 @@
             table=self._options.table,
             away_s=round(away.total_seconds(), 3),
         )
-        self._regained()
+        self._listener.regained()
 
     def _note_lost(self, error: str) -> None:
         if self._lost_at is None:
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_feeds.py
@@ -10,7 +10,7 @@
 
 from .adapters import Adapter, StoreRow, StoreTables
 from .configuration_intakes import ConfigurationIntake
-from .feeds import FeedOptions, TableFeed
+from .feeds import FeedListener, FeedOptions, TableFeed
 from .peers import PEERS_TABLE
 from .settings import StoreSettings
 from .upstream_intakes import UpstreamIntake
@@ -74,6 +74,11 @@
         for feed in self._feeds:
             await feed.close()
 
+    def note_era(self) -> None:
+        """Read all tables now: the store has come back from a copy."""
+        for feed in self._feeds:
+            feed.note_era()
+
     def fetch_configuration(self) -> None:
         """Note that there is a newer configuration, which a silent read would miss."""
         self._configuration.wake()
@@ -85,11 +90,11 @@
             parts.settings.configuration_wait,
             CONFIGURATION_PACE,
         )
-        return self._make_feed(options, parts.configurations.take)
+        return self._make_feed(options, FeedListener(parts.configurations.take))
 
     def _follow_peers(self) -> TableFeed:
         options = FeedOptions(PEERS_TABLE, PEERS_WAIT, PEERS_PACE)
-        return self._make_feed(options, self._parts.take_peers)
+        return self._make_feed(options, FeedListener(self._parts.take_peers))
 
     def _follow_upstreams(self) -> TableFeed:
         parts = self._parts
@@ -99,23 +104,12 @@
             min(parts.settings.configuration_wait, UPSTREAMS_WAIT_SHARE * delay),
             UPSTREAMS_PACE_SHARE * delay,
         )
-        return self._make_feed(
-            options, parts.upstreams.take, parts.upstreams.begin_grace
-        )
+        intake = parts.upstreams
+        listener = FeedListener(intake.take, intake.begin_grace, intake.begin_return)
+        return self._make_feed(options, listener)
 
-    def _make_feed(
-        self,
-        options: FeedOptions,
-        take: Callable[[Sequence[StoreRow], bool], None],
-        regained: Callable[[], None] = lambda: None,
-    ) -> TableFeed:
+    def _make_feed(self, options: FeedOptions, listener: FeedListener) -> TableFeed:
         parts = self._parts
         return TableFeed(
-            parts.store,
-            options,
-            take,
-            parts.events,
-            parts.clock,
-            parts.random,
-            regained,
+            parts.store, options, listener, parts.events, parts.clock, parts.random
         )
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -30,6 +30,7 @@
 from .crash_reporters import CrashReporter
 from .digests import DigestBook, DigestParts
 from .engine_calls import EngineCall, call_engine
+from .era_watches import EraWatch
 from .forwarder_parts import ForwarderParts
 from .forwarders import Forwarder
 from .gateway_feeds import FeedParts, GatewayFeeds
@@ -82,7 +83,10 @@
         self._planner = self._make_planner()
         self._stop = self._make_stop()
         self._forwarder = Forwarder(self._make_parts())
-        self._store = self._adapter.open_store(settings.store.address, self._clock)
+        self._eras = EraWatch(self._events)
+        self._store = self._adapter.open_store(
+            settings.store.address, self._clock, self._eras
+        )
         self._intake = UpstreamIntake(
             self._adapter,
             self._upstreams,
@@ -104,6 +108,8 @@
         self._keeper = self._make_keeper()
         self._survey = self._make_survey()
         self._feeds = self._make_feeds()
+        for each in (self._keeper, self._feeds, self._peers):
+            self._eras.listen(each.note_era)
         self._connections = CallerConnections(
             ConnectionOptions(self._clock, self._get_limits, self._forwarder.handle)
         )
@@ -312,6 +318,7 @@
             "mustardquay.upstreams": lambda: float(len(list(self._upstreams))),
             "mustardquay.connections": lambda: float(self._connections.count),
             "mustardquay.store.age": self._measure_store_age,
+            "mustardquay.store.era": lambda: float(self._eras.era),
         }
 
     def _measure_store_age(self) -> float:
@@ -345,6 +352,7 @@
             self._digests.build,
             self._digests.hear,
             self._digests.note_listed,
+            self._random,
         )
 
     def _make_keeper(self) -> StageKeeper:
--- a/packages/mustardquay-node/src/mustardquay_node/peers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.py
@@ -9,6 +9,7 @@
 from bisect import bisect
 from collections.abc import Callable, Collection, Iterable, Sequence
 from datetime import timedelta
+from random import Random
 from typing import Any
 
 import orjson
@@ -50,6 +51,8 @@
 PEERS_LIMIT = 32
 """Peers that are told, the nearest in the order of names. More would cost a
 large fleet too much."""
+REGISTER_SPREAD = timedelta(seconds=1)
+"""Time over which gateways list their addresses again."""
 REGISTER_RETRY = timedelta(seconds=1)
 FAREWELL_LIMIT = timedelta(milliseconds=300)
 """How long the store may take for the last call: the platform kills a process that
@@ -69,6 +72,7 @@
         build: Callable[[], PeerDigest],
         hear: Callable[[PeerDigest], None],
         note_listed: Callable[[Collection[str], int], None] = lambda told, others: None,
+        random: Random | None = None,
     ):
         """Take `build`, which makes the next digest, and `hear` for those of others.
 
@@ -83,6 +87,7 @@
         self._build = build
         self._hear = hear
         self._note_listed = note_listed
+        self._random = random or Random(name)
         self._peers: dict[str, tuple[str, int]] = {}
         self._hurry = asyncio.Event()
         self._changed = asyncio.Event()
@@ -157,7 +162,16 @@
     def error_received(self, exc: Exception) -> None:
         """Leave a peer that does not listen to the next digest."""
 
-    async def _register(self) -> None:
+    def note_era(self) -> None:
+        """List the address again: the copy that the store came back from may lack it.
+
+        Spread in time, as all gateways do so at once.
+        """
+        delay = REGISTER_SPREAD * self._random.random()
+        self._tasks.append(asyncio.create_task(self._register(delay)))
+
+    async def _register(self, delay: timedelta = timedelta()) -> None:
+        await asyncio.sleep(delay.total_seconds())
         value = {"address": self._address}
         write = Write(PEERS_TABLE, self._name, value)
         while True:
--- a/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stage_keepers.py
@@ -121,6 +121,18 @@
         self._hurried = HURRIED_TURNS
         self._hurry.set()
 
+    def note_era(self) -> None:
+        """Give up the lease this instant: the store has come back from a copy.
+
+        Another gateway may have taken it over since the copy was made, and order now.
+        """
+        now = self._parts.clock.monotonic()
+        if self._lease.is_held(now):
+            self._parts.events.record(
+                "lease.ended", domain=DOMAIN, fence=self._lease.order_fence.number
+            )
+        self._lease.begin_era(self._parts.store.era, now)
+
     async def _run(self) -> None:
         while True:
             await self._pause()
@@ -206,10 +218,14 @@
     async def _observe(self) -> None:
         parts = self._parts
         self._observed_at = parts.clock.monotonic()
-        rows = LeaseRows(
-            await parts.store.read(LEASES, DOMAIN),
-            await parts.store.read(BEATS, DOMAIN),
-        )
+        lease = await parts.store.read(LEASES, DOMAIN)
+        era = parts.store.era
+        beat = await parts.store.read(BEATS, DOMAIN)
+        if parts.store.era != era:
+            # The two rows are of two lives of the store.
+            self.note_era()
+            return
+        rows = LeaseRows(lease, beat, era)
         self._lease.observe(rows, parts.clock.monotonic())
 
     async def _renew(self) -> bool:
@@ -219,10 +235,12 @@
         transaction = self._lease.propose(parts.clock.monotonic())
         if transaction is None:
             return False
-        fence = self._lease.fence
-        self._lease.settle(await store.transact(transaction), transaction)
-        if self._lease.fence != fence:
-            parts.events.record("lease.taken", domain=DOMAIN, fence=self._lease.fence)
+        fence = self._lease.order_fence
+        result = await store.transact(transaction)
+        self._lease.settle(result, transaction, parts.clock.monotonic())
+        if self._lease.order_fence != fence:
+            number = self._lease.order_fence.number
+            parts.events.record("lease.taken", domain=DOMAIN, fence=number)
         return self._lease.is_held(parts.clock.monotonic())
 
     async def _order(self, change: StageChange) -> None:
@@ -244,7 +262,10 @@
             return
         adapter = self._parts.adapter
         body = adapter.build_order(
-            change.stage, self._name, self._lease.fence, report.orders_accepted
+            change.stage,
+            self._name,
+            self._lease.order_fence.number,
+            report.orders_accepted,
         )
         exchange = await self._parts.call(
             engine, EngineCall("POST", adapter.ORDER_PATH, body)
@@ -270,7 +291,7 @@
             "stage.ordered",
             upstream=change.engine.id,
             stage=change.stage.value,
-            fence=self._lease.fence,
+            fence=self._lease.order_fence.number,
             outcome=outcome,
             status=status,
         )
--- a/packages/mustardquay-node/src/mustardquay_node/upstream_intakes.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstream_intakes.py
@@ -1,5 +1,6 @@
 """Upstream intakes: the records of upstreams in the store, taken into the list."""
 
+from collections import OrderedDict
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 
@@ -9,9 +10,13 @@
 from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
 
 from .adapters import Adapter, StoreRow
+from .feeds import RETURN_GRACE
 
 __all__ = ["UpstreamIntake"]
 
+GONE_LIMIT = 1_000
+"""Upstreams that are gone whose last records are kept."""
+
 
 class UpstreamIntake:
     """Keeps the list of upstreams by the rows that the store tells of."""
@@ -35,6 +40,17 @@
         self._clock = clock
         self._forget = forget
         self._note_leaving = note_leaving
+        self._gone: OrderedDict[str, UpstreamRecord] = OrderedDict()
+        """The last records of upstreams that are gone, oldest first."""
+        self._distrusts_until = timedelta()
+
+    def begin_return(self) -> None:
+        """Note that the store has come back from a copy, with older records.
+
+        Guards against a copy from before an upstream began to leave: by its old record
+        it would get new work again, until it writes the next one.
+        """
+        self._distrusts_until = self._clock.monotonic() + RETURN_GRACE
 
     def begin_grace(self) -> None:
         """Note that the store answers again after an outage."""
@@ -49,17 +65,31 @@
                 self._drop(row.key, now)
                 continue
             record = self._read(row)
-            if record is not None:
-                records.append(record)
-                self._put(record)
+            if record is None or self._is_outdated(record, now):
+                continue
+            records.append(record)
+            self._put(record)
         if is_whole:
             for record in self._upstreams.replace(records, now):
-                self._note_gone(record.id)
+                self._note_gone(record)
 
     def expire(self) -> None:
         """Drop the upstreams that did not come back after an outage of the store."""
         for record in self._upstreams.expire(self._clock.monotonic()):
-            self._note_gone(record.id)
+            self._note_gone(record)
+
+    def _is_outdated(self, record: UpstreamRecord, now: timedelta) -> bool:
+        """Return whether a record of a copy tells less than is known."""
+        if now >= self._distrusts_until:
+            return False
+        listed = self._upstreams.get(record.id)
+        known = listed or self._gone.get(record.id)
+        if known is None or known.started_ms != record.started_ms:
+            return False
+        if record.sequence != known.sequence:
+            return record.sequence < known.sequence
+        # The same record once more: what is known besides it is newer.
+        return listed is None or (listed.draining and not record.draining)
 
     def _read(self, row: StoreRow) -> UpstreamRecord | None:
         try:
@@ -85,13 +115,17 @@
     def _drop(self, id: str, now: timedelta) -> None:
         record = self._upstreams.get(id)
         if record is not None and self._upstreams.remove(id, now):
-            self._note_gone(id)
+            self._note_gone(record)
             if not record.draining:
                 self._note_leaving(record)
 
-    def _note_gone(self, id: str) -> None:
-        self._events.record("upstream.gone", upstream=id)
-        self._forget(id)
+    def _note_gone(self, record: UpstreamRecord) -> None:
+        self._gone[record.id] = record
+        self._gone.move_to_end(record.id)
+        if len(self._gone) > GONE_LIMIT:
+            self._gone.popitem(last=False)
+        self._events.record("upstream.gone", upstream=record.id)
+        self._forget(record.id)
 
     def _log(self, kind: str, record: UpstreamRecord) -> None:
         self._events.record(
--- a/packages/mustardquay-node/tests/test_feeds.py
+++ b/packages/mustardquay-node/tests/test_feeds.py
@@ -5,8 +5,9 @@
 from mustardquay.clocks import VirtualClock
 from mustardquay.errors import StoreUnavailable
 from mustardquay.events import EventRing, HybridClock
+from mustardquay.store_eras import StorePosition
 from mustardquay_node.adapters import FeedPage
-from mustardquay_node.feeds import FeedOptions, TableFeed
+from mustardquay_node.feeds import FeedListener, FeedOptions, TableFeed
 
 WAIT = timedelta(seconds=2.5)
 
@@ -20,7 +21,7 @@
         self.done = asyncio.Event()
 
     async def list_rows(self, table, options):
-        return FeedPage((), 1)
+        return FeedPage((), StorePosition(0, 1))
 
     async def follow(self, table, after, options):
         self.waits.append(options.wait)
@@ -29,7 +30,7 @@
             await asyncio.Event().wait()
         if 1 < len(self.waits) <= self.failures + 1:
             raise StoreUnavailable("The store does not answer; try again later.")
-        return FeedPage((), 1)
+        return FeedPage((), StorePosition(0, 1))
 
 
 async def test_calls_to_a_store_that_is_lost_are_held_for_no_time():
@@ -47,7 +48,7 @@
     feed = TableFeed(
         store,
         FeedOptions("op", WAIT),
-        lambda rows, is_whole: None,
+        FeedListener(lambda rows, is_whole: None),
         EventRing("g1", HybridClock(clock)),
         clock,
         Random(1),
--- a/packages/mustardquay-standins/src/mustardquay_standins/stores.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/stores.py
@@ -33,6 +33,8 @@
     def __init__(self, tables: Tables | None = None):
         self.tables = tables or Tables()
         self.counters = StoreCounters()
+        self.era = 0
+        """Told by platforms whose store may come back from a copy."""
         self.down = False
         """Every call is refused and has no effect."""
         self.lose_answers = 0
--- a/packages/mustardquay/src/mustardquay/tables.py
+++ b/packages/mustardquay/src/mustardquay/tables.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 __all__ = [
@@ -63,6 +63,8 @@
     """The transaction was applied; the revisions are those of its writes."""
 
     revisions: tuple[int, ...]
+    era: int = field(default=0, repr=False)
+    """The era of the store in which it was applied; 0 where it tells none."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mustardquay/src/mustardquay/upstream_lists.py
+++ b/packages/mustardquay/src/mustardquay/upstream_lists.py
@@ -44,6 +44,8 @@
     """How much longer the upstream is slow after its start, as of this record."""
     started_ms: int = 0
     """Start of this incarnation in Unix milliseconds; 0 when it is not told."""
+    sequence: int = 0
+    """Rises with each record that an incarnation writes; 0 when it is not told."""
 
 
 @dataclass(slots=True)
