--- a/packages/mustardquay-node/tests/test_stage_keepers.py
+++ b/packages/mustardquay-node/tests/test_stage_keepers.py
@@ -150,3 +150,26 @@
         await fleet.keeper.turn()
         fleet.clock.advance(timedelta(seconds=1))
     assert fleet.store.counters.reads == 2 * 30 // OBSERVE_INTERVAL.seconds
+
+
+async def test_a_holder_gives_up_the_lease_as_the_store_comes_back_from_a_copy():
+    """Guards against two gateways that order: the copy may name another holder."""
+    fleet = Fleet()
+    fleet.store.era = 1
+    fleet.lose()
+    await fleet.keeper.turn()
+    fleet.clock.advance(LEASE_TERM)
+    await fleet.keeper.turn()
+    assert fleet.is_taken()
+    fleet.store.era = 2
+    fleet.keeper.note_era()
+    assert [
+        each.kind
+        for each in fleet.events.list_events()
+        if each.kind.startswith("lease.")
+    ] == ["lease.taken", "lease.ended"]
+    for _ in range(3):
+        fleet.clock.advance(LEASE_TERM / 4)
+        await fleet.keeper.turn()
+    taken = [e for e in fleet.events.list_events() if e.kind == "lease.taken"]
+    assert len(taken) == 1
--- a/packages/mustardquay-standins/src/mustardquay_standins/stores.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/stores.py
@@ -4,7 +4,7 @@
 virtual clock and benchmarks of many instances in one process can do without HTTP.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from mustardquay.clocks import Clock
@@ -55,7 +55,7 @@
         if self.lose_answers:
             self.lose_answers -= 1
             raise StoreUnclear("The answer was lost; read back.")
-        return result
+        return replace(result, era=self.era) if result else result
 
     async def read(self, table: str, key: str) -> Row | None:
         """Return the row, or None when there is none."""
--- a/packages/mustardquay/tests/test_peer_books.py
+++ b/packages/mustardquay/tests/test_peer_books.py
@@ -37,3 +37,24 @@
     assert book.get_read_seconds("e") == 5.0
     book.expire(NOW + DIGEST_LIFETIME + timedelta(milliseconds=1))
     assert book.get_read_seconds("e") == 0
+
+
+def test_gateways_that_are_not_heard_count_as_much_as_the_others():
+    """Guards against engines that are overrun where only some gateways are heard."""
+    book = PeerBook()
+    book.hear(make_digest("g1", 1, 0.2), NOW)
+    book.hear(make_digest("g2", 1, 0.4), NOW)
+    book.unheard_ratio = 0.5
+    assert round(book.get_read_seconds("e"), 3) == 0.9
+    assert book.get_running("e") == 6
+
+
+def test_what_was_told_and_taken_back_leaves_nothing():
+    """Guards against work that stays in the sums for good."""
+    book = PeerBook()
+    for number in range(1, 200):
+        book.hear(make_digest("g1", number, 0.1 * number), NOW)
+        book.hear(make_digest("g2", number, 0.7 / number), NOW)
+    book.expire(NOW + 2 * DIGEST_LIFETIME)
+    assert book.get_read_seconds("e") == 0
+    assert book.get_running("e") == 0
