--- a/packages/mustardquay-node/src/mustardquay_node/generators.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generators.py
@@ -14,14 +14,10 @@
     hash_parts,
 )
 from mustardquay.engine_models import EngineModels
+from mustardquay.engine_samples import make_sample
 from mustardquay.generation_limits import LATE_RANK
 from mustardquay.peer_books import EngineDigest, PeerDigest, PlacedPart, trim_ranks
-from mustardquay.placements import (
-    Placement,
-    choose_decoder,
-    choose_engines,
-    make_sample,
-)
+from mustardquay.placements import Placement, choose_decoder, choose_engines
 from mustardquay.rate_limits import LimitBook, Turn
 from mustardquay.requests import PromptPart, PromptTraits
 from mustardquay.routing_tables import Route, RoutingTable
--- a/packages/mustardquay/src/mustardquay/answer_times.py
+++ b/packages/mustardquay/src/mustardquay/answer_times.py
@@ -22,8 +22,6 @@
 """Part of the target that is kept free before the first answers."""
 MOST_SHARE = 0.95
 """Most of the target that is kept free."""
-
-
 MEMORY = timedelta(seconds=1)
 """Half-life of what is kept free beyond the start: after a burst in which nobody could
 be in time, callers are tried again."""
--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -8,26 +8,19 @@
 is read at one place although several processes choose at the same moment.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 from datetime import timedelta
-from math import ceil
-from random import Random
 
 from xxhash import xxh3_64_intdigest
 
 from .engine_books import EngineBooks, HashedPart
 from .engine_models import Reading
+from .engine_samples import Sample, keep_all
 from .requests import PromptTraits
 from .upstream_lists import Stage, UpstreamRecord
 
-__all__ = [
-    "Placement",
-    "Sample",
-    "choose_decoder",
-    "choose_engines",
-    "make_sample",
-]
+__all__ = ["Placement", "choose_decoder", "choose_engines"]
 
 PAUSE_SHARE = 0.45
 """Part of the longest pause that a route allows which reading beside streams may fill.
@@ -48,37 +41,10 @@
 SLOW_SENDING = timedelta(milliseconds=20)
 """Time to leave the process from which a long prompt may be sent once, as its second
 sending would delay what is behind it on the link."""
-LEAST_CHOICES = 2
-"""Engines at random that are weighed to read, at least."""
 FAILURE_SECONDS = 0.2
 """What a send to an engine that always fails is taken to cost."""
 
 
-Sample = Callable[[Sequence[UpstreamRecord]], Sequence[UpstreamRecord]]
-"""Chooses some of the engines that read."""
-
-
-def keep_all(engines: Sequence[UpstreamRecord]) -> Sequence[UpstreamRecord]:
-    """Return all the engines."""
-    return engines
-
-
-def make_sample(random: Random, processes: int) -> Sample:
-    """Return a choice of engines for one of so many processes that choose.
-
-    Guards against processes that all send to the same engine, the one with the least
-    work by news that are older than what has been sent since. Two at random are nearly
-    as good as all where news are fresh, and better where they are old (Mitzenmacher,
-    "How useful is old information?", 2000); one process alone knows all.
-    """
-
-    def sample(engines: Sequence[UpstreamRecord]) -> Sequence[UpstreamRecord]:
-        size = max(LEAST_CHOICES, ceil(len(engines) / max(processes, 1)))
-        return engines if size >= len(engines) else random.sample(engines, size)
-
-    return sample
-
-
 @dataclass(frozen=True, slots=True)
 class Placement:
     """Where a generation goes."""
@@ -104,9 +70,6 @@
     """All that it had to read, also what goes behind this prompt."""
     usual_seconds: float = 0.0
     """Expected reading of a usual prompt."""
-    reader_occupancy: float = 0.0
-    """Part of the places of the engine that reads which are taken, as the work that it
-    has is in usual prompts."""
     stream_seconds: float = 0.0
     """Expected time from the first event to the longest end that is allowed."""
     reader_turn: float = 0.0
@@ -119,6 +82,13 @@
         """Return the engine that reads the prompt."""
         return self.prefiller or self.decoder
 
+    @property
+    def reader_occupancy(self) -> float:
+        """Return the part of the reader's places that its work takes."""
+        if not self.usual_seconds:
+            return 0.0
+        return self.work_seconds / self.usual_seconds / max(self.reader.slots, 1)
+
     @property
     def turn_seconds(self) -> float:
         """Return the seconds by which rate limits hold the generation up."""
@@ -366,7 +336,6 @@
     reader = prefiller or decoder
     planned = _plan_reading(reader, question)
     work = question.sum_work(reader)
-    usual = books.models.get_usual_read(reader.service)
     running = books.works.sum_running(decoder.id)
     first = books.models.expect_first(decoder.service, running)
     reader_turn = books.limits.expect_wait(reader, question.now)
@@ -386,8 +355,7 @@
         cost=cost + _penalty(reader, books, question.now),
         reading=planned.reading,
         work_seconds=work,
-        usual_seconds=usual,
-        reader_occupancy=work / usual / max(reader.slots, 1) if usual else 0.0,
+        usual_seconds=books.models.get_usual_read(reader.service),
         stream_seconds=question.expect_stream(decoder, running),
         reader_turn=reader_turn,
         decoder_turn=decoder_turn,
