Generate from what was read whatever became of the hand-over

What callers saw: after a hand-over that was reset, fell silent, failed with a 500 or broke in the middle of a stream, the prompt was read a second time. The caller waited in the readers' queue once more, the repeat took two from the retry allowance, and in a burst after lost engines all callers paid at once.

Cause: a reading was kept for ends in `NOT_TAKEN` alone, a list of the ends that had been seen; every other end began with `choose` anew. `_take_up_reading` forgot the reading before it knew that an engine takes it up, so that a new reading was paid as one send; a hand-over that was not sent paid nothing for it. Where no engine generated any more, the reading went without a word.

Change: the reading belongs to the request until that ends. Whether another engine can generate from it is decided in `kept_readings`: its reader is listed, does not fail, and still holds the prompt where it has to be copied (a handle that may have been taken is not tried again). Only then is one send paid in place of two (`count_repeats`). What may be sent again after which end is unchanged. A reading that nothing came of has its line, `reading.unused` with the reason, and a counter.

Refusing at once when no engine generates stays as it is: it is true, and nobody knows of an engine to come.

--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_parts.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_parts.py
@@ -50,6 +50,8 @@
     """Counts an answer by route and outcome."""
     count_send: Callable[[str, str], None] = lambda route, end: None
     """Counts a send by route and by how it ended."""
+    count_unused_reading: Callable[[str], None] = lambda reason: None
+    """Counts a prompt that was read and nothing generated from, by the reason."""
     record_first_byte: Callable[[str, timedelta], None] = lambda route, duration: None
 
 
@@ -73,6 +75,8 @@
     """What runs now."""
     upstream: str = ""
     """The upstream that was sent to last."""
+    last_end: str = "unanswered"
+    """How the last send that has ended did, a value of `SendEnd`."""
     was_cut_off: bool = False
     """Whether a send that may have run was ended by the limit."""
     is_late: bool = False
@@ -80,7 +84,7 @@
     expected: timedelta | None = None
     """When a generation that was admitted as in time was to be read, from then on."""
     reading: KeptReading | None = None
-    """What has been read for it and not been generated from."""
+    """What has been read for it by another engine than the one that generates."""
     last_event: str | None = None
     """The last whole event that the caller has been sent."""
 
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -13,7 +13,7 @@
 from mustardquay.errors import ProtocolError
 from mustardquay.requests import SendEnd
 from mustardquay.routing_tables import Repeat, RoutingTable, choose_backend
-from mustardquay.sendings import NextStep, decide_next
+from mustardquay.sendings import NextStep, ReadingState, count_repeats, decide_next
 from mustardquay.stops import Demand
 from mustardquay.upstream_lists import UpstreamRecord
 from mustardquay.upstream_loads import choose_plain
@@ -22,7 +22,7 @@
 from .caller_connections import CallerAnswer, CallerRequest
 from .forwarder_parts import ForwardedRequest, ForwarderParts
 from .gateway_stops import RETRY_SOON
-from .handovers import send_generation
+from .handovers import drop_reading, send_generation
 from .rate_turns import await_turn
 from .replies import Reply
 from .sends import Send, Sender
@@ -31,8 +31,6 @@
 
 QUARANTINE_RETURN = timedelta(seconds=60)
 """When a caller may try again what crashed upstreams; sooner is of no use."""
-REPEATED_GENERATION = 2
-"""Sends that another try of a generation takes: one to read, one to generate."""
 CLOSE_MARGIN = timedelta(milliseconds=30)
 """How long before the caller's limit it gets its answer, so that it arrives."""
 TURN_SHARE = 0.5
@@ -74,6 +72,8 @@
         else:
             reply.fail(502, "fault", UNKNOWN)
         raise
+    finally:
+        drop_reading(parts, request, request.last_end)
 
 
 def read_request(
@@ -178,6 +178,7 @@
                     self._refuse_unplaced()
                 return
             self._request.sendings.note(send.end)
+            self._request.last_end = send.end.value
             self._request.sendings.events_passed = self._reply.has_begun
             if send.end is SendEnd.ANSWERED and send.passed:
                 self._sender.log(send, "answered")
@@ -320,8 +321,8 @@
         left = request.measure_left(now)
         step = decide_next(request.route, request.sendings, send.end, send.status, left)
         if step in (NextStep.SEND_AGAIN, NextStep.RESUME):
+            request.avoid.add(send.upstream.id)
             if self._pays_for_repeat(send, now):
-                request.avoid.add(send.upstream.id)
                 self._sender.log(send, step.value)
                 return True
             step = self._replace_step(send)
@@ -331,12 +332,19 @@
 
     def _pays_for_repeat(self, send: Send, now: timedelta) -> bool:
         """Take what another try costs from the retry allowance, if it is there."""
-        if send.end is SendEnd.NOT_SENT:
-            return True
-        is_read_anew = self._request.route.has_prompt and self._request.reading is None
-        sends = REPEATED_GENERATION if is_read_anew else 1
-        window = self._parts.pools.get_window(self._request.service)
-        return window.take(now, sends)
+        request = self._request
+        sends = count_repeats(request.route, send.end, self._judge_reading())
+        window = self._parts.pools.get_window(request.service)
+        return not sends or window.take(now, sends)
+
+    def _judge_reading(self) -> ReadingState:
+        """Tell what there is of the prompt's reading for another try."""
+        parts, request = self._parts, self._request
+        if request.reading is None:
+            return ReadingState.NONE
+        engines = parts.upstreams.list_usable(request.service)
+        loss = parts.planner.find_loss(request.reading, engines, request.avoid)
+        return ReadingState.KEPT if loss is None else ReadingState.LOST
 
     def _replace_step(self, send: Send) -> NextStep:
         """Return what happens where the allowance has no room for another send."""
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
@@ -39,6 +39,7 @@
     def __init__(self, process: str, availability_zone: str):
         self._answers: Counter[tuple[str, str]] = Counter()
         self._sends: Counter[tuple[str, str]] = Counter()
+        self._unused_readings: Counter[tuple[str]] = Counter()
         self._first_byte = Histogram(
             "mustardquay.first_byte",
             "s",
@@ -66,6 +67,12 @@
             "mustardquay.route",
             "mustardquay.end",
         )
+        self._page.add_counter(
+            "mustardquay.readings.unused",
+            "Prompts that were read and nothing generated from, by the reason.",
+            self._unused_readings,
+            "mustardquay.reason",
+        )
         for name, definition in GAUGES.items():
             self._page.add_gauge(name, definition, gauges)
 
@@ -81,6 +88,10 @@
         """Count the end of a send to an upstream."""
         self._sends[route, end] += 1
 
+    def count_unused_reading(self, reason: str) -> None:
+        """Count a prompt that was read for a request that nothing came of."""
+        self._unused_readings[(reason,)] += 1
+
     def record_first_byte(self, route: str, duration: timedelta) -> None:
         """Count the time from a request's arrival to its answer's first byte."""
         self._first_byte.record(duration.total_seconds(), route)
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -287,6 +287,7 @@
             judge_table=lambda: self._configurations.judge(),
             count_answer=self._metrics.count_answer,
             count_send=self._metrics.count_send,
+            count_unused_reading=self._metrics.count_unused_reading,
             record_first_byte=self._metrics.record_first_byte,
         )
 
--- a/packages/mustardquay-node/src/mustardquay_node/generators.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generators.py
@@ -16,6 +16,7 @@
 from mustardquay.engine_models import EngineModels
 from mustardquay.engine_samples import make_sample
 from mustardquay.generation_limits import LATE_RANK
+from mustardquay.kept_readings import ReadingLoss, find_loss
 from mustardquay.peer_books import EngineDigest, PeerDigest, PlacedPart, trim_ranks
 from mustardquay.placements import Placement, choose_decoder, choose_engines
 from mustardquay.rate_limits import LimitBook, Turn
@@ -46,12 +47,16 @@
     """At the engine that generates, where another one reads."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class KeptReading:
-    """A prompt that an engine has read, and from which nothing was generated yet."""
+    """A prompt that an engine has read, until its request has ended."""
 
     ticket: Ticket
     prefilled: Prefilled
+    is_handle_used: bool = False
+    """Whether another engine may have taken the handle, which can be done once."""
+    is_used: bool = False
+    """Whether something was generated from it."""
 
 
 class GenerationPlanner:
@@ -181,21 +186,39 @@
         if is_handed_over:
             self._note_copied(ticket)
 
-    def take_up(
-        self, ticket: Ticket, engines: Sequence[UpstreamRecord], avoid: Collection[str]
-    ) -> Ticket | None:
-        """Return a ticket for another engine to generate from what has been read.
+    def find_loss(
+        self,
+        reading: KeptReading,
+        engines: Sequence[UpstreamRecord],
+        avoid: Collection[str],
+    ) -> ReadingLoss | None:
+        """Return why no other engine can generate from a reading; None if one can."""
+        now = self._clock.monotonic()
+        ticket = reading.ticket
+        reader = ticket.placement.reader
+        is_copied = reading.is_handle_used
+        is_copied = is_copied or self._books.loads.has_lapsing_handles(reader.id, now)
+        usable = self._drop_changing(engines)
+        return find_loss(
+            reader, ticket.parts, is_copied, usable, self._books, now, avoid
+        )
 
-        None if no other engine generates, or the one that read is gone.
-        """
-        reader = ticket.placement.reader.id
-        if all(engine.id != reader for engine in engines):
-            return None
-        renewed = Ticket(ticket.placement, ticket.parts, ticket.rank, is_read=True)
-        if not self.renew_decoder(renewed, engines, avoid):
-            return None
-        self._note_copied(renewed)
-        return renewed
+    def take_up(
+        self,
+        reading: KeptReading,
+        engines: Sequence[UpstreamRecord],
+        avoid: Collection[str],
+    ) -> bool:
+        """Have another engine generate from a reading; returns whether one can."""
+        if self.find_loss(reading, engines, avoid) is not None:
+            return False
+        old = reading.ticket
+        ticket = Ticket(old.placement, old.parts, old.rank, is_read=True)
+        if not self.renew_decoder(ticket, engines, avoid):
+            return False
+        self._note_copied(ticket)
+        reading.ticket = ticket
+        return True
 
     def _note_copied(self, ticket: Ticket) -> None:
         """Note that the engine that generates copies the prompt."""
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 
 from mustardquay.errors import ProtocolError
 from mustardquay.generation_limits import (
@@ -12,6 +13,7 @@
     has_returned,
     rank_generation,
 )
+from mustardquay.kept_readings import ReadingLoss
 from mustardquay.placements import Placement
 from mustardquay.requests import PromptTraits, SendEnd
 from mustardquay.stalls import limit_first, limit_reading
@@ -24,10 +26,10 @@
 from .replies import Reply
 from .sends import Send, Sender, SendOptions
 
-__all__ = ["send_generation"]
+__all__ = ["drop_reading", "send_generation"]
 
 NOT_TAKEN = (SendEnd.NOT_RUN, SendEnd.NOT_SENT, SendEnd.OTHER_UPSTREAM)
-"""Ends of a hand-over after which another engine may generate from the same reading."""
+"""Ends of a hand-over after which the handle is still there, as far as is known."""
 
 
 async def send_generation(
@@ -40,12 +42,12 @@
 ) -> Send | None:
     """Place a generation and send it; None without an engine or when refused."""
     planner = parts.planner
-    kept = _take_up_reading(parts, request, engines)
-    if kept is not None:
+    reading = request.reading
+    if reading is not None and _take_up(parts, request, reading, engines):
         try:
-            return await _hand_over(parts, request, sender, kept)
+            return await _hand_over(parts, request, sender, reading)
         finally:
-            planner.end(kept.ticket)
+            planner.end(reading.ticket)
     if request.sendings.offered:
         placement = _choose(parts, request, prompt, engines)
         if placement is not None and not admits_turn(request.route, placement):
@@ -66,32 +68,54 @@
             planner.end_reading(ticket)
             return read
         engines = parts.upstreams.list_usable(request.service)
+        request.reading = KeptReading(ticket, read)
         if not planner.renew_decoder(ticket, engines, request.avoid):
+            drop_reading(parts, request, ReadingLoss.NO_GENERATOR)
             return None
         planner.end_reading(ticket, is_handed_over=True)
-        reading = KeptReading(ticket, read)
-        return await _hand_over(parts, request, sender, reading)
+        return await _hand_over(parts, request, sender, request.reading)
     finally:
         planner.end(ticket)
 
 
-def _take_up_reading(
-    parts: ForwarderParts, request: ForwardedRequest, engines: list[UpstreamRecord]
-) -> KeptReading | None:
-    """Return what has been read, for another engine to generate; None if nothing."""
-    reading, request.reading = request.reading, None
-    if reading is None:
-        return None
-    ticket = parts.planner.take_up(reading.ticket, engines, request.avoid)
-    if ticket is None:
-        return None
+def _take_up(
+    parts: ForwarderParts,
+    request: ForwardedRequest,
+    reading: KeptReading,
+    engines: list[UpstreamRecord],
+) -> bool:
+    """Have another engine generate from what was read; dropped if none can."""
+    loss = parts.planner.find_loss(reading, engines, request.avoid)
+    if loss is not None:
+        drop_reading(parts, request, loss)
+        return False
+    parts.planner.take_up(reading, engines, request.avoid)
+    placement = reading.ticket.placement
     parts.events.record(
         "reading.kept",
         request=request.id,
-        upstream=ticket.placement.reader.id,
-        decoder=ticket.placement.decoder.id,
+        upstream=placement.reader.id,
+        decoder=placement.decoder.id,
+        copied=reading.is_handle_used,
+    )
+    return True
+
+
+def drop_reading(parts: ForwarderParts, request: ForwardedRequest, reason: str) -> None:
+    """Give up what was read for a request, and tell it if nothing came of it."""
+    reading, request.reading = request.reading, None
+    if reading is None or reading.is_used:
+        return
+    placement = reading.ticket.placement
+    parts.count_unused_reading(reason)
+    parts.events.record(
+        "reading.unused",
+        request=request.id,
+        upstream=placement.reader.id,
+        decoder=placement.decoder.id,
+        reason=reason,
+        new_tokens=placement.reading.new,
     )
-    return KeptReading(ticket, reading.prefilled)
 
 
 def _admit(
@@ -159,11 +183,19 @@
     return await sender.run(placement.decoder, options)
 
 
-def _note_first(parts: ForwarderParts, ticket: Ticket) -> Callable[[], None]:
+def _note_used(reading: KeptReading) -> None:
+    reading.is_used = True
+
+
+def _note_first(
+    parts: ForwarderParts, ticket: Ticket, reading: KeptReading | None = None
+) -> Callable[[], None]:
     """Return what is called when the first event shows that the prompt was read."""
     started = parts.clock.monotonic()
 
     def note() -> None:
+        if reading is not None:
+            _note_used(reading)
         parts.planner.end_reading(ticket)
         parts.planner.learn_first(ticket, parts.clock.monotonic() - started)
 
@@ -209,10 +241,10 @@
     sender: Sender,
     reading: KeptReading,
 ) -> Send:
-    """Have the other engine generate from what was read; kept if it does not."""
+    """Have the other engine generate from what was read."""
     send = await _generate_from(parts, request, sender, reading)
-    if send.end in NOT_TAKEN:
-        request.reading = reading
+    if send.end not in NOT_TAKEN:
+        reading.is_handle_used = True
     return send
 
 
@@ -233,9 +265,12 @@
     placement = ticket.placement
     address, reader = placement.reader.address, placement.reader.id
     await await_turn(parts, ticket.decoder_turn)
-    if not parts.loads.has_lapsing_handles(reader, parts.clock.monotonic()):
+    is_lapsing = parts.loads.has_lapsing_handles(reader, parts.clock.monotonic())
+    if not is_lapsing and not reading.is_handle_used:
         source = parts.adapter.build_kv_source(address, reading.prefilled)
-        options = SendOptions(kv_source=source, read=_note_first(parts, ticket))
+        options = SendOptions(
+            kv_source=source, read=_note_first(parts, ticket, reading)
+        )
         send = await sender.run(placement.decoder, options)
         if send.end is not SendEnd.NOT_RUN:
             return send
@@ -245,7 +280,8 @@
         if not parts.pools.get_window(request.service).take(now):
             return send
         await await_turn(parts, parts.limits.reserve(placement.decoder, now))
-    return await sender.run(placement.decoder, SendOptions(fetch_from=address))
+    options = SendOptions(fetch_from=address, read=partial(_note_used, reading))
+    return await sender.run(placement.decoder, options)
 
 
 def _log_read(
--- a/packages/mustardquay/src/mustardquay/engine_books.py
+++ b/packages/mustardquay/src/mustardquay/engine_books.py
@@ -86,6 +86,10 @@
         cache = self.caches.get(engine)
         return 0 if cache is None else cache.count(parts)
 
+    def holds(self, engine: str, parts: Sequence[HashedPart]) -> bool:
+        """Return whether the engine is believed to hold a whole prompt."""
+        return self.count_cached(engine, parts) == sum(tokens for _, tokens in parts)
+
 
 @dataclass(slots=True)
 class EngineWork:
--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/kept_readings.py
@@ -0,0 +1,54 @@
+"""Kept readings: whether a prompt that was read can still be generated from.
+
+Answers engines that generate and are lost, refuse or fall silent after another engine
+has read the prompt. While that one holds it, any engine can generate from it by a copy,
+which spares the readers' queue a second reading of every request that was under way.
+"""
+
+from collections.abc import Collection, Sequence
+from datetime import timedelta
+from enum import StrEnum
+
+from .engine_books import EngineBooks, HashedPart
+from .placements import choose_decoder
+from .upstream_lists import UpstreamRecord
+
+__all__ = ["ReadingLoss", "find_loss"]
+
+
+class ReadingLoss(StrEnum):
+    """Why nothing can be generated from what an engine has read."""
+
+    READER_GONE = "reader_gone"
+    """The engine that read is not listed any more, or leaves."""
+    READER_FAILING = "reader_failing"
+    """It is out of reach, or most requests to it fail."""
+    DISPLACED = "displaced"
+    """It has given up the prompt for others."""
+    NO_GENERATOR = "no_generator"
+    """No other engine generates."""
+
+
+def find_loss(
+    reader: UpstreamRecord,
+    parts: Sequence[HashedPart],
+    is_copied: bool,
+    engines: Sequence[UpstreamRecord],
+    books: EngineBooks,
+    now: timedelta,
+    avoid: Collection[str] = (),
+) -> ReadingLoss | None:
+    """Return why none of `engines` can generate from a reading; None if one can.
+
+    With `is_copied`, the prompt is copied from the cache of its reader, which holds it
+    like any other; a handle keeps it there by itself.
+    """
+    if all(engine.id != reader.id for engine in engines):
+        return ReadingLoss.READER_GONE
+    if books.loads.is_failing(reader.id, now):
+        return ReadingLoss.READER_FAILING
+    if is_copied and not books.prefixes.holds(reader.id, parts):
+        return ReadingLoss.DISPLACED
+    if choose_decoder(engines, books, now, avoid) is None:
+        return ReadingLoss.NO_GENERATOR
+    return None
--- a/packages/mustardquay/src/mustardquay/sendings.py
+++ b/packages/mustardquay/src/mustardquay/sendings.py
@@ -12,7 +12,7 @@
 from .requests import SendEnd
 from .routing_tables import Repeat, Route
 
-__all__ = ["NextStep", "Sendings", "decide_next"]
+__all__ = ["NextStep", "ReadingState", "Sendings", "count_repeats", "decide_next"]
 
 FAILED_STATUSES = range(500, 600)
 """Answers of upstreams that a repeatable request may be sent again after."""
@@ -35,6 +35,16 @@
     """Tell the caller that it is not known whether the request has run."""
 
 
+class ReadingState(StrEnum):
+    """What there is of a prompt's reading when its request is sent again."""
+
+    NONE = "none"
+    """Nothing was read apart."""
+    KEPT = "kept"
+    """Another engine can generate from it."""
+    LOST = "lost"
+
+
 @dataclass(slots=True)
 class Sendings:
     """The sends of one request so far."""
@@ -91,6 +101,25 @@
     return NextStep.FAIL if sendings.may_have_run else NextStep.REFUSE
 
 
+def count_repeats(route: Route, end: SendEnd, reading: ReadingState) -> int:
+    """Return the sends that another try takes from the retry allowance.
+
+    Only the first reading of a prompt is free, and the first send for the rest.
+
+    >>> from datetime import timedelta as t
+    >>> stream = Route("r", "h", "/", Repeat.STREAM, (), t(1), t(1), has_prompt=True)
+    >>> [count_repeats(stream, SendEnd.BROKEN, each) for each in ReadingState]
+    [2, 1, 2]
+    >>> [count_repeats(stream, SendEnd.NOT_SENT, each) for each in ReadingState]
+    [0, 0, 1]
+    """
+    sends = 0 if end is SendEnd.NOT_SENT else 1
+    is_read_anew = route.has_prompt and reading is not ReadingState.KEPT
+    if is_read_anew and (sends or reading is ReadingState.LOST):
+        sends += 1
+    return sends
+
+
 def _is_repeatable(route: Route) -> bool:
     if route.repeat is Repeat.STREAM:
         # A stream of which nothing was passed on starts anew.
