Refuse truly when there are no descriptors left, and close what is idle first

What callers would see: a gateway at its limit of open files answered 502 "it is not known whether this was run" to requests that it had never sent, took upstreams for unreachable, and spun on connections that it could not accept while it held the others up.

Cause: making the socket of a connection to an upstream raised OSError outside of what is caught, so that the request ended as a fault of the program; the listening socket is reported ready for as long as a connection waits, and tornado lets the error of accept() through to the loop.

Change: idle connections to upstreams are closed when descriptors run out, and idle ones of callers if that was not enough to send a request. What still can't be opened is NO_ROOM, which is not put down to the upstream: another one is tried, then the request is refused as not run. A connection that can't be accepted is closed at once by a descriptor kept for that, so that its caller turns to another gateway.

--- a/packages/mustardquay-node/src/mustardquay_node/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections.py
@@ -22,6 +22,7 @@
 
 from mustardquay.clocks import Clock
 
+from .descriptors import is_exhausted
 from .pauses import awake_timeout
 
 __all__ = [
@@ -57,7 +58,7 @@
     WHOLE = "whole"
     NOT_CONNECTED = "not_connected"
     NO_ROOM = "no_room"
-    """As many connections as may be are in use."""
+    """As many connections as may be are in use, here or in the whole process."""
     BROKEN = "broken"
     MALFORMED = "malformed"
     CANCELLED = "cancelled"
@@ -78,8 +79,14 @@
     return host, int(port)
 
 
-def _make_socket() -> socket.socket:
-    connection = socket.socket(socket.AF_INET)
+def _make_socket() -> socket.socket | None:
+    """Return a socket, None if there are no descriptors left."""
+    try:
+        connection = socket.socket(socket.AF_INET)
+    except OSError as error:
+        if not is_exhausted(error):
+            raise
+        return None
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
@@ -191,8 +198,20 @@
 class ConnectionPool:
     """Connections to one address, the latest used first."""
 
-    def __init__(self, address: str, clock: Clock, limit: int, idle_limit: timedelta):
-        """Take the address; connections idle for over `idle_limit` aren't used."""
+    def __init__(
+        self,
+        address: str,
+        clock: Clock,
+        limit: int,
+        idle_limit: timedelta,
+        free_descriptors: Callable[[], bool] = lambda: False,
+    ):
+        """Take the address; connections idle for over `idle_limit` aren't used.
+
+        `free_descriptors` closes what is idle in the process, and returns whether
+        there was any.
+        """
+        self._free_descriptors = free_descriptors
         self._address = split_address(address)
         self._clock = clock
         self._limit = limit
@@ -203,8 +222,14 @@
 
     def close(self) -> None:
         """Close the connections that wait; those in use end with their exchange."""
+        self.close_idle()
+
+    def close_idle(self) -> int:
+        """Close the connections that wait; returns how many."""
+        count = len(self._idle)
         while self._idle:
             self._drop(self._idle.pop()[0])
+        return count
 
     async def run(self, exchange: Exchange, idle_limit: timedelta | None = None) -> str:
         """Send the request and take in the answer; returns an `ExchangeEnd`.
@@ -214,10 +239,11 @@
         """
         stream = self._take_idle(idle_limit)
         exchange.was_kept = stream is not None
-        if stream is None and not self._make_room():
-            return ExchangeEnd.NO_ROOM
         if stream is None:
-            stream = await self._connect()
+            opened = self._open_stream()
+            if opened is None:
+                return ExchangeEnd.NO_ROOM
+            stream = await self._connect(opened)
         if stream is None:
             return ExchangeEnd.NOT_CONNECTED
         if exchange.cancelled:
@@ -237,9 +263,10 @@
 
     async def probe(self) -> bool:
         """Return whether a connection comes about; it is kept for the next request."""
-        if not self._make_room():
+        opened = self._open_stream()
+        if opened is None:
             return True
-        stream = await self._connect()
+        stream = await self._connect(opened)
         if stream is None:
             return False
         self._keep(stream)
@@ -272,8 +299,16 @@
             self._drop(self._idle.popleft()[0])
         return self._open < self._limit
 
-    async def _connect(self) -> IOStream | None:
-        stream = IOStream(_make_socket())
+    def _open_stream(self) -> IOStream | None:
+        """Return a stream that isn't connected yet, None if none may be opened."""
+        if not self._make_room():
+            return None
+        connection = _make_socket()
+        if connection is None and self._free_descriptors():
+            connection = _make_socket()
+        return None if connection is None else IOStream(connection)
+
+    async def _connect(self, stream: IOStream) -> IOStream | None:
         self._open += 1
         connected = False
         try:
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
@@ -10,6 +10,7 @@
 from mustardquay.routing_tables import CallerLimits
 
 from .connections import split_address
+from .descriptors import AcceptingSocket
 from .metric_pages import load_exporters
 
 __all__ = ["GatewayServers"]
@@ -24,7 +25,9 @@
 class GatewayServers:
     """Listens on the addresses of one gateway."""
 
-    def __init__(self) -> None:
+    def __init__(self, make_room: Callable[[], bool] = lambda: False):
+        """Take `make_room`, which closes what is idle when descriptors run out."""
+        self._make_room = make_room
         self._servers: list[HTTPServer] = []
         self._callers: HTTPServer | None = None
 
@@ -80,7 +83,10 @@
 
     def _listen(self, server: HTTPServer, address: str) -> str:
         host, port = split_address(address)
-        sockets = bind_sockets(port, host, backlog=LISTEN_QUEUE)
+        sockets = [
+            AcceptingSocket(each, self._make_room)
+            for each in bind_sockets(port, host, backlog=LISTEN_QUEUE)
+        ]
         server.add_sockets(sockets)
         self._servers.append(server)
         return f"{host}:{sockets[0].getsockname()[1]}"
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -28,6 +28,7 @@
 from .configuration_intakes import ConfigurationIntake
 from .connections import Exchange
 from .crash_reporters import CrashReporter
+from .descriptors import DescriptorGuard
 from .digests import DigestBook, DigestParts
 from .engine_calls import EngineCall, call_engine
 from .era_watches import EraWatch
@@ -79,6 +80,7 @@
         self._loads = LoadBook()
         self._limits = LimitBook()
         self._crashes = CrashReporter(self._clock, self._events)
+        self._descriptors = DescriptorGuard(self._clock, self._events)
         self._pools = self._make_pools()
         self._planner = self._make_planner()
         self._stop = self._make_stop()
@@ -113,7 +115,9 @@
         self._connections = CallerConnections(
             ConnectionOptions(self._clock, self._get_limits, self._forwarder.handle)
         )
-        self._servers = GatewayServers()
+        self._servers = GatewayServers(
+            lambda: self._descriptors.make_room(self._pools.close_idle)
+        )
         self._ticker: asyncio.Task[None] | None = None
         self._closing: asyncio.Task[None] | None = None
         self._address = settings.gateway.listen
@@ -237,6 +241,10 @@
             count_gateways=lambda: self._peers.count,
             find_limit=self._find_connection_limit,
             note_unreachable=self._note_unreachable,
+            # Callers' last: each may be about to send its next request.
+            free_descriptors=lambda: self._descriptors.make_room(
+                self._pools.close_idle, self._connections.close_idle
+            ),
         )
 
     def _find_connection_limit(self, service: str) -> int | None:
--- a/packages/mustardquay-node/src/mustardquay_node/upstream_pools.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstream_pools.py
@@ -35,13 +35,16 @@
         count_gateways: Callable[[], int],
         find_limit: Callable[[str], int | None],
         note_unreachable: Callable[[str], None],
+        free_descriptors: Callable[[], bool] = lambda: False,
     ):
         """Take the limits.
 
         `processes` is how many gateways may live at once at least, `count_gateways`
         how many are listed, `find_limit` the connections that an upstream of a service
         takes, and `note_unreachable` hears of upstreams that a probe does not reach.
+        `free_descriptors` closes what is idle in the process.
         """
+        self._free_descriptors = free_descriptors
         self.retry_limits = retry_limits
         """For the windows of services that are first used from now on."""
         self._clock = clock
@@ -62,6 +65,10 @@
         for pool in self._pools.values():
             pool.close()
 
+    def close_idle(self) -> int:
+        """Close the connections that wait; returns how many."""
+        return sum(pool.close_idle() for pool in self._pools.values())
+
     def get_pool(self, upstream: UpstreamRecord) -> ConnectionPool:
         """Return the connections to an upstream."""
         pool = self._pools.get(upstream.id)
@@ -69,7 +76,13 @@
             most = self._find_limit(upstream.service) or USUAL_CONNECTIONS
             gateways = max(self._count_gateways(), 1)
             limit = max(int(most * CONNECTION_SHARE / gateways), 2)
-            pool = ConnectionPool(upstream.address, self._clock, limit, UPSTREAM_IDLE)
+            pool = ConnectionPool(
+                upstream.address,
+                self._clock,
+                limit,
+                UPSTREAM_IDLE,
+                self._free_descriptors,
+            )
             self._pools[upstream.id] = pool
         return pool
 
