Let requests that still wait count in what their route takes

What callers saw: a request that came 0.4 s before the last answers of a stop were due was taken, and got 504 at the stop's end, where a refusal with a time to return would have been true.

Cause: what a route takes was learned from requests that had ended. The gateway had been up for 7 s and had 29 answers of the route, of which the longest took 161 ms; three others were under way for 0.6, 1.0 and 1.5 s and did not count. By chance of its upstreams alone, a fifth of which takes up to 1.5 s, 29 quick answers in a row come once in some hundred plays.

Change: requests without a part of their answer count by their age.

--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -56,9 +56,13 @@
     answer.watch(forwarding.note_caller_left)
     limit_at = request.limit_at - CLOSE_MARGIN
     begin_by = min(request.begin_by or limit_at, limit_at)
+    waiting = parts.times.begin(request.route.name, incoming.received_at)
     try:
         async with asyncio.timeout_at(begin_by.total_seconds()) as timer:
-            reply.begun = partial(timer.reschedule, limit_at.total_seconds())
+            reply.begun = [
+                partial(timer.reschedule, limit_at.total_seconds()),
+                partial(parts.times.end, waiting),
+            ]
             await forwarding.run()
     except TimeoutError:
         forwarding.end_late()
@@ -73,6 +77,7 @@
             reply.fail(502, "fault", UNKNOWN)
         raise
     finally:
+        parts.times.end(waiting)
         drop_reading(parts, request, request.last_end)
 
 
--- a/packages/mustardquay-node/src/mustardquay_node/replies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/replies.py
@@ -31,8 +31,8 @@
         self.route = ""
         self.version = 0
         """Version of the configuration that the request is bound to."""
-        self.begun: Callable[[], None] = lambda: None
-        """Called when the caller gets the first part of a stream."""
+        self.begun: list[Callable[[], None]] = []
+        """Called in turn when the caller gets the first part of a stream."""
         self._first_byte_at: timedelta | None = None
         self.events = 0
         """Events of a stream that the caller has been sent."""
@@ -120,7 +120,8 @@
         self._first_byte_at = self._parts.clock.monotonic()
         self._note_first_byte()
         self._answer.begin(head.status, strip_hop_headers(head.headers))
-        self.begun()
+        for note in self.begun:
+            note()
 
     def write(self, data: bytes) -> Awaitable[None] | None:
         """Give the caller a part of a stream; may have to be waited for."""
--- a/packages/mustardquay/src/mustardquay/route_times.py
+++ b/packages/mustardquay/src/mustardquay/route_times.py
@@ -2,12 +2,15 @@
 
 A gateway that stops asks whether a request ends in time. The route's timeout answers
 that too, but it is many times what requests usually take.
+
+Those that still wait for their answer count by their age. Guards against a gateway that
+has just started and knows only its quick answers: the slow ones haven't ended yet.
 """
 
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-__all__ = ["LongestTimes", "RouteTimes"]
+__all__ = ["LongestTimes", "RouteTimes", "WaitingRequest"]
 
 WINDOW = timedelta(seconds=20)
 """Answers of the present window and the one before it count: some hundred on a route
@@ -32,6 +35,14 @@
         return self.first + most_events * self.for_event
 
 
+@dataclass(frozen=True, eq=False, slots=True)
+class WaitingRequest:
+    """A request of which no part of the answer has come."""
+
+    route: str
+    since: timedelta
+
+
 @dataclass(slots=True)
 class _Window:
     """The longest of the answers of one window."""
@@ -67,6 +78,17 @@
     """The longest times of all routes."""
 
     _routes: dict[str, _Recent] = field(default_factory=dict)
+    _waiting: dict[str, set[WaitingRequest]] = field(default_factory=dict)
+
+    def begin(self, route: str, now: timedelta) -> WaitingRequest:
+        """Note that a request waits for its answer."""
+        waiting = WaitingRequest(route, now)
+        self._waiting.setdefault(route, set()).add(waiting)
+        return waiting
+
+    def end(self, waiting: WaitingRequest) -> None:
+        """Note that a request waits no longer; may be called twice."""
+        self._waiting[waiting.route].discard(waiting)
 
     def note(
         self,
@@ -94,7 +116,8 @@
         windows = (recent.present, recent.before)
         if sum(each.samples for each in windows) < LEAST_SAMPLES:
             return None
+        ages = [now - each.since for each in self._waiting.get(route, ())]
         return LongestTimes(
-            HEADROOM * max(each.first for each in windows),
+            HEADROOM * max(*(each.first for each in windows), *ages),
             HEADROOM * max(each.for_event for each in windows),
         )
--- a/packages/mustardquay/tests/test_route_times.py
+++ b/packages/mustardquay/tests/test_route_times.py
@@ -45,3 +45,16 @@
     longest = times.find_longest("r", SECOND + 2 * WINDOW)
     assert longest.first == HEADROOM * SECOND / 4
     assert times.find_longest("r", SECOND + 9 * WINDOW) is None
+
+
+def test_requests_that_still_wait_count_by_their_age():
+    """Guards against a stop that takes more than it can end, by quick answers alone."""
+    times = RouteTimes()
+    note_many(times, SECOND / 10)
+    waiting = times.begin("r", SECOND)
+    times.begin("other", SECOND / 2)
+    now = 2 * SECOND
+    assert times.find_longest("r", now).first == HEADROOM * SECOND
+    times.end(waiting)
+    times.end(waiting)
+    assert times.find_longest("r", now).first == HEADROOM * SECOND / 10
