Say in the log on which connection a request came

What on-call engineers missed: whether a request that a stop cut off came on a connection from before the stop or on a new one.

The two lines of requests that end unanswered are made by one function, and have the same fields.

--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from itertools import count
 
 from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httputil import (
@@ -24,12 +25,22 @@
 
 from .hop_headers import strip_hop_headers
 
-__all__ = ["CallerAnswer", "CallerConnections", "CallerRequest"]
+__all__ = ["CallerAnswer", "CallerConnection", "CallerConnections", "CallerRequest"]
 
 SETTLE_STEP = timedelta(milliseconds=10)
 """Time between two looks at connections that are about to end."""
 
 
+@dataclass(frozen=True, slots=True)
+class CallerConnection:
+    """A caller's connection, as the log names it."""
+
+    number: int = 0
+    """The first that the process has accepted is 1."""
+    opened_at: timedelta = timedelta()
+    """On the monotonic clock."""
+
+
 @dataclass(slots=True)
 class CallerRequest:
     """One request as it came."""
@@ -42,8 +53,21 @@
     received_at: timedelta
     position: int = 1
     """Which request of its connection it is, the first being 1."""
+    connection: CallerConnection = CallerConnection()
     body: bytes = b""
 
+    def describe_way(self) -> dict[str, int]:
+        """Return for the log how it came: its connection, how old that was, its place.
+
+        By these it shows whether a request came on a connection from before a stop.
+        """
+        age = self.received_at - self.connection.opened_at
+        return {
+            "connection": self.connection.number,
+            "connection_ms": age // timedelta(milliseconds=1),
+            "position": self.position,
+        }
+
 
 class CallerAnswer:
     """The answer to one request; says whether the caller is still there."""
@@ -134,6 +158,7 @@
 
     current: HTTP1Connection
     """Of the request that is awaited, read or answered."""
+    connection: CallerConnection
     requests: int = 0
     """Requests that came on it, with the one that is awaited."""
     is_busy: bool = False
@@ -147,6 +172,7 @@
         self._options = options
         self._is_ending = False
         self._open: dict[HTTP1ServerConnection, _Usage] = {}
+        self._numbers = count(1)
 
     def end_keep_alive(self) -> None:
         """End each connection with its next answer.
@@ -194,7 +220,11 @@
         self, server_conn: HTTP1ServerConnection, request_conn: HTTP1Connection
     ) -> HTTPMessageDelegate:
         """Return what takes in the next request of a connection."""
-        usage = self._open.setdefault(server_conn, _Usage(request_conn))
+        usage = self._open.get(server_conn)
+        if usage is None:
+            now = self._options.clock.monotonic()
+            connection = CallerConnection(next(self._numbers), now)
+            usage = self._open[server_conn] = _Usage(request_conn, connection)
         usage.current = request_conn
         usage.requests += 1
         usage.is_busy = False
@@ -236,6 +266,7 @@
             strip_hop_headers(headers),
             self._options.clock.monotonic(),
             self._usage.requests,
+            self._usage.connection,
         )
         self._answer = CallerAnswer(self._connection, start_line.method, self._is_last)
         length = headers.get("Content-Length", "")
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -137,7 +137,6 @@
     """Take or refuse a request that comes in a stop; returns whether it is taken."""
     demand = _find_demand(parts, request)
     inputs = {
-        "position": request.incoming.position,
         "expected_ms": round(demand.expected.total_seconds() * 1000),
         "left_ms": round(parts.stop.left.total_seconds() * 1000),
     }
@@ -146,7 +145,11 @@
         reply.refuse("stopping", parts.stop.draw_return(demand.expected), **inputs)
         return False
     parts.events.record(
-        "drain.taken", request=request.id, route=request.route.name, **inputs
+        "drain.taken",
+        request=request.id,
+        route=request.route.name,
+        **request.incoming.describe_way(),
+        **inputs,
     )
     return True
 
@@ -205,31 +208,22 @@
         self._parts.events.record("caller.left", request=self._request.id)
 
     def end_with_process(self) -> None:
-        """Answer a request that is still running when the process ends.
-
-        Its line has its age and its place on its connection: whether it came before
-        the stop or late in it, and on a new connection or on an open one.
-        """
-        request, reply = self._request, self._reply
-        self._parts.events.record(
-            "request.cut_off",
-            request=request.id,
-            route=reply.route,
-            upstream=request.upstream,
-            passed=reply.passed,
-            sends=request.sendings.offered,
-            position=request.incoming.position,
-            age_ms=reply.age_ms,
-        )
+        """Answer a request that is still running when the process ends."""
+        self._record_end("request.cut_off")
         self._end_unanswered(
             "stopped", "The gateway ended before the answer was there."
         )
 
     def end_late(self) -> None:
         """Answer a request whose time is over."""
+        self._record_end("request.timed_out")
+        self._end_unanswered("timed_out", "There was no answer in time.")
+
+    def _record_end(self, kind: str) -> None:
+        """Log how far a request had come that ends without its whole answer."""
         request, reply = self._request, self._reply
         self._parts.events.record(
-            "request.timed_out",
+            kind,
             request=request.id,
             route=reply.route,
             upstream=request.upstream,
@@ -237,8 +231,8 @@
             held_back=self._sender.holds_back,
             sends=request.sendings.offered,
             age_ms=reply.age_ms,
+            **request.incoming.describe_way(),
         )
-        self._end_unanswered("timed_out", "There was no answer in time.")
 
     def _end_unanswered(self, reason: str, message: str) -> None:
         """Tell the caller truly that there will be no answer."""
