Copy from a reader though a connection to it failed lately

Cause: a single connection that did not come about in 250 ms, or sends of this gateway that failed, were taken for a reader that other engines can't reach.

Change: only a reader that has been out of reach for a second is not copied from (`LoadBook.is_lost`, which the choice of engines uses as well).

--- a/packages/mustardquay/src/mustardquay/kept_readings.py
+++ b/packages/mustardquay/src/mustardquay/kept_readings.py
@@ -21,8 +21,8 @@
 
     READER_GONE = "reader_gone"
     """The engine that read is not listed any more, or leaves."""
-    READER_FAILING = "reader_failing"
-    """It is out of reach, or most requests to it fail."""
+    READER_LOST = "reader_lost"
+    """It has been out of reach for long."""
     DISPLACED = "displaced"
     """It has given up the prompt for others."""
     NO_GENERATOR = "no_generator"
@@ -45,8 +45,8 @@
     """
     if all(engine.id != reader.id for engine in engines):
         return ReadingLoss.READER_GONE
-    if books.loads.is_failing(reader.id, now):
-        return ReadingLoss.READER_FAILING
+    if books.loads.is_lost(reader.id, now):
+        return ReadingLoss.READER_LOST
     if is_copied and not books.prefixes.holds(reader.id, parts):
         return ReadingLoss.DISPLACED
     if choose_decoder(engines, books, now, avoid) is None:
--- a/packages/mustardquay/src/mustardquay/upstream_loads.py
+++ b/packages/mustardquay/src/mustardquay/upstream_loads.py
@@ -156,17 +156,6 @@
         since = load.unreachable_since if load else None
         return since is not None and now - since >= LOST_TIME
 
-    def is_failing(self, id: str, now: timedelta) -> bool:
-        """Return whether an upstream is out of reach, or fails what it is sent.
-
-        One that only refuses work is not failing.
-        """
-        load = self.get(id)
-        if load.unreachable_since is not None:
-            return True
-        is_counted = load.sends >= EJECTION_LEAST
-        return is_counted and self.read_failure_rate(id, now) >= EJECTION_RATE
-
     def note_lapsed_handle(self, id: str, now: timedelta) -> None:
         """Note that what an engine had read could not be fetched."""
         self.get(id).lapsing_until = now + LAPSING_TIME
