Change a newcomer's stage at once where it is one too many

An engine that generates was lost at 8.8, another one was ordered to stand in at 9.0, and a new engine that generates was listed at 9.5. The planner kept the third one for six seconds, in case streams rose, and told it to read at 18.5, in the busiest seconds; it read from 23.6 on.

Cause: how long one engine too many is kept guards against bursts of streams. Here it was one too many by its own coming, which no burst takes back, and it would have cost least to change at once, when it had no work and no cache.

Change: an engine that was listed first within the last six seconds, and that generates, is changed without patience once enough others show that they generate. Engines that a gateway finds at its start, or that were missing from the list for a moment, are not new.

Measured: two of the five new tests fail on the code before.

--- a/packages/mustardquay/src/mustardquay/stage_plans.py
+++ b/packages/mustardquay/src/mustardquay/stage_plans.py
@@ -50,6 +50,13 @@
 """How long one decoder too many is kept: twice the time that a change takes an engine
 away."""
 
+NEWCOMER_TIME = timedelta(seconds=6)
+"""How long an engine is new. It is changed without patience, as it has little work and
+no cached parts, and is one too many by its coming and not by a burst."""
+LISTING_MEMORY = timedelta(seconds=30)
+"""How long an engine that isn't listed is remembered: entries lapse while the store is
+away, and are back soon after it."""
+
 
 @dataclass(frozen=True, slots=True)
 class StageChange:
@@ -59,12 +66,22 @@
     stage: Stage
 
 
+@dataclass(slots=True)
+class _Listing:
+    """When an engine was listed first and last."""
+
+    first: timedelta
+    last: timedelta
+
+
 class StagePlanner:
     """Plans changes from the list of engines; asks for patience between them."""
 
     def __init__(self) -> None:
         self._streams: dict[str, tuple[float, timedelta]] = {}
         self._off_since: dict[tuple[str, Stage], timedelta] = {}
+        self._listings: dict[str, dict[str, _Listing]] = {}
+        """Of the engines of each service."""
 
     def plan(
         self,
@@ -84,6 +101,7 @@
         `capacities` holds the part of its usual work that the rate limit of an engine
         leaves it. Without `is_settled` (before callers come) nothing is waited for.
         """
+        self._note_listed(service, engines, now)
         stages = {engine.id: ordered.get(engine.id, engine.stage) for engine in engines}
         listed = [each for each in engines if stages[each.id] is Stage.DECODE]
         engines = [each for each in engines if each.id not in lost]
@@ -104,6 +122,10 @@
         elif missing < 0:
             stage, patience = Stage.PREFILL, PREFILLER_PATIENCE
             self._off_since.pop((service, Stage.DECODE), None)
+            spare = sum(each.stage is Stage.DECODE for each in decoders) - wanted
+            newcomers = self._list_newcomers(service, decoders, now)[: max(spare, 0)]
+            if newcomers:
+                return [StageChange(each, stage) for each in newcomers]
         else:
             self._off_since.pop((service, Stage.DECODE), None)
             self._off_since.pop((service, Stage.PREFILL), None)
@@ -115,6 +137,31 @@
         chosen = _choose(others, abs(missing), decoders)
         return [StageChange(engine, stage) for engine in chosen]
 
+    def _note_listed(
+        self, service: str, engines: Sequence[UpstreamRecord], now: timedelta
+    ) -> None:
+        """Note which engines are listed; those of the first time count as old."""
+        is_first = service not in self._listings
+        listings = self._listings.setdefault(service, {})
+        first = now - NEWCOMER_TIME if is_first else now
+        for engine in engines:
+            listings.setdefault(engine.id, _Listing(first, now)).last = now
+        for id, listing in list(listings.items()):
+            if now - listing.last > LISTING_MEMORY:
+                del listings[id]
+
+    def _list_newcomers(
+        self, service: str, decoders: Sequence[UpstreamRecord], now: timedelta
+    ) -> list[UpstreamRecord]:
+        """Return the engines that generate and have come lately."""
+        listings = self._listings[service]
+        return [
+            engine
+            for engine in decoders
+            if engine.stage is Stage.DECODE
+            and now - listings[engine.id].first < NEWCOMER_TIME
+        ]
+
     def _average(self, service: str, streams: int, now: timedelta) -> float:
         mean, at = self._streams.get(service, (float(streams), now))
         memory = RISING_MEMORY if streams > mean else DEMAND_MEMORY
--- a/packages/mustardquay/tests/test_stage_plans.py
+++ b/packages/mustardquay/tests/test_stage_plans.py
@@ -53,6 +53,61 @@
     assert len(plan(planner, make_engines(4, 1), now=later)) == 1
 
 
+def make_newcomer(stage=Stage.DECODE):
+    return UpstreamRecord("new", "llm", "10.0.0.9:80", "a", 64, False, stage)
+
+
+def test_a_newcomer_that_is_one_too_many_changes_before_it_has_work():
+    """Guards against a change in the rush that follows, seconds after its reason."""
+    planner = StagePlanner()
+    engines = make_engines(4, 2)
+    assert plan(planner, engines) == []
+    # One that reads is replaced, and the new one generates, as all that start.
+    engines = [*engines[1:], make_newcomer()]
+    [change] = plan(planner, engines, now=NOW + timedelta(seconds=1))
+    assert (change.engine.id, change.stage) == ("new", Stage.PREFILL)
+
+
+def test_a_newcomer_stays_until_the_engine_that_stood_in_has_changed():
+    """Guards against one engine that generates alone while two are on their way."""
+    planner = StagePlanner()
+    engines = make_engines(4, 2)
+    assert plan(planner, engines) == []
+    engines = [*engines[:5], make_newcomer()]
+    ordered = {"e0": Stage.DECODE}
+    now = NOW + timedelta(seconds=1)
+    assert plan(planner, engines, now=now, ordered=ordered) == []
+    changed = UpstreamRecord("e0", "llm", "10.0.0.0:80", "a", 64, False, Stage.DECODE)
+    now = NOW + timedelta(seconds=4)
+    [change] = plan(planner, [changed, *engines[1:]], now=now)
+    assert change.engine.id == "new"
+
+
+def test_engines_that_a_gateway_finds_at_its_start_are_no_newcomers():
+    """Guards against engines that change for each gateway that starts."""
+    planner = StagePlanner()
+    for second in range(3):
+        now = NOW + timedelta(seconds=second)
+        assert plan(planner, make_engines(3, 3), now=now) == []
+
+
+def test_an_engine_that_was_missing_from_the_list_for_a_moment_is_no_newcomer():
+    """Guards against a change of an engine whose entry lapsed as the store was away."""
+    planner = StagePlanner()
+    engines = make_engines(3, 3)
+    assert plan(planner, engines) == []
+    assert plan(planner, engines[:5], now=NOW + timedelta(seconds=1)) == []
+    assert plan(planner, engines, now=NOW + timedelta(seconds=3)) == []
+
+
+def test_an_engine_that_came_back_from_a_change_is_no_newcomer():
+    """Guards against a number of generators that swings with each burst."""
+    planner = StagePlanner()
+    assert plan(planner, make_engines(4, 2)) == []
+    now = NOW + timedelta(seconds=9)
+    assert plan(planner, make_engines(3, 3), now=now) == []
+
+
 def test_an_engine_that_is_changing_counts_as_changed():
     ordered = {"e0": Stage.DECODE}
     planner = StagePlanner()
