Tell a reading from the wait before it by their ratio, not by a difference

Cause: how long a reading took was learned as the whole time less the expected wait. The noise of that difference is the wait's, and goes both ways, while the fit believes what is below its estimate and hardly what is above. So speeds fell by each prompt behind a queue, in the play to nothing within half a second; then waits were expected to be nothing as well, everything was admitted, and what finally came back made readings of 0.3 to 0.5 s in place of 0.02.

Change: a wait is made of readings. The time is divided between both in the ratio in which they were expected, for prompts read apart and alone, and for first events behind a wait. Such a measurement can't show a reading of nothing.

--- a/packages/mustardquay-node/src/mustardquay_node/generators.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generators.py
@@ -353,9 +353,14 @@
         if placement.prefiller is not None:
             self._models.learn_first(engine.service, streams, seconds)
             return
-        seconds -= placement.wait_seconds
-        now = self._clock.monotonic()
-        self._models.learn_alone(engine, placement.reading, streams, seconds, now)
+        self._models.learn_alone(
+            engine,
+            placement.reading,
+            streams,
+            seconds,
+            self._clock.monotonic(),
+            placement.wait_seconds,
+        )
 
     def learn_pause(self, engine: UpstreamRecord, pause: timedelta) -> None:
         """Take in the mean time between the events of a stream that has ended."""
--- a/packages/mustardquay-node/tests/test_bursts.py
+++ b/packages/mustardquay-node/tests/test_bursts.py
@@ -41,3 +41,19 @@
     """Guards against prompts that are read while nobody can generate from them."""
     outcome = play(replace(SHORT, peak=0.7, generating=0.009))
     assert outcome.share_in_time() >= 0.5
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_one_gateway_keeps_what_it_admits_in_a_steep_burst(seed):
+    """Guards against a burst in which speeds are unlearned and all prompts misplaced.
+
+    Five prompts come for each two that engines can read.
+    """
+    steep = replace(SHORT, gateways=1, peak=2.5, generating=0.002, seed=seed)
+    assert play(steep).share_kept() >= 0.85
+
+
+def test_many_gateways_keep_what_they_admit_in_a_steep_burst():
+    """Guards against prompts admitted as in time that are late among many gateways."""
+    steep = replace(SHORT, gateways=28, peak=2.5)
+    assert play(steep).share_kept() >= 0.85
--- a/packages/mustardquay/src/mustardquay/engine_models.py
+++ b/packages/mustardquay/src/mustardquay/engine_models.py
@@ -235,7 +235,8 @@
         sureness = 1 / (1 + (max(wait, work) / max(expected, 1e-6)) ** 2)
         if sureness < LEAST_SURENESS:
             return
-        seconds = max(took - wait, 0.0)
+        fixed = min(pool.read.coefficients[0] * factor, expected)
+        seconds = fixed + _split(took - fixed, wait, expected - fixed)
         if sureness > 0.5:
             _learn_factor(pool, engine.id, seconds / max(expected, 1e-6), now)
         pool.read.learn(reading.features, seconds / factor, sureness)
@@ -251,9 +252,12 @@
         streams: int,
         seconds: float,
         now: timedelta,
+        wait: float = 0.0,
     ) -> None:
         """Take in how long an engine read a prompt and made its first event.
 
+        It was expected to read others for `wait` before.
+
         Tells of the one that takes most of the time, as the other is a small error.
         Guards against a model by which nothing takes long to read: long prompts would
         all be read by engines that generate, as if these took long for their events.
@@ -262,10 +266,16 @@
         expected = self.expect_read(engine, reading, now)
         first = pool.first.predict((1.0, float(streams)))
         if expected < first and not _is_long(pool, reading):
-            self.learn_first(engine.service, streams, seconds - expected)
+            seconds = _split(seconds, wait + expected, first)
+            self.learn_first(engine.service, streams, seconds)
             return
-        read = max(seconds - first, 0.0) / GENERATING_SLOWDOWN
-        pool.read.learn(reading.features, read / self.read_factor(engine, now))
+        if not expected:
+            # Nothing else is known by which a wait could be told from the reading.
+            wait, expected = 0.0, first
+        read = _split(seconds - first, wait, expected) / GENERATING_SLOWDOWN
+        sureness = 1 / (1 + (wait / max(expected, 1e-6)) ** 2)
+        factor = self.read_factor(engine, now)
+        pool.read.learn(reading.features, read / factor, sureness)
 
     def learn_pause(self, service: str, streams: int, seconds: float) -> None:
         """Take in a pause between two events."""
@@ -309,6 +319,17 @@
         return pool
 
 
+def _split(seconds: float, wait: float, read: float) -> float:
+    """Return the part of a time that a reading took, by what was expected of both.
+
+    The wait is made of readings, too: where all are faster or slower than expected,
+    both are. Guards against speeds that fall to nothing in a queue: with the expected
+    wait taken off as it is, a wait that is thought too long by the length of one
+    reading shows a reading that takes no time.
+    """
+    return max(seconds, 0.0) * read / max(wait + read, 1e-6)
+
+
 def _is_long(pool: _Pool, reading: Reading) -> bool:
     """Return whether a reading takes longer than a first event by the priors."""
     read = GENERATING_SLOWDOWN * dot(pool.read.prior, reading.features)
--- a/packages/mustardquay/tests/test_engine_models.py
+++ b/packages/mustardquay/tests/test_engine_models.py
@@ -192,3 +192,38 @@
         models.learn_alone(decoder, Reading(9_000), 8, 0.2, now)
     assert models.expect_read(decoder, Reading(9_000), now) >= 0.1
     assert models.expect_overhead("llm") <= 0.03
+
+
+@pytest.mark.parametrize("share", [0.7, 0.85, 1.0, 1.3])
+def test_speeds_hold_in_a_queue_that_is_shorter_or_longer_than_thought(share):
+    """Guards against a burst after which reading is taken to need no time at all.
+
+    Each prompt waits for others, for that `share` of the time that was expected.
+    """
+    models, engine = EngineModels(), make_engine()
+    teach(models, engine, 1.0, 60, Random(7))
+    reading = Reading(2_900, 6_300)
+    truth = time_reading(reading, 1.0)
+    for _ in range(200):
+        read = models.expect_read(engine, reading, NOW)
+        wait = 3 * read
+        took = FIXED + share * 3 * truth + truth
+        models.learn_read(engine, reading, wait, took, NOW)
+    known = models.expect_read(engine, reading, NOW)
+    assert 0.6 * truth <= known <= 1.5 * truth
+
+
+@pytest.mark.parametrize("share", [0.7, 0.85, 1.0, 1.3])
+def test_speeds_hold_where_one_engine_reads_and_generates_behind_others(share):
+    """Guards against engines that generate getting all prompts, as if unread ones."""
+    models = EngineModels()
+    reader, decoder = make_engine(), make_engine("d1", Stage.DECODE)
+    teach(models, reader, 1.0, 60, Random(7))
+    reading = Reading(2_900, 6_300)
+    truth = 2 * time_reading(reading, 1.0)
+    for _ in range(200):
+        wait = 3 * models.expect_read(decoder, reading, NOW)
+        took = share * 3 * truth + truth + 0.02
+        models.learn_alone(decoder, reading, 4, took, NOW, wait)
+    known = models.expect_read(decoder, reading, NOW)
+    assert 0.6 * truth <= known <= 1.5 * truth
