Take engines that come before callers for no newcomers

Cause: while the list of engines fills up before callers come, each engine that followed the first ones was a newcomer, and those were told to read.

Change: what is listed before callers come counts as old, and newcomers that change are chosen by zones, like the others.

Measured: the new test fails on the code before.

--- a/packages/mustardquay/src/mustardquay/stage_plans.py
+++ b/packages/mustardquay/src/mustardquay/stage_plans.py
@@ -101,7 +101,7 @@
         `capacities` holds the part of its usual work that the rate limit of an engine
         leaves it. Without `is_settled` (before callers come) nothing is waited for.
         """
-        self._note_listed(service, engines, now)
+        self._note_listed(service, engines, now, is_settled)
         stages = {engine.id: ordered.get(engine.id, engine.stage) for engine in engines}
         listed = [each for each in engines if stages[each.id] is Stage.DECODE]
         engines = [each for each in engines if each.id not in lost]
@@ -123,9 +123,10 @@
             stage, patience = Stage.PREFILL, PREFILLER_PATIENCE
             self._off_since.pop((service, Stage.DECODE), None)
             spare = sum(each.stage is Stage.DECODE for each in decoders) - wanted
-            newcomers = self._list_newcomers(service, decoders, now)[: max(spare, 0)]
-            if newcomers:
-                return [StageChange(each, stage) for each in newcomers]
+            newcomers = self._list_newcomers(service, decoders, now)
+            if newcomers and spare > 0:
+                chosen = _choose(newcomers, spare, decoders)
+                return [StageChange(engine, stage) for engine in chosen]
         else:
             self._off_since.pop((service, Stage.DECODE), None)
             self._off_since.pop((service, Stage.PREFILL), None)
@@ -138,12 +139,20 @@
         return [StageChange(engine, stage) for engine in chosen]
 
     def _note_listed(
-        self, service: str, engines: Sequence[UpstreamRecord], now: timedelta
+        self,
+        service: str,
+        engines: Sequence[UpstreamRecord],
+        now: timedelta,
+        is_settled: bool,
     ) -> None:
-        """Note which engines are listed; those of the first time count as old."""
-        is_first = service not in self._listings
+        """Note which engines are listed.
+
+        Those of the first time count as old, and those that come before callers do:
+        the list fills up then, and which of them change is chosen among all.
+        """
+        is_old = service not in self._listings or not is_settled
         listings = self._listings.setdefault(service, {})
-        first = now - NEWCOMER_TIME if is_first else now
+        first = now - NEWCOMER_TIME if is_old else now
         for engine in engines:
             listings.setdefault(engine.id, _Listing(first, now)).last = now
         for id, listing in list(listings.items()):
--- a/packages/mustardquay/tests/test_stage_plans.py
+++ b/packages/mustardquay/tests/test_stage_plans.py
@@ -91,6 +91,18 @@
         assert plan(planner, make_engines(3, 3), now=now) == []
 
 
+def test_engines_that_are_listed_before_callers_come_are_no_newcomers():
+    """Guards against generators of one zone, chosen by which record came first."""
+    planner = StagePlanner()
+    engines = make_engines(0, 6)
+    plan(planner, engines[::3], is_settled=False)
+    changes = plan(planner, engines, is_settled=False)
+    changed = {change.engine.id for change in changes}
+    left = [each for each in engines if each.id not in changed]
+    assert len(left) == 2
+    assert len({each.availability_zone for each in left}) == 2
+
+
 def test_an_engine_that_was_missing_from_the_list_for_a_moment_is_no_newcomer():
     """Guards against a change of an engine whose entry lapsed as the store was away."""
     planner = StagePlanner()
