Split what a gateway knows of upstreams from its wiring

Books, pools and limits of upstreams, and what is done with all of them when one is gone or a call is made beside callers' requests, are in gateway_upstreams now.

--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -13,24 +13,16 @@
 
 from mustardquay.clocks import Clock, SuspendClock, SystemClock
 from mustardquay.events import Event, EventRing, HybridClock
-from mustardquay.rate_limits import LimitBook
-from mustardquay.retry_windows import RetryLimits
 from mustardquay.routing_tables import CallerLimits, RoutingTable
 from mustardquay.stops import BALANCER_NOTICE
-from mustardquay.uplinks import Uplink
-from mustardquay.upstream_lists import Stage, UpstreamList, UpstreamRecord
-from mustardquay.upstream_loads import LoadBook
+from mustardquay.upstream_lists import Stage, UpstreamRecord
 from mustardquay.version_books import TableState
 
 from .adapters import Adapter, load_adapter
 from .cache_surveys import CacheSurvey, CacheSurveyParts
 from .caller_connections import CallerConnections, ConnectionOptions
 from .configuration_intakes import ConfigurationIntake
-from .connections import Exchange
-from .crash_reporters import CrashReporter
-from .descriptors import DescriptorGuard
 from .digests import DigestBook, DigestParts
-from .engine_calls import EngineCall, call_engine
 from .era_watches import EraWatch
 from .forwarder_parts import ForwarderParts
 from .forwarders import Forwarder
@@ -38,14 +30,13 @@
 from .gateway_metrics import GatewayMetrics
 from .gateway_servers import GatewayServers
 from .gateway_stops import GatewayStop, StopParts
-from .generators import GenerationPlanner
+from .gateway_upstreams import GatewayUpstreams, UpstreamParts
 from .peers import PeerLink
 from .seeds import make_seed
 from .settings import GatewaySettings
 from .settings_watches import SettingsWatch
 from .stage_keepers import StageKeeper, StageKeeperParts
 from .upstream_intakes import UpstreamIntake
-from .upstream_pools import UpstreamPools
 
 __all__ = ["Gateway"]
 
@@ -76,13 +67,7 @@
             node.name, HybridClock(self._clock), node.ring_capacity, write_event
         )
         self._metrics = GatewayMetrics(node.name, node.availability_zone)
-        self._upstreams = UpstreamList()
-        self._loads = LoadBook()
-        self._limits = LimitBook()
-        self._crashes = CrashReporter(self._clock, self._events)
-        self._descriptors = DescriptorGuard(self._clock, self._events)
-        self._pools = self._make_pools()
-        self._planner = self._make_planner()
+        self._upstreams = self._make_upstreams()
         self._stop = self._make_stop()
         self._forwarder = Forwarder(self._make_parts())
         self._eras = EraWatch(self._events)
@@ -91,10 +76,10 @@
         )
         self._intake = UpstreamIntake(
             self._adapter,
-            self._upstreams,
+            self._upstreams.list,
             self._events,
             self._clock,
-            self._forget_upstream,
+            self._upstreams.forget,
             self._note_leaving,
         )
         self._configurations = ConfigurationIntake(
@@ -102,7 +87,7 @@
             self._events,
             self._clock,
             self._put_table,
-            self._planner.list_configurations,
+            self._upstreams.planner.list_configurations,
             lambda: self._settings.bounds.configuration_delay,
         )
         self._digests = self._make_digests()
@@ -115,9 +100,7 @@
         self._connections = CallerConnections(
             ConnectionOptions(self._clock, self._get_limits, self._forwarder.handle)
         )
-        self._servers = GatewayServers(
-            lambda: self._descriptors.make_room(self._pools.close_idle)
-        )
+        self._servers = GatewayServers(self._upstreams.make_room)
         self._ticker: asyncio.Task[None] | None = None
         self._closing: asyncio.Task[None] | None = None
         self._address = settings.gateway.listen
@@ -130,7 +113,7 @@
         return (
             not self._stop.has_begun
             and self._forwarder.table is not None
-            and self._upstreams.is_known
+            and self._upstreams.list.is_known
             and self._configurations.judge() is not TableState.OUTDATED
         )
 
@@ -151,7 +134,7 @@
 
     def list_upstreams(self) -> list[UpstreamRecord]:
         """Return the upstreams that are listed."""
-        return list(self._upstreams)
+        return list(self._upstreams.list)
 
     async def start(self) -> None:
         """Listen, and begin to follow the store."""
@@ -209,7 +192,7 @@
         await self._feeds.close()
         await self._peers.close()
         await self._servers.close()
-        await self._pools.close()
+        await self._upstreams.close()
         self._store.close()
         self._metrics.close()
         self._events.record("process.stopped")
@@ -225,43 +208,20 @@
         if fixed:
             self._events.record("settings.need_restart")
         self._settings = settings
-        self._pools.retry_limits = self._make_retry_limits()
-
-    def _make_retry_limits(self) -> RetryLimits:
-        bounds = self._settings.bounds
-        return RetryLimits(
-            bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window
-        )
+        self._upstreams.take_bounds(settings.bounds)
 
-    def _make_pools(self) -> UpstreamPools:
-        return UpstreamPools(
-            self._clock,
-            self._make_retry_limits(),
-            self._settings.gateway.processes,
+    def _make_upstreams(self) -> GatewayUpstreams:
+        parts = UpstreamParts(
+            adapter=self._adapter,
+            clock=self._clock,
+            random=self._random,
+            events=self._events,
+            find_table=lambda: self._forwarder.table,
             count_gateways=lambda: self._peers.count,
-            find_limit=self._find_connection_limit,
-            note_unreachable=self._note_unreachable,
-            # Callers' last: each may be about to send its next request.
-            free_descriptors=lambda: self._descriptors.make_room(
-                self._pools.close_idle, self._connections.close_idle
-            ),
-        )
-
-    def _find_connection_limit(self, service: str) -> int | None:
-        table = self._forwarder.table
-        found = table.services.get(service) if table is not None else None
-        return None if found is None else found.max_connections
-
-    def _make_planner(self) -> GenerationPlanner:
-        return GenerationPlanner(
-            self._clock,
-            self._upstreams,
-            self._loads,
-            uplink=Uplink(self._settings.gateway.link_rate),
-            limits=self._limits,
             note_change=lambda: self._peers.note_change(),
-            random=self._random,
+            close_idle_callers=lambda: self._connections.close_idle(),
         )
+        return GatewayUpstreams(self._settings, parts)
 
     def _make_stop(self) -> GatewayStop:
         node = self._settings.node
@@ -285,12 +245,12 @@
             random=self._random,
             events=self._events,
             availability_zone=self._settings.node.availability_zone,
-            upstreams=self._upstreams,
-            pools=self._pools,
-            loads=self._loads,
-            limits=self._limits,
-            crashes=self._crashes,
-            planner=self._planner,
+            upstreams=self._upstreams.list,
+            pools=self._upstreams.pools,
+            loads=self._upstreams.loads,
+            limits=self._upstreams.limits,
+            crashes=self._upstreams.crashes,
+            planner=self._upstreams.planner,
             stop=self._stop,
             judge_table=lambda: self._configurations.judge(),
             count_answer=self._metrics.count_answer,
@@ -324,7 +284,7 @@
             ),
             "mustardquay.ready": lambda: float(self.is_ready),
             "mustardquay.running": lambda: float(self._forwarder.in_flight),
-            "mustardquay.upstreams": lambda: float(len(list(self._upstreams))),
+            "mustardquay.upstreams": lambda: float(len(self.list_upstreams())),
             "mustardquay.connections": lambda: float(self._connections.count),
             "mustardquay.store.age": self._measure_store_age,
             "mustardquay.store.era": lambda: float(self._eras.era),
@@ -340,10 +300,10 @@
             name=node.name,
             availability_zone=node.availability_zone,
             clock=self._clock,
-            planner=self._planner,
+            planner=self._upstreams.planner,
             stop=self._stop,
-            crashes=self._crashes,
-            limits=self._limits,
+            crashes=self._upstreams.crashes,
+            limits=self._upstreams.limits,
             configurations=self._configurations,
             is_ready=lambda: self.is_ready,
             fetch_configuration=lambda: self._feeds.fetch_configuration(),
@@ -371,14 +331,12 @@
             clock=SuspendClock(),
             random=self._random,
             events=self._events,
-            upstreams=self._upstreams,
-            is_lost=lambda id: self._loads.is_lost(id, self._clock.monotonic()),
+            upstreams=self._upstreams.list,
+            is_lost=self._upstreams.is_lost,
             list_services=self._list_engine_services,
-            call=self._call_engine,
-            count_streams=self._planner.count_streams,
-            measure_capacities=lambda engines: self._limits.measure_capacities(
-                engines, self._clock.monotonic()
-            ),
+            call=self._upstreams.call_engine,
+            count_streams=self._upstreams.planner.count_streams,
+            measure_capacities=self._upstreams.measure_capacities,
             tell_changing=self._tell_changing,
             is_serving=lambda: self._forwarder.has_served,
         )
@@ -390,21 +348,13 @@
             adapter=self._adapter,
             events=self._events,
             list_upstreams=self.list_upstreams,
-            call=self._call_engine,
-            take_held=self._planner.take_held,
+            call=self._upstreams.call_engine,
+            take_held=self._upstreams.planner.take_held,
         )
         return CacheSurvey(parts)
 
-    async def _call_engine(
-        self, engine: UpstreamRecord, call: EngineCall
-    ) -> Exchange | None:
-        """Call an engine beside callers' requests; such calls wait for no turn."""
-        self._limits.note_sent(engine.id, self._clock.monotonic())
-        pool = self._pools.get_pool(engine)
-        return await call_engine(self._adapter, pool, engine, call)
-
     def _tell_changing(self, engines: Collection[str]) -> None:
-        self._planner.tell_changing(engines)
+        self._upstreams.planner.tell_changing(engines)
         self._peers.hurry()
 
     def _list_engine_services(self) -> list[str]:
@@ -418,28 +368,16 @@
         # Others learn by it that there is something to read.
         self._peers.hurry()
         self._servers.apply_limits(table.limits)
-        self._planner.take_table(table)
+        self._upstreams.planner.take_table(table)
 
     def _get_limits(self) -> CallerLimits:
         table = self._forwarder.table
         return table.limits if table is not None else CallerLimits()
 
-    def _forget_upstream(self, id: str) -> None:
-        """Drop what is kept of an upstream that is gone or has started anew."""
-        self._crashes.note_lost(id)
-        self._pools.forget(id)
-        self._loads.forget(id)
-        self._limits.forget(id)
-        self._planner.forget(id)
-
     def _note_leaving(self, record: UpstreamRecord) -> None:
         if record.stage is Stage.DECODE:
             self._keeper.hurry()
 
-    def _note_unreachable(self, id: str) -> None:
-        self._loads.note_unreachable(id, self._clock.monotonic())
-        self._crashes.note_lost(id)
-
     def _end_keep_alive(self) -> None:
         self._servers.end_connections()
         self._connections.end_keep_alive()
