Name what a reading shows, and never let a failed accept through to the loop

From reading the change as a newcomer: taking up a reading returns why it can't be; a connection that can't be accepted after all is turned away whatever the reason was that closing idle ones did not help; connections are described, not their way.

--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
@@ -56,7 +56,7 @@
     connection: CallerConnection = CallerConnection()
     body: bytes = b""
 
-    def describe_way(self) -> dict[str, int]:
+    def describe_connection(self) -> dict[str, int]:
         """Return for the log how it came: its connection, how old that was, its place.
 
         By these it shows whether a request came on a connection from before a stop.
--- a/packages/mustardquay-node/src/mustardquay_node/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections.py
@@ -211,11 +211,11 @@
         `free_descriptors` closes what is idle in the process, and returns whether
         there was any.
         """
-        self._free_descriptors = free_descriptors
         self._address = split_address(address)
         self._clock = clock
         self._limit = limit
         self._idle_limit = idle_limit
+        self._free_descriptors = free_descriptors
         self._idle: deque[tuple[IOStream, timedelta]] = deque()
         self._open = 0
         self._parameters = HTTP1ConnectionParameters(max_body_size=ANSWER_LIMIT)
--- a/packages/mustardquay-node/src/mustardquay_node/descriptors.py
+++ b/packages/mustardquay-node/src/mustardquay_node/descriptors.py
@@ -80,29 +80,35 @@
 
     def accept(self) -> tuple[socket.socket, object]:
         """Accept a connection; raises `BlockingIOError` if it had to be closed."""
-        try:
-            return super().accept()
-        except OSError as error:
-            if not is_exhausted(error):
-                raise
-        if self._make_room():
-            return super().accept()
-        self._turn_away()
-        raise BlockingIOError(errno.EAGAIN, "No descriptors; connection closed.")
+        accepted = self._try_accept()
+        if accepted is None and self._make_room():
+            accepted = self._try_accept()
+        if accepted is None:
+            self._turn_away()
+            raise BlockingIOError(errno.EAGAIN, "No descriptors; connection closed.")
+        return accepted
 
     def close(self) -> None:
         """Stop listening."""
         self._close_spare()
         super().close()
 
+    def _try_accept(self) -> tuple[socket.socket, object] | None:
+        """Accept a connection; None if there are no descriptors left."""
+        try:
+            return super().accept()
+        except OSError as error:
+            if not is_exhausted(error):
+                raise
+            return None
+
     def _turn_away(self) -> None:
         """Close the connection that waits, by the descriptor kept for this."""
         self._close_spare()
-        try:
-            connection, _ = super().accept()
-            connection.close()
-        finally:
-            self._spare = _open_spare()
+        accepted = self._try_accept()
+        if accepted is not None:
+            accepted[0].close()
+        self._spare = _open_spare()
 
     def _close_spare(self) -> None:
         if self._spare is not None:
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -148,7 +148,7 @@
         "drain.taken",
         request=request.id,
         route=request.route.name,
-        **request.incoming.describe_way(),
+        **request.incoming.describe_connection(),
         **inputs,
     )
     return True
@@ -231,7 +231,7 @@
             held_back=self._sender.holds_back,
             sends=request.sendings.offered,
             age_ms=reply.age_ms,
-            **request.incoming.describe_way(),
+            **request.incoming.describe_connection(),
         )
 
     def _end_unanswered(self, reason: str, message: str) -> None:
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -48,6 +48,7 @@
 
     def __init__(self, settings: GatewaySettings, parts: UpstreamParts):
         self._parts = parts
+        # Connections to upstreams are most of what a gateway opens.
         self._descriptors = DescriptorGuard(parts.clock, parts.events)
         self.list = UpstreamList()
         self.loads = LoadBook()
--- a/packages/mustardquay-node/src/mustardquay_node/generators.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generators.py
@@ -208,17 +208,18 @@
         reading: KeptReading,
         engines: Sequence[UpstreamRecord],
         avoid: Collection[str],
-    ) -> bool:
-        """Have another engine generate from a reading; returns whether one can."""
-        if self.find_loss(reading, engines, avoid) is not None:
-            return False
+    ) -> ReadingLoss | None:
+        """Have another engine generate from a reading; returns why none can."""
+        loss = self.find_loss(reading, engines, avoid)
+        if loss is not None:
+            return loss
         old = reading.ticket
         ticket = Ticket(old.placement, old.parts, old.rank, is_read=True)
         if not self.renew_decoder(ticket, engines, avoid):
-            return False
+            return ReadingLoss.NO_GENERATOR
         self._note_copied(ticket)
         reading.ticket = ticket
-        return True
+        return None
 
     def _note_copied(self, ticket: Ticket) -> None:
         """Note that the engine that generates copies the prompt."""
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -85,11 +85,10 @@
     engines: list[UpstreamRecord],
 ) -> bool:
     """Have another engine generate from what was read; dropped if none can."""
-    loss = parts.planner.find_loss(reading, engines, request.avoid)
+    loss = parts.planner.take_up(reading, engines, request.avoid)
     if loss is not None:
         drop_reading(parts, request, loss)
         return False
-    parts.planner.take_up(reading, engines, request.avoid)
     placement = reading.ticket.placement
     parts.events.record(
         "reading.kept",
--- a/packages/mustardquay-node/src/mustardquay_node/replies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/replies.py
@@ -157,6 +157,6 @@
             route=self.route,
             version=self.version,
             age_ms=self.age_ms,
-            **self._incoming.describe_way(),
+            **self._incoming.describe_connection(),
             **inputs,
         )
