Promise nothing in a stop by less than fifty answers of a route

Cause: ten answers were enough to know what a route takes. The next answer is longer than all of n with a chance of 1 in n + 1, whatever the distribution is, and doubling the longest helps little where a fifth takes up to 1.5 s.

Change: fifty answers. Below that, a request is taken if its own limit is over in time, and refused truly otherwise.

--- a/packages/mustardquay/src/mustardquay/route_times.py
+++ b/packages/mustardquay/src/mustardquay/route_times.py
@@ -15,8 +15,9 @@
 WINDOW = timedelta(seconds=20)
 """Answers of the present window and the one before it count: some hundred on a route
 that is in use, and none from before a change of what upstreams can do for long."""
-LEAST_SAMPLES = 10
-"""Answers below which nothing is known: the longest of a few says little."""
+LEAST_SAMPLES = 50
+"""Answers below which nothing is known: of so many, the next one takes longer than all
+of them once in fifty times, whatever their times are like."""
 HEADROOM = 2.0
 """Times the longest that was seen: upstreams that others load take longer soon."""
 
--- a/packages/mustardquay/tests/test_route_times.py
+++ b/packages/mustardquay/tests/test_route_times.py
@@ -58,3 +58,11 @@
     times.end(waiting)
     times.end(waiting)
     assert times.find_longest("r", now).first == HEADROOM * SECOND / 10
+
+
+def test_a_slow_answer_in_sixteen_is_not_promised_away_by_fifteen_quick_ones():
+    """Guards against a request taken late in a stop on the word of a few answers."""
+    times = RouteTimes()
+    for number in range(15):
+        times.note("r", SECOND, SECOND / 1000 * (10 + 20 * number))
+    assert times.find_longest("r", SECOND) is None
