Ask in one place whether a reading must be copied, and how sure a time is

Found in reading the whole change again; no behaviour is meant to change.

Cause: that a prompt can be had from its reader's cache only was decided in `GenerationPlanner.find_loss` and once more in `handovers`, so that one could have gone on by a handle which the other took for gone; the sureness of a measurement stood twice in `engine_models`.

Change: `GenerationPlanner.must_copy` and `_measure_sureness`, which both call.

--- a/packages/mustardquay-node/src/mustardquay_node/generators.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generators.py
@@ -195,14 +195,26 @@
         """Return why no other engine can generate from a reading; None if one can."""
         now = self._clock.monotonic()
         ticket = reading.ticket
-        reader = ticket.placement.reader
-        is_copied = reading.is_handle_used
-        is_copied = is_copied or self._books.loads.has_lapsing_handles(reader.id, now)
-        usable = self._drop_changing(engines)
         return find_loss(
-            reader, ticket.parts, is_copied, usable, self._books, now, avoid
+            ticket.placement.reader,
+            ticket.parts,
+            self.must_copy(reading),
+            self._drop_changing(engines),
+            self._books,
+            now,
+            avoid,
         )
 
+    def must_copy(self, reading: KeptReading) -> bool:
+        """Return whether a prompt can be had from its reader's cache only.
+
+        Its handle may have been taken, or handles of that engine lapse at once.
+        """
+        reader = reading.ticket.placement.reader.id
+        now = self._clock.monotonic()
+        is_lapsing = self._books.loads.has_lapsing_handles(reader, now)
+        return reading.is_handle_used or is_lapsing
+
     def take_up(
         self,
         reading: KeptReading,
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -264,8 +264,7 @@
     placement = ticket.placement
     address, reader = placement.reader.address, placement.reader.id
     await await_turn(parts, ticket.decoder_turn)
-    is_lapsing = parts.loads.has_lapsing_handles(reader, parts.clock.monotonic())
-    if not is_lapsing and not reading.is_handle_used:
+    if not parts.planner.must_copy(reading):
         source = parts.adapter.build_kv_source(address, reading.prefilled)
         options = SendOptions(
             kv_source=source, read=_note_first(parts, ticket, reading)
--- a/packages/mustardquay/src/mustardquay/engine_models.py
+++ b/packages/mustardquay/src/mustardquay/engine_models.py
@@ -232,7 +232,7 @@
         pool = self._get_pool(engine.service)
         factor = self.read_factor(engine, now)
         expected = pool.read.predict(reading.features) * factor
-        sureness = 1 / (1 + (max(wait, work) / max(expected, 1e-6)) ** 2)
+        sureness = _measure_sureness(max(wait, work), expected)
         if sureness < LEAST_SURENESS:
             return
         fixed = min(pool.read.coefficients[0] * factor, expected)
@@ -273,7 +273,7 @@
             # Nothing else is known by which a wait could be told from the reading.
             wait, expected = 0.0, first
         read = _split(seconds - first, wait, expected) / GENERATING_SLOWDOWN
-        sureness = 1 / (1 + (wait / max(expected, 1e-6)) ** 2)
+        sureness = _measure_sureness(wait, expected)
         factor = self.read_factor(engine, now)
         pool.read.learn(reading.features, read / factor, sureness)
 
@@ -319,6 +319,11 @@
         return pool
 
 
+def _measure_sureness(wait: float, expected: float) -> float:
+    """Return how sure a time tells of a reading and not of the wait before it."""
+    return 1 / (1 + (wait / max(expected, 1e-6)) ** 2)
+
+
 def _split(seconds: float, wait: float, read: float) -> float:
     """Return the part of a time that a reading took, by what was expected of both.
 
