Authenticate callers by the keys of organisations

Cause: the configuration of the shifted deployment has organisations with keys, which gateways passed on to upstreams like any header: an upstream got the key and no organisation, and requests with a withdrawn key or none ran.

Change: the routing table holds a directory of organisations (pure, one dictionary lookup a request). Each request is judged by itself before it is placed: a missing, malformed or unknown key is 401 where the configuration in force is known to be the newest (state current, and the store answered within 1.5 waits), and else 503, since a newer version may accept it. A known key is accepted also by a gateway that is behind or cut off: otherwise nobody would be served whenever the store is away; OUTDATED refuses all as before. The upstream gets the organisation's name in place of the key on every send, since all of them build their headers in one place; logs name the organisation and a fingerprint. The organisation's priority replaces that of the route. Without organisations nothing changes, also not for a header of that name.

--- a/packages/mustardquay-node/src/mustardquay_node/adapters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/adapters.py
@@ -13,6 +13,7 @@
 from tornado.httputil import HTTPHeaders
 
 from mustardquay.errors import SettingsError
+from mustardquay.organisations import PresentedKey
 from mustardquay.requests import PromptPart, PromptTraits
 from mustardquay.routing_tables import RoutingTable
 from mustardquay.store_eras import StorePosition
@@ -64,6 +65,10 @@
     resumes_after: str | None = None
     urgency: int | None = None
     """From 0, which is served first, to 9."""
+    organisation: str | None = None
+    """Name of the caller's organisation, which the upstream is told in place of the
+    caller's key; empty for an anonymous caller. None without organisations, where these
+    headers are passed on as the caller sent them."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,6 +202,9 @@
     def read_request(self, headers: HTTPHeaders) -> RequestFacts:
         """Return what a caller's headers specify; raises `ProtocolError`."""
 
+    def read_key(self, headers: HTTPHeaders) -> PresentedKey:
+        """Return the credentials in a caller's headers."""
+
     def read_answer(self, head: AnswerHead) -> AnswerFacts:
         """Return what the headers of an upstream's answer specify."""
 
--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -44,6 +44,8 @@
     planner: GenerationPlanner
     stop: GatewayStop
     find_table_state: Callable[[], TableState]
+    is_configuration_confirmed: Callable[[], bool] = lambda: True
+    """Returns whether the store has recently shown that there is no newer one."""
     times: RouteTimes = field(default_factory=RouteTimes)
     latency_margins: LatencyMargins = field(default_factory=LatencyMargins)
     count_answer: Callable[[str, str], None] = lambda route, outcome: None
@@ -66,6 +68,9 @@
     deadline: timedelta
     """When the caller's or the route's timeout expires, on the monotonic clock."""
     fingerprint: int
+    organisation: str | None = None
+    """Name of the caller's organisation; empty for an anonymous caller, None if the
+    configuration has no organisations."""
     begin_by: timedelta | None = None
     """Deadline of the first part of the answer; None for `deadline`."""
     send_history: SendHistory = field(default_factory=SendHistory)
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -10,7 +10,6 @@
 from datetime import timedelta
 from functools import partial
 
-from mustardquay.errors import ProtocolError
 from mustardquay.requests import SendResult
 from mustardquay.retry_decisions import (
     NextStep,
@@ -18,12 +17,12 @@
     count_repeats,
     decide_next,
 )
-from mustardquay.routing_tables import Repeat, RoutingTable, choose_backend
+from mustardquay.routing_tables import Repeat, RoutingTable
 from mustardquay.stops import RequestEstimate
 from mustardquay.upstream_lists import UpstreamRecord
 from mustardquay.upstream_loads import choose_plain
-from mustardquay.version_trackers import TableState
 
+from .arrivals import read_request
 from .caller_connections import CallerAnswer, CallerRequest
 from .forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from .gateway_stops import DEFAULT_RETRY_AFTER
@@ -32,7 +31,7 @@
 from .replies import Reply
 from .sends import Send, Sender
 
-__all__ = ["forward", "read_request"]
+__all__ = ["forward"]
 
 QUARANTINE_RETRY_AFTER = timedelta(seconds=60)
 """Retry-After for a request that crashed upstreams; an earlier retry would be refused
@@ -88,58 +87,6 @@
         drop_prefill(deps, request, request.last_end)
 
 
-def read_request(
-    deps: ForwarderDependencies,
-    table: RoutingTable | None,
-    incoming: CallerRequest,
-    reply: Reply,
-) -> ForwardedRequest | None:
-    """Return the request with its route and service, or answer that it has none."""
-    if table is None:
-        reply.refuse("no_configuration", DEFAULT_RETRY_AFTER)
-        return None
-    reply.version = table.version
-    state = deps.find_table_state()
-    if state is TableState.OUTDATED:
-        reply.refuse("outdated", DEFAULT_RETRY_AFTER)
-        return None
-    route = table.find_route(incoming.headers.get("Host", ""), incoming.path)
-    if route is None and state is TableState.BEHIND:
-        # The newer version of the configuration may have the route.
-        reply.refuse("unknown_route", DEFAULT_RETRY_AFTER)
-        return None
-    if route is None:
-        reply.fail(404, "no_route", "There is no route for this host and path.")
-        return None
-    reply.route = route.name
-    try:
-        facts = deps.adapter.read_request(incoming.headers)
-    except ProtocolError as error:
-        reply.fail(400, "bad_headers", str(error))
-        return None
-    reply.request = facts.id
-    service = choose_backend(route.backends, deps.random.random())
-    if service is None:
-        reply.refuse("no_service", DEFAULT_RETRY_AFTER)
-        return None
-    deps.pools.get_window(service).count_request(incoming.received_at)
-    deps.limits.demand.count_request(service, incoming.received_at)
-    allowed = route.timeout
-    if facts.time_allowed is not None:
-        allowed = min(allowed, facts.time_allowed)
-    return ForwardedRequest(
-        incoming,
-        facts,
-        route,
-        service,
-        deadline=incoming.received_at + allowed,
-        fingerprint=deps.crashes.compute_fingerprint(
-            incoming.method, incoming.path, incoming.body
-        ),
-        last_event=facts.resumes_after,
-    )
-
-
 def _admit_while_stopping(
     deps: ForwarderDependencies, request: ForwardedRequest, reply: Reply
 ) -> bool:
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_feeds.py
@@ -20,6 +20,9 @@
 CONFIGURATION_PAUSE = timedelta(milliseconds=20)
 """Pause after each read, so that one read returns several configurations when they
 change rapidly."""
+CONFIRMED_SHARE = 1.5
+"""How long an answer of the store confirms the configuration, as a share of how long
+the store holds a read. Without a change, it answers once in that time."""
 UPSTREAMS_PAUSE_SHARE = 0.25
 """Pause between reads, as a share of the time in which a leaving upstream must be
 noticed: the list changes with each heartbeat, and each read is a call to the store."""
@@ -66,6 +69,15 @@
             return None
         return self._deps.clock.monotonic() - max(answers)
 
+    @property
+    def is_configuration_confirmed(self) -> bool:
+        """Return whether the store has recently answered for the configuration."""
+        answered_at = self._configuration.answered_at
+        if answered_at is None:
+            return False
+        age = self._deps.clock.monotonic() - answered_at
+        return age <= CONFIRMED_SHARE * self._deps.settings.configuration_wait
+
     def start(self) -> None:
         """Start to follow the tables."""
         for feed in self._feeds:
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -253,6 +253,7 @@
             planner=self._upstreams.planner,
             stop=self._stop,
             find_table_state=lambda: self._configurations.find_state(),
+            is_configuration_confirmed=lambda: self._feeds.is_configuration_confirmed,
             count_answer=self._metrics.count_answer,
             count_send=self._metrics.count_send,
             count_unused_prefill=self._metrics.count_unused_prefill,
--- a/packages/mustardquay-node/src/mustardquay_node/replies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/replies.py
@@ -1,6 +1,6 @@
 """Replies: the answer to one caller, with its log line and metrics."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
 
 from tornado.httputil import HTTPHeaders
@@ -13,6 +13,7 @@
 __all__ = ["Reply"]
 
 MIN_RETRY_AFTER = timedelta(milliseconds=50)
+NO_HEADERS: Mapping[str, str] = {}
 REFUSED_STATUS = 503
 """The status that guarantees to callers that the request has not run and won't."""
 
@@ -31,6 +32,10 @@
         self.route = ""
         self.version = 0
         """Version of the configuration that applies to the request."""
+        self.organisation = ""
+        """Name of the caller's organisation, if it has one."""
+        self.key_fingerprint = ""
+        """Fingerprint of a key that was rejected."""
         self.on_begin: list[Callable[[], None]] = []
         """Callbacks for the first part of a stream, called in this order."""
         self._first_byte_at: timedelta | None = None
@@ -96,11 +101,17 @@
         message = f"Not run: {reason}; try again.\n".encode()
         self._answer.send(REFUSED_STATUS, HTTPHeaders(headers), message)
 
-    def fail(self, status: int, reason: str, message: str) -> None:
+    def fail(
+        self,
+        status: int,
+        reason: str,
+        message: str,
+        headers: Mapping[str, str] = NO_HEADERS,
+    ) -> None:
         """Answer with an error, or that the outcome is not known."""
         self._log_end(status, reason)
         self.count("failed")
-        headers = HTTPHeaders({"Content-Type": "text/plain"})
+        headers = HTTPHeaders({"Content-Type": "text/plain", **headers})
         self._answer.send(status, headers, f"{message}\n".encode())
 
     def break_off(self) -> None:
@@ -148,6 +159,14 @@
     def _to_age(self, at: timedelta) -> float:
         return round((at - self._incoming.received_at).total_seconds() * 1000, 1)
 
+    def describe_caller(self) -> dict[str, str]:
+        """Return the log fields that name the caller, if there are organisations."""
+        fields = {
+            "organisation": self.organisation,
+            "key_fingerprint": self.key_fingerprint,
+        }
+        return {name: value for name, value in fields.items() if value}
+
     def _log_end(self, status: int, reason: str, **inputs: float) -> None:
         self._deps.events.record(
             "request.ended",
@@ -158,5 +177,6 @@
             version=self.version,
             age_ms=self.age_ms,
             **self._incoming.describe_connection(),
+            **self.describe_caller(),
             **inputs,
         )
--- a/packages/mustardquay-node/src/mustardquay_node/sends.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sends.py
@@ -147,6 +147,7 @@
             age_ms=self._reply.age_ms,
             first_ms=self._reply.first_ms,
             pause_ms=self._reply.pause_ms,
+            **self._reply.describe_caller(),
         )
 
     def _make_exchange(self, send: Send, options: SendOptions) -> Exchange:
@@ -159,6 +160,7 @@
             fetch_from=options.fetch_from,
             resumes_after=request.last_event,
             urgency=self._find_priority(options),
+            organisation=request.organisation,
         )
         incoming = request.incoming
         is_stream = request.route.repeat is Repeat.STREAM and not options.prefill_only
--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/organisations/directories.py
@@ -0,0 +1,45 @@
+"""Directories: the organisations of one configuration, found by key."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+__all__ = ["Organisation", "OrganisationDirectory"]
+
+
+@dataclass(frozen=True, slots=True)
+class Organisation:
+    """The operator's settings for one organisation."""
+
+    name: str
+    keys: tuple[str, ...] = field(default=(), repr=False)
+    priority: int | None = None
+    """Rank of its requests, in place of the route's; None for the route's."""
+
+
+class OrganisationDirectory:
+    """The organisations of a configuration; a lookup costs the same at any number."""
+
+    def __init__(self, organisations: Iterable[Organisation] = ()):
+        """Index the organisations; of several with the same key, the first has it."""
+        self._organisations = tuple(organisations)
+        self._by_key: dict[str, Organisation] = {}
+        for organisation in self._organisations:
+            for key in organisation.keys:
+                self._by_key.setdefault(key, organisation)
+
+    def __len__(self) -> int:
+        return len(self._organisations)
+
+    def __iter__(self) -> Iterator[Organisation]:
+        return iter(self._organisations)
+
+    def find(self, key: str) -> Organisation | None:
+        """Return the organisation that has a key.
+
+        >>> directory = OrganisationDirectory([Organisation("a", ("k1", "k2"))])
+        >>> directory.find("k2").name
+        'a'
+        >>> directory.find("k3") is None
+        True
+        """
+        return self._by_key.get(key)
--- a/packages/mustardquay/src/mustardquay/routing_tables.py
+++ b/packages/mustardquay/src/mustardquay/routing_tables.py
@@ -5,10 +5,12 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from enum import StrEnum
-from functools import cached_property
+from functools import cache, cached_property
+
+from .organisations import OrganisationDirectory
 
 __all__ = [
     "Backend",
@@ -62,12 +64,20 @@
     resumable: bool = False
     longest_pause: timedelta | None = None
     """Maximum time between two events of a stream that is on time."""
+    allows_anonymous: bool = False
+    """Whether requests need no key where there are organisations."""
 
     @property
     def is_repeatable(self) -> bool:
         """Return whether a request may be sent again after it may have run."""
         return self.repeat is Repeat.IDEMPOTENT
 
+    def with_priority(self, priority: int | None) -> "Route":
+        """Return this route with another rank; None keeps that of the route."""
+        if priority is None or priority == self.priority:
+            return self
+        return _replace_priority(self, priority)
+
 
 @dataclass(frozen=True, slots=True)
 class EngineTraits:
@@ -114,6 +124,8 @@
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    organisations: OrganisationDirectory | None = None
+    """Whose keys callers need; None if callers need no key."""
 
     @cached_property
     def _by_host(self) -> dict[str, dict[str, Route]]:
@@ -148,6 +160,11 @@
         return None
 
 
+@cache
+def _replace_priority(route: Route, priority: int) -> Route:
+    return replace(route, priority=priority)
+
+
 def choose_backend(backends: Iterable[Backend], draw: float) -> str | None:
     """Return the service selected by `draw`, a uniform random number from [0, 1).
 
