Report the usage of organisations once a window

Cause: the platform expects, for each window of true time, how many requests of each organisation upstreams began; nobody reported it.

Change: two packages, and the lease logic in one piece. - mustardquay.usage (pure): windows, a ledger of cumulative counts by process, the median of all gateways' clocks as the true time, when a window is settled and whose turn it is. - mustardquay_node.usage: counts at the first event of a generation, or for plain upstreams when they answer; notices over the gateways' UDP socket (changes each 250 ms and twice, ended windows whole each second until delivered); one holder settles a window in the store, under the condition that it has no report and the lease is its own, before it is sent; the next holder reads and repeats what was settled. - leadership.LeaseKeeper: observing and renewing a lease, out of the stage controller. After the store came back from a copy, windows that had ended are not settled any more.

Weighed: rows of each gateway in the store (two calls a second more for ten gateways, and a kill loses up to a window) against datagrams (no calls, a kill loses some 250 ms).

--- a/packages/mustardquay-node/src/mustardquay_node/adapters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/adapters.py
@@ -19,6 +19,7 @@
 from mustardquay.store_eras import StorePosition
 from mustardquay.tables import TableService
 from mustardquay.upstream_lists import Stage, UpstreamRecord
+from mustardquay.usage import UsageReport
 
 from .connections import AnswerHead
 from .era_watches import EraWatch
@@ -26,6 +27,8 @@
 __all__ = [
     "Adapter",
     "AnswerFacts",
+    "DutyAuthority",
+    "DutyCall",
     "EngineReport",
     "FeedPage",
     "HistoryLost",
@@ -119,6 +122,24 @@
     """Start of this incarnation in Unix milliseconds; 0 if not reported."""
 
 
+@dataclass(frozen=True, slots=True)
+class DutyAuthority:
+    """In whose name a call is sent that only one instance may send."""
+
+    holder: str
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class DutyCall:
+    """Such a call, encoded."""
+
+    method: str
+    path: str
+    headers: HTTPHeaders
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class StoreRow:
     """A row of the platform's store."""
@@ -226,6 +247,11 @@
     def build_handle_path(self, handle: str) -> str:
         """Return the path at which a prefilled prompt is released."""
 
+    def build_usage_call(
+        self, address: str, report: UsageReport, authority: DutyAuthority
+    ) -> DutyCall:
+        """Return the call that reports usage; equal reports have equal bodies."""
+
     def build_order(self, stage: Stage, holder: str, fence: int, after: int) -> bytes:
         """Return the body of an order that changes an engine's stage."""
 
--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -46,6 +46,8 @@
     find_table_state: Callable[[], TableState]
     is_configuration_confirmed: Callable[[], bool] = lambda: True
     """Returns whether the store has recently shown that there is no newer one."""
+    note_begun: Callable[[str, timedelta], None] = lambda organisation, at: None
+    """Counts a request that an upstream began to run, by organisation and time."""
     times: RouteTimes = field(default_factory=RouteTimes)
     latency_margins: LatencyMargins = field(default_factory=LatencyMargins)
     count_answer: Callable[[str, str], None] = lambda route, outcome: None
@@ -80,10 +82,14 @@
     """The exchange that is running."""
     upstream: str = ""
     """The upstream of the last send."""
+    sent_at: timedelta = timedelta()
+    """When the last send began, on the monotonic clock."""
     last_end: str = "unanswered"
     """Result of the last send that has ended, a value of `SendResult`."""
     was_interrupted: bool = False
     """Whether a send that may have run was cancelled at the deadline."""
+    was_begun: bool = False
+    """Whether an upstream has begun to run the request, as far as is known."""
     is_late: bool = False
     """Whether a generation can't meet its latency target, so that others go first."""
     expected: timedelta | None = None
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -16,6 +16,7 @@
 from mustardquay.routing_tables import CallerLimits, RoutingTable
 from mustardquay.stops import BALANCER_REMOVAL_DELAY
 from mustardquay.upstream_lists import Stage, UpstreamRecord
+from mustardquay.usage import Source
 from mustardquay.version_trackers import TableState
 
 from .adapters import Adapter, load_adapter
@@ -37,6 +38,7 @@
 from .settings_watches import SettingsWatch
 from .stage_controllers import StageController, StageControllerDependencies
 from .upstream_list_updaters import UpstreamListUpdater
+from .usage import NOTICE_PREFIX, UsageDependencies, UsageSubsystem
 
 __all__ = ["Gateway"]
 
@@ -92,6 +94,7 @@
         )
         self._digest_exchange = self._make_digest_exchange()
         self._peers = self._make_peers()
+        self._usage = self._make_usage() if settings.usage.address else None
         self._stage_controller = self._make_stage_controller()
         self._cache_probe = self._make_cache_probe()
         self._feeds = self._make_feeds()
@@ -152,6 +155,8 @@
         await self._peers.start()
         self._feeds.start()
         self._stage_controller.start()
+        if self._usage is not None:
+            self._usage.start()
         self._cache_probe.start()
         self._check_task = asyncio.create_task(self._check_forever())
         self._events.record("process.started", kind_of_process="gateway")
@@ -187,6 +192,8 @@
         await self._connections.drain(DRAIN_LIMIT)
         if self._check_task is not None:
             self._check_task.cancel()
+        if self._usage is not None:
+            await self._usage.close()
         await self._stage_controller.close()
         await self._cache_probe.close()
         await self._feeds.close()
@@ -254,6 +261,7 @@
             stop=self._stop,
             find_table_state=lambda: self._configurations.find_state(),
             is_configuration_confirmed=lambda: self._feeds.is_configuration_confirmed,
+            note_begun=self._note_begun,
             count_answer=self._metrics.count_answer,
             count_send=self._metrics.count_send,
             count_unused_prefill=self._metrics.count_unused_prefill,
@@ -325,6 +333,31 @@
             self._random,
         )
 
+    def _make_usage(self) -> UsageSubsystem:
+        source = Source(self._settings.node.name, self._digest_exchange.incarnation)
+        deps = UsageDependencies(
+            adapter=self._adapter,
+            store=self._store,
+            clock=self._clock,
+            random=self._random,
+            events=self._events,
+            send=self._peers.send_datagram,
+            list_gateways=lambda: self._peers.names,
+            has_organisations=self._has_organisations,
+        )
+        usage = UsageSubsystem(source, self._settings.usage, deps)
+        self._peers.add_channel(NOTICE_PREFIX, usage.receive)
+        self._eras.listen(usage.note_era)
+        return usage
+
+    def _note_begun(self, organisation: str, begun_at: timedelta) -> None:
+        if self._usage is not None:
+            self._usage.note_begun(organisation, begun_at)
+
+    def _has_organisations(self) -> bool:
+        table = self._forwarder.table
+        return table is not None and table.organisations is not None
+
     def _make_stage_controller(self) -> StageController:
         deps = StageControllerDependencies(
             adapter=self._adapter,
--- a/packages/mustardquay-node/src/mustardquay_node/keys.py
+++ b/packages/mustardquay-node/src/mustardquay_node/keys.py
@@ -16,6 +16,8 @@
     "gateway": "Towards callers and upstreams without agents; read where kind is "
     "gateway.",
     "bounds": "What the platform promises and asks; read where kind is gateway.",
+    "usage": "Reports of how many requests of each organisation began; read where kind "
+    "is gateway.",
     "service:NAME": "Which calls of the plain service NAME are idempotent; read by "
     "entries.",
 }
@@ -355,6 +357,29 @@
         "s",
         "Time in which a version of the configuration has to be in force everywhere.",
     ),
+    Key(
+        "usage",
+        "address",
+        "",
+        "IP number:port",
+        "Where the platform takes reports; empty where it takes none.",
+    ),
+    Key(
+        "usage",
+        "window",
+        "60",
+        "s",
+        "Length of the windows, which begin at multiples of it since the start of "
+        "1970. The same at all gateways.",
+    ),
+    Key(
+        "usage",
+        "due",
+        "10",
+        "s",
+        "Time after the end of a window in which its report must arrive. The same at "
+        "all gateways.",
+    ),
     Key(
         "service:NAME",
         "idempotent_methods",
--- a/packages/mustardquay-node/src/mustardquay_node/peers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.py
@@ -94,6 +94,8 @@
         self._set_gateways = set_gateways
         self._random = random or Random(name)
         self._peers: dict[str, tuple[str, int]] = {}
+        self._channels: dict[bytes, Callable[[bytes], None]] = {}
+        """Receivers of other datagrams than digests, by their first byte."""
         self._urgent = asyncio.Event()
         self._changed = asyncio.Event()
         self._transport: asyncio.DatagramTransport | None = None
@@ -131,6 +133,25 @@
         """Return the number of listed gateways, including this one."""
         return len(self._peers) + 1
 
+    @property
+    def names(self) -> list[str]:
+        """Return the names of the listed gateways, including this one."""
+        return sorted({*self._peers, self._name})
+
+    def add_channel(self, prefix: bytes, receive: Callable[[bytes], None]) -> None:
+        """Pass on datagrams that begin with a prefix, which no digest begins with."""
+        self._channels[prefix] = receive
+
+    def send_datagram(self, data: bytes, more: Collection[str] = ()) -> None:
+        """Send a datagram to the recipients of digests, and to some gateways more."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        recipients = {*list_recipients(self._name, self._peers), *more}
+        for name in recipients:
+            address = self._peers.get(name)
+            if address is not None:
+                self._transport.sendto(data, address)
+
     def send_now(self) -> None:
         """Send the next digest as soon as possible, for urgent changes."""
         self._urgent.set()
@@ -158,6 +179,10 @@
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Decode a datagram and pass on its digest, unless it is this gateway's own."""
+        receive = self._channels.get(data[:1])
+        if receive is not None:
+            receive(data)
+            return
         digest = decode_digest(data)
         if digest is None:
             self._events.record("peer.unreadable", address=str(addr))
--- a/packages/mustardquay-node/src/mustardquay_node/settings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/settings.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 from configparser import ConfigParser, Error as ConfigParserError
 from dataclasses import dataclass, field
+from datetime import timedelta
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, Any, Literal
 
@@ -42,13 +43,21 @@
     "NodeSettings",
     "Section",
     "StoreSettings",
+    "UsageSettings",
     "check_settings",
     "read_settings",
 ]
 
+
+def _check_optional_address(value: str) -> str:
+    return check_socket_address(value) if value else value
+
+
 Name = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 Address = Annotated[str, AfterValidator(check_address)]
 SocketAddress = Annotated[str, AfterValidator(check_socket_address)]
+OptionalSocketAddress = Annotated[str, AfterValidator(_check_optional_address)]
+PositiveDuration = Annotated[Duration, Field(gt=timedelta())]
 Port = Annotated[int, Field(ge=0, le=65535)]
 Count = Annotated[int, Field(ge=1)]
 
@@ -111,6 +120,14 @@
     configuration_delay: Duration
 
 
+class UsageSettings(Section):
+    """Section `usage`: reports of the requests of each organisation."""
+
+    address: OptionalSocketAddress
+    window: PositiveDuration
+    due: PositiveDuration
+
+
 class GatewaySettings(Section):
     """All the settings of one gateway."""
 
@@ -118,12 +135,13 @@
     store: StoreSettings
     gateway: GatewaySectionSettings
     bounds: BoundsSettings
+    usage: UsageSettings
 
 
 SECTIONS_BY_KIND = {
     "entry": ("node", "platform", "link", "entry"),
     "agent": ("node", "platform", "link", "agent"),
-    "gateway": ("node", "store", "gateway", "bounds"),
+    "gateway": ("node", "store", "gateway", "bounds", "usage"),
 }
 """Sections that a process of each kind reads."""
 
--- a/packages/mustardquay-node/src/mustardquay_node/stage_controllers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stage_controllers.py
@@ -1,11 +1,9 @@
 """Control of the stages of engines by the one gateway that holds a lease.
 
-Engines that gateways control don't check fencing tokens, so orders of two holders must
-be kept apart in time: after a renewal the holder may give orders only for
-`ORDER_VALIDITY`, while a challenger waits `LEASE_TERM` before it takes over. The lease
-is renewed just before an order. While no change is due, gateways only observe it from
-time to time, so that the absence of a failed holder is already established when a
-change becomes due.
+Engines that gateways control don't check fencing tokens; `leadership` keeps the orders
+of two holders apart in time. The lease is renewed just before an order. While no change
+is due, gateways only observe it from time to time, so that the absence of a failed
+holder is already established when a change becomes due.
 """
 
 import asyncio
@@ -17,22 +15,16 @@
 from mustardquay.clocks import Clock
 from mustardquay.errors import MustardquayError
 from mustardquay.events import EventRing
-from mustardquay.leases import HEARTBEATS, LEASES, Lease, LeaseRows
 from mustardquay.stage_plans import StageChange, StagePlanner
 from mustardquay.upstream_lists import Stage, UpstreamList, UpstreamRecord
 
 from .adapters import Adapter, EngineReport, StoreTables
 from .engine_calls import CallEngine, EngineCall
+from .leadership import LeaseKeeper
 
 __all__ = ["StageController", "StageControllerDependencies"]
 
 LEASE_DOMAIN = "stages"
-ORDER_VALIDITY = timedelta(seconds=0.7)
-"""How long the holder may give orders after it sent a renewal."""
-LEASE_TERM = timedelta(seconds=4.4)
-"""How long a challenger must observe no renewal before it takes over. The platform
-treats orders of two holders within 3 s as a conflict; the sum of `ORDER_VALIDITY`,
-these 3 s and 0.5 s for calls that hang is less than the term."""
 OBSERVE_INTERVAL = timedelta(seconds=10)
 """Interval at which the lease is observed while no change is due, from the start on.
 Each observation is two calls. If the lease was not renewed since the last one, the term
@@ -96,7 +88,9 @@
         self._name = name
         self._deps = deps
         self._planner = StagePlanner()
-        self._lease = Lease(LEASE_DOMAIN, name, LEASE_TERM, ORDER_VALIDITY)
+        self._lease = LeaseKeeper(
+            LEASE_DOMAIN, name, deps.store, deps.clock, deps.events
+        )
         self._ordered: dict[str, _Ordered] = {}
         self._started = deps.clock.monotonic()
         self._observed_at: timedelta | None = None
@@ -131,12 +125,7 @@
         Another gateway may have taken it over since the copy was made and may already
         give orders.
         """
-        now = self._deps.clock.monotonic()
-        if self._lease.is_held(now):
-            self._deps.events.record(
-                "lease.ended", domain=LEASE_DOMAIN, fence=self._lease.order_fence.number
-            )
-        self._lease.begin_era(self._deps.store.era, now)
+        self._lease.note_era()
 
     async def _run(self) -> None:
         while True:
@@ -168,10 +157,11 @@
         changes = self._plan()
         if not changes:
             return
-        if not await self._renew():
+        self._observed_at = self._deps.clock.monotonic()
+        if not await self._lease.renew():
             return
         for change in changes:
-            if not self._lease.is_held(self._deps.clock.monotonic()):
+            if not self._lease.is_held:
                 return
             await self._order(change)
 
@@ -221,32 +211,8 @@
         return self._deps.clock.monotonic() - self._observed_at >= OBSERVE_INTERVAL
 
     async def _observe(self) -> None:
-        deps = self._deps
-        self._observed_at = deps.clock.monotonic()
-        lease = await deps.store.read(LEASES, LEASE_DOMAIN)
-        era = deps.store.era
-        heartbeat = await deps.store.read(HEARTBEATS, LEASE_DOMAIN)
-        if deps.store.era != era:
-            # The store was restored between the two reads.
-            self.note_era()
-            return
-        rows = LeaseRows(lease, heartbeat, era)
-        self._lease.observe(rows, deps.clock.monotonic())
-
-    async def _renew(self) -> bool:
-        deps = self._deps
-        store = deps.store
-        await self._observe()
-        transaction = self._lease.propose(deps.clock.monotonic())
-        if transaction is None:
-            return False
-        fence = self._lease.order_fence
-        result = await store.transact(transaction)
-        self._lease.handle_result(result, transaction, deps.clock.monotonic())
-        if self._lease.order_fence != fence:
-            number = self._lease.order_fence.number
-            deps.events.record("lease.taken", domain=LEASE_DOMAIN, fence=number)
-        return self._lease.is_held(deps.clock.monotonic())
+        self._observed_at = self._deps.clock.monotonic()
+        await self._lease.observe()
 
     async def _order(self, change: StageChange) -> None:
         engine = change.engine
@@ -257,19 +223,19 @@
                 now = self._deps.clock.monotonic()
                 self._ordered[engine.id] = _Ordered(change.stage, now)
             return
-        now = self._deps.clock.monotonic()
-        if not self._lease.is_held(now):
+        if not self._lease.is_held:
             return
+        now = self._deps.clock.monotonic()
         self._ordered[engine.id] = _Ordered(change.stage, now)
         self._deps.announce_changing(set(self._ordered))
         await asyncio.sleep(NOTICE_PERIOD.total_seconds())
-        if not self._lease.is_held(self._deps.clock.monotonic()):
+        if not self._lease.is_held:
             return
         adapter = self._deps.adapter
         body = adapter.build_order(
             change.stage,
             self._name,
-            self._lease.order_fence.number,
+            self._lease.fence,
             report.orders_accepted,
         )
         exchange = await self._deps.call(
@@ -296,7 +262,7 @@
             "stage.ordered",
             upstream=change.engine.id,
             stage=change.stage.value,
-            fence=self._lease.order_fence.number,
+            fence=self._lease.fence,
             outcome=outcome,
             status=status,
         )
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/usage/__init__.py
@@ -0,0 +1,26 @@
+"""Usage reports: count requests by organisation, and report each window once.
+
+Each gateway counts the requests that upstreams begin for its callers, and sends the
+counts to the others. One of them, which holds a lease, settles and sends the reports.
+"""
+
+from .duty_clients import DutyClient, DutyResult
+from .exchanges import UsageExchange
+from .frames import NOTICE_PREFIX
+from .recorders import UsageRecorder
+from .reporters import ReporterDependencies, UsageReporter
+from .subsystems import UsageDependencies, UsageSubsystem
+from .true_clocks import TrueClock
+
+__all__ = [
+    "NOTICE_PREFIX",
+    "DutyClient",
+    "DutyResult",
+    "ReporterDependencies",
+    "TrueClock",
+    "UsageDependencies",
+    "UsageExchange",
+    "UsageRecorder",
+    "UsageReporter",
+    "UsageSubsystem",
+]
--- a/packages/mustardquay-node/tests/test_stage_controllers.py
+++ b/packages/mustardquay-node/tests/test_stage_controllers.py
@@ -6,11 +6,10 @@
 from mustardquay.events import EventRing, HybridClock
 from mustardquay.leases import HEARTBEATS, LEASES, Lease, LeaseRows
 from mustardquay.upstream_lists import Stage, UpstreamList, UpstreamRecord
+from mustardquay_node.leadership import HOLDER_VALIDITY, LEASE_TERM
 from mustardquay_node.stage_controllers import (
     LEASE_DOMAIN,
-    LEASE_TERM,
     OBSERVE_INTERVAL,
-    ORDER_VALIDITY,
     StageController,
     StageControllerDependencies,
 )
@@ -79,7 +78,7 @@
 
 
 def make_other():
-    return Lease(LEASE_DOMAIN, "other", LEASE_TERM, ORDER_VALIDITY)
+    return Lease(LEASE_DOMAIN, "other", LEASE_TERM, HOLDER_VALIDITY)
 
 
 async def test_a_holder_that_died_long_ago_is_replaced_without_waiting_out_its_term():
