--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -13,7 +13,7 @@
 
 from mustardquay.clocks import BootTimeClock, Clock, SystemClock
 from mustardquay.events import Event, EventRing, HybridClock
-from mustardquay.routing_tables import CallerLimits, RoutingTable
+from mustardquay.routing_tables import RoutingTable
 from mustardquay.stops import BALANCER_REMOVAL_DELAY
 from mustardquay.upstream_lists import Stage, UpstreamRecord
 from mustardquay.usage import Source
@@ -44,6 +44,7 @@
 
 DRAIN_LIMIT = timedelta(milliseconds=200)
 """How long a stopped gateway waits for requests that are only partly received."""
+NO_TABLE = RoutingTable(0, (), {})
 CHECK_INTERVAL = timedelta(milliseconds=500)
 """Interval of periodic checks: expired upstreams, settings files and readiness."""
 
@@ -101,7 +102,9 @@
         for each in (self._stage_controller, self._feeds, self._peers):
             self._eras.listen(each.note_era)
         self._connections = CallerConnections(
-            ConnectionOptions(self._clock, self._get_limits, self._forwarder.handle)
+            ConnectionOptions(
+                self._clock, lambda: self._table.limits, self._forwarder.handle
+            )
         )
         self._servers = GatewayServers(self._upstreams.free_descriptors)
         self._check_task: asyncio.Task[None] | None = None
@@ -120,6 +123,11 @@
             and self._configurations.find_state() is not TableState.OUTDATED
         )
 
+    @property
+    def _table(self) -> RoutingTable:
+        """Return the configuration in force, an empty one before the first."""
+        return self._forwarder.table or NO_TABLE
+
     @property
     def address(self) -> str:
         """Return the address for callers; after `start`, with the port in use."""
@@ -343,7 +351,7 @@
             events=self._events,
             send=self._peers.send_datagram,
             list_gateways=lambda: self._peers.names,
-            has_organisations=self._has_organisations,
+            has_organisations=lambda: self._table.organisations is not None,
         )
         usage = UsageSubsystem(source, self._settings.usage, deps)
         self._peers.add_channel(NOTICE_PREFIX, usage.receive)
@@ -354,10 +362,6 @@
         if self._usage is not None:
             self._usage.note_begun(organisation, begun_at)
 
-    def _has_organisations(self) -> bool:
-        table = self._forwarder.table
-        return table is not None and table.organisations is not None
-
     def _make_stage_controller(self) -> StageController:
         deps = StageControllerDependencies(
             adapter=self._adapter,
@@ -367,11 +371,11 @@
             events=self._events,
             upstreams=self._upstreams.list,
             is_lost=self._upstreams.is_lost,
-            list_services=self._list_engine_services,
+            list_services=lambda: self._table.engine_services,
             call=self._upstreams.call_engine,
             count_streams=self._upstreams.planner.count_streams,
             measure_capacities=self._upstreams.measure_capacities,
-            find_switch_time=self._find_switch_time,
+            find_switch_time=lambda service: self._table.find_switch_time(service),
             announce_changing=self._announce_changing,
             is_serving=lambda: self._forwarder.has_served,
         )
@@ -392,18 +396,6 @@
         self._upstreams.planner.set_changing(engines)
         self._peers.send_now()
 
-    def _list_engine_services(self) -> list[str]:
-        table = self._forwarder.table
-        if table is None:
-            return []
-        return [name for name, each in table.services.items() if each.engine]
-
-    def _find_switch_time(self, service: str) -> timedelta:
-        table = self._forwarder.table
-        found = table.services.get(service) if table is not None else None
-        engine = found.engine if found is not None else None
-        return timedelta() if engine is None else engine.switch_time
-
     def _activate_table(self, table: RoutingTable) -> None:
         self._forwarder.put_table(table)
         # The digest shows the other gateways that a newer version can be fetched.
@@ -411,10 +403,6 @@
         self._servers.apply_limits(table.limits)
         self._upstreams.planner.apply_table(table)
 
-    def _get_limits(self) -> CallerLimits:
-        table = self._forwarder.table
-        return table.limits if table is not None else CallerLimits()
-
     def _note_draining(self, record: UpstreamRecord) -> None:
         if record.stage is Stage.DECODE:
             self._stage_controller.check_now()
--- a/packages/mustardquay-node/src/mustardquay_node/sends.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sends.py
@@ -17,6 +17,7 @@
 from .forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from .pauses import RunningTimer
 from .replies import Reply
+from .usage import may_have_begun, note_begun
 
 __all__ = ["Send", "SendOptions", "Sender"]
 
@@ -28,10 +29,6 @@
 MIN_EVENTS = 3
 """Fewest events of a stream from which their mean interval is measured: the last event
 may come early."""
-MAX_PLAIN_WORK = timedelta(milliseconds=200)
-"""Time before the answer in which a plain upstream began: it was busy before that."""
-LOST_ANSWER_ENDS = (ExchangeEnd.BROKEN, ExchangeEnd.MALFORMED, ExchangeEnd.WHOLE)
-"""Ends of an exchange without an answer that upstreams cause, not this process."""
 MIN_SERVER_ERROR_STATUS = 500
 """The lowest status of a server error."""
 
@@ -225,7 +222,7 @@
             return None
         if not send.passed:
             send.passed = True
-            self._note_begun(now)
+            note_begun(self._deps, self._request, now)
             options.on_first_part()
             if not self._reply.has_begun:
                 self._reply.begin_stream(exchange.head)
@@ -288,25 +285,11 @@
         if send.end is SendResult.ANSWERED and send.passed:
             self._reply.write(self._framer.take_partial_event())
             self._record_event_interval(send)
-        if _may_have_begun(send, end) and not options.prefill_only:
-            self._note_begun(self._deps.clock.monotonic())
+        if not options.prefill_only and may_have_begun(send.end, end):
+            note_begun(self._deps, self._request, self._deps.clock.monotonic())
         self._note_crash(send, end)
         self._note_load(send, end, options)
 
-    def _note_begun(self, now: timedelta) -> None:
-        """Count the request for its organisation, once whatever follows.
-
-        A plain upstream begins when it gets the request, unless it is busy.
-        """
-        request = self._request
-        if request.was_begun or not request.organisation:
-            return
-        request.was_begun = True
-        begun_at = now
-        if request.route.repeat is not Repeat.STREAM:
-            begun_at = max(request.sent_at, now - MAX_PLAIN_WORK)
-        self._deps.note_begun(request.organisation, begun_at)
-
     def _record_event_interval(self, send: Send) -> None:
         """Record the mean interval between the events of a complete stream.
 
@@ -394,13 +377,6 @@
     return facts.is_signed and not facts.is_encoded and not facts.not_run
 
 
-def _may_have_begun(send: Send, end: str) -> bool:
-    """Return whether an upstream has run the request, or its answer may be lost."""
-    if send.end is SendResult.ANSWERED:
-        return True
-    return send.end is SendResult.BROKEN and end in LOST_ANSWER_ENDS
-
-
 def _has_failed(send: Send, end: str) -> bool:
     if end == ExchangeEnd.NOT_CONNECTED or send.end is SendResult.BROKEN:
         return True
--- a/packages/mustardquay-node/src/mustardquay_node/usage/__init__.py
+++ b/packages/mustardquay-node/src/mustardquay_node/usage/__init__.py
@@ -4,6 +4,7 @@
 counts to the others. One of them, which holds a lease, settles and sends the reports.
 """
 
+from .begun_requests import may_have_begun, note_begun
 from .duty_clients import DutyClient, DutyResult
 from .exchanges import UsageExchange
 from .frames import NOTICE_PREFIX
@@ -23,4 +24,6 @@
     "UsageRecorder",
     "UsageReporter",
     "UsageSubsystem",
+    "may_have_begun",
+    "note_begun",
 ]
--- a/packages/mustardquay/src/mustardquay/routing_tables.py
+++ b/packages/mustardquay/src/mustardquay/routing_tables.py
@@ -134,6 +134,17 @@
             hosts.setdefault(route.host.lower(), {})[route.prefix] = route
         return hosts
 
+    @property
+    def engine_services(self) -> list[str]:
+        """Return the names of the services whose upstreams are engines."""
+        return [name for name, each in self.services.items() if each.engine]
+
+    def find_switch_time(self, service: str) -> timedelta:
+        """Return how long an engine of a service is unavailable while it changes."""
+        found = self.services.get(service)
+        engine = None if found is None else found.engine
+        return timedelta() if engine is None else engine.switch_time
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of `host` with the longest prefix of `path`.
 
