--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -44,7 +44,7 @@
     """Place a generation and send it; None without an engine or if it was refused."""
     planner = deps.planner
     prefill = request.prefill
-    if prefill is not None and _take_up(deps, request, prefill, engines):
+    if prefill is not None and _reassign_prefill(deps, request, prefill, engines):
         try:
             return await _hand_over(deps, request, sender, prefill)
         finally:
@@ -81,7 +81,7 @@
         planner.end(ticket)
 
 
-def _take_up(
+def _reassign_prefill(
     deps: ForwarderDependencies,
     request: ForwardedRequest,
     prefill: RetainedPrefill,
--- a/packages/mustardquay/src/mustardquay/membership.py
+++ b/packages/mustardquay/src/mustardquay/membership.py
@@ -58,7 +58,7 @@
     instance: Instance | None = None
     incarnation: int = -1
     leaving: bool = False
-    heard_at: timedelta | None = None
+    heartbeat_at: timedelta | None = None
 
 
 class Membership:
@@ -79,7 +79,7 @@
         for name, instance in listed.items():
             self._members.setdefault(name, _Member()).instance = instance
         for name in self._members.keys() - listed.keys():
-            if not self._is_heard(self._members[name], now):
+            if not self._is_alive(self._members[name], now):
                 del self._members[name]
 
     def note_heartbeat(
@@ -96,7 +96,7 @@
             return
         member.incarnation = incarnation
         member.leaving = leaving
-        member.heard_at = now
+        member.heartbeat_at = now
 
     def get_state(self, name: str, now: timedelta) -> MemberState | None:
         """Return the state of an instance, or None if it is unknown."""
@@ -108,9 +108,9 @@
         listed_as = member.instance.state if member.instance else "live"
         if listed_as == "leaving":
             return MemberState.LEAVING
-        if member.heard_at is None:
+        if member.heartbeat_at is None:
             return MemberState.LISTED
-        return MemberState.LIVE if self._is_heard(member, now) else MemberState.SILENT
+        return MemberState.LIVE if self._is_alive(member, now) else MemberState.SILENT
 
     def list_instances(
         self, kind: Literal["entry", "agent"], now: timedelta
@@ -125,10 +125,10 @@
                 chosen.append(instance)
         return chosen
 
-    def _is_heard(self, member: _Member, now: timedelta) -> bool:
+    def _is_alive(self, member: _Member, now: timedelta) -> bool:
         return (
-            member.heard_at is not None
-            and now - member.heard_at < self._heartbeat_timeout
+            member.heartbeat_at is not None
+            and now - member.heartbeat_at < self._heartbeat_timeout
         )
 
 
