--- a/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
@@ -27,6 +27,14 @@
     "mustardquay.upstreams": ("{upstream}", "Listed upstreams."),
     "mustardquay.connections": ("{connection}", "Connections of callers."),
     "mustardquay.store.age": ("s", "Time since the store last answered."),
+    "mustardquay.store.era": (
+        "{era}",
+        "Newest era that the store has reported; it rises with each restore.",
+    ),
+    "mustardquay.usage.leads": (
+        "1",
+        "1 while the process is the one that reports usage, else 0.",
+    ),
 }
 """Gauges of a gateway: unit and description by name."""
 
@@ -43,6 +51,7 @@
         self._answers: Counter[tuple[str, str]] = Counter()
         self._sends: Counter[tuple[str, str]] = Counter()
         self._unused_prefills: Counter[tuple[str]] = Counter()
+        self._usage_reports: Counter[tuple[str]] = Counter()
         self._first_byte = Histogram(
             "mustardquay.first_byte",
             "s",
@@ -76,6 +85,12 @@
             self._unused_prefills,
             "mustardquay.reason",
         )
+        self._page.add_counter(
+            "mustardquay.usage.reports",
+            "Attempts to send a report of usage, by outcome.",
+            self._usage_reports,
+            "mustardquay.outcome",
+        )
         for name, definition in GAUGES.items():
             self._page.add_gauge(name, definition, gauges)
 
@@ -95,6 +110,10 @@
         """Count a prompt that was prefilled but never generated from."""
         self._unused_prefills[(reason,)] += 1
 
+    def count_usage_report(self, outcome: str) -> None:
+        """Count an attempt to send a report of usage."""
+        self._usage_reports[(outcome,)] += 1
+
     def record_first_byte(self, route: str, duration: timedelta) -> None:
         """Record the time from a request's arrival to its answer's first byte."""
         self._first_byte.record(duration.total_seconds(), route)
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -304,6 +304,9 @@
             "mustardquay.upstreams": lambda: float(len(self.list_upstreams())),
             "mustardquay.connections": lambda: float(self._connections.count),
             "mustardquay.store.age": self._measure_store_age,
+            "mustardquay.usage.leads": lambda: float(
+                self._usage is not None and self._usage.leads
+            ),
             "mustardquay.store.era": lambda: float(self._eras.era),
         }
 
@@ -352,6 +355,7 @@
             send=self._peers.send_datagram,
             list_gateways=lambda: self._peers.names,
             has_organisations=lambda: self._table.organisations is not None,
+            count_report=self._metrics.count_usage_report,
         )
         usage = UsageSubsystem(source, self._settings.usage, deps)
         self._peers.add_channel(NOTICE_PREFIX, usage.receive)
--- a/packages/mustardquay-node/src/mustardquay_node/usage/reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/usage/reporters.py
@@ -64,6 +64,8 @@
     """Lists the gateways that are registered, including this one."""
     has_organisations: Callable[[], bool]
     """Returns whether the configuration in force has organisations."""
+    count_report: Callable[[str], None] = lambda outcome: None
+    """Counts an attempt to send a report, by outcome."""
 
 
 class UsageReporter:
@@ -257,6 +259,7 @@
     def _note_result(self, report: UsageReport, result: DutyResult) -> None:
         deps = self._deps
         window = report.window
+        deps.count_report(result.value)
         deps.events.record(
             "usage.reported",
             window=window,
--- a/packages/mustardquay-node/src/mustardquay_node/usage/subsystems.py
+++ b/packages/mustardquay-node/src/mustardquay_node/usage/subsystems.py
@@ -36,6 +36,8 @@
     """Lists the registered gateways, including this one."""
     has_organisations: Callable[[], bool]
     """Returns whether the configuration in force has organisations."""
+    count_report: Callable[[str], None] = lambda outcome: None
+    """Counts an attempt to send a report, by outcome."""
 
 
 class UsageSubsystem:
@@ -84,9 +86,15 @@
                 exchange=self._exchange,
                 list_gateways=deps.list_gateways,
                 has_organisations=deps.has_organisations,
+                count_report=deps.count_report,
             )
         )
 
+    @property
+    def leads(self) -> bool:
+        """Return whether this process holds the lease of the reports."""
+        return self._exchange.leads
+
     def start(self) -> None:
         """Start to exchange counts and to attend to reports."""
         self._exchange.start()
