Settle no window that ended before a gateway knew of restores

Found by reading: a gateway that starts after the store came back from a copy notices no new era. If it takes the lease, it could settle a window whose report was settled and sent before the restore and is missing in the copy, with other counts. Now a window is settled only by a process that was started, and knew of no restore, before its end. After all gateways were restarted, nothing of the windows before is left to report anyway.

--- a/packages/mustardquay-node/src/mustardquay_node/usage/reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/usage/reporters.py
@@ -19,6 +19,7 @@
     UsageLedger,
     UsageReport,
     find_window,
+    find_window_end,
     read_reports,
     write_report,
 )
@@ -80,8 +81,9 @@
         """Whether the settled reports were read since the lease was taken."""
         self._fence = 0
         self._blocked_until = timedelta()
-        self._restored_at: datetime | None = None
-        """When the store was last restored from a copy, by the true time."""
+        self._knows_since = deps.true_clock.now()
+        """Since when this process would know of a restore of the store, and the store
+        has not been restored, by the true time."""
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -101,7 +103,7 @@
         Windows that have ended are no longer settled. Their reports may have been
         settled and sent after the copy was made, with other counts.
         """
-        self._restored_at = self._deps.true_clock.now()
+        self._knows_since = self._deps.true_clock.now()
         self._deps.lease.note_era()
         self._has_read = False
 
@@ -222,7 +224,7 @@
         reads those that were settled.
         """
         deps = self._deps
-        if self._was_maybe_settled_before_restore(window):
+        if self._may_have_lost_report(window):
             self._postpone(window)
             return None
         report = UsageReport(window, deps.ledger.sum_counts(window))
@@ -251,10 +253,13 @@
         deps.log.add_settled([report])
         return report
 
-    def _was_maybe_settled_before_restore(self, window: int) -> bool:
-        length = self._deps.schedule.length
-        restored_at = self._restored_at
-        return restored_at is not None and window < find_window(restored_at, length)
+    def _may_have_lost_report(self, window: int) -> bool:
+        """Return whether the store may have lost the report of a window.
+
+        It may have been settled and sent before the store was restored from a copy,
+        also before this process was started.
+        """
+        return find_window_end(window, self._deps.schedule.length) <= self._knows_since
 
     def _note_result(self, report: UsageReport, result: DutyResult) -> None:
         deps = self._deps
--- a/packages/mustardquay-node/tests/test_usage_reports.py
+++ b/packages/mustardquay-node/tests/test_usage_reports.py
@@ -181,6 +181,33 @@
     assert fleet.duty.list_conflicts() == []
 
 
+def test_a_gateway_that_starts_later_settles_no_window_that_ended_before(fleet):
+    """Guards against two bills: the store came back from a copy before it started.
+
+    The report that the copy lacks was sent, and the gateway has heard other counts.
+    """
+    serve(fleet, 8)
+    leader = find_leader(fleet)
+    late = next(name for name in fleet.names if name != leader)
+    fleet.members[late].is_cut_off = True
+    fleet.count(late)
+    serve(fleet, 2)
+    copy = deepcopy(fleet.store.tables)
+    fleet.duty.mode = "loses_answers"
+    fleet.run(3.5)
+    fleet.store.tables = copy
+    fleet.store.era += 1
+    fleet.members[late].is_cut_off = False
+    newcomer = next(name for name in fleet.names if name not in (leader, late))
+    fleet.kill(newcomer)
+    fleet.run(1)
+    for name in (leader, late):
+        fleet.members[name].is_frozen = True
+    fleet.duty.mode = "accepts"
+    fleet.run(7)
+    assert fleet.duty.list_conflicts() == []
+
+
 def test_the_lease_is_of_its_own_domain(fleet):
     serve(fleet, 6)
     assert fleet.store.tables.read(LEASES, USAGE_DOMAIN) is not None
