Carry a rise of streams on for no longer than a stream lasts

Change: after a change of the load the number of streams rises for as long as one lasts. The lead is the shorter of the time that a change takes and the duration of the running streams, estimated as twice their mean age, which is known while a load still begins.

--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -379,6 +379,7 @@
             call=self._upstreams.call_engine,
             count_streams=self._upstreams.planner.count_streams,
             measure_capacities=self._upstreams.measure_capacities,
+            estimate_stream_duration=self._upstreams.planner.estimate_stream_duration,
             find_switch_time=lambda service: self._table.find_switch_time(service),
             announce_changing=self._announce_changing,
             is_serving=lambda: self._forwarder.has_served,
--- a/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
@@ -26,6 +26,7 @@
 from mustardquay.requests import PromptPart, PromptTraits
 from mustardquay.retained_prefills import PrefillLoss, find_prefill_loss
 from mustardquay.routing_tables import Route, RoutingTable
+from mustardquay.stream_ages import StreamAges
 from mustardquay.uplinks import Uplink
 from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import UpstreamLoads
@@ -93,6 +94,7 @@
         )
         self._placed: list[PlacedPart] = []
         self._changing: set[str] = set()
+        self._stream_ages = StreamAges()
         self._note_change = note_change
 
     def choose(
@@ -255,6 +257,8 @@
 
     def _occupy_slot(self, ticket: Ticket) -> None:
         ticket.is_running = True
+        decoder = ticket.placement.decoder
+        self._stream_ages.begin(decoder.service, id(ticket), self._clock.monotonic())
         self._note_change()
         self._states.works.get(ticket.placement.decoder.id).running += 1
 
@@ -273,6 +277,7 @@
             if reservation is not None:
                 self._limits.release(reservation)
         if ticket.is_running:
+            self._stream_ages.end(ticket.placement.decoder.service, id(ticket))
             self._note_change()
             work = self._states.works.get(ticket.placement.decoder.id)
             work.running = max(work.running - 1, 0)
@@ -329,6 +334,10 @@
         """Return the number of generations of all gateways running at an engine."""
         return self._states.works.sum_running(engine)
 
+    def estimate_stream_duration(self, service: str) -> timedelta:
+        """Return how long the running generations of this gateway last."""
+        return self._stream_ages.estimate_duration(service, self._clock.monotonic())
+
     def add_cached_parts(
         self, engine: UpstreamRecord, parts: Sequence[PromptPart]
     ) -> None:
--- a/packages/mustardquay-node/src/mustardquay_node/stage_controllers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stage_controllers.py
@@ -70,6 +70,8 @@
     """Returns the share of its usual work that rate limits permit, by engine."""
     find_switch_time: Callable[[str], timedelta]
     """Returns how long an engine of a service is unavailable while it changes."""
+    estimate_stream_duration: Callable[[str], timedelta]
+    """Returns how long the running generations of a service last."""
     announce_changing: Callable[[Collection[str]], None]
     """Notifies all gateways of engines that change their stage and accept no work."""
     is_serving: Callable[[], bool]
@@ -189,10 +191,19 @@
                     deps.is_serving(),
                     {engine.id for engine in engines if deps.is_lost(engine.id)},
                     self._measure_capacities(engines),
-                    deps.find_switch_time(service),
+                    self._find_lead(service),
                 )
         return changes
 
+    def _find_lead(self, service: str) -> timedelta:
+        """Return for how long a rise in the number of streams may be carried on.
+
+        After a change of the load, the number rises for as long as a stream lasts.
+        """
+        deps = self._deps
+        duration = deps.estimate_stream_duration(service)
+        return min(deps.find_switch_time(service), duration)
+
     def _measure_capacities(self, engines: list[UpstreamRecord]) -> Mapping[str, float]:
         decoders = [engine for engine in engines if engine.stage is Stage.DECODE]
         return self._deps.measure_capacities(decoders)
--- a/packages/mustardquay-node/tests/test_generation_planners.py
+++ b/packages/mustardquay-node/tests/test_generation_planners.py
@@ -156,3 +156,15 @@
     planner.apply_table(TABLE)
     _, readers = place_burst(planner, clock, uplink, 5, per_second=70)
     assert readers[Stage.DECODE] == 0
+
+
+def test_ended_generations_leave_no_trace_in_the_duration_of_streams():
+    planner = make_planner()
+    placement = planner.choose(make_prompt(1), ENGINES, set())
+    ticket = planner.begin(make_prompt(1), placement)
+    planner.end_prefill(ticket, is_handed_over=True)
+    planner._clock.advance(timedelta(seconds=2))
+    assert planner.estimate_stream_duration("llm") == timedelta(seconds=4)
+    planner.end(ticket)
+    planner.end(ticket)
+    assert planner.estimate_stream_duration("llm") == timedelta()
--- a/packages/mustardquay-node/tests/test_stage_controllers.py
+++ b/packages/mustardquay-node/tests/test_stage_controllers.py
@@ -34,6 +34,7 @@
         self.store = LocalTables()
         self.events = EventRing("g", HybridClock(self.clock), 100)
         self.upstreams = UpstreamList()
+        self.stream_duration = timedelta(seconds=4)
         self.controller = StageController("g-1", self._make_dependencies())
 
     def _make_dependencies(self):
@@ -56,6 +57,7 @@
             call=call_unreachable,
             count_streams=lambda id: 0,
             measure_capacities=lambda engines: {},
+            estimate_stream_duration=lambda service: self.stream_duration,
             find_switch_time=lambda service: timedelta(seconds=3),
             announce_changing=lambda ids: None,
             is_serving=lambda: True,
@@ -175,3 +177,11 @@
         await fleet.controller.run_once()
     taken = [e for e in fleet.events.list_events() if e.kind == "lease.taken"]
     assert len(taken) == 1
+
+
+def test_a_rise_of_short_streams_is_not_carried_on_for_the_time_of_a_change():
+    """Guards against engines ordered for the noise of streams that soon end."""
+    fleet = Fleet()
+    assert fleet.controller._find_lead("llm") == timedelta(seconds=3)
+    fleet.stream_duration = timedelta(seconds=0.5)
+    assert fleet.controller._find_lead("llm") == timedelta(seconds=0.5)
