Pass the exchange of counts its dependencies by name

Eight positional arguments become a data class, as the other parts of a gateway have; the state of a peer is named as such.

--- a/packages/mustardquay-node/src/mustardquay_node/usage/__init__.py
+++ b/packages/mustardquay-node/src/mustardquay_node/usage/__init__.py
@@ -6,7 +6,7 @@
 
 from .begun_requests import may_have_begun, note_begun
 from .duty_clients import DutyClient, DutyResult
-from .exchanges import UsageExchange
+from .exchanges import ExchangeDependencies, UsageExchange
 from .frames import NOTICE_PREFIX
 from .recorders import UsageRecorder
 from .reporters import ReporterDependencies, UsageReporter
@@ -15,6 +15,7 @@
 
 __all__ = [
     "NOTICE_PREFIX",
+    "ExchangeDependencies",
     "DutyClient",
     "DutyResult",
     "ReporterDependencies",
--- a/packages/mustardquay-node/src/mustardquay_node/usage/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/usage/exchanges.py
@@ -17,7 +17,7 @@
 from .recorders import UsageRecorder
 from .true_clocks import TrueClock
 
-__all__ = ["UsageExchange"]
+__all__ = ["ExchangeDependencies", "UsageExchange"]
 
 CHANGES_INTERVAL = timedelta(milliseconds=250)
 """Time between two notices of counts that have changed."""
@@ -32,35 +32,34 @@
 
 
 @dataclass(slots=True)
-class _Heard:
+class _PeerState:
     at: timedelta
     leads: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ExchangeDependencies:
+    """Dependencies of a `UsageExchange`."""
+
+    source: Source
+    """This process."""
+    recorder: UsageRecorder
+    ledger: UsageLedger
+    log: ReportLog
+    clock: Clock
+    true_clock: TrueClock
+    send: Callable[[bytes, Collection[str]], None]
+    """Sends a datagram to the peers of this gateway and to some gateways more."""
+    list_gateways: Callable[[], Collection[str]]
+    """Lists the registered gateways, including this one."""
+
+
 class UsageExchange:
     """Sends the counts of this gateway, and merges those of the others."""
 
-    def __init__(
-        self,
-        source: Source,
-        recorder: UsageRecorder,
-        ledger: UsageLedger,
-        log: ReportLog,
-        clock: Clock,
-        true_clock: TrueClock,
-        send: Callable[[bytes, Collection[str]], None],
-        list_gateways: Callable[[], Collection[str]],
-    ):
-        """Take `send`, which sends a datagram to its peers and some gateways more."""
-        self._source = source
-        self._recorder = recorder
-        self._ledger = ledger
-        self._log = log
-        self._clock = clock
-        self._true_clock = true_clock
-        self._send = send
-        self._list_gateways = list_gateways
-        self._heard: dict[str, _Heard] = {}
+    def __init__(self, deps: ExchangeDependencies):
+        self._deps = deps
+        self._peers: dict[str, _PeerState] = {}
         self._last_changes: list[WindowUsage] = []
         self._turn = 0
         self._last_ended = 0
@@ -78,32 +77,32 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        ended = self._recorder.close_windows(SENT_WINDOWS)
-        self._send_windows([*ended, *self._recorder.close_current()])
+        ended = self._deps.recorder.close_windows(SENT_WINDOWS)
+        self._send_windows([*ended, *self._deps.recorder.close_current()])
 
     def receive(self, data: bytes) -> None:
         """Merge the notice in a datagram."""
         notice = decode_notice(data)
-        if notice is None or notice.source.gateway == self._source.gateway:
+        if notice is None or notice.source.gateway == self._deps.source.gateway:
             return
         gateway = notice.source.gateway
-        self._heard[gateway] = _Heard(self._clock.monotonic(), notice.leads)
-        self._true_clock.note_peer(gateway, notice.sent_at)
+        self._peers[gateway] = _PeerState(self._deps.clock.monotonic(), notice.leads)
+        self._deps.true_clock.note_peer(gateway, notice.sent_at)
         for usage in notice.windows:
-            self._ledger.merge(notice.source, usage)
-        self._log.delivered.update(notice.delivered)
+            self._deps.ledger.merge(notice.source, usage)
+        self._deps.log.delivered.update(notice.delivered)
 
     def list_alive(self) -> list[str]:
         """Return the gateways that were heard of recently, including this one."""
-        oldest = self._clock.monotonic() - GATEWAY_LIFETIME
-        others = [name for name, heard in self._heard.items() if heard.at >= oldest]
-        return sorted([*others, self._source.gateway])
+        oldest = self._deps.clock.monotonic() - GATEWAY_LIFETIME
+        others = [name for name, peer in self._peers.items() if peer.at >= oldest]
+        return sorted([*others, self._deps.source.gateway])
 
     def find_leader(self) -> str | None:
         """Return another gateway that leads, if one was heard of recently."""
-        oldest = self._clock.monotonic() - GATEWAY_LIFETIME
-        for name, heard in self._heard.items():
-            if heard.leads and heard.at >= oldest:
+        oldest = self._deps.clock.monotonic() - GATEWAY_LIFETIME
+        for name, peer in self._peers.items():
+            if peer.leads and peer.at >= oldest:
                 return name
         return None
 
@@ -118,17 +117,17 @@
             await asyncio.sleep(CHANGES_INTERVAL.total_seconds())
 
     def _send_next(self) -> None:
-        changes = self._recorder.take_changes()
+        changes = self._deps.recorder.take_changes()
         windows = [*self._last_changes, *changes]
         self._last_changes = changes
-        ended = self._recorder.close_windows(SENT_WINDOWS)
+        ended = self._deps.recorder.close_windows(SENT_WINDOWS)
         is_whole = self._turn == 0
         if ended and ended[-1].window > self._last_ended:
             self._last_ended = ended[-1].window
             is_whole = True
         if is_whole:
             windows += [
-                usage for usage in ended if usage.window not in self._log.delivered
+                usage for usage in ended if usage.window not in self._deps.log.delivered
             ]
         if windows or is_whole:
             self._send_windows(windows, is_whole)
@@ -141,15 +140,19 @@
         leader = self.find_leader()
         more: Collection[str] = ()
         if is_whole and self.leads:
-            more = self._list_gateways()
+            more = self._deps.list_gateways()
         elif is_whole and leader is not None:
             more = [leader]
-        delivered = sorted(self._log.delivered)[-SENT_WINDOWS:]
+        delivered = sorted(self._deps.log.delivered)[-SENT_WINDOWS:]
         for part in _split(windows):
             notice = UsageNotice(
-                self._source, self._true_clock.own_time, self.leads, part, delivered
+                self._deps.source,
+                self._deps.true_clock.own_time,
+                self.leads,
+                part,
+                delivered,
             )
-            self._send(encode_notice(notice), more)
+            self._deps.send(encode_notice(notice), more)
 
 
 def _split(windows: Iterable[WindowUsage]) -> list[list[WindowUsage]]:
--- a/packages/mustardquay-node/src/mustardquay_node/usage/subsystems.py
+++ b/packages/mustardquay-node/src/mustardquay_node/usage/subsystems.py
@@ -13,7 +13,7 @@
 from ..leadership import LeaseKeeper
 from ..settings import UsageSettings
 from .duty_clients import DutyClient
-from .exchanges import UsageExchange
+from .exchanges import ExchangeDependencies, UsageExchange
 from .recorders import UsageRecorder
 from .reporters import USAGE_DOMAIN, ReporterDependencies, UsageReporter
 from .true_clocks import TrueClock
@@ -55,14 +55,16 @@
         log = ReportLog(schedule.retained_windows)
         self._recorder = UsageRecorder(source, schedule, ledger, deps.clock, true_clock)
         self._exchange = UsageExchange(
-            source,
-            self._recorder,
-            ledger,
-            log,
-            timer,
-            true_clock,
-            self._send,
-            deps.list_gateways,
+            ExchangeDependencies(
+                source=source,
+                recorder=self._recorder,
+                ledger=ledger,
+                log=log,
+                clock=timer,
+                true_clock=true_clock,
+                send=self._send,
+                list_gateways=deps.list_gateways,
+            )
         )
         self._reporter = UsageReporter(
             ReporterDependencies(
--- a/packages/mustardquay-node/tests/simulated_usage.py
+++ b/packages/mustardquay-node/tests/simulated_usage.py
@@ -19,6 +19,7 @@
 from mustardquay_node.leadership import LeaseKeeper
 from mustardquay_node.usage import (
     DutyResult,
+    ExchangeDependencies,
     ReporterDependencies,
     TrueClock,
     UsageExchange,
@@ -200,14 +201,16 @@
         events = EventRing(name, HybridClock(clock), 1000)
         recorder = UsageRecorder(source, SCHEDULE, ledger, clock, true_clock)
         exchange = UsageExchange(
-            source,
-            recorder,
-            ledger,
-            log,
-            clock,
-            true_clock,
-            lambda data, more: self._send(name, data, more),
-            lambda: self.names,
+            ExchangeDependencies(
+                source=source,
+                recorder=recorder,
+                ledger=ledger,
+                log=log,
+                clock=clock,
+                true_clock=true_clock,
+                send=lambda data, more: self._send(name, data, more),
+                list_gateways=lambda: self.names,
+            )
         )
         lease = LeaseKeeper(
             USAGE_DOMAIN, f"{name}-{source.incarnation}", self.store, clock, events
