Use what was there already in keys, usage and peers

Found by reading the change again. Cause and change, behaviour as it was: - Routes with an organisation's rank were cached without bound, so that routes of all former configurations stayed in memory: at most 1,024 are kept. - A second loop that sends datagrams: digests now go through send_datagram, whose order of recipients no longer depends on the hash of names. - A second copy of an exchange with a timeout: run_whole in engine_calls serves calls to engines and reports of usage. - A second EPOCH; and length, iteration and the tuple behind them of the directory of organisations, which nothing used.

--- a/packages/mustardquay-node/src/mustardquay_node/engine_calls.py
+++ b/packages/mustardquay-node/src/mustardquay_node/engine_calls.py
@@ -12,7 +12,7 @@
 from .adapters import Adapter, SendTarget
 from .connections import ConnectionPool, Exchange, ExchangeEnd
 
-__all__ = ["CallEngine", "EngineCall", "call_engine"]
+__all__ = ["CallEngine", "EngineCall", "call_engine", "run_whole"]
 
 CALL_TIMEOUT = timedelta(milliseconds=500)
 """Engines answer such calls within some milliseconds; a dead connection never does."""
@@ -41,8 +41,15 @@
     target = SendTarget(engine.id, CALL_TIMEOUT)
     headers = adapter.build_headers(base, target)
     exchange = Exchange(call.method, call.path, headers, call.body)
+    return await run_whole(pool, exchange, CALL_TIMEOUT)
+
+
+async def run_whole(
+    pool: ConnectionPool, exchange: Exchange, timeout: timedelta
+) -> Exchange | None:
+    """Run an exchange on a new connection; None without a complete answer in time."""
     try:
-        async with asyncio.timeout(CALL_TIMEOUT.total_seconds()):
+        async with asyncio.timeout(timeout.total_seconds()):
             end = await pool.run(exchange, timedelta())
     except TimeoutError:
         return None
--- a/packages/mustardquay-node/src/mustardquay_node/peers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.py
@@ -146,8 +146,8 @@
         """Send a datagram to the recipients of digests, and to some gateways more."""
         if self._transport is None or self._transport.is_closing():
             return
-        recipients = {*list_recipients(self._name, self._peers), *more}
-        for name in recipients:
+        recipients = list_recipients(self._name, self._peers)
+        for name in dict.fromkeys([*recipients, *more]):
             address = self._peers.get(name)
             if address is not None:
                 self._transport.sendto(data, address)
@@ -237,11 +237,9 @@
             return
 
     def _send(self, data: bytes) -> None:
-        assert self._transport is not None
         if len(data) > DATAGRAM_LIMIT:
             self._events.record("peer.digest_large", bytes=len(data))
-        for name in list_recipients(self._name, self._peers):
-            self._transport.sendto(data, self._peers[name])
+        self.send_datagram(data)
 
 
 def list_recipients(name: str, peers: Iterable[str]) -> list[str]:
--- a/packages/mustardquay-node/src/mustardquay_node/usage/duty_clients.py
+++ b/packages/mustardquay-node/src/mustardquay_node/usage/duty_clients.py
@@ -1,6 +1,5 @@
 """Client of the platform's service that accepts reports."""
 
-import asyncio
 from datetime import timedelta
 from enum import StrEnum
 
@@ -8,7 +7,8 @@
 from mustardquay.usage import UsageReport
 
 from ..adapters import Adapter, DutyAuthority
-from ..connections import ConnectionPool, Exchange, ExchangeEnd
+from ..connections import ConnectionPool, Exchange
+from ..engine_calls import run_whole
 
 __all__ = ["DutyClient", "DutyResult"]
 
@@ -48,14 +48,10 @@
         """Send a report once."""
         call = self._adapter.build_usage_call(self._address, report, authority)
         exchange = Exchange(call.method, call.path, call.headers, call.body)
-        try:
-            async with asyncio.timeout(CALL_TIMEOUT.total_seconds()):
-                end = await self._pool.run(exchange, NO_REUSE)
-        except TimeoutError:
+        answered = await run_whole(self._pool, exchange, CALL_TIMEOUT)
+        if answered is None or answered.head is None:
             return DutyResult.UNANSWERED
-        if end != ExchangeEnd.WHOLE or exchange.head is None:
-            return DutyResult.UNANSWERED
-        return _classify(exchange.head.status)
+        return _classify(answered.head.status)
 
 
 def _classify(status: int) -> DutyResult:
--- a/packages/mustardquay-node/src/mustardquay_node/usage/frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/usage/frames.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from datetime import UTC, datetime, timedelta
+from datetime import datetime, timedelta
 from pathlib import Path
 from typing import Any
 
 import capnp
 
-from mustardquay.usage import Source, WindowUsage
+from mustardquay.usage import EPOCH, Source, WindowUsage
 
 __all__ = ["NOTICE_PREFIX", "UsageNotice", "decode_notice", "encode_notice"]
 
@@ -16,7 +16,6 @@
 NOTICE_PREFIX = b"U"
 """First byte of a notice; a digest never begins with it."""
 LAYOUT = 1
-EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 MICROSECOND = timedelta(microseconds=1)
 
 
--- a/packages/mustardquay/src/mustardquay/organisations/directories.py
+++ b/packages/mustardquay/src/mustardquay/organisations/directories.py
@@ -1,6 +1,6 @@
 """Directories: the organisations of one configuration, found by key."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 __all__ = ["Organisation", "OrganisationDirectory"]
@@ -21,18 +21,11 @@
 
     def __init__(self, organisations: Iterable[Organisation] = ()):
         """Index the organisations; of several with the same key, the first has it."""
-        self._organisations = tuple(organisations)
         self._by_key: dict[str, Organisation] = {}
-        for organisation in self._organisations:
+        for organisation in organisations:
             for key in organisation.keys:
                 self._by_key.setdefault(key, organisation)
 
-    def __len__(self) -> int:
-        return len(self._organisations)
-
-    def __iter__(self) -> Iterator[Organisation]:
-        return iter(self._organisations)
-
     def find(self, key: str) -> Organisation | None:
         """Return the organisation that has a key.
 
--- a/packages/mustardquay/src/mustardquay/routing_tables.py
+++ b/packages/mustardquay/src/mustardquay/routing_tables.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from enum import StrEnum
-from functools import cache, cached_property
+from functools import cached_property, lru_cache
 
 from .organisations import OrganisationDirectory
 
@@ -24,6 +24,10 @@
 ]
 
 
+MAX_RANKED_ROUTES = 1024
+"""Routes with the rank of an organisation that are kept, of all configurations."""
+
+
 class Repeat(StrEnum):
     """Whether a request may be executed more than once."""
 
@@ -171,7 +175,7 @@
         return None
 
 
-@cache
+@lru_cache(maxsize=MAX_RANKED_ROUTES)
 def _replace_priority(route: Route, priority: int) -> Route:
     return replace(route, priority=priority)
 
--- a/packages/mustardquay/src/mustardquay/usage/__init__.py
+++ b/packages/mustardquay/src/mustardquay/usage/__init__.py
@@ -17,9 +17,10 @@
     write_report,
 )
 from .schedules import ReportSchedule
-from .windows import find_window, find_window_end
+from .windows import EPOCH, find_window, find_window_end
 
 __all__ = [
+    "EPOCH",
     "REPORTS",
     "ClockOffsets",
     "ReportLog",
--- a/packages/mustardquay/src/mustardquay/usage/windows.py
+++ b/packages/mustardquay/src/mustardquay/usage/windows.py
@@ -2,7 +2,7 @@
 
 from datetime import UTC, datetime, timedelta
 
-__all__ = ["find_window", "find_window_end"]
+__all__ = ["EPOCH", "find_window", "find_window_end"]
 
 EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 
