Tell which requests are suspected of crashes, and what clears them

Logs could not tell the hypotheses on the crashed upstreams apart: upstream.crashed had the number of requests in flight alone, and no line told that a suspicion was taken back.

upstream.crashed names the fingerprints with the most crashes, quarantine.cleared the answer that cleared a request, and a refusal how many crashes count. No decision changes.

--- a/packages/mustardquay-node/src/mustardquay_node/crash_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_reporters.py
@@ -30,6 +30,8 @@
 """How long digests repeat a change: some 25 of them, of which a few may be lost."""
 RECORDS_LIMIT = 4
 """Records in one digest at most, to bound its size."""
+MAX_LOGGED_SUSPECTS = 4
+"""Suspects that the line of a crash names, those with the most crashes first."""
 
 
 class CrashReporter:
@@ -65,9 +67,19 @@
         boot = str(upstream.started_ms)
         self._watch.note_broken(upstream.id, boot, fingerprint, now)
 
-    def note_answer(self, fingerprint: int) -> None:
+    def note_answer(self, fingerprint: int, request: str, upstream: str) -> None:
         """Clear a request that an upstream has answered."""
-        self._quarantine.note_answer(fingerprint, self._clock.monotonic())
+        now = self._clock.monotonic()
+        crashes = self.count_crashes(fingerprint)
+        if not self._quarantine.note_answer(fingerprint, now):
+            return
+        self._events.record(
+            "quarantine.cleared",
+            request=request,
+            upstream=upstream,
+            fingerprint=_format_fingerprint(fingerprint),
+            crashes=crashes,
+        )
 
     def note_upstream_lost(self, upstream: str) -> None:
         """Note that an upstream is unreachable, removed or restarted."""
@@ -77,10 +89,21 @@
             return
         crash, fingerprints = suspected
         self._quarantine.note_crash(crash, fingerprints, now)
+        suspects = sorted(fingerprints, key=self.count_crashes, reverse=True)
         self._events.record(
-            "upstream.crashed", upstream=upstream, requests=len(fingerprints)
+            "upstream.crashed",
+            upstream=upstream,
+            requests=len(fingerprints),
+            suspects={
+                _format_fingerprint(each): self.count_crashes(each)
+                for each in suspects[:MAX_LOGGED_SUSPECTS]
+            },
         )
 
+    def count_crashes(self, fingerprint: int) -> int:
+        """Return the number of crashes that count against a request."""
+        return self._quarantine.count_crashes(fingerprint)
+
     def list_recent_changes(self) -> tuple[CrashRecord, ...]:
         """Return the changed records for the next digest."""
         now = self._clock.monotonic()
@@ -97,3 +120,7 @@
         """Merge the records of another gateway's digest."""
         if records and self._quarantine.merge(records, self._clock.monotonic()):
             self._events.record("quarantine.merged", records=len(records))
+
+
+def _format_fingerprint(fingerprint: int) -> str:
+    return f"{fingerprint:016x}"
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -332,12 +332,14 @@
 
     def _refuse_quarantined(self) -> None:
         """Answer a request that is quarantined for crashing the upstreams it ran on."""
+        crashes = self._deps.crashes.count_crashes(self._request.fingerprint)
         if self._reply.has_begun:
             self._reply.break_off()
         elif self._request.send_history.may_have_run:
-            self._reply.fail(502, "quarantine", "The upstreams crashed on this.")
+            message = "The upstreams crashed on this."
+            self._reply.fail(502, "quarantine", message, crashes=crashes)
         else:
-            self._reply.refuse("quarantine", QUARANTINE_RETRY_AFTER)
+            self._reply.refuse("quarantine", QUARANTINE_RETRY_AFTER, crashes=crashes)
 
     def _refuse_without_upstream(
         self, reason: str = "no_upstream", retry_after: timedelta = DEFAULT_RETRY_AFTER
--- a/packages/mustardquay-node/src/mustardquay_node/replies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/replies.py
@@ -107,9 +107,10 @@
         reason: str,
         message: str,
         headers: Mapping[str, str] = NO_HEADERS,
+        **inputs: float,
     ) -> None:
         """Answer with an error, or that the outcome is not known."""
-        self._log_end(status, reason)
+        self._log_end(status, reason, **inputs)
         self.count("failed")
         headers = HTTPHeaders({"Content-Type": "text/plain", **headers})
         self._answer.send(status, headers, f"{message}\n".encode())
--- a/packages/mustardquay-node/src/mustardquay_node/sends.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sends.py
@@ -325,7 +325,7 @@
             crashes.note_broken_send(send.upstream, fingerprint)
             self._deps.pools.probe(send.upstream)
         elif send.end is SendResult.ANSWERED:
-            crashes.note_answer(fingerprint)
+            crashes.note_answer(fingerprint, self._request.id, send.upstream.id)
         if end == ExchangeEnd.NOT_CONNECTED:
             crashes.note_upstream_lost(send.upstream.id)
 
--- a/packages/mustardquay/src/mustardquay/quarantines.py
+++ b/packages/mustardquay/src/mustardquay/quarantines.py
@@ -115,8 +115,8 @@
         for fingerprint in fingerprints:
             self._merge(fingerprint, {crash}, set(), now + self._suspicion, now)
 
-    def note_answer(self, fingerprint: int, now: timedelta) -> None:
-        """Clear a suspect after an engine has answered it.
+    def note_answer(self, fingerprint: int, now: timedelta) -> bool:
+        """Clear a suspect after an engine has answered it; returns whether it was one.
 
         A refused fingerprint stays refused: it may have crashed two engines while a
         third one happened to survive it.
@@ -126,15 +126,16 @@
             record is None
             or self.find_status(fingerprint, now) is not FingerprintStatus.SUSPECT
         ):
-            return
+            return False
         self._merge(fingerprint, set(), set(record.crashes), record.until, now)
+        return True
 
     def find_status(self, fingerprint: int, now: timedelta) -> FingerprintStatus:
         """Return whether the fingerprint is clear, a suspect or refused now."""
         record = self._records.get(fingerprint)
         if record is None or record.until <= now:
             return FingerprintStatus.CLEAR
-        counted = len(record.crashes - record.cleared)
+        counted = self.count_crashes(fingerprint)
         if counted == 0:
             return FingerprintStatus.CLEAR
         is_refused = counted >= self._refused_after
@@ -158,6 +159,11 @@
             return frozenset()
         return frozenset(crash.upstream for crash in record.crashes - record.cleared)
 
+    def count_crashes(self, fingerprint: int) -> int:
+        """Return the number of crashes that count against a fingerprint."""
+        record = self._records.get(fingerprint)
+        return 0 if record is None else len(record.crashes - record.cleared)
+
     def list_changes(
         self, since: int, now: timedelta, limit: int = 100
     ) -> tuple[tuple[CrashRecord, ...], int]:
