Clear a suspect only by an answer that shows that it ran

Callers saw most of their prompts refused while engine after engine was crashed by one request, which was never refused.

Cause: after each crash the prompt is read by another engine, and that reading's 200 was taken for an answer of an engine that had run the request: it cleared it of its crashes, at all gateways. Ruled out for this: a crash that is not seen, as upstream.crashed was logged each time.

Change: only a complete success of a send that runs the request clears. An error of the upstream's own does not either: it can be given without running anything. Holds because a request that crashes what runs it never has such an answer.

--- a/packages/mustardquay-node/src/mustardquay_node/sends.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sends.py
@@ -29,6 +29,7 @@
 MIN_EVENTS = 3
 """Fewest events of a stream from which their mean interval is measured: the last event
 may come early."""
+SUCCESS_STATUSES = range(200, 300)
 MIN_SERVER_ERROR_STATUS = 500
 """The lowest status of a server error."""
 
@@ -287,7 +288,7 @@
             self._record_event_interval(send)
         if not options.prefill_only and may_have_begun(send.end, end):
             note_begun(self._deps, self._request, self._deps.clock.monotonic())
-        self._note_crash(send, end)
+        self._note_crash(send, end, options)
         self._note_load(send, end, options)
 
     def _record_event_interval(self, send: Send) -> None:
@@ -318,13 +319,13 @@
             return SendResult.BROKEN
         return SendResult.ANSWERED
 
-    def _note_crash(self, send: Send, end: str) -> None:
+    def _note_crash(self, send: Send, end: str, options: SendOptions) -> None:
         crashes = self._deps.crashes
         fingerprint = self._request.fingerprint
         if send.end is SendResult.BROKEN and end == ExchangeEnd.BROKEN:
             crashes.note_broken_send(send.upstream, fingerprint)
             self._deps.pools.probe(send.upstream)
-        elif send.end is SendResult.ANSWERED:
+        elif _has_run_whole(send, options):
             crashes.note_answer(fingerprint, self._request.id, send.upstream.id)
         if end == ExchangeEnd.NOT_CONNECTED:
             crashes.note_upstream_lost(send.upstream.id)
@@ -377,6 +378,16 @@
     return facts.is_signed and not facts.is_encoded and not facts.not_run
 
 
+def _has_run_whole(send: Send, options: SendOptions) -> bool:
+    """Return whether an upstream has certainly run the request to its end.
+
+    Neither a prefill shows that, as it ends before the request begins to run, nor an
+    error, which an upstream may answer without running it.
+    """
+    is_success = send.status in SUCCESS_STATUSES
+    return send.end is SendResult.ANSWERED and is_success and not options.prefill_only
+
+
 def _has_failed(send: Send, end: str) -> bool:
     if end == ExchangeEnd.NOT_CONNECTED or send.end is SendResult.BROKEN:
         return True
