Know of a crash before the request that may have caused it is repeated

Callers lost all engines that read prompts by one call: a request that crashes whoever reads its prompt was sent to the next engine within a millisecond, while its upstream was found unreachable 30 ms later, so that the limit of three crashes was passed before it could be seen. A reading that broke off counts as no attempt, since nothing ran, and is repeated past max_attempts.

Change: before a send, a request whose crashes and broken sends under probe reach the limit waits for the probes. Holds because each send that broke is probed, and a probe ends within its delay and the connect timeout. Others are not delayed: lost answers of one request within 30 ms at three upstreams are what it takes.

--- a/packages/mustardquay-node/src/mustardquay_node/crash_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_reporters.py
@@ -6,7 +6,8 @@
 and after the third crash all of them refuse the request.
 """
 
-from collections import deque
+import asyncio
+from collections import defaultdict, deque
 from collections.abc import Sequence
 from datetime import timedelta
 
@@ -46,6 +47,8 @@
         )
         self._reported: deque[tuple[timedelta, int]] = deque([(timedelta(), 0)])
         self._version = 0
+        self._probes: defaultdict[int, set[asyncio.Task[None]]] = defaultdict(set)
+        """Probes of upstreams on which a request broke, by its fingerprint."""
 
     @staticmethod
     def compute_fingerprint(method: str, path: str, body: bytes) -> int:
@@ -61,11 +64,40 @@
             self._quarantine.find_status(fingerprint, now) is FingerprintStatus.REFUSED
         )
 
-    def note_broken_send(self, upstream: UpstreamRecord, fingerprint: int) -> None:
-        """Note a send whose connection ended without a whole answer."""
+    async def wait_for_probes(self, fingerprint: int) -> None:
+        """Wait until it is known whether a request has crashed too many upstreams.
+
+        Guards against repeats that leave between a crash and its discovery, each of
+        which would crash one upstream more than `CRASH_LIMIT`. Waits only for a request
+        that would be refused if all its broken sends were crashes.
+        """
+        probes = self._probes.get(fingerprint)
+        if not probes or self.count_crashes(fingerprint) + len(probes) < CRASH_LIMIT:
+            return
+        await asyncio.wait(probes)
+
+    def note_broken_send(
+        self,
+        upstream: UpstreamRecord,
+        fingerprint: int,
+        probe: "asyncio.Task[None] | None" = None,
+    ) -> None:
+        """Note a send whose connection ended without a whole answer.
+
+        `probe` shows whether the upstream is still reachable.
+        """
         now = self._clock.monotonic()
         boot = str(upstream.started_ms)
         self._watch.note_broken(upstream.id, boot, fingerprint, now)
+        if probe is not None:
+            self._probes[fingerprint].add(probe)
+            probe.add_done_callback(lambda done: self._end_probe(fingerprint, done))
+
+    def _end_probe(self, fingerprint: int, probe: "asyncio.Task[None]") -> None:
+        probes = self._probes[fingerprint]
+        probes.discard(probe)
+        if not probes:
+            del self._probes[fingerprint]
 
     def note_answer(self, fingerprint: int, request: str, upstream: str) -> None:
         """Clear a request that an upstream has answered."""
--- a/packages/mustardquay-node/src/mustardquay_node/sends.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sends.py
@@ -323,8 +323,8 @@
         crashes = self._deps.crashes
         fingerprint = self._request.fingerprint
         if send.end is SendResult.BROKEN and end == ExchangeEnd.BROKEN:
-            crashes.note_broken_send(send.upstream, fingerprint)
-            self._deps.pools.probe(send.upstream)
+            probe = self._deps.pools.probe(send.upstream)
+            crashes.note_broken_send(send.upstream, fingerprint, probe)
         elif _has_run_whole(send, options):
             crashes.note_answer(fingerprint, self._request.id, send.upstream.id)
         if end == ExchangeEnd.NOT_CONNECTED:
--- a/packages/mustardquay-node/src/mustardquay_node/upstream_pools.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstream_pools.py
@@ -102,11 +102,16 @@
         if pool is not None:
             pool.close()
 
-    def probe(self, upstream: UpstreamRecord) -> None:
-        """Probe an upstream on which a send broke, after a short delay."""
-        if upstream.id not in self._probes:
+    def probe(self, upstream: UpstreamRecord) -> "asyncio.Task[None]":
+        """Probe an upstream on which a send broke, after a short delay.
+
+        Returns the task of the probe, which ends after `note_unreachable` was called.
+        """
+        task = self._probes.get(upstream.id)
+        if task is None:
             task = asyncio.create_task(self._probe(upstream))
             self._probes[upstream.id] = task
+        return task
 
     async def _probe(self, upstream: UpstreamRecord) -> None:
         try:
