Tell peers of a crash at once, and of suspects again and again

Callers that sent one crashing request to gateways in turn took down more than three upstreams, since each gateway counted for some time alone: a crash was told with the next digest and repeated for one second.

Change: a crash sends a digest at once; when a digest has no new record, it carries one of those that count, each about once a second. Records are merged as sets, so repeats change nothing at who knows them.

--- a/packages/mustardquay-node/src/mustardquay_node/crash_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_reporters.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import defaultdict, deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 
 from xxhash import xxh3_64_intdigest
@@ -29,6 +29,8 @@
 QUARANTINE_PERIOD = timedelta(minutes=5)
 REPEAT_TIME = timedelta(seconds=1)
 """How long digests repeat a change: some 25 of them, of which a few may be lost."""
+REPEAT_INTERVAL = timedelta(seconds=1)
+"""Minimum time between two repetitions of the records of all suspects."""
 RECORDS_LIMIT = 4
 """Records in one digest at most, to bound its size."""
 MAX_LOGGED_SUSPECTS = 4
@@ -38,15 +40,25 @@
 class CrashReporter:
     """Tracks requests that crash upstreams, as seen by one gateway and its peers."""
 
-    def __init__(self, clock: Clock, events: EventRing):
+    def __init__(
+        self,
+        clock: Clock,
+        events: EventRing,
+        notify_peers: Callable[[], None] = lambda: None,
+    ):
+        """Initialise without suspects; `notify_peers` sends the next digest at once."""
         self._clock = clock
         self._events = events
+        self._notify_peers = notify_peers
         self._watch = CrashWatch()
         self._quarantine = Quarantine(
             SUSPICION_PERIOD, QUARANTINE_PERIOD, refused_after=CRASH_LIMIT
         )
         self._reported: deque[tuple[timedelta, int]] = deque([(timedelta(), 0)])
         self._version = 0
+        self._suspects: list[int] = []
+        """Fingerprints whose records are still to be repeated, one in each digest."""
+        self._suspects_due = timedelta()
         self._probes: defaultdict[int, set[asyncio.Task[None]]] = defaultdict(set)
         """Probes of upstreams on which a request broke, by its fingerprint."""
 
@@ -131,13 +143,31 @@
                 for each in suspects[:MAX_LOGGED_SUSPECTS]
             },
         )
+        self._notify_peers()
 
     def count_crashes(self, fingerprint: int) -> int:
         """Return the number of crashes that count against a request."""
         return self._quarantine.count_crashes(fingerprint)
 
-    def list_recent_changes(self) -> tuple[CrashRecord, ...]:
-        """Return the changed records for the next digest."""
+    def list_records(self) -> tuple[CrashRecord, ...]:
+        """Return the records for the next digest: the changed ones, or else one other.
+
+        Guards against gateways that did not hear of a crash when it was new, as they
+        started later or were cut off: they would count the crashes of a request anew.
+        """
+        return self._list_recent_changes() or self._list_next_suspect()
+
+    def _list_next_suspect(self) -> tuple[CrashRecord, ...]:
+        now = self._clock.monotonic()
+        if not self._suspects and now >= self._suspects_due:
+            self._suspects = self._quarantine.list_suspects(now)
+            self._suspects_due = now + REPEAT_INTERVAL
+        if not self._suspects:
+            return ()
+        record = self._quarantine.export(self._suspects.pop(), now)
+        return () if record is None else (record,)
+
+    def _list_recent_changes(self) -> tuple[CrashRecord, ...]:
         now = self._clock.monotonic()
         while len(self._reported) > 1 and now - self._reported[1][0] > REPEAT_TIME:
             self._reported.popleft()
--- a/packages/mustardquay-node/src/mustardquay_node/digest_exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/digest_exchanges.py
@@ -56,7 +56,7 @@
         knows_limits = deps.limits.has_limits(now)
         return replace(
             digest,
-            crashes=deps.crashes.list_recent_changes(),
+            crashes=deps.crashes.list_records(),
             availability_zone=deps.availability_zone,
             is_ready=deps.is_ready(),
             limits=deps.limits.list_notices(now),
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -39,6 +39,8 @@
     count_gateways: Callable[[], int]
     note_change: Callable[[], None]
     """Called when the work that is announced to other gateways has changed."""
+    notify_peers: Callable[[], None]
+    """Sends the next digest to other gateways at once."""
     close_idle_callers: Callable[[], int]
     """Closes idle connections of callers; returns how many."""
 
@@ -53,7 +55,7 @@
         self.list = UpstreamList()
         self.loads = UpstreamLoads()
         self.limits = RateLimiter()
-        self.crashes = CrashReporter(deps.clock, deps.events)
+        self.crashes = CrashReporter(deps.clock, deps.events, deps.notify_peers)
         self.pools = UpstreamPools(
             deps.clock,
             _make_retry_limits(settings.bounds),
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -234,6 +234,7 @@
             find_table=lambda: self._forwarder.table,
             count_gateways=lambda: self._peers.count,
             note_change=lambda: self._peers.note_change(),
+            notify_peers=lambda: self._peers.send_now(),
             close_idle_callers=lambda: self._connections.close_idle(),
         )
         return GatewayUpstreams(self._settings, deps)
--- a/packages/mustardquay/src/mustardquay/quarantines.py
+++ b/packages/mustardquay/src/mustardquay/quarantines.py
@@ -178,18 +178,28 @@
         changed.sort(key=lambda item: item[0])
         chosen = changed[:limit]
         records = tuple(
-            CrashRecord(
-                fingerprint,
-                frozenset(record.crashes),
-                frozenset(record.cleared),
-                record.until - now,
-            )
+            _export_record(fingerprint, record, now)
             for _, fingerprint, record in chosen
         )
         if len(changed) > limit:
             return records, chosen[-1][0]
         return records, self._version
 
+    def list_suspects(self, now: timedelta) -> list[int]:
+        """Return the fingerprints with crashes that count."""
+        return [
+            fingerprint
+            for fingerprint, record in self._records.items()
+            if record.until > now and record.crashes - record.cleared
+        ]
+
+    def export(self, fingerprint: int, now: timedelta) -> CrashRecord | None:
+        """Return the record of a fingerprint, None if it has expired."""
+        record = self._records.get(fingerprint)
+        if record is None or record.until <= now:
+            return None
+        return _export_record(fingerprint, record, now)
+
     def merge(self, records: Iterable[CrashRecord], now: timedelta) -> bool:
         """Merge a peer's records; return True if any of them was new."""
         before = self._version
@@ -255,6 +265,17 @@
         return (min(len(record.crashes - record.cleared), 2), record.version)
 
 
+def _export_record(
+    fingerprint: int, record: _FingerprintRecord, now: timedelta
+) -> CrashRecord:
+    return CrashRecord(
+        fingerprint,
+        frozenset(record.crashes),
+        frozenset(record.cleared),
+        record.until - now,
+    )
+
+
 class SuspectGate:
     """Lets one suspect at a time run on the engine of an agent.
 
