Leave upstreams alone that say in an answer that they are leaving

Callers' requests were still sent to an upstream over two seconds after it had told the gateway that it leaves, and were lost when it went.

Cause: the word was not read; only the store's record took an upstream out, and the store was away. Class: what a peer says of itself in band is dropped. Ruled out: a way around a kept word, or its loss by a later record, as no word was kept at all.

They take an upstream out of all choices of routes, prefill, hand-overs, copies and stages, also when it is the only one, where callers get a true refusal at once. A send asks again right before its first byte, since connections and reservations take time. A prefill that was not sent stays not_sent: it used to count as one that failed, and took two repeats from the allowance.

--- a/packages/mustardquay-node/src/mustardquay_node/adapters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/adapters.py
@@ -93,6 +93,8 @@
     rate_limit: float | None
     """Requests a second that the upstream accepts from all gateways together; None for
     no limit."""
+    is_leaving: bool
+    """The upstream is leaving and wants no more requests."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mustardquay-node/src/mustardquay_node/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections.py
@@ -61,6 +61,8 @@
     BROKEN = "broken"
     MALFORMED = "malformed"
     CANCELLED = "cancelled"
+    NOT_ACCEPTING = "not_accepting"
+    """The peer said meanwhile that it accepts no requests; nothing was sent."""
 
 
 @dataclass(slots=True)
@@ -105,11 +107,13 @@
         body: bytes = b"",
         is_expected: Callable[[AnswerHead], bool] = lambda head: True,
         receive: Callable[["Exchange", bytes], Awaitable[None] | None] | None = None,
+        may_send: Callable[[], bool] = lambda: True,
     ):
         """Take the request; `headers` is complete except for the length.
 
         `is_expected` returns whether an answer belongs to this request; others are
         skipped. `receive` gets the body in parts; without it the body is buffered.
+        `may_send` is asked right before the first byte is sent.
         """
         self.method = method
         self.path = path
@@ -117,6 +121,7 @@
         self.body = body
         self._is_expected = is_expected
         self._receive = receive
+        self.may_send = may_send
         self._parts: list[bytes] = []
         self._skipping = False
         self._stream: IOStream | None = None
@@ -248,6 +253,9 @@
         if exchange.cancelled:
             self._release(stream)
             return ExchangeEnd.CANCELLED
+        if not exchange.may_send():
+            self._release(stream)
+            return ExchangeEnd.NOT_ACCEPTING
         exchange.attach(stream)
         may_keep = False
         try:
--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -12,11 +12,12 @@
 from mustardquay.retry_decisions import SendHistory
 from mustardquay.route_times import RouteTimes
 from mustardquay.routing_tables import Route
-from mustardquay.upstream_lists import UpstreamList
+from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import UpstreamLoads
+from mustardquay.upstream_statements import UpstreamStatements
 from mustardquay.version_trackers import TableState
 
-from .adapters import Adapter, RequestFacts
+from .adapters import Adapter, AnswerFacts, RequestFacts
 from .caller_connections import CallerRequest
 from .connections import Exchange
 from .crash_reporters import CrashReporter
@@ -40,6 +41,9 @@
     pools: UpstreamPools
     loads: UpstreamLoads
     limits: RateLimiter
+    statements: UpstreamStatements
+    note_statements: Callable[[UpstreamRecord, AnswerFacts, str], None]
+    """Keeps what an upstream says of itself in an answer to the request of that id."""
     crashes: CrashReporter
     planner: GenerationPlanner
     stop: GatewayStop
@@ -58,6 +62,11 @@
     """Counts a prefill from which nothing was generated, by the reason."""
     record_first_byte: Callable[[str, timedelta], None] = lambda route, duration: None
 
+    def list_accepting(self, service: str) -> list[UpstreamRecord]:
+        """Return the upstreams of a service that accept requests of this process."""
+        usable = self.upstreams.list_usable(service)
+        return [record for record in usable if self.statements.is_accepting(record)]
+
 
 @dataclass(slots=True)
 class ForwardedRequest:
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -235,7 +235,7 @@
     async def _send(self) -> Send | None:
         """Choose an upstream and send; None if there is none or it was refused."""
         deps, request = self._deps, self._request
-        candidates = deps.upstreams.list_usable(request.service)
+        candidates = deps.list_accepting(request.service)
         prompt = request.facts.prompt
         if request.route.has_prompt and prompt is not None:
             return await send_generation(
@@ -307,7 +307,7 @@
         deps, request = self._deps, self._request
         if request.prefill is None:
             return PrefillState.NONE
-        engines = deps.upstreams.list_usable(request.service)
+        engines = deps.list_accepting(request.service)
         loss = deps.planner.find_prefill_loss(request.prefill, engines, request.avoid)
         return PrefillState.KEPT if loss is None else PrefillState.LOST
 
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -13,8 +13,9 @@
 from mustardquay.uplinks import Uplink
 from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import UpstreamLoads
+from mustardquay.upstream_statements import UpstreamStatements
 
-from .adapters import Adapter
+from .adapters import Adapter, AnswerFacts
 from .connections import Exchange
 from .crash_reporters import CrashReporter
 from .descriptors import DescriptorGuard
@@ -41,6 +42,8 @@
     """Called when the work that is announced to other gateways has changed."""
     notify_peers: Callable[[], None]
     """Sends the next digest to other gateways at once."""
+    note_leaving: Callable[[UpstreamRecord], None]
+    """Called when an upstream says in an answer that it is leaving."""
     close_idle_callers: Callable[[], int]
     """Closes idle connections of callers; returns how many."""
 
@@ -52,7 +55,8 @@
         self._deps = deps
         # Connections to upstreams use most of a gateway's descriptors.
         self._descriptors = DescriptorGuard(deps.clock, deps.events)
-        self.list = UpstreamList()
+        self.statements = UpstreamStatements(deps.clock)
+        self.list = UpstreamList(self.statements.is_leaving)
         self.loads = UpstreamLoads()
         self.limits = RateLimiter()
         self.crashes = CrashReporter(deps.clock, deps.events, deps.notify_peers)
@@ -106,10 +110,30 @@
     async def call_engine(
         self, engine: UpstreamRecord, call: EngineCall
     ) -> Exchange | None:
-        """Call an engine on the gateway's own behalf; does not wait for rate limits."""
+        """Call an engine on the gateway's own behalf; does not wait for rate limits.
+
+        Returns None also for an engine that is leaving.
+        """
+        if not self.statements.is_accepting(engine):
+            return None
         self.limits.note_sent(engine.id, self._now)
         pool = self.pools.get_pool(engine)
-        return await call_engine(self._deps.adapter, pool, engine, call)
+        exchange = await call_engine(self._deps.adapter, pool, engine, call)
+        if exchange is not None and exchange.head is not None:
+            facts = self._deps.adapter.read_answer(exchange.head)
+            self.note_statements(engine, facts)
+        return exchange
+
+    def note_statements(
+        self, upstream: UpstreamRecord, facts: AnswerFacts, request: str = ""
+    ) -> None:
+        """Keep what an upstream says of itself in the head of an answer."""
+        if facts.is_other_upstream:
+            return
+        record = self._deps.events.record
+        if facts.is_leaving and self.statements.note_leaving(upstream):
+            record("upstream.leaving", request=request, upstream=upstream.id)
+            self._deps.note_leaving(upstream)
 
     def forget(self, id: str) -> None:
         """Drop the state of an upstream that is gone or has restarted."""
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -235,6 +235,7 @@
             count_gateways=lambda: self._peers.count,
             note_change=lambda: self._peers.note_change(),
             notify_peers=lambda: self._peers.send_now(),
+            note_leaving=self._note_draining,
             close_idle_callers=lambda: self._connections.close_idle(),
         )
         return GatewayUpstreams(self._settings, deps)
@@ -265,6 +266,8 @@
             pools=self._upstreams.pools,
             loads=self._upstreams.loads,
             limits=self._upstreams.limits,
+            statements=self._upstreams.statements,
+            note_statements=self._upstreams.note_statements,
             crashes=self._upstreams.crashes,
             planner=self._upstreams.planner,
             stop=self._stop,
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -70,7 +70,7 @@
         if isinstance(outcome, Send):
             planner.end_prefill(ticket)
             return outcome
-        engines = deps.upstreams.list_usable(request.service)
+        engines = deps.list_accepting(request.service)
         request.prefill = RetainedPrefill(ticket, outcome)
         if not planner.reselect_decoder(ticket, engines, request.avoid):
             drop_prefill(deps, request, PrefillLoss.NO_GENERATOR)
@@ -185,7 +185,7 @@
     await await_reservation(deps, ticket.reader_reservation)
     options = SendOptions(
         first_part_timeout=find_first_event_timeout(request.route, placement),
-        fetch_from=placement.holder.address if placement.holder else "",
+        holder=placement.holder,
         on_first_part=_make_first_event_callback(deps, ticket),
     )
     return await sender.run(placement.decoder, options)
@@ -222,7 +222,7 @@
     started = deps.clock.monotonic()
     options = SendOptions(
         prefill_only=True,
-        fetch_from=placement.holder.address if placement.holder else "",
+        holder=placement.holder,
         first_part_timeout=find_prefill_timeout(request.route, placement),
     )
     send = await sender.run(placement.reader, options)
@@ -237,7 +237,7 @@
             deps.planner.learn_prefill(ticket, took)
             return prefilled
     # A prefill does not count as running the request, whatever its result.
-    if send.end is not SendResult.CALLER_LEFT:
+    if send.end not in (SendResult.CALLER_LEFT, SendResult.NOT_SENT):
         is_refused = send.end in (SendResult.NOT_RUN, SendResult.OTHER_UPSTREAM)
         send.end = SendResult.NOT_RUN if is_refused else SendResult.UNREAD
     return send
@@ -271,29 +271,36 @@
     """
     ticket = prefill.ticket
     placement = ticket.placement
-    address, reader = placement.reader.address, placement.reader.id
+    reader = placement.reader
     await await_reservation(deps, ticket.decoder_reservation)
     if not deps.planner.must_copy_from_cache(prefill):
-        source = deps.adapter.build_kv_source(address, prefill.prefilled)
+        source = deps.adapter.build_kv_source(reader.address, prefill.prefilled)
         options = SendOptions(
             kv_source=source,
             on_first_part=_make_first_event_callback(deps, ticket, prefill),
         )
         send = await sender.run(placement.decoder, options)
-        if send.end is not SendResult.NOT_RUN:
+        if send.end is not SendResult.NOT_RUN or not _may_copy(deps, placement):
             return send
         now = deps.clock.monotonic()
-        deps.loads.note_expired_handle(reader, now)
+        deps.loads.note_expired_handle(reader.id, now)
         sender.log(send, "copy")
         if not deps.pools.get_window(request.service).take(now):
             return send
         await await_reservation(deps, deps.limits.reserve(placement.decoder, now))
-    options = SendOptions(
-        fetch_from=address, on_first_part=partial(_note_used, prefill)
-    )
+    options = SendOptions(holder=reader, on_first_part=partial(_note_used, prefill))
     return await sender.run(placement.decoder, options)
 
 
+def _may_copy(deps: ForwarderDependencies, placement: Placement) -> bool:
+    """Return whether a decoder that refused a handle may copy the prompt instead.
+
+    One that is leaving refused for that reason, not for the handle.
+    """
+    engines = (placement.decoder, placement.reader)
+    return all(map(deps.statements.is_accepting, engines))
+
+
 def _log_prefill(
     deps: ForwarderDependencies,
     request: ForwardedRequest,
--- a/packages/mustardquay-node/src/mustardquay_node/sends.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sends.py
@@ -69,8 +69,8 @@
     """Only prefill the prompt."""
     kv_source: str = ""
     """Where the engine fetches the KV cache of a prompt that another one prefilled."""
-    fetch_from: str = ""
-    """Address of an engine whose cached blocks are copied first."""
+    holder: UpstreamRecord | None = None
+    """Another engine whose cached blocks are copied first."""
     on_first_part: Callable[[], None] = lambda: None
     """Called with the first part of a stream, by which the prefill has ended."""
     first_part_timeout: timedelta | None = None
@@ -160,7 +160,7 @@
             time_left=request.measure_time_left(self._deps.clock.monotonic()),
             prefill_only=options.prefill_only,
             kv_source=options.kv_source,
-            fetch_from=options.fetch_from,
+            fetch_from=options.holder.address if options.holder else "",
             resumes_after=request.last_event,
             urgency=self._find_priority(options),
             organisation=request.organisation,
@@ -171,6 +171,9 @@
         def receive(exchange: Exchange, data: bytes) -> Awaitable[None] | None:
             return self._receive(send, exchange, data, options)
 
+        def may_send() -> bool:
+            return self._may_send(send.upstream, options)
+
         return Exchange(
             incoming.method,
             incoming.path,
@@ -178,8 +181,18 @@
             incoming.body,
             is_expected=lambda head: self._is_expected_answer(send, head),
             receive=receive if is_stream else None,
+            may_send=may_send,
         )
 
+    def _may_send(self, upstream: UpstreamRecord, options: SendOptions) -> bool:
+        """Return whether the upstreams that a send reaches still accept requests.
+
+        Guards against upstreams that said between the choice and the send that they are
+        leaving: connections and reservations may take that long.
+        """
+        reached = [upstream, options.holder] if options.holder else [upstream]
+        return all(map(self._deps.statements.is_accepting, reached))
+
     def _find_priority(self, options: SendOptions) -> int | None:
         """Return the priority of the request at an engine; None for plain upstreams.
 
@@ -210,6 +223,7 @@
             return False
         send.facts = facts
         self._note_limit(send, facts)
+        self._deps.note_statements(send.upstream, facts, self._request.id)
         return True
 
     def _receive(
--- a/packages/mustardquay/src/mustardquay/upstream_lists.py
+++ b/packages/mustardquay/src/mustardquay/upstream_lists.py
@@ -5,7 +5,7 @@
 renew it during an outage of the store, although it is serving.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import StrEnum
@@ -64,7 +64,11 @@
     live upstreams write theirs again.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, is_leaving: Callable[[UpstreamRecord], bool] = lambda record: False
+    ):
+        """Take `is_leaving`: whether an upstream has said so outside its record."""
+        self._is_leaving = is_leaving
         self._listed: dict[str, _Listed] = {}
         self._grace_until: timedelta | None = None
         self._is_known = False
@@ -88,7 +92,9 @@
         return [
             listed.record
             for listed in self._listed.values()
-            if listed.record.service == service and not listed.record.draining
+            if listed.record.service == service
+            and not listed.record.draining
+            and not self._is_leaving(listed.record)
         ]
 
     def begin_grace(self, now: timedelta) -> None:
