Keep the rest that an upstream asks for when it turns a request away

A server that had asked a gateway for three seconds of rest got up to seven requests in that time, and callers got one refusal after another from it.

Cause: Retry-After of an upstream's refusal was passed on to the caller and not kept; a refusal left an upstream alone for 0.25 to 1 s, and not where no other one was there. A hand-over that was refused was tried at once as a copy at the same engine, and its reader was blamed for a handle that had expired.

Change: a 503 with Retry-After is kept as a rest, by incarnation, on the monotonic clock, and takes the upstream out of all choices until its end, of calls of the gateway's own too, also when all rest: then callers are refused at once, with the time until the first one has rested, spread by a tenth. Stage plans keep resting engines: the wish is of one gateway and of seconds.

--- a/packages/mustardquay-node/src/mustardquay_node/adapters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/adapters.py
@@ -95,6 +95,9 @@
     no limit."""
     is_leaving: bool
     """The upstream is leaving and wants no more requests."""
+    rest: timedelta
+    """For how long a refusing upstream wants no requests from this process; 0 for no
+    such request."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -19,7 +19,7 @@
 )
 from mustardquay.routing_tables import Repeat, RoutingTable
 from mustardquay.stops import RequestEstimate
-from mustardquay.upstream_lists import UpstreamRecord
+from mustardquay.upstream_lists import Stage, UpstreamRecord
 from mustardquay.upstream_loads import choose_plain
 
 from .arrivals import read_request
@@ -42,6 +42,8 @@
 RATE_LIMIT_WAIT_SHARE = 0.5
 """Part of the latency target that a plain request may wait for the rate limit of its
 upstream; the rest is left for its execution."""
+REST_JITTER = 0.1
+"""Part of the rest of upstreams by which callers' returns are spread."""
 OUTCOME_UNKNOWN = "It is not known whether this was run."
 
 
@@ -326,8 +328,8 @@
         elif self._reply.has_begun:
             self._reply.break_off()
         elif step is NextStep.REFUSE:
-            retry_after = send.facts.retry_after if send.facts else None
-            self._reply.refuse(send.end.value, retry_after or DEFAULT_RETRY_AFTER)
+            retry_after = self._find_retry_after(send)
+            self._reply.refuse(send.end.value, retry_after)
         else:
             self._reply.fail(502, send.end.value, OUTCOME_UNKNOWN)
 
@@ -342,13 +344,34 @@
         else:
             self._reply.refuse("quarantine", QUARANTINE_RETRY_AFTER, crashes=crashes)
 
+    def _find_retry_after(self, send: Send) -> timedelta:
+        """Return when a caller may come back whose request an upstream refused."""
+        if send.facts is not None and send.facts.retry_after and not send.facts.rest:
+            return send.facts.retry_after
+        # Another upstream may accept the request long before this one has rested.
+        return self._find_shortest_rest() or DEFAULT_RETRY_AFTER
+
+    def _find_shortest_rest(self) -> timedelta:
+        """Return the time until an upstream has rested, 0 if not all of them rest."""
+        deps = self._deps
+        return deps.statements.find_shortest_rest(
+            upstream
+            for upstream in deps.upstreams.list_usable(self._request.service)
+            if upstream.stage is not Stage.PREFILL
+        )
+
     def _refuse_without_upstream(
-        self, reason: str = "no_upstream", retry_after: timedelta = DEFAULT_RETRY_AFTER
+        self, reason: str = "no_upstream", retry_after: timedelta | None = None
     ) -> None:
         """Answer a request for which there is no upstream, or none left to try."""
+        rest = timedelta() if retry_after else self._find_shortest_rest()
+        if rest:
+            reason = "resting"
+            # Jitter keeps callers refused during one rest from returning at its end.
+            retry_after = rest * (1 + REST_JITTER * self._deps.random.random())
         if self._reply.has_begun:
             self._reply.break_off()
         elif self._request.send_history.may_have_run:
             self._reply.fail(502, reason, OUTCOME_UNKNOWN)
         else:
-            self._reply.refuse(reason, retry_after)
+            self._reply.refuse(reason, retry_after or DEFAULT_RETRY_AFTER)
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -112,7 +112,7 @@
     ) -> Exchange | None:
         """Call an engine on the gateway's own behalf; does not wait for rate limits.
 
-        Returns None also for an engine that is leaving.
+        Returns None also for an engine that rests or is leaving.
         """
         if not self.statements.is_accepting(engine):
             return None
@@ -134,6 +134,14 @@
         if facts.is_leaving and self.statements.note_leaving(upstream):
             record("upstream.leaving", request=request, upstream=upstream.id)
             self._deps.note_leaving(upstream)
+        if facts.rest and self.statements.note_rest(upstream, facts.rest):
+            rest_ms = round(facts.rest.total_seconds() * 1000)
+            record(
+                "upstream.resting",
+                request=request,
+                upstream=upstream.id,
+                rest_ms=rest_ms,
+            )
 
     def forget(self, id: str) -> None:
         """Drop the state of an upstream that is gone or has restarted."""
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -295,7 +295,7 @@
 def _may_copy(deps: ForwarderDependencies, placement: Placement) -> bool:
     """Return whether a decoder that refused a handle may copy the prompt instead.
 
-    One that is leaving refused for that reason, not for the handle.
+    One that is leaving or wants to rest refused for that reason, not for the handle.
     """
     engines = (placement.decoder, placement.reader)
     return all(map(deps.statements.is_accepting, engines))
--- a/packages/mustardquay-node/src/mustardquay_node/sends.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sends.py
@@ -188,7 +188,7 @@
         """Return whether the upstreams that a send reaches still accept requests.
 
         Guards against upstreams that said between the choice and the send that they are
-        leaving: connections and reservations may take that long.
+        leaving or want to rest: connections and reservations may take that long.
         """
         reached = [upstream, options.holder] if options.holder else [upstream]
         return all(map(self._deps.statements.is_accepting, reached))
