Ask once whether an upstream leaves when requests are placed

list_usable leaves out those that said so already; list_accepting asked again for each. Tests of leaving and resting upstreams pass as before.

--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -65,7 +65,7 @@
     def list_accepting(self, service: str) -> list[UpstreamRecord]:
         """Return the upstreams of a service that accept requests of this process."""
         usable = self.upstreams.list_usable(service)
-        return [record for record in usable if self.statements.is_accepting(record)]
+        return [record for record in usable if not self.statements.measure_rest(record)]
 
 
 @dataclass(slots=True)
