--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -29,7 +29,8 @@
 from .handovers import drop_prefill, send_generation
 from .rate_reservations import await_reservation
 from .replies import Reply
-from .sends import Send, Sender
+from .send_results import Send
+from .sends import Sender
 
 __all__ = ["forward"]
 
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -24,7 +24,8 @@
 from .generation_planners import RetainedPrefill, Ticket
 from .rate_reservations import await_reservation
 from .replies import Reply
-from .sends import Send, Sender, SendOptions
+from .send_results import Send, SendOptions
+from .sends import Sender
 
 __all__ = ["drop_prefill", "send_generation"]
 
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/send_observations.py
@@ -0,0 +1,121 @@
+"""What a send shows of its upstream: its load, limits, crashes and statements."""
+
+from mustardquay.requests import SendResult
+
+from .adapters import AnswerFacts
+from .connections import ExchangeEnd
+from .forwarder_dependencies import ForwardedRequest, ForwarderDependencies
+from .send_results import Send, SendOptions
+
+__all__ = ["observe_end", "observe_head"]
+
+SUCCESS_STATUSES = range(200, 300)
+MIN_SERVER_ERROR_STATUS = 500
+"""The lowest status of a server error."""
+
+
+def observe_head(
+    deps: ForwarderDependencies,
+    request: ForwardedRequest,
+    send: Send,
+    facts: AnswerFacts,
+) -> None:
+    """Record what the head of an answer says of its upstream."""
+    if facts.is_other_upstream:
+        return
+    _observe_limit(deps, request, send, facts)
+    deps.note_statements(send.upstream, facts, request.id)
+
+
+def observe_end(
+    deps: ForwarderDependencies,
+    request: ForwardedRequest,
+    send: Send,
+    end: str,
+    options: SendOptions,
+) -> None:
+    """Record what the end of a send shows; `end` is an `ExchangeEnd`."""
+    _observe_crash(deps, request, send, end, options)
+    _observe_load(deps, request, send, end, options)
+
+
+def _observe_limit(
+    deps: ForwarderDependencies,
+    request: ForwardedRequest,
+    send: Send,
+    facts: AnswerFacts,
+) -> None:
+    """Apply the rate limit in an answer's headers, or its removal."""
+    id = send.upstream.id
+    change = deps.limits.update(id, facts.rate_limit, deps.clock.monotonic())
+    if change is not None:
+        deps.events.record(
+            "upstream.limited",
+            request=request.id,
+            upstream=id,
+            before=change.before,
+            per_second=change.after,
+        )
+
+
+def _observe_crash(
+    deps: ForwarderDependencies,
+    request: ForwardedRequest,
+    send: Send,
+    end: str,
+    options: SendOptions,
+) -> None:
+    upstream = send.upstream
+    if send.end is SendResult.BROKEN and end == ExchangeEnd.BROKEN:
+        probe = deps.pools.probe(upstream)
+        deps.crashes.note_broken_send(upstream, request.fingerprint, probe)
+    elif _has_run_whole(send, options):
+        deps.crashes.note_answer(request.fingerprint, request.id, upstream.id)
+    if end == ExchangeEnd.NOT_CONNECTED:
+        deps.crashes.note_upstream_lost(upstream.id)
+
+
+def _observe_load(
+    deps: ForwarderDependencies,
+    request: ForwardedRequest,
+    send: Send,
+    end: str,
+    options: SendOptions,
+) -> None:
+    now = deps.clock.monotonic()
+    loads = deps.loads
+    id = send.upstream.id
+    if end == ExchangeEnd.NOT_CONNECTED:
+        loads.note_unreachable(id, now)
+    elif send.end is SendResult.ANSWERED:
+        loads.note_reached(id, now)
+    elif send.end in (SendResult.NOT_RUN, SendResult.OTHER_UPSTREAM):
+        # A failed fetch of a prefill is not a fault of the engine that fetches.
+        if not options.kv_source:
+            loads.note_refusal(id, now)
+    if loads.end(id, _has_failed(send, end), now):
+        deps.events.record(
+            "upstream.ejected",
+            request=request.id,
+            upstream=id,
+            failure_rate=round(loads.get(id).failure_rate, 2),
+        )
+    if send.facts is not None and send.facts.load is not None:
+        running, waiting, _ = send.facts.load
+        loads.note_report(id, running, waiting, now)
+
+
+def _has_run_whole(send: Send, options: SendOptions) -> bool:
+    """Return whether an upstream has certainly run the request to its end.
+
+    Neither a prefill shows that, as it ends before the request begins to run, nor an
+    error, which an upstream may answer without running it.
+    """
+    is_success = send.status in SUCCESS_STATUSES
+    return send.end is SendResult.ANSWERED and is_success and not options.prefill_only
+
+
+def _has_failed(send: Send, end: str) -> bool:
+    if end == ExchangeEnd.NOT_CONNECTED or send.end is SendResult.BROKEN:
+        return True
+    return send.end is SendResult.ANSWERED and send.status >= MIN_SERVER_ERROR_STATUS
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/send_results.py
@@ -0,0 +1,59 @@
+"""One send of a request to one upstream: its options and its result."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from mustardquay.requests import SendResult
+from mustardquay.upstream_lists import UpstreamRecord
+
+from .adapters import AnswerFacts
+from .connections import AnswerHead
+
+__all__ = ["DEFAULT_OPTIONS", "Send", "SendOptions"]
+
+
+@dataclass(slots=True)
+class Send:
+    """One send and its result."""
+
+    upstream: UpstreamRecord
+    facts: AnswerFacts | None = None
+    head: AnswerHead | None = None
+    content: bytes = b""
+    """The body, unless it was streamed to the caller."""
+    end: SendResult = SendResult.NOT_SENT
+    detail: str = ""
+    was_reused: bool = False
+    """Whether the connection had been used before."""
+    passed: bool = False
+    """Whether a part of this answer was passed on to the caller."""
+    first_at: timedelta | None = None
+    """When the first part of a stream was received, on the monotonic clock."""
+    last_at: timedelta = timedelta()
+    events: int = 0
+    """Events of a stream that were received."""
+
+    @property
+    def status(self) -> int:
+        """Return the status of the answer, 0 without one."""
+        return self.head.status if self.head else 0
+
+
+@dataclass(frozen=True, slots=True)
+class SendOptions:
+    """Options of a send to an engine beside the request."""
+
+    prefill_only: bool = False
+    """Only prefill the prompt."""
+    kv_source: str = ""
+    """Where the engine fetches the KV cache of a prompt that another one prefilled."""
+    holder: UpstreamRecord | None = None
+    """Another engine whose cached blocks are copied first."""
+    on_first_part: Callable[[], None] = lambda: None
+    """Called with the first part of a stream, by which the prefill has ended."""
+    first_part_timeout: timedelta | None = None
+    """Timeout for the first part of the answer; None for the route's idle timeout."""
+
+
+DEFAULT_OPTIONS = SendOptions()
--- a/packages/mustardquay-node/src/mustardquay_node/sends.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sends.py
@@ -1,8 +1,7 @@
 """Send one request to one upstream, and classify the result."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable
 from datetime import timedelta
 
 from mustardquay.generation_limits import rank_generation
@@ -11,15 +10,17 @@
 from mustardquay.stall_timeouts import find_idle_timeout
 from mustardquay.upstream_lists import UpstreamRecord
 
-from .adapters import AnswerFacts, SendTarget
+from .adapters import SendTarget
 from .connections import AnswerHead, Exchange, ExchangeEnd
 from .event_framers import EventFramer, count_event_ends
 from .forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from .pauses import RunningTimer
 from .replies import Reply
+from .send_observations import observe_end, observe_head
+from .send_results import DEFAULT_OPTIONS, Send, SendOptions
 from .usage import may_have_begun, note_begun
 
-__all__ = ["Send", "SendOptions", "Sender"]
+__all__ = ["Sender"]
 
 NON_IDEMPOTENT_IDLE_LIMIT = timedelta(milliseconds=400)
 """Idle time up to which a connection is reused for requests that must not be repeated.
@@ -29,55 +30,6 @@
 MIN_EVENTS = 3
 """Fewest events of a stream from which their mean interval is measured: the last event
 may come early."""
-SUCCESS_STATUSES = range(200, 300)
-MIN_SERVER_ERROR_STATUS = 500
-"""The lowest status of a server error."""
-
-
-@dataclass(slots=True)
-class Send:
-    """One send and its result."""
-
-    upstream: UpstreamRecord
-    facts: AnswerFacts | None = None
-    head: AnswerHead | None = None
-    content: bytes = b""
-    """The body, unless it was streamed to the caller."""
-    end: SendResult = SendResult.NOT_SENT
-    detail: str = ""
-    was_reused: bool = False
-    """Whether the connection had been used before."""
-    passed: bool = False
-    """Whether a part of this answer was passed on to the caller."""
-    first_at: timedelta | None = None
-    """When the first part of a stream was received, on the monotonic clock."""
-    last_at: timedelta = timedelta()
-    events: int = 0
-    """Events of a stream that were received."""
-
-    @property
-    def status(self) -> int:
-        """Return the status of the answer, 0 without one."""
-        return self.head.status if self.head else 0
-
-
-@dataclass(frozen=True, slots=True)
-class SendOptions:
-    """Options of a send to an engine beside the request."""
-
-    prefill_only: bool = False
-    """Only prefill the prompt."""
-    kv_source: str = ""
-    """Where the engine fetches the KV cache of a prompt that another one prefilled."""
-    holder: UpstreamRecord | None = None
-    """Another engine whose cached blocks are copied first."""
-    on_first_part: Callable[[], None] = lambda: None
-    """Called with the first part of a stream, by which the prefill has ended."""
-    first_part_timeout: timedelta | None = None
-    """Timeout for the first part of the answer; None for the route's idle timeout."""
-
-
-DEFAULT_OPTIONS = SendOptions()
 
 
 class Sender:
@@ -222,8 +174,7 @@
             )
             return False
         send.facts = facts
-        self._note_limit(send, facts)
-        self._deps.note_statements(send.upstream, facts, self._request.id)
+        observe_head(self._deps, self._request, send, facts)
         return True
 
     def _receive(
@@ -302,8 +253,7 @@
             self._record_event_interval(send)
         if not options.prefill_only and may_have_begun(send.end, end):
             note_begun(self._deps, self._request, self._deps.clock.monotonic())
-        self._note_crash(send, end, options)
-        self._note_load(send, end, options)
+        observe_end(self._deps, self._request, send, end, options)
 
     def _record_event_interval(self, send: Send) -> None:
         """Record the mean interval between the events of a complete stream.
@@ -333,56 +283,6 @@
             return SendResult.BROKEN
         return SendResult.ANSWERED
 
-    def _note_crash(self, send: Send, end: str, options: SendOptions) -> None:
-        crashes = self._deps.crashes
-        fingerprint = self._request.fingerprint
-        if send.end is SendResult.BROKEN and end == ExchangeEnd.BROKEN:
-            probe = self._deps.pools.probe(send.upstream)
-            crashes.note_broken_send(send.upstream, fingerprint, probe)
-        elif _has_run_whole(send, options):
-            crashes.note_answer(fingerprint, self._request.id, send.upstream.id)
-        if end == ExchangeEnd.NOT_CONNECTED:
-            crashes.note_upstream_lost(send.upstream.id)
-
-    def _note_load(self, send: Send, end: str, options: SendOptions) -> None:
-        now = self._deps.clock.monotonic()
-        loads = self._deps.loads
-        id = send.upstream.id
-        if end == ExchangeEnd.NOT_CONNECTED:
-            loads.note_unreachable(id, now)
-        elif send.end is SendResult.ANSWERED:
-            loads.note_reached(id, now)
-        elif send.end in (SendResult.NOT_RUN, SendResult.OTHER_UPSTREAM):
-            # A failed fetch of a prefill is not a fault of the engine that fetches.
-            if not options.kv_source:
-                loads.note_refusal(id, now)
-        if loads.end(id, _has_failed(send, end), now):
-            self._deps.events.record(
-                "upstream.ejected",
-                request=self._request.id,
-                upstream=id,
-                failure_rate=round(loads.get(id).failure_rate, 2),
-            )
-        if send.facts is not None and send.facts.load is not None:
-            running, waiting, _ = send.facts.load
-            loads.note_report(id, running, waiting, now)
-
-    def _note_limit(self, send: Send, facts: AnswerFacts) -> None:
-        """Apply the rate limit in an answer's headers, or its removal."""
-        if facts.is_other_upstream:
-            return
-        id = send.upstream.id
-        now = self._deps.clock.monotonic()
-        change = self._deps.limits.update(id, facts.rate_limit, now)
-        if change is not None:
-            self._deps.events.record(
-                "upstream.limited",
-                request=self._request.id,
-                upstream=id,
-                before=change.before,
-                per_second=change.after,
-            )
-
 
 def _is_stream(send: Send, exchange: Exchange) -> bool:
     """Return whether an answer is a stream that may be passed on to the caller."""
@@ -390,19 +290,3 @@
     if head is None or facts is None or head.status != 200:
         return False
     return facts.is_signed and not facts.is_encoded and not facts.not_run
-
-
-def _has_run_whole(send: Send, options: SendOptions) -> bool:
-    """Return whether an upstream has certainly run the request to its end.
-
-    Neither a prefill shows that, as it ends before the request begins to run, nor an
-    error, which an upstream may answer without running it.
-    """
-    is_success = send.status in SUCCESS_STATUSES
-    return send.end is SendResult.ANSWERED and is_success and not options.prefill_only
-
-
-def _has_failed(send: Send, end: str) -> bool:
-    if end == ExchangeEnd.NOT_CONNECTED or send.end is SendResult.BROKEN:
-        return True
-    return send.end is SendResult.ANSWERED and send.status >= MIN_SERVER_ERROR_STATUS
