Count a crash although the caller has left meanwhile

Found while looking for the same cause elsewhere: a request that must not be repeated runs on when its caller leaves, and if its upstream crashed then, the send was filed under the caller's leave and nobody was accused. A request whose callers give up could crash one upstream after another.

Change: a lost connection is told apart from one that the gateway closes since its caller left.

--- a/packages/mustardquay-node/src/mustardquay_node/send_observations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/send_observations.py
@@ -66,7 +66,7 @@
     options: SendOptions,
 ) -> None:
     upstream = send.upstream
-    if send.end is SendResult.BROKEN and end == ExchangeEnd.BROKEN:
+    if send.was_lost:
         probe = deps.pools.probe(upstream)
         deps.crashes.note_broken_send(upstream, request.fingerprint, probe)
     elif _has_run_whole(send, options):
--- a/packages/mustardquay-node/src/mustardquay_node/send_results.py
+++ b/packages/mustardquay-node/src/mustardquay_node/send_results.py
@@ -26,6 +26,9 @@
     detail: str = ""
     was_reused: bool = False
     """Whether the connection had been used before."""
+    was_lost: bool = False
+    """Whether the connection ended, other than by the caller's leave, before the whole
+    answer."""
     passed: bool = False
     """Whether a part of this answer was passed on to the caller."""
     first_at: timedelta | None = None
--- a/packages/mustardquay-node/src/mustardquay_node/sends.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sends.py
@@ -247,6 +247,8 @@
         send.was_reused = exchange.was_reused
         send.detail = end
         send.end = self._classify(send, exchange, end)
+        was_left = self._reply.is_caller_gone and exchange.cancelled
+        send.was_lost = end == ExchangeEnd.BROKEN and not was_left
         self._deps.count_send(self._reply.route, send.end.value)
         if send.end is SendResult.ANSWERED and send.passed:
             self._reply.write(self._framer.take_partial_event())
