Ask right before each send whether its request is refused by now

Found while looking for the same cause elsewhere: whether a request is in quarantine was asked before its engines were chosen. While its prompt was read, or it waited for a rate limit, peers could tell of the third crash, and it was handed over all the same: one engine more. The wait for probes stood in that place as well.

Change: both stand in the one place through which prefill, hand-overs, copies, resumed streams and plain sends go.

--- a/packages/mustardquay-node/src/mustardquay_node/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections.py
@@ -61,8 +61,8 @@
     BROKEN = "broken"
     MALFORMED = "malformed"
     CANCELLED = "cancelled"
-    NOT_ACCEPTING = "not_accepting"
-    """The peer said meanwhile that it accepts no requests; nothing was sent."""
+    NOT_ALLOWED = "not_allowed"
+    """The request must not be sent any more; nothing was sent."""
 
 
 @dataclass(slots=True)
@@ -255,7 +255,7 @@
             return ExchangeEnd.CANCELLED
         if not exchange.may_send():
             self._release(stream)
-            return ExchangeEnd.NOT_ACCEPTING
+            return ExchangeEnd.NOT_ALLOWED
         exchange.attach(stream)
         may_keep = False
         try:
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -143,7 +143,6 @@
     async def run(self) -> None:
         """Send, and retry where that is allowed and can succeed."""
         while not self._reply.is_caller_gone:
-            await self._deps.crashes.wait_for_probes(self._request.fingerprint)
             if self._deps.crashes.is_refused(self._request.fingerprint):
                 self._refuse_quarantined()
                 return
--- a/packages/mustardquay-node/src/mustardquay_node/sends.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sends.py
@@ -54,6 +54,7 @@
     ) -> Send:
         """Send to an upstream, and buffer the answer or pass it on."""
         request = self._request
+        await self._deps.crashes.wait_for_probes(request.fingerprint)
         if self._reply.is_caller_gone:
             return Send(upstream, end=SendResult.CALLER_LEFT)
         # The stream of an earlier send may have ended in the middle of an event; the
@@ -137,11 +138,14 @@
         )
 
     def _may_send(self, upstream: UpstreamRecord, options: SendOptions) -> bool:
-        """Return whether the upstreams that a send reaches still accept requests.
+        """Return whether a send is still allowed, right before its first byte.
 
-        Guards against upstreams that said between the choice and the send that they are
-        leaving or want to rest: connections and reservations may take that long.
+        Guards against news since its upstream was chosen, as connections, reservations
+        and the prefill take time: that the request has crashed too many upstreams, or
+        that one that it reaches is leaving or wants to rest.
         """
+        if self._deps.crashes.is_refused(self._request.fingerprint):
+            return False
         reached = [upstream, options.holder] if options.holder else [upstream]
         return all(map(self._deps.statements.is_accepting, reached))
 
