Give the sending of requests a package of its own

The flat folder of modules had grown by two; the sender, options and results, and what sends show of upstreams are in mustardquay_node.sending.

--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -1,7 +1,7 @@
 """Forward one caller's request, from its arrival to the end of its answer.
 
 The stages are: parse the request and find its route, choose an upstream, send
-(`sends`, `handovers`), and act on the result of the send. Whether a request is sent
+(`sending`, `handovers`), and act on the result of the send. Whether a request is sent
 again is decided in `mustardquay.retry_decisions`, its upstream in `placements` and
 `upstream_loads`; answers to the caller are written in `replies`.
 """
@@ -29,8 +29,7 @@
 from .handovers import drop_prefill, send_generation
 from .rate_reservations import await_reservation
 from .replies import Reply
-from .send_results import Send
-from .sends import Sender
+from .sending import Send, Sender
 
 __all__ = ["forward"]
 
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -24,8 +24,7 @@
 from .generation_planners import RetainedPrefill, Ticket
 from .rate_reservations import await_reservation
 from .replies import Reply
-from .send_results import Send, SendOptions
-from .sends import Sender
+from .sending import Send, Sender, SendOptions
 
 __all__ = ["drop_prefill", "send_generation"]
 
--- a/packages/mustardquay-node/src/mustardquay_node/send_observations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
@@ -2,10 +2,10 @@
 
 from mustardquay.requests import SendResult
 
-from .adapters import AnswerFacts
-from .connections import ExchangeEnd
-from .forwarder_dependencies import ForwardedRequest, ForwarderDependencies
-from .send_results import Send, SendOptions
+from ..adapters import AnswerFacts
+from ..connections import ExchangeEnd
+from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
+from .results import Send, SendOptions
 
 __all__ = ["observe_end", "observe_head"]
 
--- a/packages/mustardquay-node/src/mustardquay_node/send_results.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/results.py
@@ -7,8 +7,8 @@
 from mustardquay.requests import SendResult
 from mustardquay.upstream_lists import UpstreamRecord
 
-from .adapters import AnswerFacts
-from .connections import AnswerHead
+from ..adapters import AnswerFacts
+from ..connections import AnswerHead
 
 __all__ = ["DEFAULT_OPTIONS", "Send", "SendOptions"]
 
--- a/packages/mustardquay-node/src/mustardquay_node/sends.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -10,15 +10,15 @@
 from mustardquay.stall_timeouts import find_idle_timeout
 from mustardquay.upstream_lists import UpstreamRecord
 
-from .adapters import SendTarget
-from .connections import AnswerHead, Exchange, ExchangeEnd
-from .event_framers import EventFramer, count_event_ends
-from .forwarder_dependencies import ForwardedRequest, ForwarderDependencies
-from .pauses import RunningTimer
-from .replies import Reply
-from .send_observations import observe_end, observe_head
-from .send_results import DEFAULT_OPTIONS, Send, SendOptions
-from .usage import may_have_begun, note_begun
+from ..adapters import SendTarget
+from ..connections import AnswerHead, Exchange, ExchangeEnd
+from ..event_framers import EventFramer, count_event_ends
+from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
+from ..pauses import RunningTimer
+from ..replies import Reply
+from ..usage import may_have_begun, note_begun
+from .observations import observe_end, observe_head
+from .results import DEFAULT_OPTIONS, Send, SendOptions
 
 __all__ = ["Sender"]
 
