--- a/packages/mustardquay/src/mustardquay/clocks.py
+++ b/packages/mustardquay/src/mustardquay/clocks.py
@@ -11,7 +11,10 @@
     """A source of time; monotonic times are comparable only within one process."""
 
     def now(self) -> datetime:
-        """Return the wall-clock time in UTC, for display and logs only."""
+        """Return the wall-clock time in UTC, which may jump.
+
+        For display and logs, and to compare with times that other processes state.
+        """
 
     def monotonic(self) -> timedelta:
         """Return the time since an arbitrary start; never goes back."""
