Take an answer for whole only if its content is

What callers saw: 200, the signature of an engine that had crashed, a short body, and a proper end. Cause: the end of an answer was taken from its framing alone. A process that crashes closes its connections without a reset, which is how answers without a length end; and a final chunk or the last byte of a length may come inside an event as well. Class: the end of a transport taken for the end of what it carries.

Change: one place decides for each framing. A stream is complete if it doesn't end inside an event and, where only its connection ends it, holds one; a prefill is if it can be read. Any other end is the exchange's own (incomplete), so that what follows from it is that of a broken answer: resumed where the route allows it, else broken off; a crash to be probed, no answer that clears a request, no speed learned, a failure in the loads, and counted as begun for usage. The head of a resumable stream goes with its first whole event, so that it is of the engine that brought it. A resumption that is whole and empty ends its stream: only the end had been lost.

--- a/packages/mustardquay-node/src/mustardquay_node/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections.py
@@ -21,6 +21,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from mustardquay.clocks import Clock
+from mustardquay.streams import Framing
 
 from .descriptors import is_exhausted
 from .pauses import running_timeout
@@ -60,6 +61,8 @@
     """The limit of connections is reached, of the pool or of the whole process."""
     BROKEN = "broken"
     MALFORMED = "malformed"
+    INCOMPLETE = "incomplete"
+    """The answer ended, but a part of its content is missing."""
     CANCELLED = "cancelled"
     NOT_ALLOWED = "not_allowed"
     """The request must not be sent any more; nothing was sent."""
@@ -108,12 +111,14 @@
         is_expected: Callable[[AnswerHead], bool] = lambda head: True,
         receive: Callable[["Exchange", bytes], Awaitable[None] | None] | None = None,
         may_send: Callable[[], bool] = lambda: True,
+        is_complete: Callable[["Exchange"], bool] = lambda exchange: True,
     ):
         """Take the request; `headers` is complete except for the length.
 
         `is_expected` returns whether an answer belongs to this request; others are
         skipped. `receive` gets the body in parts; without it the body is buffered.
-        `may_send` is asked right before the first byte is sent.
+        `may_send` is asked right before the first byte is sent, and `is_complete`
+        about the content of an answer that has ended by its framing.
         """
         self.method = method
         self.path = path
@@ -122,6 +127,7 @@
         self._is_expected = is_expected
         self._receive = receive
         self.may_send = may_send
+        self.is_complete = is_complete
         self._parts: list[bytes] = []
         self._skipping = False
         self._stream: IOStream | None = None
@@ -130,8 +136,7 @@
         """Whether a byte of the request may have been sent."""
         self.is_whole = False
         self.skipped = False
-        self.is_unframed = False
-        """Whether the end of the answer is the end of its connection."""
+        self.framing = Framing.CONNECTION
         self.was_reused = False
         """Whether the connection had been used before."""
         self.cancelled = False
@@ -160,9 +165,7 @@
             return
         head = AnswerHead(start_line.code, start_line.reason, headers)
         self._skipping = not self._is_expected(head)
-        self.is_unframed = (
-            "Content-Length" not in headers and "Transfer-Encoding" not in headers
-        )
+        self.framing = _find_framing(headers)
         if not self._skipping:
             self.head = head
 
@@ -187,7 +190,7 @@
             # An answer without a length is complete only if its connection was closed
             # cleanly; after a reset, its end may be missing.
             self.is_whole = self.head is not None and (
-                not self.is_unframed or self._was_closed_cleanly()
+                self.framing is not Framing.CONNECTION or self._was_closed_cleanly()
             )
 
     def on_connection_close(self) -> None:
@@ -354,9 +357,16 @@
             return ExchangeEnd.BROKEN
         except (HTTPInputError, ValueError):
             return ExchangeEnd.MALFORMED
-        if exchange.is_whole:
-            return ExchangeEnd.WHOLE
-        return ExchangeEnd.BROKEN
+        if not exchange.is_whole:
+            return ExchangeEnd.BROKEN
+        is_complete = exchange.is_complete(exchange)
+        return ExchangeEnd.WHOLE if is_complete else ExchangeEnd.INCOMPLETE
+
+
+def _find_framing(headers: HTTPHeaders) -> Framing:
+    if "Transfer-Encoding" in headers:
+        return Framing.CHUNKS
+    return Framing.LENGTH if "Content-Length" in headers else Framing.CONNECTION
 
 
 def _is_clean(exchange: Exchange, stream: IOStream) -> bool:
@@ -369,7 +379,7 @@
     connection = exchange.head.headers.get("Connection", "").lower()
     return (
         "close" not in connection
-        and not exchange.is_unframed
+        and exchange.framing is not Framing.CONNECTION
         and not stream.writing()
         and not _is_unusable(stream)
     )
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -153,7 +153,7 @@
             self._request.send_history.note(send.end)
             self._request.last_end = send.end.value
             self._request.send_history.has_sent_events = self._reply.has_begun
-            if send.end is SendResult.ANSWERED and send.passed:
+            if send.end is SendResult.ANSWERED and self._reply.has_begun:
                 self._sender.log(send, "answered")
                 self._reply.end_stream()
                 self._record_times()
--- a/packages/mustardquay-node/src/mustardquay_node/sending/results.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/results.py
@@ -27,15 +27,15 @@
     was_reused: bool = False
     """Whether the connection had been used before."""
     was_lost: bool = False
-    """Whether the connection ended, other than by the caller's leave, before the whole
-    answer."""
-    passed: bool = False
-    """Whether a part of this answer was passed on to the caller."""
+    """Whether the connection ended before the whole answer, or the answer without its
+    whole content, other than by the caller's leave."""
     first_at: timedelta | None = None
     """When the first part of a stream was received, on the monotonic clock."""
     last_at: timedelta = timedelta()
     events: int = 0
-    """Events of a stream that were received."""
+    """Events of a stream that were received whole."""
+    framing: str = ""
+    """What marked the end of the answer, a value of `Framing`; empty without one."""
 
     @property
     def status(self) -> int:
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -4,15 +4,16 @@
 from collections.abc import Awaitable
 from datetime import timedelta
 
+from mustardquay.errors import ProtocolError
 from mustardquay.generation_limits import rank_generation
 from mustardquay.requests import SendResult
 from mustardquay.routing_tables import Repeat
 from mustardquay.stall_timeouts import find_idle_timeout
+from mustardquay.streams import EventFramer, is_stream_complete
 from mustardquay.upstream_lists import UpstreamRecord
 
 from ..adapters import SendTarget
 from ..connections import AnswerHead, Exchange, ExchangeEnd
-from ..event_framers import EventFramer, count_event_ends
 from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from ..pauses import RunningTimer
 from ..replies import Reply
@@ -22,6 +23,8 @@
 
 __all__ = ["Sender"]
 
+LOST_ENDS = (ExchangeEnd.BROKEN, ExchangeEnd.INCOMPLETE)
+"""Ends of an exchange without a whole answer, as crashes of upstreams leave them."""
 NON_IDEMPOTENT_IDLE_LIMIT = timedelta(milliseconds=400)
 """Idle time up to which a connection is reused for requests that must not be repeated.
 Upstreams close idle connections after some 1.5 s, and may do so sooner."""
@@ -47,7 +50,7 @@
     @property
     def has_partial_event(self) -> bool:
         """Return whether a part of an event is held back until its end."""
-        return self._framer.has_partial
+        return self._framer.is_inside_event
 
     async def run(
         self, upstream: UpstreamRecord, options: SendOptions = DEFAULT_OPTIONS
@@ -59,7 +62,7 @@
             return Send(upstream, end=SendResult.CALLER_LEFT)
         # The stream of an earlier send may have ended in the middle of an event; the
         # next one sends that event whole.
-        self._framer.drop_partial_event()
+        self._framer.restart()
         send = Send(upstream)
         exchange = self._make_exchange(send, options)
         request.current = exchange
@@ -98,6 +101,7 @@
             end=send.end.value,
             detail=send.detail,
             status=send.status,
+            framing=send.framing,
             kept=send.was_reused,
             next=step,
             age_ms=self._reply.age_ms,
@@ -135,6 +139,7 @@
             is_expected=lambda head: self._is_expected_answer(send, head),
             receive=receive if is_stream else None,
             may_send=may_send,
+            is_complete=lambda exchange: self._is_complete(send, exchange, options),
         )
 
     def _may_send(self, upstream: UpstreamRecord, options: SendOptions) -> bool:
@@ -187,27 +192,54 @@
         """Pass on a part of a stream; buffer other answers until they are complete."""
         now = self._deps.clock.monotonic()
         self._deps.loads.note_activity(send.upstream.id, now)
-        if not _is_stream(send, exchange):
+        if not self._is_stream(send, exchange):
             exchange.keep(data)
             return None
-        if not send.passed:
-            send.passed = True
-            note_begun(self._deps, self._request, now)
-            options.on_first_part()
-            if not self._reply.has_begun:
-                self._reply.begin_stream(exchange.head)
         if send.first_at is None:
             send.first_at = now
+            note_begun(self._deps, self._request, now)
+            options.on_first_part()
         send.last_at = now
-        events = count_event_ends(data)
-        send.events += events
-        self._reply.events += events
         self._start_silence_timer(find_idle_timeout(self._request.route))
+        events = self._framer.feed(data)
+        self._reply.events += self._framer.events - send.events
+        send.events = self._framer.events
         if self._request.route.resumable:
-            data = self._framer.feed(data)
+            data = events
             self._request.last_event = self._framer.last_id or self._request.last_event
+        return self._pass_on(exchange, data)
+
+    def _pass_on(self, exchange: Exchange, data: bytes) -> Awaitable[None] | None:
+        """Send a part of a stream to the caller; its head goes with the first one."""
+        if not data:
+            return None
+        if not self._reply.has_begun:
+            assert exchange.head is not None
+            self._reply.begin_stream(exchange.head)
         return self._reply.write(data)
 
+    def _is_complete(
+        self, send: Send, exchange: Exchange, options: SendOptions
+    ) -> bool:
+        """Return whether an answer that has ended by its framing holds all it should.
+
+        Guards against upstreams that crash: their answers may end just as whole ones.
+        """
+        if options.prefill_only:
+            return exchange.head.status != 200 or self._is_prefilled(exchange)
+        if not self._is_stream(send, exchange):
+            return True
+        return is_stream_complete(
+            exchange.framing, self._framer.events, self._framer.is_inside_event
+        )
+
+    def _is_prefilled(self, exchange: Exchange) -> bool:
+        try:
+            self._deps.adapter.read_prefilled(exchange.content)
+        except ProtocolError:
+            return False
+        return True
+
     def _start_silence_timer(self, limit: timedelta | None) -> None:
         """Cancel the send when its upstream is silent for too long.
 
@@ -252,10 +284,12 @@
         send.detail = end
         send.end = self._classify(send, exchange, end)
         was_left = self._reply.is_caller_gone and exchange.cancelled
-        send.was_lost = end == ExchangeEnd.BROKEN and not was_left
+        send.framing = exchange.framing.value if exchange.head else ""
+        send.was_lost = end in LOST_ENDS and not was_left
         self._deps.count_send(self._reply.route, send.end.value)
-        if send.end is SendResult.ANSWERED and send.passed:
-            self._reply.write(self._framer.take_partial_event())
+        if send.end is SendResult.ANSWERED and self._is_stream(send, exchange):
+            if self._request.route.resumable:
+                self._pass_on(exchange, self._framer.take_rest())
             self._record_event_interval(send)
         if not options.prefill_only and may_have_begun(send.end, end):
             note_begun(self._deps, self._request, self._deps.clock.monotonic())
@@ -284,15 +318,16 @@
             return SendResult.NOT_RUN
         if send.facts.is_encoded:
             return SendResult.BROKEN
-        if self._reply.has_begun and not send.passed:
+        if self._reply.has_begun and not self._is_stream(send, exchange):
             # An error instead of the rest of a stream whose head was already sent.
             return SendResult.BROKEN
         return SendResult.ANSWERED
 
-
-def _is_stream(send: Send, exchange: Exchange) -> bool:
-    """Return whether an answer is a stream that may be passed on to the caller."""
-    head, facts = exchange.head, send.facts
-    if head is None or facts is None or head.status != 200:
-        return False
-    return facts.is_signed and not facts.is_encoded and not facts.not_run
+    def _is_stream(self, send: Send, exchange: Exchange) -> bool:
+        """Return whether an answer is a stream that may be passed on to the caller."""
+        head, facts = exchange.head, send.facts
+        if self._request.route.repeat is not Repeat.STREAM:
+            return False
+        if head is None or facts is None or head.status != 200:
+            return False
+        return facts.is_signed and not facts.is_encoded and not facts.not_run
--- a/packages/mustardquay-node/src/mustardquay_node/usage/begun_requests.py
+++ b/packages/mustardquay-node/src/mustardquay_node/usage/begun_requests.py
@@ -12,7 +12,12 @@
 
 MAX_PLAIN_WORK = timedelta(milliseconds=200)
 """Time before the answer in which a plain upstream began: it was busy before that."""
-LOST_ANSWER_ENDS = (ExchangeEnd.BROKEN, ExchangeEnd.MALFORMED, ExchangeEnd.WHOLE)
+LOST_ANSWER_ENDS = (
+    ExchangeEnd.BROKEN,
+    ExchangeEnd.MALFORMED,
+    ExchangeEnd.INCOMPLETE,
+    ExchangeEnd.WHOLE,
+)
 """Ends of an exchange without an answer that upstreams cause, not this process."""
 
 
--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/streams/__init__.py
@@ -0,0 +1,6 @@
+"""Streams of events: where events end, and whether a stream is complete."""
+
+from .completeness import Framing, is_stream_complete
+from .event_framers import EventFramer
+
+__all__ = ["EventFramer", "Framing", "is_stream_complete"]
--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/streams/completeness.py
@@ -0,0 +1,36 @@
+"""Completeness of streams: what shows that an answer has come to its end.
+
+A process that crashes closes its connections, so that the end of a connection alone
+says nothing. It may also end an answer in chunks or of a known length inside an event.
+"""
+
+from enum import StrEnum
+
+__all__ = ["Framing", "is_stream_complete"]
+
+
+class Framing(StrEnum):
+    """What marks the end of an answer's body; see RFC 9112, section 6.3."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+    """The end of the connection."""
+
+
+def is_stream_complete(framing: Framing, events: int, is_inside_event: bool) -> bool:
+    """Return whether a stream that has ended by its framing is complete.
+
+    `events` are those of this answer. One that ends with its connection before the
+    first event is not known to hold none.
+
+    >>> is_stream_complete(Framing.CHUNKS, 0, False)
+    True
+    >>> is_stream_complete(Framing.CONNECTION, 0, False)
+    False
+    >>> [is_stream_complete(framing, 2, True) for framing in Framing]
+    [False, False, False]
+    """
+    if is_inside_event:
+        return False
+    return framing is not Framing.CONNECTION or events > 0
