Use no connection again after an answer of HTTP/1.0

Such an upstream closes after its answer, whether or not that has a length. A request sent on the connection meanwhile would be lost.

--- a/packages/mustardquay-node/src/mustardquay_node/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections.py
@@ -137,6 +137,8 @@
         self.is_whole = False
         self.skipped = False
         self.framing = Framing.CONNECTION
+        self.is_persistent = True
+        """Whether the answer's version of HTTP keeps connections open."""
         self.was_reused = False
         """Whether the connection had been used before."""
         self.cancelled = False
@@ -166,6 +168,7 @@
         head = AnswerHead(start_line.code, start_line.reason, headers)
         self._skipping = not self._is_expected(head)
         self.framing = _find_framing(headers)
+        self.is_persistent = start_line.version != "HTTP/1.0"
         if not self._skipping:
             self.head = head
 
@@ -379,6 +382,7 @@
     connection = exchange.head.headers.get("Connection", "").lower()
     return (
         "close" not in connection
+        and exchange.is_persistent
         and exchange.framing is not Framing.CONNECTION
         and not stream.writing()
         and not _is_unusable(stream)
