Show callers of HTTP/1.0 where a stream ends and where it breaks off

They know no chunks: a stream ends with their connection. One that broke off ended just as a whole one, and a caller that asked to keep its connection waited for an end that never came. A broken one is now reset, and the connection is closed after a whole one.

--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -77,11 +79,16 @@
         connection: HTTP1Connection,
         method: str,
         is_last: Callable[[], bool] = lambda: False,
+        knows_chunks: bool = True,
     ):
-        """Take `is_last`: returns whether this is the connection's last answer."""
+        """Take `is_last`: returns whether this is the connection's last answer.
+
+        Callers of HTTP/1.0 don't know chunks: a stream ends with their connection.
+        """
         self._connection = connection
         self._method = method
         self._is_last = is_last
+        self._knows_chunks = knows_chunks
         self._on_caller_gone: Callable[[], None] | None = None
         self.has_begun = False
         self.has_ended = False
@@ -105,8 +112,12 @@
     def begin(self, status: int, headers: HTTPHeaders) -> None:
         """Send the head of an answer of unknown length."""
         self.has_begun = True
-        if not self.is_caller_gone:
-            self._write_head(status, headers, None)
+        if self.is_caller_gone:
+            return
+        if not self._knows_chunks:
+            # Tornado would keep a connection of HTTP/1.0 open if its caller asks so.
+            self._connection._disconnect_on_finish = True
+        self._write_head(status, headers, None)
 
     def write(self, data: bytes) -> Awaitable[None] | None:
         """Send a part; returns what to await if the caller is slow to read, or None."""
@@ -123,8 +134,17 @@
     def abort(self) -> None:
         """Close the connection, so that the answer does not look complete."""
         self.has_ended = True
+        if not self._knows_chunks:
+            self._reset_on_close()
         self._connection.close()
 
+    def _reset_on_close(self) -> None:
+        """Have the connection reset, where its end would mark an answer as complete."""
+        stream = self._connection.stream
+        if not stream.closed():
+            linger = struct.pack("ii", 1, 0)
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _write_head(self, status: int, headers: HTTPHeaders, body: bytes | None):
         reason = responses.get(status, "Unknown")
         line = ResponseStartLine("HTTP/1.1", status, reason)
@@ -268,7 +288,12 @@
             self._usage.requests,
             self._usage.connection,
         )
-        self._answer = CallerAnswer(self._connection, start_line.method, self._is_last)
+        self._answer = CallerAnswer(
+            self._connection,
+            start_line.method,
+            self._is_last,
+            start_line.version != "HTTP/1.0",
+        )
         length = headers.get("Content-Length", "")
         if length.isdecimal() and int(length) > limits.body_bytes:
             self._refuse_size(limits.body_bytes)
