Ask an upstream whose answer ends with its connection whether it is there

An engine that crashes between two events, or in a plain answer, leaves one that looks whole. One that has crashed refuses connections, so its pool opens the next one before the answer counts as whole; it would need it anyway, as such an answer ends the old one.

--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -9,11 +9,11 @@
 from mustardquay.requests import SendResult
 from mustardquay.routing_tables import Repeat
 from mustardquay.stall_timeouts import find_idle_timeout
-from mustardquay.streams import EventFramer, is_stream_complete
+from mustardquay.streams import EventFramer, Framing, is_stream_complete
 from mustardquay.upstream_lists import UpstreamRecord
 
 from ..adapters import SendTarget
-from ..connections import AnswerHead, Exchange, ExchangeEnd
+from ..connections import AnswerHead, ConnectionPool, Exchange, ExchangeEnd
 from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from ..pauses import RunningTimer
 from ..replies import Reply
@@ -80,6 +80,8 @@
             end = await pool.run(
                 exchange, NON_IDEMPOTENT_IDLE_LIMIT if is_once else None
             )
+            if end == ExchangeEnd.WHOLE and not options.prefill_only:
+                end = await _confirm_end(exchange, pool)
         except asyncio.CancelledError:
             if exchange.was_sent and not options.prefill_only:
                 request.was_interrupted = True
@@ -331,3 +333,14 @@
         if head is None or facts is None or head.status != 200:
             return False
         return facts.is_signed and not facts.is_encoded and not facts.not_run
+
+
+async def _confirm_end(exchange: Exchange, pool: ConnectionPool) -> str:
+    """Return the end of an answer that looks whole, an `ExchangeEnd`.
+
+    Guards against upstreams that crash in an answer which ends with its connection, as
+    between two events of a stream. One that has crashed refuses connections.
+    """
+    if exchange.framing is not Framing.CONNECTION or await pool.probe():
+        return ExchangeEnd.WHOLE
+    return ExchangeEnd.INCOMPLETE
