Have agents take an answer that was reset for broken, whatever its framing

The same cause elsewhere: an agent's call of a plain service whose answer has no length counted as whole when its connection was reset, so that a part of it was passed on and recorded as the answer. Gateways told the two apart already. The test failed before (whole where broken was expected) and passes.

--- a/packages/mustardquay-node/src/mustardquay_node/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections.py
@@ -21,7 +21,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from mustardquay.clocks import Clock
-from mustardquay.streams import Framing
+from mustardquay.streams import Framing, find_framing
 
 from .descriptors import is_exhausted
 from .pauses import running_timeout
@@ -167,7 +167,7 @@
             return
         head = AnswerHead(start_line.code, start_line.reason, headers)
         self._skipping = not self._is_expected(head)
-        self.framing = _find_framing(headers)
+        self.framing = find_framing(headers)
         self.is_persistent = start_line.version != "HTTP/1.0"
         if not self._skipping:
             self.head = head
@@ -366,12 +366,6 @@
         return ExchangeEnd.WHOLE if is_complete else ExchangeEnd.INCOMPLETE
 
 
-def _find_framing(headers: HTTPHeaders) -> Framing:
-    if "Transfer-Encoding" in headers:
-        return Framing.CHUNKS
-    return Framing.LENGTH if "Content-Length" in headers else Framing.CONNECTION
-
-
 def _is_clean(exchange: Exchange, stream: IOStream) -> bool:
     """Return whether the connection may carry another exchange.
 
--- a/packages/mustardquay-node/src/mustardquay_node/upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstreams.py
@@ -23,6 +23,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from mustardquay.messages import Header
+from mustardquay.streams import Framing, find_framing
 
 from .hop_headers import HOP_HEADERS
 
@@ -93,6 +94,7 @@
         self.answered = False
         """Whether the head of the answer has been received."""
         self.whole = False
+        self._framing = Framing.CONNECTION
         self.reusable = True
         self.cancelled = False
 
@@ -119,6 +121,7 @@
         if start_line.code < 200:
             return
         self.answered = True
+        self._framing = find_framing(headers)
         self.reusable = headers.get("Connection", "").lower() != "close"
         kept = tuple(
             (name, value)
@@ -133,8 +136,12 @@
         return None if waiting is None else self._pause_reading(waiting)
 
     def finish(self) -> None:
-        """Mark the answer as complete."""
-        self.whole = self.answered
+        """Mark the answer as complete, unless its connection was reset instead."""
+        is_shown = self._framing is not Framing.CONNECTION
+        self.whole = self.answered and (is_shown or self._was_closed_cleanly())
+
+    def _was_closed_cleanly(self) -> bool:
+        return self._stream is not None and self._stream.error is None
 
     def on_connection_close(self) -> None:
         """Do nothing: the answer stays marked as incomplete."""
--- /dev/null
+++ b/packages/mustardquay-node/tests/test_upstreams.py
@@ -0,0 +1,45 @@
+"""Calls from an agent to its engine or service."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from mustardquay_node.upstreams import CallResult, UpstreamCall, UpstreamClient
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
+
+
+def _reset(writer):
+    connection = writer.transport.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+@pytest.mark.parametrize(
+    "resets, end", [(True, CallResult.BROKEN), (False, CallResult.COMPLETE)]
+)
+async def test_an_answer_without_length_is_whole_unless_it_is_reset(resets, end):
+    """Guards against a part of an answer that is taken for all of it."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"a part")
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if resets:
+            _reset(writer)
+        else:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    client = UpstreamClient(f"http://{host}:{port}")
+    parts = []
+    call = UpstreamCall("GET", "/", (), b"", lambda *head: None, parts.append)
+    assert await client.run(call, fresh=True) is end
+    assert parts == [b"a part"]
+    client.close()
+    server.close()
--- a/packages/mustardquay/src/mustardquay/streams/__init__.py
+++ b/packages/mustardquay/src/mustardquay/streams/__init__.py
@@ -1,6 +1,6 @@
 """Streams of events: where events end, and whether a stream is complete."""
 
-from .completeness import Framing, is_stream_complete
+from .completeness import Framing, find_framing, is_stream_complete
 from .event_framers import EventFramer
 
-__all__ = ["EventFramer", "Framing", "is_stream_complete"]
+__all__ = ["EventFramer", "Framing", "find_framing", "is_stream_complete"]
--- a/packages/mustardquay/src/mustardquay/streams/completeness.py
+++ b/packages/mustardquay/src/mustardquay/streams/completeness.py
@@ -4,9 +4,10 @@
 says nothing. It may also end an answer in chunks or of a known length inside an event.
 """
 
+from collections.abc import Container
 from enum import StrEnum
 
-__all__ = ["Framing", "is_stream_complete"]
+__all__ = ["Framing", "find_framing", "is_stream_complete"]
 
 
 class Framing(StrEnum):
@@ -18,6 +19,17 @@
     """The end of the connection."""
 
 
+def find_framing(headers: Container[str]) -> Framing:
+    """Return the framing of an answer that has headers of these names.
+
+    >>> find_framing({"Content-Type", "Content-Length"}).value
+    'length'
+    """
+    if "Transfer-Encoding" in headers:
+        return Framing.CHUNKS
+    return Framing.LENGTH if "Content-Length" in headers else Framing.CONNECTION
+
+
 def is_stream_complete(framing: Framing, events: int, is_inside_event: bool) -> bool:
     """Return whether a stream that has ended by its framing is complete.
 
