Read the software version of upstreams, and which stream a caller takes up

The record of an upstream has `version`, of its software, and a caller names in `Resumes` the attempt that brought the first event of its stream.

--- a/packages/mustardquay-node/src/mustardquay_node/adapters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/adapters.py
@@ -52,6 +52,8 @@
     prompt: PromptTraits | None
     resumes_after: str | None
     """Id of the last event that the caller received of an interrupted stream."""
+    resumes: str | None = None
+    """Id of the caller's attempt that brought the first event of that stream."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mustardquay/src/mustardquay/upstream_lists.py
+++ b/packages/mustardquay/src/mustardquay/upstream_lists.py
@@ -47,6 +47,9 @@
     """Start of this incarnation in Unix milliseconds; 0 if not reported."""
     sequence: int = 0
     """Increases with each record that an incarnation writes; 0 if not reported."""
+    software_version: str = ""
+    """Version of the upstream's own software; what two versions write into a stream
+    doesn't fit together."""
 
 
 @dataclass(slots=True)
