Have an engine of each software version decode

A stream may go on only at the version that began it. Where all engines of a version prefill, its streams end with the one that crashed, and callers who take them up are refused while new streams begin elsewhere. The plan of stages didn't know versions: it made new engines of a release prefill, and chose by zone alone.

Change: a version that serves with two engines or more has one that decodes, the last one stays, and engines are chosen across versions before zones. With one version nothing differs.

--- a/packages/mustardquay/src/mustardquay/stage_plans.py
+++ b/packages/mustardquay/src/mustardquay/stage_plans.py
@@ -4,6 +4,9 @@
 many streams open. A decode engine runs all of its streams at nearly the speed of one,
 but prefills at half the speed, and its decode steps take many times longer meanwhile.
 Therefore few engines decode, and the others prefill.
+
+A stream may go on only at the software version that began it, so each version that
+serves with several engines has one that decodes.
 """
 
 from collections import Counter
@@ -61,6 +64,9 @@
 """How long an engine counts as new. A surplus new engine is changed without delay, as
 it has little work and an empty cache, and as the surplus is caused by its arrival and
 not by a burst."""
+MIN_VERSION_ENGINES = 2
+"""Engines of a software version from which one of them always decodes: with one alone,
+its streams end with it."""
 LISTING_LIFETIME = timedelta(seconds=30)
 """How long an unlisted engine is remembered: records expire while the store is
 unavailable, and are written again soon after it recovers."""
@@ -148,14 +154,17 @@
         mean = self._predict(service, streams, now, lead)
         streams_per_engine = count_streams(engines)
         wanted = count_decoders(len(engines), mean, streams_per_engine)
+        balance = _VersionBalance(engines, decoders)
+        wanted = max(wanted, len(balance.required))
         if len(decoders) > wanted and mean > SLACK * streams_per_engine * wanted:
             wanted = len(decoders)
         missing = (
             wanted - len(decoders) + _count_limited(engines, decoders, capacities or {})
         )
+        missing = max(missing, len(balance.uncovered)) if balance.uncovered else missing
         if missing > 0:
             stage, delay = Stage.DECODE, DECODER_DELAY
-            if len(listed) < wanted:
+            if len(listed) < wanted or balance.uncovered:
                 delay = GONE_DELAY
             self._off_since.pop((service, Stage.PREFILL), None)
         elif missing < 0:
@@ -164,7 +173,7 @@
             spare = sum(each.stage is Stage.DECODE for each in decoders) - wanted
             new_engines = self._list_new(service, decoders, now)
             if new_engines and spare > 0:
-                chosen = _choose(new_engines, spare, decoders)
+                chosen = _choose(new_engines, spare, decoders, balance)
                 return [StageChange(engine, stage) for engine in chosen]
         else:
             self._off_since.pop((service, Stage.DECODE), None)
@@ -174,7 +183,7 @@
         if is_settled and decoders and now - since < delay:
             return []
         others = [each for each in engines if stages[each.id] is not stage]
-        chosen = _choose(others, abs(missing), decoders)
+        chosen = _choose(others, abs(missing), decoders, balance)
         return [StageChange(engine, stage) for engine in chosen]
 
     def _note_listed(
@@ -255,18 +264,69 @@
     return min(max(ceil(streams / streams_per_engine), least), most)
 
 
+class _VersionBalance:
+    """The software versions of engines, and how many engines of each decode."""
+
+    def __init__(
+        self, engines: Sequence[UpstreamRecord], decoders: Sequence[UpstreamRecord]
+    ):
+        self._engines = Counter(each.software_version for each in engines)
+        self._decoders = Counter(each.software_version for each in decoders)
+        self.required = frozenset(
+            version
+            for version, count in self._engines.items()
+            if count >= MIN_VERSION_ENGINES
+        )
+        """Versions of which an engine should decode."""
+
+    @property
+    def uncovered(self) -> list[str]:
+        """Return the versions of which an engine should decode and none does."""
+        return [each for each in self.required if not self._decoders[each]]
+
+    def is_last(self, decoder: UpstreamRecord) -> bool:
+        """Return whether no other engine of its version would decode."""
+        version = decoder.software_version
+        return version in self.required and self._decoders[version] == 1
+
+    def measure_share(self, engine: UpstreamRecord) -> float:
+        """Return the share of the engines of a version that decode."""
+        version = engine.software_version
+        return self._decoders[version] / max(self._engines[version], 1)
+
+    def note_change(self, engine: UpstreamRecord, change: int) -> None:
+        """Note that an engine begins (1) or stops (-1) to decode."""
+        self._decoders[engine.software_version] += change
+
+
 def _choose(
-    engines: Sequence[UpstreamRecord], count: int, decoders: Sequence[UpstreamRecord]
+    engines: Sequence[UpstreamRecord],
+    count: int,
+    decoders: Sequence[UpstreamRecord],
+    balance: _VersionBalance,
 ) -> list[UpstreamRecord]:
-    """Return the engines to change, to balance decode engines across zones."""
+    """Return the engines to change.
+
+    Balances decode engines across software versions first, and then across zones.
+    """
     per_zone = Counter(each.availability_zone for each in decoders)
     are_decoders = engines and engines[0] in decoders
+    sign = -1 if are_decoders else 1
+
+    def rank(engine: UpstreamRecord) -> tuple[float, int]:
+        share = balance.measure_share(engine)
+        return sign * share, sign * per_zone[engine.availability_zone]
+
     chosen: list[UpstreamRecord] = []
     rest = sorted(engines, key=lambda each: each.id)
-    while rest and len(chosen) < count:
-        sign = -1 if are_decoders else 1
-        best = min(rest, key=lambda each: sign * per_zone[each.availability_zone])
+    while len(chosen) < count:
+        if are_decoders:
+            rest = [each for each in rest if not balance.is_last(each)]
+        if not rest:
+            break
+        best = min(rest, key=rank)
         rest.remove(best)
         chosen.append(best)
+        balance.note_change(best, sign)
         per_zone[best.availability_zone] += sign
     return chosen
--- a/packages/mustardquay/tests/test_stage_plans.py
+++ b/packages/mustardquay/tests/test_stage_plans.py
@@ -1,6 +1,12 @@
 from datetime import timedelta
 
-from mustardquay.stage_plans import DECODER_DELAY, StagePlanner, count_decoders
+from mustardquay.stage_plans import (
+    DECODER_DELAY,
+    GONE_DELAY,
+    PREFILLER_DELAY,
+    StagePlanner,
+    count_decoders,
+)
 from mustardquay.upstream_lists import Stage, UpstreamRecord
 
 NOW = timedelta(seconds=30)
@@ -234,3 +240,65 @@
         streams = 110 + 6 * (step % 2)
         lead = timedelta(seconds=3)
         assert planner.plan("llm", engines, {}, streams, now, True, lead=lead) == []
+
+
+def make_versions(old, new):
+    """Return engines of two software versions, by whether they decode."""
+    stages = [(stage, "1") for stage in old] + [(stage, "2") for stage in new]
+    return [
+        UpstreamRecord(
+            f"e{n}",
+            "llm",
+            f"10.0.0.{n}:80",
+            "abc"[n % 3],
+            64,
+            False,
+            Stage.DECODE if decodes else Stage.PREFILL,
+            software_version=version,
+        )
+        for n, (decodes, version) in enumerate(stages)
+    ]
+
+
+def test_an_engine_of_each_software_version_decodes():
+    """Guards against streams that can go on nowhere though their version serves."""
+    planner = StagePlanner()
+    engines = make_versions([True, True, False], [False, False, False])
+    assert plan(planner, engines) == []
+    [change] = plan(planner, engines, now=NOW + GONE_DELAY)
+    assert change.engine.software_version == "2"
+    assert change.stage is Stage.DECODE
+
+
+def test_the_last_decode_engine_of_a_software_version_stays():
+    """Guards against a surplus that takes the only engine of a version that decodes."""
+    planner = StagePlanner()
+    engines = make_versions([True, True, False], [True, False, False])
+    plan(planner, engines)
+    [change] = plan(planner, engines, now=NOW + PREFILLER_DELAY)
+    assert (change.engine.software_version, change.stage) == ("1", Stage.PREFILL)
+
+
+def test_a_new_engine_of_a_new_software_version_goes_on_decoding():
+    """Guards against a release whose engines are all made to prefill."""
+    planner = StagePlanner()
+    old = make_versions([True, True, False, False], [False])
+    assert plan(planner, old) == []
+    engines = make_versions([True, True, False, False], [False, True])
+    changes = plan(planner, engines, now=NOW + timedelta(seconds=1))
+    assert all(change.engine.software_version == "1" for change in changes)
+
+
+def test_decode_engines_are_chosen_across_software_versions():
+    engines = make_versions([True] * 4, [True] * 2)
+    changes = plan(StagePlanner(), engines, streams=0, is_settled=False)
+    left = [each for each in engines if each not in [c.engine for c in changes]]
+    assert {each.software_version for each in left} == {"1", "2"}
+
+
+def test_one_engine_of_a_software_version_may_prefill():
+    """Guards against a stage plan that serves one engine at the cost of all others."""
+    planner = StagePlanner()
+    engines = make_versions([True, True, False, False, False], [False])
+    for seconds in range(9):
+        assert plan(planner, engines, now=NOW + timedelta(seconds=seconds)) == []
