Let streams go on only at the software version that began them

What callers saw: events of two versions of one service in a stream, in one answer (an engine crashed, the rest came from another version) and over their tries. Cause: upstreams of a service were taken for interchangeable once a stream had begun; nothing read their version, and a gateway knew nothing of streams that had begun elsewhere. Class: what is true of new work taken for true of begun work.

Change: the origin of a stream (service and version) is noted before its first event goes to the caller, and told to four gateways on a ring, again every two seconds while it runs, and to gateways that start. A gateway that doesn't know a stream asks these and its neighbours, by datagram. Where nobody knows it, it still goes on if the only version ever marked in the store for that service is the one that serves; versions are marked before streams begin at them, two calls for each version and start. Else the caller is told that its request has not run. Each choice of an upstream for the rest of a stream, within an answer, after a hand-over or a take-up, is among those of its version; one that returned under its id with another version is held back right before the send. Streams that are taken up wait for longer than new ones may.

--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -11,7 +11,13 @@
 from mustardquay.rate_limits import RateLimiter
 from mustardquay.retry_decisions import SendHistory
 from mustardquay.route_times import RouteTimes
-from mustardquay.routing_tables import Route
+from mustardquay.routing_tables import Repeat, Route
+from mustardquay.streams import (
+    StreamOrigin,
+    compute_stream_key,
+    filter_continuing,
+    prefer_marked,
+)
 from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import UpstreamLoads
 from mustardquay.upstream_statements import UpstreamStatements
@@ -23,6 +29,7 @@
 from .crash_reporters import CrashReporter
 from .gateway_stops import GatewayStop
 from .generation_planners import GenerationPlanner, RetainedPrefill
+from .stream_origins import OriginSubsystem
 from .upstream_pools import UpstreamPools
 
 __all__ = ["ForwardedRequest", "ForwarderDependencies"]
@@ -45,6 +52,7 @@
     note_statements: Callable[[UpstreamRecord, AnswerFacts, str], None]
     """Keeps what an upstream says of itself in an answer to the request of that id."""
     crashes: CrashReporter
+    origins: OriginSubsystem
     planner: GenerationPlanner
     stop: GatewayStop
     find_table_state: Callable[[], TableState]
@@ -67,6 +75,15 @@
         usable = self.upstreams.list_usable(service)
         return [record for record in usable if not self.statements.measure_rest(record)]
 
+    def list_candidates(self, request: "ForwardedRequest") -> list[UpstreamRecord]:
+        """Return the upstreams that a request may be sent to now."""
+        accepting = self.list_accepting(request.service)
+        if request.origin is not None:
+            return filter_continuing(accepting, request.origin)
+        if request.is_resumable:
+            return list(prefer_marked(accepting, self.origins.is_marked))
+        return accepting
+
 
 @dataclass(slots=True)
 class ForwardedRequest:
@@ -107,6 +124,26 @@
     """The prefill by another engine than the one that decodes."""
     last_event: str | None = None
     """Id of the last complete event that was sent to the caller."""
+    origin: StreamOrigin | None = None
+    """Where a resumable stream began, once it has."""
+    stream_keys: tuple[int, ...] = ()
+    """Keys under which the origin of the stream is known."""
+
+    def __post_init__(self) -> None:
+        if self.is_resumable:
+            self.stream_keys = (compute_stream_key(self.id, self.organisation),)
+
+    @property
+    def is_resumable(self) -> bool:
+        """Return whether the answer is a stream that may go on at another upstream."""
+        return self.route.resumable and self.route.repeat is Repeat.STREAM
+
+    @property
+    def is_take_up(self) -> bool:
+        """Return whether an earlier attempt of the caller began the stream."""
+        facts = self.facts
+        is_named = facts.resumes is not None or facts.resumes_after is not None
+        return self.is_resumable and is_named
 
     @property
     def max_output_tokens(self) -> int:
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -19,10 +19,11 @@
 )
 from mustardquay.routing_tables import Repeat, RoutingTable
 from mustardquay.stops import RequestEstimate
+from mustardquay.streams import TakeUpRefusal
 from mustardquay.upstream_lists import Stage, UpstreamRecord
 from mustardquay.upstream_loads import choose_plain
 
-from .arrivals import read_request
+from .arrivals import VERSION_RETRY_AFTER, read_request, take_up_stream
 from .caller_connections import CallerAnswer, CallerRequest
 from .forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from .gateway_stops import DEFAULT_RETRY_AFTER
@@ -86,6 +87,7 @@
         raise
     finally:
         deps.times.end(waiting)
+        deps.origins.end(request.stream_keys)
         drop_prefill(deps, request, request.last_end)
 
 
@@ -141,6 +143,10 @@
 
     async def run(self) -> None:
         """Send, and retry where that is allowed and can succeed."""
+        request = self._request
+        if request.is_take_up:
+            if not await take_up_stream(self._deps, request, self._reply):
+                return
         while not self._reply.is_caller_gone:
             if self._deps.crashes.is_refused(self._request.fingerprint):
                 self._refuse_quarantined()
@@ -153,6 +159,7 @@
             self._request.send_history.note(send.end)
             self._request.last_end = send.end.value
             self._request.send_history.has_sent_events = self._reply.has_begun
+            self._request.send_history.is_origin_known = request.origin is not None
             if send.end is SendResult.ANSWERED and self._reply.has_begun:
                 self._sender.log(send, "answered")
                 self._reply.end_stream()
@@ -236,7 +243,7 @@
     async def _send(self) -> Send | None:
         """Choose an upstream and send; None if there is none or it was refused."""
         deps, request = self._deps, self._request
-        candidates = deps.list_accepting(request.service)
+        candidates = deps.list_candidates(request)
         prompt = request.facts.prompt
         if request.route.has_prompt and prompt is not None:
             return await send_generation(
@@ -308,7 +315,7 @@
         deps, request = self._deps, self._request
         if request.prefill is None:
             return PrefillState.NONE
-        engines = deps.list_accepting(request.service)
+        engines = deps.list_candidates(request)
         loss = deps.planner.find_prefill_loss(request.prefill, engines, request.avoid)
         return PrefillState.KEPT if loss is None else PrefillState.LOST
 
@@ -368,6 +375,9 @@
             reason = "resting"
             # Jitter keeps callers refused during one rest from returning at its end.
             retry_after = rest * (1 + REST_JITTER * self._deps.random.random())
+        elif reason == "no_upstream" and self._request.is_take_up:
+            reason = TakeUpRefusal.VERSION_UNAVAILABLE.value
+            retry_after = VERSION_RETRY_AFTER
         if self._reply.has_begun:
             self._reply.break_off()
         elif self._request.send_history.may_have_run:
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -37,6 +37,7 @@
 from .settings import GatewaySettings
 from .settings_watches import SettingsWatch
 from .stage_controllers import StageController, StageControllerDependencies
+from .stream_origins import MESSAGE_PREFIX, OriginDependencies, OriginSubsystem
 from .upstream_list_updaters import UpstreamListUpdater
 from .usage import NOTICE_PREFIX, UsageDependencies, UsageSubsystem
 
@@ -71,12 +72,13 @@
         )
         self._metrics = GatewayMetrics(node.name, node.availability_zone)
         self._upstreams = self._make_upstreams()
-        self._stop = self._make_stop()
-        self._forwarder = Forwarder(self._make_forwarder_dependencies())
         self._eras = EraWatch(self._events)
         self._store = self._adapter.open_store(
             settings.store.address, self._clock, self._eras
         )
+        self._origins = self._make_origins()
+        self._stop = self._make_stop()
+        self._forwarder = Forwarder(self._make_forwarder_dependencies())
         self._list_updater = UpstreamListUpdater(
             self._adapter,
             self._upstreams.list,
@@ -95,11 +97,13 @@
         )
         self._digest_exchange = self._make_digest_exchange()
         self._peers = self._make_peers()
+        self._peers.add_channel(MESSAGE_PREFIX, self._origins.receive)
         self._usage = self._make_usage() if settings.usage.address else None
         self._stage_controller = self._make_stage_controller()
         self._cache_probe = self._make_cache_probe()
         self._feeds = self._make_feeds()
-        for each in (self._stage_controller, self._feeds, self._peers):
+        parts = (self._stage_controller, self._feeds, self._peers, self._origins)
+        for each in parts:
             self._eras.listen(each.note_era)
         self._connections = CallerConnections(
             ConnectionOptions(
@@ -161,6 +165,7 @@
             address = f"{self._settings.node.address}:{gateway.metrics_port}"
             self._servers.serve_metrics(address, self._metrics.render)
         await self._peers.start()
+        self._origins.start()
         self._feeds.start()
         self._stage_controller.start()
         if self._usage is not None:
@@ -205,6 +210,7 @@
         await self._stage_controller.close()
         await self._cache_probe.close()
         await self._feeds.close()
+        await self._origins.close()
         await self._peers.close()
         await self._servers.close()
         await self._upstreams.close()
@@ -269,6 +275,7 @@
             statements=self._upstreams.statements,
             note_statements=self._upstreams.note_statements,
             crashes=self._upstreams.crashes,
+            origins=self._origins,
             planner=self._upstreams.planner,
             stop=self._stop,
             find_table_state=lambda: self._configurations.find_state(),
@@ -346,7 +353,23 @@
             self._digest_exchange.apply_digest,
             self._digest_exchange.set_gateways,
             self._random,
+            self._origins.note_registered,
+        )
+
+    def _make_origins(self) -> OriginSubsystem:
+        deps = OriginDependencies(
+            name=self._settings.node.name,
+            store=self._store,
+            random=self._random,
+            events=self._events,
+            list_upstreams=self.list_upstreams,
+            list_services=lambda: self._table.resumable_services,
+            send=lambda data, names: self._peers.send_to(data, names),
+            reply=lambda data, address: self._peers.reply(data, address),
+            list_gateways=lambda: self._peers.names,
+            list_neighbours=lambda: self._peers.neighbours,
         )
+        return OriginSubsystem(deps)
 
     def _make_usage(self) -> UsageSubsystem:
         source = Source(self._settings.node.name, self._digest_exchange.incarnation)
@@ -362,7 +385,9 @@
             count_report=self._metrics.count_usage_report,
         )
         usage = UsageSubsystem(source, self._settings.usage, deps)
-        self._peers.add_channel(NOTICE_PREFIX, usage.receive)
+        self._peers.add_channel(
+            NOTICE_PREFIX, lambda data, address: usage.receive(data)
+        )
         self._eras.listen(usage.note_era)
         return usage
 
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -9,6 +9,7 @@
     admits_generation,
     admits_late,
     admits_rate_limit_wait,
+    admits_take_up,
     draw_retry_delay,
     is_retry,
     rank_generation,
@@ -70,7 +71,7 @@
         if isinstance(outcome, Send):
             planner.end_prefill(ticket)
             return outcome
-        engines = deps.list_accepting(request.service)
+        engines = deps.list_candidates(request)
         request.prefill = RetainedPrefill(ticket, outcome)
         if not planner.reselect_decoder(ticket, engines, request.avoid):
             drop_prefill(deps, request, PrefillLoss.NO_GENERATOR)
@@ -136,6 +137,8 @@
     """
     now = deps.clock.monotonic()
     time_left = request.measure_time_left(now)
+    if request.is_take_up:
+        return _admit_take_up(deps, request, reply, prompt, engines)
     request.is_late = is_retry(request.route, time_left)
     if not request.is_late:
         placement = _choose_placement(deps, request, prompt, engines)
@@ -152,6 +155,36 @@
         return None
     if admits_late(request.route, placement, time_left):
         return placement
+    _refuse_crowded(deps, request, reply, placement)
+    return None
+
+
+def _admit_take_up(
+    deps: ForwarderDependencies,
+    request: ForwardedRequest,
+    reply: Reply,
+    prompt: PromptTraits,
+    engines: list[UpstreamRecord],
+) -> Placement | None:
+    """Place the rest of a stream; refuse it if that would come too late."""
+    placement = _choose_placement(deps, request, prompt, engines)
+    if placement is None:
+        return None
+    time_left = request.measure_time_left(deps.clock.monotonic())
+    if admits_take_up(request.route, placement, time_left):
+        return placement
+    _refuse_crowded(deps, request, reply, placement)
+    return None
+
+
+def _refuse_crowded(
+    deps: ForwarderDependencies,
+    request: ForwardedRequest,
+    reply: Reply,
+    placement: Placement,
+) -> None:
+    """Answer a generation for which engines have no capacity left."""
+    time_left = request.measure_time_left(deps.clock.monotonic())
     retry_after = draw_retry_delay(placement, time_left, deps.random)
     reply.refuse(
         "crowded" if admits_rate_limit_wait(request.route, placement) else "limited",
@@ -160,7 +193,6 @@
         turn_ms=round(placement.limit_wait_seconds * 1000, 1),
         occupancy=round(placement.occupancy, 2),
     )
-    return None
 
 
 def _choose_placement(
--- a/packages/mustardquay-node/src/mustardquay_node/peers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.py
@@ -26,12 +26,15 @@
 
 __all__ = [
     "PEERS_TABLE",
+    "Address",
     "PeerLink",
     "list_recipients",
 ]
 
 logger = logging.getLogger(__name__)
 
+Address = tuple[str, int]
+"""IP address and port of a gateway."""
 PEERS_TABLE = "gateways"
 """Table in which each gateway registers its address when it starts."""
 BUSY_INTERVAL = timedelta(milliseconds=40)
@@ -77,12 +80,14 @@
             None
         ),
         random: Random | None = None,
+        note_registered: Callable[[Collection[str]], None] = lambda names: None,
     ):
         """Initialise without peers; `build` returns the next digest of this gateway.
 
         `apply_digest` is called with each digest received. `set_gateways` is called
         with each new list of gateways: those that exchange digests with this one, and
-        the number of the others.
+        the number of the others. `note_registered` is called after it with the names of
+        gateways that have started, or are listed for the first time.
         """
         self._name = name
         self._address = address
@@ -92,9 +97,10 @@
         self._build = build
         self._apply_digest = apply_digest
         self._set_gateways = set_gateways
+        self._note_registered = note_registered
         self._random = random or Random(name)
-        self._peers: dict[str, tuple[str, int]] = {}
-        self._channels: dict[bytes, Callable[[bytes], None]] = {}
+        self._peers: dict[str, Address] = {}
+        self._channels: dict[bytes, Callable[[bytes, Address], None]] = {}
         """Receivers of other datagrams than digests, by their first byte."""
         self._urgent = asyncio.Event()
         self._changed = asyncio.Event()
@@ -138,20 +144,38 @@
         """Return the names of the listed gateways, including this one."""
         return sorted({*self._peers, self._name})
 
-    def add_channel(self, prefix: bytes, receive: Callable[[bytes], None]) -> None:
-        """Pass on datagrams that begin with a prefix, which no digest begins with."""
+    @property
+    def neighbours(self) -> list[str]:
+        """Return the names of the recipients of this gateway's digests."""
+        return list_recipients(self._name, self._peers)
+
+    def add_channel(
+        self, prefix: bytes, receive: Callable[[bytes, Address], None]
+    ) -> None:
+        """Pass on datagrams that begin with a prefix, which no digest begins with.
+
+        `receive` is called with the datagram and the address that it came from.
+        """
         self._channels[prefix] = receive
 
     def send_datagram(self, data: bytes, more: Collection[str] = ()) -> None:
         """Send a datagram to the recipients of digests, and to some gateways more."""
+        self.send_to(data, dict.fromkeys([*self.neighbours, *more]))
+
+    def send_to(self, data: bytes, names: Iterable[str]) -> None:
+        """Send a datagram to some gateways; those that aren't listed are left out."""
         if self._transport is None or self._transport.is_closing():
             return
-        recipients = list_recipients(self._name, self._peers)
-        for name in dict.fromkeys([*recipients, *more]):
+        for name in names:
             address = self._peers.get(name)
             if address is not None:
                 self._transport.sendto(data, address)
 
+    def reply(self, data: bytes, address: Address) -> None:
+        """Send a datagram to the sender of another one, which may not be listed yet."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(data, address)
+
     def send_now(self) -> None:
         """Send the next digest as soon as possible, for urgent changes."""
         self._urgent.set()
@@ -165,6 +189,7 @@
         """Apply rows of the table of gateways: all if `is_whole`, else changes."""
         if is_whole:
             self._peers.clear()
+        registered = {row.key for row in rows if not row.deleted}
         for row in rows:
             if row.key == self._name:
                 continue
@@ -176,12 +201,13 @@
         self._events.record("peers.listed", peers=len(self._peers))
         recipients = list_recipients(self._name, self._peers)
         self._set_gateways(recipients, len(self._peers) - len(recipients))
+        self._note_registered(registered - {self._name})
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Decode a datagram and pass on its digest, unless it is this gateway's own."""
         receive = self._channels.get(data[:1])
         if receive is not None:
-            receive(data)
+            receive(data, addr)
             return
         digest = decode_digest(data)
         if digest is None:
@@ -262,7 +288,7 @@
     return ring[: MAX_RECIPIENTS // 2] + ring[-MAX_RECIPIENTS // 2 :]
 
 
-def _read_address(value: bytes) -> tuple[str, int] | None:
+def _read_address(value: bytes) -> Address | None:
     try:
         return split_address(orjson.loads(value)["address"])
     except (ValueError, KeyError, TypeError):
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -9,7 +9,12 @@
 from mustardquay.requests import SendResult
 from mustardquay.routing_tables import Repeat
 from mustardquay.stall_timeouts import find_idle_timeout
-from mustardquay.streams import EventFramer, Framing, is_stream_complete
+from mustardquay.streams import (
+    EventFramer,
+    Framing,
+    StreamOrigin,
+    is_stream_complete,
+)
 from mustardquay.upstream_lists import UpstreamRecord
 
 from ..adapters import SendTarget
@@ -104,6 +109,7 @@
             detail=send.detail,
             status=send.status,
             framing=send.framing,
+            software_version=send.upstream.software_version,
             kept=send.was_reused,
             next=step,
             age_ms=self._reply.age_ms,
@@ -153,6 +159,8 @@
         """
         if self._deps.crashes.is_refused(self._request.fingerprint):
             return False
+        if self._request.origin is not None and not self._is_unchanged(upstream):
+            return False
         reached = [upstream, options.holder] if options.holder else [upstream]
         return all(map(self._deps.statements.is_accepting, reached))
 
@@ -209,17 +217,41 @@
         if self._request.route.resumable:
             data = events
             self._request.last_event = self._framer.last_id or self._request.last_event
-        return self._pass_on(exchange, data)
+        return self._pass_on(send, exchange, data)
 
-    def _pass_on(self, exchange: Exchange, data: bytes) -> Awaitable[None] | None:
+    def _pass_on(
+        self, send: Send, exchange: Exchange, data: bytes
+    ) -> Awaitable[None] | None:
         """Send a part of a stream to the caller; its head goes with the first one."""
         if not data:
             return None
         if not self._reply.has_begun:
             assert exchange.head is not None
+            self._note_origin(send)
             self._reply.begin_stream(exchange.head)
         return self._reply.write(data)
 
+    def _note_origin(self, send: Send) -> None:
+        """Note where a stream begins, before its first event goes to the caller."""
+        request, upstream = self._request, send.upstream
+        if not request.is_resumable:
+            return
+        if request.origin is None and self._is_unchanged(upstream):
+            request.origin = StreamOrigin(upstream.service, upstream.software_version)
+        if request.origin is not None:
+            left = request.measure_time_left(self._deps.clock.monotonic())
+            self._deps.origins.begin(request.stream_keys, request.origin, left)
+
+    def _is_unchanged(self, upstream: UpstreamRecord) -> bool:
+        """Return whether an upstream has still the software version of its choice.
+
+        Guards against one that starts again under its id, with another version.
+        """
+        listed = self._deps.upstreams.get(upstream.id)
+        if listed is None:
+            return True
+        return listed.software_version == upstream.software_version
+
     def _is_complete(
         self, send: Send, exchange: Exchange, options: SendOptions
     ) -> bool:
@@ -291,7 +323,7 @@
         self._deps.count_send(self._reply.route, send.end.value)
         if send.end is SendResult.ANSWERED and self._is_stream(send, exchange):
             if self._request.route.resumable:
-                self._pass_on(exchange, self._framer.take_rest())
+                self._pass_on(send, exchange, self._framer.take_rest())
             self._record_event_interval(send)
         if not options.prefill_only and may_have_begun(send.end, end):
             note_begun(self._deps, self._request, self._deps.clock.monotonic())
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/subsystems.py
@@ -0,0 +1,162 @@
+"""The parts of a gateway that know where streams began, and how they are connected."""
+
+from collections.abc import Callable, Collection, Iterable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+from mustardquay.clocks import BootTimeClock
+from mustardquay.events import EventRing
+from mustardquay.streams import (
+    OriginRecord,
+    StreamOrigin,
+    find_only_origin,
+    list_versions,
+)
+from mustardquay.upstream_lists import UpstreamRecord
+
+from ..adapters import StoreTables
+from ..peers import Address
+from .exchanges import OriginExchange, OriginExchangeDependencies
+from .version_markers import VersionMarkerDependencies, VersionMarkers
+
+__all__ = ["FoundOrigin", "OriginDependencies", "OriginSubsystem"]
+
+TAKE_UP_MARGIN = timedelta(seconds=30)
+"""Time after its deadline for which the origin of a stream is kept: clocks and delays
+differ, and a caller may take the stream up at the last moment."""
+
+
+@dataclass(frozen=True, slots=True)
+class OriginDependencies:
+    """What a gateway provides."""
+
+    name: str
+    """Name of this gateway."""
+    store: StoreTables
+    random: Random
+    events: EventRing
+    list_upstreams: Callable[[], Iterable[UpstreamRecord]]
+    list_services: Callable[[], Sequence[str]]
+    """Lists the services whose streams can be resumed."""
+    send: Callable[[bytes, Iterable[str]], None]
+    """Sends a datagram to some gateways."""
+    reply: Callable[[bytes, Address], None]
+    """Sends a datagram to the sender of another one."""
+    list_gateways: Callable[[], Collection[str]]
+    """Lists the registered gateways, including this one."""
+    list_neighbours: Callable[[], Collection[str]]
+    """Lists the gateways that exchange digests with this one."""
+
+
+@dataclass(frozen=True, slots=True)
+class FoundOrigin:
+    """An origin, and how it is known."""
+
+    origin: StreamOrigin
+    source: str
+    """`here`, `gateway` (another one knew it) or `only_version`."""
+
+
+class OriginSubsystem:
+    """Keeps the origins of streams, and finds those of streams that are taken up."""
+
+    def __init__(self, deps: OriginDependencies):
+        """Connect the parts."""
+        self._deps = deps
+        clock = BootTimeClock()
+        self._exchange = OriginExchange(
+            OriginExchangeDependencies(
+                name=deps.name,
+                clock=clock,
+                send=deps.send,
+                reply=deps.reply,
+                list_gateways=deps.list_gateways,
+                list_neighbours=deps.list_neighbours,
+            )
+        )
+        self._markers = VersionMarkers(
+            VersionMarkerDependencies(
+                store=deps.store,
+                clock=clock,
+                random=deps.random,
+                events=deps.events,
+                list_upstreams=deps.list_upstreams,
+                list_services=deps.list_services,
+                count_gateways=lambda: len(deps.list_gateways()),
+            )
+        )
+
+    def start(self) -> None:
+        """Start to share origins and to mark versions."""
+        self._exchange.start()
+        self._markers.start()
+
+    async def close(self) -> None:
+        """Stop; other gateways keep what they know."""
+        await self._markers.close()
+        await self._exchange.close()
+
+    def receive(self, data: bytes, address: Address) -> None:
+        """Process a datagram of another gateway."""
+        self._exchange.receive(data, address)
+
+    def note_registered(self, gateways: Collection[str]) -> None:
+        """Give gateways that have started, or are listed first, what they keep."""
+        self._exchange.note_registered(gateways)
+
+    def note_era(self) -> None:
+        """Note that the store was restored from a copy."""
+        self._markers.note_era()
+
+    def is_marked(self, upstream: UpstreamRecord) -> bool:
+        """Return whether the software version of an upstream is marked."""
+        return self._markers.is_marked(upstream)
+
+    def begin(
+        self, keys: Iterable[int], origin: StreamOrigin, time_left: timedelta
+    ) -> None:
+        """Note a stream before its first event is passed on."""
+        for key in keys:
+            record = OriginRecord(key, origin, time_left + TAKE_UP_MARGIN)
+            self._exchange.begin(record)
+
+    def end(self, keys: Iterable[int]) -> None:
+        """Note that a stream no longer runs here."""
+        for key in keys:
+            self._exchange.end(key)
+
+    async def find(
+        self, key: int | None, services: Sequence[str]
+    ) -> FoundOrigin | None:
+        """Return the origin of a stream that is taken up, None if it isn't known.
+
+        `services` are those that its route leads to; `key` is None if the caller does
+        not name the stream.
+        """
+        if key is not None:
+            origin = self._exchange.find(key)
+            if origin is not None:
+                return FoundOrigin(origin, "here")
+            if not self._exchange.is_ambiguous(key):
+                origin = await self._exchange.ask(key)
+            if origin is not None:
+                return FoundOrigin(origin, "gateway")
+            if self._exchange.is_ambiguous(key):
+                return None
+        if len(services) != 1:
+            return None
+        return await self._find_only(services[0])
+
+    async def _find_only(self, service: str) -> FoundOrigin | None:
+        """Return the origin of all streams of a service, if there is only one."""
+        if len(self._list_versions(service)) > 1:
+            return None
+        marks = await self._markers.read(service)
+        if marks is None:
+            return None
+        origin = find_only_origin(service, marks, self._list_versions(service))
+        return None if origin is None else FoundOrigin(origin, "only_version")
+
+    def _list_versions(self, service: str) -> frozenset[str]:
+        return list_versions(service, self._deps.list_upstreams())
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/version_markers.py
@@ -0,0 +1,176 @@
+"""Marks, in the platform's store, of the software versions that serve.
+
+A version is marked before streams begin at it. A gateway reads the marks of a service
+when it first lists one of its versions, and writes the one that is missing: two calls
+for each version and start. Gateways do so one after the other, so that most of them
+find the mark that another one has written.
+"""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+from mustardquay.clocks import Clock
+from mustardquay.errors import MustardquayError
+from mustardquay.events import EventRing
+from mustardquay.streams import VersionMarks, list_versions
+from mustardquay.tables import Condition, Row, Transaction, Write
+from mustardquay.upstream_lists import UpstreamRecord
+
+from ..adapters import StoreTables
+
+__all__ = ["MARKS_TABLE", "VersionMarkerDependencies", "VersionMarkers"]
+
+MARKS_TABLE = "software_versions"
+"""Table with one row for each service."""
+CHECK_INTERVAL = timedelta(milliseconds=100)
+"""Time between two looks for versions without a mark; costs no call."""
+SPREAD = timedelta(milliseconds=5)
+"""Time for each gateway over which all of them mark a new version: the store makes some
+200 transactions a second on one part."""
+RETRY_DELAY = timedelta(milliseconds=600)
+"""Mean time after which a call that failed is made again."""
+READ_INTERVAL = timedelta(milliseconds=200)
+"""Minimum time between two reads of the marks of one service."""
+READ_TIMEOUT = timedelta(milliseconds=400)
+"""Time for which a request may wait for such a read."""
+
+
+@dataclass(frozen=True, slots=True)
+class VersionMarkerDependencies:
+    """Dependencies of `VersionMarkers`."""
+
+    store: StoreTables
+    clock: Clock
+    random: Random
+    events: EventRing
+    list_upstreams: Callable[[], Iterable[UpstreamRecord]]
+    list_services: Callable[[], Sequence[str]]
+    """Lists the services whose streams can be resumed."""
+    count_gateways: Callable[[], int]
+
+
+@dataclass(slots=True)
+class _Reading:
+    """The last read of the marks of one service."""
+
+    begun_at: timedelta
+    marks: VersionMarks | None
+    """None if the store could not be read."""
+
+
+class VersionMarkers:
+    """Marks the versions that this gateway lists, and reads all marks when asked."""
+
+    def __init__(self, deps: VersionMarkerDependencies):
+        self._deps = deps
+        self._marked: defaultdict[str, frozenset[str]] = defaultdict(frozenset)
+        """Versions that are known to be marked, by service."""
+        self._readings: dict[str, _Reading] = {}
+        self._locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start to mark versions."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def is_marked(self, upstream: UpstreamRecord) -> bool:
+        """Return whether the software version of an upstream is marked."""
+        return upstream.software_version in self._marked[upstream.service]
+
+    def note_era(self) -> None:
+        """Mark all versions again: the store was restored from a copy."""
+        self._marked.clear()
+
+    async def read(self, service: str) -> VersionMarks | None:
+        """Return the marks of a service as of now or later, None without an answer.
+
+        Requests that ask at the same time share one read.
+        """
+        asked_at = self._deps.clock.monotonic()
+        try:
+            async with asyncio.timeout(READ_TIMEOUT.total_seconds()):
+                async with self._locks[service]:
+                    return await self._read_since(service, asked_at)
+        except TimeoutError:
+            return None
+
+    async def _read_since(
+        self, service: str, asked_at: timedelta
+    ) -> VersionMarks | None:
+        last = self._readings.get(service)
+        if last is not None and last.begun_at >= asked_at:
+            return last.marks
+        if last is not None:
+            due = last.begun_at + READ_INTERVAL - self._deps.clock.monotonic()
+            await asyncio.sleep(max(due.total_seconds(), 0))
+        reading = _Reading(self._deps.clock.monotonic(), None)
+        self._readings[service] = reading
+        try:
+            reading.marks = await self._read_marks(service)
+        except MustardquayError as error:
+            self._deps.events.record(
+                "versions.unread", service=service, error=str(error)
+            )
+        return reading.marks
+
+    async def _read_marks(self, service: str) -> VersionMarks:
+        row = await self._deps.store.read(MARKS_TABLE, service)
+        marks = VersionMarks() if row is None else _decode_marks(row)
+        self._marked[service] |= marks.versions
+        return marks
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL.total_seconds())
+            missing = [name for name in self._deps.list_services() if self._lacks(name)]
+            if not missing:
+                continue
+            spread = SPREAD * self._deps.count_gateways() * self._deps.random.random()
+            await asyncio.sleep(spread.total_seconds())
+            try:
+                for service in missing:
+                    await self._mark(service)
+            except MustardquayError as error:
+                self._deps.events.record("versions.unmarked", error=str(error))
+                delay = RETRY_DELAY * (0.5 + self._deps.random.random())
+                await asyncio.sleep(delay.total_seconds())
+
+    def _lacks(self, service: str) -> bool:
+        return not self._list_versions(service) <= self._marked[service]
+
+    def _list_versions(self, service: str) -> frozenset[str]:
+        return list_versions(service, self._deps.list_upstreams())
+
+    async def _mark(self, service: str) -> None:
+        """Mark the listed versions of a service that have no mark yet."""
+        marks = await self._read_marks(service)
+        versions = marks.versions | self._list_versions(service)
+        if versions == marks.versions:
+            return
+        condition = Condition(MARKS_TABLE, service, marks.revision)
+        write = Write(MARKS_TABLE, service, {"versions": sorted(versions)})
+        transaction = Transaction(conditions=(condition,), writes=(write,))
+        if await self._deps.store.transact(transaction):
+            self._marked[service] |= versions
+            self._deps.events.record(
+                "versions.marked", service=service, versions=sorted(versions)
+            )
+
+
+def _decode_marks(row: Row) -> VersionMarks:
+    """Return the marks in a row; what can't be decoded marks nothing."""
+    value = row.value.get("versions") if isinstance(row.value, dict) else None
+    versions = value if isinstance(value, list) else []
+    return VersionMarks(
+        frozenset(each for each in versions if isinstance(each, str)), row.revision
+    )
--- a/packages/mustardquay/src/mustardquay/generation_limits.py
+++ b/packages/mustardquay/src/mustardquay/generation_limits.py
@@ -16,6 +16,7 @@
     "admits_generation",
     "admits_late",
     "admits_rate_limit_wait",
+    "admits_take_up",
     "draw_retry_delay",
     "is_retry",
     "rank_generation",
@@ -121,6 +122,18 @@
     return placement.wait_seconds <= LATE_WAIT_SHARE * time_left.total_seconds()
 
 
+def admits_take_up(route: Route, placement: Placement, time_left: timedelta) -> bool:
+    """Return whether a stream goes on that its caller has a part of.
+
+    It waits for longer than new ones may: its first event has come, and few engines may
+    be of its software version, so that new streams would displace it.
+    """
+    is_full = placement.occupancy >= FULL_OCCUPANCY
+    if is_full or not admits_rate_limit_wait(route, placement):
+        return False
+    return placement.delay_seconds <= LATE_WAIT_SHARE * time_left.total_seconds()
+
+
 def is_retry(route: Route, time_allowed: timedelta) -> bool:
     """Return whether a request was refused before, judging by the time that is left."""
     return time_allowed < FIRST_ATTEMPT_SHARE * route.timeout
--- a/packages/mustardquay/src/mustardquay/retry_decisions.py
+++ b/packages/mustardquay/src/mustardquay/retry_decisions.py
@@ -55,6 +55,8 @@
     may_have_run: bool = False
     has_sent_events: bool = False
     """Whether any event of a stream was sent to the caller."""
+    is_origin_known: bool = True
+    """Whether it is known at which software version a resumable stream began."""
     misdirected: int = 0
     """Sends that reached a different upstream than intended."""
 
@@ -97,7 +99,8 @@
         return NextStep.SEND_AGAIN
     has_time = time_left > MIN_SEND_TIME
     if history.has_sent_events:
-        may_resume = route.resumable and history.attempts < route.max_attempts
+        may_resume = route.resumable and history.is_origin_known
+        may_resume = may_resume and history.attempts < route.max_attempts
         return NextStep.RESUME if may_resume and has_time else NextStep.FAIL
     if history.may_have_run and not _is_repeatable(route):
         return NextStep.FAIL
--- a/packages/mustardquay/src/mustardquay/routing_tables.py
+++ b/packages/mustardquay/src/mustardquay/routing_tables.py
@@ -143,6 +143,17 @@
         """Return the names of the services whose upstreams are engines."""
         return [name for name, each in self.services.items() if each.engine]
 
+    @property
+    def resumable_services(self) -> list[str]:
+        """Return the names of the services whose streams may be resumed."""
+        names = {
+            backend.service
+            for route in self.routes
+            if route.resumable and route.repeat is Repeat.STREAM
+            for backend in route.backends
+        }
+        return sorted(names)
+
     def find_switch_time(self, service: str) -> timedelta:
         """Return how long an engine of a service is unavailable while it changes."""
         found = self.services.get(service)
--- a/packages/mustardquay/src/mustardquay/streams/__init__.py
+++ b/packages/mustardquay/src/mustardquay/streams/__init__.py
@@ -1,6 +1,27 @@
-"""Streams of events: where events end, and whether a stream is complete."""
+"""Streams of events: where they end and began, and where they may go on."""
 
 from .completeness import Framing, find_framing, is_stream_complete
+from .continuations import TakeUpRefusal, filter_continuing, prefer_marked
 from .event_framers import EventFramer
+from .gateway_rings import KEEPERS, GatewayRing
+from .origins import OriginRecord, OriginTable, StreamOrigin, compute_stream_key
+from .version_marks import VersionMarks, find_only_origin, list_versions
 
-__all__ = ["EventFramer", "Framing", "find_framing", "is_stream_complete"]
+__all__ = [
+    "KEEPERS",
+    "EventFramer",
+    "Framing",
+    "GatewayRing",
+    "OriginRecord",
+    "OriginTable",
+    "StreamOrigin",
+    "TakeUpRefusal",
+    "VersionMarks",
+    "compute_stream_key",
+    "filter_continuing",
+    "find_framing",
+    "find_only_origin",
+    "is_stream_complete",
+    "list_versions",
+    "prefer_marked",
+]
--- a/packages/mustardquay/tests/test_generation_limits.py
+++ b/packages/mustardquay/tests/test_generation_limits.py
@@ -7,6 +7,7 @@
     admits_generation,
     admits_late,
     admits_rate_limit_wait,
+    admits_take_up,
     draw_retry_delay,
     is_retry,
 )
@@ -155,3 +156,18 @@
     """Guards against retries that are refused again."""
     placement = replace(make_placement(0.0), decoder_limit_wait=1.5)
     assert draw_retry_delay(placement, 2 * SECOND, Random(1)) >= 0.7 * SECOND
+
+
+def test_a_stream_that_is_taken_up_goes_on_wherever_a_new_one_begins():
+    """Guards against new streams that leave no capacity to those that have begun."""
+    time_left = ROUTE.timeout / 2
+    for occupancy in (0.1, 1.0, 1.3, 1.5, 1.7):
+        for wait in (0.0, 0.05, 0.1, 0.2, 0.6):
+            placement = make_placement(wait, occupancy=occupancy, stream=DRAFT)
+            begins = admits(placement) or admits_late(ROUTE, placement, time_left)
+            assert admits_take_up(ROUTE, placement, time_left) >= begins
+
+
+def test_a_stream_that_can_not_end_in_time_is_not_taken_up():
+    placement = make_placement(0.6 * ROUTE.timeout.total_seconds())
+    assert not admits_take_up(ROUTE, placement, ROUTE.timeout)
--- a/packages/mustardquay/tests/test_retry_decisions.py
+++ b/packages/mustardquay/tests/test_retry_decisions.py
@@ -77,3 +77,11 @@
     other = SendResult.OTHER_UPSTREAM
     assert decide(ONCE, other) is NextStep.SEND_AGAIN
     assert decide(ONCE, other, before=[other]) is NextStep.REFUSE
+
+
+def test_a_stream_is_resumed_only_if_it_is_known_where_it_began():
+    """Guards against a stream that goes on at another software version."""
+    for is_known, step in ((True, NextStep.RESUME), (False, NextStep.FAIL)):
+        history = SendHistory(has_sent_events=True, is_origin_known=is_known)
+        history.note(SendResult.BROKEN)
+        assert decide_next(RESUMABLE, history, SendResult.BROKEN, 0, SECOND) is step
