Ask right before the first byte also in calls of a gateway's own

As docs/DESIGN.md says of each exchange: an upstream may say that it leaves, or wants rest, while a report, an order or a cache list waits for its connection.

--- a/packages/mustardquay-node/src/mustardquay_node/engine_calls.py
+++ b/packages/mustardquay-node/src/mustardquay_node/engine_calls.py
@@ -32,15 +32,22 @@
 
 
 async def call_engine(
-    adapter: Adapter, pool: ConnectionPool, engine: UpstreamRecord, call: EngineCall
+    adapter: Adapter,
+    pool: ConnectionPool,
+    engine: UpstreamRecord,
+    call: EngineCall,
+    may_send: Callable[[], bool],
 ) -> Exchange | None:
-    """Return the complete answer of an engine, None if there was none in time."""
+    """Return the complete answer of an engine, None if there was none in time.
+
+    `may_send` is asked right before the first byte, as connecting takes time.
+    """
     base = HTTPHeaders({"Host": engine.address})
     if call.body:
         base["Content-Type"] = "application/json"
     target = SendTarget(engine.id, CALL_TIMEOUT)
     headers = adapter.build_headers(base, target)
-    exchange = Exchange(call.method, call.path, headers, call.body)
+    exchange = Exchange(call.method, call.path, headers, call.body, may_send=may_send)
     return await run_whole(pool, exchange, CALL_TIMEOUT)
 
 
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -114,11 +114,15 @@
 
         Returns None also for an engine that rests or is leaving.
         """
-        if not self.statements.is_accepting(engine):
+
+        def may_send() -> bool:
+            return self.statements.is_accepting(engine)
+
+        if not may_send():
             return None
         self.limits.note_sent(engine.id, self._now)
         pool = self.pools.get_pool(engine)
-        exchange = await call_engine(self._deps.adapter, pool, engine, call)
+        exchange = await call_engine(self._deps.adapter, pool, engine, call, may_send)
         if exchange is not None and exchange.head is not None:
             facts = self._deps.adapter.read_answer(exchange.head)
             self.note_statements(engine, facts)
