--- a/packages/mustardquay-node/src/mustardquay_node/arrivals/take_ups.py
+++ b/packages/mustardquay-node/src/mustardquay_node/arrivals/take_ups.py
@@ -5,15 +5,15 @@
 from mustardquay.streams import TakeUpRefusal, compute_stream_key
 
 from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
-from ..gateway_stops import DEFAULT_RETRY_AFTER
 from ..replies import Reply
 from ..stream_origins import FoundOrigin
 
 __all__ = ["VERSION_RETRY_AFTER", "take_up_stream"]
 
 VERSION_RETRY_AFTER = timedelta(seconds=1)
-"""Retry-After while no upstream of a stream's version is there: one that crashed, or
-changes its stage, is back after some seconds."""
+"""Retry-After while no upstream of a stream's version is there, or while the version is
+not known: an upstream that crashed is back, and a gateway that was cut off is heard
+again, after some seconds."""
 
 
 async def take_up_stream(
@@ -33,7 +33,7 @@
     if reply.is_caller_gone:
         return False
     if found is None:
-        reply.refuse(TakeUpRefusal.ORIGIN_UNKNOWN.value, DEFAULT_RETRY_AFTER)
+        reply.refuse(TakeUpRefusal.ORIGIN_UNKNOWN.value, VERSION_RETRY_AFTER)
         return False
     if found.origin.service not in services:
         reply.refuse(TakeUpRefusal.SERVICE_CHANGED.value, VERSION_RETRY_AFTER)
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -360,10 +360,10 @@
         deps = OriginDependencies(
             name=self._settings.node.name,
             store=self._store,
+            clock=BootTimeClock(),
             random=self._random,
             events=self._events,
             list_upstreams=self.list_upstreams,
-            list_services=lambda: self._table.resumable_services,
             send=lambda data, names: self._peers.send_to(data, names),
             reply=lambda data, address: self._peers.reply(data, address),
             list_gateways=lambda: self._peers.names,
@@ -436,6 +436,7 @@
         self._peers.send_now()
         self._servers.apply_limits(table.limits)
         self._upstreams.planner.apply_table(table)
+        self._origins.set_services(table.resumable_services)
 
     def _note_draining(self, record: UpstreamRecord) -> None:
         if record.stage is Stage.DECODE:
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/subsystems.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/subsystems.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from random import Random
 
-from mustardquay.clocks import BootTimeClock
+from mustardquay.clocks import Clock
 from mustardquay.events import EventRing
 from mustardquay.streams import (
     OriginRecord,
@@ -34,11 +34,11 @@
     name: str
     """Name of this gateway."""
     store: StoreTables
+    clock: Clock
+    """Must count while the machine is suspended, as streams go on elsewhere."""
     random: Random
     events: EventRing
     list_upstreams: Callable[[], Iterable[UpstreamRecord]]
-    list_services: Callable[[], Sequence[str]]
-    """Lists the services whose streams can be resumed."""
     send: Callable[[bytes, Iterable[str]], None]
     """Sends a datagram to some gateways."""
     reply: Callable[[bytes, Address], None]
@@ -64,11 +64,10 @@
     def __init__(self, deps: OriginDependencies):
         """Connect the parts."""
         self._deps = deps
-        clock = BootTimeClock()
         self._exchange = OriginExchange(
             OriginExchangeDependencies(
                 name=deps.name,
-                clock=clock,
+                clock=deps.clock,
                 send=deps.send,
                 reply=deps.reply,
                 list_gateways=deps.list_gateways,
@@ -78,11 +77,10 @@
         self._markers = VersionMarkers(
             VersionMarkerDependencies(
                 store=deps.store,
-                clock=clock,
+                clock=deps.clock,
                 random=deps.random,
                 events=deps.events,
                 list_upstreams=deps.list_upstreams,
-                list_services=deps.list_services,
                 count_gateways=lambda: len(deps.list_gateways()),
             )
         )
@@ -109,6 +107,10 @@
         """Note that the store was restored from a copy."""
         self._markers.note_era()
 
+    def set_services(self, services: Sequence[str]) -> None:
+        """Set the services whose streams can be resumed."""
+        self._markers.set_services(services)
+
     def is_marked(self, upstream: UpstreamRecord) -> bool:
         """Return whether the software version of an upstream is marked."""
         return self._markers.is_marked(upstream)
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/version_markers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/version_markers.py
@@ -3,7 +3,7 @@
 A version is marked before streams begin at it. A gateway reads the marks of a service
 when it first lists one of its versions, and writes the one that is missing: two calls
 for each version and start. Gateways do so one after the other, so that most of them
-find the mark that another one has written.
+find the mark that another one has written. Versions that left are unmarked alike.
 """
 
 import asyncio
@@ -16,7 +16,7 @@
 from mustardquay.clocks import Clock
 from mustardquay.errors import MustardquayError
 from mustardquay.events import EventRing
-from mustardquay.streams import VersionMarks, list_versions
+from mustardquay.streams import ListedVersions, VersionMarks, list_versions
 from mustardquay.tables import Condition, Row, Transaction, Write
 from mustardquay.upstream_lists import UpstreamRecord
 
@@ -26,8 +26,8 @@
 
 MARKS_TABLE = "software_versions"
 """Table with one row for each service."""
-CHECK_INTERVAL = timedelta(milliseconds=100)
-"""Time between two looks for versions without a mark; costs no call."""
+CHECK_INTERVAL = timedelta(milliseconds=250)
+"""Time between two comparisons of marks and listed versions, which cost no call."""
 SPREAD = timedelta(milliseconds=5)
 """Time for each gateway over which all of them mark a new version: the store makes some
 200 transactions a second on one part."""
@@ -48,8 +48,6 @@
     random: Random
     events: EventRing
     list_upstreams: Callable[[], Iterable[UpstreamRecord]]
-    list_services: Callable[[], Sequence[str]]
-    """Lists the services whose streams can be resumed."""
     count_gateways: Callable[[], int]
 
 
@@ -67,8 +65,10 @@
 
     def __init__(self, deps: VersionMarkerDependencies):
         self._deps = deps
+        self._services: Sequence[str] = ()
         self._marked: defaultdict[str, frozenset[str]] = defaultdict(frozenset)
-        """Versions that are known to be marked, by service."""
+        """Versions that were found marked, by service."""
+        self._listed: defaultdict[str, ListedVersions] = defaultdict(ListedVersions)
         self._readings: dict[str, _Reading] = {}
         self._locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         self._task: asyncio.Task[None] | None = None
@@ -83,6 +83,10 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
+    def set_services(self, services: Sequence[str]) -> None:
+        """Set the services whose streams can be resumed."""
+        self._services = services
+
     def is_marked(self, upstream: UpstreamRecord) -> bool:
         """Return whether the software version of an upstream is marked."""
         return upstream.software_version in self._marked[upstream.service]
@@ -126,42 +130,53 @@
     async def _read_marks(self, service: str) -> VersionMarks:
         row = await self._deps.store.read(MARKS_TABLE, service)
         marks = VersionMarks() if row is None else _decode_marks(row)
-        self._marked[service] |= marks.versions
+        self._marked[service] = marks.versions
         return marks
 
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(CHECK_INTERVAL.total_seconds())
-            missing = [name for name in self._deps.list_services() if self._lacks(name)]
-            if not missing:
+            due = [service for service in self._services if self._is_due(service)]
+            if not due:
                 continue
             spread = SPREAD * self._deps.count_gateways() * self._deps.random.random()
             await asyncio.sleep(spread.total_seconds())
             try:
-                for service in missing:
-                    await self._mark(service)
+                for service in due:
+                    await self._update(service)
             except MustardquayError as error:
                 self._deps.events.record("versions.unmarked", error=str(error))
                 delay = RETRY_DELAY * (0.5 + self._deps.random.random())
                 await asyncio.sleep(delay.total_seconds())
 
-    def _lacks(self, service: str) -> bool:
-        return not self._list_versions(service) <= self._marked[service]
+    def _is_due(self, service: str) -> bool:
+        """Return whether the marks of a service may differ from what they should be."""
+        now = self._deps.clock.monotonic()
+        listed, marked = self._list_versions(service), self._marked[service]
+        self._listed[service].note(listed, marked, now)
+        if self._listed[service].find_expired(now):
+            return True
+        self._marked[service] &= listed | self._listed[service].find_known(marked, now)
+        return not listed <= self._marked[service]
 
     def _list_versions(self, service: str) -> frozenset[str]:
         return list_versions(service, self._deps.list_upstreams())
 
-    async def _mark(self, service: str) -> None:
-        """Mark the listed versions of a service that have no mark yet."""
+    async def _update(self, service: str) -> None:
+        """Mark the listed versions of a service, and unmark those gone for long."""
         marks = await self._read_marks(service)
-        versions = marks.versions | self._list_versions(service)
+        listed = self._list_versions(service)
+        expired = self._listed[service].find_expired(self._deps.clock.monotonic())
+        versions = (marks.versions - expired) | listed
         if versions == marks.versions:
+            self._listed[service].forget(expired)
             return
         condition = Condition(MARKS_TABLE, service, marks.revision)
         write = Write(MARKS_TABLE, service, {"versions": sorted(versions)})
         transaction = Transaction(conditions=(condition,), writes=(write,))
         if await self._deps.store.transact(transaction):
-            self._marked[service] |= versions
+            self._marked[service] = versions
+            self._listed[service].forget(expired)
             self._deps.events.record(
                 "versions.marked", service=service, versions=sorted(versions)
             )
--- a/packages/mustardquay-standins/src/mustardquay_standins/virtual_loops.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/virtual_loops.py
@@ -1,6 +1,7 @@
 """Virtual loops: an asyncio event loop and clock in virtual time, for tests."""
 
 import asyncio
+import heapq
 from datetime import UTC, datetime, timedelta
 
 __all__ = ["LoopClock", "VirtualLoop"]
@@ -25,12 +26,19 @@
 
     def _run_once(self) -> None:
         if not self._ready:
-            timers = [timer for timer in self._scheduled if not timer.cancelled()]
-            if not timers:
+            self._drop_cancelled()
+            if not self._scheduled:
                 raise RuntimeError("Nothing is ready and no timer is pending.")
-            self._elapsed = max(self._elapsed, min(timers).when())
+            self._elapsed = max(self._elapsed, self._scheduled[0].when())
         super()._run_once()
 
+    def _drop_cancelled(self) -> None:
+        """Drop cancelled timers from the head of the heap, as `_run_once` does."""
+        while self._scheduled and self._scheduled[0].cancelled():
+            timer = heapq.heappop(self._scheduled)
+            timer._scheduled = False
+            self._timer_cancelled_count -= 1
+
 
 class LoopClock:
     """The clock of a virtual loop."""
--- a/packages/mustardquay/src/mustardquay/streams/__init__.py
+++ b/packages/mustardquay/src/mustardquay/streams/__init__.py
@@ -5,13 +5,19 @@
 from .event_framers import EventFramer
 from .gateway_rings import KEEPERS, GatewayRing
 from .origins import OriginRecord, OriginTable, StreamOrigin, compute_stream_key
-from .version_marks import VersionMarks, find_only_origin, list_versions
+from .version_marks import (
+    ListedVersions,
+    VersionMarks,
+    find_only_origin,
+    list_versions,
+)
 
 __all__ = [
     "KEEPERS",
     "EventFramer",
     "Framing",
     "GatewayRing",
+    "ListedVersions",
     "OriginRecord",
     "OriginTable",
     "StreamOrigin",
--- a/packages/mustardquay/src/mustardquay/streams/version_marks.py
+++ b/packages/mustardquay/src/mustardquay/streams/version_marks.py
@@ -1,16 +1,24 @@
 """Version marks: the software versions at which streams of a service may have begun.
 
 They are kept in the platform's store, so that a process that knows no stream can still
-tell where all of them began if only one version ever served.
+tell where all of them began if only one version served in the last minutes.
 """
 
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
+from datetime import timedelta
 
 from ..upstream_lists import UpstreamRecord
 from .origins import StreamOrigin
 
-__all__ = ["VersionMarks", "find_only_origin", "list_versions"]
+__all__ = ["ListedVersions", "VersionMarks", "find_only_origin", "list_versions"]
+
+MARK_LIFETIME = timedelta(minutes=10)
+"""How long a version stays marked that no gateway lists any more: far longer than its
+last streams can be taken up."""
+KNOWN_LIFETIME = MARK_LIFETIME / 2
+"""How long a gateway relies on its knowledge of the mark of a version that it does not
+list; after that, another one may be about to remove the mark."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +37,46 @@
     )
 
 
+class ListedVersions:
+    """When a process last listed the software versions of one service."""
+
+    def __init__(self) -> None:
+        self._listed_at: dict[str, timedelta] = {}
+
+    def note(
+        self, listed: Iterable[str], marked: Iterable[str], now: timedelta
+    ) -> None:
+        """Note the versions that are listed, and those that are known to be marked.
+
+        A marked version that was never listed here counts as listed when it was found.
+        """
+        for version in marked:
+            self._listed_at.setdefault(version, now)
+        for version in listed:
+            self._listed_at[version] = now
+
+    def find_known(self, marked: Iterable[str], now: timedelta) -> frozenset[str]:
+        """Return the marked versions whose marks are certainly still there."""
+        return frozenset(
+            version
+            for version in marked
+            if now - self._listed_at.get(version, now) < KNOWN_LIFETIME
+        )
+
+    def find_expired(self, now: timedelta) -> frozenset[str]:
+        """Return the versions whose marks should be removed."""
+        return frozenset(
+            version
+            for version, at in self._listed_at.items()
+            if now - at >= MARK_LIFETIME
+        )
+
+    def forget(self, versions: Iterable[str]) -> None:
+        """Forget versions whose marks are gone."""
+        for version in versions:
+            self._listed_at.pop(version, None)
+
+
 def find_only_origin(
     service: str, marks: VersionMarks, listed: Collection[str]
 ) -> StreamOrigin | None:
