Hold streams back from upstreams whose version may have changed unnoticed

An upstream that was unreachable may have started again under its id with another version, and its new record comes up to 0.4 s later. A stream would go on there by the old record. It may not until a record of a new start, or the second one more of the old, has come: the first may have been on its way as the upstream ended. Streams that begin at such an upstream are not noted.

--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -14,6 +14,7 @@
 from mustardquay.routing_tables import Repeat, Route
 from mustardquay.streams import (
     StreamOrigin,
+    VersionDoubts,
     compute_stream_key,
     filter_continuing,
     prefer_marked,
@@ -53,6 +54,7 @@
     """Keeps what an upstream says of itself in an answer to the request of that id."""
     crashes: CrashReporter
     origins: OriginSubsystem
+    doubts: VersionDoubts
     planner: GenerationPlanner
     stop: GatewayStop
     find_table_state: Callable[[], TableState]
@@ -79,7 +81,7 @@
         """Return the upstreams that a request may be sent to now."""
         accepting = self.list_accepting(request.service)
         if request.origin is not None:
-            return filter_continuing(accepting, request.origin)
+            return filter_continuing(accepting, request.origin, self.doubts.is_certain)
         if request.is_resumable:
             return list(prefer_marked(accepting, self.origins.is_marked))
         return accepting
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -10,6 +10,7 @@
 from mustardquay.rate_limits import RateLimiter
 from mustardquay.retry_windows import RetryLimits
 from mustardquay.routing_tables import RoutingTable
+from mustardquay.streams import VersionDoubts
 from mustardquay.uplinks import Uplink
 from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import UpstreamLoads
@@ -58,6 +59,7 @@
         self.statements = UpstreamStatements(deps.clock)
         self.list = UpstreamList(self.statements.is_leaving)
         self.loads = UpstreamLoads()
+        self.doubts = VersionDoubts()
         self.limits = RateLimiter()
         self.crashes = CrashReporter(deps.clock, deps.events, deps.notify_peers)
         self.pools = UpstreamPools(
@@ -152,6 +154,7 @@
         self.crashes.note_upstream_lost(id)
         self.pools.forget(id)
         self.loads.forget(id)
+        self.doubts.forget(id)
         self.limits.forget(id)
         self.planner.forget(id)
 
@@ -160,6 +163,9 @@
         return self._deps.clock.monotonic()
 
     def _note_unreachable(self, id: str) -> None:
+        record = self.list.get(id)
+        if record is not None:
+            self.doubts.note_unreachable(record)
         self.loads.note_unreachable(id, self._now)
         self.crashes.note_upstream_lost(id)
 
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -276,6 +276,7 @@
             note_statements=self._upstreams.note_statements,
             crashes=self._upstreams.crashes,
             origins=self._origins,
+            doubts=self._upstreams.doubts,
             planner=self._upstreams.planner,
             stop=self._stop,
             find_table_state=lambda: self._configurations.find_state(),
--- a/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
@@ -73,6 +73,7 @@
         deps.crashes.note_answer(request.fingerprint, request.id, upstream.id)
     if end == ExchangeEnd.NOT_CONNECTED:
         deps.crashes.note_upstream_lost(upstream.id)
+        deps.doubts.note_unreachable(upstream)
 
 
 def _observe_load(
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -247,10 +247,9 @@
 
         Guards against one that starts again under its id, with another version.
         """
-        listed = self._deps.upstreams.get(upstream.id)
-        if listed is None:
-            return True
-        return listed.software_version == upstream.software_version
+        listed = self._deps.upstreams.get(upstream.id) or upstream
+        is_same = listed.software_version == upstream.software_version
+        return is_same and self._deps.doubts.is_certain(listed)
 
     def _is_complete(
         self, send: Send, exchange: Exchange, options: SendOptions
--- a/packages/mustardquay/src/mustardquay/streams/__init__.py
+++ b/packages/mustardquay/src/mustardquay/streams/__init__.py
@@ -5,6 +5,7 @@
 from .event_framers import EventFramer
 from .gateway_rings import KEEPERS, GatewayRing
 from .origins import OriginRecord, OriginTable, StreamOrigin, compute_stream_key
+from .version_doubts import VersionDoubts
 from .version_marks import (
     ListedVersions,
     VersionMarks,
@@ -22,6 +23,7 @@
     "OriginTable",
     "StreamOrigin",
     "TakeUpRefusal",
+    "VersionDoubts",
     "VersionMarks",
     "compute_stream_key",
     "filter_continuing",
--- a/packages/mustardquay/src/mustardquay/streams/continuations.py
+++ b/packages/mustardquay/src/mustardquay/streams/continuations.py
@@ -21,17 +21,22 @@
 
 
 def filter_continuing(
-    upstreams: Sequence[UpstreamRecord], origin: StreamOrigin
+    upstreams: Sequence[UpstreamRecord],
+    origin: StreamOrigin,
+    is_certain: Callable[[UpstreamRecord], bool] = lambda record: True,
 ) -> list[UpstreamRecord]:
     """Return the upstreams that a stream of this origin may go on at.
 
+    `is_certain` returns whether an upstream still has the version of its record.
+
     Engines that only prefill stay whatever their version: they write no events, and
     their KV caches depend on the weights.
     """
     return [
         each
         for each in upstreams
-        if each.stage is Stage.PREFILL or each.software_version == origin.version
+        if each.stage is Stage.PREFILL
+        or (each.software_version == origin.version and is_certain(each))
     ]
 
 
--- a/packages/mustardquay/tests/test_stream_origins.py
+++ b/packages/mustardquay/tests/test_stream_origins.py
@@ -1,6 +1,7 @@
 """Where streams began, who keeps that, and where they may go on."""
 
 from collections import Counter
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
@@ -12,6 +13,7 @@
     OriginRecord,
     OriginTable,
     StreamOrigin,
+    VersionDoubts,
     VersionMarks,
     compute_stream_key,
     filter_continuing,
@@ -120,3 +122,18 @@
     marks = VersionMarks(frozenset(marked), 1)
     found = find_only_origin("app", marks, listed)
     assert found == (OLD if is_known else None)
+
+
+def test_an_upstream_that_was_unreachable_is_in_doubt_until_it_writes_on():
+    """Guards against a stream that goes on at an upstream started again as another."""
+    doubts, record = VersionDoubts(), replace(make_upstream("a", "1"), sequence=5)
+    assert doubts.is_certain(record)
+    doubts.note_unreachable(record)
+    assert not doubts.is_certain(record)
+    assert filter_continuing([record], OLD, doubts.is_certain) == []
+    # The next record may have been written before the upstream ended.
+    assert not doubts.is_certain(replace(record, sequence=6))
+    assert doubts.is_certain(replace(record, sequence=7))
+    assert doubts.is_certain(record)
+    doubts.note_unreachable(record)
+    assert doubts.is_certain(replace(record, started_ms=9, sequence=1))
