--- a/packages/mustardquay-standins/src/mustardquay_standins/relays.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/relays.py
@@ -1,6 +1,8 @@
 """Relays: a TCP relay that simulates network failures."""
 
 import asyncio
+import socket
+import struct
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -108,10 +110,10 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def cut_connections(self) -> None:
-        """Close every open connection; new ones are accepted."""
+        """Reset every open connection; new ones are accepted."""
         for connection in list(self._connections):
             for writer in connection.writers:
-                writer.transport.abort()
+                _reset(writer)
 
     def set_down(self, down: bool) -> None:
         """Close the listener, or open it again on the same port.
@@ -161,6 +163,11 @@
                 self._pump(connection, reader, target_writer, "swallow_forward"),
                 self._pump(connection, target_reader, writer, "swallow_back"),
             )
+        except OSError:
+            # A reset of one side is one of the other: an end without it would mark an
+            # answer that has no length as complete.
+            _reset(writer)
+            _reset(target_writer)
         finally:
             self._connections.discard(connection)
             writer.transport.abort()
@@ -193,6 +200,14 @@
             await writer.drain()
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    connection = writer.transport.get_extra_info("socket")
+    if connection is not None and not writer.transport.is_closing():
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 class _RelayControl(StandinServer):
     def __init__(self, relay: RelayStandin, clock: Clock | None, seed: int):
         super().__init__(relay.faults, relay.counters, clock, seed)
