Confirm only successes that really ended with their connection

A 204 has neither length nor chunks and keeps its connection, and a refusal is a refusal whether or not its upstream is still there: neither needs a new connection. An origin is encoded once for all its keepers, and no exchange makes its lifetime longer.

--- a/packages/mustardquay-node/src/mustardquay_node/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections.py
@@ -148,6 +148,12 @@
         """Return the body of the answer, as far as it was buffered."""
         return b"".join(self._parts)
 
+    @property
+    def ended_connection(self) -> bool:
+        """Return whether the end of the connection was that of the answer."""
+        is_closed = self._stream is not None and self._stream.closed()
+        return self.framing is Framing.CONNECTION and is_closed
+
     def attach(self, stream: IOStream) -> None:
         """Set the connection that `cancel` closes."""
         self._stream = stream
--- a/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
@@ -7,7 +7,7 @@
 from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from .results import Send, SendOptions
 
-__all__ = ["observe_end", "observe_head"]
+__all__ = ["SUCCESS_STATUSES", "observe_end", "observe_head"]
 
 SUCCESS_STATUSES = range(200, 300)
 MIN_SERVER_ERROR_STATUS = 500
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -9,12 +9,7 @@
 from mustardquay.requests import SendResult
 from mustardquay.routing_tables import Repeat
 from mustardquay.stall_timeouts import find_idle_timeout
-from mustardquay.streams import (
-    EventFramer,
-    Framing,
-    StreamOrigin,
-    is_stream_complete,
-)
+from mustardquay.streams import EventFramer, StreamOrigin, is_stream_complete
 from mustardquay.upstream_lists import UpstreamRecord
 
 from ..adapters import SendTarget
@@ -23,7 +18,7 @@
 from ..pauses import RunningTimer
 from ..replies import Reply
 from ..usage import may_have_begun, note_begun
-from .observations import observe_end, observe_head
+from .observations import SUCCESS_STATUSES, observe_end, observe_head
 from .results import DEFAULT_OPTIONS, Send, SendOptions
 
 __all__ = ["Sender"]
@@ -85,7 +80,7 @@
             end = await pool.run(
                 exchange, NON_IDEMPOTENT_IDLE_LIMIT if is_once else None
             )
-            if end == ExchangeEnd.WHOLE and not options.prefill_only:
+            if end == ExchangeEnd.WHOLE and _is_success(exchange, options):
                 end = await _confirm_end(exchange, pool)
         except asyncio.CancelledError:
             if exchange.was_sent and not options.prefill_only:
@@ -366,12 +361,18 @@
         return facts.is_signed and not facts.is_encoded and not facts.not_run
 
 
+def _is_success(exchange: Exchange, options: SendOptions) -> bool:
+    """Return whether an answer is a success of a run; a prefill shows its own end."""
+    assert exchange.head is not None
+    return exchange.head.status in SUCCESS_STATUSES and not options.prefill_only
+
+
 async def _confirm_end(exchange: Exchange, pool: ConnectionPool) -> str:
     """Return the end of an answer that looks whole, an `ExchangeEnd`.
 
     Guards against upstreams that crash in an answer which ends with its connection, as
     between two events of a stream. One that has crashed refuses connections.
     """
-    if exchange.framing is not Framing.CONNECTION or await pool.probe():
+    if not exchange.ended_connection or await pool.probe():
         return ExchangeEnd.WHOLE
     return ExchangeEnd.INCOMPLETE
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/exchanges.py
@@ -89,7 +89,7 @@
         """Note a stream that begins here, and tell its keepers at once."""
         self._table.note(record, self._now)
         self._running.add(record.key)
-        self._tell([record])
+        self._send(self._list_keepers(record.key), [record])
 
     def end(self, key: int) -> None:
         """Note that a stream doesn't run here any more; its origin is kept."""
@@ -97,11 +97,10 @@
 
     async def ask(self, key: int) -> StreamOrigin | None:
         """Return the origin of a stream by the answers of other gateways."""
-        names = {*self._ring.find_keepers(key), *self._deps.list_neighbours()}
-        names.discard(self._deps.name)
-        question = _Question(names)
+        names = {*self._list_keepers(key), *self._deps.list_neighbours()}
         if not names:
             return None
+        question = _Question(names)
         self._questions[key].add(question)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT.total_seconds()):
@@ -169,13 +168,17 @@
             found = (self._table.export(key, self._now) for key in self._running)
             self._tell([record for record in found if record is not None])
 
+    def _list_keepers(self, key: int) -> list[str]:
+        """Return the other gateways that keep the origin of a stream."""
+        keepers = self._ring.find_keepers(key)
+        return [name for name in keepers if name != self._deps.name]
+
     def _tell(self, records: Sequence[OriginRecord]) -> None:
         """Send origins to their keepers."""
         kept: defaultdict[str, list[OriginRecord]] = defaultdict(list)
         for record in records:
-            for name in self._ring.find_keepers(record.key):
+            for name in self._list_keepers(record.key):
                 kept[name].append(record)
-        kept.pop(self._deps.name, None)
         for name, chosen in kept.items():
             self._send_records([name], chosen)
 
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/frames.py
@@ -4,7 +4,6 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
-from math import ceil
 from pathlib import Path
 
 import capnp
@@ -71,4 +70,5 @@
 
 
 def _to_seconds(lifetime: timedelta) -> int:
-    return min(ceil(lifetime.total_seconds()), MAX_SECONDS)
+    """Return whole seconds, rounded down so that no exchange makes a lifetime longer."""
+    return min(int(lifetime.total_seconds()), MAX_SECONDS)
