--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/frames.py
@@ -70,5 +70,5 @@
 
 
 def _to_seconds(lifetime: timedelta) -> int:
-    """Return whole seconds, rounded down so that no exchange makes a lifetime longer."""
+    """Return whole seconds, rounded down: no exchange makes a lifetime longer."""
     return min(int(lifetime.total_seconds()), MAX_SECONDS)
