--- a/packages/mustardquay-standins/src/mustardquay_standins/demos.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/demos.py
@@ -27,6 +27,11 @@
 __all__ = ["Demo", "main"]
 
 ROUNDS = 4
+BROKEN_ROUND = 1
+"""Number of the round in which engines break off answers, from 0."""
+BROKEN_ENGINES = 2
+BROKEN_TOKENS = 3
+"""Tokens after which they do so."""
 BULLETIN_SENTENCES = 200
 DRAFT_TOKENS = 60
 TIMELINE_LINES = 24
@@ -74,11 +79,14 @@
         try:
             for number in range(ROUNDS):
                 self._print(f"Round {number + 1} of {ROUNDS}")
+                if number == BROKEN_ROUND:
+                    self._break_off_streams()
                 await self._run_round(client, drain=number == ROUNDS // 2)
         finally:
             client.close()
         self._show_outcomes()
         self._show_timeline()
+        self._show_broken_streams()
         good = self._check_counts() and all(sample.good for sample in self._samples)
         await self._site.close()
         self._print("All checks passed." if good else "Some checks failed; see above.")
@@ -145,6 +153,14 @@
         kind = f"{self._names[2]} again, same key"
         self._samples.append(Sample(kind, answers[1], good and same))
 
+    def _break_off_streams(self) -> None:
+        """Have some engines break off their next answer; others go on with it."""
+        engines = list(self._site.engines.values())[:BROKEN_ENGINES]
+        self._print(f"{len(engines)} engines break off their next answer …")
+        for engine in engines:
+            engine.faults.drop_after = BROKEN_TOKENS
+            engine.faults.drops = 1
+
     async def _drain_one(self) -> None:
         """Announce a drain of one engine, as an operator does, then cancel it."""
         upstream = next(iter(self._site.engines))
@@ -179,6 +195,12 @@
         )
         return not wrong
 
+    def _show_broken_streams(self) -> None:
+        engines = self._site.engines.values()
+        faults = [engine.faults for engine in engines if engine.faults.drop_after]
+        broken = sum(each.drops == 0 for each in faults)
+        self._print(f"Answers that broke off and came whole all the same: {broken}.")
+
     def _show_outcomes(self) -> None:
         table = Table(title="Outcomes")
         for column in ("request", "sent", "good", "outcomes", "p50 ms", "worst ms"):
