--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/exchanges.py
@@ -15,6 +15,7 @@
 from mustardquay.clocks import Clock
 from mustardquay.streams import GatewayRing, OriginRecord, OriginTable, StreamOrigin
 
+from ..loops import start_loop
 from ..peers import Address
 from .frames import OriginMessage, decode_message, encode_message
 
@@ -69,7 +70,7 @@
 
     def start(self) -> None:
         """Start to repeat the origins of running streams."""
-        self._task = asyncio.create_task(self._run())
+        self._task = start_loop(self._repeat_running, REFRESH_INTERVAL)
 
     async def close(self) -> None:
         """Stop; other gateways keep what they have."""
@@ -161,12 +162,11 @@
         message = OriginMessage(self._deps.name, records, answered=questions)
         self._deps.reply(encode_message(message), address)
 
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(REFRESH_INTERVAL.total_seconds())
-            self._table.expire(self._now)
-            found = (self._table.export(key, self._now) for key in self._running)
-            self._tell([record for record in found if record is not None])
+    def _repeat_running(self) -> None:
+        """Send the origins of running streams once more, and drop expired ones."""
+        self._table.expire(self._now)
+        found = (self._table.export(key, self._now) for key in self._running)
+        self._tell([record for record in found if record is not None])
 
     def _list_keepers(self, key: int) -> list[str]:
         """Return the other gateways that keep the origin of a stream."""
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/version_markers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/version_markers.py
@@ -21,6 +21,7 @@
 from mustardquay.upstream_lists import UpstreamRecord
 
 from ..adapters import StoreTables
+from ..loops import start_loop
 
 __all__ = ["MARKS_TABLE", "VersionMarkerDependencies", "VersionMarkers"]
 
@@ -75,7 +76,7 @@
 
     def start(self) -> None:
         """Start to mark versions."""
-        self._task = asyncio.create_task(self._run())
+        self._task = start_loop(self._check, CHECK_INTERVAL)
 
     async def close(self) -> None:
         """Stop."""
@@ -133,21 +134,20 @@
         self._marked[service] = marks.versions
         return marks
 
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL.total_seconds())
-            due = [service for service in self._services if self._is_due(service)]
-            if not due:
-                continue
-            spread = SPREAD * self._deps.count_gateways() * self._deps.random.random()
-            await asyncio.sleep(spread.total_seconds())
-            try:
-                for service in due:
-                    await self._update(service)
-            except MustardquayError as error:
-                self._deps.events.record("versions.unmarked", error=str(error))
-                delay = RETRY_DELAY * (0.5 + self._deps.random.random())
-                await asyncio.sleep(delay.total_seconds())
+    async def _check(self) -> None:
+        """Update the marks that may differ from what they should be."""
+        due = [service for service in self._services if self._is_due(service)]
+        if not due:
+            return
+        spread = SPREAD * self._deps.count_gateways() * self._deps.random.random()
+        await asyncio.sleep(spread.total_seconds())
+        try:
+            for service in due:
+                await self._update(service)
+        except MustardquayError as error:
+            self._deps.events.record("versions.unmarked", error=str(error))
+            delay = RETRY_DELAY * (0.5 + self._deps.random.random())
+            await asyncio.sleep(delay.total_seconds())
 
     def _is_due(self, service: str) -> bool:
         """Return whether the marks of a service may differ from what they should be."""
