Let prompts of streams that go on be prefilled by engines in doubt

A prefill writes no event, so its engine may have any version; the check right before a send held prefills back as well, and each cost another choice.

--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -149,12 +149,14 @@
         """Return whether a send is still allowed, right before its first byte.
 
         Guards against news since its upstream was chosen, as connections, reservations
-        and the prefill take time: that the request has crashed too many upstreams, or
-        that one that it reaches is leaving or wants to rest.
+        and the prefill take time: that the request has crashed too many upstreams, that
+        one that it reaches is leaving or wants to rest, or that the one which is to go
+        on with its stream may have another software version by now.
         """
         if self._deps.crashes.is_refused(self._request.fingerprint):
             return False
-        if self._request.origin is not None and not self._is_unchanged(upstream):
+        goes_on = self._request.origin is not None and not options.prefill_only
+        if goes_on and not self._is_unchanged(upstream):
             return False
         reached = [upstream, options.holder] if options.holder else [upstream]
         return all(map(self._deps.statements.is_accepting, reached))
