Save where streams began in the store while several versions serve

After all gateways were killed at the same moment, none knew the origin of any stream, and with two versions serving each take-up was refused: listed as a limit until now, though streams are to be taken up as surely as new ones begin. Each gateway now writes the origins of its running streams to a row of its own, only while several versions are marked, once a second at most and 25 times a second in the whole fleet, not all at the same moment; a process goes on with the row of the one before it. The rows are read only for a stream that no gateway knows.

Tests in virtual time at 3, 28 and 1,000 gateways: known after all were killed, also twice soon after; nothing is saved while one version serves. Two tests counted all calls to the store; they count those for marks now, and that streams cost none is checked where one version serves.

--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/exchanges.py
@@ -92,6 +92,16 @@
         self._running.add(record.key)
         self._send(self._list_keepers(record.key), [record])
 
+    def note(self, records: Iterable[OriginRecord]) -> None:
+        """Note origins that were found elsewhere."""
+        for record in records:
+            self._table.note(record, self._now)
+
+    def list_running(self) -> list[OriginRecord]:
+        """Return the streams that have begun here and not ended."""
+        found = (self._table.export(key, self._now) for key in self._running)
+        return [record for record in found if record is not None]
+
     def end(self, key: int) -> None:
         """Note that a stream doesn't run here any more; its origin is kept."""
         self._running.discard(key)
@@ -121,8 +131,7 @@
         message = decode_message(data)
         if message is None or message.sender == self._deps.name:
             return
-        for record in message.records:
-            self._table.note(record, self._now)
+        self.note(message.records)
         for key in message.answered:
             self._note_answer(key, message.sender)
         if message.questions:
@@ -165,8 +174,7 @@
     def _repeat_running(self) -> None:
         """Send the origins of running streams once more, and drop expired ones."""
         self._table.expire(self._now)
-        found = (self._table.export(key, self._now) for key in self._running)
-        self._tell([record for record in found if record is not None])
+        self._tell(self.list_running())
 
     def _list_keepers(self, key: int) -> list[str]:
         """Return the other gateways that keep the origin of a stream."""
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/saved_origins.py
@@ -0,0 +1,192 @@
+"""Origins of running streams, saved in the platform's store while versions are mixed.
+
+Guards against the kill of all gateways at the same moment, after which none knows where
+streams began. While one version serves, that follows from its mark, and nothing is
+saved. Otherwise each gateway writes one row, about once a second in a small fleet.
+"""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from random import Random
+from typing import Any
+
+import orjson
+
+from mustardquay.clocks import Clock
+from mustardquay.errors import MustardquayError
+from mustardquay.events import EventRing
+from mustardquay.streams import OriginRecord, StreamOrigin
+from mustardquay.tables import Transaction, Write
+
+from ..adapters import ReadOptions, StoreRow, StoreTables
+from ..loops import start_loop
+
+__all__ = ["SAVED_TABLE", "SavedOriginDependencies", "SavedOrigins"]
+
+SAVED_TABLE = "stream_origins"
+"""Table with one row for each gateway."""
+SAVE_INTERVAL = timedelta(seconds=1)
+"""Time between two writes of a gateway, and their minimum."""
+SAVE_INTERVAL_OF_EACH = timedelta(milliseconds=40)
+"""The same for each gateway of the fleet: all make 25 writes a second at most."""
+MAX_SAVED = 2_000
+"""Streams in one row, which stays below the store's limit of 64 KiB."""
+READ_INTERVAL = timedelta(milliseconds=500)
+"""Minimum time between two reads of all rows."""
+READ_TIMEOUT = timedelta(milliseconds=600)
+"""Time for which a request may wait for such a read."""
+
+
+@dataclass(frozen=True, slots=True)
+class SavedOriginDependencies:
+    """Dependencies of `SavedOrigins`."""
+
+    name: str
+    """Name of this gateway."""
+    store: StoreTables
+    clock: Clock
+    random: Random
+    events: EventRing
+    count_gateways: Callable[[], int]
+    is_mixed: Callable[[], bool]
+    """Returns whether streams may have begun at several versions of a service."""
+    list_running: Callable[[], list[OriginRecord]]
+    """Lists the streams that run at this gateway."""
+    note: Callable[[Iterable[OriginRecord]], None]
+    """Notes origins that were read."""
+
+
+class SavedOrigins:
+    """Saves the origins of this gateway's streams, and reads those of all gateways."""
+
+    def __init__(self, deps: SavedOriginDependencies):
+        self._deps = deps
+        self._saved: frozenset[int] = frozenset()
+        self._due: timedelta | None = None
+        """When the next write is due; None while one version serves."""
+        self._inherited: list[tuple[timedelta, OriginRecord]] | None = None
+        """Origins that an earlier process of this gateway saved, with their ends."""
+        self._read_at: timedelta | None = None
+        self._lock = asyncio.Lock()
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start to save origins."""
+        self._task = start_loop(self._save, SAVE_INTERVAL, self._deps.random)
+
+    async def close(self) -> None:
+        """Stop; the row stays, as streams that break off now are taken up elsewhere."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def read(self) -> None:
+        """Read what all gateways have saved; does nothing if the store is away."""
+        asked_at = self._deps.clock.monotonic()
+        try:
+            async with asyncio.timeout(READ_TIMEOUT.total_seconds()), self._lock:
+                if self._read_at is None or self._read_at < asked_at:
+                    await self._read_all()
+        except TimeoutError:
+            return
+        except MustardquayError as error:
+            self._deps.events.record("origins.unread", error=str(error))
+
+    async def _read_all(self) -> None:
+        now = self._deps.clock.monotonic()
+        if self._read_at is not None:
+            due = self._read_at + READ_INTERVAL - now
+            await asyncio.sleep(max(due.total_seconds(), 0))
+        self._read_at = self._deps.clock.monotonic()
+        page = await self._deps.store.list_rows(SAVED_TABLE, ReadOptions())
+        for row in page.rows:
+            self._deps.note(self._decode(row))
+
+    async def _save(self) -> None:
+        if not self._deps.is_mixed():
+            self._due = None
+            return
+        now = self._deps.clock.monotonic()
+        interval = SAVE_INTERVAL_OF_EACH * self._deps.count_gateways()
+        if self._due is None:
+            # All gateways learn of another version at the same time.
+            self._due = now + interval * self._deps.random.random()
+        if now < self._due:
+            return
+        self._due = now + interval
+        try:
+            if self._inherited is None:
+                await self._inherit()
+            await self._write(now)
+        except MustardquayError as error:
+            self._deps.events.record("origins.unsaved", error=str(error))
+
+    async def _inherit(self) -> None:
+        """Go on with the row of an earlier process, whose streams may be taken up."""
+        row = await self._deps.store.read(SAVED_TABLE, self._deps.name)
+        records = [] if row is None else self._decode_value(row.value)
+        now = self._deps.clock.monotonic()
+        self._deps.note(records)
+        self._inherited = [(now + record.lifetime, record) for record in records]
+
+    async def _write(self, now: timedelta) -> None:
+        inherited = [
+            OriginRecord(record.key, record.origin, until - now)
+            for until, record in self._inherited or ()
+            if until > now
+        ]
+        records = [*self._deps.list_running(), *inherited][:MAX_SAVED]
+        keys = frozenset(record.key for record in records)
+        if keys == self._saved:
+            return
+        value = _encode(records, self._deps.clock.now())
+        write = Write(SAVED_TABLE, self._deps.name, value)
+        await self._deps.store.transact(Transaction(writes=(write,)))
+        self._saved = keys
+
+    def _decode(self, row: StoreRow) -> list[OriginRecord]:
+        try:
+            return self._decode_value(orjson.loads(row.value))
+        except ValueError:
+            return []
+
+    def _decode_value(self, value: Any) -> list[OriginRecord]:
+        """Return the origins in a row; none if it can't be decoded."""
+        try:
+            at = datetime.fromtimestamp(
+                value["at"] / 1000, self._deps.clock.now().tzinfo
+            )
+            age = self._deps.clock.now() - at
+            return list(_decode_origins(value["origins"], max(age, timedelta())))
+        except (ValueError, KeyError, TypeError, OverflowError):
+            return []
+
+
+def _encode(records: Sequence[OriginRecord], now: datetime) -> Mapping[str, Any]:
+    groups: defaultdict[StreamOrigin, list[OriginRecord]] = defaultdict(list)
+    for record in records:
+        groups[record.origin].append(record)
+    origins = [
+        {
+            "service": origin.service,
+            "version": origin.version,
+            "keys": [f"{record.key:016x}" for record in group],
+            "seconds": [int(record.lifetime.total_seconds()) for record in group],
+        }
+        for origin, group in groups.items()
+    ]
+    return {"at": int(now.timestamp() * 1000), "origins": origins}
+
+
+def _decode_origins(
+    origins: Sequence[Mapping[str, Any]], age: timedelta
+) -> Iterable[OriginRecord]:
+    for each in origins:
+        origin = StreamOrigin(str(each["service"]), str(each["version"]))
+        for key, seconds in zip(each["keys"], each["seconds"], strict=True):
+            lifetime = timedelta(seconds=seconds) - age
+            if lifetime > timedelta():
+                yield OriginRecord(int(key, 16), origin, lifetime)
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/subsystems.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/subsystems.py
@@ -18,6 +18,7 @@
 from ..adapters import StoreTables
 from ..peers import Address
 from .exchanges import OriginExchange, OriginExchangeDependencies
+from .saved_origins import SavedOriginDependencies, SavedOrigins
 from .version_markers import VersionMarkerDependencies, VersionMarkers
 
 __all__ = ["FoundOrigin", "OriginDependencies", "OriginSubsystem"]
@@ -55,7 +56,7 @@
 
     origin: StreamOrigin
     source: str
-    """`here`, `gateway` (another one knew it) or `only_version`."""
+    """`here`, `gateway` (another one knew it), `saved` or `only_version`."""
 
 
 class OriginSubsystem:
@@ -85,13 +86,29 @@
             )
         )
 
+        self._saved = SavedOrigins(
+            SavedOriginDependencies(
+                name=deps.name,
+                store=deps.store,
+                clock=deps.clock,
+                random=deps.random,
+                events=deps.events,
+                count_gateways=lambda: len(deps.list_gateways()),
+                is_mixed=lambda: self._markers.is_mixed,
+                list_running=self._exchange.list_running,
+                note=self._exchange.note,
+            )
+        )
+
     def start(self) -> None:
-        """Start to share origins and to mark versions."""
+        """Start to share and save origins, and to mark versions."""
         self._exchange.start()
         self._markers.start()
+        self._saved.start()
 
     async def close(self) -> None:
         """Stop; other gateways keep what they know."""
+        await self._saved.close()
         await self._markers.close()
         await self._exchange.close()
 
@@ -144,6 +161,11 @@
                 origin = await self._exchange.ask(key)
             if origin is not None:
                 return FoundOrigin(origin, "gateway")
+            if self._markers.is_mixed:
+                await self._saved.read()
+                origin = self._exchange.find(key)
+            if origin is not None:
+                return FoundOrigin(origin, "saved")
             if self._exchange.is_ambiguous(key):
                 return None
         if len(services) != 1:
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/version_markers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/version_markers.py
@@ -92,6 +92,11 @@
         """Return whether the software version of an upstream is marked."""
         return upstream.software_version in self._marked[upstream.service]
 
+    @property
+    def is_mixed(self) -> bool:
+        """Return whether several versions of a service are marked."""
+        return any(len(self._marked[service]) > 1 for service in self._services)
+
     def note_era(self) -> None:
         """Mark all versions again: the store was restored from a copy."""
         self._marked.clear()
