Take an answer that this process gave up for broken, whatever its framing

What callers saw: a stream without a length that ended as whole after some of its events. Its engine had gone silent, the gateway closed the connection to go on elsewhere, and took its own close for the end of the answer, as no reset had come. Agents did the same.

--- a/packages/mustardquay-node/src/mustardquay_node/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections.py
@@ -206,6 +206,9 @@
         """Do nothing; the answer stays incomplete."""
 
     def _was_closed_cleanly(self) -> bool:
+        """Return whether the peer ended the connection, without a reset."""
+        if self.cancelled:
+            return False
         if self.head is not None and self.head.status in (204, 304):
             return True
         return self._stream is not None and self._stream.error is None
--- a/packages/mustardquay-node/src/mustardquay_node/upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstreams.py
@@ -141,7 +141,10 @@
         self.whole = self.answered and (is_shown or self._was_closed_cleanly())
 
     def _was_closed_cleanly(self) -> bool:
-        return self._stream is not None and self._stream.error is None
+        """Return whether the upstream ended the connection, without a reset."""
+        if self.cancelled or self._stream is None:
+            return False
+        return self._stream.error is None
 
     def on_connection_close(self) -> None:
         """Do nothing: the answer stays marked as incomplete."""
--- a/packages/mustardquay-node/tests/test_upstreams.py
+++ b/packages/mustardquay-node/tests/test_upstreams.py
@@ -43,3 +43,28 @@
     assert parts == [b"a part"]
     client.close()
     server.close()
+
+
+async def test_an_answer_without_length_that_is_cancelled_is_not_whole():
+    """Guards against the agent's own close that is taken for the end of an answer."""
+    released = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"a part")
+        await released.wait()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    client = UpstreamClient(f"http://{host}:{port}")
+    call = UpstreamCall("GET", "/", (), b"", lambda *head: None, lambda data: None)
+    running = asyncio.create_task(client.run(call, fresh=True))
+    while not call.answered:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(0.02)
+    call.cancel()
+    assert await running is CallResult.BROKEN
+    released.set()
+    client.close()
+    server.close()
