Share reads of the store, and group origins, in one piece each

Marks and saved origins each had their own lock, interval and timeout for a read that several requests share; frames and saved origins grouped records alike. Behaviour as it was.

--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/frames.py
@@ -1,6 +1,5 @@
 """Encoding of the messages in which gateways exchange the origins of streams."""
 
-from collections import defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
@@ -8,7 +7,7 @@
 
 import capnp
 
-from mustardquay.streams import OriginRecord, StreamOrigin
+from mustardquay.streams import OriginRecord, StreamOrigin, group_by_origin
 
 __all__ = ["MESSAGE_PREFIX", "OriginMessage", "decode_message", "encode_message"]
 
@@ -38,9 +37,7 @@
     built.sender = message.sender
     built.questions = list(message.questions)
     built.answered = list(message.answered)
-    groups: dict[StreamOrigin, list[OriginRecord]] = defaultdict(list)
-    for record in message.records:
-        groups[record.origin].append(record)
+    groups = group_by_origin(message.records)
     origins = built.init("origins", len(groups))
     for each, (origin, records) in zip(origins, groups.items(), strict=True):
         each.service = origin.service
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/saved_origins.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/saved_origins.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import datetime, timedelta
@@ -18,11 +17,12 @@
 from mustardquay.clocks import Clock
 from mustardquay.errors import MustardquayError
 from mustardquay.events import EventRing
-from mustardquay.streams import OriginRecord, StreamOrigin
+from mustardquay.streams import OriginRecord, StreamOrigin, group_by_origin
 from mustardquay.tables import Transaction, Write
 
 from ..adapters import ReadOptions, StoreRow, StoreTables
 from ..loops import start_loop
+from .shared_reads import SharedRead
 
 __all__ = ["SAVED_TABLE", "SavedOriginDependencies", "SavedOrigins"]
 
@@ -69,8 +69,9 @@
         """When the next write is due; None while one version serves."""
         self._inherited: list[tuple[timedelta, OriginRecord]] | None = None
         """Origins that an earlier process of this gateway saved, with their ends."""
-        self._read_at: timedelta | None = None
-        self._lock = asyncio.Lock()
+        self._read = SharedRead(
+            deps.clock, self._read_all, READ_INTERVAL, READ_TIMEOUT, self._note_unread
+        )
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -85,22 +86,12 @@
 
     async def read(self) -> None:
         """Read what all gateways have saved; does nothing if the store is away."""
-        asked_at = self._deps.clock.monotonic()
-        try:
-            async with asyncio.timeout(READ_TIMEOUT.total_seconds()), self._lock:
-                if self._read_at is None or self._read_at < asked_at:
-                    await self._read_all()
-        except TimeoutError:
-            return
-        except MustardquayError as error:
-            self._deps.events.record("origins.unread", error=str(error))
+        await self._read.run()
+
+    def _note_unread(self, error: str) -> None:
+        self._deps.events.record("origins.unread", error=error)
 
     async def _read_all(self) -> None:
-        now = self._deps.clock.monotonic()
-        if self._read_at is not None:
-            due = self._read_at + READ_INTERVAL - now
-            await asyncio.sleep(max(due.total_seconds(), 0))
-        self._read_at = self._deps.clock.monotonic()
         page = await self._deps.store.list_rows(SAVED_TABLE, ReadOptions())
         for row in page.rows:
             self._deps.note(self._decode(row))
@@ -166,9 +157,6 @@
 
 
 def _encode(records: Sequence[OriginRecord], now: datetime) -> Mapping[str, Any]:
-    groups: defaultdict[StreamOrigin, list[OriginRecord]] = defaultdict(list)
-    for record in records:
-        groups[record.origin].append(record)
     origins = [
         {
             "service": origin.service,
@@ -176,7 +164,7 @@
             "keys": [f"{record.key:016x}" for record in group],
             "seconds": [int(record.lifetime.total_seconds()) for record in group],
         }
-        for origin, group in groups.items()
+        for origin, group in group_by_origin(records).items()
     ]
     return {"at": int(now.timestamp() * 1000), "origins": origins}
 
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/subsystems.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/subsystems.py
@@ -85,7 +85,6 @@
                 count_gateways=lambda: len(deps.list_gateways()),
             )
         )
-
         self._saved = SavedOrigins(
             SavedOriginDependencies(
                 name=deps.name,
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/version_markers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/version_markers.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from random import Random
 
 from mustardquay.clocks import Clock
@@ -22,6 +23,7 @@
 
 from ..adapters import StoreTables
 from ..loops import start_loop
+from .shared_reads import SharedRead
 
 __all__ = ["MARKS_TABLE", "VersionMarkerDependencies", "VersionMarkers"]
 
@@ -52,15 +54,6 @@
     count_gateways: Callable[[], int]
 
 
-@dataclass(slots=True)
-class _Reading:
-    """The last read of the marks of one service."""
-
-    begun_at: timedelta
-    marks: VersionMarks | None
-    """None if the store could not be read."""
-
-
 class VersionMarkers:
     """Marks the versions that this gateway lists, and reads all marks when asked."""
 
@@ -70,8 +63,7 @@
         self._marked: defaultdict[str, frozenset[str]] = defaultdict(frozenset)
         """Versions that were found marked, by service."""
         self._listed: defaultdict[str, ListedVersions] = defaultdict(ListedVersions)
-        self._readings: dict[str, _Reading] = {}
-        self._locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
+        self._reads: dict[str, SharedRead[VersionMarks]] = {}
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -102,36 +94,19 @@
         self._marked.clear()
 
     async def read(self, service: str) -> VersionMarks | None:
-        """Return the marks of a service as of now or later, None without an answer.
-
-        Requests that ask at the same time share one read.
-        """
-        asked_at = self._deps.clock.monotonic()
-        try:
-            async with asyncio.timeout(READ_TIMEOUT.total_seconds()):
-                async with self._locks[service]:
-                    return await self._read_since(service, asked_at)
-        except TimeoutError:
-            return None
-
-    async def _read_since(
-        self, service: str, asked_at: timedelta
-    ) -> VersionMarks | None:
-        last = self._readings.get(service)
-        if last is not None and last.begun_at >= asked_at:
-            return last.marks
-        if last is not None:
-            due = last.begun_at + READ_INTERVAL - self._deps.clock.monotonic()
-            await asyncio.sleep(max(due.total_seconds(), 0))
-        reading = _Reading(self._deps.clock.monotonic(), None)
-        self._readings[service] = reading
-        try:
-            reading.marks = await self._read_marks(service)
-        except MustardquayError as error:
-            self._deps.events.record(
-                "versions.unread", service=service, error=str(error)
+        """Return the marks of a service as of now or later, None without an answer."""
+        if service not in self._reads:
+            self._reads[service] = SharedRead(
+                self._deps.clock,
+                partial(self._read_marks, service),
+                READ_INTERVAL,
+                READ_TIMEOUT,
+                partial(self._note_unread, service),
             )
-        return reading.marks
+        return await self._reads[service].run()
+
+    def _note_unread(self, service: str, error: str) -> None:
+        self._deps.events.record("versions.unread", service=service, error=error)
 
     async def _read_marks(self, service: str) -> VersionMarks:
         row = await self._deps.store.read(MARKS_TABLE, service)
--- a/packages/mustardquay/src/mustardquay/streams/__init__.py
+++ b/packages/mustardquay/src/mustardquay/streams/__init__.py
@@ -4,7 +4,13 @@
 from .continuations import TakeUpRefusal, filter_continuing, prefer_marked
 from .event_framers import EventFramer
 from .gateway_rings import KEEPERS, GatewayRing
-from .origins import OriginRecord, OriginTable, StreamOrigin, compute_stream_key
+from .origins import (
+    OriginRecord,
+    OriginTable,
+    StreamOrigin,
+    compute_stream_key,
+    group_by_origin,
+)
 from .version_doubts import VersionDoubts
 from .version_marks import (
     ListedVersions,
@@ -29,6 +35,7 @@
     "filter_continuing",
     "find_framing",
     "find_only_origin",
+    "group_by_origin",
     "is_stream_complete",
     "list_versions",
     "prefer_marked",
--- a/packages/mustardquay/src/mustardquay/streams/origins.py
+++ b/packages/mustardquay/src/mustardquay/streams/origins.py
@@ -6,14 +6,20 @@
 stream; callers repeat its id when they take the stream up again.
 """
 
-from collections import OrderedDict
-from collections.abc import Iterator
+from collections import OrderedDict, defaultdict
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
 
 from xxhash import xxh3_64_intdigest
 
-__all__ = ["OriginRecord", "OriginTable", "StreamOrigin", "compute_stream_key"]
+__all__ = [
+    "OriginRecord",
+    "OriginTable",
+    "StreamOrigin",
+    "compute_stream_key",
+    "group_by_origin",
+]
 
 MAX_RECORDS = 200_000
 """Records kept at most; the oldest are dropped first."""
@@ -53,6 +59,16 @@
     return xxh3_64_intdigest(f"{organisation or ''}\n{request}".encode())
 
 
+def group_by_origin(
+    records: Iterable[OriginRecord],
+) -> dict[StreamOrigin, list[OriginRecord]]:
+    """Return the records by their origins, of which there are few."""
+    groups: defaultdict[StreamOrigin, list[OriginRecord]] = defaultdict(list)
+    for record in records:
+        groups[record.origin].append(record)
+    return groups
+
+
 class OriginTable:
     """The origins of streams that one process knows, by their keys.
 
