Refuse prompts with a part that crashes engines, at all gateways

Callers saw engines end in pairs for minutes and most requests refused: crashes were counted by a fingerprint of method, path and body, so requests that share a part of their prompts and differ in all else never came to three. Class: identity by the whole where the cause is a part.

A part counts a crash of a start of an engine that broke off an answer on it, unless that start has written an answer on the part, or has been writing one for a second. From four on, if more starts crashed than answered, prompts with it are refused: before their prompt is read and right before each first byte. Records are two sets of starts that only grow; gateways merge them in datagrams of their own, at once and repeated each second. Ways considered: counting answers (many gateways, each with few, would have to add up numbers), a prior window of answers (long answers complete too rarely), serial runs of suspects (needs an agreed place; crashes tell enough without).

--- a/packages/mustardquay-node/src/mustardquay_node/crash_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_reporters.py
@@ -1,4 +1,4 @@
-"""Detection of requests that crash upstreams, shared by all gateways.
+"""Detection of requests that crash upstreams, by their bodies.
 
 Guards against a request that crashes each upstream that runs it while its caller
 retries it, so that upstreams fail one after the other. Each gateway suspects the
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections import defaultdict, deque
+from collections import deque
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 
@@ -19,6 +19,9 @@
 from mustardquay.quarantines import CrashRecord, FingerprintStatus, Quarantine
 from mustardquay.upstream_lists import UpstreamRecord
 
+from .part_reporters import PartReporter
+from .pending_probes import PendingProbes
+
 __all__ = ["CrashReporter"]
 
 CRASH_LIMIT = 3
@@ -45,8 +48,13 @@
         clock: Clock,
         events: EventRing,
         notify_peers: Callable[[], None] = lambda: None,
+        parts: PartReporter | None = None,
     ):
-        """Initialise without suspects; `notify_peers` sends the next digest at once."""
+        """Initialise without suspects; `notify_peers` sends the next digest at once.
+
+        `parts` follows the parts of prompts, which requests that differ may share.
+        """
+        self.parts = parts or PartReporter(clock, events)
         self._clock = clock
         self._events = events
         self._notify_peers = notify_peers
@@ -59,8 +67,7 @@
         self._suspects: list[int] = []
         """Fingerprints whose records are still to be repeated, one in each digest."""
         self._suspects_due = timedelta()
-        self._probes: defaultdict[int, set[asyncio.Task[None]]] = defaultdict(set)
-        """Probes of upstreams on which a request broke, by its fingerprint."""
+        self._probes = PendingProbes()
 
     @staticmethod
     def compute_fingerprint(method: str, path: str, body: bytes) -> int:
@@ -83,10 +90,9 @@
         which would crash one upstream more than `CRASH_LIMIT`. Waits only for a request
         that would be refused if all its broken sends were crashes.
         """
-        probes = self._probes.get(fingerprint)
-        if not probes or self.count_crashes(fingerprint) + len(probes) < CRASH_LIMIT:
-            return
-        await asyncio.wait(probes)
+        pending = self._probes.count(fingerprint)
+        if pending and self.count_crashes(fingerprint) + pending >= CRASH_LIMIT:
+            await self._probes.wait(fingerprint)
 
     def note_broken_send(
         self,
@@ -102,14 +108,7 @@
         boot = str(upstream.started_ms)
         self._watch.note_broken(upstream.id, boot, fingerprint, now)
         if probe is not None:
-            self._probes[fingerprint].add(probe)
-            probe.add_done_callback(lambda done: self._end_probe(fingerprint, done))
-
-    def _end_probe(self, fingerprint: int, probe: "asyncio.Task[None]") -> None:
-        probes = self._probes[fingerprint]
-        probes.discard(probe)
-        if not probes:
-            del self._probes[fingerprint]
+            self._probes.add(fingerprint, probe)
 
     def note_answer(self, fingerprint: int, request: str, upstream: str) -> None:
         """Clear a request that an upstream has answered."""
@@ -128,6 +127,7 @@
     def note_upstream_lost(self, upstream: str) -> None:
         """Note that an upstream is unreachable, removed or restarted."""
         now = self._clock.monotonic()
+        parts = self.parts.note_upstream_lost(upstream)
         suspected = self._watch.note_lost(upstream, now)
         if suspected is None:
             return
@@ -142,6 +142,7 @@
                 _format_fingerprint(each): self.count_crashes(each)
                 for each in suspects[:MAX_LOGGED_SUSPECTS]
             },
+            parts=parts,
         )
         self._notify_peers()
 
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_reporters.py
@@ -0,0 +1,180 @@
+"""Detection of parts of prompts that crash engines, as seen by one gateway."""
+
+import asyncio
+from collections.abc import Callable, Iterable, Sequence
+from datetime import timedelta
+
+from mustardquay.clocks import Clock
+from mustardquay.crash_watches import CrashWatch
+from mustardquay.crashing_parts import (
+    REFUSED_AFTER,
+    NoticeSchedule,
+    PartBook,
+    PartRecord,
+    compute_start_key,
+)
+from mustardquay.events import EventRing
+from mustardquay.upstream_lists import UpstreamRecord
+
+from .pending_probes import PendingProbes
+
+__all__ = ["PartReporter", "format_part"]
+
+MAX_RECORDS = 14
+"""Records in one datagram, which stays below 1400 bytes."""
+MAX_LOGGED_PARTS = 6
+"""Parts that the line of a crash names, those with the most crashes first."""
+REPEATED_CRASHES = 2
+"""Crashes from which on a part is repeated: one with a single crash is told as news,
+and is as a rule a part that happened to be in flight."""
+
+
+class PartReporter:
+    """Keeps what this gateway and its peers saw of parts, and what peers lack."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        events: EventRing,
+        notify: Callable[[], None] = lambda: None,
+    ):
+        """Initialise without suspects; `notify` has news sent at once."""
+        self._clock = clock
+        self._events = events
+        self._notify = notify
+        self._book = PartBook()
+        self._schedule = NoticeSchedule()
+        self._watch = CrashWatch()
+        self._probes = PendingProbes()
+        self._refused: set[int] = set()
+        """Refused parts, as they were logged."""
+
+    @property
+    def has_news(self) -> bool:
+        """Return whether other gateways are yet to be told of a part."""
+        return bool(self._schedule)
+
+    def note_answered(self, parts: Sequence[int], upstream: UpstreamRecord) -> None:
+        """Note that an upstream has written an answer on a prompt with these parts."""
+        if not parts:
+            return
+        start = compute_start_key(upstream.id, _get_boot(upstream))
+        self._note_news(self._book.note_answered(start, parts, self._now))
+
+    def note_broken_send(
+        self,
+        upstream: UpstreamRecord,
+        parts: Iterable[int],
+        probe: "asyncio.Task[None] | None" = None,
+    ) -> None:
+        """Note a send whose connection ended without a whole answer.
+
+        `probe` shows whether the upstream is still reachable.
+        """
+        for part in parts:
+            self._watch.note_broken(upstream.id, _get_boot(upstream), part, self._now)
+            if probe is not None:
+                self._probes.add(part, probe)
+
+    async def wait_for_probes(self, parts: Iterable[int]) -> None:
+        """Wait until it is known whether a part has crashed too many engines.
+
+        Guards against sends that leave between a crash and its discovery. Waits only
+        for a part that would be refused if all its broken sends were crashes.
+        """
+        for part in parts:
+            pending = self._probes.count(part)
+            if pending and self.count_crashes(part) + pending >= REFUSED_AFTER:
+                await self._probes.wait(part)
+
+    def note_upstream_lost(self, upstream: str) -> dict[str, int]:
+        """Suspect the parts that were in flight if an upstream has crashed.
+
+        Returns the crashes of those with the most of them, for the log.
+        """
+        lost = self._watch.note_lost(upstream, self._now)
+        if lost is None:
+            return {}
+        crash, parts = lost
+        start = compute_start_key(crash.upstream, crash.boot)
+        suspects = sorted(parts, key=self.count_crashes, reverse=True)
+        accused = self._book.note_crash(start, suspects, self._now)
+        self._note_news(accused)
+        return {
+            format_part(part): self.count_crashes(part)
+            for part in accused[:MAX_LOGGED_PARTS]
+        }
+
+    def find_refused(self, parts: Sequence[int]) -> int | None:
+        """Return a part for which a prompt is refused, None if there is none."""
+        return self._book.find_refused(parts, self._now)
+
+    def count_crashes(self, part: int) -> int:
+        """Return the number of crashes that count against a part."""
+        return self._book.count_crashes(part)
+
+    def merge(self, records: Iterable[PartRecord]) -> None:
+        """Merge the records of another gateway, and pass on what was new."""
+        self._note_news(self._book.merge(records, self._now), "gateway")
+
+    def repeat(self) -> None:
+        """Have what is suspected told once more, and drop what has expired.
+
+        Guards against gateways that started or were cut off since a crash: they would
+        count the crashes of a part anew.
+        """
+        now = self._now
+        self._book.expire(now)
+        self._log_verdicts(list(self._refused), "expired")
+        self._schedule.repeat(self._book.list_refused(now))
+        self._schedule.repeat(self._book.list_suspects(REPEATED_CRASHES, now))
+
+    def take_records(self) -> list[PartRecord]:
+        """Return the records for the next datagram."""
+        now = self._now
+        taken = self._schedule.take(MAX_RECORDS, self.count_crashes)
+        records = (self._book.export(part, now) for part in taken)
+        return [record for record in records if record is not None]
+
+    def list_refused_records(self) -> list[PartRecord]:
+        """Return the records of refused parts, for a gateway that has just started."""
+        now = self._now
+        refused = self._book.list_refused(now)[:MAX_RECORDS]
+        records = (self._book.export(part, now) for part in refused)
+        return [record for record in records if record is not None]
+
+    def _note_news(self, parts: Sequence[int], source: str = "here") -> None:
+        if not parts:
+            return
+        self._schedule.note_news(parts)
+        self._log_verdicts(parts, source)
+        self._notify()
+
+    def _log_verdicts(self, parts: Iterable[int], source: str) -> None:
+        """Log the parts that are refused from now on, or no longer."""
+        now = self._now
+        for part in parts:
+            is_refused = self._book.is_refused(part, now)
+            if is_refused == (part in self._refused):
+                continue
+            (self._refused.add if is_refused else self._refused.discard)(part)
+            self._events.record(
+                "part.refused" if is_refused else "part.allowed",
+                part=format_part(part),
+                crashes=self.count_crashes(part),
+                answered=self._book.count_answered(part),
+                source=source,
+            )
+
+    @property
+    def _now(self) -> timedelta:
+        return self._clock.monotonic()
+
+
+def _get_boot(upstream: UpstreamRecord) -> str:
+    return str(upstream.started_ms)
+
+
+def format_part(part: int) -> str:
+    """Return the key of a part as it is logged."""
+    return f"{part:016x}"
--- a/packages/mustardquay-node/src/mustardquay_node/digest_exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/digest_exchanges.py
@@ -8,7 +8,7 @@
 from mustardquay.rate_limits import RateLimiter
 
 from .configuration_loaders import ConfigurationLoader
-from .crash_reporters import CrashReporter
+from .crash_suspects import CrashReporter
 from .gateway_stops import GatewayStop
 from .generation_planners import GenerationPlanner
 
--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from mustardquay.clocks import Clock
+from mustardquay.crashing_parts import list_part_keys
 from mustardquay.events import EventRing
 from mustardquay.latency_margins import LatencyMargins
 from mustardquay.rate_limits import RateLimiter
@@ -27,7 +28,7 @@
 from .adapters import Adapter, AnswerFacts, RequestFacts
 from .caller_connections import CallerRequest
 from .connections import Exchange
-from .crash_reporters import CrashReporter
+from .crash_suspects import CrashReporter
 from .gateway_stops import GatewayStop
 from .generation_planners import GenerationPlanner, RetainedPrefill
 from .stream_origins import OriginSubsystem
@@ -130,8 +131,13 @@
     """Where a resumable stream began, once it has."""
     stream_keys: tuple[int, ...] = ()
     """Keys under which the origin of the stream is known."""
+    parts: tuple[int, ...] = ()
+    """Keys of the prompt's parts that other requests may share."""
 
     def __post_init__(self) -> None:
+        prompt = self.facts.prompt
+        if self.route.has_prompt and prompt is not None:
+            self.parts = list_part_keys(prompt.shared_parts)
         if self.is_resumable:
             self.stream_keys = (compute_stream_key(self.id, self.organisation),)
 
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -25,6 +25,7 @@
 
 from .arrivals import VERSION_RETRY_AFTER, read_request, take_up_stream
 from .caller_connections import CallerAnswer, CallerRequest
+from .crash_suspects.refusals import refuse_crashing
 from .forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from .gateway_stops import DEFAULT_RETRY_AFTER
 from .handovers import drop_prefill, send_generation
@@ -34,9 +35,6 @@
 
 __all__ = ["forward"]
 
-QUARANTINE_RETRY_AFTER = timedelta(seconds=60)
-"""Retry-After for a request that crashed upstreams; an earlier retry would be refused
-too."""
 DEADLINE_MARGIN = timedelta(milliseconds=30)
 """Time before the deadline at which a request is answered, so that the answer still
 arrives in time."""
@@ -148,8 +146,7 @@
             if not await take_up_stream(self._deps, request, self._reply):
                 return
         while not self._reply.is_caller_gone:
-            if self._deps.crashes.is_refused(self._request.fingerprint):
-                self._refuse_quarantined()
+            if refuse_crashing(self._deps, request, self._reply):
                 return
             send = await self._send()
             if send is None:
@@ -339,17 +336,6 @@
         else:
             self._reply.fail(502, send.end.value, OUTCOME_UNKNOWN)
 
-    def _refuse_quarantined(self) -> None:
-        """Answer a request that is quarantined for crashing the upstreams it ran on."""
-        crashes = self._deps.crashes.count_crashes(self._request.fingerprint)
-        if self._reply.has_begun:
-            self._reply.break_off()
-        elif self._request.send_history.may_have_run:
-            message = "The upstreams crashed on this."
-            self._reply.fail(502, "quarantine", message, crashes=crashes)
-        else:
-            self._reply.refuse("quarantine", QUARANTINE_RETRY_AFTER, crashes=crashes)
-
     def _find_retry_after(self, send: Send) -> timedelta:
         """Return when a caller may come back whose request an upstream refused."""
         if send.facts is not None and send.facts.retry_after and not send.facts.rest:
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -18,7 +18,7 @@
 
 from .adapters import Adapter, AnswerFacts
 from .connections import Exchange
-from .crash_reporters import CrashReporter
+from .crash_suspects import CrashReporter, PartReporter
 from .descriptors import DescriptorGuard
 from .engine_calls import EngineCall, call_engine
 from .generation_planners import GenerationPlanner
@@ -43,6 +43,8 @@
     """Called when the work that is announced to other gateways has changed."""
     notify_peers: Callable[[], None]
     """Sends the next digest to other gateways at once."""
+    tell_of_parts: Callable[[], None]
+    """Sends news of parts of prompts that crash engines to other gateways at once."""
     note_leaving: Callable[[UpstreamRecord], None]
     """Called when an upstream says in an answer that it is leaving."""
     close_idle_callers: Callable[[], int]
@@ -61,7 +63,8 @@
         self.loads = UpstreamLoads()
         self.doubts = VersionDoubts()
         self.limits = RateLimiter()
-        self.crashes = CrashReporter(deps.clock, deps.events, deps.notify_peers)
+        parts = PartReporter(deps.clock, deps.events, deps.tell_of_parts)
+        self.crashes = CrashReporter(deps.clock, deps.events, deps.notify_peers, parts)
         self.pools = UpstreamPools(
             deps.clock,
             _make_retry_limits(settings.bounds),
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -23,11 +23,17 @@
 from .cache_probes import CacheProbe, CacheProbeDependencies
 from .caller_connections import CallerConnections, ConnectionOptions
 from .configuration_loaders import ConfigurationLoader
+from .crash_suspects import (
+    NOTICE_PREFIX as PART_NOTICE_PREFIX,
+    PartExchange,
+    PartExchangeDependencies,
+)
 from .digest_exchanges import DigestDependencies, DigestExchange
 from .era_watches import EraWatch
 from .forwarder_dependencies import ForwarderDependencies
 from .forwarders import Forwarder
 from .gateway_feeds import FeedDependencies, GatewayFeeds
+from .gateway_gauges import GaugeSources, make_gauges
 from .gateway_metrics import GatewayMetrics
 from .gateway_servers import GatewayServers
 from .gateway_stops import GatewayStop, StopDependencies
@@ -97,6 +103,7 @@
         )
         self._digest_exchange = self._make_digest_exchange()
         self._peers = self._make_peers()
+        self._part_exchange = self._make_part_exchange()
         self._peers.add_channel(MESSAGE_PREFIX, self._origins.receive)
         self._usage = self._make_usage() if settings.usage.address else None
         self._stage_controller = self._make_stage_controller()
@@ -166,6 +173,7 @@
             self._servers.serve_metrics(address, self._metrics.render)
         await self._peers.start()
         self._origins.start()
+        self._part_exchange.start()
         self._feeds.start()
         self._stage_controller.start()
         if self._usage is not None:
@@ -211,6 +219,7 @@
         await self._cache_probe.close()
         await self._feeds.close()
         await self._origins.close()
+        await self._part_exchange.close()
         await self._peers.close()
         await self._servers.close()
         await self._upstreams.close()
@@ -241,6 +250,7 @@
             count_gateways=lambda: self._peers.count,
             note_change=lambda: self._peers.note_change(),
             notify_peers=lambda: self._peers.send_now(),
+            tell_of_parts=lambda: self._part_exchange.notify(),
             note_leaving=self._note_draining,
             close_idle_callers=lambda: self._connections.close_idle(),
         )
@@ -302,29 +312,36 @@
         )
         return GatewayFeeds(deps)
 
+    def _make_part_exchange(self) -> PartExchange:
+        deps = PartExchangeDependencies(
+            name=self._settings.node.name,
+            random=self._random,
+            send=self._peers.send_to,
+            list_gateways=lambda: self._peers.names,
+            list_neighbours=lambda: self._peers.neighbours,
+        )
+        exchange = PartExchange(self._upstreams.crashes.parts, deps)
+        self._peers.add_channel(
+            PART_NOTICE_PREFIX, lambda data, address: exchange.receive(data)
+        )
+        return exchange
+
+    def _note_registered(self, gateways: Collection[str]) -> None:
+        self._origins.note_registered(gateways)
+        self._part_exchange.note_registered(gateways)
+
     def _make_gauges(self) -> dict[str, Callable[[], float]]:
-        return {
-            "mustardquay.configuration.version": lambda: float(self.version),
-            "mustardquay.configuration.known": lambda: float(
-                self._configurations.known_version
-            ),
-            "mustardquay.configuration.behind": lambda: (
-                self._configurations.lag.total_seconds()
-            ),
-            "mustardquay.ready": lambda: float(self.is_ready),
-            "mustardquay.running": lambda: float(self._forwarder.in_flight),
-            "mustardquay.upstreams": lambda: float(len(self.list_upstreams())),
-            "mustardquay.connections": lambda: float(self._connections.count),
-            "mustardquay.store.age": self._measure_store_age,
-            "mustardquay.usage.leads": lambda: float(
-                self._usage is not None and self._usage.leads
-            ),
-            "mustardquay.store.era": lambda: float(self._eras.era),
-        }
-
-    def _measure_store_age(self) -> float:
-        age = self._feeds.age
-        return float("inf") if age is None else age.total_seconds()
+        sources = GaugeSources(
+            self._configurations,
+            self._forwarder,
+            self._connections,
+            self._feeds,
+            self._eras,
+            self._usage,
+            is_ready=lambda: self.is_ready,
+            count_upstreams=lambda: len(self.list_upstreams()),
+        )
+        return make_gauges(sources)
 
     def _make_digest_exchange(self) -> DigestExchange:
         node = self._settings.node
@@ -354,7 +371,7 @@
             self._digest_exchange.apply_digest,
             self._digest_exchange.set_gateways,
             self._random,
-            self._origins.note_registered,
+            self._note_registered,
         )
 
     def _make_origins(self) -> OriginSubsystem:
--- a/packages/mustardquay-node/src/mustardquay_node/replies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/replies.py
@@ -92,7 +92,9 @@
         """Return the longest time between two parts of a stream, in milliseconds."""
         return round(self._longest_pause.total_seconds() * 1000)
 
-    def refuse(self, reason: str, retry_after: timedelta, **inputs: float) -> None:
+    def refuse(
+        self, reason: str, retry_after: timedelta, **inputs: float | str
+    ) -> None:
         """Answer that the request has not run, and when to retry."""
         seconds = max(retry_after, MIN_RETRY_AFTER).total_seconds()
         headers = {"Content-Type": "text/plain", "Retry-After": f"{seconds:.2f}"}
@@ -107,7 +109,7 @@
         reason: str,
         message: str,
         headers: Mapping[str, str] = NO_HEADERS,
-        **inputs: float,
+        **inputs: float | str,
     ) -> None:
         """Answer with an error, or that the outcome is not known."""
         self._log_end(status, reason, **inputs)
@@ -168,7 +170,7 @@
         }
         return {name: value for name, value in fields.items() if value}
 
-    def _log_end(self, status: int, reason: str, **inputs: float) -> None:
+    def _log_end(self, status: int, reason: str, **inputs: float | str) -> None:
         self._deps.events.record(
             "request.ended",
             request=self.request,
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -58,6 +58,7 @@
         """Send to an upstream, and buffer the answer or pass it on."""
         request = self._request
         await self._deps.crashes.wait_for_probes(request.fingerprint)
+        await self._deps.crashes.parts.wait_for_probes(request.parts)
         if self._reply.is_caller_gone:
             return Send(upstream, end=SendResult.CALLER_LEFT)
         # The stream of an earlier send may have ended in the middle of an event; the
@@ -149,11 +150,15 @@
         """Return whether a send is still allowed, right before its first byte.
 
         Guards against news since its upstream was chosen, as connections, reservations
-        and the prefill take time: that the request has crashed too many upstreams, that
-        one that it reaches is leaving or wants to rest, or that the one which is to go
-        on with its stream may have another software version by now.
+        and the prefill take time: that the request, or a part of its prompt, has
+        crashed too many upstreams, that one that it reaches is leaving or wants to
+        rest, or that the one which is to go on with its stream may have another
+        software version by now.
         """
-        if self._deps.crashes.is_refused(self._request.fingerprint):
+        crashes = self._deps.crashes
+        if crashes.is_refused(self._request.fingerprint):
+            return False
+        if crashes.parts.find_refused(self._request.parts) is not None:
             return False
         goes_on = self._request.origin is not None and not options.prefill_only
         if goes_on and not self._is_unchanged(upstream):
--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/crashing_parts/part_books.py
@@ -0,0 +1,200 @@
+"""Part books: the parts that one gateway suspects, from its own view and from others'.
+
+There is no central authority. A record is two sets of starts of engines that only grow,
+those that crashed on the part and those that answered it, so that merging in any order
+gives the same result.
+
+Merged sets: Shapiro et al., "Conflict-free replicated data types", 2011.
+"""
+
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+from .answered_parts import AnsweredParts
+from .part_records import PartRecord
+from .verdicts import is_sound, keep_smallest, list_counted, should_refuse
+
+__all__ = ["PartBook"]
+
+SUSPICION_PERIOD = timedelta(minutes=2)
+REFUSAL_PERIOD = timedelta(minutes=5)
+MINIMUM_REMAINING = timedelta(seconds=5)
+"""Records with less time remaining are not merged: two gateways that drop a record at
+slightly different times would otherwise send it back and forth forever."""
+CAPACITY = 1000
+"""Records that are kept; those with the fewest crashes are dropped first."""
+MAX_ACCUSED = 64
+"""Parts that one gateway suspects after one crash."""
+
+
+@dataclass(slots=True)
+class _Evidence:
+    crashed: frozenset[int]
+    answered: frozenset[int]
+    until: timedelta
+
+    @property
+    def count(self) -> int:
+        """Return the number of crashes that count."""
+        return len(list_counted(self.crashed, self.answered))
+
+
+class PartBook:
+    """The parts of prompts that were in flight in crashes, with what speaks for them.
+
+    Guards against prompts with a part that crashes each engine which writes on it, no
+    two alike, at any gateway: engines would fail one after the other.
+    """
+
+    def __init__(
+        self, answered: AnsweredParts | None = None, capacity: int = CAPACITY
+    ) -> None:
+        self._answered = answered or AnsweredParts()
+        self._capacity = capacity
+        self._records: dict[int, _Evidence] = {}
+        self._refused: set[int] = set()
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def note_crash(self, start: int, parts: Sequence[int], now: timedelta) -> list[int]:
+        """Suspect the parts of answers that a start was writing when it crashed.
+
+        `parts` are in the order of suspicion. Returns those that the crash counts
+        against.
+        """
+        accused = [part for part in parts if self._counts(part, start, now)]
+        del accused[MAX_ACCUSED:]
+        for part in accused:
+            self._update(part, {start}, (), now + SUSPICION_PERIOD, now)
+        return accused
+
+    def _counts(self, part: int, start: int, now: timedelta) -> bool:
+        """Return whether a crash counts against a part, as far as is known here."""
+        known = self._answered.list_starts(part, now)
+        record = self._records.get(part)
+        if record is not None:
+            known |= record.answered
+        return start not in known and not is_sound(known)
+
+    def note_answered(
+        self, start: int, parts: Iterable[int], now: timedelta
+    ) -> list[int]:
+        """Note that a start has written an answer; return the parts that it spoke for.
+
+        An answer speaks for a part that is a suspect.
+        """
+        parts = tuple(parts)
+        self._answered.note(parts, start, now)
+        return [
+            part
+            for part in parts
+            if part in self._records
+            and self._update(part, (), {start}, self._records[part].until, now)
+        ]
+
+    def merge(self, records: Iterable[PartRecord], now: timedelta) -> list[int]:
+        """Merge the records of another gateway; return the parts with news."""
+        changed = []
+        for record in records:
+            if record.remaining < MINIMUM_REMAINING:
+                continue
+            until = now + min(record.remaining, REFUSAL_PERIOD)
+            own = self._answered.list_starts(record.part, now)
+            answered = record.answered | own
+            if self._update(record.part, record.crashed, answered, until, now):
+                changed.append(record.part)
+        return changed
+
+    def is_refused(self, part: int, now: timedelta) -> bool:
+        """Return whether prompts with a part are refused."""
+        return part in self._refused and self._records[part].until > now
+
+    def find_refused(self, parts: Iterable[int], now: timedelta) -> int | None:
+        """Return the first refused part among those of a prompt."""
+        if not self._refused:
+            return None
+        return next((part for part in parts if self.is_refused(part, now)), None)
+
+    def count_crashes(self, part: int) -> int:
+        """Return the number of crashes that count against a part."""
+        record = self._records.get(part)
+        return 0 if record is None else record.count
+
+    def count_answered(self, part: int) -> int:
+        """Return how many starts are known to have answered a suspect."""
+        record = self._records.get(part)
+        return 0 if record is None else len(record.answered)
+
+    def list_refused(self, now: timedelta) -> list[int]:
+        """Return the refused parts."""
+        return [part for part in self._refused if self.is_refused(part, now)]
+
+    def list_suspects(self, least: int, now: timedelta) -> list[int]:
+        """Return the parts with `least` crashes or more that count."""
+        return [
+            part
+            for part, record in self._records.items()
+            if record.until > now and record.count >= least
+        ]
+
+    def export(self, part: int, now: timedelta) -> PartRecord | None:
+        """Return the record of a part, None if it has expired."""
+        record = self._records.get(part)
+        if record is None or record.until <= now:
+            return None
+        return PartRecord(part, record.crashed, record.answered, record.until - now)
+
+    def expire(self, now: timedelta) -> None:
+        """Drop expired records."""
+        expired = [part for part, each in self._records.items() if each.until <= now]
+        self._drop(expired)
+
+    def _update(
+        self,
+        part: int,
+        crashed: Collection[int],
+        answered: Collection[int],
+        until: timedelta,
+        now: timedelta,
+    ) -> bool:
+        """Add to a record; return whether anything was new.
+
+        The expiry is not extended without news, or two gateways that send a record to
+        each other repeatedly would extend it forever.
+        """
+        record = self._records.get(part)
+        if record is None or record.until <= now:
+            record = _Evidence(frozenset(), frozenset(), until)
+        known = (record.crashed, record.answered)
+        record.crashed = keep_smallest(record.crashed.union(crashed))
+        record.answered = keep_smallest(record.answered.union(answered))
+        if known == (record.crashed, record.answered):
+            return False
+        record.until = max(record.until, until)
+        self._records[part] = record
+        self._judge(part, record, now)
+        if len(self._records) > self._capacity:
+            self._evict(now)
+        return True
+
+    def _judge(self, part: int, record: _Evidence, now: timedelta) -> None:
+        if not should_refuse(record.crashed, record.answered):
+            self._refused.discard(part)
+        elif part not in self._refused:
+            self._refused.add(part)
+            record.until = max(record.until, now + REFUSAL_PERIOD)
+
+    def _evict(self, now: timedelta) -> None:
+        self.expire(now)
+        excess = len(self._records) - self._capacity
+        if excess <= 0:
+            return
+        by_count = sorted(self._records, key=lambda part: self._records[part].count)
+        self._drop(by_count[:excess])
+
+    def _drop(self, parts: Iterable[int]) -> None:
+        for part in parts:
+            del self._records[part]
+            self._refused.discard(part)
--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/crashing_parts/part_records.py
@@ -0,0 +1,19 @@
+"""Records of parts, as gateways exchange them."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+__all__ = ["PartRecord"]
+
+
+@dataclass(frozen=True, slots=True)
+class PartRecord:
+    """What gateways saw of one part."""
+
+    part: int
+    crashed: frozenset[int]
+    """Starts of engines that crashed while they wrote an answer on the part."""
+    answered: frozenset[int]
+    """Starts of engines that have written an answer on the part."""
+    remaining: timedelta
+    """Time until the record expires; a duration, as processes don't share a clock."""
--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/crashing_parts/verdicts.py
@@ -0,0 +1,58 @@
+"""The decision whether prompts with a part are refused."""
+
+from collections.abc import Iterable, Set
+
+__all__ = [
+    "MAX_STARTS",
+    "REFUSED_AFTER",
+    "is_sound",
+    "keep_smallest",
+    "list_counted",
+    "should_refuse",
+]
+
+REFUSED_AFTER = 4
+"""Crashes that count against a part from which on it is refused. All gateways must know
+a part after five crashes, of which one may be seen by nobody: the gateway that sent the
+request can end with the engine."""
+MAX_STARTS = 8
+"""Starts of engines that are kept of each kind in one record, to bound its size."""
+
+
+def keep_smallest(starts: Iterable[int]) -> frozenset[int]:
+    """Return the `MAX_STARTS` smallest keys.
+
+    Merging limited sets in any order gives the same result, as for whole ones.
+    """
+    return frozenset(sorted(starts)[:MAX_STARTS])
+
+
+def list_counted(crashed: Set[int], answered: Set[int]) -> Set[int]:
+    """Return the starts whose crashes count against a part.
+
+    A start that has written an answer on the part crashed for another reason.
+
+    >>> sorted(list_counted({1, 2, 3}, {2, 7}))
+    [1, 3]
+    """
+    return crashed - answered
+
+
+def is_sound(answered: Set[int]) -> bool:
+    """Return whether so many starts wrote answers on a part that no crash counts."""
+    return len(answered) >= MAX_STARTS
+
+
+def should_refuse(crashed: Set[int], answered: Set[int]) -> bool:
+    """Return whether prompts with a part are refused.
+
+    Guards also against refusing a part that many sound prompts share: it is in flight
+    in each crash, but more starts answer it than crash before their first answer.
+
+    >>> should_refuse({1, 2, 3, 4}, set())
+    True
+    >>> should_refuse({1, 2, 3, 4}, {5, 6, 7, 8})
+    False
+    """
+    counted = len(list_counted(crashed, answered))
+    return counted >= REFUSED_AFTER and counted > len(answered)
