Let answers speak for parts, and gateways ask before they refuse

Simulated fleets (3, 28 and 1,000 gateways; engines lost without a cause, two thirds of them at once, three times) showed sound parts refused: rare second parts that were in flight in four crashes, and at a gateway that had just started each first part, until others told it of answers. Now each start that answered a part outweighs one crash, a stream speaks for its parts after half a second and not only at its end, and a refusal begins 200 ms after the last crash it needs: meanwhile sends with the part wait, and gateways that know of answers tell the one that suspects the part.

--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/__init__.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/__init__.py
@@ -1,14 +1,7 @@
 """Requests, and parts of prompts, that crash upstreams: what gateways know of them."""
 
 from .body_reporters import CrashReporter
-from .frames import NOTICE_PREFIX
-from .part_exchanges import PartExchange, PartExchangeDependencies
+from .part_exchanges import PartExchange
 from .part_reporters import PartReporter
 
-__all__ = [
-    "NOTICE_PREFIX",
-    "CrashReporter",
-    "PartExchange",
-    "PartExchangeDependencies",
-    "PartReporter",
-]
+__all__ = ["CrashReporter", "PartExchange", "PartReporter"]
--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_exchanges.py
@@ -1,58 +1,75 @@
 """Exchange of what gateways saw of parts, in datagrams of their own.
 
-News goes at once to the neighbours in the ring of gateways and to some others, and each
-gateway passes on what was new to it, so that it is everywhere after a few hops.
+News goes at once to some gateways, and each of them passes on what was new to it, so
+that it is everywhere after a few hops.
+
+Epidemic news: Demers et al., "Epidemic algorithms for replicated database
+maintenance", 1987.
 """
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable
-from dataclasses import dataclass
+from collections.abc import Callable, Collection, Iterable, Sequence
 from datetime import timedelta
 from random import Random
+from typing import Protocol
+
+from mustardquay.crashing_parts import PartRecord
 
 from ..loops import start_loop
-from .frames import PartNotice, decode_notice, encode_notice
+from ..peers import Address
+from .frames import NOTICE_PREFIX, PartNotice, decode_notice, encode_notice
 from .part_reporters import PartReporter
 
-__all__ = ["PartExchange", "PartExchangeDependencies", "choose_recipients"]
+__all__ = ["GatewayLink", "PartExchange"]
 
 NEWS_INTERVAL = timedelta(milliseconds=50)
 """Least time between two datagrams of news."""
 REPEAT_INTERVAL = timedelta(seconds=1)
-FAR_RECIPIENTS = 4
-"""Recipients beside the neighbours, drawn anew for each datagram: in a large fleet news
-would need dozens of hops around the ring."""
+RECIPIENTS = 10
+"""Recipients of one datagram, drawn anew each time from all gateways. News that each
+gateway passes on to so many is everywhere after three or four hops at 1,000 of them."""
+
+
+class GatewayLink(Protocol):
+    """The link to other gateways, as `PeerLink` has it."""
+
+    @property
+    def names(self) -> list[str]:
+        """Return the names of the registered gateways, including this one."""
 
+    @property
+    def neighbours(self) -> list[str]:
+        """Return the names of the gateways that exchange digests with this one."""
 
-@dataclass(frozen=True, slots=True)
-class PartExchangeDependencies:
-    """What a gateway provides."""
+    def send_to(self, data: bytes, names: Iterable[str]) -> None:
+        """Send a datagram to some gateways."""
 
-    name: str
-    """Name of this gateway."""
-    random: Random
-    send: Callable[[bytes, Iterable[str]], None]
-    """Sends a datagram to some gateways."""
-    list_gateways: Callable[[], Collection[str]]
-    """Lists the registered gateways, including this one."""
-    list_neighbours: Callable[[], Collection[str]]
-    """Lists the gateways that exchange digests with this one."""
+    def add_channel(
+        self, prefix: bytes, receive: Callable[[bytes, Address], None]
+    ) -> None:
+        """Pass on datagrams that begin with a prefix."""
 
 
 class PartExchange:
     """Tells other gateways of parts, and hears from them."""
 
-    def __init__(self, reporter: PartReporter, deps: PartExchangeDependencies):
+    def __init__(
+        self, name: str, reporter: PartReporter, link: GatewayLink, random: Random
+    ):
+        """Take the name of this gateway, what it knows, and its link to others."""
+        self._name = name
         self._reporter = reporter
-        self._deps = deps
+        self._link = link
+        self._random = random
         self._news = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
-        """Start to send news, and to repeat what is suspected."""
+        """Start to hear and send news, and to repeat what is suspected."""
+        self._link.add_channel(NOTICE_PREFIX, lambda data, _: self.receive(data))
         self._tasks = [
             start_loop(self._send_news, NEWS_INTERVAL),
-            start_loop(self._repeat, REPEAT_INTERVAL, self._deps.random),
+            start_loop(self._repeat, REPEAT_INTERVAL, self._random),
         ]
 
     async def close(self) -> None:
@@ -68,38 +85,40 @@
     def receive(self, data: bytes) -> None:
         """Process a datagram of another gateway."""
         notice = decode_notice(data)
-        if notice is not None and notice.sender != self._deps.name:
-            self._reporter.merge(notice.records)
+        if notice is None or notice.sender == self._name:
+            return
+        unknown_there = self._reporter.merge(notice.records)
+        if unknown_there:
+            self._send(unknown_there, [notice.sender])
 
     def note_registered(self, gateways: Collection[str]) -> None:
         """Tell gateways that have started, or are listed first, of refused parts."""
-        neighbours = set(self._deps.list_neighbours())
-        names = [name for name in gateways if name in neighbours]
         records = self._reporter.list_refused_records()
-        if names and records:
-            notice = PartNotice(self._deps.name, records)
-            self._deps.send(encode_notice(notice), names)
+        if not records:
+            return
+        neighbours = set(self._link.neighbours)
+        names = [name for name in gateways if name in neighbours]
+        self._send(records, names)
 
     async def _send_news(self) -> None:
         await self._news.wait()
         self._news.clear()
         records = self._reporter.take_records()
         if records:
-            recipients = choose_recipients(self._deps)
-            notice = PartNotice(self._deps.name, records)
-            self._deps.send(encode_notice(notice), recipients)
+            self._send(records, self._choose_recipients())
         if self._reporter.has_news:
             self._news.set()
 
+    def _send(self, records: Sequence[PartRecord], names: Iterable[str]) -> None:
+        notice = PartNotice(self._name, records)
+        self._link.send_to(encode_notice(notice), names)
+
     def _repeat(self) -> None:
         self._reporter.repeat()
         if self._reporter.has_news:
             self._news.set()
 
-
-def choose_recipients(deps: PartExchangeDependencies) -> list[str]:
-    """Return the neighbours, and a few gateways that are drawn from all others."""
-    neighbours = [name for name in deps.list_neighbours() if name != deps.name]
-    others = sorted({*deps.list_gateways()} - {deps.name, *neighbours})
-    far = deps.random.sample(others, min(FAR_RECIPIENTS, len(others)))
-    return neighbours + far
+    def _choose_recipients(self) -> list[str]:
+        """Return a few gateways that are drawn from all others."""
+        others = [name for name in self._link.names if name != self._name]
+        return self._random.sample(others, min(RECIPIENTS, len(others)))
--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_reporters.py
@@ -76,16 +76,20 @@
             if probe is not None:
                 self._probes.add(part, probe)
 
-    async def wait_for_probes(self, parts: Iterable[int]) -> None:
+    async def wait_for_verdict(self, parts: Iterable[int]) -> None:
         """Wait until it is known whether a part has crashed too many engines.
 
-        Guards against sends that leave between a crash and its discovery. Waits only
-        for a part that would be refused if all its broken sends were crashes.
+        Guards against sends that leave between a crash and its discovery, or between
+        that and what other gateways know. Waits only for a part that is going to be
+        refused unless an answer speaks for it, or would be if all its broken sends were
+        crashes.
         """
         for part in parts:
             pending = self._probes.count(part)
             if pending and self.count_crashes(part) + pending >= REFUSED_AFTER:
                 await self._probes.wait(part)
+            while left := self._book.measure_settling(part, self._now):
+                await asyncio.sleep(left.total_seconds())
 
     def note_upstream_lost(self, upstream: str) -> dict[str, int]:
         """Suspect the parts that were in flight if an upstream has crashed.
@@ -107,15 +111,23 @@
 
     def find_refused(self, parts: Sequence[int]) -> int | None:
         """Return a part for which a prompt is refused, None if there is none."""
-        return self._book.find_refused(parts, self._now)
+        part = self._book.find_refused(parts, self._now)
+        if part is not None and part not in self._refused:
+            self._log_verdicts()
+        return part
 
     def count_crashes(self, part: int) -> int:
         """Return the number of crashes that count against a part."""
         return self._book.count_crashes(part)
 
-    def merge(self, records: Iterable[PartRecord]) -> None:
-        """Merge the records of another gateway, and pass on what was new."""
-        self._note_news(self._book.merge(records, self._now), "gateway")
+    def merge(self, records: Iterable[PartRecord]) -> list[PartRecord]:
+        """Merge the records of another gateway, and pass on what was new.
+
+        Returns the records with answers that the other gateway doesn't know of.
+        """
+        merged = self._book.merge(records, self._now)
+        self._note_news(merged.news)
+        return self._export(merged.unknown_there)
 
     def repeat(self) -> None:
         """Have what is suspected told once more, and drop what has expired.
@@ -125,46 +137,39 @@
         """
         now = self._now
         self._book.expire(now)
-        self._log_verdicts(list(self._refused), "expired")
+        self._log_verdicts()
         self._schedule.repeat(self._book.list_refused(now))
         self._schedule.repeat(self._book.list_suspects(REPEATED_CRASHES, now))
 
     def take_records(self) -> list[PartRecord]:
         """Return the records for the next datagram."""
-        now = self._now
-        taken = self._schedule.take(MAX_RECORDS, self.count_crashes)
-        records = (self._book.export(part, now) for part in taken)
-        return [record for record in records if record is not None]
+        return self._export(self._schedule.take(MAX_RECORDS, self.count_crashes))
 
     def list_refused_records(self) -> list[PartRecord]:
         """Return the records of refused parts, for a gateway that has just started."""
+        return self._export(self._book.list_refused(self._now)[:MAX_RECORDS])
+
+    def _export(self, parts: Iterable[int]) -> list[PartRecord]:
         now = self._now
-        refused = self._book.list_refused(now)[:MAX_RECORDS]
-        records = (self._book.export(part, now) for part in refused)
+        records = (self._book.export(part, now) for part in parts)
         return [record for record in records if record is not None]
 
-    def _note_news(self, parts: Sequence[int], source: str = "here") -> None:
-        if not parts:
-            return
-        self._schedule.note_news(parts)
-        self._log_verdicts(parts, source)
-        self._notify()
+    def _note_news(self, parts: Sequence[int]) -> None:
+        if parts:
+            self._schedule.note_news(parts)
+            self._notify()
 
-    def _log_verdicts(self, parts: Iterable[int], source: str) -> None:
-        """Log the parts that are refused from now on, or no longer."""
-        now = self._now
-        for part in parts:
-            is_refused = self._book.is_refused(part, now)
-            if is_refused == (part in self._refused):
-                continue
-            (self._refused.add if is_refused else self._refused.discard)(part)
+    def _log_verdicts(self) -> None:
+        """Log the parts that are refused since the last call, or no longer."""
+        refused = set(self._book.list_refused(self._now))
+        for part in refused ^ self._refused:
             self._events.record(
-                "part.refused" if is_refused else "part.allowed",
+                "part.refused" if part in refused else "part.allowed",
                 part=format_part(part),
                 crashes=self.count_crashes(part),
                 answered=self._book.count_answered(part),
-                source=source,
             )
+        self._refused = refused
 
     @property
     def _now(self) -> timedelta:
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -23,11 +23,7 @@
 from .cache_probes import CacheProbe, CacheProbeDependencies
 from .caller_connections import CallerConnections, ConnectionOptions
 from .configuration_loaders import ConfigurationLoader
-from .crash_suspects import (
-    NOTICE_PREFIX as PART_NOTICE_PREFIX,
-    PartExchange,
-    PartExchangeDependencies,
-)
+from .crash_suspects import PartExchange
 from .digest_exchanges import DigestDependencies, DigestExchange
 from .era_watches import EraWatch
 from .forwarder_dependencies import ForwarderDependencies
@@ -103,7 +99,9 @@
         )
         self._digest_exchange = self._make_digest_exchange()
         self._peers = self._make_peers()
-        self._part_exchange = self._make_part_exchange()
+        self._part_exchange = PartExchange(
+            node.name, self._upstreams.crashes.parts, self._peers, self._random
+        )
         self._peers.add_channel(MESSAGE_PREFIX, self._origins.receive)
         self._usage = self._make_usage() if settings.usage.address else None
         self._stage_controller = self._make_stage_controller()
@@ -312,36 +310,23 @@
         )
         return GatewayFeeds(deps)
 
-    def _make_part_exchange(self) -> PartExchange:
-        deps = PartExchangeDependencies(
-            name=self._settings.node.name,
-            random=self._random,
-            send=self._peers.send_to,
-            list_gateways=lambda: self._peers.names,
-            list_neighbours=lambda: self._peers.neighbours,
-        )
-        exchange = PartExchange(self._upstreams.crashes.parts, deps)
-        self._peers.add_channel(
-            PART_NOTICE_PREFIX, lambda data, address: exchange.receive(data)
-        )
-        return exchange
-
     def _note_registered(self, gateways: Collection[str]) -> None:
         self._origins.note_registered(gateways)
         self._part_exchange.note_registered(gateways)
 
     def _make_gauges(self) -> dict[str, Callable[[], float]]:
-        sources = GaugeSources(
-            self._configurations,
-            self._forwarder,
-            self._connections,
-            self._feeds,
-            self._eras,
-            self._usage,
-            is_ready=lambda: self.is_ready,
-            count_upstreams=lambda: len(self.list_upstreams()),
+        return make_gauges(
+            GaugeSources(
+                self._configurations,
+                self._forwarder,
+                self._connections,
+                self._feeds,
+                self._eras,
+                self._usage,
+                is_ready=lambda: self.is_ready,
+                count_upstreams=lambda: len(self.list_upstreams()),
+            )
         )
-        return make_gauges(sources)
 
     def _make_digest_exchange(self) -> DigestExchange:
         node = self._settings.node
--- a/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
@@ -1,7 +1,5 @@
 """What a send shows of its upstream: its load, limits, crashes and statements."""
 
-from datetime import timedelta
-
 from mustardquay.requests import SendResult
 
 from ..adapters import AnswerFacts
@@ -12,9 +10,6 @@
 __all__ = ["SUCCESS_STATUSES", "observe_end", "observe_head"]
 
 SUCCESS_STATUSES = range(200, 300)
-CRASH_ONSET = timedelta(seconds=1)
-"""Time for which an engine writes an answer after which none of its parts can have
-crashed it: one that does crashes an engine as it begins to write."""
 MIN_SERVER_ERROR_STATUS = 500
 """The lowest status of a server error."""
 
@@ -72,13 +67,12 @@
 ) -> None:
     upstream = send.upstream
     parts = () if options.prefill_only else request.parts
-    bears_parts = _has_run_whole(send, options) or send.writing_time >= CRASH_ONSET
-    if bears_parts:
+    if _has_run_whole(send, options):
         deps.crashes.parts.note_answered(parts, upstream)
     if send.was_lost:
         probe = deps.pools.probe(upstream)
         deps.crashes.note_broken_send(upstream, request.fingerprint, probe)
-        if not bears_parts:
+        if not send.has_outlasted_onset:
             deps.crashes.parts.note_broken_send(upstream, parts, probe)
     elif _has_run_whole(send, options):
         deps.crashes.note_answer(request.fingerprint, request.id, upstream.id)
--- a/packages/mustardquay-node/src/mustardquay_node/sending/results.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/results.py
@@ -34,14 +34,11 @@
     last_at: timedelta = timedelta()
     events: int = 0
     """Events of a stream that were received whole."""
+    has_outlasted_onset: bool = False
+    """Whether a stream has gone on for longer than `CRASH_ONSET`."""
     framing: str = ""
     """What marked the end of the answer, a value of `Framing`; empty without one."""
 
-    @property
-    def writing_time(self) -> timedelta:
-        """Return the time between the first and the last part of a stream."""
-        return timedelta() if self.first_at is None else self.last_at - self.first_at
-
     @property
     def status(self) -> int:
         """Return the status of the answer, 0 without one."""
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -30,6 +30,9 @@
 Upstreams close idle connections after some 1.5 s, and may do so sooner."""
 SILENCE_RECHECK_INTERVAL = timedelta(milliseconds=200)
 """Time until a live engine that has sent nothing for a request is checked again."""
+CRASH_ONSET = timedelta(milliseconds=500)
+"""Time after which a stream goes on although a part of its prompt were bad: such a part
+crashes an engine as it begins to write, with the first tokens."""
 MIN_EVENTS = 3
 """Fewest events of a stream from which their mean interval is measured: the last event
 may come early."""
@@ -58,7 +61,7 @@
         """Send to an upstream, and buffer the answer or pass it on."""
         request = self._request
         await self._deps.crashes.wait_for_probes(request.fingerprint)
-        await self._deps.crashes.parts.wait_for_probes(request.parts)
+        await self._deps.crashes.parts.wait_for_verdict(request.parts)
         if self._reply.is_caller_gone:
             return Send(upstream, end=SendResult.CALLER_LEFT)
         # The stream of an earlier send may have ended in the middle of an event; the
@@ -212,6 +215,7 @@
             note_begun(self._deps, self._request, now)
             options.on_first_part()
         send.last_at = now
+        self._note_outlasted_onset(send, now)
         self._start_silence_timer(find_idle_timeout(self._request.route))
         events = self._framer.feed(data)
         self._reply.events += self._framer.events - send.events
@@ -221,6 +225,12 @@
             self._request.last_event = self._framer.last_id or self._request.last_event
         return self._pass_on(send, exchange, data)
 
+    def _note_outlasted_onset(self, send: Send, now: timedelta) -> None:
+        """Note a stream that goes on: no part of its prompt crashes its engine."""
+        if not send.has_outlasted_onset and now - send.first_at >= CRASH_ONSET:
+            send.has_outlasted_onset = True
+            self._deps.crashes.parts.note_answered(self._request.parts, send.upstream)
+
     def _pass_on(
         self, send: Send, exchange: Exchange, data: bytes
     ) -> Awaitable[None] | None:
--- a/packages/mustardquay/src/mustardquay/crashing_parts/part_books.py
+++ b/packages/mustardquay/src/mustardquay/crashing_parts/part_books.py
@@ -15,17 +15,23 @@
 from .part_records import PartRecord
 from .verdicts import is_sound, keep_smallest, list_counted, should_refuse
 
-__all__ = ["PartBook"]
+__all__ = ["MergedNews", "PartBook"]
 
 SUSPICION_PERIOD = timedelta(minutes=2)
 REFUSAL_PERIOD = timedelta(minutes=5)
 MINIMUM_REMAINING = timedelta(seconds=5)
 """Records with less time remaining are not merged: two gateways that drop a record at
 slightly different times would otherwise send it back and forth forever."""
+SETTLING_TIME = timedelta(milliseconds=200)
+"""Time between the last crash that is needed and the refusal, in which other gateways
+tell who answered the part: one that has just started knows of no answers."""
 CAPACITY = 1000
 """Records that are kept; those with the fewest crashes are dropped first."""
-MAX_ACCUSED = 64
+MAX_ACCUSED = 256
 """Parts that one gateway suspects after one crash."""
+TOLD_CRASHES = 2
+"""Crashes from which on gateways tell each other who answered a part: one with a single
+crash is as a rule a part that happened to be in flight."""
 
 
 @dataclass(slots=True)
@@ -33,6 +39,8 @@
     crashed: frozenset[int]
     answered: frozenset[int]
     until: timedelta
+    judged_at: timedelta = timedelta()
+    """Since when the crashes suffice to refuse the part."""
 
     @property
     def count(self) -> int:
@@ -40,6 +48,16 @@
         return len(list_counted(self.crashed, self.answered))
 
 
+@dataclass(frozen=True, slots=True)
+class MergedNews:
+    """What came of merging the records of another gateway."""
+
+    news: list[int]
+    """Parts that others are to hear of from here."""
+    unknown_there: list[int]
+    """Parts that the other gateway suspects, not knowing who answered them."""
+
+
 class PartBook:
     """The parts of prompts that were in flight in crashes, with what speaks for them.
 
@@ -53,7 +71,7 @@
         self._answered = answered or AnsweredParts()
         self._capacity = capacity
         self._records: dict[int, _Evidence] = {}
-        self._refused: set[int] = set()
+        self._judged: set[int] = set()
 
     def __len__(self) -> int:
         return len(self._records)
@@ -81,10 +99,7 @@
     def note_answered(
         self, start: int, parts: Iterable[int], now: timedelta
     ) -> list[int]:
-        """Note that a start has written an answer; return the parts that it spoke for.
-
-        An answer speaks for a part that is a suspect.
-        """
+        """Note that a start has written an answer; return the parts with news."""
         parts = tuple(parts)
         self._answered.note(parts, start, now)
         return [
@@ -92,28 +107,48 @@
             for part in parts
             if part in self._records
             and self._update(part, (), {start}, self._records[part].until, now)
+            and self._is_worth_telling(part)
         ]
 
-    def merge(self, records: Iterable[PartRecord], now: timedelta) -> list[int]:
-        """Merge the records of another gateway; return the parts with news."""
-        changed = []
+    def merge(self, records: Iterable[PartRecord], now: timedelta) -> MergedNews:
+        """Merge the records of another gateway."""
+        news = []
+        unknown_there = []
         for record in records:
             if record.remaining < MINIMUM_REMAINING:
                 continue
+            part = record.part
             until = now + min(record.remaining, REFUSAL_PERIOD)
-            own = self._answered.list_starts(record.part, now)
-            answered = record.answered | own
-            if self._update(record.part, record.crashed, answered, until, now):
-                changed.append(record.part)
-        return changed
+            is_new = self._update(part, record.crashed, record.answered, until, now)
+            own = self._answered.list_starts(part, now)
+            if self._update(part, (), own, until, now):
+                unknown_there.append(part)
+            if part in unknown_there or is_new and self._is_worth_telling(part, 1):
+                news.append(part)
+        return MergedNews(news, unknown_there)
+
+    def _is_worth_telling(self, part: int, least: int = TOLD_CRASHES) -> bool:
+        return self.count_crashes(part) >= least
 
     def is_refused(self, part: int, now: timedelta) -> bool:
         """Return whether prompts with a part are refused."""
-        return part in self._refused and self._records[part].until > now
+        return self._is_judged(part, now) and not self.measure_settling(part, now)
+
+    def measure_settling(self, part: int, now: timedelta) -> timedelta:
+        """Return the time until a part is refused if nothing speaks for it till then.
+
+        Zero for a part that is refused already, or isn't going to be.
+        """
+        if not self._is_judged(part, now):
+            return timedelta()
+        return max(self._records[part].judged_at + SETTLING_TIME - now, timedelta())
+
+    def _is_judged(self, part: int, now: timedelta) -> bool:
+        return part in self._judged and self._records[part].until > now
 
     def find_refused(self, parts: Iterable[int], now: timedelta) -> int | None:
         """Return the first refused part among those of a prompt."""
-        if not self._refused:
+        if not self._judged:
             return None
         return next((part for part in parts if self.is_refused(part, now)), None)
 
@@ -129,7 +164,7 @@
 
     def list_refused(self, now: timedelta) -> list[int]:
         """Return the refused parts."""
-        return [part for part in self._refused if self.is_refused(part, now)]
+        return [part for part in self._judged if self.is_refused(part, now)]
 
     def list_suspects(self, least: int, now: timedelta) -> list[int]:
         """Return the parts with `least` crashes or more that count."""
@@ -181,9 +216,10 @@
 
     def _judge(self, part: int, record: _Evidence, now: timedelta) -> None:
         if not should_refuse(record.crashed, record.answered):
-            self._refused.discard(part)
-        elif part not in self._refused:
-            self._refused.add(part)
+            self._judged.discard(part)
+        elif part not in self._judged:
+            self._judged.add(part)
+            record.judged_at = now
             record.until = max(record.until, now + REFUSAL_PERIOD)
 
     def _evict(self, now: timedelta) -> None:
@@ -197,4 +233,4 @@
     def _drop(self, parts: Iterable[int]) -> None:
         for part in parts:
             del self._records[part]
-            self._refused.discard(part)
+            self._judged.discard(part)
--- a/packages/mustardquay/src/mustardquay/crashing_parts/verdicts.py
+++ b/packages/mustardquay/src/mustardquay/crashing_parts/verdicts.py
@@ -12,9 +12,9 @@
 ]
 
 REFUSED_AFTER = 4
-"""Crashes that count against a part from which on it is refused. All gateways must know
-a part after five crashes, of which one may be seen by nobody: the gateway that sent the
-request can end with the engine."""
+"""Crashes from which on a part is refused that no start has answered. All gateways must
+know a part after five crashes, of which one may be seen by nobody: the gateway that
+sent the request can end with the engine."""
 MAX_STARTS = 8
 """Starts of engines that are kept of each kind in one record, to bound its size."""
 
@@ -46,13 +46,13 @@
 def should_refuse(crashed: Set[int], answered: Set[int]) -> bool:
     """Return whether prompts with a part are refused.
 
-    Guards also against refusing a part that many sound prompts share: it is in flight
-    in each crash, but more starts answer it than crash before their first answer.
+    Guards also against refusing a part that sound prompts share: it is in flight in
+    crashes, but other starts answer it, and each of them outweighs a crash.
 
     >>> should_refuse({1, 2, 3, 4}, set())
     True
-    >>> should_refuse({1, 2, 3, 4}, {5, 6, 7, 8})
+    >>> should_refuse({1, 2, 3, 4}, {5})
     False
     """
     counted = len(list_counted(crashed, answered))
-    return counted >= REFUSED_AFTER and counted > len(answered)
+    return counted >= REFUSED_AFTER + len(answered)
