Leave new connections unread that a gateway could not serve in time

Callers whose load balancer hands most new connections to one gateway got late answers or refusals: that gateway read all requests, at the limit of its core, while others had little to do. Class: work is taken because it is there, not because it can be done.

Connections that are open stay.

--- a/packages/mustardquay-node/src/mustardquay_node/descriptors.py
+++ b/packages/mustardquay-node/src/mustardquay_node/descriptors.py
@@ -19,6 +19,8 @@
 __all__ = ["AcceptingSocket", "DescriptorGuard", "is_exhausted"]
 
 EXHAUSTED = (errno.EMFILE, errno.ENFILE)
+MAX_CLOSED = 64
+"""Connections that are closed unread before other events of the loop come first."""
 LOG_INTERVAL = timedelta(seconds=5)
 """Least time between two log lines about exhausted descriptors."""
 
@@ -63,24 +65,39 @@
 
 
 class AcceptingSocket(socket.socket):
-    """A listening socket that closes connections for which there is no descriptor.
+    """A listening socket that closes connections that the process can't serve.
 
-    Guards against an event loop that spins on a pending connection which it can't
-    accept, and starves all others.
+    Guards against an event loop that spins on a pending connection for which there is
+    no descriptor, and starves all others.
     """
 
-    def __init__(self, listening: socket.socket, free_descriptors: Callable[[], bool]):
+    def __init__(
+        self,
+        listening: socket.socket,
+        free_descriptors: Callable[[], bool],
+        admits: Callable[[], bool] = lambda: True,
+    ):
         """Take over a listening socket.
 
         `free_descriptors` closes idle connections, and returns whether there were any.
+        `admits` returns whether to take the next connection; others are closed unread.
         """
         super().__init__(fileno=listening.detach())
         self.setblocking(False)
         self._free_descriptors = free_descriptors
+        self._admits = admits
         self._spare = _open_spare()
 
     def accept(self) -> tuple[socket.socket, object]:
         """Accept a connection; raises `BlockingIOError` if it was closed instead."""
+        for _ in range(MAX_CLOSED):
+            accepted = self._accept_next()
+            if self._admits():
+                return accepted
+            accepted[0].close()
+        raise BlockingIOError(errno.EAGAIN, "Connections were closed unread.")
+
+    def _accept_next(self) -> tuple[socket.socket, object]:
         accepted = self._try_accept()
         if accepted is None and self._free_descriptors():
             accepted = self._try_accept()
--- a/packages/mustardquay-node/src/mustardquay_node/digest_exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/digest_exchanges.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 
 from mustardquay.clocks import Clock
+from mustardquay.connection_gates import ConnectionGate
 from mustardquay.peer_digests import PeerDigest
 from mustardquay.rate_limits import RateLimiter
 
@@ -25,6 +26,7 @@
     planner: GenerationPlanner
     stop: GatewayStop
     crashes: CrashReporter
+    gate: ConnectionGate
     limits: RateLimiter
     configurations: ConfigurationLoader
     is_ready: Callable[[], bool]
@@ -59,6 +61,7 @@
             crashes=deps.crashes.list_records(),
             availability_zone=deps.availability_zone,
             is_ready=deps.is_ready(),
+            is_busy=deps.gate.is_busy,
             limits=deps.limits.list_notices(now),
             demands=deps.limits.demand.list_demands(now) if knows_limits else None,
             ends_in=deps.stop.ends_in,
@@ -73,6 +76,7 @@
         deps = self._deps
         deps.planner.apply_digest(digest)
         deps.stop.apply_digest(digest)
+        deps.gate.apply_digest(digest, deps.clock.monotonic())
         deps.crashes.merge(digest.crashes)
         self._apply_limits(digest)
         if deps.configurations.note_peer_version(digest.gateway, digest.configuration):
--- a/packages/mustardquay-node/src/mustardquay_node/digest_frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/digest_frames.py
@@ -71,6 +71,7 @@
             message.ready,
             tuple(map(_read_limit, message.limits)),
             _read_demands(message),
+            message.busy,
             _read_end(message),
         )
     except (capnp.KjException, IndexError, ValueError):
@@ -176,6 +177,7 @@
 def _write_presence(message: Any, digest: PeerDigest) -> None:
     message.availabilityZone = digest.availability_zone
     message.ready = digest.is_ready
+    message.busy = digest.is_busy
     if digest.ends_in is not None:
         message.stopping = True
         left = max(digest.ends_in, timedelta())
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
@@ -9,6 +9,7 @@
 
 from mustardquay.routing_tables import CallerLimits
 
+from .connection_gates import GateMonitor
 from .connections import split_address
 from .descriptors import AcceptingSocket
 from .metric_pages import load_exporters
@@ -25,9 +26,18 @@
 class GatewayServers:
     """Listens on the addresses of one gateway."""
 
-    def __init__(self, free_descriptors: Callable[[], bool] = lambda: False):
-        """Take `free_descriptors`, which closes idle connections of the process."""
+    def __init__(
+        self,
+        free_descriptors: Callable[[], bool] = lambda: False,
+        gate_monitor: GateMonitor | None = None,
+    ):
+        """Take what decides on new connections.
+
+        `free_descriptors` closes idle connections of the process; `gate_monitor` tells
+        which connections of callers to take, without it all.
+        """
         self._free_descriptors = free_descriptors
+        self._gate_monitor = gate_monitor
         self._servers: list[HTTPServer] = []
         self._callers: HTTPServer | None = None
 
@@ -36,7 +46,11 @@
     ) -> str:
         """Listen for callers; returns the address with its real port."""
         self._callers = HTTPServer(delegate, max_body_size=MAX_BODY_BYTES)
-        return self._listen(self._callers, address)
+        monitor = self._gate_monitor
+        if monitor is None:
+            return self._listen(self._callers, address)
+        monitor.start()
+        return self._listen(self._callers, address, monitor.admits)
 
     def serve_readiness(
         self, address: str, path: str, is_ready: Callable[[], bool]
@@ -70,6 +84,8 @@
 
     async def close(self) -> None:
         """Stop listening and close the connections."""
+        if self._gate_monitor is not None:
+            self._gate_monitor.close()
         for server in self._servers:
             server.stop()
             await server.close_all_connections()
@@ -81,10 +97,15 @@
         application = Application(rules, log_function=lambda handler: None)
         self._listen(HTTPServer(application), address)
 
-    def _listen(self, server: HTTPServer, address: str) -> str:
+    def _listen(
+        self,
+        server: HTTPServer,
+        address: str,
+        admits: Callable[[], bool] = lambda: True,
+    ) -> str:
         host, port = split_address(address)
         sockets = [
-            AcceptingSocket(each, self._free_descriptors)
+            AcceptingSocket(each, self._free_descriptors, admits)
             for each in bind_sockets(port, host, backlog=LISTEN_BACKLOG)
         ]
         server.add_sockets(sockets)
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_stops.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_stops.py
@@ -17,6 +17,7 @@
 )
 from mustardquay.peer_digests import PeerDigest
 from mustardquay.stops import (
+    BALANCER_REMOVAL_DELAY,
     RequestEstimate,
     StopContext,
     StopState,
@@ -25,7 +26,12 @@
     find_state,
 )
 
-__all__ = ["DEFAULT_RETRY_AFTER", "GatewayStop", "StopDependencies"]
+__all__ = [
+    "DEFAULT_RETRY_AFTER",
+    "GatewayStop",
+    "StopDependencies",
+    "warn_of_short_drain",
+]
 
 CHECK_INTERVAL = timedelta(milliseconds=50)
 """Time between two checks whether a stopping gateway can exit."""
@@ -154,3 +160,14 @@
 
     def _count_in_flight(self) -> int:
         return self._deps.count_in_flight()
+
+
+def warn_of_short_drain(timeout: timedelta, events: EventRing) -> None:
+    """Warn of a drain timeout shorter than the load balancer needs to react."""
+    if timeout < BALANCER_REMOVAL_DELAY:
+        events.record(
+            "settings.short_drain",
+            drain_ms=timeout // timedelta(milliseconds=1),
+            least_ms=BALANCER_REMOVAL_DELAY // timedelta(milliseconds=1),
+            remedy="Raise drain_timeout; callers arrive until the balancer reacts.",
+        )
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -12,9 +12,9 @@
 from random import Random
 
 from mustardquay.clocks import BootTimeClock, Clock, SystemClock
+from mustardquay.connection_gates import ConnectionGate
 from mustardquay.events import Event, EventRing, HybridClock
 from mustardquay.routing_tables import RoutingTable
-from mustardquay.stops import BALANCER_REMOVAL_DELAY
 from mustardquay.upstream_lists import Stage, UpstreamRecord
 from mustardquay.usage import Source
 from mustardquay.version_trackers import TableState
@@ -23,6 +23,7 @@
 from .cache_probes import CacheProbe, CacheProbeDependencies
 from .caller_connections import CallerConnections, ConnectionOptions
 from .configuration_loaders import ConfigurationLoader
+from .connection_gates import GateMonitor
 from .crash_suspects import PartExchange
 from .digest_exchanges import DigestDependencies, DigestExchange
 from .era_watches import EraWatch
@@ -32,7 +33,7 @@
 from .gateway_gauges import GaugeSources, make_gauges
 from .gateway_metrics import GatewayMetrics
 from .gateway_servers import GatewayServers
-from .gateway_stops import GatewayStop, StopDependencies
+from .gateway_stops import GatewayStop, StopDependencies, warn_of_short_drain
 from .gateway_upstreams import GatewayUpstreams, UpstreamDependencies
 from .peers import PeerLink
 from .seeds import make_seed
@@ -79,6 +80,7 @@
             settings.store.address, self._clock, self._eras
         )
         self._origins = self._make_origins()
+        self._gate = ConnectionGate(self._random)
         self._stop = self._make_stop()
         self._forwarder = Forwarder(self._make_forwarder_dependencies())
         self._list_updater = UpstreamListUpdater(
@@ -115,7 +117,9 @@
                 self._clock, lambda: self._table.limits, self._forwarder.handle
             )
         )
-        self._servers = GatewayServers(self._upstreams.free_descriptors)
+        self._servers = GatewayServers(
+            self._upstreams.free_descriptors, GateMonitor(self._gate, self._events)
+        )
         self._check_task: asyncio.Task[None] | None = None
         self._close_task: asyncio.Task[None] | None = None
         self._address = settings.gateway.listen
@@ -179,18 +183,7 @@
         self._cache_probe.start()
         self._check_task = asyncio.create_task(self._check_forever())
         self._events.record("process.started", kind_of_process="gateway")
-        self._warn_of_short_drain()
-
-    def _warn_of_short_drain(self) -> None:
-        """Warn of a drain timeout shorter than the load balancer needs to react."""
-        timeout = self._settings.gateway.drain_timeout
-        if timeout < BALANCER_REMOVAL_DELAY:
-            self._events.record(
-                "settings.short_drain",
-                drain_ms=timeout // timedelta(milliseconds=1),
-                least_ms=BALANCER_REMOVAL_DELAY // timedelta(milliseconds=1),
-                remedy="Raise drain_timeout; callers arrive until the balancer reacts.",
-            )
+        warn_of_short_drain(self._settings.gateway.drain_timeout, self._events)
 
     async def close(self) -> None:
         """Drain requests in flight, for at most the drain timeout, and stop.
@@ -337,6 +330,7 @@
             planner=self._upstreams.planner,
             stop=self._stop,
             crashes=self._upstreams.crashes,
+            gate=self._gate,
             limits=self._upstreams.limits,
             configurations=self._configurations,
             is_ready=lambda: self.is_ready,
--- a/packages/mustardquay-node/src/mustardquay_node/peers.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.capnp
@@ -66,4 +66,6 @@
   # Whether the sender has seen a rate limit, so that `demands` are valid.
   tellsDemands @20 :Bool;
   demands @21 :List(ServiceDemand);
+  # Whether the sender could not take more callers.
+  busy @22 :Bool;
 }
--- a/packages/mustardquay/src/mustardquay/peer_digests.py
+++ b/packages/mustardquay/src/mustardquay/peer_digests.py
@@ -98,6 +98,8 @@
     """Rate limits that upstreams have announced to the gateway."""
     demands: tuple[ServiceDemand, ...] | None = None
     """Its callers' demand for each service; None without a known rate limit."""
+    is_busy: bool = False
+    """Whether the gateway could not take more callers."""
     ends_in: timedelta | None = None
     """Time until a stopping gateway ends at the latest; None for all others."""
 
