--- a/packages/mustardquay-node/src/mustardquay_node/connection_gates/monitors.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connection_gates/monitors.py
@@ -52,7 +52,8 @@
     def _sample(self) -> None:
         now = self._loop.time()
         lag = timedelta(seconds=now - self._due)
-        self._gate.note_lag(lag, timedelta(seconds=now - self._sampled_at))
+        elapsed = timedelta(seconds=now - self._sampled_at)
+        self._gate.note_lag(lag, elapsed, timedelta(seconds=now))
         self._sampled_at = now
         self._log(now)
         self._schedule()
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -283,7 +283,7 @@
             find_table_state=lambda: self._configurations.find_state(),
             is_configuration_confirmed=lambda: self._feeds.is_configuration_confirmed,
             note_begun=self._note_begun,
-            count_answer=self._metrics.count_answer,
+            count_answer=self._count_answer,
             count_send=self._metrics.count_send,
             count_unused_prefill=self._metrics.count_unused_prefill,
             record_first_byte=self._metrics.record_first_byte,
@@ -388,6 +388,10 @@
         self._eras.listen(usage.note_era)
         return usage
 
+    def _count_answer(self, route: str, outcome: str) -> None:
+        self._metrics.count_answer(route, outcome)
+        self._gate.note_answer(outcome == "refused", self._clock.monotonic())
+
     def _note_begun(self, organisation: str, begun_at: timedelta) -> None:
         if self._usage is not None:
             self._usage.note_begun(organisation, begun_at)
--- a/packages/mustardquay/src/mustardquay/connection_gates/__init__.py
+++ b/packages/mustardquay/src/mustardquay/connection_gates/__init__.py
@@ -2,12 +2,15 @@
 
 from .free_peers import FreePeers
 from .gates import MAX_REFUSED_SHARE, ConnectionGate
-from .loop_lags import TARGET_LAG, LoopLag
+from .loop_lags import MAX_LAG, NOTICEABLE_LAG, LoopLag
+from .refusal_shares import RefusalShare
 
 __all__ = [
+    "MAX_LAG",
     "MAX_REFUSED_SHARE",
-    "TARGET_LAG",
+    "NOTICEABLE_LAG",
     "ConnectionGate",
     "FreePeers",
     "LoopLag",
+    "RefusalShare",
 ]
--- a/packages/mustardquay/src/mustardquay/connection_gates/loop_lags.py
+++ b/packages/mustardquay/src/mustardquay/connection_gates/loop_lags.py
@@ -3,11 +3,13 @@
 from datetime import timedelta
 from math import exp
 
-__all__ = ["TARGET_LAG", "LoopLag"]
+__all__ = ["MAX_LAG", "NOTICEABLE_LAG", "LoopLag"]
 
-TARGET_LAG = timedelta(milliseconds=20)
-"""Mean lag up to which a process keeps up. A request takes several turns of the loop,
-so its answer is late by several times as much."""
+NOTICEABLE_LAG = timedelta(milliseconds=20)
+"""Mean lag from which on a process is slowed by its own work."""
+MAX_LAG = timedelta(milliseconds=100)
+"""Mean lag over which a process does not keep up at all: a request takes some ten turns
+of the loop, and callers give up one that isn't read after a second."""
 AVERAGING_TIME = timedelta(milliseconds=300)
 MAX_SAMPLE = timedelta(milliseconds=250)
 """Limit of one sample, and of the time that it counts for."""
@@ -25,11 +27,6 @@
         """Return the mean lag."""
         return self._mean
 
-    @property
-    def is_high(self) -> bool:
-        """Return whether the process does not keep up."""
-        return self._mean > TARGET_LAG
-
     def note(self, lag: timedelta, elapsed: timedelta) -> None:
         """Note the lag of a timer, and the time since the sample before it."""
         # One late timer alone is a pause of the process, not overload.
