Let a bad part explain the crashes of the parts it comes with

Cause, by reading and a test: the record of a new suspect lacked the answers that its own gateway had seen, until another gateway told it; and a first part that few starts had answered had as many crashes as the bad one. Now a record begins with what is known of answers, and crashes of a refused part explain those of parts that more starts have answered. The stateful test checks both, and failed on neither before: its gateways always exchange their records at the end.

--- a/packages/mustardquay/src/mustardquay/crashing_parts/part_books.py
+++ b/packages/mustardquay/src/mustardquay/crashing_parts/part_books.py
@@ -13,7 +13,13 @@
 
 from .answered_parts import AnsweredParts
 from .part_records import PartRecord
-from .verdicts import is_sound, keep_smallest, list_counted, should_refuse
+from .verdicts import (
+    find_refused,
+    is_sound,
+    keep_smallest,
+    list_counted,
+    should_refuse,
+)
 
 __all__ = ["MergedNews", "PartBook"]
 
@@ -71,7 +77,10 @@
         self._answered = answered or AnsweredParts()
         self._capacity = capacity
         self._records: dict[int, _Evidence] = {}
+        self._candidates: set[int] = set()
+        """Parts with crashes enough to refuse them."""
         self._judged: set[int] = set()
+        """Those of them whose crashes no other part explains."""
 
     def __len__(self) -> int:
         return len(self._records)
@@ -85,7 +94,8 @@
         accused = [part for part in parts if self._counts(part, start, now)]
         del accused[MAX_ACCUSED:]
         for part in accused:
-            self._update(part, {start}, (), now + SUSPICION_PERIOD, now)
+            known = self._answered.list_starts(part, now)
+            self._update(part, {start}, known, now + SUSPICION_PERIOD, now)
         return accused
 
     def _counts(self, part: int, start: int, now: timedelta) -> bool:
@@ -215,12 +225,20 @@
         return True
 
     def _judge(self, part: int, record: _Evidence, now: timedelta) -> None:
-        if not should_refuse(record.crashed, record.answered):
-            self._judged.discard(part)
-        elif part not in self._judged:
-            self._judged.add(part)
-            record.judged_at = now
-            record.until = max(record.until, now + REFUSAL_PERIOD)
+        """Decide anew which parts are refused, after news of one of them."""
+        is_candidate = should_refuse(record.crashed, record.answered)
+        if is_candidate:
+            self._candidates.add(part)
+        elif part in self._candidates:
+            self._candidates.discard(part)
+        else:
+            return
+        judged = find_refused({each: self._records[each] for each in self._candidates})
+        for each in judged - self._judged:
+            added = self._records[each]
+            added.judged_at = now
+            added.until = max(added.until, now + REFUSAL_PERIOD)
+        self._judged = judged
 
     def _evict(self, now: timedelta) -> None:
         self.expire(now)
@@ -233,4 +251,5 @@
     def _drop(self, parts: Iterable[int]) -> None:
         for part in parts:
             del self._records[part]
+            self._candidates.discard(part)
             self._judged.discard(part)
--- a/packages/mustardquay/src/mustardquay/crashing_parts/verdicts.py
+++ b/packages/mustardquay/src/mustardquay/crashing_parts/verdicts.py
@@ -1,10 +1,13 @@
 """The decision whether prompts with a part are refused."""
 
-from collections.abc import Iterable, Set
+from collections.abc import Iterable, Mapping, Set
+from typing import Protocol
 
 __all__ = [
     "MAX_STARTS",
     "REFUSED_AFTER",
+    "PartEvidence",
+    "find_refused",
     "is_sound",
     "keep_smallest",
     "list_counted",
@@ -19,6 +22,15 @@
 """Starts of engines that are kept of each kind in one record, to bound its size."""
 
 
+class PartEvidence(Protocol):
+    """What was seen of one part."""
+
+    crashed: frozenset[int]
+    """Starts of engines that crashed while they wrote an answer on the part."""
+    answered: frozenset[int]
+    """Starts of engines that have written an answer on the part."""
+
+
 def keep_smallest(starts: Iterable[int]) -> frozenset[int]:
     """Return the `MAX_STARTS` smallest keys.
 
@@ -56,3 +68,25 @@
     """
     counted = len(list_counted(crashed, answered))
     return counted >= REFUSED_AFTER + len(answered)
+
+
+def find_refused(evidence: Mapping[int, PartEvidence]) -> set[int]:
+    """Return the parts on which prompts are refused.
+
+    The crashes of a refused part explain those of other parts that more starts have
+    answered. Guards against refusing the first part of a tenant because it is in each
+    prompt with the part that crashes engines.
+    """
+    refused: set[int] = set()
+    for part in sorted(evidence, key=lambda part: (len(evidence[part].answered), part)):
+        seen = evidence[part]
+        explained = frozenset().union(
+            *(
+                evidence[other].crashed
+                for other in refused
+                if len(evidence[other].answered) < len(seen.answered)
+            )
+        )
+        if should_refuse(seen.crashed - explained, seen.answered):
+            refused.add(part)
+    return refused
--- a/packages/mustardquay/tests/test_crashing_parts.py
+++ b/packages/mustardquay/tests/test_crashing_parts.py
@@ -38,6 +38,8 @@
         self.starts = Counter()
         self.running = {engine: [] for engine in ENGINES}
         self.crashes = 0
+        self.knowing = set()
+        """Gateways that have seen an answer on the part that all prompts begin with."""
 
     @rule(
         gateway=st.sampled_from(GATEWAYS),
@@ -60,6 +62,7 @@
             return
         for gateway, parts in running:
             self.books[gateway].note_answered(start, parts, self.now)
+            self.knowing.add(gateway)
         running.clear()
 
     @rule(engine=st.sampled_from(ENGINES), second=st.sampled_from(SECONDS))
@@ -79,6 +82,7 @@
     def gateway_starts_anew(self, gateway):
         self._exchange()
         self.books[gateway] = PartBook()
+        self.knowing.discard(gateway)
         self._exchange()
 
     @rule()
@@ -101,6 +105,8 @@
             assert BAD in refused
         if self.crashes < REFUSED_AFTER:
             assert not refused
+        if self.knowing:
+            assert FIRST not in refused
 
     def _crash(self, engine):
         start = self._get_start(engine)
@@ -161,6 +167,15 @@
     assert not book.is_refused(FIRST, SETTLED)
 
 
+def test_the_bad_part_explains_the_crashes_of_those_it_comes_with():
+    """Guards against refusing the first part of a tenant that few engines answered."""
+    book = PartBook()
+    book.note_answered(100, [FIRST, SECONDS[0]], timedelta())
+    play_crashes(book, range(6), [FIRST, BAD])
+    assert book.find_refused([FIRST, SECONDS[0]], SETTLED) is None
+    assert book.is_refused(BAD, SETTLED)
+
+
 def test_a_gateway_without_answers_of_its_own_waits_for_those_of_others():
     """Guards against a gateway that has just started when engines crash."""
     started, other = PartBook(), PartBook()
