Tell the bad part from the first part that comes with it in all crashes

Of parts that no start has answered, the later one in prompts now explains the crashes of those before it; a first part is refused too once it crashes an engine without the later one. Records carry the position of a part.

Waits for probes count the answers that speak for a part.

--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/frames.py
@@ -17,6 +17,7 @@
 """First byte of a notice; no other datagram begins with it."""
 LAYOUT = 1
 MAX_SECONDS = 2**16 - 1
+MAX_DEPTH = 2**8 - 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +36,7 @@
     records = notice.records
     message.parts = [each.part for each in records]
     message.remainingSeconds = [_to_seconds(each.remaining) for each in records]
+    message.depths = [min(each.depth, MAX_DEPTH) for each in records]
     message.crashed = [len(each.crashed) for each in records]
     message.answered = [len(each.answered) for each in records]
     message.starts = [
@@ -57,15 +59,17 @@
             message.remainingSeconds,
             message.crashed,
             message.answered,
+            message.depths,
         )
         records = [
             PartRecord(
                 part,
                 frozenset(islice(starts, crashed)),
                 frozenset(islice(starts, answered)),
+                depth,
                 timedelta(seconds=seconds),
             )
-            for part, seconds, crashed, answered in zip(
+            for part, seconds, crashed, answered, depth in zip(
                 *map(list, columns), strict=True
             )
         ]
--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_reporters.py
@@ -7,7 +7,6 @@
 from mustardquay.clocks import Clock
 from mustardquay.crash_watches import CrashWatch
 from mustardquay.crashing_parts import (
-    REFUSED_AFTER,
     NoticeSchedule,
     PartBook,
     PartRecord,
@@ -24,6 +23,8 @@
 """Records in one datagram, which stays below 1400 bytes."""
 MAX_LOGGED_PARTS = 6
 """Parts that the line of a crash names, those with the most crashes first."""
+MAX_WATCHED_PARTS = 20_000
+"""Parts of recently broken sends that are kept, so a few hundred sends."""
 REPEATED_CRASHES = 2
 """Crashes from which on a part is repeated: one with a single crash is told as news,
 and is as a rule a part that happened to be in flight."""
@@ -44,7 +45,9 @@
         self._notify = notify
         self._book = PartBook()
         self._schedule = NoticeSchedule()
-        self._watch = CrashWatch()
+        self._watch = CrashWatch(MAX_WATCHED_PARTS)
+        self._depths: dict[int, int] = {}
+        """Positions in prompts of the parts of broken sends."""
         self._probes = PendingProbes()
         self._refused: set[int] = set()
         """Refused parts, as they were logged."""
@@ -64,14 +67,17 @@
     def note_broken_send(
         self,
         upstream: UpstreamRecord,
-        parts: Iterable[int],
+        parts: Sequence[int],
         probe: "asyncio.Task[None] | None" = None,
     ) -> None:
         """Note a send whose connection ended without a whole answer.
 
         `probe` shows whether the upstream is still reachable.
         """
-        for part in parts:
+        if len(self._depths) > MAX_WATCHED_PARTS:
+            self._depths.clear()
+        for depth, part in enumerate(parts):
+            self._depths[part] = max(depth, self._depths.get(part, 0))
             self._watch.note_broken(upstream.id, _get_boot(upstream), part, self._now)
             if probe is not None:
                 self._probes.add(part, probe)
@@ -86,7 +92,7 @@
         """
         for part in parts:
             pending = self._probes.count(part)
-            if pending and self.count_crashes(part) + pending >= REFUSED_AFTER:
+            if pending and pending >= self._book.count_missing(part, self._now):
                 await self._probes.wait(part)
             while left := self._book.measure_settling(part, self._now):
                 await asyncio.sleep(left.total_seconds())
@@ -101,7 +107,7 @@
             return {}
         crash, parts = lost
         start = compute_start_key(crash.upstream, crash.boot)
-        suspects = sorted(parts, key=self.count_crashes, reverse=True)
+        suspects = {part: self._depths.get(part, 0) for part in sorted(parts)}
         accused = self._book.note_crash(start, suspects, self._now)
         self._note_news(accused)
         return {
--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/parts.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/parts.capnp
@@ -15,4 +15,6 @@
   crashed @4 :List(UInt8);
   answered @5 :List(UInt8);
   starts @6 :List(UInt32);
+  # The highest position of each part in prompts.
+  depths @7 :List(UInt8);
 }
--- a/packages/mustardquay/src/mustardquay/crash_watches.py
+++ b/packages/mustardquay/src/mustardquay/crash_watches.py
@@ -30,7 +30,8 @@
 class CrashWatch:
     """The recently broken sends, by upstream."""
 
-    def __init__(self) -> None:
+    def __init__(self, capacity: int = MAX_WATCHED_SENDS) -> None:
+        self._capacity = capacity
         self._broken: dict[str, list[_BrokenSend]] = defaultdict(list)
         self._count = 0
 
@@ -41,7 +42,7 @@
 
         `boot` identifies the start of the upstream.
         """
-        if self._count >= MAX_WATCHED_SENDS:
+        if self._count >= self._capacity:
             self._broken.clear()
             self._count = 0
         self._broken[upstream].append(_BrokenSend(fingerprint, boot, now))
--- a/packages/mustardquay/src/mustardquay/crashing_parts/part_books.py
+++ b/packages/mustardquay/src/mustardquay/crashing_parts/part_books.py
@@ -7,13 +7,14 @@
 Merged sets: Shapiro et al., "Conflict-free replicated data types", 2011.
 """
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
 from .answered_parts import AnsweredParts
 from .part_records import PartRecord
 from .verdicts import (
+    REFUSED_AFTER,
     find_refused,
     is_sound,
     keep_smallest,
@@ -44,6 +45,7 @@
 class _Evidence:
     crashed: frozenset[int]
     answered: frozenset[int]
+    depth: int
     until: timedelta
     judged_at: timedelta = timedelta()
     """Since when the crashes suffice to refuse the part."""
@@ -85,17 +87,22 @@
     def __len__(self) -> int:
         return len(self._records)
 
-    def note_crash(self, start: int, parts: Sequence[int], now: timedelta) -> list[int]:
+    def note_crash(
+        self, start: int, parts: Mapping[int, int], now: timedelta
+    ) -> list[int]:
         """Suspect the parts of answers that a start was writing when it crashed.
 
-        `parts` are in the order of suspicion. Returns those that the crash counts
-        against.
+        `parts` has the position of each in its prompt. Returns those that the crash
+        counts against, the ones with the most crashes first.
         """
         accused = [part for part in parts if self._counts(part, start, now)]
+        accused.sort(key=self.count_crashes, reverse=True)
         del accused[MAX_ACCUSED:]
         for part in accused:
             known = self._answered.list_starts(part, now)
-            self._update(part, {start}, known, now + SUSPICION_PERIOD, now)
+            crashed = frozenset({start})
+            seen = PartRecord(part, crashed, known, parts[part], SUSPICION_PERIOD)
+            self._update(seen, now)
         return accused
 
     def _counts(self, part: int, start: int, now: timedelta) -> bool:
@@ -116,7 +123,7 @@
             part
             for part in parts
             if part in self._records
-            and self._update(part, (), {start}, self._records[part].until, now)
+            and self._add_answered(part, frozenset({start}), now)
             and self._is_worth_telling(part)
         ]
 
@@ -128,15 +135,23 @@
             if record.remaining < MINIMUM_REMAINING:
                 continue
             part = record.part
-            until = now + min(record.remaining, REFUSAL_PERIOD)
-            is_new = self._update(part, record.crashed, record.answered, until, now)
+            is_new = self._update(record, now)
             own = self._answered.list_starts(part, now)
-            if self._update(part, (), own, until, now):
+            if self._add_answered(part, own, now):
                 unknown_there.append(part)
             if part in unknown_there or is_new and self._is_worth_telling(part, 1):
                 news.append(part)
         return MergedNews(news, unknown_there)
 
+    def _add_answered(self, part: int, starts: frozenset[int], now: timedelta) -> bool:
+        """Add starts that answered a suspect; return whether any was new."""
+        record = self._records.get(part)
+        if record is None:
+            return False
+        left = record.until - now
+        seen = PartRecord(part, frozenset(), starts, record.depth, left)
+        return self._update(seen, now)
+
     def _is_worth_telling(self, part: int, least: int = TOLD_CRASHES) -> bool:
         return self.count_crashes(part) >= least
 
@@ -167,6 +182,14 @@
         record = self._records.get(part)
         return 0 if record is None else record.count
 
+    def count_missing(self, part: int, now: timedelta) -> int:
+        """Return how many more crashes would have a part refused."""
+        record = self._records.get(part)
+        answered = self._answered.list_starts(part, now)
+        if record is not None:
+            answered |= record.answered
+        return REFUSED_AFTER + len(answered) - self.count_crashes(part)
+
     def count_answered(self, part: int) -> int:
         """Return how many starts are known to have answered a suspect."""
         record = self._records.get(part)
@@ -189,33 +212,31 @@
         record = self._records.get(part)
         if record is None or record.until <= now:
             return None
-        return PartRecord(part, record.crashed, record.answered, record.until - now)
+        return PartRecord(
+            part, record.crashed, record.answered, record.depth, record.until - now
+        )
 
     def expire(self, now: timedelta) -> None:
         """Drop expired records."""
         expired = [part for part, each in self._records.items() if each.until <= now]
         self._drop(expired)
 
-    def _update(
-        self,
-        part: int,
-        crashed: Collection[int],
-        answered: Collection[int],
-        until: timedelta,
-        now: timedelta,
-    ) -> bool:
+    def _update(self, seen: PartRecord, now: timedelta) -> bool:
         """Add to a record; return whether anything was new.
 
         The expiry is not extended without news, or two gateways that send a record to
         each other repeatedly would extend it forever.
         """
+        part = seen.part
+        until = now + min(seen.remaining, REFUSAL_PERIOD)
         record = self._records.get(part)
         if record is None or record.until <= now:
-            record = _Evidence(frozenset(), frozenset(), until)
-        known = (record.crashed, record.answered)
-        record.crashed = keep_smallest(record.crashed.union(crashed))
-        record.answered = keep_smallest(record.answered.union(answered))
-        if known == (record.crashed, record.answered):
+            record = _Evidence(frozenset(), frozenset(), 0, until)
+        known = (record.crashed, record.answered, record.depth)
+        record.crashed = keep_smallest(record.crashed | seen.crashed)
+        record.answered = keep_smallest(record.answered | seen.answered)
+        record.depth = max(record.depth, seen.depth)
+        if known == (record.crashed, record.answered, record.depth):
             return False
         record.until = max(record.until, until)
         self._records[part] = record
--- a/packages/mustardquay/src/mustardquay/crashing_parts/part_records.py
+++ b/packages/mustardquay/src/mustardquay/crashing_parts/part_records.py
@@ -15,5 +15,7 @@
     """Starts of engines that crashed while they wrote an answer on the part."""
     answered: frozenset[int]
     """Starts of engines that have written an answer on the part."""
+    depth: int
+    """Its position in prompts, from 0; the highest one that was seen."""
     remaining: timedelta
     """Time until the record expires; a duration, as processes don't share a clock."""
--- a/packages/mustardquay/src/mustardquay/crashing_parts/verdicts.py
+++ b/packages/mustardquay/src/mustardquay/crashing_parts/verdicts.py
@@ -29,6 +29,8 @@
     """Starts of engines that crashed while they wrote an answer on the part."""
     answered: frozenset[int]
     """Starts of engines that have written an answer on the part."""
+    depth: int
+    """Its position in prompts, from 0: the first part is shared by most of them."""
 
 
 def keep_smallest(starts: Iterable[int]) -> frozenset[int]:
@@ -73,20 +75,39 @@
 def find_refused(evidence: Mapping[int, PartEvidence]) -> set[int]:
     """Return the parts on which prompts are refused.
 
-    The crashes of a refused part explain those of other parts that more starts have
-    answered. Guards against refusing the first part of a tenant because it is in each
-    prompt with the part that crashes engines.
+    The crashes of a refused part explain those of parts that it comes with. Guards
+    against refusing the first part of a tenant because it is in each prompt with the
+    part that crashes engines.
     """
     refused: set[int] = set()
-    for part in sorted(evidence, key=lambda part: (len(evidence[part].answered), part)):
+    for part in sorted(evidence, key=lambda part: _get_rank(part, evidence[part])):
         seen = evidence[part]
+        explaining = [evidence[each] for each in refused]
         explained = frozenset().union(
-            *(
-                evidence[other].crashed
-                for other in refused
-                if len(evidence[other].answered) < len(seen.answered)
-            )
+            *(each.crashed for each in explaining if _explains(each, seen))
         )
-        if should_refuse(seen.crashed - explained, seen.answered):
+        if _is_bad(seen, seen.crashed - explained):
             refused.add(part)
     return refused
+
+
+def _get_rank(part: int, seen: PartEvidence) -> tuple[int, int, int]:
+    """Return a key by which parts that explain the crashes of others come first."""
+    return (len(seen.answered), -seen.depth, part)
+
+
+def _explains(refused: PartEvidence, seen: PartEvidence) -> bool:
+    """Return whether a refused part may be the cause of another one's crashes.
+
+    It was answered by fewer starts, or neither by any: then the later one in prompts
+    is the likelier cause, and if it is not, the next prompt without it shows that.
+    """
+    if len(refused.answered) < len(seen.answered):
+        return True
+    return not seen.answered and refused.depth > seen.depth
+
+
+def _is_bad(seen: PartEvidence, unexplained: Set[int]) -> bool:
+    if seen.answered:
+        return should_refuse(unexplained, seen.answered)
+    return bool(unexplained) and should_refuse(seen.crashed, seen.answered)
