Hash the id of a prompt's part in one place

Placements and crashing parts each hashed it; both call compute_part_key of requests now. Exports that nothing outside the package uses are gone. 460 tests passed, as before.

--- a/packages/mustardquay-node/tests/simulated_crashes.py
+++ b/packages/mustardquay-node/tests/simulated_crashes.py
@@ -6,8 +6,8 @@
 from itertools import count
 from random import Random
 
-from mustardquay.crashing_parts import compute_part_key
 from mustardquay.events import EventRing, HybridClock
+from mustardquay.requests import compute_part_key
 from mustardquay.upstream_lists import UpstreamRecord
 from mustardquay_node.crash_suspects import PartExchange, PartReporter
 from mustardquay_standins.virtual_loops import LoopClock
--- a/packages/mustardquay/src/mustardquay/crashing_parts/__init__.py
+++ b/packages/mustardquay/src/mustardquay/crashing_parts/__init__.py
@@ -7,11 +7,11 @@
 """
 
 from .answered_parts import AnsweredParts
-from .keys import compute_part_key, compute_start_key, list_part_keys
+from .keys import compute_start_key, list_part_keys
 from .part_books import PartBook
 from .part_notices import NoticeSchedule
 from .part_records import PartRecord
-from .verdicts import MAX_STARTS, REFUSED_AFTER, list_counted, should_refuse
+from .verdicts import MAX_STARTS, REFUSED_AFTER
 
 __all__ = [
     "MAX_STARTS",
@@ -20,9 +20,6 @@
     "NoticeSchedule",
     "PartBook",
     "PartRecord",
-    "compute_part_key",
     "compute_start_key",
-    "list_counted",
     "list_part_keys",
-    "should_refuse",
 ]
--- a/packages/mustardquay/src/mustardquay/crashing_parts/keys.py
+++ b/packages/mustardquay/src/mustardquay/crashing_parts/keys.py
@@ -4,9 +4,9 @@
 
 from xxhash import xxh3_64_intdigest
 
-from ..requests import PromptPart
+from ..requests import PromptPart, compute_part_key
 
-__all__ = ["compute_part_key", "compute_start_key", "list_part_keys"]
+__all__ = ["compute_start_key", "list_part_keys"]
 
 MAX_PARTS = 64
 """Parts of one prompt that are kept track of, the first ones."""
@@ -14,11 +14,6 @@
 """Bits of a start's key. At most a few dozen starts are compared with each other."""
 
 
-def compute_part_key(id: str) -> int:
-    """Return the key of a part, 64 bits."""
-    return xxh3_64_intdigest(id.encode())
-
-
 def compute_start_key(upstream: str, boot: str) -> int:
     """Return the key of one start of an upstream."""
     return xxh3_64_intdigest(f"{upstream}/{boot}".encode()) >> 64 - START_KEY_BITS
--- a/packages/mustardquay/src/mustardquay/engine_states.py
+++ b/packages/mustardquay/src/mustardquay/engine_states.py
@@ -5,12 +5,10 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from xxhash import xxh3_64_intdigest
-
 from .engine_models import EngineModels
 from .peer_digests import LOWEST_RANK, PeerDigests, make_ranks
 from .rate_limits import RateLimiter
-from .requests import PromptPart
+from .requests import PromptPart, compute_part_key
 from .upstream_lists import Stage
 from .upstream_loads import UpstreamLoads
 
@@ -34,7 +32,7 @@
 
 def hash_parts(parts: Iterable[PromptPart]) -> tuple[HashedPart, ...]:
     """Return the hash and the tokens of each part."""
-    return tuple((xxh3_64_intdigest(part.id.encode()), part.tokens) for part in parts)
+    return tuple((compute_part_key(part.id), part.tokens) for part in parts)
 
 
 class EngineCache:
--- a/packages/mustardquay/src/mustardquay/requests.py
+++ b/packages/mustardquay/src/mustardquay/requests.py
@@ -3,7 +3,14 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["PromptPart", "PromptTraits", "SendResult"]
+from xxhash import xxh3_64_intdigest
+
+__all__ = ["PromptPart", "PromptTraits", "SendResult", "compute_part_key"]
+
+
+def compute_part_key(id: str) -> int:
+    """Return the key of a part, 64 bits, by which gateways name it to each other."""
+    return xxh3_64_intdigest(id.encode())
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mustardquay/tests/test_crashing_parts.py
+++ b/packages/mustardquay/tests/test_crashing_parts.py
@@ -12,9 +12,9 @@
     AnsweredParts,
     NoticeSchedule,
     PartBook,
-    compute_part_key,
     compute_start_key,
 )
+from mustardquay.requests import compute_part_key
 
 STEADY = settings(derandomize=True, deadline=None, database=None, max_examples=150)
 GATEWAYS = ("g1", "g2", "g3")
