Let the crash watch keep the positions of parts, in place of a second table

Positions of parts were kept in a dictionary beside the watch, which only grew until it was cleared whole, and then lost the positions of parts that were still watched. The watch takes any suspect now, a fingerprint or a part with its position.

--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_reporters.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
 from datetime import timedelta
 
 from mustardquay.clocks import Clock
@@ -30,6 +31,14 @@
 and is as a rule a part that happened to be in flight."""
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class _PlacedPart:
+    """A part of a prompt, and its position there from 0."""
+
+    depth: int
+    part: int
+
+
 class PartReporter:
     """Keeps what this gateway and its peers saw of parts, and what peers lack."""
 
@@ -45,9 +54,7 @@
         self._notify = notify
         self._book = PartBook()
         self._schedule = NoticeSchedule()
-        self._watch = CrashWatch(MAX_WATCHED_PARTS)
-        self._depths: dict[int, int] = {}
-        """Positions in prompts of the parts of broken sends."""
+        self._watch: CrashWatch[_PlacedPart] = CrashWatch(MAX_WATCHED_PARTS)
         self._probes = PendingProbes()
         self._refused: set[int] = set()
         """Refused parts, as they were logged."""
@@ -74,11 +81,10 @@
 
         `probe` shows whether the upstream is still reachable.
         """
-        if len(self._depths) > MAX_WATCHED_PARTS:
-            self._depths.clear()
+        boot = _get_boot(upstream)
         for depth, part in enumerate(parts):
-            self._depths[part] = max(depth, self._depths.get(part, 0))
-            self._watch.note_broken(upstream.id, _get_boot(upstream), part, self._now)
+            placed = _PlacedPart(depth, part)
+            self._watch.note_broken(upstream.id, boot, placed, self._now)
             if probe is not None:
                 self._probes.add(part, probe)
 
@@ -107,7 +113,8 @@
             return {}
         crash, parts = lost
         start = compute_start_key(crash.upstream, crash.boot)
-        suspects = {part: self._depths.get(part, 0) for part in sorted(parts)}
+        # In the order of depths, so that the highest one of a part stays.
+        suspects = {placed.part: placed.depth for placed in sorted(parts)}
         accused = self._book.note_crash(start, suspects, self._now)
         self._note_news(accused)
         return {
--- a/packages/mustardquay/src/mustardquay/crash_watches.py
+++ b/packages/mustardquay/src/mustardquay/crash_watches.py
@@ -6,13 +6,18 @@
 """
 
 from collections import defaultdict
+from collections.abc import Hashable
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import Generic, TypeVar
 
 from .quarantines import CrashId
 
 __all__ = ["CrashWatch"]
 
+Suspect = TypeVar("Suspect", bound=Hashable)
+"""What a crash is blamed on: the fingerprint of a request, or a part of its prompt."""
+
 WATCH_TIME = timedelta(seconds=3)
 """How long after a broken send its upstream is watched. A crashed upstream refuses
 connections immediately and writes no more records; it restarts seconds later."""
@@ -21,22 +26,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _BrokenSend:
-    fingerprint: int
+class _BrokenSend(Generic[Suspect]):
+    suspect: Suspect
     boot: str
     at: timedelta
 
 
-class CrashWatch:
+class CrashWatch(Generic[Suspect]):
     """The recently broken sends, by upstream."""
 
     def __init__(self, capacity: int = MAX_WATCHED_SENDS) -> None:
         self._capacity = capacity
-        self._broken: dict[str, list[_BrokenSend]] = defaultdict(list)
+        self._broken: dict[str, list[_BrokenSend[Suspect]]] = defaultdict(list)
         self._count = 0
 
     def note_broken(
-        self, upstream: str, boot: str, fingerprint: int, now: timedelta
+        self, upstream: str, boot: str, suspect: Suspect, now: timedelta
     ) -> None:
         """Record a send whose connection ended without a complete answer.
 
@@ -45,15 +50,15 @@
         if self._count >= self._capacity:
             self._broken.clear()
             self._count = 0
-        self._broken[upstream].append(_BrokenSend(fingerprint, boot, now))
+        self._broken[upstream].append(_BrokenSend(suspect, boot, now))
         self._count += 1
 
     def note_lost(
         self, upstream: str, now: timedelta
-    ) -> tuple[CrashId, set[int]] | None:
+    ) -> tuple[CrashId, set[Suspect]] | None:
         """Record that an upstream is unreachable, removed or restarted.
 
-        Returns the crash with the fingerprints of the sends that broke within
+        Returns the crash with the suspects of the sends that broke within
         `WATCH_TIME` before it, or None if there are none.
         """
         broken = self._broken.pop(upstream, [])
@@ -62,4 +67,4 @@
         if not recent:
             return None
         crash = CrashId(upstream, recent[0].boot)
-        return crash, {each.fingerprint for each in recent}
+        return crash, {each.suspect for each in recent}
