Measure the lag of the gate by the clock that its other times come from

The monitor read the event loop's time and compared it with times of the gateway's clock, which agree only by chance of the platform; the clock is passed in, as everywhere.

--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -117,9 +117,8 @@
                 self._clock, lambda: self._table.limits, self._forwarder.handle
             )
         )
-        self._servers = GatewayServers(
-            self._upstreams.free_descriptors, GateMonitor(self._gate, self._events)
-        )
+        gate_monitor = GateMonitor(self._gate, self._clock, self._events)
+        self._servers = GatewayServers(self._upstreams.free_descriptors, gate_monitor)
         self._check_task: asyncio.Task[None] | None = None
         self._close_task: asyncio.Task[None] | None = None
         self._address = settings.gateway.listen
