--- a/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
@@ -66,16 +66,14 @@
     options: SendOptions,
 ) -> None:
     upstream = send.upstream
-    parts = () if options.prefill_only else request.parts
-    if _has_run_whole(send, options):
-        deps.crashes.parts.note_answered(parts, upstream)
     if send.was_lost:
         probe = deps.pools.probe(upstream)
         deps.crashes.note_broken_send(upstream, request.fingerprint, probe)
-        if not send.has_outlasted_onset:
-            deps.crashes.parts.note_broken_send(upstream, parts, probe)
+        if not options.prefill_only and not send.has_outlasted_onset:
+            deps.crashes.parts.note_broken_send(upstream, request.parts, probe)
     elif _has_run_whole(send, options):
         deps.crashes.note_answer(request.fingerprint, request.id, upstream.id)
+        deps.crashes.parts.note_answered(request.parts, upstream)
     if end == ExchangeEnd.NOT_CONNECTED:
         deps.crashes.note_upstream_lost(upstream.id)
         deps.doubts.note_unreachable(upstream)
