--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -17,6 +17,7 @@
 from mustardquay.placements import Placement
 from mustardquay.requests import PromptTraits, SendResult
 from mustardquay.retained_prefills import PrefillLoss
+from mustardquay.routing_tables import Route
 from mustardquay.stall_timeouts import find_first_event_timeout, find_prefill_timeout
 from mustardquay.upstream_lists import UpstreamRecord
 
@@ -138,7 +139,7 @@
     now = deps.clock.monotonic()
     time_left = request.measure_time_left(now)
     if request.is_take_up:
-        return _admit_take_up(deps, request, reply, prompt, engines)
+        return _admit_if(admits_take_up, deps, request, reply, prompt, engines)
     request.is_late = is_retry(request.route, time_left)
     if not request.is_late:
         placement = _choose_placement(deps, request, prompt, engines)
@@ -150,28 +151,23 @@
             return placement
         # A refused caller's retry can't meet the latency target either.
         request.is_late = True
-    placement = _choose_placement(deps, request, prompt, engines)
-    if placement is None:
-        return None
-    if admits_late(request.route, placement, time_left):
-        return placement
-    _refuse_crowded(deps, request, reply, placement)
-    return None
+    return _admit_if(admits_late, deps, request, reply, prompt, engines)
 
 
-def _admit_take_up(
+def _admit_if(
+    admits: Callable[[Route, Placement, timedelta], bool],
     deps: ForwarderDependencies,
     request: ForwardedRequest,
     reply: Reply,
     prompt: PromptTraits,
     engines: list[UpstreamRecord],
 ) -> Placement | None:
-    """Place the rest of a stream; refuse it if that would come too late."""
+    """Place a generation; refuse it if `admits` does not let it begin so late."""
     placement = _choose_placement(deps, request, prompt, engines)
     if placement is None:
         return None
     time_left = request.measure_time_left(deps.clock.monotonic())
-    if admits_take_up(request.route, placement, time_left):
+    if admits(request.route, placement, time_left):
         return placement
     _refuse_crowded(deps, request, reply, placement)
     return None
