--- a/packages/mustardquay-standins/src/mustardquay_standins/relays.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/relays.py
@@ -10,7 +10,7 @@
 
 from .servers import StandinServer
 
-__all__ = ["RelayCounters", "RelayFaults", "RelayStandin"]
+__all__ = ["RelayCounters", "RelayFaults", "RelayStandin", "reset_connection"]
 
 CHUNK_SIZE = 65_536
 
@@ -113,7 +113,7 @@
         """Reset every open connection; new ones are accepted."""
         for connection in list(self._connections):
             for writer in connection.writers:
-                _reset(writer)
+                reset_connection(writer)
 
     def set_down(self, down: bool) -> None:
         """Close the listener, or open it again on the same port.
@@ -166,8 +166,8 @@
         except OSError:
             # A reset of one side is one of the other: an end without it would mark an
             # answer that has no length as complete.
-            _reset(writer)
-            _reset(target_writer)
+            reset_connection(writer)
+            reset_connection(target_writer)
         finally:
             self._connections.discard(connection)
             writer.transport.abort()
@@ -200,7 +200,8 @@
             await writer.drain()
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """End a connection so that the other end gets a reset."""
     connection = writer.transport.get_extra_info("socket")
     if connection is not None and not writer.transport.is_closing():
         linger = struct.pack("ii", 1, 0)
