--- a/packages/mustardquay-node/tests/simulated_crashes.py
+++ b/packages/mustardquay-node/tests/simulated_crashes.py
@@ -89,6 +89,8 @@
         """Bytes that each gateway sent."""
         self.largest = 0
         """Bytes of the largest datagram."""
+        self.elapsed = 0.0
+        """Seconds that were played."""
         self.tasks = set()
         self._numbers = count(1)
         self.engines = []
--- a/packages/mustardquay-node/tests/test_crashing_parts.py
+++ b/packages/mustardquay-node/tests/test_crashing_parts.py
@@ -18,6 +18,9 @@
 """Gateways, and engines that they share."""
 ALLOWED = 3
 """Sends with the part that are allowed once all gateways should know of it."""
+BYTES_PER_SECOND = 14_000
+"""What one gateway may send for control, by the capacity page."""
+MAX_SUSPECTS = 1000
 DATAGRAM_LIMIT = 1400
 """Bytes that fit into one datagram without fragments."""
 
@@ -61,6 +64,7 @@
     async def story():
         fleet = Fleet(gateways, engines)
         await play_bad_part(fleet, duration=duration)
+        fleet.elapsed = fleet.loop.time()
         await fleet.close()
         return fleet
 
@@ -69,6 +73,9 @@
     assert len(fleet.list_refusing(BAD)) == gateways
     assert fleet.served[False, "refused"] == 0
     assert fleet.largest <= DATAGRAM_LIMIT
+    assert max(fleet.bytes.values()) <= BYTES_PER_SECOND * fleet.elapsed
+    books = [reporter._book for reporter in fleet.reporters.values()]
+    assert max(map(len, books)) <= MAX_SUSPECTS
 
 
 @pytest.mark.parametrize("seed", range(5))
