--- a/packages/mustardquay-standins/src/mustardquay_standins/relays.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/relays.py
@@ -13,6 +13,8 @@
 __all__ = ["RelayCounters", "RelayFaults", "RelayStandin", "reset_connection"]
 
 CHUNK_SIZE = 65_536
+HOLD_CHECK_INTERVAL = 0.01
+"""Seconds between checks whether a relay still holds data back."""
 
 
 @dataclass(slots=True)
@@ -26,6 +28,9 @@
     """Bytes to the target are discarded, while the connections stay open."""
     swallow_back: bool = False
     """Bytes from the target are discarded, while the connections stay open."""
+    hold: bool = False
+    """Data and ends of connections are kept in either direction, and forwarded once
+    the switch is off, as by a process that is suspended and goes on."""
     delay: timedelta = timedelta()
     """Delay before each chunk is forwarded, in either direction."""
 
@@ -186,6 +191,8 @@
                 raise ConnectionResetError
             if self.faults.delay:
                 await asyncio.sleep(self.faults.delay.total_seconds())
+            while self.faults.hold:
+                await asyncio.sleep(HOLD_CHECK_INTERVAL)
             if connection.blackholed or getattr(self.faults, switch):
                 self.counters.swallowed += len(data)
                 if not data:
