--- a/packages/mustardquay-standins/src/mustardquay_standins/demos.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/demos.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import Annotated
 from uuid import uuid4
 
@@ -22,6 +23,7 @@
 
 from .answers import ONE_WORD_MARKER, expected_text
 from .clients import Answer, SiteClient, read_stream_text
+from .engines import EngineStandin
 from .sites import SITE_NAMES, Site
 
 __all__ = ["Demo", "main"]
@@ -34,6 +36,10 @@
 """Tokens after which they do so."""
 BULLETIN_SENTENCES = 200
 DRAFT_TOKENS = 60
+SILENCE = timedelta(seconds=1.2)
+"""Time for which an engine writes nothing in mid-stream and then goes on."""
+SILENT_TOKENS = 400
+"""Tokens of a draft whose engine falls silent, enough to find the engine meanwhile."""
 TIMELINE_LINES = 24
 TIMEOUT = 60.0
 """Seconds for a planned change to take effect."""
@@ -82,6 +88,8 @@
                 if number == BROKEN_ROUND:
                     self._break_off_streams()
                 await self._run_round(client, drain=number == ROUNDS // 2)
+            for entry in self._site.entries.values():
+                await self._ask_beside_silence(client, entry.url)
         finally:
             client.close()
         self._show_outcomes()
@@ -119,15 +127,34 @@
             good = message["content"] == expected_text(prompt, 4)
         self._samples.append(Sample(f"one word of a long {noun}", answer, good))
 
-    async def _ask_draft(self, client: SiteClient, entry: str) -> None:
+    async def _ask_draft(
+        self,
+        client: SiteClient,
+        entry: str,
+        tokens: int = DRAFT_TOKENS,
+        kind: str = "streamed draft",
+    ) -> None:
         prompt = f"Draft a short message, number {self._random.random()}."
         model = self._site.customer.models[0]
-        answer = await client.chat(entry, model, prompt, DRAFT_TOKENS, stream=True)
+        answer = await client.chat(entry, model, prompt, tokens, stream=True)
         good = answer.status == 200 and answer.outcome == "answered"
         if good:
-            text = expected_text(prompt, DRAFT_TOKENS)
+            text = expected_text(prompt, tokens)
             good = read_stream_text(answer.body) == (text, True)
-        self._samples.append(Sample("streamed draft", answer, good))
+        self._samples.append(Sample(kind, answer, good))
+
+    async def _ask_beside_silence(self, client: SiteClient, entry: str) -> None:
+        """Ask for a draft whose engine falls silent in mid-stream and goes on."""
+        kind = "draft, engine silent"
+        draft = asyncio.create_task(self._ask_draft(client, entry, SILENT_TOKENS, kind))
+        await self._wait_for(lambda: draft.done() or self._list_generating())
+        for engine in self._list_generating():
+            self._print(f"An engine falls silent for {SILENCE.total_seconds()} s …")
+            await engine.fall_silent(SILENCE)
+        await draft
+
+    def _list_generating(self) -> list[EngineStandin]:
+        return [each for each in self._site.engines.values() if each.running]
 
     async def _enquire(self, client: SiteClient, entry: str) -> None:
         service = self._site.customer.services[0]
--- a/packages/mustardquay-standins/src/mustardquay_standins/engines.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/engines.py
@@ -159,6 +159,7 @@
             await asyncio.sleep(due - loop.time())
             while self.faults.freeze_streams:
                 await asyncio.sleep(POLL_INTERVAL)
+            await self._active.wait()
 
     def _step(self) -> timedelta:
         self.counters.steps += 1
--- a/packages/mustardquay-standins/src/mustardquay_standins/servers.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/servers.py
@@ -165,16 +165,20 @@
         self._random = Random(seed)
         self._server: HTTPServer | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._active = asyncio.Event()
+        """Not set while the server is silent."""
+        self._active.set()
         self._address = ""
         self._port = 0
         self.faults = faults
         self.counters = counters
-        self._routes = (
+        self._controls = (
             Route("GET", "/faults", self._show_faults),
             Route("POST", "/faults", self._set_faults),
             Route("GET", "/counters", self._show_counters),
-            *self.list_routes(),
         )
+        """Routes for tests, which a silent server serves too."""
+        self._routes = (*self._controls, *self.list_routes())
 
     @property
     def address(self) -> str:
@@ -207,6 +211,14 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def fall_silent(self, duration: timedelta) -> None:
+        """Begin and answer nothing for a time, then go on; connections stay open."""
+        self._active.clear()
+        try:
+            await asyncio.sleep(duration.total_seconds())
+        finally:
+            self._active.set()
+
     def set_faults(self, values: Mapping[str, Any]) -> None:
         """Set switches by name; raises `ValueError` for an unknown one or value."""
         types = {field.name: field.type for field in fields(self.faults)}
@@ -245,6 +257,8 @@
         else:
             call.answer(404, {"error": f"no route for {call.path}"})
             return
+        if route not in self._controls:
+            await self._active.wait()
         try:
             await route.handle(call)
         except (KeyError, TypeError, ValueError, ValidationError) as error:
--- a/packages/mustardquay-standins/src/mustardquay_standins/services.py
+++ b/packages/mustardquay-standins/src/mustardquay_standins/services.py
@@ -131,6 +131,7 @@
         try:
             while self.faults.frozen:
                 await asyncio.sleep(0.01)
+            await self._active.wait()
         finally:
             self.counters.running -= 1
         if self.faults.drop_answers > 0:
--- a/packages/mustardquay-standins/tests/test_engine_standins.py
+++ b/packages/mustardquay-standins/tests/test_engine_standins.py
@@ -227,3 +227,36 @@
     # 1,000 prompt tokens in chunks of 512, then three tokens, one per step.
     assert engine.counters.steps == 5
     await engine.close()
+
+
+async def test_a_silent_engine_goes_on_with_what_it_was_asked(engine):
+    """Guards against a silence that ends calls or loses tokens."""
+    body = {"model": "model", "messages": MESSAGES, "max_tokens": 200}
+    url = f"{engine.url}/v1/chat/completions"
+    begun = asyncio.create_task(call(url, body=body))
+    while not engine.counters.tokens:
+        await asyncio.sleep(0.001)
+    silence = asyncio.create_task(engine.fall_silent(timedelta(seconds=0.2)))
+    await asyncio.sleep(0.05)
+    tokens = engine.counters.tokens
+    asked = asyncio.create_task(call(url, body=body))
+    await asyncio.sleep(0.1)
+    assert engine.counters.tokens == tokens and not begun.done()
+    await silence
+    for answer in await asyncio.gather(begun, asked):
+        message = answer[1]["choices"][0]["message"]
+        assert message["content"] == expected_text(PROMPT, 200)
+
+
+async def test_a_silent_service_executes_calls_once_it_goes_on():
+    service = ServiceStandin()
+    await service.start()
+    silence = asyncio.create_task(service.fall_silent(timedelta(seconds=0.2)))
+    await asyncio.sleep(0.01)
+    asked = asyncio.create_task(call(f"{service.url}/alerts", body={}))
+    await asyncio.sleep(0.1)
+    assert service.counters.executions == 0
+    await silence
+    assert (await asked)[0] == 201
+    assert service.counters.executions == 1
+    await service.close()
