--- a/packages/mustardquay-node/src/mustardquay_node/processes.py
+++ b/packages/mustardquay-node/src/mustardquay_node/processes.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from .node_settings import Settings
 
-__all__ = ["run", "run_node"]
+__all__ = ["run", "run_node", "tune_garbage_collector"]
 
 PROCESS_ACTION = "mustardquay:process"
 """Type of the eliot action that contains all log lines of a process."""
@@ -69,7 +69,7 @@
         # Without an enclosing action, eliot generates an id for each line.
         with eliot.start_task(action_type=PROCESS_ACTION, process=settings.node.name):
             await node.start()
-            _tune_garbage_collector()
+            tune_garbage_collector()
             await stop.wait()
             await node.close()
     finally:
@@ -92,7 +92,8 @@
     return Agent(settings, write_event=write_event)
 
 
-def _tune_garbage_collector() -> None:
+def tune_garbage_collector() -> None:
+    """Exclude what the start has loaded from collections, and make these rarer."""
     # Modules and settings live as long as the process, and requests create few
     # reference cycles. With the default thresholds, the collector repeatedly traverses
     # all of them, which costs processor time and causes pauses between tokens. There is
