Decode configurations in slices of the event loop

Callers of a gateway waited, and limits fired late, while a configuration of 23,000 organisations was decoded: the event loop was held for 140 to 300 ms on this machine.

Cause: the document was decoded, its items built and their keys indexed in one call.

The document is now split into its members and batches of the items of its lists, and each batch is decoded by itself; after 10 ms the loop gets a turn. Items whose text is that of the last version are not decoded again. Feeds begin their next read once rows are applied, so that versions stay in order and nothing that is partly decoded is in force; a restore that is noted meanwhile is kept, and rows whose application fails are read again. While a version is decoded, the one in force counts as behind: a route or key that it lacks may be in the new one.

--- a/packages/mustardquay-node/src/mustardquay_node/adapters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/adapters.py
@@ -16,6 +16,7 @@
 from mustardquay.organisations import PresentedKey
 from mustardquay.requests import PromptPart, PromptTraits
 from mustardquay.routing_tables import RoutingTable
+from mustardquay.stepwise_decoding import Steps
 from mustardquay.store_eras import StorePosition
 from mustardquay.tables import TableService
 from mustardquay.upstream_lists import Stage, UpstreamRecord
@@ -27,6 +28,7 @@
 __all__ = [
     "Adapter",
     "AnswerFacts",
+    "ConfigurationDecoder",
     "DutyAuthority",
     "DutyCall",
     "EngineReport",
@@ -207,6 +209,13 @@
         """Close the connections."""
 
 
+class ConfigurationDecoder(Protocol):
+    """Decodes versions of the operator's configuration, one after another."""
+
+    def decode(self, value: bytes) -> Steps[RoutingTable]:
+        """Decode a version in steps; raises `ProtocolError` if it is invalid."""
+
+
 class Adapter(Protocol):
     """The interface that the module of an adapter provides."""
 
@@ -221,8 +230,8 @@
     def open_store(self, address: str, clock: Any, eras: EraWatch) -> StoreTables:
         """Return a client of the store that passes the era of each answer to `eras`."""
 
-    def read_configuration(self, value: bytes) -> RoutingTable:
-        """Return the operator's configuration; raises `ProtocolError`."""
+    def make_configuration_decoder(self) -> ConfigurationDecoder:
+        """Return a decoder of the operator's configuration."""
 
     def read_upstream(self, key: str, value: bytes) -> UpstreamRecord:
         """Return an upstream's record; raises `ProtocolError`."""
--- a/packages/mustardquay-node/src/mustardquay_node/configuration_loaders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/configuration_loaders.py
@@ -11,6 +11,7 @@
 from mustardquay.version_trackers import TableState, VersionTracker
 
 from .adapters import Adapter, StoreRow
+from .time_slices import run_in_slices
 
 __all__ = ["ConfigurationLoader"]
 
@@ -33,7 +34,9 @@
         active versions of the other gateways. `get_bound` returns the time within which
         a version has to be active everywhere.
         """
-        self._adapter = adapter
+        self._key = adapter.CONFIGURATION_KEY
+        self._decoder = adapter.make_configuration_decoder()
+        self._is_decoding = False
         self._events = events
         self._clock = clock
         self._activate = activate
@@ -59,7 +62,8 @@
     def find_state(self) -> TableState:
         """Return how far the active configuration may be relied on."""
         if not self._versions.is_behind:
-            return TableState.CURRENT
+            # What is being decoded may have the route or key that a caller names.
+            return TableState.BEHIND if self._is_decoding else TableState.CURRENT
         others = self._list_peer_versions()
         now = self._clock.monotonic()
         return self._versions.find_state(others, self._get_bound(), now)
@@ -75,26 +79,31 @@
             )
         return version > self.version
 
-    def apply_rows(self, rows: Sequence[StoreRow], is_whole: bool) -> None:
+    async def apply_rows(self, rows: Sequence[StoreRow], is_whole: bool) -> None:
         """Apply rows of the store: with `is_whole` all of them, else changed ones.
 
         Of several versions, only the newest one that can be decoded is activated, and
-        older ones are not decoded: a large one takes a busy process some 100 ms.
+        older ones are not decoded: a large one takes a busy process some 100 ms. Other
+        work goes on meanwhile. Calls must follow one another.
         """
         for row in sorted(rows, key=attrgetter("version"), reverse=True):
-            if row.key != self._adapter.CONFIGURATION_KEY or row.deleted:
+            if row.key != self._key or row.deleted:
                 continue
-            if self._load(row):
+            if await self._load(row):
                 return
 
-    def _load(self, row: StoreRow) -> bool:
+    async def _load(self, row: StoreRow) -> bool:
         """Decode and activate one row; return whether it could be decoded."""
         started_at = self._clock.monotonic()
+        self._is_decoding = True
         try:
-            table = self._adapter.read_configuration(row.value)
+            steps = self._decoder.decode(row.value)
+            table = await run_in_slices(steps, self._clock)
         except ProtocolError as error:
             self._events.record("configuration.refused", error=str(error))
             return False
+        finally:
+            self._is_decoding = False
         self._activate_if_newer(table, started_at, len(row.value))
         return True
 
--- a/packages/mustardquay-node/src/mustardquay_node/feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/feeds.py
@@ -1,7 +1,7 @@
 """Feeds: follow a table of the platform's store, across outages and lost history."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -48,8 +48,9 @@
 class FeedListener:
     """Callbacks of a feed."""
 
-    on_rows: Callable[[Sequence[StoreRow], bool], None]
-    """Called with rows, and whether they are all rows of the table."""
+    on_rows: Callable[[Sequence[StoreRow], bool], Awaitable[None] | None]
+    """Called with rows, and whether they are all rows of the table. The next read
+    begins once it has ended."""
     on_reconnected: Callable[[], None] = _do_nothing
     """Called before the first rows after an outage."""
     on_restored: Callable[[], None] = _do_nothing
@@ -145,9 +146,9 @@
             self._hedged_read = None
         self._answered_at = self._clock.monotonic()
         self._note_answer()
-        self._apply(found)
+        await self._apply(found)
 
-    def _apply(self, found: _ReadResult) -> None:
+    async def _apply(self, found: _ReadResult) -> None:
         """Apply rows; for some time after a restore of the store, none are dropped.
 
         Guards against a copy that lacks the row of a serving upstream: the upstream
@@ -165,8 +166,19 @@
         is_whole = found.is_whole and not is_early
         if is_whole:
             self._grace_until = None
-        self._listener.on_rows(found.page.rows, is_whole)
-        self._position = self._applied_position = position
+        # A restore that is noted while rows are applied replaces this position.
+        self._position = position
+        try:
+            await self._pass_on(found.page.rows, is_whole)
+        except Exception:
+            self._position = None
+            raise
+        self._applied_position = position
+
+    async def _pass_on(self, rows: Sequence[StoreRow], is_whole: bool) -> None:
+        ended = self._listener.on_rows(rows, is_whole)
+        if ended is not None:
+            await ended
 
     def _begin_era(self, position: StorePosition) -> None:
         self._grace_until = self._clock.monotonic() + RESTORE_GRACE
--- a/packages/mustardquay/src/mustardquay/organisations/__init__.py
+++ b/packages/mustardquay/src/mustardquay/organisations/__init__.py
@@ -6,11 +6,12 @@
     KeyRejectionReason,
     authenticate,
 )
-from .directories import Organisation, OrganisationDirectory
+from .directories import DirectoryBuilder, Organisation, OrganisationDirectory
 from .keys import PresentedKey, compute_key_fingerprint
 
 __all__ = [
     "Authenticated",
+    "DirectoryBuilder",
     "KeyRejection",
     "KeyRejectionReason",
     "Organisation",
--- a/packages/mustardquay/src/mustardquay/organisations/directories.py
+++ b/packages/mustardquay/src/mustardquay/organisations/directories.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-__all__ = ["Organisation", "OrganisationDirectory"]
+__all__ = ["DirectoryBuilder", "Organisation", "OrganisationDirectory"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,9 +22,7 @@
     def __init__(self, organisations: Iterable[Organisation] = ()):
         """Index the organisations; of several with the same key, the first has it."""
         self._by_key: dict[str, Organisation] = {}
-        for organisation in organisations:
-            for key in organisation.keys:
-                self._by_key.setdefault(key, organisation)
+        _index(self._by_key, organisations)
 
     def find(self, key: str) -> Organisation | None:
         """Return the organisation that has a key.
@@ -36,3 +34,32 @@
         True
         """
         return self._by_key.get(key)
+
+
+class DirectoryBuilder:
+    """Indexes organisations in parts, as thousands of them take milliseconds."""
+
+    def __init__(self):
+        self._directory = OrganisationDirectory()
+
+    def add(self, organisations: Iterable[Organisation]) -> None:
+        """Index organisations; of several with the same key, the first has it."""
+        _index(self._directory._by_key, organisations)
+
+    def build(self) -> OrganisationDirectory:
+        """Return the directory, to which nothing may be added any more.
+
+        >>> builder = DirectoryBuilder()
+        >>> builder.add([Organisation("a", ("k1",))])
+        >>> builder.build().find("k1").name
+        'a'
+        """
+        return self._directory
+
+
+def _index(
+    by_key: dict[str, Organisation], organisations: Iterable[Organisation]
+) -> None:
+    for organisation in organisations:
+        for key in organisation.keys:
+            by_key.setdefault(key, organisation)
