--- a/packages/mustardquay-standins/tests/test_engine_standins.py
+++ b/packages/mustardquay-standins/tests/test_engine_standins.py
@@ -217,6 +217,29 @@
     server.close()
 
 
+async def test_a_relay_that_holds_data_loses_none():
+    """Guards against a silence in a soak that is also a loss."""
+
+    async def echo(reader, writer):
+        writer.write(await reader.readexactly(3))
+        writer.close()
+
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    relay = RelayStandin(*server.sockets[0].getsockname()[:2])
+    await relay.start()
+    relay.faults.hold = True
+    reader, writer = await asyncio.open_connection(relay.address, relay.port)
+    writer.write(b"one")
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.1):
+            await reader.read(1)
+    relay.faults.hold = False
+    assert await reader.read() == b"one"
+    writer.close()
+    await relay.close()
+    server.close()
+
+
 async def test_the_cost_model_splits_a_prompt_over_steps():
     fast = replace(derive_costs(), overhead=0.0, weight_read=0.001, token=0.0)
     engine = EngineStandin(costs=fast)
