Give each request of a caller one owner, who answers it in a stop and at limits

Callers saw: whole requests that a gateway had read, or that lay in its kernel, ended with a closed connection and no answer, if they came as its stop ended or as the idle limit of their connection ran out, and its loop was late. The log had no line for them.

Cause: whether a request was read, owned and answered was told by tornado's reader, a flag that is set with the header, and the forwarder's tasks, which change in different iterations of the loop. A task that was cancelled before its first step ran no code, the limit of tornado's reader ran by the clock beside bytes that were there, and DRAIN_LIMIT was over before the reader had come to the end of a request.

Change: mustardquay.request_ownership has the phases of a connection from the first byte read to the last one written, and decides what becomes of it at a limit, in a shortage and in a stop: only what is known to be empty, in the process and in the kernel, is closed. caller_connections is a package; its stream notes each read before anything is parsed. Limits run there, in running time; a partial header that runs out gets 408. The forwarder admits or refuses without a task, and settles tasks that end without an answer. The stop counts by the owner, accepts what waits in the backlog, and ends after a number of passes in place of a time; what is incomplete then gets 503. Sockets with unread bytes of their callers linger after the last answer. connection.closed says what the gateway closes.

An idle connection is closed after idle and header limit in all, as before; a header now has the header limit from its first byte, as the operator's limit says.

--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/streams.py
@@ -0,0 +1,62 @@
+"""Streams of callers: tornado's, which tell what was read and hand the socket back."""
+
+import socket
+from collections.abc import Callable
+
+from tornado.iostream import IOStream
+
+__all__ = ["CallerStream", "has_unread_bytes"]
+
+
+class CallerStream(IOStream):
+    """A caller's socket, which notes each read before anything is parsed."""
+
+    def __init__(
+        self,
+        accepted: socket.socket,
+        note_read: Callable[[int], None],
+        release: Callable[[socket.socket], None],
+    ):
+        """Take callbacks for the size of each read and for the socket at the close."""
+        super().__init__(accepted)
+        self._note_read = note_read
+        self._release = release
+        self._has_ended = False
+
+    @property
+    def is_caller_gone(self) -> bool:
+        """Return whether the caller has closed or reset the connection."""
+        return self._has_ended or isinstance(self.error, ConnectionError)
+
+    @property
+    def has_unparsed_bytes(self) -> bool:
+        """Return whether bytes were read that tornado has not parsed yet."""
+        return self._read_buffer_size > 0
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes of the caller wait in the kernel."""
+        return not self.closed() and has_unread_bytes(self.socket)
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read from the socket, and note it."""
+        size = super().read_from_fd(buf)
+        if size:
+            self._note_read(size)
+        elif size == 0:
+            self._has_ended = True
+        return size
+
+    def close_fd(self) -> None:
+        """Hand the socket back."""
+        released, self.socket = self.socket, None
+        self._release(released)
+
+
+def has_unread_bytes(stream: socket.socket) -> bool:
+    """Return whether bytes wait in the kernel for a socket that doesn't block."""
+    try:
+        return bool(stream.recv(1, socket.MSG_PEEK))
+    except OSError:
+        # Nothing to read, or the caller is gone.
+        return False
--- a/packages/mustardquay-node/src/mustardquay_node/descriptors.py
+++ b/packages/mustardquay-node/src/mustardquay_node/descriptors.py
@@ -75,12 +75,13 @@
         self,
         listening: socket.socket,
         free_descriptors: Callable[[], bool],
-        admits: Callable[[], bool] = lambda: True,
+        admits: Callable[[], bool] | None = None,
     ):
         """Take over a listening socket.
 
         `free_descriptors` closes idle connections, and returns whether there were any.
         `admits` returns whether to take the next connection; others are closed unread.
+        Without it all are taken.
         """
         super().__init__(fileno=listening.detach())
         self.setblocking(False)
@@ -92,11 +93,15 @@
         """Accept a connection; raises `BlockingIOError` if it was closed instead."""
         for _ in range(MAX_CLOSED):
             accepted = self._accept_next()
-            if self._admits():
+            if self._admits is None or self._admits():
                 return accepted
             accepted[0].close()
         raise BlockingIOError(errno.EAGAIN, "Connections were closed unread.")
 
+    def admit_all(self) -> None:
+        """Take all connections from here on."""
+        self._admits = None
+
     def _accept_next(self) -> tuple[socket.socket, object]:
         accepted = self._try_accept()
         if accepted is None and self._free_descriptors():
--- a/packages/mustardquay-node/src/mustardquay_node/forwarders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarders.py
@@ -1,12 +1,16 @@
 """Forwarder: all the requests that one gateway is forwarding."""
 
 import asyncio
+from functools import partial
 
 from mustardquay.routing_tables import RoutingTable
 
+from .arrivals import admit_request
 from .caller_connections import CallerAnswer, CallerRequest
-from .forwarder_dependencies import ForwarderDependencies
-from .forwardings import forward
+from .forwarder_dependencies import ForwardedRequest, ForwarderDependencies
+from .forwardings import OUTCOME_UNKNOWN, forward
+from .gateway_stops import DEFAULT_RETRY_AFTER
+from .replies import Reply
 
 __all__ = ["Forwarder"]
 
@@ -17,7 +21,7 @@
     def __init__(self, deps: ForwarderDependencies):
         self._deps = deps
         self._table: RoutingTable | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._running: dict[asyncio.Task[None], Reply] = {}
         self._has_served = False
 
     @property
@@ -27,8 +31,13 @@
 
     @property
     def in_flight(self) -> int:
-        """Return the number of requests without a complete answer."""
-        return len(self._tasks)
+        """Return the number of requests that are being forwarded."""
+        return len(self._running)
+
+    @property
+    def without_caller(self) -> int:
+        """Return the number of those whose caller has left, and which run to an end."""
+        return sum(reply.is_caller_gone for reply in self._running.values())
 
     @property
     def has_served(self) -> bool:
@@ -40,28 +49,53 @@
         self._table = table
 
     def handle(self, request: CallerRequest, answer: CallerAnswer) -> None:
-        """Start a task that forwards a request."""
+        """Answer a request, or start a task that forwards it.
+
+        What needs no waiting is decided here, so that no request depends on a task that
+        may be cancelled before it runs.
+        """
         self._has_served = True
-        work = forward(self._deps, self._table, request, answer)
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._forget_task)
+        reply = Reply(self._deps, request, answer)
+        try:
+            admitted = admit_request(self._deps, self._table, request, reply)
+        except Exception as error:
+            self._record_fault(error)
+            if not reply.has_ended:
+                reply.refuse("fault", DEFAULT_RETRY_AFTER)
+            return
+        if admitted is None:
+            return
+        task = asyncio.create_task(forward(self._deps, admitted, reply, answer))
+        self._running[task] = reply
+        task.add_done_callback(partial(self._settle, admitted, reply))
 
     async def close(self) -> None:
-        """Cancel the remaining requests; each gets an answer.
-
-        Yields to the event loop first, so that tasks created in this iteration start: a
-        task that is cancelled before its start runs no code, and its caller would get
-        no answer.
-        """
-        await asyncio.sleep(0)
-        tasks = list(self._tasks)
+        """Cancel the remaining requests; each gets an answer."""
+        tasks = list(self._running)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _forget_task(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            error = repr(task.exception())
-            self._deps.events.record("forwarding.fault", error=error)
+    def _settle(
+        self, request: ForwardedRequest, reply: Reply, task: asyncio.Task[None]
+    ) -> None:
+        """Answer a request whose task has ended without an answer.
+
+        A task that is cancelled before its first step runs no code.
+        """
+        self._running.pop(task, None)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._record_fault(error)
+        if reply.is_caller_gone or reply.has_ended:
+            return
+        if reply.has_begun:
+            reply.break_off()
+        elif request.send_history.may_have_run or request.was_interrupted:
+            reply.fail(504, "unanswered", OUTCOME_UNKNOWN)
+        else:
+            reply.refuse(
+                "unanswered", self._deps.stop.draw_retry_delay(DEFAULT_RETRY_AFTER)
+            )
+
+    def _record_fault(self, error: BaseException) -> None:
+        self._deps.events.record("forwarding.fault", error=repr(error))
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -1,7 +1,7 @@
-"""Forward one caller's request, from its arrival to the end of its answer.
+"""Forward one caller's request, from its admission to the end of its answer.
 
-The stages are: parse the request and find its route, choose an upstream, send
-(`sending`, `handovers`), and act on the result of the send. Whether a request is sent
+The stages are: choose an upstream, send (`sending`, `handovers`), and act on the result
+of the send. Whether a request is sent
 again is decided in `mustardquay.retry_decisions`, its upstream in `placements` and
 `upstream_loads`; answers to the caller are written in `replies`.
 """
@@ -17,14 +17,13 @@
     count_repeats,
     decide_next,
 )
-from mustardquay.routing_tables import Repeat, RoutingTable
-from mustardquay.stops import RequestEstimate
+from mustardquay.routing_tables import Repeat
 from mustardquay.streams import TakeUpRefusal
 from mustardquay.upstream_lists import Stage, UpstreamRecord
 from mustardquay.upstream_loads import choose_plain
 
-from .arrivals import VERSION_RETRY_AFTER, read_request, take_up_stream
-from .caller_connections import CallerAnswer, CallerRequest
+from .arrivals import VERSION_RETRY_AFTER, take_up_stream
+from .caller_connections import CallerAnswer
 from .crash_suspects.refusals import refuse_crashing
 from .forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from .gateway_stops import DEFAULT_RETRY_AFTER
@@ -48,22 +47,16 @@
 
 async def forward(
     deps: ForwarderDependencies,
-    table: RoutingTable | None,
-    incoming: CallerRequest,
+    request: ForwardedRequest,
+    reply: Reply,
     answer: CallerAnswer,
 ) -> None:
-    """Answer one request by the configuration in force when it arrived."""
-    reply = Reply(deps, incoming, answer)
-    request = read_request(deps, table, incoming, reply)
-    if request is None:
-        return
-    if deps.stop.has_begun and not _admit_while_stopping(deps, request, reply):
-        return
+    """Answer one request that was admitted."""
     forwarding = _Forwarding(deps, request, reply)
     answer.watch(forwarding.note_caller_left)
     deadline = request.deadline - DEADLINE_MARGIN
     begin_by = min(request.begin_by or deadline, deadline)
-    waiting = deps.times.begin(request.route.name, incoming.received_at)
+    waiting = deps.times.begin(request.route.name, request.incoming.received_at)
     try:
         async with asyncio.timeout_at(begin_by.total_seconds()) as timer:
             reply.on_begin = [
@@ -89,45 +82,6 @@
         drop_prefill(deps, request, request.last_end)
 
 
-def _admit_while_stopping(
-    deps: ForwarderDependencies, request: ForwardedRequest, reply: Reply
-) -> bool:
-    """Admit or refuse a request that arrives during a graceful stop.
-
-    Returns whether it is admitted.
-    """
-    demand = _estimate_demand(deps, request)
-    inputs = {
-        "expected_ms": round(demand.expected.total_seconds() * 1000),
-        "left_ms": round(deps.stop.time_left.total_seconds() * 1000),
-    }
-    request.begin_by = deps.stop.admit(demand)
-    if request.begin_by is None:
-        reply.refuse("stopping", deps.stop.draw_retry_delay(demand.expected), **inputs)
-        return False
-    deps.events.record(
-        "drain.taken",
-        request=request.id,
-        route=request.route.name,
-        **request.incoming.describe_connection(),
-        **inputs,
-    )
-    return True
-
-
-def _estimate_demand(
-    deps: ForwarderDependencies, request: ForwardedRequest
-) -> RequestEstimate:
-    now = deps.clock.monotonic()
-    return RequestEstimate(
-        request.measure_time_left(now),
-        deps.times.find_longest(request.route.name, now),
-        request.max_output_tokens,
-        request.route.repeat is Repeat.STREAM,
-        request.route.resumable,
-    )
-
-
 class _Forwarding:
     """Sends one request, with retries, until its caller has an answer."""
 
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
@@ -1,14 +1,16 @@
 """The ports of a gateway: for callers, for the load balancer and for metrics."""
 
+import logging
+import socket
 from collections.abc import Callable
 
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPServerConnectionDelegate
-from tornado.netutil import bind_sockets
+from tornado.netutil import add_accept_handler, bind_sockets
 from tornado.web import Application, RequestHandler
 
 from mustardquay.routing_tables import CallerLimits
 
+from .caller_connections import CallerConnections
 from .connection_gates import GateMonitor
 from .connections import split_address
 from .descriptors import AcceptingSocket
@@ -22,6 +24,8 @@
 """Connections that wait to be accepted; callers reconnect at the same time."""
 METRICS_PATH = "/metrics"
 
+logger = logging.getLogger(__name__)
+
 
 class GatewayServers:
     """Listens on the addresses of one gateway."""
@@ -40,17 +44,25 @@
         self._gate_monitor = gate_monitor
         self._servers: list[HTTPServer] = []
         self._callers: HTTPServer | None = None
+        self._connections: CallerConnections | None = None
+        self._listeners: list[AcceptingSocket] = []
+        """Sockets on which callers connect."""
+        self._stop_handlers: list[Callable[[], None]] = []
 
-    def listen_to_callers(
-        self, address: str, delegate: HTTPServerConnectionDelegate
-    ) -> str:
+    def listen_to_callers(self, address: str, connections: CallerConnections) -> str:
         """Listen for callers; returns the address with its real port."""
-        self._callers = HTTPServer(delegate, max_body_size=MAX_BODY_BYTES)
-        monitor = self._gate_monitor
-        if monitor is None:
-            return self._listen(self._callers, address)
-        monitor.start()
-        return self._listen(self._callers, address, monitor.admits)
+        self._connections = connections
+        self._callers = HTTPServer(connections, max_body_size=MAX_BODY_BYTES)
+        self._servers.append(self._callers)
+        admits = None
+        if self._gate_monitor is not None:
+            self._gate_monitor.start()
+            admits = self._gate_monitor.admits
+        self._listeners = self._bind(address, admits)
+        self._stop_handlers = [
+            add_accept_handler(each, self._own) for each in self._listeners
+        ]
+        return _describe(self._listeners[0], address)
 
     def serve_readiness(
         self, address: str, path: str, is_ready: Callable[[], bool]
@@ -67,10 +79,7 @@
         if self._callers is None:
             return
         # Shared by all connections, and read again for each request.
-        parameters = self._callers.conn_params
-        idle = limits.idle_timeout + limits.header_timeout
-        parameters.header_timeout = idle.total_seconds()
-        parameters.max_header_size = limits.header_bytes
+        self._callers.conn_params.max_header_size = limits.header_bytes
 
     def end_connections(self) -> None:
         """Close each new connection after its first answer."""
@@ -78,12 +87,38 @@
             self._callers.conn_params.no_keep_alive = True
 
     def stop_accepting(self) -> None:
-        """Stop accepting connections of callers."""
-        if self._callers is not None:
-            self._callers.stop()
+        """Accept the connections that wait to be accepted, and stop listening."""
+        for stop_handler in self._stop_handlers:
+            stop_handler()
+        for listener in self._listeners:
+            listener.admit_all()
+            self._accept_waiting(listener)
+            listener.close()
+        self._stop_handlers.clear()
+        self._listeners.clear()
+
+    def _accept_waiting(self, listener: socket.socket) -> None:
+        for _ in range(LISTEN_BACKLOG):
+            try:
+                self._own(*listener.accept())
+            except BlockingIOError:
+                return
+            except ConnectionAbortedError:
+                continue
+
+    def _own(self, accepted: socket.socket, address: tuple) -> None:
+        """Serve an accepted connection of a caller."""
+        assert self._callers is not None and self._connections is not None
+        try:
+            stream = self._connections.open_stream(accepted)
+            self._callers.handle_stream(stream, address)
+        except OSError:
+            logger.exception("A connection that was accepted can't be served")
+            accepted.close()
 
     async def close(self) -> None:
         """Stop listening and close the connections."""
+        self.stop_accepting()
         if self._gate_monitor is not None:
             self._gate_monitor.close()
         for server in self._servers:
@@ -97,20 +132,24 @@
         application = Application(rules, log_function=lambda handler: None)
         self._listen(HTTPServer(application), address)
 
-    def _listen(
-        self,
-        server: HTTPServer,
-        address: str,
-        admits: Callable[[], bool] = lambda: True,
-    ) -> str:
+    def _listen(self, server: HTTPServer, address: str) -> None:
+        server.add_sockets(self._bind(address))
+        self._servers.append(server)
+
+    def _bind(
+        self, address: str, admits: Callable[[], bool] | None = None
+    ) -> list[AcceptingSocket]:
         host, port = split_address(address)
-        sockets = [
+        return [
             AcceptingSocket(each, self._free_descriptors, admits)
             for each in bind_sockets(port, host, backlog=LISTEN_BACKLOG)
         ]
-        server.add_sockets(sockets)
-        self._servers.append(server)
-        return f"{host}:{sockets[0].getsockname()[1]}"
+
+
+def _describe(listener: socket.socket, address: str) -> str:
+    """Return an address with the port that the system has chosen."""
+    host, _ = split_address(address)
+    return f"{host}:{listener.getsockname()[1]}"
 
 
 class _ReadinessHandler(RequestHandler):
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -14,6 +14,7 @@
 from mustardquay.clocks import BootTimeClock, Clock, SystemClock
 from mustardquay.connection_gates import ConnectionGate
 from mustardquay.events import Event, EventRing, HybridClock
+from mustardquay.request_ownership import Occasion
 from mustardquay.routing_tables import RoutingTable
 from mustardquay.upstream_lists import Stage, UpstreamRecord
 from mustardquay.usage import Source
@@ -21,7 +22,6 @@
 
 from .adapters import Adapter, load_adapter
 from .cache_probes import CacheProbe, CacheProbeDependencies
-from .caller_connections import CallerConnections, ConnectionOptions
 from .configuration_loaders import ConfigurationLoader
 from .connection_gates import GateMonitor
 from .crash_suspects import PartExchange
@@ -29,6 +29,7 @@
 from .era_watches import EraWatch
 from .forwarder_dependencies import ForwarderDependencies
 from .forwarders import Forwarder
+from .gateway_callers import GatewayCallers
 from .gateway_feeds import FeedDependencies, GatewayFeeds
 from .gateway_gauges import GaugeSources, make_gauges
 from .gateway_metrics import GatewayMetrics
@@ -46,8 +47,6 @@
 
 __all__ = ["Gateway"]
 
-DRAIN_LIMIT = timedelta(milliseconds=200)
-"""How long a stopped gateway waits for requests that are only partly received."""
 NO_TABLE = RoutingTable(0, (), {})
 CHECK_INTERVAL = timedelta(milliseconds=500)
 """Interval of periodic checks: expired upstreams, settings files and readiness."""
@@ -112,13 +111,16 @@
         parts = (self._stage_controller, self._feeds, self._peers, self._origins)
         for each in parts:
             self._eras.listen(each.note_era)
-        self._connections = CallerConnections(
-            ConnectionOptions(
-                self._clock, lambda: self._table.limits, self._forwarder.handle
-            )
-        )
         gate_monitor = GateMonitor(self._gate, self._clock, self._events)
         self._servers = GatewayServers(self._upstreams.free_descriptors, gate_monitor)
+        self._callers = GatewayCallers(
+            self._clock,
+            self._events,
+            lambda: self._table.limits,
+            self._forwarder,
+            self._servers,
+        )
+        self._connections = self._callers.connections
         self._check_task: asyncio.Task[None] | None = None
         self._close_task: asyncio.Task[None] | None = None
         self._address = settings.gateway.listen
@@ -163,9 +165,7 @@
         """Open the listeners and start to follow the store."""
         self._metrics.start(self._make_gauges())
         gateway = self._settings.gateway
-        self._address = self._servers.listen_to_callers(
-            gateway.listen, self._connections
-        )
+        self._address = self._callers.start(gateway.listen)
         self._servers.serve_readiness(
             gateway.readiness, self._adapter.READINESS_PATH, lambda: self.is_ready
         )
@@ -195,12 +195,8 @@
 
     async def _close(self) -> None:
         await self._stop.run(self._settings.gateway.drain_timeout)
-        self._servers.stop_accepting()
-        self._connections.close_idle()
-        # Must precede every step that waits for the store, and the closing of caller
-        # connections, which would be taken for callers that disconnected.
-        await self._forwarder.close()
-        await self._connections.drain(DRAIN_LIMIT)
+        # Must precede every step that waits for the store.
+        await self._callers.end(self._stop.ends_in or timedelta())
         if self._check_task is not None:
             self._check_task.cancel()
         if self._usage is not None:
@@ -242,7 +238,7 @@
             notify_peers=lambda: self._peers.send_now(),
             tell_of_parts=lambda: self._part_exchange.notify(),
             note_leaving=self._note_draining,
-            close_idle_callers=lambda: self._connections.close_idle(),
+            close_idle_callers=lambda: self._connections.apply(Occasion.SHORTAGE),
         )
         return GatewayUpstreams(self._settings, deps)
 
@@ -254,9 +250,9 @@
             clock=self._clock,
             random=self._random,
             events=self._events,
-            count_in_flight=lambda: self._forwarder.in_flight,
+            count_in_flight=lambda: self._callers.in_flight,
             notify_peers=lambda: self._peers.send_now(),
-            end_keep_alive=self._end_keep_alive,
+            end_keep_alive=lambda: self._callers.end_keep_alive(),
             close_idle=lambda: self._connections.close_idle(),
         )
         return GatewayStop(deps)
@@ -442,10 +438,6 @@
         if record.stage is Stage.DECODE:
             self._stage_controller.check_now()
 
-    def _end_keep_alive(self) -> None:
-        self._servers.end_connections()
-        self._connections.end_keep_alive()
-
     async def _check_forever(self) -> None:
         while True:
             await asyncio.sleep(CHECK_INTERVAL.total_seconds())
