--- a/packages/mustardquay-node/src/mustardquay_node/forwarders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarders.py
@@ -14,6 +14,8 @@
 
 __all__ = ["Forwarder"]
 
+NO_TABLE = RoutingTable(0, (), {})
+
 
 class Forwarder:
     """Forwards each request by the configuration in force when it arrived."""
@@ -29,6 +31,11 @@
         """Return the configuration in force."""
         return self._table
 
+    @property
+    def table_or_empty(self) -> RoutingTable:
+        """Return the configuration in force, an empty one before the first."""
+        return self._table or NO_TABLE
+
     @property
     def in_flight(self) -> int:
         """Return the number of requests that are being forwarded."""
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_callers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_callers.py
@@ -1,11 +1,9 @@
 """The caller side of a gateway: its port, its connections and their requests."""
 
-from collections.abc import Callable
 from datetime import timedelta
 
 from mustardquay.clocks import Clock
 from mustardquay.events import EventRing
-from mustardquay.routing_tables import CallerLimits
 
 from .caller_connections import CallerConnections, ConnectionOptions
 from .forwarders import Forwarder
@@ -25,7 +23,6 @@
         self,
         clock: Clock,
         events: EventRing,
-        limits: Callable[[], CallerLimits],
         forwarder: Forwarder,
         servers: GatewayServers,
     ):
@@ -33,7 +30,12 @@
         self._forwarder = forwarder
         self._servers = servers
         self._connections = CallerConnections(
-            ConnectionOptions(clock, events, limits, forwarder.handle)
+            ConnectionOptions(
+                clock,
+                events,
+                lambda: forwarder.table_or_empty.limits,
+                forwarder.handle,
+            )
         )
 
     @property
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -16,12 +16,11 @@
 from mustardquay.events import Event, EventRing, HybridClock
 from mustardquay.request_ownership import Occasion
 from mustardquay.routing_tables import RoutingTable
-from mustardquay.upstream_lists import Stage, UpstreamRecord
+from mustardquay.upstream_lists import UpstreamRecord
 from mustardquay.usage import Source
 from mustardquay.version_trackers import TableState
 
 from .adapters import Adapter, load_adapter
-from .cache_probes import CacheProbe, CacheProbeDependencies
 from .configuration_loaders import ConfigurationLoader
 from .connection_gates import GateMonitor
 from .crash_suspects import PartExchange
@@ -30,6 +29,8 @@
 from .forwarder_dependencies import ForwarderDependencies
 from .forwarders import Forwarder
 from .gateway_callers import GatewayCallers
+from .gateway_checks import GatewayChecks
+from .gateway_engines import EngineDependencies, GatewayEngines
 from .gateway_feeds import FeedDependencies, GatewayFeeds
 from .gateway_gauges import GaugeSources, make_gauges
 from .gateway_metrics import GatewayMetrics
@@ -40,17 +41,12 @@
 from .seeds import make_seed
 from .settings import GatewaySettings
 from .settings_watches import SettingsWatch
-from .stage_controllers import StageController, StageControllerDependencies
 from .stream_origins import MESSAGE_PREFIX, OriginDependencies, OriginSubsystem
 from .upstream_list_updaters import UpstreamListUpdater
 from .usage import NOTICE_PREFIX, UsageDependencies, UsageSubsystem
 
 __all__ = ["Gateway"]
 
-NO_TABLE = RoutingTable(0, (), {})
-CHECK_INTERVAL = timedelta(milliseconds=500)
-"""Interval of periodic checks: expired upstreams, settings files and readiness."""
-
 
 class Gateway:
     """A gateway process: its components, their wiring and their life cycle."""
@@ -88,7 +84,7 @@
             self._events,
             self._clock,
             self._upstreams.forget,
-            self._note_draining,
+            lambda record: self._engines.note_draining(record),
         )
         self._configurations = ConfigurationLoader(
             self._adapter,
@@ -105,27 +101,22 @@
         )
         self._peers.add_channel(MESSAGE_PREFIX, self._origins.receive)
         self._usage = self._make_usage() if settings.usage.address else None
-        self._stage_controller = self._make_stage_controller()
-        self._cache_probe = self._make_cache_probe()
+        self._engines = self._make_engines()
         self._feeds = self._make_feeds()
-        parts = (self._stage_controller, self._feeds, self._peers, self._origins)
-        for each in parts:
+        for each in (self._engines, self._feeds, self._peers, self._origins):
             self._eras.listen(each.note_era)
         gate_monitor = GateMonitor(self._gate, self._clock, self._events)
         self._servers = GatewayServers(self._upstreams.free_descriptors, gate_monitor)
         self._callers = GatewayCallers(
-            self._clock,
-            self._events,
-            lambda: self._table.limits,
-            self._forwarder,
-            self._servers,
+            self._clock, self._events, self._forwarder, self._servers
         )
         self._connections = self._callers.connections
-        self._check_task: asyncio.Task[None] | None = None
         self._close_task: asyncio.Task[None] | None = None
         self._address = settings.gateway.listen
-        self._was_ready = False
         self._watch = SettingsWatch(files, settings, self._events, self._take_settings)
+        self._checks = GatewayChecks(
+            self._watch, self._list_updater, lambda: self.is_ready, self._events
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -137,11 +128,6 @@
             and self._configurations.find_state() is not TableState.OUTDATED
         )
 
-    @property
-    def _table(self) -> RoutingTable:
-        """Return the configuration in force, an empty one before the first."""
-        return self._forwarder.table or NO_TABLE
-
     @property
     def address(self) -> str:
         """Return the address for callers; after `start`, with the port in use."""
@@ -176,11 +162,10 @@
         self._origins.start()
         self._part_exchange.start()
         self._feeds.start()
-        self._stage_controller.start()
+        self._engines.start()
         if self._usage is not None:
             self._usage.start()
-        self._cache_probe.start()
-        self._check_task = asyncio.create_task(self._check_forever())
+        self._checks.start()
         self._events.record("process.started", kind_of_process="gateway")
         warn_of_short_drain(self._settings.gateway.drain_timeout, self._events)
 
@@ -197,12 +182,10 @@
         await self._stop.run(self._settings.gateway.drain_timeout)
         # Must precede every step that waits for the store.
         await self._callers.end(self._stop.ends_in or timedelta())
-        if self._check_task is not None:
-            self._check_task.cancel()
+        self._checks.close()
         if self._usage is not None:
             await self._usage.close()
-        await self._stage_controller.close()
-        await self._cache_probe.close()
+        await self._engines.close()
         await self._feeds.close()
         await self._origins.close()
         await self._part_exchange.close()
@@ -237,7 +220,7 @@
             note_change=lambda: self._peers.note_change(),
             notify_peers=lambda: self._peers.send_now(),
             tell_of_parts=lambda: self._part_exchange.notify(),
-            note_leaving=self._note_draining,
+            note_leaving=lambda record: self._engines.note_draining(record),
             close_idle_callers=lambda: self._connections.apply(Occasion.SHORTAGE),
         )
         return GatewayUpstreams(self._settings, deps)
@@ -373,7 +356,9 @@
             events=self._events,
             send=self._peers.send_datagram,
             list_gateways=lambda: self._peers.names,
-            has_organisations=lambda: self._table.organisations is not None,
+            has_organisations=lambda: (
+                self._forwarder.table_or_empty.organisations is not None
+            ),
             count_report=self._metrics.count_usage_report,
         )
         usage = UsageSubsystem(source, self._settings.usage, deps)
@@ -391,40 +376,19 @@
         if self._usage is not None:
             self._usage.note_begun(organisation, begun_at)
 
-    def _make_stage_controller(self) -> StageController:
-        deps = StageControllerDependencies(
+    def _make_engines(self) -> GatewayEngines:
+        deps = EngineDependencies(
+            holder=f"{self._settings.node.name}-{self._digest_exchange.incarnation}",
             adapter=self._adapter,
             store=self._store,
-            clock=BootTimeClock(),
             random=self._random,
             events=self._events,
-            upstreams=self._upstreams.list,
-            is_lost=self._upstreams.is_lost,
-            list_services=lambda: self._table.engine_services,
-            call=self._upstreams.call_engine,
-            count_streams=self._upstreams.planner.count_streams,
-            measure_capacities=self._upstreams.measure_capacities,
-            estimate_stream_duration=self._upstreams.planner.estimate_stream_duration,
-            find_switch_time=lambda service: self._table.find_switch_time(service),
-            announce_changing=self._announce_changing,
+            upstreams=self._upstreams,
+            find_table=lambda: self._forwarder.table_or_empty,
+            notify_peers=self._peers.send_now,
             is_serving=lambda: self._forwarder.has_served,
         )
-        holder = f"{self._settings.node.name}-{self._digest_exchange.incarnation}"
-        return StageController(holder, deps)
-
-    def _make_cache_probe(self) -> CacheProbe:
-        deps = CacheProbeDependencies(
-            adapter=self._adapter,
-            events=self._events,
-            list_upstreams=self.list_upstreams,
-            call=self._upstreams.call_engine,
-            add_cached_parts=self._upstreams.planner.add_cached_parts,
-        )
-        return CacheProbe(deps)
-
-    def _announce_changing(self, engines: Collection[str]) -> None:
-        self._upstreams.planner.set_changing(engines)
-        self._peers.send_now()
+        return GatewayEngines(deps)
 
     def _activate_table(self, table: RoutingTable) -> None:
         self._forwarder.put_table(table)
@@ -433,16 +397,3 @@
         self._servers.apply_limits(table.limits)
         self._upstreams.planner.apply_table(table)
         self._origins.set_services(table.resumable_services)
-
-    def _note_draining(self, record: UpstreamRecord) -> None:
-        if record.stage is Stage.DECODE:
-            self._stage_controller.check_now()
-
-    async def _check_forever(self) -> None:
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL.total_seconds())
-            self._list_updater.expire()
-            self._watch.check()
-            if self.is_ready != self._was_ready:
-                self._was_ready = self.is_ready
-                self._events.record("process.readiness", ready=self._was_ready)
