Forget connections of callers once they are closed

A gateway grew with each connection that it ever had, its count of open connections was wrong, and each stop waited its whole limit for closed ones (203 to 210 ms in four of four stops). Cause: tornado's HTTPServer takes on_close itself and doesn't pass it to the delegate. The owner of connections already counts by closes of its streams; its map of streams still grew (the test failed on it). Connections are now served without a server of tornado, so that on_close arrives.

--- a/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import Callable
 
+from tornado.http1connection import HTTP1ConnectionParameters, HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
 from tornado.netutil import add_accept_handler, bind_sockets
 from tornado.web import Application, RequestHandler
@@ -43,7 +44,8 @@
         self._free_descriptors = free_descriptors
         self._gate_monitor = gate_monitor
         self._servers: list[HTTPServer] = []
-        self._callers: HTTPServer | None = None
+        # Shared by all connections of callers, and read again for each request.
+        self._parameters = HTTP1ConnectionParameters(max_body_size=MAX_BODY_BYTES)
         self._connections: CallerConnections | None = None
         self._listeners: list[AcceptingSocket] = []
         """Sockets on which callers connect."""
@@ -52,8 +54,6 @@
     def listen_to_callers(self, address: str, connections: CallerConnections) -> str:
         """Listen for callers; returns the address with its real port."""
         self._connections = connections
-        self._callers = HTTPServer(connections, max_body_size=MAX_BODY_BYTES)
-        self._servers.append(self._callers)
         admits = None
         if self._gate_monitor is not None:
             self._gate_monitor.start()
@@ -76,15 +76,11 @@
 
     def apply_limits(self, limits: CallerLimits) -> None:
         """Apply the operator's limits to requests received from now on."""
-        if self._callers is None:
-            return
-        # Shared by all connections, and read again for each request.
-        self._callers.conn_params.max_header_size = limits.header_bytes
+        self._parameters.max_header_size = limits.header_bytes
 
     def end_connections(self) -> None:
         """Close each new connection after its first answer."""
-        if self._callers is not None:
-            self._callers.conn_params.no_keep_alive = True
+        self._parameters.no_keep_alive = True
 
     def stop_accepting(self) -> None:
         """Accept the connections that wait to be accepted, and stop listening."""
@@ -108,10 +104,12 @@
 
     def _own(self, accepted: socket.socket, address: tuple) -> None:
         """Serve an accepted connection of a caller."""
-        assert self._callers is not None and self._connections is not None
+        assert self._connections is not None
         try:
             stream = self._connections.open_stream(accepted)
-            self._callers.handle_stream(stream, address)
+            connection = HTTP1ServerConnection(stream, self._parameters, address)
+            # Not by a server of tornado, which tells no delegate of closed connections.
+            connection.start_serving(self._connections)
         except OSError:
             logger.exception("A connection that was accepted can't be served")
             accepted.close()
