--- a/packages/mustardquay-node/src/mustardquay_node/time_slices.py
+++ b/packages/mustardquay-node/src/mustardquay_node/time_slices.py
@@ -9,9 +9,10 @@
 
 __all__ = ["SLICE", "run_in_slices"]
 
-SLICE = timedelta(milliseconds=10)
-"""Longest time in which the work holds the event loop, beside one step of it. Callers
-don't notice it, and the work still gets half of a loop that is busy."""
+SLICE = timedelta(milliseconds=5)
+"""How long the work holds the event loop at once, beside one step of it. A timer and
+the task that it wakes wait for three slices; the work still gets its share of a busy
+loop."""
 
 Result = TypeVar("Result")
 
