Keep an engine's error out of the stream that follows it

A caller of a resumed stream could get a token twice or miss one: an engine's error, status 400, broke off, the stream that followed at another engine crashed, and the third engine was asked to go on at a wrong token.

Cause: the body of the error counted as a delivered part of the stream. The entry kept its bytes, after which the first event of the stream was not recognised, and its tokens, with the usage of the request. A new head now replaces what an attempt before it has delivered, and only the data of a stream is kept for resuming it.

--- a/packages/mustardquay-node/src/mustardquay_node/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/exchanges.py
@@ -125,6 +125,7 @@
         self._reattach: ReattachAttempt | None = None
         self._deadline: asyncio.TimerHandle | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._is_stream = False
         self._delivered: list[bytes] = []
         self._delivered_size = 0
         self._uncredited = 0
@@ -200,7 +201,7 @@
             case SendAttempt():
                 self._send(action)
             case DeliverHead():
-                self._sink.take_head(action.status, action.headers)
+                self._begin_answer(action)
             case Finish():
                 self._finish(action)
             case ReattachAttempt():
@@ -213,8 +214,13 @@
                 self._dispatch.record("request.answered_early", self)
                 self._sink.answer_early(action.refusal)
 
+    def _begin_answer(self, head: DeliverHead) -> None:
+        # Only a stream is resumed, and an error before it is no part of it.
+        self._is_stream = self._call.streamed and head.status == 200
+        self._sink.take_head(head.status, head.headers)
+
     def _deliver(self, data: bytes) -> None:
-        if self._call.streamed:
+        if self._is_stream:
             self._keep_delivered(data)
         self._sink.take_data(data)
 
--- a/packages/mustardquay-node/tests/test_sessions.py
+++ b/packages/mustardquay-node/tests/test_sessions.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from random import Random
 
+import orjson
 import pytest
 
 from mustardquay.attempts import RequestState
@@ -34,6 +35,7 @@
     def __init__(self, loop, repeatable, streamed):
         self.clock = LoopClock(loop)
         self.lines = []
+        self.bodies = []
         self.names = ["u1", "u2", "u3"]
         self.linked = {"u1", "u2", "u3"}
         self.gone = set()
@@ -88,6 +90,7 @@
         kind = type(message).__name__
         details = f"stream {message.stream}"
         if isinstance(message, Attempt):
+            self.bodies.append(orjson.loads(message.body))
             details += f", attempt {message.number}"
             details += ", resumed" if b"resume" in message.body else ""
         elif hasattr(message, "have"):
@@ -302,3 +305,29 @@
     loop.close()
     assert sum("caller <- end" in line for line in lines) == 1
     assert lines == snapshot
+
+
+def test_an_error_that_breaks_off_is_no_part_of_what_a_resumed_engine_gets():
+    """Guards against an engine that resumes a stream at a token the caller has."""
+    loop = VirtualLoop()
+
+    async def play():
+        session = Session(loop, repeatable=True, streamed=True)
+        session.exchange.start()
+        session.receive_frames(
+            Started(1, 0),
+            Head(1, 1, 400, ()),
+            Chunk(1, 2, 0, b'{"error": {"message": "Fai'),
+            Failed(1, 3, FailureKind.CRASH, "The upstream died."),
+        )
+        await session.wait(0.2)
+        crash = Failed(2, 4, FailureKind.CRASH, "The upstream died.")
+        session.receive_frames(*start_stream(2), crash)
+        await session.wait(0.4)
+        session.receive_frames(Started(3, 0), head(3, 1), token(3, 2, b"c"), Done(3, 3))
+        return session
+
+    session = loop.run_until_complete(play())
+    loop.close()
+    assert session.bodies[-1]["resume"] == {"text": "ab", "tokens": 2}
+    assert session.exchange.state.tokens_delivered == 3
--- a/packages/mustardquay/src/mustardquay/actions.py
+++ b/packages/mustardquay/src/mustardquay/actions.py
@@ -64,7 +64,10 @@
 
 @dataclass(frozen=True, slots=True)
 class DeliverHead:
-    """Pass status and headers to the caller; emitted at most once per request."""
+    """Begin the answer, in place of what an attempt that failed has delivered.
+
+    Status 200 of a stream goes to the caller at once, and is not replaced any more.
+    """
 
     status: int
     headers: tuple[Header, ...]
--- a/packages/mustardquay/src/mustardquay/attempts.py
+++ b/packages/mustardquay/src/mustardquay/attempts.py
@@ -112,7 +112,7 @@
 
     @property
     def tokens_delivered(self) -> int:
-        """Return how many tokens were delivered to the caller."""
+        """Return how many tokens of the present answer were delivered."""
         return self._tokens_delivered
 
     @property
@@ -250,6 +250,8 @@
                 return []
             return self._cancel() + self._after_failure(FailureKind.ERROR)
         self._head_delivered = self._streamed and frame.status == 200
+        # What an attempt that failed has delivered is replaced.
+        self._tokens_delivered = 0
         return [DeliverHead(frame.status, frame.headers)]
 
     def _reattach(self) -> list[Action]:
