Answer whole requests that reach an entry at its limits and as it stops

Callers of an entry lost whole requests: of six kept connections with a request each, all six were closed without an answer when the event loop was held across the idle limit or the limit of bodies, and some as a stopping entry closed its server, with and without a held loop. Connections that waited to be accepted were reset, and a part of a request got no answer.

Cause: tornado's timers fire in the iteration in which the bytes are read, before they are parsed, and its server closes connections without looking at what was read or lies in the kernel.

An entry now owns its connections (entry_connections), with the decisions of request_ownership. Limits count the time for which the process ran, and leave a connection with bytes to the next check.

--- a/packages/mustardquay-node/src/mustardquay_node/caller_servers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_servers.py
@@ -4,7 +4,6 @@
 import ssl
 from datetime import timedelta
 
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
@@ -12,6 +11,7 @@
 from mustardquay.errors import SettingsError
 
 from .caller_handlers import CallerDependencies, NotFoundHandler
+from .entry_connections import EntryConnections, OwningServer
 from .generations import ChatHandler, CompletionHandler, ModelsHandler
 from .node_settings import EntrySettings
 from .services import ServiceHandler
@@ -22,6 +22,8 @@
 """`SO_SNDBUF` of a caller's connection; the kernel doubles the number."""
 MAX_BODY_SIZE = 1024 * 1024 * 1024
 """Body limit for tornado; the handlers apply the lower limit of the settings."""
+END_MARGIN = timedelta(milliseconds=400)
+"""How long requests that arrive as the entry stops are still refused."""
 
 
 class CallerServer:
@@ -39,7 +41,10 @@
         self._deps = deps
         self._clock = clock
         self._port = settings.port
-        self._server: HTTPServer | None = None
+        self._server: OwningServer | None = None
+        self._connections = EntryConnections(
+            clock, deps.events, settings.idle_timeout, settings.body_timeout
+        )
 
     @property
     def port(self) -> int:
@@ -62,22 +67,31 @@
             # of the stream would count as taken.
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
         self._port = sockets[0].getsockname()[1]
-        self._server = HTTPServer(
+        self._server = OwningServer(
+            self._connections,
             self._make_application(),
             ssl_options=tls,
             max_body_size=MAX_BODY_SIZE,
             max_buffer_size=MAX_BODY_SIZE,
-            idle_connection_timeout=self._settings.idle_timeout.total_seconds(),
-            body_timeout=self._settings.body_timeout.total_seconds(),
         )
         self._server.add_sockets(sockets)
+        self._connections.start()
 
     async def close(self) -> None:
-        """Stop listening and close the connections."""
-        if self._server is not None:
-            self._server.stop()
-            await self._server.close_all_connections()
-            self._server = None
+        """Stop listening and close the connections.
+
+        Requests that arrive meanwhile are refused. Those that still run, as they have
+        outlasted the drain, are lost.
+        """
+        if self._server is None:
+            return
+        server, self._server = self._server, None
+        server.end_keep_alive()
+        server.accept_waiting()
+        server.stop()
+        margin = timedelta() if self._deps.in_flight.count else END_MARGIN
+        await self._connections.end(self._clock.monotonic() + margin)
+        await server.close_all_connections()
 
     def drop_slow_callers(self) -> None:
         """Close the connections of callers that have stopped reading their stream.
