--- a/packages/mustardquay/tests/test_crashing_parts.py
+++ b/packages/mustardquay/tests/test_crashing_parts.py
@@ -4,7 +4,12 @@
 from datetime import timedelta
 
 from hypothesis import given, settings, strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
 
 from mustardquay.crashing_parts import (
     MAX_STARTS,
@@ -38,6 +43,7 @@
         self.starts = Counter()
         self.running = {engine: [] for engine in ENGINES}
         self.crashes = 0
+        self.has_lost_evidence = False
 
     @rule(
         gateway=st.sampled_from(GATEWAYS),
@@ -81,6 +87,15 @@
         self.books[gateway] = PartBook()
         self._exchange()
 
+    @precondition(lambda self: not self.has_lost_evidence)
+    @rule(engine=st.sampled_from(ENGINES), gateway=st.sampled_from(GATEWAYS))
+    def engine_crashes_with_the_only_gateway_that_saw_why(self, engine, gateway):
+        """End an engine under a stream on the first part that was cut off before."""
+        self.has_lost_evidence = True
+        self.crashes += 1
+        self.running[engine] = [(gateway, (FIRST,))]
+        self._crash(engine)
+
     @rule()
     def time_passes(self):
         self.now += timedelta(milliseconds=300)
@@ -187,6 +202,32 @@
     assert book.is_refused(BAD, 2 * SETTLED)
 
 
+def test_a_first_part_with_one_crash_more_than_the_bad_part_is_not_refused():
+    """Guards against evidence that is lost with the only gateway that had it."""
+    for lost in range(REFUSED_AFTER):
+        book = PartBook()
+        for start in range(REFUSED_AFTER + 1):
+            parts = [FIRST] if start == lost else [FIRST, BAD]
+            play_crashes(book, [start], parts)
+            assert book.find_refused([FIRST, SECONDS[0]], SETTLED) is None
+        assert book.is_refused(BAD, SETTLED)
+
+
+@STEADY
+@given(st.lists(st.sampled_from(SECONDS), min_size=6, max_size=6))
+def test_a_bad_first_part_is_refused_whatever_comes_with_it(seconds):
+    """Guards against parts that explain each other's crashes for ever."""
+    book = PartBook()
+    crashes = 0
+    for start, second in enumerate(seconds):
+        if book.find_refused([BAD, second], SETTLED) is None:
+            play_crashes(book, [start], [BAD, second])
+            crashes += 1
+    refused = book.list_refused(SETTLED)
+    assert BAD in refused or crashes <= KNOWN_AFTER
+    assert BAD in refused or set(refused) & set(seconds)
+
+
 def test_a_gateway_without_answers_of_its_own_waits_for_those_of_others():
     """Guards against a gateway that has just started when engines crash."""
     started, other = PartBook(), PartBook()
