Have a first part wait for proof that the bad part is not the cause

Callers saw sound prompts refused for five minutes: their first part had four crashes and the bad part, in each prompt with it, three, as the gateway that saw the fourth had been killed before it told. Only refused parts explained crashes of others, and one crash without them was enough.

A part that no start has answered now waits for a fifth crash if a later one in prompts has three of its four. One crash that a refused part does not explain no longer refuses it, two do; so does one that comes once the refusal is in force, as prompts with the refused part are then sent no more. Notices carry that in one more list; gateways of an earlier version ignore it.

--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/frames.py
@@ -37,6 +37,7 @@
     message.parts = [each.part for each in records]
     message.remainingSeconds = [_to_seconds(each.remaining) for each in records]
     message.depths = [min(each.depth, MAX_DEPTH) for each in records]
+    message.crashedApart = [each.has_crashed_apart for each in records]
     message.crashed = [len(each.crashed) for each in records]
     message.answered = [len(each.answered) for each in records]
     message.starts = [
@@ -60,6 +61,7 @@
             message.crashed,
             message.answered,
             message.depths,
+            message.crashedApart or [False] * len(message.parts),
         )
         records = [
             PartRecord(
@@ -67,9 +69,10 @@
                 frozenset(islice(starts, crashed)),
                 frozenset(islice(starts, answered)),
                 depth,
+                has_crashed_apart,
                 timedelta(seconds=seconds),
             )
-            for part, seconds, crashed, answered, depth in zip(
+            for part, seconds, crashed, answered, depth, has_crashed_apart in zip(
                 *map(list, columns), strict=True
             )
         ]
--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/parts.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/parts.capnp
@@ -17,4 +17,7 @@
   starts @6 :List(UInt32);
   # The highest position of each part in prompts.
   depths @7 :List(UInt8);
+  # Whether each part crashed an engine without the refused parts that it had come with.
+  # Missing in notices of earlier versions.
+  crashedApart @8 :List(Bool);
 }
--- a/packages/mustardquay-node/tests/simulated_crashes.py
+++ b/packages/mustardquay-node/tests/simulated_crashes.py
@@ -83,6 +83,9 @@
         """When requests with the bad part were sent, in seconds."""
         self.crashed_at = []
         """When engines crashed on the bad part."""
+        self.unseen_crash = 0
+        """Number of the crash on the bad part that nobody sees but gateways that end
+        with the engine; 0 for none."""
         self.served = Counter()
         """Sound requests by whether they were answered."""
         self.bytes = Counter()
@@ -206,8 +209,16 @@
     def _crash_on_part(self, engine):
         if engine.is_up:
             self.crashed_at.append(self.loop.time())
+            if len(self.crashed_at) == self.unseen_crash:
+                self._lose_evidence(engine)
             self.crash(engine)
 
+    def _lose_evidence(self, engine):
+        """Start the gateways anew whose prompts with the part an engine runs."""
+        for run in [run for run in engine.runs if BAD in run.parts]:
+            del engine.runs[run]
+            self.start_gateway(run.gateway)
+
     def _note_lost(self, name, engine):
         self.reporters[name].note_upstream_lost(engine.record.id)
 
--- a/packages/mustardquay/src/mustardquay/crashing_parts/part_books.py
+++ b/packages/mustardquay/src/mustardquay/crashing_parts/part_books.py
@@ -15,11 +15,12 @@
 from .part_records import PartRecord
 from .verdicts import (
     REFUSED_AFTER,
+    explains,
     find_refused,
     is_sound,
+    is_suspicious,
     keep_smallest,
     list_counted,
-    should_refuse,
 )
 
 __all__ = ["MergedNews", "PartBook"]
@@ -46,6 +47,7 @@
     crashed: frozenset[int]
     answered: frozenset[int]
     depth: int
+    has_crashed_apart: bool
     until: timedelta
     judged_at: timedelta = timedelta()
     """Since when the crashes suffice to refuse the part."""
@@ -55,6 +57,11 @@
         """Return the number of crashes that count."""
         return len(list_counted(self.crashed, self.answered))
 
+    @property
+    def content(self) -> tuple[frozenset[int], frozenset[int], int, bool]:
+        """Return what other gateways are told."""
+        return (self.crashed, self.answered, self.depth, self.has_crashed_apart)
+
 
 @dataclass(frozen=True, slots=True)
 class MergedNews:
@@ -80,7 +87,7 @@
         self._capacity = capacity
         self._records: dict[int, _Evidence] = {}
         self._candidates: set[int] = set()
-        """Parts with crashes enough to refuse them."""
+        """Parts that are refused, or one crash short of it."""
         self._judged: set[int] = set()
         """Those of them whose crashes no other part explains."""
 
@@ -100,11 +107,36 @@
         del accused[MAX_ACCUSED:]
         for part in accused:
             known = self._answered.list_starts(part, now)
-            crashed = frozenset({start})
-            seen = PartRecord(part, crashed, known, parts[part], SUSPICION_PERIOD)
+            seen = PartRecord(
+                part,
+                frozenset({start}),
+                known,
+                parts[part],
+                self._crashed_apart(part, start, parts, now),
+                SUSPICION_PERIOD,
+            )
             self._update(seen, now)
         return accused
 
+    def _crashed_apart(
+        self, part: int, start: int, parts: Mapping[int, int], now: timedelta
+    ) -> bool:
+        """Return whether a crash lacks a refused part that came with this one so far.
+
+        Prompts with that part are sent no more, so it is not the cause.
+        """
+        record = self._records.get(part)
+        if record is None:
+            return False
+        refused = set(self.list_refused(now)) - parts.keys()
+        others = (self._records[each] for each in refused)
+        return any(
+            explains(each, record)
+            and start not in each.crashed
+            and not each.crashed.isdisjoint(record.crashed)
+            for each in others
+        )
+
     def _counts(self, part: int, start: int, now: timedelta) -> bool:
         """Return whether a crash counts against a part, as far as is known here."""
         known = self._answered.list_starts(part, now)
@@ -149,7 +181,7 @@
         if record is None:
             return False
         left = record.until - now
-        seen = PartRecord(part, frozenset(), starts, record.depth, left)
+        seen = PartRecord(part, frozenset(), starts, record.depth, False, left)
         return self._update(seen, now)
 
     def _is_worth_telling(self, part: int, least: int = TOLD_CRASHES) -> bool:
@@ -213,7 +245,12 @@
         if record is None or record.until <= now:
             return None
         return PartRecord(
-            part, record.crashed, record.answered, record.depth, record.until - now
+            part,
+            record.crashed,
+            record.answered,
+            record.depth,
+            record.has_crashed_apart,
+            record.until - now,
         )
 
     def expire(self, now: timedelta) -> None:
@@ -231,12 +268,13 @@
         until = now + min(seen.remaining, REFUSAL_PERIOD)
         record = self._records.get(part)
         if record is None or record.until <= now:
-            record = _Evidence(frozenset(), frozenset(), 0, until)
-        known = (record.crashed, record.answered, record.depth)
+            record = _Evidence(frozenset(), frozenset(), 0, False, until)
+        known = record.content
         record.crashed = keep_smallest(record.crashed | seen.crashed)
         record.answered = keep_smallest(record.answered | seen.answered)
         record.depth = max(record.depth, seen.depth)
-        if known == (record.crashed, record.answered, record.depth):
+        record.has_crashed_apart |= seen.has_crashed_apart
+        if known == record.content:
             return False
         record.until = max(record.until, until)
         self._records[part] = record
@@ -247,8 +285,7 @@
 
     def _judge(self, part: int, record: _Evidence, now: timedelta) -> None:
         """Decide anew which parts are refused, after news of one of them."""
-        is_candidate = should_refuse(record.crashed, record.answered)
-        if is_candidate:
+        if is_suspicious(record.crashed, record.answered):
             self._candidates.add(part)
         elif part in self._candidates:
             self._candidates.discard(part)
--- a/packages/mustardquay/src/mustardquay/crashing_parts/part_records.py
+++ b/packages/mustardquay/src/mustardquay/crashing_parts/part_records.py
@@ -17,5 +17,7 @@
     """Starts of engines that have written an answer on the part."""
     depth: int
     """Its position in prompts, from 0; the highest one that was seen."""
+    has_crashed_apart: bool
+    """Whether it crashed an engine without the refused parts that it had come with."""
     remaining: timedelta
     """Time until the record expires; a duration, as processes don't share a clock."""
--- a/packages/mustardquay/src/mustardquay/crashing_parts/verdicts.py
+++ b/packages/mustardquay/src/mustardquay/crashing_parts/verdicts.py
@@ -7,7 +7,9 @@
     "MAX_STARTS",
     "REFUSED_AFTER",
     "PartEvidence",
+    "explains",
     "find_refused",
+    "is_suspicious",
     "is_sound",
     "keep_smallest",
     "list_counted",
@@ -18,6 +20,16 @@
 """Crashes from which on a part is refused that no start has answered. All gateways must
 know a part after five crashes, of which one may be seen by nobody: the gateway that
 sent the request can end with the engine."""
+EXPLAINS_FROM = REFUSED_AFTER - 1
+"""Crashes from which on a part may explain those of another one that has just enough: a
+crash of its own may have been seen by nobody."""
+CERTAIN_AFTER = 5
+"""Crashes from which on only refused parts explain those of others, as after so many
+the cause must be refused."""
+UNEXPLAINED_CRASHES = 2
+"""Crashes without the refused part that refuse another one which no start has answered.
+One may lack it because nobody saw the refused part in flight, while the network had cut
+off a stream on the other one right before."""
 MAX_STARTS = 8
 """Starts of engines that are kept of each kind in one record, to bound its size."""
 
@@ -31,6 +43,8 @@
     """Starts of engines that have written an answer on the part."""
     depth: int
     """Its position in prompts, from 0: the first part is shared by most of them."""
+    has_crashed_apart: bool
+    """Whether it crashed an engine without the refused parts that it had come with."""
 
 
 def keep_smallest(starts: Iterable[int]) -> frozenset[int]:
@@ -72,42 +86,67 @@
     return counted >= REFUSED_AFTER + len(answered)
 
 
+def is_suspicious(crashed: Set[int], answered: Set[int]) -> bool:
+    """Return whether a part is refused, or may explain the crashes of another one."""
+    counted = len(list_counted(crashed, answered))
+    return counted >= EXPLAINS_FROM + len(answered)
+
+
 def find_refused(evidence: Mapping[int, PartEvidence]) -> set[int]:
-    """Return the parts on which prompts are refused.
+    """Return the parts on which prompts are refused, of those that are suspicious.
 
     The crashes of a refused part explain those of parts that it comes with. Guards
     against refusing the first part of a tenant because it is in each prompt with the
     part that crashes engines.
     """
     refused: set[int] = set()
+    suspects = evidence.values()
     for part in sorted(evidence, key=lambda part: _get_rank(part, evidence[part])):
         seen = evidence[part]
+        if not should_refuse(seen.crashed, seen.answered):
+            continue
         explaining = [evidence[each] for each in refused]
         explained = frozenset().union(
-            *(each.crashed for each in explaining if _explains(each, seen))
+            *(each.crashed for each in explaining if explains(each, seen))
         )
-        if _is_bad(seen, seen.crashed - explained):
+        if _is_bad(seen, explained) and not _may_be_explained(seen, suspects):
             refused.add(part)
     return refused
 
 
-def _get_rank(part: int, seen: PartEvidence) -> tuple[int, int, int]:
-    """Return a key by which parts that explain the crashes of others come first."""
-    return (len(seen.answered), -seen.depth, part)
-
-
-def _explains(refused: PartEvidence, seen: PartEvidence) -> bool:
-    """Return whether a refused part may be the cause of another one's crashes.
+def explains(cause: PartEvidence, seen: PartEvidence) -> bool:
+    """Return whether a part may be the cause of another one's crashes.
 
     It was answered by fewer starts, or neither by any: then the later one in prompts
     is the likelier cause, and if it is not, the next prompt without it shows that.
     """
-    if len(refused.answered) < len(seen.answered):
+    if len(cause.answered) < len(seen.answered):
         return True
-    return not seen.answered and refused.depth > seen.depth
+    return not seen.answered and cause.depth > seen.depth
 
 
-def _is_bad(seen: PartEvidence, unexplained: Set[int]) -> bool:
+def _get_rank(part: int, seen: PartEvidence) -> tuple[int, int, int]:
+    """Return a key by which parts that explain the crashes of others come first."""
+    return (len(seen.answered), -seen.depth, part)
+
+
+def _is_bad(seen: PartEvidence, explained: Set[int]) -> bool:
+    unexplained = seen.crashed - explained
     if seen.answered:
         return should_refuse(unexplained, seen.answered)
-    return bool(unexplained) and should_refuse(seen.crashed, seen.answered)
+    if unexplained == seen.crashed or seen.has_crashed_apart:
+        return bool(unexplained)
+    return len(unexplained) >= UNEXPLAINED_CRASHES
+
+
+def _may_be_explained(seen: PartEvidence, suspects: Iterable[PartEvidence]) -> bool:
+    """Return whether a part is to wait for another crash.
+
+    A part that is one crash short of its refusal may be the cause of all of them.
+    """
+    if seen.answered or len(seen.crashed) >= CERTAIN_AFTER:
+        return False
+    return any(
+        explains(each, seen) and len(each.crashed & seen.crashed) >= EXPLAINS_FROM
+        for each in suspects
+    )
