--- a/benchmarks/all.py
+++ b/benchmarks/all.py
@@ -10,6 +10,7 @@
 import typer
 
 from . import (
+    callers,
     controls,
     counts,
     decision_costs,
@@ -23,6 +24,7 @@
 __all__ = ["BENCHMARKS", "main"]
 
 BENCHMARKS: dict[str, Callable[[bool], bool]] = {
+    "callers": callers.run,
     "controls": controls.run,
     "counts": counts.run,
     "decisions": decision_costs.run,
