--- a/packages/mustardquay-node/src/mustardquay_node/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections.py
@@ -4,7 +4,6 @@
 make the connection unusable; an answer to another request is skipped.
 """
 
-import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -21,9 +20,10 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from mustardquay.clocks import Clock
+from mustardquay.silences import ConnectResult
 from mustardquay.streams import Framing, find_framing
 
-from .descriptors import is_exhausted
+from .client_sockets import classify_connect_error, make_socket
 from .pauses import running_timeout
 
 __all__ = [
@@ -39,15 +39,6 @@
 by which time another attempt has succeeded."""
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 """Largest body of one answer."""
-KEEPALIVE_IDLE = 1
-"""Seconds without data after which TCP sends the first keepalive probe."""
-KEEPALIVE_INTERVAL = 1
-"""Seconds between two keepalive probes."""
-KEEPALIVE_PROBES = 2
-"""Unanswered keepalive probes after which the connection counts as lost."""
-USER_TIMEOUT = 3_000
-"""Milliseconds that sent bytes may stay unacknowledged. Without it, a connection to a
-peer that lost power or network would hang for a quarter of an hour."""
 MAX_SKIPPED_ANSWERS = 2
 """Answers to earlier requests that are skipped before the expected one."""
 
@@ -57,6 +48,9 @@
 
     WHOLE = "whole"
     NOT_CONNECTED = "not_connected"
+    """The connection was refused, or the address is not reachable."""
+    CONNECT_TIMED_OUT = "connect_timed_out"
+    """The attempt to connect got no reply in time."""
     NO_ROOM = "no_room"
     """The limit of connections is reached, of the pool or of the whole process."""
     BROKEN = "broken"
@@ -68,6 +62,12 @@
     """The request must not be sent any more; nothing was sent."""
 
 
+FAILED_CONNECTS = {
+    ConnectResult.REFUSED: ExchangeEnd.NOT_CONNECTED,
+    ConnectResult.TIMED_OUT: ExchangeEnd.CONNECT_TIMED_OUT,
+}
+
+
 @dataclass(slots=True)
 class AnswerHead:
     """Status and headers of an answer."""
@@ -83,22 +83,6 @@
     return host, int(port)
 
 
-def _make_socket() -> socket.socket | None:
-    """Return a socket, or None if the process has no file descriptors left."""
-    try:
-        connection = socket.socket(socket.AF_INET)
-    except OSError as error:
-        if not is_exhausted(error):
-            raise
-        return None
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT)
-    return connection
-
-
 class Exchange(HTTPMessageDelegate):
     """One request and the answer to it."""
 
@@ -262,9 +246,10 @@
             opened = self._open_stream()
             if opened is None:
                 return ExchangeEnd.NO_ROOM
-            stream = await self._connect(opened)
-        if stream is None:
-            return ExchangeEnd.NOT_CONNECTED
+            result = await self._connect(opened)
+            if result is not ConnectResult.CONNECTED:
+                return FAILED_CONNECTS[result]
+            stream = opened
         if exchange.cancelled:
             self._release(stream)
             return ExchangeEnd.CANCELLED
@@ -283,16 +268,15 @@
             else:
                 self._drop(stream)
 
-    async def probe(self) -> bool:
-        """Return whether a connection can be opened; it is kept for later requests."""
-        opened = self._open_stream()
-        if opened is None:
-            return True
-        stream = await self._connect(opened)
+    async def probe(self) -> ConnectResult:
+        """Try to open a connection, which is kept for later requests."""
+        stream = self._open_stream()
         if stream is None:
-            return False
-        self._release(stream)
-        return True
+            return ConnectResult.NO_ROOM
+        result = await self._connect(stream)
+        if result is ConnectResult.CONNECTED:
+            self._release(stream)
+        return result
 
     def _release(self, stream: IOStream) -> None:
         self._idle.append((stream, self._clock.monotonic()))
@@ -325,25 +309,27 @@
         """Return a stream that isn't connected yet, or None at the limit."""
         if not self._make_room():
             return None
-        connection = _make_socket()
+        connection = make_socket()
         if connection is None and self._free_descriptors():
-            connection = _make_socket()
+            connection = make_socket()
         return None if connection is None else IOStream(connection)
 
-    async def _connect(self, stream: IOStream) -> IOStream | None:
+    async def _connect(self, stream: IOStream) -> ConnectResult:
         self._open += 1
-        connected = False
+        result = ConnectResult.REFUSED
         try:
             async with running_timeout(CONNECT_TIMEOUT):
                 await stream.connect(self._address)
             stream.set_nodelay(True)
-            connected = True
-        except (OSError, StreamClosedError, TimeoutError):
-            return None
+            result = ConnectResult.CONNECTED
+        except TimeoutError:
+            result = ConnectResult.TIMED_OUT
+        except (OSError, StreamClosedError) as error:
+            result = classify_connect_error(error)
         finally:
-            if not connected:
+            if result is not ConnectResult.CONNECTED:
                 self._drop(stream)
-        return stream
+        return result
 
     def _drop(self, stream: IOStream) -> None:
         self._open -= 1
--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -119,6 +119,10 @@
     """Whether a send that may have run was cancelled at the deadline."""
     was_begun: bool = False
     """Whether an upstream has begun to run the request, as far as is known."""
+    is_retry_charged: bool = False
+    """Whether the next send was charged to the retry allowance already."""
+    has_met_silence: bool = False
+    """Whether an upstream was silent during a send, so that times show no load."""
     is_late: bool = False
     """Whether a generation can't meet its latency target, so that others go first."""
     expected: timedelta | None = None
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -11,12 +11,7 @@
 from functools import partial
 
 from mustardquay.requests import SendResult
-from mustardquay.retry_decisions import (
-    NextStep,
-    PrefillState,
-    count_repeats,
-    decide_next,
-)
+from mustardquay.retry_decisions import NextStep, count_repeats, decide_next
 from mustardquay.routing_tables import Repeat, RoutingTable
 from mustardquay.stops import RequestEstimate
 from mustardquay.streams import TakeUpRefusal
@@ -31,7 +26,7 @@
 from .handovers import drop_prefill, send_generation
 from .rate_reservations import await_reservation
 from .replies import Reply
-from .sending import Send, Sender
+from .sending import Send, Sender, find_prefill_state
 
 __all__ = ["forward"]
 
@@ -219,9 +214,12 @@
     def _record_times(self) -> None:
         """Record the duration of an answer, complete or not.
 
-        Incomplete ones count too, as they are those that take the longest.
+        Incomplete ones count too, as they are those that take the longest. Those that
+        met a silence show nothing of the load.
         """
         request = self._request
+        if request.has_met_silence:
+            return
         if request.expected is not None and request.send_history.attempts <= 1:
             self._deps.latency_margins.note(
                 request.route,
@@ -303,19 +301,14 @@
     def _take_retry_allowance(self, send: Send, now: timedelta) -> bool:
         """Charge a retry to the retry allowance; returns whether it had room."""
         request = self._request
-        sends = count_repeats(request.route, send.end, self._find_prefill_state())
+        if request.is_retry_charged:
+            request.is_retry_charged = False
+            return True
+        state = find_prefill_state(self._deps, request, request.avoid)
+        sends = count_repeats(request.route, send.end, state)
         window = self._deps.pools.get_window(request.service)
         return not sends or window.take(now, sends)
 
-    def _find_prefill_state(self) -> PrefillState:
-        """Return whether a retry can use the prompt that was already prefilled."""
-        deps, request = self._deps, self._request
-        if request.prefill is None:
-            return PrefillState.NONE
-        engines = deps.list_candidates(request)
-        loss = deps.planner.find_prefill_loss(request.prefill, engines, request.avoid)
-        return PrefillState.KEPT if loss is None else PrefillState.LOST
-
     def _choose_final_step(self, send: Send) -> NextStep:
         """Return the last step if the retry allowance has no room for another send."""
         if send.end is SendResult.ANSWERED:
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -10,6 +10,7 @@
 from mustardquay.rate_limits import RateLimiter
 from mustardquay.retry_windows import RetryLimits
 from mustardquay.routing_tables import RoutingTable
+from mustardquay.silences import ConnectResult
 from mustardquay.streams import VersionDoubts
 from mustardquay.uplinks import Uplink
 from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
@@ -72,6 +73,7 @@
             count_gateways=deps.count_gateways,
             find_limit=self._find_connection_limit,
             note_unreachable=self._note_unreachable,
+            note_probed=self._note_probed,
             # Callers' connections last: each may be about to send its next request.
             free_descriptors=lambda: self._descriptors.free_descriptors(
                 self.pools.close_idle, deps.close_idle_callers
@@ -172,6 +174,14 @@
         self.loads.note_unreachable(id, self._now)
         self.crashes.note_upstream_lost(id)
 
+    def _note_probed(self, id: str, result: ConnectResult) -> None:
+        """Note the probe of a silent upstream; one that times out shows nothing."""
+        self._deps.events.record("upstream.probed", upstream=id, result=result.value)
+        if result is ConnectResult.REFUSED:
+            self._note_unreachable(id)
+        else:
+            self.loads.silences.note_connect(id, result, self._now)
+
     def _find_connection_limit(self, service: str) -> int | None:
         table = self._deps.find_table()
         found = table.services.get(service) if table is not None else None
--- a/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
@@ -112,7 +112,7 @@
         now = self._clock.monotonic()
         self._states.works.peers.expire(now)
         parts = hash_parts(prompt.parts)
-        engines = self._exclude_changing(engines)
+        engines = self.exclude_changing(engines)
         sending = self._uplink.predict_time(size, now)
         return choose_engines(
             prompt,
@@ -136,7 +136,7 @@
         notified. Returns False if no decoder is available.
         """
         now = self._clock.monotonic()
-        usable = self._exclude_changing(engines)
+        usable = self.exclude_changing(engines)
         decoder = choose_decoder(usable, self._states, now, avoid)
         if decoder is None:
             return False
@@ -147,9 +147,10 @@
         ticket.placement = replace(ticket.placement, decoder=decoder)
         return True
 
-    def _exclude_changing(
+    def exclude_changing(
         self, engines: Sequence[UpstreamRecord]
     ) -> Sequence[UpstreamRecord]:
+        """Return the engines that no gateway has ordered to change their stage."""
         changing = self._changing | self._states.works.peers.list_changing()
         return [engine for engine in engines if engine.id not in changing]
 
@@ -210,7 +211,7 @@
             ticket.placement.reader,
             ticket.parts,
             self.must_copy_from_cache(prefill),
-            self._exclude_changing(engines),
+            self.exclude_changing(engines),
             self._states,
             now,
             avoid,
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -233,7 +233,9 @@
         if prefill is not None:
             _note_used(prefill)
         deps.planner.end_prefill(ticket)
-        deps.planner.learn_first(ticket, deps.clock.monotonic() - started)
+        engine = ticket.placement.decoder
+        if not deps.loads.silences.was_silent_since(engine.id, started):
+            deps.planner.learn_first(ticket, deps.clock.monotonic() - started)
 
     return note
 
@@ -262,7 +264,8 @@
         except ProtocolError as error:
             send.detail = str(error)
         else:
-            deps.planner.learn_prefill(ticket, took)
+            if not send.was_silent:
+                deps.planner.learn_prefill(ticket, took)
             return prefilled
     # A prefill does not count as running the request, whatever its result.
     if send.end not in (SendResult.CALLER_LEFT, SendResult.NOT_SENT):
--- a/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
@@ -10,6 +10,7 @@
 __all__ = ["SUCCESS_STATUSES", "observe_end", "observe_head"]
 
 SUCCESS_STATUSES = range(200, 300)
+UNCONNECTED_ENDS = (ExchangeEnd.NOT_CONNECTED, ExchangeEnd.CONNECT_TIMED_OUT)
 MIN_SERVER_ERROR_STATUS = 500
 """The lowest status of a server error."""
 
@@ -76,6 +77,7 @@
         deps.crashes.parts.note_answered(request.parts, upstream)
     if end == ExchangeEnd.NOT_CONNECTED:
         deps.crashes.note_upstream_lost(upstream.id)
+    if end in UNCONNECTED_ENDS:
         deps.doubts.note_unreachable(upstream)
 
 
@@ -91,6 +93,8 @@
     id = send.upstream.id
     if end == ExchangeEnd.NOT_CONNECTED:
         loads.note_unreachable(id, now)
+    elif end == ExchangeEnd.CONNECT_TIMED_OUT:
+        loads.note_timed_out(id, now)
     elif send.end is SendResult.ANSWERED:
         loads.note_reached(id, now)
     elif send.end in (SendResult.NOT_RUN, SendResult.OTHER_UPSTREAM):
@@ -119,7 +123,12 @@
     return send.end is SendResult.ANSWERED and is_success and not options.prefill_only
 
 
-def _has_failed(send: Send, end: str) -> bool:
+def _has_failed(send: Send, end: str) -> bool | None:
+    """Return whether a send shows a fault of its upstream; None if it shows nothing."""
+    if end == ExchangeEnd.CONNECT_TIMED_OUT:
+        return None
+    if send.was_ended_here and send.was_silent:
+        return None
     if end == ExchangeEnd.NOT_CONNECTED or send.end is SendResult.BROKEN:
         return True
     return send.end is SendResult.ANSWERED and send.status >= MIN_SERVER_ERROR_STATUS
--- a/packages/mustardquay-node/src/mustardquay_node/sending/results.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/results.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from mustardquay.requests import SendResult
+from mustardquay.silences import GiveUpReason
 from mustardquay.upstream_lists import UpstreamRecord
 
 from ..adapters import AnswerFacts
@@ -36,6 +37,12 @@
     """Events of a stream that were received whole."""
     has_outlasted_onset: bool = False
     """Whether a stream has gone on for longer than `CRASH_ONSET`."""
+    given_up: GiveUpReason | None = None
+    """Why this gateway gave the send up while its upstream was silent, if it did."""
+    was_ended_here: bool = False
+    """Whether this gateway ended the send, for whatever reason."""
+    was_silent: bool = False
+    """Whether the upstream was known as silent during the send."""
     framing: str = ""
     """What marked the end of the answer, a value of `Framing`; empty without one."""
 
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -8,18 +8,18 @@
 from mustardquay.generation_limits import rank_generation
 from mustardquay.requests import SendResult
 from mustardquay.routing_tables import Repeat
-from mustardquay.stall_timeouts import find_idle_timeout
+from mustardquay.silences import ConnectResult
 from mustardquay.streams import EventFramer, StreamOrigin, is_stream_complete
 from mustardquay.upstream_lists import UpstreamRecord
 
 from ..adapters import SendTarget
 from ..connections import AnswerHead, ConnectionPool, Exchange, ExchangeEnd
 from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
-from ..pauses import RunningTimer
 from ..replies import Reply
 from ..usage import may_have_begun, note_begun
 from .observations import SUCCESS_STATUSES, observe_end, observe_head
 from .results import DEFAULT_OPTIONS, Send, SendOptions
+from .silence_watches import SilenceWatch
 
 __all__ = ["Sender"]
 
@@ -28,8 +28,8 @@
 NON_IDEMPOTENT_IDLE_LIMIT = timedelta(milliseconds=400)
 """Idle time up to which a connection is reused for requests that must not be repeated.
 Upstreams close idle connections after some 1.5 s, and may do so sooner."""
-SILENCE_RECHECK_INTERVAL = timedelta(milliseconds=200)
-"""Time until a live engine that has sent nothing for a request is checked again."""
+REACHED_RESULTS = (ConnectResult.CONNECTED, ConnectResult.NO_ROOM)
+"""Results of a probe that don't speak against its upstream."""
 CRASH_ONSET = timedelta(milliseconds=500)
 """Time after which a stream goes on although a part of its prompt were bad: such a part
 crashes an engine as it begins to write, with the first tokens."""
@@ -48,7 +48,7 @@
         self._request = request
         self._reply = reply
         self._framer = EventFramer()
-        self._silence_timer: RunningTimer | None = None
+        self._watch: SilenceWatch | None = None
 
     @property
     def has_partial_event(self) -> bool:
@@ -72,9 +72,8 @@
         request.current = exchange
         request.upstream = upstream.id
         request.sent_at = self._deps.clock.monotonic()
-        self._start_silence_timer(
-            options.first_part_timeout or find_idle_timeout(request.route)
-        )
+        self._watch = SilenceWatch(self._deps, request, self._reply, send, options)
+        self._watch.start(exchange)
         self._deps.loads.begin(upstream.id)
         end = ExchangeEnd.CANCELLED
         try:
@@ -92,7 +91,7 @@
             raise
         finally:
             request.current = None
-            self._cancel_silence_timer()
+            self._watch.close()
             self._record_end(send, exchange, end, options)
         return send
 
@@ -198,6 +197,7 @@
             )
             return False
         send.facts = facts
+        self._watch.note_data()
         observe_head(self._deps, self._request, send, facts)
         return True
 
@@ -206,7 +206,7 @@
     ) -> Awaitable[None] | None:
         """Pass on a part of a stream; buffer other answers until they are complete."""
         now = self._deps.clock.monotonic()
-        self._deps.loads.note_activity(send.upstream.id, now)
+        self._watch.note_data()
         if not self._is_stream(send, exchange):
             exchange.keep(data)
             return None
@@ -216,7 +216,7 @@
             options.on_first_part()
         send.last_at = now
         self._note_outlasted_onset(send, now)
-        self._start_silence_timer(find_idle_timeout(self._request.route))
+        self._watch.restart()
         events = self._framer.feed(data)
         self._reply.events += self._framer.events - send.events
         send.events = self._framer.events
@@ -285,40 +285,6 @@
             return False
         return True
 
-    def _start_silence_timer(self, limit: timedelta | None) -> None:
-        """Cancel the send when its upstream is silent for too long.
-
-        The request can then be sent to another one. The timer leaves out pauses of this
-        process: a gateway that was paused would otherwise end all its streams when it
-        resumes, with their next events unread, and abort those without a retry left.
-        """
-        self._cancel_silence_timer()
-        if limit is not None:
-            self._silence_timer = RunningTimer(limit, self._handle_silence)
-
-    def _cancel_silence_timer(self) -> None:
-        if self._silence_timer is not None:
-            self._silence_timer.cancel()
-            self._silence_timer = None
-
-    def _handle_silence(self) -> None:
-        current = self._request.current
-        if current is None:
-            return
-        now = self._deps.clock.monotonic()
-        if self._deps.loads.has_recent_activity(self._request.upstream, now):
-            # It is alive and busy with other requests; a retry elsewhere would not be
-            # faster.
-            self._start_silence_timer(SILENCE_RECHECK_INTERVAL)
-            return
-        self._deps.events.record(
-            "upstream.silent",
-            request=self._request.id,
-            upstream=self._request.upstream,
-            passed=self._reply.passed,
-        )
-        current.cancel()
-
     def _record_end(
         self, send: Send, exchange: Exchange, end: str, options: SendOptions
     ) -> None:
@@ -328,9 +294,13 @@
         send.was_reused = exchange.was_reused
         send.detail = end
         send.end = self._classify(send, exchange, end)
-        was_left = self._reply.is_caller_gone and exchange.cancelled
         send.framing = exchange.framing.value if exchange.head else ""
-        send.was_lost = end in LOST_ENDS and not was_left
+        send.was_ended_here = exchange.cancelled or end == ExchangeEnd.CANCELLED
+        send.was_lost = end in LOST_ENDS and not send.was_ended_here
+        send.was_silent = self._deps.loads.silences.was_silent_since(
+            send.upstream.id, self._request.sent_at
+        )
+        self._request.has_met_silence |= send.was_silent
         self._deps.count_send(self._reply.route, send.end.value)
         if send.end is SendResult.ANSWERED and self._is_stream(send, exchange):
             if self._request.route.resumable:
@@ -345,7 +315,7 @@
 
         Single intervals would mislead, as one read may return several events.
         """
-        if send.first_at is None or send.events < MIN_EVENTS:
+        if send.first_at is None or send.events < MIN_EVENTS or send.was_silent:
             return
         pause = (send.last_at - send.first_at) / (send.events - 1)
         self._deps.planner.learn_pause(send.upstream, pause)
@@ -390,6 +360,8 @@
     Guards against upstreams that crash in an answer which ends with its connection, as
     between two events of a stream. One that has crashed refuses connections.
     """
-    if not exchange.ended_connection or await pool.probe():
+    if not exchange.ended_connection:
+        return ExchangeEnd.WHOLE
+    if await pool.probe() in REACHED_RESULTS:
         return ExchangeEnd.WHOLE
     return ExchangeEnd.INCOMPLETE
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/silence_watches.py
@@ -0,0 +1,178 @@
+"""The watch of one send for silence: suspicion, probe, and giving up.
+
+Whether a silent upstream is given up is decided in `mustardquay.silences`. The timer
+leaves out pauses of this process: a gateway that was paused would otherwise take all
+its upstreams for silent when it resumes, with their next events unread.
+"""
+
+import asyncio
+from dataclasses import replace
+from datetime import timedelta
+
+from mustardquay.requests import SendResult
+from mustardquay.retry_decisions import PrefillState, count_repeats, may_follow
+from mustardquay.routing_tables import Repeat
+from mustardquay.silences import (
+    SilentSend,
+    Suspicion,
+    find_give_up_reason,
+    find_recheck_time,
+)
+from mustardquay.stall_timeouts import find_idle_timeout
+
+from ..connections import Exchange
+from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
+from ..pauses import RunningTimer
+from ..replies import Reply
+from .alternatives import find_prefill_state, has_other_upstream
+from .results import Send, SendOptions
+
+__all__ = ["SilenceWatch"]
+
+
+class SilenceWatch:
+    """Watches one send until it is closed, and cancels its exchange at the most."""
+
+    def __init__(
+        self,
+        deps: ForwarderDependencies,
+        request: ForwardedRequest,
+        reply: Reply,
+        send: Send,
+        options: SendOptions,
+    ):
+        self._deps = deps
+        self._request = request
+        self._reply = reply
+        self._send = send
+        self._options = options
+        self._exchange: Exchange | None = None
+        self._timer: RunningTimer | None = None
+        self._step = timedelta()
+        self._quiet = timedelta()
+        """Time without a byte for this send, as far as this process ran."""
+
+    def start(self, exchange: Exchange) -> None:
+        """Start to watch."""
+        self._exchange = exchange
+        first = self._options.first_part_timeout
+        self._begin_step(first or find_idle_timeout(self._request.route))
+
+    def close(self) -> None:
+        """Stop watching."""
+        self._exchange = None
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def note_data(self) -> None:
+        """Note that the upstream has sent something for this request."""
+        now = self._deps.clock.monotonic()
+        upstream = self._send.upstream.id
+        lasted = self._deps.loads.silences.note_activity(upstream, now)
+        if lasted is not None:
+            self._deps.events.record(
+                "upstream.heard",
+                request=self._request.id,
+                upstream=upstream,
+                silent_ms=round(lasted.total_seconds() * 1000),
+            )
+
+    def restart(self) -> None:
+        """Wait for the next part of a stream, from now on."""
+        if self._exchange is not None:
+            self._quiet = timedelta()
+            self._begin_step(find_idle_timeout(self._request.route))
+
+    def _begin_step(self, time: timedelta) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._step = time
+        self._timer = RunningTimer(time, self._end_step)
+
+    def _end_step(self) -> None:
+        self._quiet += self._step
+        now = self._deps.clock.monotonic()
+        silences = self._deps.loads.silences
+        suspicion = silences.note_quiet(self._send.upstream.id, self._quiet, now)
+        if suspicion is Suspicion.ACTIVE:
+            # It works on other requests; another upstream would not be faster.
+            self.restart()
+            return
+        if suspicion is Suspicion.BEGUN:
+            self._record("upstream.silent")
+            probe = self._deps.pools.probe_silent(self._send.upstream)
+            probe.add_done_callback(lambda done: self._end_probe(done))
+        if not self._give_up():
+            self._begin_step(find_recheck_time(self._quiet))
+
+    def _end_probe(self, probe: "asyncio.Task[None]") -> None:
+        if self._exchange is not None and not probe.cancelled():
+            self._give_up()
+
+    def _give_up(self) -> bool:
+        """Cancel the exchange if the policy gives the send up; return whether it did.
+
+        The request can then be sent to another upstream.
+        """
+        if self._exchange is None or not self._exchange.was_sent:
+            return False
+        reason = find_give_up_reason(
+            self._describe(), self._deps.loads.silences, self._take_allowance
+        )
+        if reason is None:
+            return False
+        self._send.given_up = reason
+        self._record("send.given_up", reason=reason.value)
+        exchange = self._exchange
+        self.close()
+        exchange.cancel()
+        return True
+
+    def _describe(self) -> SilentSend:
+        request = self._request
+        left = request.measure_time_left(self._deps.clock.monotonic())
+        history = replace(
+            request.send_history,
+            has_sent_events=self._reply.has_begun,
+            is_origin_known=request.origin is not None,
+        )
+        is_prefill = self._options.prefill_only
+        return SilentSend(
+            self._send.upstream.id,
+            self._quiet,
+            may_follow(request.route, history, self._expected_end, left),
+            has_other_upstream(self._deps, request, self._send.upstream, is_prefill),
+            left,
+            is_prefill or request.route.repeat is Repeat.STREAM,
+        )
+
+    @property
+    def _expected_end(self) -> SendResult:
+        is_prefill = self._options.prefill_only
+        return SendResult.UNREAD if is_prefill else SendResult.BROKEN
+
+    def _take_allowance(self) -> bool:
+        """Charge the send that follows; `forwardings` does not charge it once more."""
+        request = self._request
+        avoid = request.avoid | {self._send.upstream.id}
+        is_prefill = self._options.prefill_only
+        state = (
+            PrefillState.NONE
+            if is_prefill
+            else find_prefill_state(self._deps, request, avoid)
+        )
+        sends = count_repeats(request.route, self._expected_end, state)
+        window = self._deps.pools.get_window(request.service)
+        is_charged = not sends or window.take(self._deps.clock.monotonic(), sends)
+        request.is_retry_charged = is_charged
+        return is_charged
+
+    def _record(self, kind: str, **details: str) -> None:
+        self._deps.events.record(
+            kind,
+            request=self._request.id,
+            upstream=self._send.upstream.id,
+            passed=self._reply.passed,
+            quiet_ms=round(self._quiet.total_seconds() * 1000),
+            **details,
+        )
--- a/packages/mustardquay-node/src/mustardquay_node/upstream_pools.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstream_pools.py
@@ -6,6 +6,7 @@
 
 from mustardquay.clocks import Clock
 from mustardquay.retry_windows import RetryLimits, RetryWindow
+from mustardquay.silences import ConnectResult
 from mustardquay.upstream_lists import UpstreamRecord
 
 from .connections import ConnectionPool
@@ -35,6 +36,7 @@
         count_gateways: Callable[[], int],
         find_limit: Callable[[str], int | None],
         note_unreachable: Callable[[str], None],
+        note_probed: Callable[[str, ConnectResult], None] = lambda id, result: None,
         free_descriptors: Callable[[], bool] = lambda: False,
     ):
         """Take the limits.
@@ -42,8 +44,9 @@
         `processes` is the least number of gateways that may run at once;
         `count_gateways` returns how many are listed, `find_limit` the connections that
         an upstream of a service accepts. `note_unreachable` is called for upstreams
-        that a probe can't reach. `free_descriptors` closes idle connections of the
-        process.
+        on which a send broke and that a probe can't reach, `note_probed` with the
+        results of probes of silent upstreams. `free_descriptors` closes idle
+        connections of the process.
         """
         self._free_descriptors = free_descriptors
         self.retry_limits = retry_limits
@@ -53,13 +56,15 @@
         self._count_gateways = count_gateways
         self._find_limit = find_limit
         self._note_unreachable = note_unreachable
+        self._note_probed = note_probed
         self._pools: dict[str, ConnectionPool] = {}
         self._windows: dict[str, RetryWindow] = {}
         self._probes: dict[str, asyncio.Task[None]] = {}
+        self._silence_probes: dict[str, asyncio.Task[None]] = {}
 
     async def close(self) -> None:
         """Close the connections."""
-        probes = list(self._probes.values())
+        probes = [*self._probes.values(), *self._silence_probes.values()]
         for probe in probes:
             probe.cancel()
         await asyncio.gather(*probes, return_exceptions=True)
@@ -116,7 +121,26 @@
     async def _probe(self, upstream: UpstreamRecord) -> None:
         try:
             await asyncio.sleep(PROBE_DELAY.total_seconds())
-            if not await self.get_pool(upstream).probe():
+            result = await self.get_pool(upstream).probe()
+            if result in (ConnectResult.REFUSED, ConnectResult.TIMED_OUT):
                 self._note_unreachable(upstream.id)
         finally:
             del self._probes[upstream.id]
+
+    def probe_silent(self, upstream: UpstreamRecord) -> "asyncio.Task[None]":
+        """Probe an upstream that is silent while its connections are open.
+
+        Returns the task of the probe, which ends after `note_probed` was called.
+        """
+        task = self._silence_probes.get(upstream.id)
+        if task is None:
+            task = asyncio.create_task(self._probe_silent(upstream))
+            self._silence_probes[upstream.id] = task
+        return task
+
+    async def _probe_silent(self, upstream: UpstreamRecord) -> None:
+        try:
+            result = await self.get_pool(upstream).probe()
+            self._note_probed(upstream.id, result)
+        finally:
+            del self._silence_probes[upstream.id]
--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -19,6 +19,7 @@
 from .engine_samples import Sample, keep_all
 from .engine_states import EngineStates, HashedPart
 from .requests import PromptTraits
+from .silences import pass_over_silent
 from .upstream_lists import Stage, UpstreamRecord
 
 __all__ = ["Placement", "choose_decoder", "choose_engines"]
@@ -299,10 +300,27 @@
         engine for engine in usable if not states.loads.get(engine.id).is_ejected(now)
     ]
     if any(engine.stage is not Stage.PREFILL for engine in healthy):
-        return healthy
+        return _pass_over_silent(healthy, states, now)
     return [engine for engine in usable if not states.loads.is_lost(engine.id, now)]
 
 
+def _pass_over_silent(
+    engines: Sequence[UpstreamRecord], states: EngineStates, now: timedelta
+) -> list[UpstreamRecord]:
+    """Return the engines without silent ones, with some of each kind.
+
+    The kinds are apart, so that a silence of all prefill engines doesn't send all
+    prompts to decode engines, which prefill at half the speed.
+    """
+    silences = states.loads.silences
+    prefillers = [engine for engine in engines if engine.stage is Stage.PREFILL]
+    decoders = [engine for engine in engines if engine.stage is not Stage.PREFILL]
+    return [
+        *pass_over_silent(prefillers, silences, now),
+        *pass_over_silent(decoders, silences, now),
+    ]
+
+
 def _get_cost(placement: Placement) -> float:
     return placement.cost
 
--- a/packages/mustardquay/src/mustardquay/retry_decisions.py
+++ b/packages/mustardquay/src/mustardquay/retry_decisions.py
@@ -5,14 +5,21 @@
 other cases the outcome is unknown, and callers decide whether to retry.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from enum import StrEnum
 
 from .requests import SendResult
 from .routing_tables import Repeat, Route
 
-__all__ = ["NextStep", "PrefillState", "SendHistory", "count_repeats", "decide_next"]
+__all__ = [
+    "NextStep",
+    "PrefillState",
+    "SendHistory",
+    "count_repeats",
+    "decide_next",
+    "may_follow",
+]
 
 FAILED_STATUSES = range(500, 600)
 """Statuses of upstreams after which a repeatable request may be sent again."""
@@ -109,6 +116,16 @@
     return NextStep.FAIL if history.may_have_run else NextStep.REFUSE
 
 
+def may_follow(
+    route: Route, history: SendHistory, end: SendResult, time_left: timedelta
+) -> bool:
+    """Return whether another send may follow one that runs, if it ended as `end`."""
+    history = replace(history)
+    history.note(end)
+    step = decide_next(route, history, end, 0, time_left)
+    return step in (NextStep.SEND_AGAIN, NextStep.RESUME)
+
+
 def count_repeats(route: Route, end: SendResult, prefill: PrefillState) -> int:
     """Return how many sends a retry takes from the retry allowance.
 
--- a/packages/mustardquay/src/mustardquay/stall_timeouts.py
+++ b/packages/mustardquay/src/mustardquay/stall_timeouts.py
@@ -1,30 +1,31 @@
-"""Stall timeouts: how long an engine may be silent before its work is retried.
+"""Stall timeouts: how long an upstream may send nothing before it is suspected.
 
-Detects engines that are lost without closing their connections; callers time out after
-two seconds without an event. Only requests that may be resumed or have not been sent
-are retried elsewhere: a slow engine may still answer the others.
+Detects upstreams that are silent without closing their connections. What follows from
+a suspicion is decided in `silences`.
 """
 
 from datetime import timedelta
 
 from .placements import Placement
-from .routing_tables import Route
+from .routing_tables import Repeat, Route
 
-__all__ = ["find_first_event_timeout", "find_prefill_timeout", "find_idle_timeout"]
+__all__ = ["find_first_event_timeout", "find_idle_timeout", "find_prefill_timeout"]
 
 IDLE_PAUSES = 3
 """Number of the longest pauses allowed by a route after which a stream counts as
 stalled. Events come about 50 ms apart, and 100 ms with 50 streams on an engine."""
 MIN_IDLE_TIMEOUT = timedelta(milliseconds=450)
+ANSWER_TARGETS = 3
+"""Number of latency targets of a route after which a short answer is overdue."""
 MIN_PREFILL_SLACK = timedelta(milliseconds=400)
 """Minimum time by which a prefill may exceed its estimate. Of 3,000 prefills in a day
 with bursts, one in a hundred took 250 ms longer."""
 
 
-def find_idle_timeout(route: Route) -> timedelta | None:
-    """Return the longest time without an event of a stream; None for no timeout."""
-    if not route.resumable:
-        return None
+def find_idle_timeout(route: Route) -> timedelta:
+    """Return the usual time without a byte, of a stream or before a short answer."""
+    if route.repeat is not Repeat.STREAM:
+        return max(route.latency_target * ANSWER_TARGETS, MIN_IDLE_TIMEOUT)
     pause = route.longest_pause or timedelta()
     return max(pause * IDLE_PAUSES, MIN_IDLE_TIMEOUT)
 
@@ -43,12 +44,8 @@
     return timedelta(seconds=2 * expected) + slack
 
 
-def find_first_event_timeout(route: Route, placement: Placement) -> timedelta | None:
+def find_first_event_timeout(route: Route, placement: Placement) -> timedelta:
     """Return how long an engine that also prefills may take to its first event."""
-    idle_timeout = find_idle_timeout(route)
-    if idle_timeout is None:
-        return None
     prefill_timeout = find_prefill_timeout(route, placement)
-    return max(
-        idle_timeout, prefill_timeout + timedelta(seconds=placement.first_seconds)
-    )
+    first = prefill_timeout + timedelta(seconds=placement.first_seconds)
+    return max(find_idle_timeout(route), first)
--- a/packages/mustardquay/src/mustardquay/upstream_loads.py
+++ b/packages/mustardquay/src/mustardquay/upstream_loads.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 from random import Random
 
+from .silences import ConnectResult, UpstreamSilences, pass_over_silent
 from .upstream_lists import UpstreamRecord
 
 __all__ = ["UpstreamLoads", "UpstreamLoad", "choose_plain"]
@@ -36,10 +37,10 @@
 """A third of the time that a change of stage takes, so that its end is detected
 soon."""
 LOST_TIME = timedelta(seconds=1)
-"""How long connection attempts must fail before an upstream counts as lost."""
-ACTIVITY_TIME = timedelta(milliseconds=350)
-"""How long an upstream counts as alive after it has sent anything. Events of a stream
-are 50 to 110 ms apart."""
+"""How long connection attempts must be refused before an upstream counts as lost."""
+TIMED_OUT_TIME = timedelta(seconds=3)
+"""The same if attempts get no reply, as those to a sound upstream that is silent for
+a second or so."""
 EXPIRED_HANDLE_TIME = timedelta(seconds=3)
 """How long the handles of an engine aren't used after one has expired."""
 LOAD_LIFETIME = timedelta(milliseconds=300)
@@ -66,9 +67,8 @@
     refusals: int = 0
     """Consecutive refusals."""
     unreachable_since: timedelta | None = None
+    timing_out_since: timedelta | None = None
     handles_expired_until: timedelta = timedelta()
-    last_activity_at: timedelta | None = None
-    """When the upstream last sent anything."""
     reported: int = 0
     """Requests of all processes at the upstream, from the newest answer."""
     reported_at: timedelta | None = None
@@ -83,6 +83,7 @@
     """The loads of all upstreams, by their ids."""
 
     loads: dict[str, UpstreamLoad] = field(default_factory=dict)
+    silences: UpstreamSilences = field(default_factory=UpstreamSilences)
 
     def get(self, id: str) -> UpstreamLoad:
         """Return the load of an upstream, a new one if none is known."""
@@ -94,11 +95,19 @@
     def begin(self, id: str) -> None:
         """Count a request sent."""
         self.get(id).in_flight += 1
+        self.silences.begin(id)
 
-    def end(self, id: str, has_failed: bool, now: timedelta) -> bool:
-        """Count the end of a send; return whether the upstream is now ejected."""
+    def end(self, id: str, has_failed: bool | None, now: timedelta) -> bool:
+        """Count the end of a send; return whether the upstream is now ejected.
+
+        `has_failed` is None for a send that shows neither, as it was ended while its
+        upstream was silent.
+        """
         load = self.get(id)
         load.in_flight = max(load.in_flight - 1, 0)
+        self.silences.end(id, now)
+        if has_failed is None:
+            return False
         load.sends += 1
         rate = self.read_failure_rate(id, now)
         load.failure_rate = rate + FAILURE_WEIGHT * (has_failed - rate)
@@ -122,12 +131,20 @@
         return load.failure_rate * 0.5 ** ((now - load.failure_at) / FAILURE_HALF_LIFE)
 
     def note_unreachable(self, id: str, now: timedelta) -> None:
-        """Record a failed connection attempt."""
+        """Record a refused connection attempt."""
+        self.silences.note_connect(id, ConnectResult.REFUSED, now)
         load = self.get(id)
         load.ejected_until = max(load.ejected_until, now + UNREACHABLE_TIME)
         if load.unreachable_since is None:
             load.unreachable_since = now
 
+    def note_timed_out(self, id: str, now: timedelta) -> None:
+        """Record a connection attempt without a reply, which a silence may explain."""
+        self.silences.note_connect(id, ConnectResult.TIMED_OUT, now)
+        load = self.get(id)
+        if load.timing_out_since is None:
+            load.timing_out_since = now
+
     def note_refusal(self, id: str, now: timedelta) -> None:
         """Record a refusal, so that the next requests go elsewhere."""
         load = self.get(id)
@@ -137,25 +154,19 @@
 
     def note_reached(self, id: str, now: timedelta) -> None:
         """Record that an upstream has answered."""
+        self.silences.note_activity(id, now)
         load = self.get(id)
-        load.last_activity_at = now
         load.refusals = 0
-        load.unreachable_since = None
-
-    def note_activity(self, id: str, now: timedelta) -> None:
-        """Record that an upstream has sent something."""
-        self.get(id).last_activity_at = now
-
-    def has_recent_activity(self, id: str, now: timedelta) -> bool:
-        """Return whether an upstream has sent something recently and thus is alive."""
-        last_activity_at = self.get(id).last_activity_at
-        return last_activity_at is not None and now - last_activity_at < ACTIVITY_TIME
+        load.unreachable_since = load.timing_out_since = None
 
     def is_lost(self, id: str, now: timedelta) -> bool:
-        """Return whether an upstream has been unreachable for at least `LOST_TIME`."""
+        """Return whether an upstream has been unreachable for long."""
         load = self.loads.get(id)
-        since = load.unreachable_since if load else None
-        return since is not None and now - since >= LOST_TIME
+        if load is None:
+            return False
+        return _has_lasted(load.unreachable_since, LOST_TIME, now) or _has_lasted(
+            load.timing_out_since, TIMED_OUT_TIME, now
+        )
 
     def note_expired_handle(self, id: str, now: timedelta) -> None:
         """Record that the result of a prefill could not be fetched from an engine."""
@@ -174,6 +185,11 @@
     def forget(self, id: str) -> None:
         """Drop an upstream that has been removed."""
         self.loads.pop(id, None)
+        self.silences.forget(id)
+
+
+def _has_lasted(since: timedelta | None, time: timedelta, now: timedelta) -> bool:
+    return since is not None and now - since >= time
 
 
 def choose_plain(
@@ -191,14 +207,15 @@
     seconds until the rate limit of an upstream allows another request.
 
     Designed for short calls to a few upstreams with several slots each. Ejected
-    upstreams are used only when all are ejected, so that no call is refused while a
-    slot is known to be free.
+    upstreams are used only when all are ejected, and silent ones when all are silent,
+    so that no call is refused while a slot is known to be free.
     """
     avoided = set(avoid)
     usable = [record for record in candidates if record.id not in avoided]
     if not usable:
         return None
     healthy = [record for record in usable if not loads.get(record.id).is_ejected(now)]
+    healthy = pass_over_silent(healthy, loads.silences, now)
     best, lowest = None, (float("inf"), 0.0)
     for record in healthy or usable:
         cost = _estimate_plain_cost(record, loads, now, availability_zone)
