Ask an engine that does not answer again what it has cached

A gateway that started while an engine was silent for a second held its cache for unknown from then on, so that prompts were prefilled once more. It asks up to four times now, over 2.6 s.

--- a/packages/mustardquay-node/src/mustardquay_node/cache_probes.py
+++ b/packages/mustardquay-node/src/mustardquay_node/cache_probes.py
@@ -25,6 +25,9 @@
 MAX_ENGINES = 64
 """Engines that one process queries at most: each call delays an engine's work a little,
 and in a large fleet every gateway would query every engine."""
+MAX_QUERIES = 4
+"""Queries of an engine that doesn't answer. They take 2.6 s, so that one which is
+silent for a second or so is asked again when it goes on."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,11 +43,12 @@
 
 
 class CacheProbe:
-    """Queries the cache of each engine once, when it is first listed."""
+    """Queries the cache of each engine until it answers, when it is first listed."""
 
     def __init__(self, deps: CacheProbeDependencies):
         self._deps = deps
-        self._queried: set[str] = set()
+        self._queries: dict[str, int] = {}
+        """Queries of each engine that are still allowed."""
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -58,28 +62,36 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     async def _query_new_engines(self) -> None:
-        if len(self._queried) >= MAX_ENGINES:
-            return
         for engine in self._deps.list_upstreams():
-            if engine.stage is Stage.NONE or engine.id in self._queried:
+            if engine.stage is Stage.NONE:
                 continue
-            self._queried.add(engine.id)
-            await self._query(engine)
+            if engine.id not in self._queries and len(self._queries) >= MAX_ENGINES:
+                continue
+            left = self._queries.setdefault(engine.id, MAX_QUERIES)
+            if left:
+                has_answered = await self._query(engine, is_last=left == 1)
+                self._queries[engine.id] = 0 if has_answered else left - 1
 
-    async def _query(self, engine: UpstreamRecord) -> None:
+    async def _query(self, engine: UpstreamRecord, is_last: bool) -> bool:
+        """Query an engine; returns whether it has answered."""
         deps = self._deps
         call = EngineCall("GET", deps.adapter.CACHE_PATH)
         exchange = await deps.call(engine, call)
-        if exchange is None or exchange.head is None or exchange.head.status != 200:
+        if exchange is None or exchange.head is None:
+            if is_last:
+                deps.events.record("cache.unknown", upstream=engine.id)
+            return False
+        if exchange.head.status != 200:
             deps.events.record("cache.unknown", upstream=engine.id)
-            return
+            return True
         try:
             cached = deps.adapter.read_cache(exchange.content)
         except ProtocolError as error:
             deps.events.record("cache.unknown", upstream=engine.id, error=str(error))
-            return
+            return True
         deps.add_cached_parts(engine, cached)
         tokens = sum(part.tokens for part in cached)
         deps.events.record(
             "cache.listed", upstream=engine.id, parts=len(cached), tokens=tokens
         )
+        return True
--- a/packages/mustardquay-node/src/mustardquay_node/engine_calls.py
+++ b/packages/mustardquay-node/src/mustardquay_node/engine_calls.py
@@ -15,7 +15,9 @@
 __all__ = ["CallEngine", "EngineCall", "call_engine", "run_whole"]
 
 CALL_TIMEOUT = timedelta(milliseconds=500)
-"""Engines answer such calls within some milliseconds; a dead connection never does."""
+"""Engines answer such calls within some milliseconds. One that is silent for a second
+or so is called again by those who need an answer; an order that waited for longer might
+be sent when its sender no longer holds the lease."""
 
 
 @dataclass(frozen=True, slots=True)
