Do not take an upstream for silent while its caller reads slowly

A stream of 16 MB whose caller read on after 2.4 s was moved to another upstream: its own was not read meanwhile, counted as silent and was given up. The watch of a send waits for the caller now. The new test failed before (`pytest platform/adapter_tests/test_silences_beside_work.py -k slowly`).

--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -223,7 +223,8 @@
         if self._request.route.resumable:
             data = events
             self._request.last_event = self._framer.last_id or self._request.last_event
-        return self._pass_on(send, exchange, data)
+        writing = self._pass_on(send, exchange, data)
+        return None if writing is None else self._watch.wait_for_caller(writing)
 
     def _note_outlasted_onset(self, send: Send, now: timedelta) -> None:
         """Note a stream that goes on: no part of its prompt crashes its engine."""
--- a/packages/mustardquay-node/src/mustardquay_node/sending/silence_watches.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/silence_watches.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from dataclasses import replace
 from datetime import timedelta
 
@@ -83,6 +84,16 @@
             self._quiet = timedelta()
             self._begin_step(find_idle_timeout(self._request.route))
 
+    async def wait_for_caller(self, writing: Awaitable[None]) -> None:
+        """Wait for a caller that reads slowly, and watch again after that.
+
+        Meanwhile nothing is read from the upstream, so that it can't be heard.
+        """
+        if self._timer is not None:
+            self._timer.cancel()
+        await writing
+        self.restart()
+
     def _begin_step(self, time: timedelta) -> None:
         if self._timer is not None:
             self._timer.cancel()
