--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -30,8 +30,9 @@
 from .connections import Exchange
 from .crash_suspects import CrashReporter
 from .gateway_stops import GatewayStop
-from .generation_planners import GenerationPlanner, RetainedPrefill
+from .generation_planners import GenerationPlanner
 from .stream_origins import OriginSubsystem
+from .tickets import RetainedPrefill
 from .upstream_pools import UpstreamPools
 
 __all__ = ["ForwardedRequest", "ForwarderDependencies"]
--- a/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable, Collection, Iterable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from datetime import timedelta
 from random import Random
 
@@ -22,7 +22,7 @@
 from mustardquay.generation_limits import LATE_RANK
 from mustardquay.peer_digests import EngineDigest, PeerDigest, PlacedPart, trim_ranks
 from mustardquay.placements import Placement, choose_decoder, choose_engines
-from mustardquay.rate_limits import RateLimiter, Reservation
+from mustardquay.rate_limits import RateLimiter
 from mustardquay.requests import PromptPart, PromptTraits
 from mustardquay.retained_prefills import PrefillLoss, find_prefill_loss
 from mustardquay.routing_tables import Route, RoutingTable
@@ -31,37 +31,10 @@
 from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import UpstreamLoads
 
-from .adapters import Prefilled
 from .peers import MAX_PLACED_PARTS
+from .tickets import RetainedPrefill, Ticket
 
-__all__ = ["GenerationPlanner", "RetainedPrefill", "Ticket"]
-
-
-@dataclass(slots=True)
-class Ticket:
-    """A placed generation, from its placement to the end of its stream."""
-
-    placement: Placement
-    parts: tuple[HashedPart, ...]
-    rank: int = 0
-    is_prefilled: bool = False
-    is_running: bool = False
-    """Whether it occupies a slot of the decoder."""
-    reader_reservation: Reservation | None = None
-    decoder_reservation: Reservation | None = None
-    """Set if the decoder is not the reader."""
-
-
-@dataclass(slots=True)
-class RetainedPrefill:
-    """A prompt that an engine has prefilled, kept until its request has ended."""
-
-    ticket: Ticket
-    prefilled: Prefilled
-    is_handle_used: bool = False
-    """Whether another engine may have fetched the handle, which works only once."""
-    is_used: bool = False
-    """Whether an engine has generated from it."""
+__all__ = ["GenerationPlanner"]
 
 
 class GenerationPlanner:
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -23,10 +23,10 @@
 
 from .adapters import Prefilled
 from .forwarder_dependencies import ForwardedRequest, ForwarderDependencies
-from .generation_planners import RetainedPrefill, Ticket
 from .rate_reservations import await_reservation
 from .replies import Reply
 from .sending import Send, Sender, SendOptions
+from .tickets import RetainedPrefill, Ticket
 
 __all__ = ["drop_prefill", "send_generation"]
 
--- a/packages/mustardquay-node/tests/simulated_bursts.py
+++ b/packages/mustardquay-node/tests/simulated_bursts.py
@@ -27,8 +27,9 @@
 from mustardquay.routing_tables import Backend, Repeat, Route, RoutingTable
 from mustardquay.upstream_lists import Stage, UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import UpstreamLoads
-from mustardquay_node.generation_planners import GenerationPlanner, Ticket
+from mustardquay_node.generation_planners import GenerationPlanner
 from mustardquay_node.peers import BUSY_INTERVAL, PEER_INTERVAL, list_recipients
+from mustardquay_node.tickets import Ticket
 
 __all__ = ["Burst", "Caller", "Outcome", "simulate"]
 
--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -19,8 +19,8 @@
 from .engine_samples import Sample, keep_all
 from .engine_states import EngineStates, HashedPart
 from .requests import PromptTraits
-from .silences import pass_over_silent
 from .upstream_lists import Stage, UpstreamRecord
+from .usable_engines import list_usable_engines
 
 __all__ = ["Placement", "choose_decoder", "choose_engines"]
 
@@ -182,7 +182,7 @@
     request once. Engines process it before requests with a higher `rank`. `sample`
     selects the prefill engines to compare.
     """
-    usable = _list_usable(engines, states, now, set(avoid))
+    usable = list_usable_engines(engines, states, now, set(avoid))
     decoders = [engine for engine in usable if engine.stage is not Stage.PREFILL]
     if not decoders:
         return None
@@ -215,7 +215,7 @@
     avoid: Iterable[str] = (),
 ) -> UpstreamRecord | None:
     """Return the engine to decode from a finished prefill, or None if there is none."""
-    usable = _list_usable(engines, states, now, set(avoid))
+    usable = list_usable_engines(engines, states, now, set(avoid))
     decoders = [engine for engine in usable if engine.stage is not Stage.PREFILL]
     return _pick_decoder(decoders, states, now) if decoders else None
 
@@ -283,44 +283,6 @@
     return _PrefillPlan(copying, query.holder, with_copy, eviction_cost)
 
 
-def _list_usable(
-    engines: Sequence[UpstreamRecord],
-    states: EngineStates,
-    now: timedelta,
-    avoided: set[str],
-) -> list[UpstreamRecord]:
-    """Return the candidate engines; ejected ones only if no others are left.
-
-    Engines that have been unreachable for longer than the threshold are left out, so
-    that requests don't wait for connections that will fail. Only occasional requests
-    probe them.
-    """
-    usable = [engine for engine in engines if engine.id not in avoided]
-    healthy = [
-        engine for engine in usable if not states.loads.get(engine.id).is_ejected(now)
-    ]
-    if any(engine.stage is not Stage.PREFILL for engine in healthy):
-        return _pass_over_silent(healthy, states, now)
-    return [engine for engine in usable if not states.loads.is_lost(engine.id, now)]
-
-
-def _pass_over_silent(
-    engines: Sequence[UpstreamRecord], states: EngineStates, now: timedelta
-) -> list[UpstreamRecord]:
-    """Return the engines without silent ones, with some of each kind.
-
-    The kinds are apart, so that a silence of all prefill engines doesn't send all
-    prompts to decode engines, which prefill at half the speed.
-    """
-    silences = states.loads.silences
-    prefillers = [engine for engine in engines if engine.stage is Stage.PREFILL]
-    decoders = [engine for engine in engines if engine.stage is not Stage.PREFILL]
-    return [
-        *pass_over_silent(prefillers, silences, now),
-        *pass_over_silent(decoders, silences, now),
-    ]
-
-
 def _get_cost(placement: Placement) -> float:
     return placement.cost
 
