Prefill at another reader if a hand-over and its reader are silent

A caller got 502 when the reader of its prompt was dark after it had read it: both hand-overs copied from it in vain, as nothing tells a decoder that waits for its reader from one that is silent itself. If a hand-over is given up before its first event, and the reader was not heard since it began, the prompt is prefilled at another reader if there is one. A reader that was heard, or the only one, is copied from as before.

--- a/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
@@ -188,6 +188,7 @@
             self._states,
             now,
             avoid,
+            prefill.silent_since,
         )
 
     def must_copy_from_cache(self, prefill: RetainedPrefill) -> bool:
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -92,6 +92,8 @@
     """Choose another engine to decode a kept prefill; drop it if there is none."""
     loss = deps.planner.reassign_decoder(prefill, engines, request.avoid)
     if loss is not None:
+        if loss is PrefillLoss.READER_SILENT:
+            request.avoid.add(prefill.ticket.placement.reader.id)
         drop_prefill(deps, request, loss)
         return False
     placement = prefill.ticket.placement
--- a/packages/mustardquay-node/src/mustardquay_node/sending/silence_watches.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/silence_watches.py
@@ -167,6 +167,8 @@
         request = self._request
         avoid = request.avoid | {self._send.upstream.id}
         is_prefill = self._options.prefill_only
+        if request.prefill is not None and not request.prefill.is_used:
+            request.prefill.silent_since = request.sent_at
         state = (
             PrefillState.NONE
             if is_prefill
--- a/packages/mustardquay-node/src/mustardquay_node/tickets.py
+++ b/packages/mustardquay-node/src/mustardquay_node/tickets.py
@@ -1,6 +1,7 @@
 """Tickets: placed generations, and the prompts that were prefilled for them."""
 
 from dataclasses import dataclass
+from datetime import timedelta
 
 from mustardquay.engine_states import HashedPart
 from mustardquay.placements import Placement
@@ -34,5 +35,7 @@
     prefilled: Prefilled
     is_handle_used: bool = False
     """Whether another engine may have fetched the handle, which works only once."""
+    silent_since: timedelta | None = None
+    """When the last hand-over began, if it was given up for its silence."""
     is_used: bool = False
     """Whether an engine has generated from it."""
--- a/packages/mustardquay/src/mustardquay/silences/upstream_silences.py
+++ b/packages/mustardquay/src/mustardquay/silences/upstream_silences.py
@@ -138,6 +138,12 @@
         last = state.last_activity_at if state else None
         return last is not None and now - last < ACTIVITY_TIME
 
+    def was_heard_since(self, id: str, begun: timedelta) -> bool:
+        """Return whether an upstream has sent anything since `begun`."""
+        state = self._states.get(id)
+        last = state.last_activity_at if state else None
+        return last is not None and last >= begun
+
     def is_suspected(self, id: str, now: timedelta) -> bool:
         """Return whether new requests should go elsewhere; False for a trial."""
         state = self._states.get(id)
--- a/packages/mustardquay/tests/test_retained_prefills.py
+++ b/packages/mustardquay/tests/test_retained_prefills.py
@@ -23,6 +23,7 @@
 
 
 READER = make_engine("p-1", Stage.PREFILL)
+OTHER_READER = make_engine("p-2", Stage.PREFILL)
 ENGINES = [
     READER,
     make_engine("d-1", Stage.DECODE),
@@ -40,8 +41,17 @@
     return states
 
 
-def find_loss(states, engines=ENGINES, is_copied=True, avoid=("d-1",), now=NOW):
-    return find_prefill_loss(READER, PARTS, is_copied, engines, states, now, avoid)
+def find_loss(
+    states,
+    engines=ENGINES,
+    is_copied=True,
+    avoid=("d-1",),
+    now=NOW,
+    silent_since=None,
+):
+    return find_prefill_loss(
+        READER, PARTS, is_copied, engines, states, now, avoid, silent_since
+    )
 
 
 def test_another_engine_can_use_a_prefill(states):
@@ -84,3 +94,24 @@
     """Guards against repeated prefills while the engines that did them are full."""
     states.loads.note_refusal(READER.id, NOW)
     assert find_loss(states) is None
+
+
+def test_a_reader_that_is_silent_is_not_copied_from_if_there_is_another(states):
+    """Guards against two hand-overs that wait for a reader which is gone."""
+    engines = [*ENGINES, OTHER_READER]
+    assert find_loss(states, engines, silent_since=NOW) is PrefillLoss.READER_SILENT
+    assert find_loss(states, silent_since=NOW) is None
+
+
+def test_a_reader_that_was_heard_since_is_still_copied_from(states):
+    """Guards against a second prefill when it is the decode engine that is silent."""
+    engines = [*ENGINES, OTHER_READER]
+    states.loads.silences.note_activity(READER.id, NOW)
+    assert find_loss(states, engines, silent_since=NOW) is None
+
+
+def test_a_reader_is_kept_if_the_other_one_is_silent_too(states):
+    silences = states.loads.silences
+    silences.begin(OTHER_READER.id)
+    silences.note_quiet(OTHER_READER.id, LOST_TIME, NOW)
+    assert find_loss(states, [*ENGINES, OTHER_READER], silent_since=NOW) is None
