--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -30,8 +30,9 @@
 from .connections import Exchange
 from .crash_suspects import CrashReporter
 from .gateway_stops import GatewayStop
-from .generation_planners import GenerationPlanner, RetainedPrefill
+from .generation_planners import GenerationPlanner
 from .stream_origins import OriginSubsystem
+from .tickets import RetainedPrefill
 from .upstream_pools import UpstreamPools
 
 __all__ = ["ForwardedRequest", "ForwarderDependencies"]
@@ -119,6 +120,10 @@
     """Whether a send that may have run was cancelled at the deadline."""
     was_begun: bool = False
     """Whether an upstream has begun to run the request, as far as is known."""
+    is_retry_charged: bool = False
+    """Whether the next send was charged to the retry allowance already."""
+    has_met_silence: bool = False
+    """Whether an upstream was silent during a send, so that times show no load."""
     is_late: bool = False
     """Whether a generation can't meet its latency target, so that others go first."""
     expected: timedelta | None = None
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -23,10 +23,10 @@
 
 from .adapters import Prefilled
 from .forwarder_dependencies import ForwardedRequest, ForwarderDependencies
-from .generation_planners import RetainedPrefill, Ticket
 from .rate_reservations import await_reservation
 from .replies import Reply
 from .sending import Send, Sender, SendOptions
+from .tickets import RetainedPrefill, Ticket
 
 __all__ = ["drop_prefill", "send_generation"]
 
@@ -92,6 +92,8 @@
     """Choose another engine to decode a kept prefill; drop it if there is none."""
     loss = deps.planner.reassign_decoder(prefill, engines, request.avoid)
     if loss is not None:
+        if loss is PrefillLoss.READER_SILENT:
+            request.avoid.add(prefill.ticket.placement.reader.id)
         drop_prefill(deps, request, loss)
         return False
     placement = prefill.ticket.placement
@@ -233,7 +235,9 @@
         if prefill is not None:
             _note_used(prefill)
         deps.planner.end_prefill(ticket)
-        deps.planner.learn_first(ticket, deps.clock.monotonic() - started)
+        engine = ticket.placement.decoder
+        if not deps.loads.silences.was_silent_since(engine.id, started):
+            deps.planner.learn_first(ticket, deps.clock.monotonic() - started)
 
     return note
 
@@ -262,7 +266,8 @@
         except ProtocolError as error:
             send.detail = str(error)
         else:
-            deps.planner.learn_prefill(ticket, took)
+            if not send.was_silent:
+                deps.planner.learn_prefill(ticket, took)
             return prefilled
     # A prefill does not count as running the request, whatever its result.
     if send.end not in (SendResult.CALLER_LEFT, SendResult.NOT_SENT):
