Ignore records of earlier starts after the store was restored

A stream could go on at another software version than the one that began it: after the store came back from a copy, the record of an upstream's earlier start replaced that of its present one, with the version it had then, until the upstream wrote its next record. Only older records of the same start were left out. Now those of earlier starts are too.

`test_a_record_of_an_earlier_start_in_the_copy_is_ignored` failed before.

--- a/packages/mustardquay-node/src/mustardquay_node/upstream_list_updaters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstream_list_updaters.py
@@ -49,7 +49,8 @@
         """Note that the store was restored from a copy, so that records may be old.
 
         Guards against a copy made before an upstream started to drain: because of its
-        old record it would get new work until it writes its next one.
+        old record it would get new work until it writes its next one. Guards also
+        against a record of an earlier start, which may name another software version.
         """
         self._restore_grace_until = self._clock.monotonic() + RESTORE_GRACE
 
@@ -85,8 +86,10 @@
             return False
         listed = self._upstreams.get(record.id)
         known = listed or self._removed.get(record.id)
-        if known is None or known.started_ms != record.started_ms:
+        if known is None:
             return False
+        if record.started_ms != known.started_ms:
+            return record.started_ms < known.started_ms
         if record.sequence != known.sequence:
             return record.sequence < known.sequence
         # With equal sequence numbers, state learned from other sources is newer.
