Doubt the version of an upstream that another gateway saw crash

Callers of a resumable stream could get pieces of two software versions: an engine crashed under requests of one gateway and came back under its id with another version, while a second gateway, whose new record of it was half a second late, sent it a stream that had begun at the old one.

Digests tell of that crash, with the upstream and its start, within some 40 ms. A gateway that lists that very start now has its version in doubt, as if a connection had failed there: until the record of a new start, or two more of the old. Each crash counts once, as digests repeat it.

--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_reporters.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 
@@ -16,7 +16,7 @@
 from mustardquay.clocks import Clock
 from mustardquay.crash_watches import CrashWatch
 from mustardquay.events import EventRing
-from mustardquay.quarantines import CrashRecord, FingerprintStatus, Quarantine
+from mustardquay.quarantines import CrashId, CrashRecord, FingerprintStatus, Quarantine
 from mustardquay.upstream_lists import UpstreamRecord
 
 from .part_reporters import PartReporter
@@ -36,6 +36,8 @@
 """Minimum time between two repetitions of the records of all suspects."""
 RECORDS_LIMIT = 4
 """Records in one digest at most, to bound its size."""
+MAX_KNOWN_CRASHES = 1_000
+"""Crashes that are kept to tell new ones from those that digests repeat."""
 MAX_LOGGED_SUSPECTS = 4
 """Suspects that the line of a crash names, those with the most crashes first."""
 
@@ -49,15 +51,19 @@
         events: EventRing,
         notify_peers: Callable[[], None] = lambda: None,
         parts: PartReporter | None = None,
+        note_crash_elsewhere: Callable[[CrashId], None] = lambda crash: None,
     ):
         """Initialise without suspects; `notify_peers` sends the next digest at once.
 
         `parts` follows the parts of prompts, which requests that differ may share.
+        `note_crash_elsewhere` is called once for each crash that only others saw.
         """
         self.parts = parts or PartReporter(clock, events)
         self._clock = clock
         self._events = events
         self._notify_peers = notify_peers
+        self._note_crash_elsewhere = note_crash_elsewhere
+        self._known_crashes: OrderedDict[CrashId, None] = OrderedDict()
         self._watch = CrashWatch()
         self._quarantine = Quarantine(
             SUSPICION_PERIOD, QUARANTINE_PERIOD, refused_after=CRASH_LIMIT
@@ -132,6 +138,7 @@
         if suspected is None:
             return
         crash, fingerprints = suspected
+        self._add_known(crash)
         self._quarantine.note_crash(crash, fingerprints, now)
         suspects = sorted(fingerprints, key=self.count_crashes, reverse=True)
         self._events.record(
@@ -181,9 +188,21 @@
 
     def merge(self, records: Sequence[CrashRecord]) -> None:
         """Merge the records of another gateway's digest."""
+        for crash in {crash for record in records for crash in record.crashes}:
+            if self._add_known(crash):
+                self._note_crash_elsewhere(crash)
         if records and self._quarantine.merge(records, self._clock.monotonic()):
             self._events.record("quarantine.merged", records=len(records))
 
+    def _add_known(self, crash: CrashId) -> bool:
+        """Add a crash to the known ones; return whether it is new."""
+        if crash in self._known_crashes:
+            return False
+        self._known_crashes[crash] = None
+        if len(self._known_crashes) > MAX_KNOWN_CRASHES:
+            self._known_crashes.popitem(last=False)
+        return True
+
 
 def _format_fingerprint(fingerprint: int) -> str:
     return f"{fingerprint:016x}"
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -7,6 +7,7 @@
 
 from mustardquay.clocks import Clock
 from mustardquay.events import EventRing
+from mustardquay.quarantines import CrashId
 from mustardquay.rate_limits import RateLimiter
 from mustardquay.retry_windows import RetryLimits
 from mustardquay.routing_tables import RoutingTable
@@ -64,7 +65,13 @@
         self.doubts = VersionDoubts()
         self.limits = RateLimiter()
         parts = PartReporter(deps.clock, deps.events, deps.tell_of_parts)
-        self.crashes = CrashReporter(deps.clock, deps.events, deps.notify_peers, parts)
+        self.crashes = CrashReporter(
+            deps.clock,
+            deps.events,
+            deps.notify_peers,
+            parts,
+            self._note_crash_elsewhere,
+        )
         self.pools = UpstreamPools(
             deps.clock,
             _make_retry_limits(settings.bounds),
@@ -172,6 +179,15 @@
         self.loads.note_unreachable(id, self._now)
         self.crashes.note_upstream_lost(id)
 
+    def _note_crash_elsewhere(self, crash: CrashId) -> None:
+        """Doubt the version of an upstream that crashed as another gateway saw.
+
+        Its new record may come here later than it accepts connections again.
+        """
+        record = self.list.get(crash.upstream)
+        if record is not None and str(record.started_ms) == crash.boot:
+            self.doubts.note_unreachable(record)
+
     def _find_connection_limit(self, service: str) -> int | None:
         table = self._deps.find_table()
         found = table.services.get(service) if table is not None else None
