--- a/packages/mustardquay-node/src/mustardquay_node/sending/silence_watches.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/silence_watches.py
@@ -111,6 +111,7 @@
             return
         if suspicion is Suspicion.BEGUN:
             self._record("upstream.silent")
+        if self._shows_progress and silences.take_probe(self._send.upstream.id):
             probe = self._deps.pools.probe_silent(self._send.upstream)
             probe.add_done_callback(lambda done: self._end_probe(done))
         if not self._give_up():
@@ -154,9 +155,18 @@
             may_follow(request.route, history, self._expected_end, left),
             has_other_upstream(self._deps, request, self._send.upstream, is_prefill),
             left,
-            is_prefill or request.route.repeat is Repeat.STREAM,
+            self._shows_progress,
         )
 
+    @property
+    def _shows_progress(self) -> bool:
+        """Return whether the answer comes in parts, or may be expected by a time.
+
+        A silent short answer says too little of its upstream for a connection attempt.
+        """
+        is_stream = self._request.route.repeat is Repeat.STREAM
+        return is_stream or self._options.prefill_only
+
     @property
     def _expected_end(self) -> SendResult:
         is_prefill = self._options.prefill_only
--- a/packages/mustardquay/src/mustardquay/silences/upstream_silences.py
+++ b/packages/mustardquay/src/mustardquay/silences/upstream_silences.py
@@ -61,6 +61,8 @@
     """Whether the silence lasts for longer than a sound one."""
     is_gone: bool = False
     """Whether the upstream has refused a connection during its silence."""
+    is_probed: bool = False
+    """Whether a connection was tried in the present silence."""
     trials: int = 0
     """Trials that got nothing."""
     trial_at: timedelta = timedelta()
@@ -100,7 +102,7 @@
             return None
         lasted = now - state.since
         state.since = None
-        state.is_overdue = state.is_gone = False
+        state.is_overdue = state.is_gone = state.is_probed = False
         state.trials = 0
         state.was_silent_at = now
         return lasted
@@ -132,6 +134,13 @@
             if not self.has_recent_activity(id, now):
                 state.since = state.was_silent_at = now
 
+    def take_probe(self, id: str) -> bool:
+        """Return whether to try a connection to an upstream, once for each silence."""
+        state = self._get(id)
+        is_due = state.since is not None and not state.is_probed
+        state.is_probed = state.is_probed or is_due
+        return is_due
+
     def has_recent_activity(self, id: str, now: timedelta) -> bool:
         """Return whether an upstream has sent something recently and thus is alive."""
         state = self._states.get(id)
--- a/packages/mustardquay/tests/test_silences.py
+++ b/packages/mustardquay/tests/test_silences.py
@@ -192,6 +192,16 @@
     assert silences.is_suspected("u0", later)
 
 
+def test_one_connection_is_tried_in_each_silence():
+    """Guards against connections that are opened again and again for one silence."""
+    silences = UpstreamSilences()
+    assert not silences.take_probe("u0")
+    for _ in range(2):
+        suspect(silences, "u0")
+        assert [silences.take_probe("u0") for _ in range(3)] == [True, False, False]
+        silences.note_activity("u0", NOW - timedelta(seconds=1))
+
+
 def test_trials_of_an_upstream_that_stays_silent_become_rare():
     silences = UpstreamSilences()
     suspect(silences, "u0")
