--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -23,10 +23,10 @@
 
 from .adapters import Prefilled
 from .forwarder_dependencies import ForwardedRequest, ForwarderDependencies
-from .generation_planners import RetainedPrefill, Ticket
 from .rate_reservations import await_reservation
 from .replies import Reply
 from .sending import Send, Sender, SendOptions
+from .tickets import RetainedPrefill, Ticket
 
 __all__ = ["drop_prefill", "send_generation"]
 
@@ -92,6 +92,8 @@
     """Choose another engine to decode a kept prefill; drop it if there is none."""
     loss = deps.planner.reassign_decoder(prefill, engines, request.avoid)
     if loss is not None:
+        if loss is PrefillLoss.READER_SILENT:
+            request.avoid.add(prefill.ticket.placement.reader.id)
         drop_prefill(deps, request, loss)
         return False
     placement = prefill.ticket.placement
--- a/packages/mustardquay-node/src/mustardquay_node/sending/silence_watches.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/silence_watches.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from dataclasses import replace
 from datetime import timedelta
 
@@ -83,6 +84,16 @@
             self._quiet = timedelta()
             self._begin_step(find_idle_timeout(self._request.route))
 
+    async def wait_for_caller(self, writing: Awaitable[None]) -> None:
+        """Wait for a caller that reads slowly, and watch again after that.
+
+        Meanwhile nothing is read from the upstream, so that it can't be heard.
+        """
+        if self._timer is not None:
+            self._timer.cancel()
+        await writing
+        self.restart()
+
     def _begin_step(self, time: timedelta) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -100,6 +111,7 @@
             return
         if suspicion is Suspicion.BEGUN:
             self._record("upstream.silent")
+        if self._shows_progress and silences.take_probe(self._send.upstream.id):
             probe = self._deps.pools.probe_silent(self._send.upstream)
             probe.add_done_callback(lambda done: self._end_probe(done))
         if not self._give_up():
@@ -143,9 +155,18 @@
             may_follow(request.route, history, self._expected_end, left),
             has_other_upstream(self._deps, request, self._send.upstream, is_prefill),
             left,
-            is_prefill or request.route.repeat is Repeat.STREAM,
+            self._shows_progress,
         )
 
+    @property
+    def _shows_progress(self) -> bool:
+        """Return whether the answer comes in parts, or may be expected by a time.
+
+        A silent short answer says too little of its upstream for a connection attempt.
+        """
+        is_stream = self._request.route.repeat is Repeat.STREAM
+        return is_stream or self._options.prefill_only
+
     @property
     def _expected_end(self) -> SendResult:
         is_prefill = self._options.prefill_only
@@ -156,6 +177,8 @@
         request = self._request
         avoid = request.avoid | {self._send.upstream.id}
         is_prefill = self._options.prefill_only
+        if request.prefill is not None and not request.prefill.is_used:
+            request.prefill.silent_since = request.sent_at
         state = (
             PrefillState.NONE
             if is_prefill
