--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/connections.py
@@ -103,6 +103,10 @@
         """Close or answer the connections for which it is time; returns how many."""
         return sum(each.close_if_due(occasion) for each in list(self._open))
 
+    def free_descriptors(self) -> int:
+        """Close empty connections, else those that linger; returns how many."""
+        return self.apply(Occasion.SHORTAGE) or self._lingerer.free()
+
     async def end(self, end_by: timedelta) -> None:
         """Close all connections, each with the answers that are owed on it.
 
--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/limit_watches.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/limit_watches.py
@@ -63,13 +63,13 @@
         self._reading.pop(connection, None)
 
     def _check(self) -> None:
+        self.start()
         now = self._running.advance(self._clock.monotonic())
         limits = self._limits()
         idle_limit = limits.idle_timeout + limits.header_timeout
         close_overdue(self._waiting, now - idle_limit, Occasion.IDLE_LIMIT)
         begun_by = now - limits.header_timeout
         close_overdue(self._reading, begun_by, Occasion.HEADER_LIMIT)
-        self.start()
 
 
 def close_overdue(queue: Queue, begun_by: timedelta, occasion: Occasion) -> None:
--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/lingering.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/lingering.py
@@ -17,6 +17,8 @@
 DRAIN_LIMIT = timedelta(milliseconds=150)
 """How long the process waits for these callers before it exits."""
 READ_SIZE = 65536
+MOST = 256
+"""Sockets that linger at the same time; the oldest of more is closed."""
 WAIT_INTERVAL = timedelta(milliseconds=10)
 
 
@@ -33,19 +35,27 @@
         except OSError:
             stream.close()
             return
+        if len(self._timers) >= MOST:
+            self._close(next(iter(self._timers)))
         loop = asyncio.get_running_loop()
         seconds = LINGER_LIMIT.total_seconds()
         self._timers[stream] = loop.call_later(seconds, self._close, stream)
         loop.add_reader(stream, self._drop, stream)
 
+    def free(self) -> int:
+        """Close all of them, as descriptors are short; returns how many."""
+        count = len(self._timers)
+        for stream in list(self._timers):
+            self._close(stream)
+        return count
+
     async def drain(self) -> None:
         """Wait until callers have closed their sides, and close those that have not."""
         loop = asyncio.get_running_loop()
         end = loop.time() + DRAIN_LIMIT.total_seconds()
         while self._timers and loop.time() < end:
             await asyncio.sleep(WAIT_INTERVAL.total_seconds())
-        for stream in list(self._timers):
-            self._close(stream)
+        self.free()
 
     def _drop(self, stream: socket.socket) -> None:
         try:
--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/owned_connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/owned_connections.py
@@ -19,9 +19,10 @@
     decide_step,
 )
 
+from ..unread_bytes import has_unread_bytes
 from .lingering import Lingerer
 from .requests import CallerConnection
-from .streams import CallerStream, has_unread_bytes
+from .streams import CallerStream
 
 __all__ = ["ConnectionDependencies", "OwnedConnection"]
 
@@ -99,9 +100,7 @@
 
     def close_if_due(self, occasion: Occasion) -> bool:
         """Close or answer the connection if that is due; returns whether it was."""
-        step = decide_step(
-            self._ownership.phase, occasion, self.stream.has_unread_bytes
-        )
+        step = decide_step(self._ownership.phase, occasion, self._has_more)
         if step is ClosingStep.KEEP:
             return False
         self.note_close(occasion.value)
@@ -126,6 +125,13 @@
             **self._identity.describe(self._deps.clock.monotonic(), self._position),
         )
 
+    @property
+    def _has_more(self) -> bool:
+        """Return whether bytes are there that may complete a request."""
+        is_reading = self._ownership.phase is ConnectionPhase.READING
+        is_parsing = is_reading and self.stream.is_being_parsed
+        return is_parsing or self.stream.has_unread_bytes
+
     def _answer_incomplete(self, status: HTTPStatus) -> None:
         """Answer a request that was not received to its end, as not run, and close."""
         # An empty connection has bytes in the kernel, which are not read any more.
@@ -161,7 +167,8 @@
 
     def _answer_unparsable(self, stream: socket.socket) -> None:
         """Answer a line or a header over its limit, which tornado does not."""
-        if isinstance(self.stream.error, UnsatisfiableReadError):
+        is_unanswered = self._ownership.phase is ConnectionPhase.READING
+        if is_unanswered and isinstance(self.stream.error, UnsatisfiableReadError):
             status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             if self._has_header:
                 status = HTTPStatus.BAD_REQUEST
--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/streams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/streams.py
@@ -5,7 +5,9 @@
 
 from tornado.iostream import IOStream
 
-__all__ = ["CallerStream", "has_unread_bytes"]
+from ..unread_bytes import has_unread_bytes
+
+__all__ = ["CallerStream"]
 
 
 class CallerStream(IOStream):
@@ -38,6 +40,11 @@
         """Return whether bytes of the caller wait in the kernel."""
         return not self.closed() and has_unread_bytes(self.socket)
 
+    @property
+    def is_being_parsed(self) -> bool:
+        """Return whether tornado has what it waited for and goes on in a later turn."""
+        return not (self.closed() or self.reading())
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the socket, and note it."""
         size = super().read_from_fd(buf)
@@ -51,12 +58,3 @@
         """Hand the socket back."""
         released, self.socket = self.socket, None
         self._release(released)
-
-
-def has_unread_bytes(stream: socket.socket) -> bool:
-    """Return whether bytes wait in the kernel for a socket that doesn't block."""
-    try:
-        return bool(stream.recv(1, socket.MSG_PEEK))
-    except OSError:
-        # Nothing to read, or the caller is gone.
-        return False
--- a/packages/mustardquay-node/src/mustardquay_node/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections.py
@@ -25,6 +25,7 @@
 
 from .client_sockets import classify_connect_error, make_socket
 from .pauses import running_timeout
+from .unread_bytes import has_unread_bytes
 
 __all__ = [
     "AnswerHead",
@@ -138,6 +139,14 @@
         is_closed = self._stream is not None and self._stream.closed()
         return self.framing is Framing.CONNECTION and is_closed
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Return whether data of the peer are there that were not handled yet."""
+        stream = self._stream
+        if stream is None or stream.closed():
+            return False
+        return stream._read_buffer_size > 0 or has_unread_bytes(stream.socket)
+
     def attach(self, stream: IOStream) -> None:
         """Set the connection that `cancel` closes."""
         self._stream = stream
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
@@ -101,6 +101,9 @@
                 return
             except ConnectionAbortedError:
                 continue
+            except OSError:
+                logger.exception("Connections that wait can't be accepted")
+                return
 
     def _own(self, accepted: socket.socket, address: tuple) -> None:
         """Serve an accepted connection of a caller."""
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -14,7 +14,6 @@
 from mustardquay.clocks import BootTimeClock, Clock, SystemClock
 from mustardquay.connection_gates import ConnectionGate
 from mustardquay.events import Event, EventRing, HybridClock
-from mustardquay.request_ownership import Occasion
 from mustardquay.routing_tables import RoutingTable
 from mustardquay.upstream_lists import UpstreamRecord
 from mustardquay.usage import Source
@@ -221,7 +220,7 @@
             notify_peers=lambda: self._peers.send_now(),
             tell_of_parts=lambda: self._part_exchange.notify(),
             note_leaving=lambda record: self._engines.note_draining(record),
-            close_idle_callers=lambda: self._connections.apply(Occasion.SHORTAGE),
+            close_idle_callers=lambda: self._connections.free_descriptors(),
         )
         return GatewayUpstreams(self._settings, deps)
 
--- a/packages/mustardquay-node/src/mustardquay_node/sending/alternatives.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/alternatives.py
@@ -29,7 +29,8 @@
             other.id in avoided
             or (other.stage is Stage.PREFILL and not is_prefill)
             or deps.loads.get(other.id).is_ejected(now)
-            or deps.loads.silences.is_suspected(other.id, now)
+            or deps.loads.silences.is_silent(other.id)
+            or deps.loads.is_lost(other.id, now)
             or deps.limits.predict_wait(other, now)
         )
 
--- a/packages/mustardquay-node/src/mustardquay_node/sending/silence_watches.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/silence_watches.py
@@ -31,6 +31,10 @@
 __all__ = ["SilenceWatch"]
 
 
+DATA_TIME = timedelta(milliseconds=20)
+"""Time in which data that have arrived are read."""
+
+
 class SilenceWatch:
     """Watches one send until it is closed, and cancels its exchange at the most."""
 
@@ -57,7 +61,10 @@
         """Start to watch."""
         self._exchange = exchange
         first = self._options.first_part_timeout
-        self._begin_step(first or find_idle_timeout(self._request.route))
+        idle = find_idle_timeout(self._request.route)
+        self._begin_step(first or idle)
+        # What the answer may take before its first part is no silence.
+        self._step = min(self._step, idle)
 
     def close(self) -> None:
         """Stop watching."""
@@ -94,17 +101,27 @@
         await writing
         self.restart()
 
-    def _begin_step(self, time: timedelta) -> None:
+    @property
+    def _has_data(self) -> bool:
+        return self._exchange is not None and self._exchange.has_unread_data
+
+    def _begin_step(self, time: timedelta, is_quiet: bool = True) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        self._step = time
+        self._step = time if is_quiet else timedelta()
         self._timer = RunningTimer(time, self._end_step)
 
     def _end_step(self) -> None:
+        if self._has_data:
+            # Its timer came first, in the iteration of the loop that reads them.
+            self._begin_step(DATA_TIME, is_quiet=False)
+            return
         self._quiet += self._step
         now = self._deps.clock.monotonic()
         silences = self._deps.loads.silences
-        suspicion = silences.note_quiet(self._send.upstream.id, self._quiet, now)
+        suspicion = silences.note_quiet(
+            self._send.upstream.id, self._quiet, now, self._shows_progress
+        )
         if suspicion is Suspicion.ACTIVE:
             # It works on other requests; another upstream would not be faster.
             self.restart()
@@ -126,7 +143,7 @@
 
         The request can then be sent to another upstream.
         """
-        if self._exchange is None or not self._exchange.was_sent:
+        if self._exchange is None or not self._exchange.was_sent or self._has_data:
             return False
         reason = find_give_up_reason(
             self._describe(), self._deps.loads.silences, self._take_allowance
--- a/packages/mustardquay/src/mustardquay/retained_prefills.py
+++ b/packages/mustardquay/src/mustardquay/retained_prefills.py
@@ -77,7 +77,7 @@
         if engine.stage is Stage.PREFILL and engine.id not in {reader.id, *avoid}
     ]
     return any(
-        not states.loads.silences.is_suspected(other.id, now)
+        not states.loads.silences.is_silent(other.id)
         and not states.loads.get(other.id).is_ejected(now)
         for other in others
     )
--- a/packages/mustardquay/src/mustardquay/silences/upstream_silences.py
+++ b/packages/mustardquay/src/mustardquay/silences/upstream_silences.py
@@ -21,6 +21,9 @@
 TRIAL_INTERVAL = timedelta(milliseconds=500)
 """Initial time without a trial of a suspected upstream that has no work; it doubles
 with each trial that gets nothing."""
+TIMED_OUT_TIME = timedelta(seconds=3)
+"""How long attempts to connect must get no reply before an upstream counts as lost; a
+sound one is silent for a second or so."""
 MAX_TRIAL_INTERVAL = timedelta(seconds=4)
 """Longest time without a trial; upstreams that restart recover within seconds."""
 
@@ -69,6 +72,10 @@
     """When the next trial may begin, if there is no work outstanding."""
     was_silent_at: timedelta | None = None
     """When the upstream was last known as silent."""
+    timing_out_since: timedelta | None = None
+    """When an attempt to connect first got no reply, with nothing heard since."""
+    timed_out_at: timedelta = timedelta()
+    """When an attempt to connect last got no reply."""
 
 
 @dataclass(slots=True)
@@ -83,7 +90,10 @@
 
     def end(self, id: str, now: timedelta) -> None:
         """Count a send that has ended, whatever its result."""
-        state = self._get(id)
+        state = self._states.get(id)
+        if state is None:
+            # Removed while the send ran.
+            return
         state.outstanding = max(state.outstanding - 1, 0)
         if state.since is None or state.outstanding:
             return
@@ -98,6 +108,7 @@
         """
         state = self._get(id)
         state.last_activity_at = now
+        state.timing_out_since = None
         if state.since is None:
             return None
         lasted = now - state.since
@@ -107,17 +118,21 @@
         state.was_silent_at = now
         return lasted
 
-    def note_quiet(self, id: str, quiet: timedelta, now: timedelta) -> Suspicion:
+    def note_quiet(
+        self, id: str, quiet: timedelta, now: timedelta, shows_progress: bool = True
+    ) -> Suspicion:
         """Record a send that has got nothing for longer than it may take.
 
         `quiet` is the time for which this process ran meanwhile, which is less than
-        the time that has passed if it was paused.
+        the time that has passed if it was paused. A send that does not show progress
+        says nothing of how long its upstream is silent.
         """
         if self.has_recent_activity(id, now):
             return Suspicion.ACTIVE
         state = self._get(id)
         state.was_silent_at = now
-        state.is_overdue = state.is_overdue or quiet >= SOUND_SILENCE
+        is_overdue = shows_progress and quiet >= SOUND_SILENCE
+        state.is_overdue = state.is_overdue or is_overdue
         if state.since is not None:
             return Suspicion.KNOWN
         state.since = now - quiet
@@ -130,9 +145,9 @@
             state.is_gone = state.since is not None
         elif result is ConnectResult.CONNECTED:
             state.is_gone = False
-        elif result is ConnectResult.TIMED_OUT and state.since is None:
-            if not self.has_recent_activity(id, now):
-                state.since = state.was_silent_at = now
+            state.timing_out_since = None
+        elif result is ConnectResult.TIMED_OUT:
+            self._note_timed_out(state, now)
 
     def take_probe(self, id: str) -> bool:
         """Return whether to try a connection to an upstream, once for each silence."""
@@ -141,11 +156,17 @@
         state.is_probed = state.is_probed or is_due
         return is_due
 
+    def _note_timed_out(self, state: _Silence, now: timedelta) -> None:
+        state.timed_out_at = now
+        if state.timing_out_since is None:
+            state.timing_out_since = now
+        if state.since is None and not _is_recent(state.last_activity_at, now):
+            state.since = state.was_silent_at = now
+
     def has_recent_activity(self, id: str, now: timedelta) -> bool:
         """Return whether an upstream has sent something recently and thus is alive."""
         state = self._states.get(id)
-        last = state.last_activity_at if state else None
-        return last is not None and now - last < ACTIVITY_TIME
+        return state is not None and _is_recent(state.last_activity_at, now)
 
     def was_heard_since(self, id: str, begun: timedelta) -> bool:
         """Return whether an upstream has sent anything since `begun`."""
@@ -153,6 +174,18 @@
         last = state.last_activity_at if state else None
         return last is not None and last >= begun
 
+    def is_silent(self, id: str) -> bool:
+        """Return whether an upstream is silent, also where a trial of it is due."""
+        state = self._states.get(id)
+        return state is not None and state.since is not None
+
+    def is_lost(self, id: str) -> bool:
+        """Return whether attempts to connect have got no reply for long."""
+        state = self._states.get(id)
+        if state is None or state.timing_out_since is None:
+            return False
+        return state.timed_out_at - state.timing_out_since >= TIMED_OUT_TIME
+
     def is_suspected(self, id: str, now: timedelta) -> bool:
         """Return whether new requests should go elsewhere; False for a trial."""
         state = self._states.get(id)
@@ -188,3 +221,7 @@
         if state is None:
             state = self._states[id] = _Silence()
         return state
+
+
+def _is_recent(last_activity_at: timedelta | None, now: timedelta) -> bool:
+    return last_activity_at is not None and now - last_activity_at < ACTIVITY_TIME
--- a/packages/mustardquay/src/mustardquay/upstream_loads.py
+++ b/packages/mustardquay/src/mustardquay/upstream_loads.py
@@ -38,9 +38,6 @@
 soon."""
 LOST_TIME = timedelta(seconds=1)
 """How long connection attempts must be refused before an upstream counts as lost."""
-TIMED_OUT_TIME = timedelta(seconds=3)
-"""The same if attempts get no reply, as those to a sound upstream that is silent for
-a second or so."""
 EXPIRED_HANDLE_TIME = timedelta(seconds=3)
 """How long the handles of an engine aren't used after one has expired."""
 LOAD_LIFETIME = timedelta(milliseconds=300)
@@ -67,7 +64,6 @@
     refusals: int = 0
     """Consecutive refusals."""
     unreachable_since: timedelta | None = None
-    timing_out_since: timedelta | None = None
     handles_expired_until: timedelta = timedelta()
     reported: int = 0
     """Requests of all processes at the upstream, from the newest answer."""
@@ -103,7 +99,10 @@
         `has_failed` is None for a send that shows neither, as it was ended while its
         upstream was silent.
         """
-        load = self.get(id)
+        load = self.loads.get(id)
+        if load is None:
+            # Removed while the send ran.
+            return False
         load.in_flight = max(load.in_flight - 1, 0)
         self.silences.end(id, now)
         if has_failed is None:
@@ -141,9 +140,6 @@
     def note_timed_out(self, id: str, now: timedelta) -> None:
         """Record a connection attempt without a reply, which a silence may explain."""
         self.silences.note_connect(id, ConnectResult.TIMED_OUT, now)
-        load = self.get(id)
-        if load.timing_out_since is None:
-            load.timing_out_since = now
 
     def note_refusal(self, id: str, now: timedelta) -> None:
         """Record a refusal, so that the next requests go elsewhere."""
@@ -157,16 +153,14 @@
         self.silences.note_activity(id, now)
         load = self.get(id)
         load.refusals = 0
-        load.unreachable_since = load.timing_out_since = None
+        load.unreachable_since = None
 
     def is_lost(self, id: str, now: timedelta) -> bool:
         """Return whether an upstream has been unreachable for long."""
         load = self.loads.get(id)
-        if load is None:
-            return False
-        return _has_lasted(load.unreachable_since, LOST_TIME, now) or _has_lasted(
-            load.timing_out_since, TIMED_OUT_TIME, now
-        )
+        since = load.unreachable_since if load else None
+        is_refusing = since is not None and now - since >= LOST_TIME
+        return is_refusing or self.silences.is_lost(id)
 
     def note_expired_handle(self, id: str, now: timedelta) -> None:
         """Record that the result of a prefill could not be fetched from an engine."""
@@ -188,10 +182,6 @@
         self.silences.forget(id)
 
 
-def _has_lasted(since: timedelta | None, time: timedelta, now: timedelta) -> bool:
-    return since is not None and now - since >= time
-
-
 def choose_plain(
     candidates: Sequence[UpstreamRecord],
     loads: UpstreamLoads,
--- a/packages/mustardquay/tests/test_silences.py
+++ b/packages/mustardquay/tests/test_silences.py
@@ -233,6 +233,8 @@
     loads.note_unreachable("u1", NOW)
     soon, late = NOW + SOUND_SILENCE, NOW + 3 * SOUND_SILENCE
     assert [loads.is_lost(id, soon) for id in ("u0", "u1")] == [False, True]
+    assert not loads.is_lost("u0", late)
+    loads.note_timed_out("u0", late)
     assert loads.is_lost("u0", late)
     loads.note_reached("u0", late)
     assert not loads.is_lost("u0", late)
