--- a/packages/mustardquay-node/src/mustardquay_node/peers.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.capnp
@@ -32,6 +32,32 @@
   perSecond @1 :Float32;
 }
 
+# The newest load report of an upstream. Absent figures are negative.
+struct CapacityNotice {
+  upstream @0 :Text;
+  running @1 :Int32;
+  waiting @2 :Int32;
+  # How many times as long work takes as usual.
+  workTime @3 :Float32;
+  ageMilliseconds @4 :UInt32;
+}
+
+# How many times as long an engine takes as the mean engine of its service.
+struct EngineFactor {
+  engine @0 :Text;
+  prefill @1 :Float32;
+  decode @2 :Float32;
+  samples @3 :Float32;
+}
+
+# The recent use of a service by one organisation, in seconds of expected work. An empty
+# name is the sum over organisations that are not listed.
+struct OrganisationUse {
+  service @0 :Text;
+  organisation @1 :Text;
+  seconds @2 :Float32;
+}
+
 # Parallel lists of numbers instead of lists of structs, which take ten times as long to
 # read in Python; there are hundreds of datagrams a second.
 struct Digest {
@@ -68,4 +94,7 @@
   demands @21 :List(ServiceDemand);
   # Whether the sender could not take more callers.
   busy @22 :Bool;
+  capacities @23 :List(CapacityNotice);
+  engineFactors @24 :List(EngineFactor);
+  uses @25 :List(OrganisationUse);
 }
--- a/packages/mustardquay-node/src/mustardquay_node/settings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/settings.py
@@ -97,6 +97,7 @@
     address: SocketAddress
     upstreams_delay: Duration
     configuration_wait: Duration
+    upstream_readers: Annotated[int, Field(ge=0)]
 
 
 class GatewaySectionSettings(Section):
@@ -109,6 +110,9 @@
     processes: Count
     drain_timeout: Duration
     link_rate: Annotated[float, Field(ge=0)]
+    load_reports: bool
+    organisation_shares: bool
+    memory: Annotated[float, Field(ge=0)]
 
 
 class BoundsSettings(Section):
--- a/packages/mustardquay/src/mustardquay/upstream_loads.py
+++ b/packages/mustardquay/src/mustardquay/upstream_loads.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from .silences import ConnectResult, UpstreamSilences, pass_over_silent
+from .upstream_capacity import CapacityEstimates
 from .upstream_lists import UpstreamRecord
 
 __all__ = ["UpstreamLoads", "UpstreamLoad", "choose_plain"]
@@ -80,6 +81,7 @@
 
     loads: dict[str, UpstreamLoad] = field(default_factory=dict)
     silences: UpstreamSilences = field(default_factory=UpstreamSilences)
+    capacities: CapacityEstimates = field(default_factory=CapacityEstimates)
 
     def get(self, id: str) -> UpstreamLoad:
         """Return the load of an upstream, a new one if none is known."""
@@ -180,6 +182,7 @@
         """Drop an upstream that has been removed."""
         self.loads.pop(id, None)
         self.silences.forget(id)
+        self.capacities.forget(id)
 
 
 def choose_plain(
