Send nothing to an upstream that drains by its record, and read that sooner

Cause: on a deployment with 29 gateways an engine got a prompt 3.54 s after the store had acknowledged that it drains; the bound is 3.0 s. Two faults add up. Right before a send, a gateway asked what the upstream had said in answers, but not its record: a request that waited for a connection or a rate limit went to an upstream known to be leaving. And a connection to the store that goes silent was noticed late: pause, wait and hedge of a read add up to 3.05 s of the 3.0 s.

Change: a send asks the list of upstreams at its last moment; an upstream that drains or is gone gets no byte, and the request is placed anew. The store holds reads of the list for 0.3 s in place of 1.5 s (heartbeats change it all the time), and a second read starts after 0.42 s of silence. Only a silence of 0.8 s counts as a loss of the store, as before. The log of each send tells how old the list was, and by which way it came.

--- a/packages/mustardquay-node/src/mustardquay_node/feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/feeds.py
@@ -12,7 +12,7 @@
 from mustardquay.store_eras import StorePosition
 
 from .adapters import FeedPage, HistoryLost, ReadOptions, StoreRow, StoreTables
-from .hedged_reads import DiscardedRead, HedgeCallbacks, HedgedRead
+from .hedged_reads import HEDGE_DELAY, DiscardedRead, HedgeCallbacks, HedgedRead
 from .sleeps import Sleep, sleep as default_sleep
 
 __all__ = ["RESTORE_GRACE", "FeedListener", "FeedOptions", "TableFeed"]
@@ -38,6 +38,8 @@
     connection is detected that much later."""
     pause: timedelta = timedelta()
     """Pause between calls, for tables that change continually."""
+    hedge_delay: timedelta = HEDGE_DELAY
+    """Silence of a read, beyond `wait`, after which another one is started."""
 
 
 def _do_nothing() -> None:
@@ -139,7 +141,9 @@
 
     async def _read_once(self) -> None:
         observer = HedgeCallbacks(self._note_silence, self._log_discarded_read)
-        self._hedged_read = HedgedRead(self._open_read, self._clock, observer)
+        self._hedged_read = HedgedRead(
+            self._open_read, self._clock, observer, self._options.hedge_delay
+        )
         try:
             found = await self._hedged_read.run(self._choose_wait())
         finally:
--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -79,6 +79,17 @@
         usable = self.upstreams.list_usable(service)
         return [record for record in usable if not self.statements.measure_rest(record)]
 
+    def describe_list(self, at: timedelta) -> dict[str, float | str]:
+        """Return log fields that say how old the list of upstreams was at a time."""
+        confirmation = self.upstreams.confirmation
+        if confirmation is None:
+            return {}
+        age = at - confirmation.at
+        return {
+            "list_source": confirmation.source.value,
+            "list_age_ms": round(age.total_seconds() * 1000),
+        }
+
     def list_candidates(self, request: "ForwardedRequest") -> list[UpstreamRecord]:
         """Return the upstreams that a request may be sent to now."""
         accepting = self.list_accepting(request.service)
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_feeds.py
@@ -15,7 +15,7 @@
 from .settings import StoreSettings
 from .upstream_list_updaters import UpstreamListUpdater
 
-__all__ = ["FeedDependencies", "GatewayFeeds"]
+__all__ = ["FeedDependencies", "GatewayFeeds", "make_upstreams_options"]
 
 CONFIGURATION_PAUSE = timedelta(milliseconds=20)
 """Pause after each read, so that one read returns several configurations when they
@@ -26,8 +26,16 @@
 UPSTREAMS_PAUSE_SHARE = 0.25
 """Pause between reads, as a share of the time in which a leaving upstream must be
 noticed: the list changes with each heartbeat, and each read is a call to the store."""
-UPSTREAMS_WAIT_SHARE = 0.5
-"""How long the store holds a read at most, as a share of the same time."""
+UPSTREAMS_WAIT_SHARE = 0.1
+"""How long the store holds a read at most, as a share of the same time. Heartbeats
+change the list many times a second, so that a longer wait saves no calls, but a
+connection that has gone silent is noticed that much later."""
+UPSTREAMS_HEDGE_SHARE = 0.14
+"""Silence of a read after which another one is started, as a share of the same time:
+with the pause and the wait before it, a record read by the second one is known within
+half of the time."""
+MIN_UPSTREAMS_HEDGE_DELAY = timedelta(milliseconds=400)
+"""Least such silence: a slow store answers in 300 ms."""
 PEERS_WAIT = timedelta(seconds=20)
 """Long, as the list of gateways seldom changes and missing digests reveal a gateway
 that stopped."""
@@ -112,12 +120,7 @@
 
     def _follow_upstreams(self) -> TableFeed:
         deps = self._deps
-        delay = deps.settings.upstreams_delay
-        options = FeedOptions(
-            deps.adapter.UPSTREAMS_TABLE,
-            min(deps.settings.configuration_wait, UPSTREAMS_WAIT_SHARE * delay),
-            UPSTREAMS_PAUSE_SHARE * delay,
-        )
+        options = make_upstreams_options(deps.adapter.UPSTREAMS_TABLE, deps.settings)
         updater = deps.upstreams
         listener = FeedListener(
             updater.apply_rows, updater.begin_grace, updater.begin_restore
@@ -129,3 +132,14 @@
         return TableFeed(
             deps.store, options, listener, deps.events, deps.clock, deps.random
         )
+
+
+def make_upstreams_options(table: str, settings: StoreSettings) -> FeedOptions:
+    """Return the options by which a gateway follows the list of upstreams."""
+    delay = settings.upstreams_delay
+    return FeedOptions(
+        table,
+        min(settings.configuration_wait, UPSTREAMS_WAIT_SHARE * delay),
+        UPSTREAMS_PAUSE_SHARE * delay,
+        max(UPSTREAMS_HEDGE_SHARE * delay, MIN_UPSTREAMS_HEDGE_DELAY),
+    )
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -360,4 +360,5 @@
             1,
         ),
         samples=round(deps.planner.count_samples(placement.reader.service), 1),
+        **deps.describe_list(request.sent_at),
     )
--- a/packages/mustardquay-node/src/mustardquay_node/hedged_reads.py
+++ b/packages/mustardquay-node/src/mustardquay_node/hedged_reads.py
@@ -16,11 +16,11 @@
 
 from .adapters import HistoryLost, ReadOptions
 
-__all__ = ["DiscardedRead", "HedgeCallbacks", "HedgedRead"]
+__all__ = ["HEDGE_DELAY", "DiscardedRead", "HedgeCallbacks", "HedgedRead"]
 
 HEDGE_DELAY = timedelta(milliseconds=800)
 """Silence, beyond the time for which the store may hold a read, after which another
-read is started. A slow store answers in 300 ms."""
+read is started unless a read has its own limit. A slow store answers in 300 ms."""
 CHANGE_HEDGE_DELAY = timedelta(milliseconds=300)
 """The same if the store is known to have a change."""
 STALL_TIMEOUT = timedelta(milliseconds=600)
@@ -45,7 +45,8 @@
     """Callbacks of a hedged read."""
 
     note_silence: Callable[[], None]
-    """Called when no read makes progress, before another one is started."""
+    """Called when no read has made progress for `HEDGE_DELAY`, before another one is
+    started."""
     note_discarded: Callable[[DiscardedRead], None]
 
 
@@ -64,13 +65,20 @@
         open_read: Callable[[bool, ReadOptions], Awaitable[Result]],
         clock: Clock,
         events: HedgeCallbacks,
+        delay: timedelta = HEDGE_DELAY,
     ):
-        """Take `open_read`, whose first argument is whether the read is the first."""
+        """Take `open_read`, whose first argument is whether the read is the first.
+
+        Another read is started after a silence of `delay`.
+        """
         self._open_read = open_read
         self._clock = clock
         self._callbacks = events
+        self._delay = delay
         self._reads: list[_Read[Result]] = []
         self._begun = 0
+        self._lost_at = timedelta()
+        """When the store counts as lost if no read makes progress until then."""
         self._newest_due = timedelta()
         """When the newest read counts as silent."""
         self._moved_at: timedelta | None = None
@@ -88,6 +96,7 @@
 
         Raises the error of the last read if all fail.
         """
+        self._lost_at = self._clock.monotonic() + hold + HEDGE_DELAY
         try:
             self._begin(hold)
             while True:
@@ -111,10 +120,11 @@
         self._begun += 1
         read.task = asyncio.ensure_future(work)
         self._reads.append(read)
-        self._newest_due = read.begun_at + hold + HEDGE_DELAY
+        self._newest_due = read.begun_at + hold + self._delay
 
     def _begin_hedge(self) -> None:
-        if not self._misses_change():
+        is_lost = self._clock.monotonic() >= self._lost_at
+        if is_lost and not self._misses_change():
             self._callbacks.note_silence()
         self._begin(timedelta())
 
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -108,6 +108,7 @@
             status=send.status,
             framing=send.framing,
             software_version=send.upstream.software_version,
+            **self._deps.describe_list(self._request.sent_at),
             kept=send.was_reused,
             next=step,
             age_ms=self._reply.age_ms,
@@ -154,14 +155,16 @@
         Guards against news since its upstream was chosen, as connections, reservations
         and the prefill take time: that the request, or a part of its prompt, has
         crashed too many upstreams, that one that it reaches is leaving or wants to
-        rest, or that the one which is to go on with its stream may have another
-        software version by now.
+        rest, that its upstream drains or is gone by the list, or that the one which is
+        to go on with its stream may have another software version by now.
         """
         crashes = self._deps.crashes
         if crashes.is_refused(self._request.fingerprint):
             return False
         if crashes.parts.find_refused(self._request.parts) is not None:
             return False
+        if not self._deps.upstreams.accepts(upstream):
+            return False
         goes_on = self._request.origin is not None and not options.prefill_only
         if goes_on and not self._is_unchanged(upstream):
             return False
--- a/packages/mustardquay-node/src/mustardquay_node/upstream_list_updaters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstream_list_updaters.py
@@ -7,7 +7,7 @@
 from mustardquay.clocks import Clock
 from mustardquay.errors import ProtocolError
 from mustardquay.events import EventRing
-from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
+from mustardquay.upstream_lists import ListSource, UpstreamList, UpstreamRecord
 
 from .adapters import Adapter, StoreRow
 from .feeds import RESTORE_GRACE
@@ -74,6 +74,7 @@
         if is_whole:
             for record in self._upstreams.replace(records, now):
                 self._note_removed(record)
+        self._upstreams.note_confirmed(ListSource.STORE, now)
 
     def expire(self) -> None:
         """Remove the upstreams that did not return after an outage of the store."""
--- a/packages/mustardquay-node/tests/test_hedged_reads.py
+++ b/packages/mustardquay-node/tests/test_hedged_reads.py
@@ -7,7 +7,12 @@
 import pytest
 
 from mustardquay.errors import StoreUnavailable
-from mustardquay_node.hedged_reads import MAX_READS, HedgeCallbacks, HedgedRead
+from mustardquay_node.hedged_reads import (
+    HEDGE_DELAY,
+    MAX_READS,
+    HedgeCallbacks,
+    HedgedRead,
+)
 from mustardquay_standins.virtual_loops import LoopClock, VirtualLoop
 
 HOLD = timedelta(seconds=2)
@@ -37,10 +42,10 @@
     won_at: float | None = None
     winner: int | None = None
 
-    def run(self, hold=HOLD, change_at=None):
+    def run(self, hold=HOLD, change_at=None, delay=HEDGE_DELAY):
         loop = VirtualLoop()
         self.loop = loop
-        read = HedgedRead(self.open_read, LoopClock(loop), self.observe())
+        read = HedgedRead(self.open_read, LoopClock(loop), self.observe(), delay)
         if change_at is not None:
             loop.call_later(change_at, read.note_change)
         try:
@@ -96,6 +101,15 @@
     assert trial.silences == 1
 
 
+def test_a_read_with_a_short_limit_gets_an_early_hedge_and_loses_no_store():
+    """Guards against a store that counts as lost because it is slow for a moment."""
+    delay = timedelta(milliseconds=400)
+    trial = Trial([Script(), Script(ends=0.05)]).run(delay=delay)
+    assert (trial.begun, trial.winner, trial.silences) == ([0.0, 2.4], 1, 0)
+    trial = Trial([Script(), Script(), Script(ends=0.05)]).run(delay=delay)
+    assert (trial.begun, trial.silences) == ([0.0, 2.4, 2.8], 1)
+
+
 def test_a_read_that_stalls_gets_a_hedge():
     """Guards against a connection that stalls in the middle of a large row."""
     trial = Trial([Script((0.1, 0.2)), Script(ends=0.1)]).run(change_at=0.0)
--- a/packages/mustardquay/src/mustardquay/upstream_lists.py
+++ b/packages/mustardquay/src/mustardquay/upstream_lists.py
@@ -10,7 +10,14 @@
 from datetime import timedelta
 from enum import StrEnum
 
-__all__ = ["RESTORE_GRACE", "Stage", "UpstreamList", "UpstreamRecord"]
+__all__ = [
+    "RESTORE_GRACE",
+    "Confirmation",
+    "ListSource",
+    "Stage",
+    "UpstreamList",
+    "UpstreamRecord",
+]
 
 RESTORE_GRACE = timedelta(seconds=2.2)
 """How long records may be missing after the store has recovered. The platform documents
@@ -52,6 +59,24 @@
     doesn't fit together."""
 
 
+class ListSource(StrEnum):
+    """Where the state of the list comes from."""
+
+    STORE = "store"
+    """A read of this process."""
+    PEER = "peer"
+    """A gateway that reads the list for others."""
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmation:
+    """The newest state of the store that the list is known to include."""
+
+    source: ListSource
+    at: timedelta
+    """When the store had this state, on the monotonic clock."""
+
+
 @dataclass(slots=True)
 class _Listed:
     record: UpstreamRecord
@@ -75,6 +100,12 @@
         self._listed: dict[str, _Listed] = {}
         self._grace_until: timedelta | None = None
         self._is_known = False
+        self._confirmation: Confirmation | None = None
+
+    @property
+    def confirmation(self) -> Confirmation | None:
+        """Return up to when the list is confirmed, None before the first read."""
+        return self._confirmation
 
     @property
     def is_known(self) -> bool:
@@ -100,10 +131,25 @@
             and not self._is_leaving(listed.record)
         ]
 
+    def accepts(self, record: UpstreamRecord) -> bool:
+        """Return whether an upstream chosen by a record still accepts new work.
+
+        Guards against news between the choice of an upstream and the send.
+        """
+        listed = self._listed.get(record.id)
+        if listed is None or listed.record.draining:
+            return False
+        return not self._is_leaving(listed.record)
+
     def begin_grace(self, now: timedelta) -> None:
         """Start the grace period after an outage of the store."""
         self._grace_until = now + RESTORE_GRACE
 
+    def note_confirmed(self, source: ListSource, at: timedelta) -> None:
+        """Record that the list includes the state that the store had at a time."""
+        if self._confirmation is None or at >= self._confirmation.at:
+            self._confirmation = Confirmation(source, at)
+
     def put(self, record: UpstreamRecord) -> UpstreamRecord | None:
         """Add a record; return the one that it replaces."""
         before = self._listed.get(record.id)
