Get the configuration from another gateway while the store turns one away

Change: a version that is known for a fifth of the time in which it must be in force, and that the store has not sent, is asked of a gateway that has it in force: by HTTP on the peer port, from the same availability zone first. The document is decoded like one of the store, and only a newer version takes effect. The setting configuration_relay switches it on.

Tests: with a store that is down for one of two gateways, its version (also of a megabyte) is in force there within 2 s, beside a gateway that is silent as well; older versions have no effect; nothing changes without the setting.

--- a/packages/mustardquay-node/src/mustardquay_node/configuration_loaders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/configuration_loaders.py
@@ -1,5 +1,6 @@
-"""Loading of the operator's configuration from rows of the store."""
+"""Loading of the operator's configuration from the store or from another gateway."""
 
+import asyncio
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 from operator import attrgetter
@@ -11,10 +12,14 @@
 from mustardquay.version_trackers import TableState, VersionTracker
 
 from .adapters import Adapter, StoreRow
+from .configuration_relays.documents import RelayedDocument
 from .time_slices import run_in_slices
 
 __all__ = ["ConfigurationLoader"]
 
+STORE = "store"
+"""The source of versions that this process has read itself, in its log."""
+
 
 class ConfigurationLoader:
     """Activates each newer configuration; the active version never decreases."""
@@ -43,6 +48,19 @@
         self._list_peer_versions = list_peer_versions
         self._get_bound = get_bound
         self._versions = VersionTracker()
+        self._document: RelayedDocument | None = None
+        # The store and another gateway may deliver versions at the same time.
+        self._lock = asyncio.Lock()
+
+    @property
+    def document(self) -> RelayedDocument | None:
+        """Return the configuration in force as it was received, None before it."""
+        return self._document
+
+    @property
+    def is_decoding(self) -> bool:
+        """Return whether a version is being decoded."""
+        return self._is_decoding
 
     @property
     def version(self) -> int:
@@ -84,31 +102,40 @@
 
         Of several versions, only the newest one that can be decoded is activated, and
         older ones are not decoded: a large one takes a busy process some 100 ms. Other
-        work goes on meanwhile. Calls must follow one another.
+        work goes on meanwhile.
         """
-        for row in sorted(rows, key=attrgetter("version"), reverse=True):
-            if row.key != self._key or row.deleted:
-                continue
-            if await self._load(row):
-                return
-
-    async def _load(self, row: StoreRow) -> bool:
-        """Decode and activate one row; return whether it could be decoded."""
+        async with self._lock:
+            for row in sorted(rows, key=attrgetter("version"), reverse=True):
+                if row.key != self._key or row.deleted:
+                    continue
+                if await self._load(row.value, STORE):
+                    return
+
+    async def apply_document(self, document: RelayedDocument, gateway: str) -> None:
+        """Activate the configuration of another gateway if it is newer."""
+        async with self._lock:
+            if document.version > self.version:
+                await self._load(document.value, gateway)
+
+    async def _load(self, value: bytes, source: str) -> bool:
+        """Decode and activate one version; return whether it could be decoded."""
+        if self._document is not None and value == self._document.value:
+            return True
         started_at = self._clock.monotonic()
         self._is_decoding = True
         try:
-            steps = self._decoder.decode(row.value)
+            steps = self._decoder.decode(value)
             table = await run_in_slices(steps, self._clock)
         except ProtocolError as error:
             self._events.record("configuration.refused", error=str(error))
             return False
         finally:
             self._is_decoding = False
-        self._activate_if_newer(table, started_at, len(row.value))
+        self._activate_if_newer(table, started_at, value, source)
         return True
 
     def _activate_if_newer(
-        self, table: RoutingTable, started_at: timedelta, size: int
+        self, table: RoutingTable, started_at: timedelta, value: bytes, source: str
     ) -> None:
         before = self.version
         if before and table.version <= before:
@@ -116,12 +143,14 @@
         lag = self.lag
         self._activate(table)
         self._versions.set_in_force(table.version)
+        self._document = RelayedDocument(table.version, value)
         self._events.record(
             "configuration.in_force",
             version=table.version,
             before=before,
             routes=len(table.routes),
-            bytes=size,
+            bytes=len(value),
+            source=source,
             behind_ms=_to_milliseconds(lag),
             decode_ms=_to_milliseconds(self._clock.monotonic() - started_at),
         )
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_keys.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_keys.py
@@ -84,6 +84,14 @@
         "Whether upstreams are chosen by the load and the speed that their answers "
         "report.",
     ),
+    Key(
+        "gateway",
+        "configuration_relay",
+        "no",
+        "yes or no",
+        "Whether a version of the configuration that the store does not send is asked "
+        "of another gateway. The same at all gateways.",
+    ),
     Key(
         "gateway",
         "organisation_shares",
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
@@ -12,6 +12,7 @@
 from mustardquay.routing_tables import CallerLimits
 
 from .caller_connections import CallerConnections
+from .configuration_relays import RELAY_PATH, RelayedDocument, RelayHandler
 from .connection_gates import GateMonitor
 from .connections import split_address
 from .descriptors import AcceptingSocket
@@ -74,6 +75,13 @@
         """Serve the metrics for Prometheus."""
         self._serve(address, METRICS_PATH, _MetricsHandler, {"render": render})
 
+    def serve_configuration(
+        self, address: str, get_document: Callable[[], RelayedDocument | None]
+    ) -> None:
+        """Serve the configuration in force to other gateways."""
+        options = {"get_document": get_document}
+        self._serve(address, RELAY_PATH, RelayHandler, options)
+
     def apply_limits(self, limits: CallerLimits) -> None:
         """Apply the operator's limits to requests received from now on."""
         self._parameters.max_header_size = limits.header_bytes
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -21,6 +21,7 @@
 
 from .adapters import Adapter, load_adapter
 from .configuration_loaders import ConfigurationLoader
+from .configuration_relays import ConfigurationRelay, RelayDependencies
 from .connection_gates import GateMonitor
 from .crash_suspects import PartExchange
 from .digest_exchanges import DigestDependencies, DigestExchange
@@ -93,6 +94,9 @@
             self._upstreams.planner.list_configurations,
             lambda: self._settings.bounds.configuration_delay,
         )
+        self._relay = (
+            self._make_relay() if settings.gateway.configuration_relay else None
+        )
         self._digest_exchange = self._make_digest_exchange()
         self._peers = self._make_peers()
         self._part_exchange = PartExchange(
@@ -158,6 +162,11 @@
             address = f"{self._settings.node.address}:{gateway.metrics_port}"
             self._servers.serve_metrics(address, self._metrics.render)
         await self._peers.start()
+        if self._relay is not None:
+            self._servers.serve_configuration(
+                self._peers.address, lambda: self._configurations.document
+            )
+            self._relay.start()
         self._origins.start()
         self._part_exchange.start()
         self._feeds.start()
@@ -186,6 +195,8 @@
             await self._usage.close()
         await self._engines.close()
         await self._feeds.close()
+        if self._relay is not None:
+            await self._relay.close()
         await self._origins.close()
         await self._part_exchange.close()
         await self._peers.close()
@@ -311,10 +322,31 @@
             limits=self._upstreams.limits,
             configurations=self._configurations,
             is_ready=lambda: self.is_ready,
-            fetch_configuration=lambda: self._feeds.fetch_configuration(),
+            fetch_configuration=self._fetch_configuration,
         )
         return DigestExchange(deps)
 
+    def _make_relay(self) -> ConfigurationRelay:
+        deps = RelayDependencies(
+            self._clock,
+            self._random,
+            self._events,
+            self._settings.node.availability_zone,
+            get_version=lambda: self.version,
+            measure_lag=lambda: self._configurations.lag,
+            get_bound=lambda: self._settings.bounds.configuration_delay,
+            is_loading=lambda: self._configurations.is_decoding,
+            list_sources=self._upstreams.planner.list_sources,
+            find_address=lambda name: self._peers.find_address(name),
+            apply=self._configurations.apply_document,
+        )
+        return ConfigurationRelay(deps)
+
+    def _fetch_configuration(self) -> None:
+        self._feeds.fetch_configuration()
+        if self._relay is not None:
+            self._relay.note_behind()
+
     def _make_peers(self) -> PeerLink:
         node, gateway = self._settings.node, self._settings.gateway
         return PeerLink(
--- a/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from mustardquay.clocks import Clock
+from mustardquay.configuration_sources import ConfigurationSource
 from mustardquay.engine_models import EngineModels
 from mustardquay.engine_samples import make_sample
 from mustardquay.engine_states import (
@@ -279,6 +280,12 @@
         peers.expire(self._clock.monotonic())
         return peers.list_configurations()
 
+    def list_sources(self) -> list[ConfigurationSource]:
+        """Return the configurations in force at the other gateways."""
+        peers = self._states.works.peers
+        peers.expire(self._clock.monotonic())
+        return peers.list_sources()
+
     def build_digest(
         self, name: str, incarnation: int, number: int, configuration: int
     ) -> PeerDigest:
--- a/packages/mustardquay-node/src/mustardquay_node/peers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.py
@@ -134,6 +134,11 @@
         except (MustardquayError, TimeoutError) as error:
             logger.info("Could not remove the registered peer address: %r", error)
 
+    @property
+    def address(self) -> str:
+        """Return the address of this gateway; after `start`, with the port in use."""
+        return self._address
+
     @property
     def count(self) -> int:
         """Return the number of listed gateways, including this one."""
@@ -149,6 +154,11 @@
         """Return the names of the recipients of this gateway's digests."""
         return list_recipients(self._name, self._peers)
 
+    def find_address(self, name: str) -> str | None:
+        """Return the registered address of another gateway, None if it isn't listed."""
+        address = self._peers.get(name)
+        return None if address is None else f"{address[0]}:{address[1]}"
+
     def add_channel(
         self, prefix: bytes, receive: Callable[[bytes, Address], None]
     ) -> None:
--- a/packages/mustardquay-node/src/mustardquay_node/settings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/settings.py
@@ -111,6 +111,7 @@
     drain_timeout: Duration
     link_rate: Annotated[float, Field(ge=0)]
     load_reports: bool
+    configuration_relay: bool
     organisation_shares: bool
     memory: Annotated[float, Field(ge=0)]
 
--- a/packages/mustardquay/src/mustardquay/peer_digests.py
+++ b/packages/mustardquay/src/mustardquay/peer_digests.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from .configuration_sources import ConfigurationSource
 from .engine_models import PoolSpeeds
 from .quarantines import CrashRecord
 from .rate_limits import LimitNotice
@@ -181,6 +182,16 @@
         """Return the configuration version of each gateway."""
         return [received.digest.configuration for received in self.digests.values()]
 
+    def list_sources(self) -> list[ConfigurationSource]:
+        """Return the configuration of each gateway, and where that gateway is."""
+        digests = (received.digest for received in self.digests.values())
+        return [
+            ConfigurationSource(
+                digest.gateway, digest.configuration, digest.availability_zone
+            )
+            for digest in digests
+        ]
+
     def list_changing(self) -> set[str]:
         """Return the engines that are changing their stage and take no work."""
         return {
