Keep no removed upstream after a single failed call to the store

One connection attempt of a gateway to the store timed out, for 0.4 s, just as an engine's record was removed. The gateway took that for an outage, in which records of live upstreams may expire, and kept the removed one for 2.2 s and until the next check: it dropped the engine 2.72 s after the store, all others within 0.4 s. Records expire after three missed heartbeats, so that a failure under 2.4 s explains no missing record.

Change: only 2 s or more without an answer start the grace period, and rows that arrive after it end it.

Tests: a short loss keeps no removed record (failed before), and one failed call of a feed is shorter than the limit.

--- a/packages/mustardquay-node/src/mustardquay_node/feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/feeds.py
@@ -46,6 +46,10 @@
     """Do nothing; the default callback."""
 
 
+def _ignore_outage(duration: timedelta) -> None:
+    """Do nothing; the default callback for the end of an outage."""
+
+
 @dataclass(frozen=True, slots=True)
 class FeedListener:
     """Callbacks of a feed."""
@@ -53,8 +57,8 @@
     on_rows: Callable[[Sequence[StoreRow], bool], Awaitable[None] | None]
     """Called with rows, and whether they are all rows of the table. The next read
     begins once it has ended."""
-    on_reconnected: Callable[[], None] = _do_nothing
-    """Called before the first rows after an outage."""
+    on_reconnected: Callable[[timedelta], None] = _ignore_outage
+    """Called before the first rows after an outage, with the time without an answer."""
     on_restored: Callable[[], None] = _do_nothing
     """Called before the first rows after the store was restored from a copy."""
 
@@ -148,8 +152,8 @@
             found = await self._hedged_read.run(self._choose_wait())
         finally:
             self._hedged_read = None
-        self._answered_at = self._clock.monotonic()
         self._note_answer()
+        self._answered_at = self._clock.monotonic()
         await self._apply(found)
 
     async def _apply(self, found: _ReadResult) -> None:
@@ -243,14 +247,17 @@
         self._failures = 0
         if self._lost_at is None:
             return
-        away = self._clock.monotonic() - self._lost_at
+        now = self._clock.monotonic()
+        away = now - self._lost_at
+        unanswered = now - (self._answered_at or self._lost_at)
         self._lost_at = None
         self._events.record(
             "feed.regained",
             table=self._options.table,
             away_s=round(away.total_seconds(), 3),
+            unanswered_s=round(unanswered.total_seconds(), 3),
         )
-        self._listener.on_reconnected()
+        self._listener.on_reconnected(unanswered)
 
     def _note_lost(self, error: str) -> None:
         if self._lost_at is None:
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_feeds.py
@@ -123,7 +123,7 @@
         options = make_upstreams_options(deps.adapter.UPSTREAMS_TABLE, deps.settings)
         updater = deps.upstreams
         listener = FeedListener(
-            updater.apply_rows, updater.begin_grace, updater.begin_restore
+            updater.apply_rows, updater.end_outage, updater.begin_restore
         )
         return self._make_feed(options, listener)
 
--- a/packages/mustardquay-node/src/mustardquay_node/upstream_list_updaters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstream_list_updaters.py
@@ -54,9 +54,9 @@
         """
         self._restore_grace_until = self._clock.monotonic() + RESTORE_GRACE
 
-    def begin_grace(self) -> None:
-        """Start the grace period of upstreams: the store is back from an outage."""
-        self._upstreams.begin_grace(self._clock.monotonic())
+    def end_outage(self, duration: timedelta) -> None:
+        """Note that the store is back after an outage of some duration."""
+        self._upstreams.end_outage(duration, self._clock.monotonic())
 
     def apply_rows(self, rows: Sequence[StoreRow], is_whole: bool) -> None:
         """Apply rows of the store: with `is_whole` all of them, else changed ones."""
@@ -74,6 +74,7 @@
         if is_whole:
             for record in self._upstreams.replace(records, now):
                 self._note_removed(record)
+        self.expire()
         self._upstreams.note_confirmed(ListSource.STORE, now)
 
     def expire(self) -> None:
--- a/packages/mustardquay-node/tests/test_gateway_feeds.py
+++ b/packages/mustardquay-node/tests/test_gateway_feeds.py
@@ -6,8 +6,10 @@
 
 import pytest
 
+from mustardquay.errors import StoreUnavailable
 from mustardquay.events import EventRing, HybridClock
 from mustardquay.store_eras import StorePosition
+from mustardquay.upstream_lists import MIN_EXPIRY_OUTAGE
 from mustardquay_node.adapters import FeedPage, StoreRow
 from mustardquay_node.feeds import FeedListener, TableFeed
 from mustardquay_node.gateway_feeds import make_upstreams_options
@@ -20,6 +22,25 @@
 """Seconds after which the followed row changes."""
 
 
+class FailingStore:
+    """Refuses one call, and answers all others."""
+
+    def __init__(self, loop, fails_at):
+        self.loop = loop
+        self.fails_at = fails_at
+        self.has_failed = False
+
+    async def list_rows(self, table, options):
+        await asyncio.sleep(0.05)
+        return FeedPage((), StorePosition(0, 1))
+
+    async def follow(self, table, after, options):
+        if not self.has_failed and self.loop.time() >= self.fails_at:
+            self.has_failed = True
+            raise StoreUnavailable("The store does not answer; try again later.")
+        return await self.list_rows(table, options)
+
+
 class Store:
     """Stops to answer on the connections that are open `silent_from` seconds on."""
 
@@ -42,16 +63,9 @@
         return FeedPage((row,), StorePosition(0, version))
 
 
-def measure_delay(silent_from):
-    """Return the seconds after which a change is known, beside a dead connection."""
-    loop = VirtualLoop()
+def follow(loop, store, listener):
+    """Follow the list of upstreams in virtual time."""
     clock = LoopClock(loop)
-    seen = []
-
-    def note_rows(rows, is_whole):
-        if not seen and rows[0].value == b"2":
-            seen.append(loop.time())
-
     settings = StoreSettings(
         adapter="a",
         address="127.0.0.1:1",
@@ -60,9 +74,9 @@
         upstream_readers=0,
     )
     feed = TableFeed(
-        Store(loop, silent_from),
+        store,
         make_upstreams_options("servers", settings),
-        FeedListener(note_rows),
+        listener,
         EventRing("g1", HybridClock(clock)),
         clock,
         Random(1),
@@ -78,6 +92,18 @@
         loop.run_until_complete(run())
     finally:
         loop.close()
+
+
+def measure_delay(silent_from):
+    """Return the seconds after which a change is known, beside a dead connection."""
+    loop = VirtualLoop()
+    seen = []
+
+    def note_rows(rows, is_whole):
+        if not seen and rows[0].value == b"2":
+            seen.append(loop.time())
+
+    follow(loop, Store(loop, silent_from), FeedListener(note_rows))
     return seen[0] - CHANGES_AT
 
 
@@ -89,3 +115,13 @@
     gateway knew of the change more than 3 s after the store.
     """
     assert measure_delay(silent_from) <= DRAIN_BOUND.total_seconds() / 2
+
+
+def test_a_call_that_fails_once_is_no_outage_in_which_records_expire():
+    """Guards against removed upstreams that are kept after a single failed call."""
+    loop = VirtualLoop()
+    outages = []
+    listener = FeedListener(lambda rows, is_whole: None, outages.append)
+    follow(loop, FailingStore(loop, CHANGES_AT), listener)
+    [outage] = outages
+    assert timedelta() < outage < MIN_EXPIRY_OUTAGE
--- a/packages/mustardquay/src/mustardquay/upstream_lists.py
+++ b/packages/mustardquay/src/mustardquay/upstream_lists.py
@@ -11,6 +11,7 @@
 from enum import StrEnum
 
 __all__ = [
+    "MIN_EXPIRY_OUTAGE",
     "RESTORE_GRACE",
     "Confirmation",
     "ListSource",
@@ -22,6 +23,9 @@
 RESTORE_GRACE = timedelta(seconds=2.2)
 """How long records may be missing after the store has recovered. The platform documents
 that live upstreams renew theirs within about 2 s; the rest is for one poll."""
+MIN_EXPIRY_OUTAGE = timedelta(seconds=2)
+"""Outage of the store from which on records of live upstreams may have expired in it:
+they do so after three missed heartbeats, which take 2.4 s or more to miss."""
 
 
 class Stage(StrEnum):
@@ -141,9 +145,15 @@
             return False
         return not self._is_leaving(listed.record)
 
-    def begin_grace(self, now: timedelta) -> None:
-        """Start the grace period after an outage of the store."""
-        self._grace_until = now + RESTORE_GRACE
+    def end_outage(self, duration: timedelta, now: timedelta) -> None:
+        """Start the grace period after an outage in which records may have expired.
+
+        A shorter one starts none. Guards against a gateway that fails to reach the
+        store once while an upstream leaves: it would keep the removed record, and send
+        to that upstream for seconds after all others stopped.
+        """
+        if duration >= MIN_EXPIRY_OUTAGE:
+            self._grace_until = now + RESTORE_GRACE
 
     def note_confirmed(self, source: ListSource, at: timedelta) -> None:
         """Record that the list includes the state that the store had at a time."""
--- a/packages/mustardquay/tests/test_upstream_lists.py
+++ b/packages/mustardquay/tests/test_upstream_lists.py
@@ -8,6 +8,8 @@
 )
 
 NOW = timedelta(seconds=100)
+OUTAGE = timedelta(seconds=4)
+"""Long enough for records of live upstreams to expire."""
 
 
 def make_record(id, draining=False, service="app"):
@@ -37,7 +39,7 @@
     """
     upstreams = UpstreamList()
     upstreams.replace([make_record("one"), make_record("two")], NOW)
-    upstreams.begin_grace(NOW)
+    upstreams.end_outage(OUTAGE, NOW)
     assert upstreams.replace([], NOW) == []
     assert len(upstreams.list_usable("app")) == 2
 
@@ -47,10 +49,21 @@
     assert [each.id for each in upstreams.list_usable("app")] == ["one"]
 
 
+def test_a_short_loss_of_the_store_keeps_no_removed_record():
+    """Guards against a gateway that still sends to an upstream which has left.
+
+    One failed call to the store is no outage in which records expire.
+    """
+    upstreams = UpstreamList()
+    upstreams.replace([make_record("one")], NOW)
+    upstreams.end_outage(timedelta(seconds=1.2), NOW)
+    assert upstreams.remove("one", NOW)
+
+
 def test_draining_upstreams_get_no_grace():
     upstreams = UpstreamList()
     upstreams.replace([make_record("one", draining=True)], NOW)
-    upstreams.begin_grace(NOW)
+    upstreams.end_outage(OUTAGE, NOW)
     assert upstreams.remove("one", NOW)
 
 
