--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -64,11 +64,11 @@
     planner: GenerationPlanner
     stop: GatewayStop
     find_table_state: Callable[[], TableState]
-    forward_to_peer: Callable[["ForwardedRequest", "Reply"], Awaitable[bool]] | None = (
-        None
-    )
-    """Forwards a request to another gateway if that is of use, and returns whether it
-    has its answer; None if this gateway forwards none."""
+    get_peer_forwarding: Callable[
+        [], Callable[["ForwardedRequest", "Reply"], Awaitable[bool]] | None
+    ] = lambda: None
+    """Returns what forwards a request to another gateway if that is of use, and returns
+    whether the request has its answer; None if this gateway forwards none."""
     is_configuration_confirmed: Callable[[], bool] = lambda: True
     """Returns whether the store has recently shown that there is no newer one."""
     note_begun: Callable[[str, timedelta], None] = lambda organisation, at: None
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -118,7 +118,7 @@
 
     async def _forward_to_peer(self) -> bool:
         """Forward the request to another gateway; returns whether it has its answer."""
-        forward_to_peer = self._deps.forward_to_peer
+        forward_to_peer = self._deps.get_peer_forwarding()
         if forward_to_peer is None or self._deps.stop.has_begun:
             return False
         return await forward_to_peer(self._request, self._reply)
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_peerings.py
@@ -0,0 +1,129 @@
+"""What gateways do for each other beside their digests, as the settings ask for it."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+
+from mustardquay.clocks import Clock
+from mustardquay.events import EventRing
+from mustardquay.peer_digests import PeerDigest
+
+from .adapters import Adapter
+from .configuration_loaders import ConfigurationLoader
+from .configuration_relays import ConfigurationRelay, RelayDependencies
+from .forwarder_dependencies import ForwardedRequest
+from .gateway_servers import GatewayServers
+from .generation_planners import GenerationPlanner
+from .peer_forwarding import PeerForwarder, PeerForwarderDependencies
+from .peers import PeerLink
+from .replies import Reply
+from .settings import GatewaySettings
+
+__all__ = ["GatewayPeering", "PeeringDependencies"]
+
+
+@dataclass(frozen=True, slots=True)
+class PeeringDependencies:
+    """Dependencies of `GatewayPeering`."""
+
+    adapter: Adapter
+    clock: Clock
+    random: Random
+    events: EventRing
+    configurations: ConfigurationLoader
+    planner: GenerationPlanner
+    peers: PeerLink
+    servers: GatewayServers
+    count_forwarded: Callable[[str, str], None]
+    """Counts a request by the gateway that it was left to, and by its end."""
+
+
+class GatewayPeering:
+    """Hands configurations and requests from one gateway to another."""
+
+    def __init__(self, settings: GatewaySettings, deps: PeeringDependencies):
+        self._settings = settings
+        self._deps = deps
+        gateway = settings.gateway
+        self._relay = self._make_relay() if gateway.configuration_relay else None
+        self._forwarder = self._make_forwarder() if gateway.peer_forwarding else None
+        self._forward_port = 0
+
+    @property
+    def forward_port(self) -> int:
+        """Return the port for requests of other gateways, 0 if it takes none."""
+        return self._forward_port
+
+    @property
+    def forward(self) -> Callable[[ForwardedRequest, Reply], Awaitable[bool]] | None:
+        """Return what forwards requests to other gateways, None if nothing does."""
+        return None if self._forwarder is None else self._forwarder.forward
+
+    def listen(self) -> None:
+        """Listen for requests of other gateways; before the first digest is sent."""
+        if self._forwarder is None:
+            return
+        node, gateway = self._settings.node, self._settings.gateway
+        port = gateway.peer_port + 1 if gateway.peer_port else 0
+        self._forward_port = self._deps.servers.listen_to_peers(
+            f"{node.address}:{port}"
+        )
+
+    def start(self) -> None:
+        """Serve and fetch configurations; after the peer link has started."""
+        if self._relay is None:
+            return
+        self._deps.servers.serve_configuration(
+            self._deps.peers.address, lambda: self._deps.configurations.document
+        )
+        self._relay.start()
+
+    async def close(self) -> None:
+        """Stop fetching, and close the connections to other gateways."""
+        if self._relay is not None:
+            await self._relay.close()
+        if self._forwarder is not None:
+            self._forwarder.close()
+
+    def apply_digest(self, digest: PeerDigest) -> None:
+        """Apply the newest digest of a gateway."""
+        if self._forwarder is not None:
+            self._forwarder.apply_digest(digest)
+
+    def note_behind(self) -> None:
+        """Note that another gateway has a newer configuration in force."""
+        if self._relay is not None:
+            self._relay.note_behind()
+
+    def _make_relay(self) -> ConfigurationRelay:
+        deps = self._deps
+        return ConfigurationRelay(
+            RelayDependencies(
+                deps.clock,
+                deps.random,
+                deps.events,
+                self._settings.node.availability_zone,
+                get_version=lambda: deps.configurations.version,
+                measure_lag=lambda: deps.configurations.lag,
+                get_bound=lambda: self._settings.bounds.configuration_delay,
+                is_loading=lambda: deps.configurations.is_decoding,
+                list_sources=deps.planner.list_sources,
+                find_address=deps.peers.find_address,
+                apply=deps.configurations.apply_document,
+            )
+        )
+
+    def _make_forwarder(self) -> PeerForwarder:
+        deps = self._deps
+        return PeerForwarder(
+            PeerForwarderDependencies(
+                deps.clock,
+                deps.random,
+                deps.events,
+                self._settings.node.availability_zone,
+                self._settings.gateway.link_rate,
+                find_host=deps.peers.find_host,
+                build_headers=deps.adapter.build_peer_headers,
+                count=deps.count_forwarded,
+            )
+        )
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -14,7 +14,6 @@
 from mustardquay.clocks import BootTimeClock, Clock, SystemClock
 from mustardquay.connection_gates import ConnectionGate
 from mustardquay.events import Event, EventRing, HybridClock
-from mustardquay.peer_digests import PeerDigest
 from mustardquay.routing_tables import RoutingTable
 from mustardquay.upstream_lists import UpstreamRecord
 from mustardquay.usage import Source
@@ -22,7 +21,6 @@
 
 from .adapters import Adapter, load_adapter
 from .configuration_loaders import ConfigurationLoader
-from .configuration_relays import ConfigurationRelay, RelayDependencies
 from .connection_gates import GateMonitor
 from .crash_suspects import PartExchange
 from .digest_exchanges import DigestDependencies, DigestExchange
@@ -35,10 +33,10 @@
 from .gateway_feeds import FeedDependencies, GatewayFeeds
 from .gateway_gauges import GaugeSources, make_gauges
 from .gateway_metrics import GatewayMetrics
+from .gateway_peerings import GatewayPeering, PeeringDependencies
 from .gateway_servers import GatewayServers
 from .gateway_stops import GatewayStop, StopDependencies, warn_of_short_drain
 from .gateway_upstreams import GatewayUpstreams, UpstreamDependencies
-from .peer_forwarding import PeerForwarder, PeerForwarderDependencies
 from .peers import PeerLink
 from .seeds import make_seed
 from .settings import GatewaySettings
@@ -79,8 +77,6 @@
         self._origins = self._make_origins()
         self._gate = ConnectionGate(self._random)
         self._stop = self._make_stop()
-        self._peer_forwarder = self._make_peer_forwarder()
-        self._forward_port = 0
         self._forwarder = Forwarder(self._make_forwarder_dependencies())
         self._list_updater = UpstreamListUpdater(
             self._adapter,
@@ -98,11 +94,11 @@
             self._upstreams.planner.list_configurations,
             lambda: self._settings.bounds.configuration_delay,
         )
-        self._relay = (
-            self._make_relay() if settings.gateway.configuration_relay else None
-        )
         self._digest_exchange = self._make_digest_exchange()
         self._peers = self._make_peers()
+        gate_monitor = GateMonitor(self._gate, self._clock, self._events)
+        self._servers = GatewayServers(self._upstreams.free_descriptors, gate_monitor)
+        self._peering = self._make_peering()
         self._part_exchange = PartExchange(
             node.name, self._upstreams.crashes.parts, self._peers, self._random
         )
@@ -112,8 +108,6 @@
         self._feeds = self._make_feeds()
         for each in (self._engines, self._feeds, self._peers, self._origins):
             self._eras.listen(each.note_era)
-        gate_monitor = GateMonitor(self._gate, self._clock, self._events)
-        self._servers = GatewayServers(self._upstreams.free_descriptors, gate_monitor)
         self._callers = GatewayCallers(
             self._clock, self._events, self._forwarder, self._servers
         )
@@ -165,14 +159,9 @@
         if gateway.metrics_port:
             address = f"{self._settings.node.address}:{gateway.metrics_port}"
             self._servers.serve_metrics(address, self._metrics.render)
-        if self._peer_forwarder is not None:
-            self._listen_to_peers()
+        self._peering.listen()
         await self._peers.start()
-        if self._relay is not None:
-            self._servers.serve_configuration(
-                self._peers.address, lambda: self._configurations.document
-            )
-            self._relay.start()
+        self._peering.start()
         self._origins.start()
         self._part_exchange.start()
         self._feeds.start()
@@ -196,15 +185,12 @@
         await self._stop.run(self._settings.gateway.drain_timeout)
         # Must precede every step that waits for the store.
         await self._callers.end(self._stop.ends_in or timedelta())
-        if self._peer_forwarder is not None:
-            self._peer_forwarder.close()
         self._checks.close()
         if self._usage is not None:
             await self._usage.close()
         await self._engines.close()
         await self._feeds.close()
-        if self._relay is not None:
-            await self._relay.close()
+        await self._peering.close()
         await self._origins.close()
         await self._part_exchange.close()
         await self._peers.close()
@@ -279,9 +265,7 @@
             find_table_state=lambda: self._configurations.find_state(),
             is_configuration_confirmed=lambda: self._feeds.is_configuration_confirmed,
             note_begun=self._note_begun,
-            forward_to_peer=(
-                self._peer_forwarder.forward if self._peer_forwarder else None
-            ),
+            get_peer_forwarding=lambda: self._peering.forward,
             count_answer=self._count_answer,
             count_send=self._metrics.count_send,
             count_unused_prefill=self._metrics.count_unused_prefill,
@@ -333,58 +317,30 @@
             limits=self._upstreams.limits,
             configurations=self._configurations,
             link_rate=self._settings.gateway.link_rate,
-            get_forward_port=lambda: self._forward_port,
-            note_digest=self._note_digest,
+            get_forward_port=lambda: self._peering.forward_port,
+            note_digest=lambda digest: self._peering.apply_digest(digest),
             is_ready=lambda: self.is_ready,
             fetch_configuration=self._fetch_configuration,
         )
         return DigestExchange(deps)
 
-    def _make_relay(self) -> ConfigurationRelay:
-        deps = RelayDependencies(
-            self._clock,
-            self._random,
-            self._events,
-            self._settings.node.availability_zone,
-            get_version=lambda: self.version,
-            measure_lag=lambda: self._configurations.lag,
-            get_bound=lambda: self._settings.bounds.configuration_delay,
-            is_loading=lambda: self._configurations.is_decoding,
-            list_sources=self._upstreams.planner.list_sources,
-            find_address=lambda name: self._peers.find_address(name),
-            apply=self._configurations.apply_document,
-        )
-        return ConfigurationRelay(deps)
-
-    def _make_peer_forwarder(self) -> PeerForwarder | None:
-        gateway = self._settings.gateway
-        if not gateway.peer_forwarding:
-            return None
-        deps = PeerForwarderDependencies(
+    def _make_peering(self) -> GatewayPeering:
+        deps = PeeringDependencies(
+            self._adapter,
             self._clock,
             self._random,
             self._events,
-            self._settings.node.availability_zone,
-            gateway.link_rate,
-            find_host=lambda name: self._peers.find_host(name),
-            build_headers=self._adapter.build_peer_headers,
-            count=self._metrics.count_forwarded,
+            self._configurations,
+            self._upstreams.planner,
+            self._peers,
+            self._servers,
+            self._metrics.count_forwarded,
         )
-        return PeerForwarder(deps)
-
-    def _note_digest(self, digest: PeerDigest) -> None:
-        if self._peer_forwarder is not None:
-            self._peer_forwarder.apply_digest(digest)
-
-    def _listen_to_peers(self) -> None:
-        node, gateway = self._settings.node, self._settings.gateway
-        port = gateway.peer_port + 1 if gateway.peer_port else 0
-        self._forward_port = self._servers.listen_to_peers(f"{node.address}:{port}")
+        return GatewayPeering(self._settings, deps)
 
     def _fetch_configuration(self) -> None:
         self._feeds.fetch_configuration()
-        if self._relay is not None:
-            self._relay.note_behind()
+        self._peering.note_behind()
 
     def _make_peers(self) -> PeerLink:
         node, gateway = self._settings.node, self._settings.gateway
