Say in digests where a gateway hands on its configuration

The relay listened on the number of the UDP port, which another process may use over TCP: a test failed by an address in use. The port is its own now, and digests carry it.

--- a/packages/mustardquay-node/src/mustardquay_node/configuration_relays/clients.py
+++ b/packages/mustardquay-node/src/mustardquay_node/configuration_relays/clients.py
@@ -47,8 +47,8 @@
     is_loading: Callable[[], bool]
     """Returns whether a version is being decoded or received from the store."""
     list_sources: Callable[[], Sequence[ConfigurationSource]]
-    find_address: Callable[[str], str | None]
-    """Returns the address at which a gateway answers others."""
+    find_host: Callable[[str], str | None]
+    """Returns the IP number of a gateway, None if it isn't listed."""
     apply: Callable[[RelayedDocument, str], Awaitable[None]]
     """Puts a document of a gateway into force if it is newer."""
 
@@ -107,8 +107,8 @@
             await self._sleep(RETRY_DELAY)
             return
         self._tried.add(source.gateway)
-        address = deps.find_address(source.gateway)
-        document = None if address is None else await self._ask(address)
+        host = deps.find_host(source.gateway)
+        document = None if host is None else await self._ask(f"{host}:{source.port}")
         deps.events.record(
             "configuration.asked",
             gateway=source.gateway,
--- a/packages/mustardquay-node/src/mustardquay_node/digest_exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/digest_exchanges.py
@@ -10,6 +10,7 @@
 
 from .configuration_loaders import ConfigurationLoader
 from .crash_suspects import CrashReporter
+from .gateway_servers import PeeringPorts
 from .gateway_stops import GatewayStop
 from .generation_planners import GenerationPlanner
 
@@ -32,8 +33,8 @@
     is_ready: Callable[[], bool]
     link_rate: float
     """Rate of the link of this gateway in Mbit/s."""
-    get_forward_port: Callable[[], int]
-    """Returns the port for requests of other gateways, 0 if it takes none."""
+    ports: PeeringPorts
+    """Ports at which other gateways connect to this one."""
     note_digest: Callable[[PeerDigest], None]
     """Passes a received digest on to the forwarding of requests."""
     fetch_configuration: Callable[[], None]
@@ -71,7 +72,8 @@
             limits=deps.limits.list_notices(now),
             demands=deps.limits.demand.list_demands(now) if knows_limits else None,
             link_rate=deps.link_rate,
-            forward_port=deps.get_forward_port(),
+            forward_port=deps.ports.forward,
+            relay_port=deps.ports.relay,
             ends_in=deps.stop.ends_in,
         )
 
--- a/packages/mustardquay-node/src/mustardquay_node/digest_frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/digest_frames.py
@@ -74,6 +74,7 @@
             message.busy,
             link_rate=message.linkRate,
             forward_port=message.forwardPort,
+            relay_port=message.relayPort,
             ends_in=_read_end(message),
         )
     except (capnp.KjException, IndexError, ValueError):
@@ -182,6 +183,7 @@
     message.busy = digest.is_busy
     message.linkRate = digest.link_rate
     message.forwardPort = digest.forward_port
+    message.relayPort = digest.relay_port
     if digest.ends_in is not None:
         message.stopping = True
         left = max(digest.ends_in, timedelta())
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_peerings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_peerings.py
@@ -12,7 +12,7 @@
 from .configuration_loaders import ConfigurationLoader
 from .configuration_relays import ConfigurationRelay, RelayDependencies
 from .forwarder_dependencies import ForwardedRequest
-from .gateway_servers import GatewayServers
+from .gateway_servers import GatewayServers, PeeringPorts
 from .generation_planners import GenerationPlanner
 from .peer_forwarding import PeerForwarder, PeerForwarderDependencies
 from .peers import PeerLink
@@ -34,6 +34,8 @@
     planner: GenerationPlanner
     peers: PeerLink
     servers: GatewayServers
+    ports: PeeringPorts
+    """Set by `start`, for the digests."""
     count_forwarded: Callable[[str, str], None]
     """Counts a request by the gateway that it was left to, and by its end."""
 
@@ -47,36 +49,24 @@
         gateway = settings.gateway
         self._relay = self._make_relay() if gateway.configuration_relay else None
         self._forwarder = self._make_forwarder() if gateway.peer_forwarding else None
-        self._forward_port = 0
-
-    @property
-    def forward_port(self) -> int:
-        """Return the port for requests of other gateways, 0 if it takes none."""
-        return self._forward_port
 
     @property
     def forward(self) -> Callable[[ForwardedRequest, Reply], Awaitable[bool]] | None:
         """Return what forwards requests to other gateways, None if nothing does."""
         return None if self._forwarder is None else self._forwarder.forward
 
-    def listen(self) -> None:
-        """Listen for requests of other gateways; before the first digest is sent."""
-        if self._forwarder is None:
-            return
-        node, gateway = self._settings.node, self._settings.gateway
-        port = gateway.peer_port + 1 if gateway.peer_port else 0
-        self._forward_port = self._deps.servers.listen_to_peers(
-            f"{node.address}:{port}"
-        )
-
     def start(self) -> None:
-        """Serve and fetch configurations; after the peer link has started."""
-        if self._relay is None:
-            return
-        self._deps.servers.serve_configuration(
-            self._deps.peers.address, lambda: self._deps.configurations.document
-        )
-        self._relay.start()
+        """Listen to other gateways; before the first digest, which has the ports."""
+        deps, ports = self._deps, self._deps.ports
+        host, port = self._settings.node.address, self._settings.gateway.peer_port
+        if self._forwarder is not None:
+            forward_port = port + 1 if port else 0
+            ports.forward = deps.servers.listen_to_peers(f"{host}:{forward_port}")
+        if self._relay is not None:
+            ports.relay = deps.servers.serve_configuration(
+                f"{host}:{port}", lambda: deps.configurations.document
+            )
+            self._relay.start()
 
     async def close(self) -> None:
         """Stop fetching, and close the connections to other gateways."""
@@ -108,7 +98,7 @@
                 get_bound=lambda: self._settings.bounds.configuration_delay,
                 is_loading=lambda: deps.configurations.is_decoding,
                 list_sources=deps.planner.list_sources,
-                find_address=deps.peers.find_address,
+                find_host=deps.peers.find_host,
                 apply=deps.configurations.apply_document,
             )
         )
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
@@ -3,6 +3,7 @@
 import logging
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from tornado.http1connection import HTTP1ConnectionParameters, HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
@@ -18,7 +19,7 @@
 from .descriptors import AcceptingSocket
 from .metric_pages import load_exporters
 
-__all__ = ["GatewayServers"]
+__all__ = ["GatewayServers", "PeeringPorts"]
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
 """Tornado's limit of a body; the operator's limit is checked before it."""
@@ -29,6 +30,16 @@
 logger = logging.getLogger(__name__)
 
 
+@dataclass(slots=True)
+class PeeringPorts:
+    """Ports at which other gateways connect to this one; 0 for none."""
+
+    forward: int = 0
+    """For requests that they forward."""
+    relay: int = 0
+    """For reads of the configuration in force."""
+
+
 class GatewayServers:
     """Listens on the addresses of one gateway."""
 
@@ -90,10 +101,10 @@
 
     def serve_configuration(
         self, address: str, get_document: Callable[[], RelayedDocument | None]
-    ) -> None:
-        """Serve the configuration in force to other gateways."""
+    ) -> int:
+        """Serve the configuration in force to other gateways; returns the port."""
         options = {"get_document": get_document}
-        self._serve(address, RELAY_PATH, RelayHandler, options)
+        return self._serve(address, RELAY_PATH, RelayHandler, options)
 
     def apply_limits(self, limits: CallerLimits) -> None:
         """Apply the operator's limits to requests received from now on."""
@@ -149,14 +160,15 @@
 
     def _serve(
         self, address: str, path: str, handler: type[RequestHandler], options: dict
-    ) -> None:
+    ) -> int:
+        """Serve one path; returns the port in use."""
         rules = [(path, handler, options)]
         application = Application(rules, log_function=lambda handler: None)
-        self._listen(HTTPServer(application), address)
-
-    def _listen(self, server: HTTPServer, address: str) -> None:
-        server.add_sockets(self._bind(address))
+        server = HTTPServer(application)
+        sockets = self._bind(address)
+        server.add_sockets(sockets)
         self._servers.append(server)
+        return sockets[0].getsockname()[1]
 
     def _bind(
         self, address: str, admits: Callable[[], bool] | None = None
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -34,7 +34,7 @@
 from .gateway_gauges import GaugeSources, make_gauges
 from .gateway_metrics import GatewayMetrics
 from .gateway_peerings import GatewayPeering, PeeringDependencies
-from .gateway_servers import GatewayServers
+from .gateway_servers import GatewayServers, PeeringPorts
 from .gateway_stops import GatewayStop, StopDependencies, warn_of_short_drain
 from .gateway_upstreams import GatewayUpstreams, UpstreamDependencies
 from .peers import PeerLink
@@ -94,6 +94,7 @@
             self._upstreams.planner.list_configurations,
             lambda: self._settings.bounds.configuration_delay,
         )
+        self._ports = PeeringPorts()
         self._digest_exchange = self._make_digest_exchange()
         self._peers = self._make_peers()
         gate_monitor = GateMonitor(self._gate, self._clock, self._events)
@@ -159,9 +160,8 @@
         if gateway.metrics_port:
             address = f"{self._settings.node.address}:{gateway.metrics_port}"
             self._servers.serve_metrics(address, self._metrics.render)
-        self._peering.listen()
-        await self._peers.start()
         self._peering.start()
+        await self._peers.start()
         self._origins.start()
         self._part_exchange.start()
         self._feeds.start()
@@ -317,7 +317,7 @@
             limits=self._upstreams.limits,
             configurations=self._configurations,
             link_rate=self._settings.gateway.link_rate,
-            get_forward_port=lambda: self._peering.forward_port,
+            ports=self._ports,
             note_digest=lambda digest: self._peering.apply_digest(digest),
             is_ready=lambda: self.is_ready,
             fetch_configuration=self._fetch_configuration,
@@ -334,6 +334,7 @@
             self._upstreams.planner,
             self._peers,
             self._servers,
+            self._ports,
             self._metrics.count_forwarded,
         )
         return GatewayPeering(self._settings, deps)
--- a/packages/mustardquay-node/src/mustardquay_node/peers.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.capnp
@@ -100,4 +100,6 @@
   # Megabits per second of the sender's link, and its port for forwarded requests.
   linkRate @26 :Float32;
   forwardPort @27 :UInt16;
+  # Port at which the sender hands on its configuration.
+  relayPort @28 :UInt16;
 }
--- a/packages/mustardquay-node/src/mustardquay_node/peers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.py
@@ -159,11 +159,6 @@
         address = self._peers.get(name)
         return None if address is None else address[0]
 
-    def find_address(self, name: str) -> str | None:
-        """Return the registered address of another gateway, None if it isn't listed."""
-        address = self._peers.get(name)
-        return None if address is None else f"{address[0]}:{address[1]}"
-
     def add_channel(
         self, prefix: bytes, receive: Callable[[bytes, Address], None]
     ) -> None:
--- a/packages/mustardquay/src/mustardquay/configuration_sources.py
+++ b/packages/mustardquay/src/mustardquay/configuration_sources.py
@@ -25,6 +25,8 @@
     gateway: str
     version: int
     availability_zone: str
+    port: int = 0
+    """Where it hands on its configuration."""
 
 
 def choose_source(
--- a/packages/mustardquay/src/mustardquay/peer_digests.py
+++ b/packages/mustardquay/src/mustardquay/peer_digests.py
@@ -105,6 +105,8 @@
     """Rate of its link in Mbit/s; 0 if it takes no forwarded requests."""
     forward_port: int = 0
     """Port for requests that other gateways forward; 0 if it takes none."""
+    relay_port: int = 0
+    """Port at which it hands on its configuration; 0 if it doesn't."""
     ends_in: timedelta | None = None
     """Time until a stopping gateway ends at the latest; None for all others."""
 
@@ -191,9 +193,13 @@
         digests = (received.digest for received in self.digests.values())
         return [
             ConfigurationSource(
-                digest.gateway, digest.configuration, digest.availability_zone
+                digest.gateway,
+                digest.configuration,
+                digest.availability_zone,
+                digest.relay_port,
             )
             for digest in digests
+            if digest.relay_port
         ]
 
     def list_changing(self) -> set[str]:
