--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/list_readers/list_followers.py
@@ -0,0 +1,112 @@
+"""List followers: up to where the list of a gateway is known to be complete.
+
+The load condition: news of several list readers and of the gateway's own reads, stale,
+lost, doubled, reordered, or read from a socket after the process was held.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import StrEnum
+
+from ..store_eras import StorePosition
+from .notices import ListNotice, ListRead, ListRow
+
+__all__ = ["ListFollower", "NoticeUse"]
+
+MAX_PENDING = 64
+"""Notices of which some parts are missing; a reader sends a few each second."""
+
+
+class NoticeUse(StrEnum):
+    """What a gateway can conclude from a notice."""
+
+    CONFIRMS = "confirms"
+    """The list includes all changes up to the notice's version."""
+    PARTIAL = "partial"
+    """Other parts are missing; the rows can be used."""
+    GAP = "gap"
+    """Changes before the notice's base are missing; the rows can be used."""
+    NEWER_ERA = "newer_era"
+    """The store was restored from a copy; the list must be read from it."""
+    IGNORED = "ignored"
+    """From before a restore of the store, or there is no list yet."""
+
+
+@dataclass(slots=True)
+class _Pending:
+    missing: set[int]
+
+
+class ListFollower:
+    """The position and the confirmed age of the list of one gateway."""
+
+    def __init__(self) -> None:
+        self._position: StorePosition | None = None
+        self._confirmed_at: timedelta | None = None
+        self._pending: dict[tuple[str, int], _Pending] = {}
+
+    @property
+    def position(self) -> StorePosition | None:
+        """Return up to where the list is complete; None before the first read."""
+        return self._position
+
+    @property
+    def confirmed_at(self) -> timedelta | None:
+        """Return when the store had a state that the list includes."""
+        return self._confirmed_at
+
+    def note_read(self, read: ListRead) -> None:
+        """Note a read of this gateway.
+
+        A version that is lower than that of the read before is from a store that was
+        restored without a new era.
+        """
+        known = self._position
+        is_reset = (
+            known is None
+            or read.position.era != known.era
+            or (read.before is not None and read.position.version < read.before.version)
+        )
+        if is_reset or read.position.version > known.version:
+            self._position = read.position
+        self._confirm(read.begun_at)
+
+    def take(
+        self, notice: ListNotice, at: timedelta
+    ) -> tuple[NoticeUse, Sequence[ListRow]]:
+        """Take a notice; return its use, and the rows that may be news.
+
+        `at` is when the reader began the read that the notice reports.
+        """
+        known = self._position
+        if known is None or notice.era < known.era:
+            return NoticeUse.IGNORED, ()
+        if notice.era > known.era:
+            return NoticeUse.NEWER_ERA, ()
+        rows = [row for row in notice.rows if known.version < row.version]
+        rows = [row for row in rows if row.version <= notice.version]
+        if not self._is_complete(notice):
+            return NoticeUse.PARTIAL, rows
+        if notice.base > known.version:
+            return NoticeUse.GAP, rows
+        if notice.version > known.version:
+            self._position = StorePosition(known.era, notice.version)
+        self._confirm(at)
+        return NoticeUse.CONFIRMS, rows
+
+    def _confirm(self, at: timedelta) -> None:
+        self._confirmed_at = max(at, self._confirmed_at or at)
+
+    def _is_complete(self, notice: ListNotice) -> bool:
+        """Return whether this is the last missing part of a notice."""
+        if notice.parts == 1:
+            return True
+        key = (notice.sender, notice.number)
+        if key not in self._pending:
+            self._pending[key] = _Pending(set(range(notice.parts)))
+            while len(self._pending) > MAX_PENDING:
+                self._pending.pop(next(iter(self._pending)))
+        missing = self._pending[key].missing
+        missing.discard(notice.part)
+        return not missing
--- a/packages/mustardquay/src/mustardquay/upstream_lists.py
+++ b/packages/mustardquay/src/mustardquay/upstream_lists.py
@@ -5,7 +5,7 @@
 renew it during an outage of the store, although it is serving.
 """
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import StrEnum
@@ -145,6 +145,10 @@
         """Start the grace period after an outage of the store."""
         self._grace_until = now + RESTORE_GRACE
 
+    def extend_grace(self, until: timedelta) -> None:
+        """Make the grace period last until a time at least."""
+        self._grace_until = max(until, self._grace_until or until)
+
     def note_confirmed(self, source: ListSource, at: timedelta) -> None:
         """Record that the list includes the state that the store had at a time."""
         if self._confirmation is None or at >= self._confirmation.at:
@@ -169,16 +173,22 @@
         return True
 
     def replace(
-        self, records: Iterable[UpstreamRecord], now: timedelta
+        self,
+        records: Iterable[UpstreamRecord],
+        now: timedelta,
+        kept: Collection[str] = (),
     ) -> list[UpstreamRecord]:
-        """Replace the whole list; return the upstreams that were removed."""
+        """Replace the whole list; return the upstreams that were removed.
+
+        Upstreams in `kept` stay as they are.
+        """
         present = set()
         for record in records:
             self.put(record)
             present.add(record.id)
         self._is_known = True
         gone = []
-        for id in self._listed.keys() - present:
+        for id in self._listed.keys() - present - set(kept):
             record = self._listed[id].record
             if self.remove(id, now):
                 gone.append(record)
--- a/packages/mustardquay/tests/test_upstream_lists.py
+++ b/packages/mustardquay/tests/test_upstream_lists.py
@@ -59,3 +59,21 @@
     assert not upstreams.is_known
     upstreams.replace([], NOW)
     assert upstreams.is_known
+
+
+def test_a_longer_grace_period_of_list_readers_counts():
+    """Guards against an upstream that only the gateways that read the list keep."""
+    upstreams = UpstreamList()
+    upstreams.replace([make_record("one")], NOW)
+    upstreams.extend_grace(NOW + RESTORE_GRACE)
+    upstreams.extend_grace(NOW)
+    assert not upstreams.remove("one", NOW + RESTORE_GRACE / 2)
+    assert [each.id for each in upstreams.expire(NOW + RESTORE_GRACE)] == ["one"]
+
+
+def test_kept_upstreams_stay_in_a_replaced_list():
+    upstreams = UpstreamList()
+    upstreams.replace([make_record("one"), make_record("two")], NOW)
+    gone = upstreams.replace([make_record("three")], NOW, kept={"two"})
+    assert [each.id for each in gone] == ["one"]
+    assert {each.id for each in upstreams} == {"two", "three"}
