Let few gateways read the upstream list and notify the others

With `[store] upstream_readers` above 0 and a fleet of more than four times as many gateways, `ListRelay` starts and stops the gateway's `TableFeed` as `mustardquay.list_readers` decides, and sends or takes notices on a datagram channel of its own. `TableFeed` continues from the position that notices have reached. Gateways register their availability zone beside their address, so that all know the zones. With 0, each gateway reads as before.

Log lines `list.readers`, `list.reading` and `list.following`, gauges `mustardquay.list.age`, `.reading`, `.reader` and `.confirmers`.

--- a/packages/mustardquay-node/src/mustardquay_node/feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/feeds.py
@@ -15,7 +15,7 @@
 from .hedged_reads import HEDGE_DELAY, DiscardedRead, HedgeCallbacks, HedgedRead
 from .sleeps import Sleep, sleep as default_sleep
 
-__all__ = ["RESTORE_GRACE", "FeedListener", "FeedOptions", "TableFeed"]
+__all__ = ["RESTORE_GRACE", "FeedListener", "FeedOptions", "FeedRead", "TableFeed"]
 
 FIRST_RETRY_DELAY = timedelta(milliseconds=100)
 MAX_RETRY_DELAY = timedelta(milliseconds=600)
@@ -42,10 +42,22 @@
     """Silence of a read, beyond `wait`, after which another one is started."""
 
 
-def _do_nothing() -> None:
+def _do_nothing(*_: object) -> None:
     """Do nothing; the default callback."""
 
 
+@dataclass(frozen=True, slots=True)
+class FeedRead:
+    """A read whose rows were applied."""
+
+    before: StorePosition | None
+    """The position that was applied before, None at first."""
+    page: FeedPage
+    is_whole: bool
+    """Whether these are all rows that the store has."""
+    begun_at: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class FeedListener:
     """Callbacks of a feed."""
@@ -57,6 +69,8 @@
     """Called before the first rows after an outage."""
     on_restored: Callable[[], None] = _do_nothing
     """Called before the first rows after the store was restored from a copy."""
+    on_read: Callable[[FeedRead], None] = _do_nothing
+    """Called after the rows of a read were applied."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +80,7 @@
     page: FeedPage
     is_whole: bool
     """Whether these are all rows of the table, not only those that changed."""
+    begun_at: timedelta
 
 
 class TableFeed:
@@ -88,6 +103,7 @@
         self._clock = clock
         self._random = random
         self._sleep = sleep
+        self._pause = options.pause
         self._position: StorePosition | None = None
         """Where the next read continues; None to read all rows."""
         self._applied_position: StorePosition | None = None
@@ -105,10 +121,53 @@
         """Return when the store last answered, on the monotonic clock."""
         return self._answered_at
 
+    @property
+    def position(self) -> StorePosition | None:
+        """Return the position of the newest rows, None before the first read."""
+        return self._position
+
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the store doesn't answer."""
+        return self._lost_at is not None
+
+    @property
+    def is_restoring(self) -> bool:
+        """Return whether rows are kept that a restored store lacks."""
+        return self._grace_until is not None
+
     def start(self) -> None:
         """Start to follow the table."""
         self._task = asyncio.create_task(self._run())
 
+    def resume(
+        self, position: StorePosition | None, pause: timedelta, is_after_outage: bool
+    ) -> None:
+        """Start after a stop; the list is complete up to a position by other sources.
+
+        With `is_after_outage`, the first answer counts as the first after an outage.
+        """
+        self._pause = pause
+        if position is not None:
+            is_current = position.era >= self._store.era
+            self._position = position if is_current else None
+            self._applied_position = position
+        if is_after_outage:
+            self._note_lost("List readers report an outage")
+        self.start()
+
+    def stop(self) -> None:
+        """Stop following the table until it is resumed."""
+        if self._task is not None:
+            self._task.cancel()
+        self._task = None
+        self._failures = 0
+        self._lost_at = None
+
+    def set_pause(self, pause: timedelta) -> None:
+        """Set the pause between calls."""
+        self._pause = pause
+
     def wake(self) -> None:
         """Note that the store has a change that a read on a dead connection misses."""
         if self._hedged_read is not None:
@@ -137,7 +196,7 @@
                 # outdated list until its restart.
                 await self._wait_to_retry(error)
             else:
-                await self._sleep(self._options.pause)
+                await self._sleep(self._pause)
 
     async def _read_once(self) -> None:
         observer = HedgeCallbacks(self._note_silence, self._log_discarded_read)
@@ -177,7 +236,9 @@
         except Exception:
             self._position = None
             raise
-        self._applied_position = position
+        before, self._applied_position = self._applied_position, position
+        read = FeedRead(before, found.page, found.is_whole, found.begun_at)
+        self._listener.on_read(read)
 
     async def _pass_on(self, rows: Sequence[StoreRow], is_whole: bool) -> None:
         ended = self._listener.on_rows(rows, is_whole)
@@ -202,10 +263,12 @@
         """
         table = self._options.table
         position = self._position
+        begun_at = self._clock.monotonic()
         if is_first and position is not None and not self._is_grace_over():
             page = await self._store.follow(table, position.version, options)
-            return _ReadResult(page, is_whole=False)
-        return _ReadResult(await self._store.list_rows(table, options), is_whole=True)
+            return _ReadResult(page, False, begun_at)
+        page = await self._store.list_rows(table, options)
+        return _ReadResult(page, True, begun_at)
 
     def _is_grace_over(self) -> bool:
         return (
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_feeds.py
@@ -1,17 +1,18 @@
 """Feeds of the platform's store tables that a gateway follows."""
 
-from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 
 from mustardquay.clocks import Clock
 from mustardquay.events import EventRing
+from mustardquay.list_readers import ListTimings
 
-from .adapters import Adapter, StoreRow, StoreTables
+from .adapters import Adapter, StoreTables
 from .configuration_loaders import ConfigurationLoader
 from .feeds import FeedListener, FeedOptions, TableFeed
-from .peers import PEERS_TABLE
+from .list_relays import NOTICE_PREFIX, ListRelay, RelayDependencies
+from .peers import PEERS_TABLE, PeerLink
 from .settings import StoreSettings
 from .upstream_list_updaters import UpstreamListUpdater
 
@@ -54,7 +55,7 @@
     events: EventRing
     configurations: ConfigurationLoader
     upstreams: UpstreamListUpdater
-    apply_peer_rows: Callable[[Sequence[StoreRow], bool], None]
+    peers: PeerLink
 
 
 class GatewayFeeds:
@@ -63,11 +64,11 @@
     def __init__(self, deps: FeedDependencies):
         self._deps = deps
         self._configuration = self._follow_configuration()
-        self._feeds = (
-            self._configuration,
-            self._follow_peers(),
-            self._follow_upstreams(),
-        )
+        self._list_relay: ListRelay | None = None
+        if deps.settings.upstream_readers:
+            self._list_relay = self._make_list_relay()
+        self._upstreams = self._list_relay or self._follow_upstreams()
+        self._feeds = (self._configuration, self._follow_peers(), self._upstreams)
 
     @property
     def age(self) -> timedelta | None:
@@ -77,6 +78,19 @@
             return None
         return self._deps.clock.monotonic() - max(answers)
 
+    @property
+    def list_relay(self) -> ListRelay | None:
+        """Return the relay of the list of upstreams, None if each gateway reads it."""
+        return self._list_relay
+
+    @property
+    def list_age(self) -> timedelta | None:
+        """Return the age of the list of upstreams, None before the first read."""
+        if self._list_relay is not None:
+            return self._list_relay.age
+        answered_at = self._upstreams.answered_at
+        return answered_at and self._deps.clock.monotonic() - answered_at
+
     @property
     def is_configuration_confirmed(self) -> bool:
         """Return whether the store has recently answered for the configuration."""
@@ -116,16 +130,42 @@
 
     def _follow_peers(self) -> TableFeed:
         options = FeedOptions(PEERS_TABLE, PEERS_WAIT, PEERS_PAUSE)
-        return self._make_feed(options, FeedListener(self._deps.apply_peer_rows))
+        return self._make_feed(options, FeedListener(self._deps.peers.apply_rows))
 
     def _follow_upstreams(self) -> TableFeed:
-        deps = self._deps
-        options = make_upstreams_options(deps.adapter.UPSTREAMS_TABLE, deps.settings)
-        updater = deps.upstreams
+        updater = self._deps.upstreams
         listener = FeedListener(
             updater.apply_rows, updater.begin_grace, updater.begin_restore
         )
-        return self._make_feed(options, listener)
+        return self._make_feed(self._make_upstreams_options(), listener)
+
+    def _make_list_relay(self) -> ListRelay:
+        deps, peers = self._deps, self._deps.peers
+        options = self._make_upstreams_options()
+        relay = ListRelay(
+            RelayDependencies(
+                name=peers.name,
+                readers=deps.settings.upstream_readers,
+                timings=ListTimings(deps.settings.upstreams_delay),
+                pause=options.pause,
+                clock=deps.clock,
+                random=deps.random,
+                events=deps.events,
+                updater=deps.upstreams,
+                make_feed=lambda listener: self._make_feed(options, listener),
+                read_upstream=deps.adapter.read_upstream,
+                send=peers.send_to,
+                list_zones=lambda: peers.zones,
+                find_heard_at=lambda: peers.heard_at,
+            )
+        )
+        peers.add_channel(NOTICE_PREFIX, relay.receive)
+        return relay
+
+    def _make_upstreams_options(self) -> FeedOptions:
+        return make_upstreams_options(
+            self._deps.adapter.UPSTREAMS_TABLE, self._deps.settings
+        )
 
     def _make_feed(self, options: FeedOptions, listener: FeedListener) -> TableFeed:
         deps = self._deps
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_gauges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_gauges.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 
 from .caller_connections import CallerConnections
 from .configuration_loaders import ConfigurationLoader
@@ -41,9 +42,26 @@
         "mustardquay.store.age": lambda: _measure_store_age(sources.feeds),
         "mustardquay.usage.leads": lambda: float(usage is not None and usage.leads),
         "mustardquay.store.era": lambda: float(sources.eras.era),
+        **_make_list_gauges(sources.feeds),
+    }
+
+
+def _make_list_gauges(feeds: GatewayFeeds) -> dict[str, Callable[[], float]]:
+    """Return the gauges of the list of upstreams; without readers, each one reads."""
+    relay = feeds.list_relay
+    return {
+        "mustardquay.list.age": lambda: _to_seconds(feeds.list_age),
+        "mustardquay.list.reading": lambda: float(relay is None or relay.is_reading),
+        "mustardquay.list.reader": lambda: float(relay is not None and relay.is_reader),
+        "mustardquay.list.confirmers": lambda: float(
+            relay.count_confirmers() if relay else 0
+        ),
     }
 
 
 def _measure_store_age(feeds: GatewayFeeds) -> float:
-    age = feeds.age
+    return _to_seconds(feeds.age)
+
+
+def _to_seconds(age: timedelta | None) -> float:
     return float("inf") if age is None else age.total_seconds()
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
@@ -31,6 +31,22 @@
         "{era}",
         "Newest era that the store has reported; it rises with each restore.",
     ),
+    "mustardquay.list.age": (
+        "s",
+        "Age of the newest state of the store that the list of upstreams includes.",
+    ),
+    "mustardquay.list.reading": (
+        "1",
+        "1 while the process reads the list of upstreams from the store, else 0.",
+    ),
+    "mustardquay.list.reader": (
+        "1",
+        "1 while the process reads the list of upstreams for others, else 0.",
+    ),
+    "mustardquay.list.confirmers": (
+        "{gateway}",
+        "List readers that have lately confirmed the list of this process.",
+    ),
     "mustardquay.usage.leads": (
         "1",
         "1 while the process is the one that reports usage, else 0.",
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -276,7 +276,7 @@
             events=self._events,
             configurations=self._configurations,
             upstreams=self._list_updater,
-            apply_peer_rows=self._peers.apply_rows,
+            peers=self._peers,
         )
         return GatewayFeeds(deps)
 
@@ -328,6 +328,7 @@
             self._digest_exchange.set_gateways,
             self._random,
             self._note_registered,
+            node.availability_zone,
         )
 
     def _make_origins(self) -> OriginSubsystem:
--- a/packages/mustardquay-node/src/mustardquay_node/peers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.py
@@ -81,6 +81,7 @@
         ),
         random: Random | None = None,
         note_registered: Callable[[Collection[str]], None] = lambda names: None,
+        availability_zone: str = "",
     ):
         """Initialise without peers; `build` returns the next digest of this gateway.
 
@@ -99,7 +100,10 @@
         self._set_gateways = set_gateways
         self._note_registered = note_registered
         self._random = random or Random(name)
+        self._availability_zone = availability_zone
         self._peers: dict[str, Address] = {}
+        self._zones: dict[str, str] = {}
+        self._heard_at: timedelta | None = None
         self._channels: dict[bytes, Callable[[bytes, Address], None]] = {}
         """Receivers of other datagrams than digests, by their first byte."""
         self._urgent = asyncio.Event()
@@ -144,6 +148,24 @@
         """Return the names of the listed gateways, including this one."""
         return sorted({*self._peers, self._name})
 
+    @property
+    def name(self) -> str:
+        """Return the name of this gateway."""
+        return self._name
+
+    @property
+    def zones(self) -> dict[str, str]:
+        """Return the availability zone of each listed gateway and of this one.
+
+        It is empty for a gateway that has not registered one.
+        """
+        return {**self._zones, self._name: self._availability_zone}
+
+    @property
+    def heard_at(self) -> timedelta | None:
+        """Return when the last datagram of another gateway arrived."""
+        return self._heard_at
+
     @property
     def neighbours(self) -> list[str]:
         """Return the names of the recipients of this gateway's digests."""
@@ -189,15 +211,17 @@
         """Apply rows of the table of gateways: all if `is_whole`, else changes."""
         if is_whole:
             self._peers.clear()
+            self._zones.clear()
         registered = {row.key for row in rows if not row.deleted}
         for row in rows:
             if row.key == self._name:
                 continue
-            address = None if row.deleted else _read_address(row.value)
-            if address is None:
+            registered_as = None if row.deleted else _read_registration(row.value)
+            if registered_as is None:
                 self._peers.pop(row.key, None)
+                self._zones.pop(row.key, None)
             else:
-                self._peers[row.key] = address
+                self._peers[row.key], self._zones[row.key] = registered_as
         self._events.record("peers.listed", peers=len(self._peers))
         recipients = list_recipients(self._name, self._peers)
         self._set_gateways(recipients, len(self._peers) - len(recipients))
@@ -205,6 +229,7 @@
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Decode a datagram and pass on its digest, unless it is this gateway's own."""
+        self._heard_at = self._clock.monotonic()
         receive = self._channels.get(data[:1])
         if receive is not None:
             receive(data, addr)
@@ -228,7 +253,7 @@
 
     async def _register(self, delay: timedelta = timedelta()) -> None:
         await asyncio.sleep(delay.total_seconds())
-        value = {"address": self._address}
+        value = {"address": self._address, "zone": self._availability_zone}
         write = Write(PEERS_TABLE, self._name, value)
         while True:
             try:
@@ -288,8 +313,10 @@
     return ring[: MAX_RECIPIENTS // 2] + ring[-MAX_RECIPIENTS // 2 :]
 
 
-def _read_address(value: bytes) -> Address | None:
+def _read_registration(value: bytes) -> tuple[Address, str] | None:
+    """Return the address and the availability zone of a registered gateway."""
     try:
-        return split_address(orjson.loads(value)["address"])
-    except (ValueError, KeyError, TypeError):
+        fields = orjson.loads(value)
+        return split_address(fields["address"]), str(fields.get("zone", ""))
+    except (ValueError, KeyError, TypeError, AttributeError):
         return None
--- a/packages/mustardquay-node/src/mustardquay_node/upstream_list_updaters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstream_list_updaters.py
@@ -7,6 +7,8 @@
 from mustardquay.clocks import Clock
 from mustardquay.errors import ProtocolError
 from mustardquay.events import EventRing
+from mustardquay.list_readers import ListRow, RowVersions, is_older_record
+from mustardquay.store_eras import StorePosition
 from mustardquay.upstream_lists import ListSource, UpstreamList, UpstreamRecord
 
 from .adapters import Adapter, StoreRow
@@ -44,6 +46,8 @@
         self._removed: OrderedDict[str, UpstreamRecord] = OrderedDict()
         """The last records of removed upstreams, oldest first."""
         self._restore_grace_until = timedelta()
+        self._reported = RowVersions()
+        """Versions of the rows that other gateways have reported."""
 
     def begin_restore(self) -> None:
         """Note that the store was restored from a copy, so that records may be old.
@@ -58,29 +62,84 @@
         """Start the grace period of upstreams: the store is back from an outage."""
         self._upstreams.begin_grace(self._clock.monotonic())
 
-    def apply_rows(self, rows: Sequence[StoreRow], is_whole: bool) -> None:
-        """Apply rows of the store: with `is_whole` all of them, else changed ones."""
+    def extend_grace(self, left: timedelta) -> None:
+        """Make the grace period of upstreams as long as that of list readers."""
+        self._upstreams.extend_grace(self._clock.monotonic() + left)
+
+    def apply_rows(
+        self,
+        rows: Sequence[StoreRow],
+        is_whole: bool,
+        position: StorePosition | None = None,
+    ) -> None:
+        """Apply rows of the store: with `is_whole` all of them, else changed ones.
+
+        Where list readers are another source, `position` is that of the read, and rows
+        that are older than what they have reported are left out.
+        """
         now = self._clock.monotonic()
+        at = position or StorePosition(0, 0)
+        kept = self._reported.find_newer(at.era, at.version) if is_whole else set()
         records = []
         for row in rows:
-            if row.deleted:
-                self._drop(row.key, now)
+            if self._reported.is_older(row.key, at.era, row.version) and (
+                not is_whole or row.key in kept
+            ):
                 continue
-            record = self._read(row)
-            if record is None or self._is_stale(record, now):
-                continue
-            records.append(record)
-            self._put(record)
+            record = self._apply_row(row, now, is_shared=position is not None)
+            if record is not None:
+                records.append(record)
         if is_whole:
-            for record in self._upstreams.replace(records, now):
+            for record in self._upstreams.replace(records, now, kept):
                 self._note_removed(record)
         self._upstreams.note_confirmed(ListSource.STORE, now)
 
+    def apply_reported(self, rows: Sequence[ListRow], era: int) -> None:
+        """Apply changed rows that a list reader has reported."""
+        now = self._clock.monotonic()
+        for row in rows:
+            if self._reported.note(row.key, era, row.version, now):
+                applied = StoreRow(row.key, row.value, row.version, row.deleted)
+                self._apply_row(applied, now, is_shared=True)
+
+    def note_confirmed(self, at: timedelta) -> None:
+        """Note that list readers have confirmed the list as it was at a time."""
+        self._upstreams.note_confirmed(ListSource.PEER, at)
+
+    def list_records(self, position: StorePosition) -> dict[str, UpstreamRecord | None]:
+        """Return the records at a position; None for one that may be newer."""
+        newer = self._reported.find_newer(position.era, position.version)
+        records: dict[str, UpstreamRecord | None] = dict.fromkeys(newer)
+        for record in self._upstreams:
+            if record.id not in newer:
+                records[record.id] = record
+        return records
+
     def expire(self) -> None:
         """Remove the upstreams that did not return after an outage of the store."""
         for record in self._upstreams.expire(self._clock.monotonic()):
             self._note_removed(record)
 
+    def _apply_row(
+        self, row: StoreRow, now: timedelta, is_shared: bool
+    ) -> UpstreamRecord | None:
+        """Apply a row; return the record that is listed for it, if any.
+
+        With several sources (`is_shared`), an earlier record of the same incarnation is
+        left out.
+        """
+        if row.deleted:
+            self._drop(row.key, now)
+            return None
+        record = self._read(row)
+        if record is None or self._is_stale(record, now):
+            return None
+        known = self._upstreams.get(record.id)
+        if is_shared and is_older_record(record, known):
+            return known
+        self._put(record)
+        return record
+
     def _is_stale(self, record: UpstreamRecord, now: timedelta) -> bool:
         """Return whether a record of a restored store is older than the known one."""
         if now >= self._restore_grace_until:
