--- a/packages/mustardquay-node/src/mustardquay_node/list_relays/list_relays.py
+++ b/packages/mustardquay-node/src/mustardquay_node/list_relays/list_relays.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
@@ -39,6 +40,10 @@
 
 __all__ = ["ListRelay", "RelayDependencies"]
 
+BATCH = 50
+"""Datagrams that are sent in one turn of the event loop; a notice to hundreds of
+gateways would hold it for a millisecond."""
+
 
 @dataclass(frozen=True, slots=True)
 class RelayDependencies:
@@ -140,7 +145,7 @@
 
     def _take(self, notice: ListNotice) -> None:
         now = self._now
-        if notice.sender not in self._deps.list_zones():
+        if not self._selection.knows(notice.sender):
             return
         at = now - notice.age - self._delays.measure(now)
         self._outages.note(notice, now)
@@ -234,8 +239,19 @@
             is_away=self._feed.is_lost,
         )
         names = [name for name in self._deps.list_zones() if name != self._deps.name]
-        for datagram in encode_notice(notice):
-            self._deps.send(datagram, names)
+        self._send_batches(
+            deque(
+                (datagram, names[start : start + BATCH])
+                for datagram in encode_notice(notice)
+                for start in range(0, len(names), BATCH)
+            )
+        )
+
+    def _send_batches(self, batches: deque[tuple[bytes, list[str]]]) -> None:
+        """Send one batch, and the others in later turns of the event loop."""
+        if batches:
+            self._deps.send(*batches.popleft())
+            asyncio.get_running_loop().call_soon(self._send_batches, batches)
 
     def _is_notice_due(self, now: timedelta) -> bool:
         interval = self._deps.timings.confirm_interval
--- a/packages/mustardquay-node/tests/simulated_list_readers.py
+++ b/packages/mustardquay-node/tests/simulated_list_readers.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
@@ -295,15 +295,22 @@
 class Fleet:
     """Gateways, upstreams, a store, and links between gateways that lose datagrams."""
 
-    def __init__(self, gateways, readers, seed, upstreams=27, zones=3):
+    def __init__(self, gateways, readers, seed, upstreams=27, zones=3, forwards=()):
+        """Initialise; with `forwards`, gateways pass notices on to these neighbours.
+
+        Each is a distance in the order of names. Readers then send to theirs only.
+        """
         self.loop = asyncio.get_running_loop()
         self.clock = LoopClock(self.loop)
         self.seed = seed
         self.random = Random(seed)
         self.readers = readers
         self.store = SimulatedStore(self.loop, Random(seed + 1))
-        self.zones = {f"{'abcdef'[n % zones]}-{n:03}": "abcdef"[n % zones]
-                      for n in range(gateways)}  # fmt: skip
+        letters = "abcdef"[:zones]
+        self.zones = {}
+        for number in range(gateways):
+            zone = letters[number % zones]
+            self.zones[f"{zone}-{number:03}"] = zone
         self.cut_from_store = set()
         self.groups = {}
         """The part of a divided network in which a gateway is; 0 by default."""
@@ -311,12 +318,17 @@
         """Gateways whose datagrams are all lost."""
         self.loss = self.doubled = self.reordered = 0.0
         self.sent = Counter()
+        self.sent_by = Counter()
+        """Bytes that each gateway sent."""
         self.drains = []
         self.delays = []
         """Seconds from the store's answer to a gateway's list, for each of both."""
         self.dropped = set()
         """Gateways with a live upstream that they had dropped from their lists."""
         self.members = {}
+        self._forwards = forwards
+        self._seen = {name: deque(maxlen=200) for name in self.zones}
+        """The last notices that each gateway has passed on."""
         self._draining = {}
         self._tasks = []
         self._live_since = {}
@@ -368,7 +380,11 @@
         )
 
     def send(self, sender, data, names):
+        if self._forwards:
+            names = self._list_forwards(sender)
+            self._seen[sender].append(data)
         for name in names:
+            self.sent_by[sender] += len(data)
             self.sent["datagrams"] += 1
             self.sent["bytes"] += len(data)
             if sender in self.muted or self.random.random() < self.loss:
@@ -404,8 +420,18 @@
         self._tasks.append(asyncio.ensure_future(work))
 
     def _deliver(self, sender, data, name):
-        if self.can_reach(sender, name):
-            self.members[name].relay.receive(data, (sender, 0))
+        if not self.can_reach(sender, name):
+            return
+        if self._forwards and data in self._seen[name]:
+            return
+        if self._forwards:
+            self.send(name, data, ())
+        self.members[name].relay.receive(data, (sender, 0))
+
+    def _list_forwards(self, name):
+        names = list(self.zones)
+        first = names.index(name)
+        return [names[(first + each) % len(names)] for each in self._forwards]
 
     async def _drain(self, id):
         self._draining[id] = True
--- a/packages/mustardquay/src/mustardquay/list_readers/change_windows.py
+++ b/packages/mustardquay/src/mustardquay/list_readers/change_windows.py
@@ -20,6 +20,9 @@
 MAX_BYTES = 6_000
 """Bytes of rows in one notice, some five datagrams. Gateways read a longer window from
 the store: once each, in place of as many datagrams to each in every notice."""
+MAX_SENDS = 2
+"""Notices of one reader that contain a change. Other readers send it as often, and a
+gateway that lost all of them reads the list."""
 ROW_OVERHEAD = 24
 """Bytes that a row takes in a datagram beside its key and value, at most."""
 
@@ -36,11 +39,12 @@
     """When the read of `position` began."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Entry:
     at: timedelta
     before: StorePosition
     rows: Mapping[str, ListRow]
+    sends: int = 0
 
 
 class ChangeWindow:
@@ -95,11 +99,10 @@
         self._read_at = read.begun_at
 
     def build(self, now: timedelta) -> WindowContent | None:
-        """Return the changes to report; None before the first read."""
+        """Return the changes for the next notice; None before the first read."""
         if self._position is None:
             return None
-        while self._entries and now - self._entries[0].at > self._length:
-            self._entries.popleft()
+        self._drop_reported(now)
         base, rows = self._position, {}
         size = 0
         for entry in reversed(self._entries):
@@ -110,8 +113,24 @@
                 break
             rows |= added
             base = entry.before
+            entry.sends += 1
         return WindowContent(base, self._position, tuple(rows.values()), self._read_at)
 
+    def _drop_reported(self, now: timedelta) -> None:
+        """Drop the reads up to the last one that need not be reported any more."""
+        kept: deque[_Entry] = deque()
+        for entry in reversed(self._entries):
+            if self._is_over(entry, now):
+                break
+            kept.appendleft(entry)
+        self._entries = kept
+
+    def _is_over(self, entry: _Entry, now: timedelta) -> bool:
+        """Return whether a read need not be reported any more."""
+        if now - entry.at > self._length:
+            return True
+        return bool(entry.rows) and entry.sends >= MAX_SENDS
+
     def _find_changes(self, read: ListRead) -> dict[str, ListRow]:
         """Return the rows with a relevant change, the newest of each key."""
         found: dict[str, ListRow] = {}
--- a/packages/mustardquay/src/mustardquay/list_readers/reader_selection.py
+++ b/packages/mustardquay/src/mustardquay/list_readers/reader_selection.py
@@ -70,6 +70,8 @@
         self._ranked: list[str] = []
         self._candidates: dict[str, _Candidate] = {}
         self._selected: list[str] = []
+        self._is_outdated = True
+        """Whether the selection must be made anew."""
 
     @property
     def is_shared(self) -> bool:
@@ -91,12 +93,17 @@
         """Return whether this gateway is a list reader."""
         return self._name in self._selected
 
+    def knows(self, name: str) -> bool:
+        """Return whether a gateway is listed."""
+        return name in self._zones
+
     def set_gateways(self, zones: Mapping[str, str]) -> None:
         """Set the availability zone of each listed gateway, this one included."""
         if zones == self._zones:
             return
         self._zones = dict(zones)
         self._ranked = rank_gateways(self._zones)
+        self._is_outdated = True
         self._candidates = {
             name: each for name, each in self._candidates.items() if name in zones
         }
@@ -117,6 +124,7 @@
             candidate.good_since = now
         elif now - candidate.good_since >= self._timings.return_delay:
             candidate.failed = False
+            self._is_outdated = True
 
     def is_young(self, sender: str, now: timedelta) -> bool:
         """Return whether a gateway's newest confirmation is young enough."""
@@ -135,18 +143,22 @@
         none: cut off, it would else become a reader for nobody.
         """
         before = self._selected
-        self._selected = self._select()
+        self._select()
         while is_connected and self._pass_over_failed(now):
-            self._selected = self._select()
+            self._is_outdated = True
+            self._select()
         self._note_expected(now)
         return self._selected != before
 
-    def _select(self) -> list[str]:
-        if not self.is_shared:
-            return []
-        failed = set(self.failed)
-        ranked = [name for name in self._ranked if name not in failed]
-        return select_readers(ranked, self._zones, self._count)
+    def _select(self) -> None:
+        if not self._is_outdated:
+            return
+        self._is_outdated = False
+        self._selected = []
+        if self.is_shared:
+            failed = set(self.failed)
+            ranked = [name for name in self._ranked if name not in failed]
+            self._selected = select_readers(ranked, self._zones, self._count)
 
     def _pass_over_failed(self, now: timedelta) -> bool:
         """Mark selected readers that aren't heard; return whether there are any."""
--- a/packages/mustardquay/tests/test_list_readers.py
+++ b/packages/mustardquay/tests/test_list_readers.py
@@ -38,8 +38,8 @@
 
 
 def make_zones(count, zones="abc"):
-    return {f"{zones[n % len(zones)]}-{n:03}": zones[n % len(zones)]
-            for n in range(count)}  # fmt: skip
+    chosen = [zones[n % len(zones)] for n in range(count)]
+    return {f"{zone}-{n:03}": zone for n, zone in enumerate(chosen)}
 
 
 def make_notice(sender="g1", number=1, base=0, version=0, rows=(), **changes):
@@ -170,6 +170,16 @@
     assert later.rows == ()
 
 
+def test_a_change_is_sent_twice():
+    """Guards against the bandwidth of a list reader that serves hundreds of others."""
+    window = ChangeWindow(SECOND)
+    window.note_read(make_read(None, 10, make_row(9), is_whole=True))
+    window.note_read(make_read(10, 11))
+    window.note_read(make_read(11, 12, make_row(12, draining=True)))
+    sent = [len(window.build(timedelta()).rows) for _ in range(3)]
+    assert sent == [1, 1, 0]
+
+
 def test_a_record_that_was_only_reported_counts_as_unknown():
     """Guards against a reader that omits a change that another one has reported.
 
