--- a/packages/mustardquay-node/tests/test_peers.py
+++ b/packages/mustardquay-node/tests/test_peers.py
@@ -108,3 +108,21 @@
     finally:
         for link in links:
             await link.close()
+
+
+def test_the_availability_zone_of_each_listed_gateway_is_known():
+    """Guards against list readers that are all selected in one availability zone.
+
+    Digests name the zones of neighbours only, and a gateway of an earlier version
+    registers none.
+    """
+    link = make_link("a", Store(), lambda digest: None)
+    rows = [
+        StoreRow("b", b'{"address": "10.0.0.2:1", "zone": "z2"}', 1),
+        StoreRow("c", b'{"address": "10.0.0.3:1"}', 2),
+        StoreRow("d", b'"10.0.0.4:1"', 3),
+    ]
+    link.apply_rows(rows, True)
+    assert link.zones == {"a": "", "b": "z2", "c": ""}
+    link.apply_rows([StoreRow("b", b"", 4, deleted=True)], False)
+    assert link.zones == {"a": "", "c": ""}
