Decode each figure of a load report by itself

Cause: the load header of deployment A has four figures, and the decoder accepted only three. No reported load reached any decision. One bad figure hid the others.

Change: `AnswerFacts.load` is a `LoadReport` whose invalid figures are None, and `is_load_invalid` says that there was one. The choice of plain upstreams uses a report as before if its first three figures are valid.

--- a/packages/mustardquay-node/src/mustardquay_node/adapters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/adapters.py
@@ -19,6 +19,7 @@
 from mustardquay.stepwise_decoding import Steps
 from mustardquay.store_eras import StorePosition
 from mustardquay.tables import TableService
+from mustardquay.upstream_capacity import LoadReport
 from mustardquay.upstream_lists import Stage, UpstreamRecord
 from mustardquay.usage import UsageReport
 
@@ -92,8 +93,8 @@
     is_encoded: bool
     """The body was encoded in transit, since requests never ask for an encoding."""
     retry_after: timedelta | None
-    load: tuple[int, int, int] | None
-    """Running requests, queued requests and slots at the time of the answer."""
+    load: LoadReport | None
+    """The load of the upstream at the time of the answer."""
     rate_limit: float | None
     """Requests a second that the upstream accepts from all gateways together; None for
     no limit."""
@@ -102,6 +103,8 @@
     rest: timedelta
     """For how long a refusing upstream wants no requests from this process; 0 for no
     such request."""
+    is_load_invalid: bool = False
+    """Whether a figure of the load is missing or can't be used."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
@@ -108,9 +108,9 @@
             upstream=id,
             failure_rate=round(loads.get(id).failure_rate, 2),
         )
-    if send.facts is not None and send.facts.load is not None:
-        running, waiting, _ = send.facts.load
-        loads.note_report(id, running, waiting, now)
+    load = send.facts.load if send.facts is not None else None
+    if load is not None and None not in (load.running, load.waiting, load.slots):
+        loads.note_report(id, load.running, load.waiting, now)
 
 
 def _has_run_whole(send: Send, options: SendOptions) -> bool:
