Choose plain upstreams by the speed and queue that any gateway learned

Change, with [gateway] load_reports: reports are recorded at the head of every answer, refusals and prefills included, and sent to the other gateways in the next digest with their age. Notices carry the time of plain answers, too, so that all gateways learn lasting factors from all answers. choose_plain expects each upstream's completion time and draws from those near the shortest. Services whose upstreams report no work time, and gateways without the setting, choose as before.

--- a/packages/mustardquay-node/src/mustardquay_node/digest_exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/digest_exchanges.py
@@ -12,6 +12,7 @@
 from .crash_suspects import CrashReporter
 from .gateway_stops import GatewayStop
 from .generation_planners import GenerationPlanner
+from .load_reporters import LoadReporter
 
 __all__ = ["DigestDependencies", "DigestExchange"]
 
@@ -28,6 +29,7 @@
     crashes: CrashReporter
     gate: ConnectionGate
     limits: RateLimiter
+    reports: LoadReporter
     configurations: ConfigurationLoader
     is_ready: Callable[[], bool]
     fetch_configuration: Callable[[], None]
@@ -65,6 +67,7 @@
             limits=deps.limits.list_notices(now),
             demands=deps.limits.demand.list_demands(now) if knows_limits else None,
             ends_in=deps.stop.ends_in,
+            capacities=deps.reports.list_notices(len(digest.placed)),
         )
 
     def apply_digest(self, digest: PeerDigest) -> None:
@@ -79,6 +82,7 @@
         deps.gate.apply_digest(digest, deps.clock.monotonic())
         deps.crashes.merge(digest.crashes)
         self._apply_limits(digest)
+        deps.reports.apply_digest(digest)
         if deps.configurations.note_peer_version(digest.gateway, digest.configuration):
             deps.fetch_configuration()
 
@@ -87,6 +91,7 @@
         now = self._deps.clock.monotonic()
         self._deps.limits.demand.set_gateways(senders, others, now)
         self._deps.planner.set_gateway_counts(len(senders), others)
+        self._deps.reports.set_gateways(senders)
 
     def _apply_limits(self, digest: PeerDigest) -> None:
         now = self._deps.clock.monotonic()
--- a/packages/mustardquay-node/src/mustardquay_node/digest_frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/digest_frames.py
@@ -20,6 +20,8 @@
 from mustardquay.rate_limits import LimitNotice
 from mustardquay.rate_shares import ServiceDemand
 
+from .capacity_frames import read_capacities, write_capacities
+
 __all__ = ["decode_digest", "encode_digest"]
 
 capnp.remove_import_hook()
@@ -47,6 +49,7 @@
     _write_speeds(message, digest.speeds)
     _write_presence(message, digest)
     _write_limits(message, digest)
+    write_capacities(message, digest.capacities)
     return message.to_bytes_packed()
 
 
@@ -73,6 +76,7 @@
             _read_demands(message),
             message.busy,
             _read_end(message),
+            read_capacities(message),
         )
     except (capnp.KjException, IndexError, ValueError):
         return None
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_gauges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_gauges.py
@@ -8,6 +8,7 @@
 from .era_watches import EraWatch
 from .forwarders import Forwarder
 from .gateway_feeds import GatewayFeeds
+from .load_reporters import LoadReporter
 from .usage import UsageSubsystem
 
 __all__ = ["GaugeSources", "make_gauges"]
@@ -23,6 +24,7 @@
     feeds: GatewayFeeds
     eras: EraWatch
     usage: UsageSubsystem | None
+    reports: LoadReporter
     is_ready: Callable[[], bool]
     count_upstreams: Callable[[], int]
 
@@ -40,6 +42,10 @@
         "mustardquay.connections": lambda: float(sources.connections.count),
         "mustardquay.store.age": lambda: _measure_store_age(sources.feeds),
         "mustardquay.usage.leads": lambda: float(usage is not None and usage.leads),
+        "mustardquay.upstreams.reporting": lambda: float(
+            sources.reports.count_reporting()
+        ),
+        "mustardquay.upstreams.slow": lambda: float(sources.reports.count_slow()),
         "mustardquay.store.era": lambda: float(sources.eras.era),
     }
 
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
@@ -25,6 +25,14 @@
     "mustardquay.ready": ("1", "1 while the process accepts new requests, else 0."),
     "mustardquay.running": ("{request}", "Requests whose answers are not complete."),
     "mustardquay.upstreams": ("{upstream}", "Listed upstreams."),
+    "mustardquay.upstreams.reporting": (
+        "{upstream}",
+        "Upstreams whose reported speed is recent enough to be used.",
+    ),
+    "mustardquay.upstreams.slow": (
+        "{upstream}",
+        "Upstreams where work takes half as long again as usual, by their reports.",
+    ),
     "mustardquay.connections": ("{connection}", "Connections of callers."),
     "mustardquay.store.age": ("s", "Time since the store last answered."),
     "mustardquay.store.era": (
@@ -62,8 +70,15 @@
         histograms = (self._first_byte,)
         self._page = MetricPage(process, "gateway", availability_zone, histograms)
 
-    def start(self, gauges: Mapping[str, Callable[[], float]]) -> None:
-        """Start the export; `gauges` has the function that reads each of `GAUGES`."""
+    def start(
+        self,
+        gauges: Mapping[str, Callable[[], float]],
+        load_reports: Counter[tuple[str]] | None = None,
+    ) -> None:
+        """Start the export; `gauges` has the function that reads each of `GAUGES`.
+
+        `load_reports` counts the load reports of upstreams by what came of them.
+        """
         self._page.start()
         self._page.add_counter(
             "mustardquay.requests",
@@ -91,6 +106,12 @@
             self._usage_reports,
             "mustardquay.outcome",
         )
+        self._page.add_counter(
+            "mustardquay.load_reports",
+            "Load reports of upstreams, by what came of them.",
+            Counter() if load_reports is None else load_reports,
+            "mustardquay.outcome",
+        )
         for name, definition in GAUGES.items():
             self._page.add_gauge(name, definition, gauges)
 
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -24,6 +24,7 @@
 from .descriptors import DescriptorGuard
 from .engine_calls import EngineCall, call_engine
 from .generation_planners import GenerationPlanner
+from .load_reporters import LoadReporter
 from .settings import BoundsSettings, GatewaySettings
 from .upstream_pools import UpstreamPools
 
@@ -62,7 +63,10 @@
         self._descriptors = DescriptorGuard(deps.clock, deps.events)
         self.statements = UpstreamStatements(deps.clock)
         self.list = UpstreamList(self.statements.is_leaving)
-        self.loads = UpstreamLoads()
+        self.loads = UpstreamLoads(uses_reports=settings.gateway.load_reports)
+        self.reports = LoadReporter(
+            deps.clock, deps.events, self.list, self.loads, deps.note_change
+        )
         self.doubts = VersionDoubts()
         self.limits = RateLimiter()
         parts = PartReporter(deps.clock, deps.events, deps.tell_of_parts)
@@ -148,6 +152,7 @@
         """Keep what an upstream says of itself in the head of an answer."""
         if facts.is_other_upstream:
             return
+        self.reports.note(upstream, facts, request)
         record = self._deps.events.record
         if facts.is_leaving and self.statements.note_leaving(upstream):
             record("upstream.leaving", request=request, upstream=upstream.id)
@@ -166,6 +171,7 @@
         self.crashes.note_upstream_lost(id)
         self.pools.forget(id)
         self.loads.forget(id)
+        self.reports.forget(id)
         self.doubts.forget(id)
         self.limits.forget(id)
         self.planner.forget(id)
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -148,7 +148,7 @@
 
     async def start(self) -> None:
         """Open the listeners and start to follow the store."""
-        self._metrics.start(self._make_gauges())
+        self._metrics.start(self._make_gauges(), self._upstreams.reports.counts)
         gateway = self._settings.gateway
         self._address = self._callers.start(gateway.listen)
         self._servers.serve_readiness(
@@ -293,6 +293,7 @@
                 self._feeds,
                 self._eras,
                 self._usage,
+                self._upstreams.reports,
                 is_ready=lambda: self.is_ready,
                 count_upstreams=lambda: len(self.list_upstreams()),
             )
@@ -309,6 +310,7 @@
             crashes=self._upstreams.crashes,
             gate=self._gate,
             limits=self._upstreams.limits,
+            reports=self._upstreams.reports,
             configurations=self._configurations,
             is_ready=lambda: self.is_ready,
             fetch_configuration=lambda: self._feeds.fetch_configuration(),
--- a/packages/mustardquay-node/src/mustardquay_node/peers.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.capnp
@@ -40,6 +40,10 @@
   # How many times as long work takes as usual.
   workTime @3 :Float32;
   ageMilliseconds @4 :UInt32;
+  # Answers of a plain upstream since the sender's last notice about it, and the sum of
+  # the seconds that they would have taken without a queue at usual speed.
+  answers @5 :UInt16;
+  answerSeconds @6 :Float32;
 }
 
 # How many times as long an engine takes as the mean engine of its service.
--- a/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
@@ -20,12 +20,19 @@
     request: ForwardedRequest,
     send: Send,
     facts: AnswerFacts,
+    status: int,
 ) -> None:
     """Record what the head of an answer says of its upstream."""
     if facts.is_other_upstream:
         return
     _observe_limit(deps, request, send, facts)
     deps.note_statements(send.upstream, facts, request.id)
+    if not request.route.has_prompt and status in SUCCESS_STATUSES:
+        now = deps.clock.monotonic()
+        # The answer shows the speed of its upstream, without the time in its queue.
+        seconds = (now - request.sent_at).total_seconds() / (1.0 + send.expected_wait)
+        service = send.upstream.service
+        deps.loads.capacities.note_answer(send.upstream.id, seconds, now, service)
 
 
 def observe_end(
--- a/packages/mustardquay-node/src/mustardquay_node/sending/results.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/results.py
@@ -1,7 +1,7 @@
 """One send of a request to one upstream: its options and its result."""
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from mustardquay.requests import SendResult
@@ -43,6 +43,10 @@
     """Whether this gateway ended the send, for whatever reason."""
     was_silent: bool = False
     """Whether the upstream was known as silent during the send."""
+    expected_wait: float = 0.0
+    """Expected time in the upstream's queue, in times of one request."""
+    inputs: Mapping[str, float] = field(default_factory=dict)
+    """Log fields with the figures by which a plain upstream was chosen."""
     framing: str = ""
     """What marked the end of the answer, a value of `Framing`; empty without one."""
 
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -74,6 +74,7 @@
         request.sent_at = self._deps.clock.monotonic()
         self._watch = SilenceWatch(self._deps, request, self._reply, send, options)
         self._watch.start(exchange)
+        self._note_choice(send)
         self._deps.loads.begin(upstream.id)
         end = ExchangeEnd.CANCELLED
         try:
@@ -109,6 +110,7 @@
             framing=send.framing,
             software_version=send.upstream.software_version,
             **self._deps.describe_list(self._request.sent_at),
+            **send.inputs,
             kept=send.was_reused,
             next=step,
             age_ms=self._reply.age_ms,
@@ -117,6 +119,14 @@
             **self._reply.describe_caller(),
         )
 
+    def _note_choice(self, send: Send) -> None:
+        """Keep the figures by which a plain upstream was chosen."""
+        loads, upstream = self._deps.loads, send.upstream
+        if self._request.route.has_prompt or not loads.knows_speed(upstream.id):
+            return
+        send.expected_wait = loads.estimate_wait(upstream, self._request.sent_at)
+        send.inputs = loads.describe(upstream.id, self._request.sent_at)
+
     def _make_exchange(self, send: Send, options: SendOptions) -> Exchange:
         request = self._request
         target = SendTarget(
@@ -201,7 +211,7 @@
             return False
         send.facts = facts
         self._watch.note_data()
-        observe_head(self._deps, self._request, send, facts)
+        observe_head(self._deps, self._request, send, facts, head.status)
         return True
 
     def _receive(
--- a/packages/mustardquay-node/tests/test_peers.py
+++ b/packages/mustardquay-node/tests/test_peers.py
@@ -1,4 +1,5 @@
 import asyncio
+from dataclasses import replace
 from datetime import timedelta
 
 import orjson
@@ -9,6 +10,7 @@
 from mustardquay.peer_digests import EngineDigest, PeerDigest, PlacedPart
 from mustardquay.rate_limits import LimitNotice
 from mustardquay.rate_shares import ServiceDemand
+from mustardquay.upstream_capacity import MAX_NOTICES, CapacityNotice
 from mustardquay_node import digest_frames
 from mustardquay_node.adapters import StoreRow
 from mustardquay_node.digest_frames import decode_digest, encode_digest
@@ -63,6 +65,35 @@
     assert decode_digest(encode_digest(digest)) == digest
 
 
+def test_a_digest_contains_load_reports():
+    notices = (
+        CapacityNotice("e1", 3, 0, 2.5, timedelta(milliseconds=40)),
+        CapacityNotice("u1", None, None, None, timedelta(), 2, 0.25),
+    )
+    digest = PeerDigest("g", 1, 2, 3, capacities=notices)
+    assert decode_digest(encode_digest(digest)) == digest
+
+
+@pytest.mark.parametrize("value", [float("nan"), float("inf"), -3.0, 0.0])
+def test_an_invalid_figure_of_a_peer_is_ignored_by_itself(value):
+    """Guards against a peer whose figures make every choice of an upstream fail."""
+    notice = CapacityNotice("u1", 3, 0, value, timedelta(), 2, value)
+    digest = PeerDigest("g", 1, 2, 3, capacities=(notice,))
+    decoded = decode_digest(encode_digest(digest))
+    assert decoded.capacities == (CapacityNotice("u1", 3, 0, None, timedelta()),)
+
+
+def test_the_most_load_reports_add_little_to_a_digest():
+    """Guards against digests over the size of a datagram, which are fragmented."""
+    notices = [
+        CapacityNotice(f"i-{n:010x}", 12, 3, 2.5, timedelta(milliseconds=n), 9, 0.25)
+        for n in range(MAX_NOTICES)
+    ]
+    bare = PeerDigest("g", 1, 2, 3)
+    added = len(encode_digest(replace(bare, capacities=tuple(notices))))
+    assert added - len(encode_digest(bare)) <= 400
+
+
 class Store:
     """A store that records the writes of registrations."""
 
--- a/packages/mustardquay/src/mustardquay/peer_digests.py
+++ b/packages/mustardquay/src/mustardquay/peer_digests.py
@@ -14,6 +14,7 @@
 from .quarantines import CrashRecord
 from .rate_limits import LimitNotice
 from .rate_shares import ServiceDemand
+from .upstream_capacity import CapacityNotice
 
 __all__ = [
     "DIGEST_LIFETIME",
@@ -103,6 +104,9 @@
     ends_in: timedelta | None = None
     """Time until a stopping gateway ends at the latest; None for all others."""
 
+    capacities: tuple[CapacityNotice, ...] = ()
+    """Reports of upstreams that the gateway got since its last digest."""
+
     @property
     def order(self) -> tuple[int, int]:
         """Return a key that increases with each digest of a gateway."""
--- a/packages/mustardquay/src/mustardquay/upstream_capacity/estimates.py
+++ b/packages/mustardquay/src/mustardquay/upstream_capacity/estimates.py
@@ -4,52 +4,207 @@
 short spells, and some upstreams are slower than others for good.
 """
 
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
+from math import exp, isfinite
 
-from .load_reports import LoadReport
+from .lasting_factors import LastingFactors, clamp_factor
+from .load_reports import CapacityNotice, LoadReport
 
-__all__ = ["CapacityEstimates"]
+__all__ = ["MAX_NOTICES", "CapacityEstimates"]
 
 SPELL_TIME = timedelta(milliseconds=600)
 """Time constant with which a reported factor returns to 1: machines that are shared
 are busy or free for about as long."""
-MAX_FACTOR = 8.0
-"""Bound of all factors; a slower upstream gets no work at this factor already."""
+QUEUE_LIFETIME = timedelta(milliseconds=300)
+"""How long a reported queue is used; in it an upstream completes several requests in
+each slot."""
+MAX_NOTICE_AGE = timedelta(seconds=2)
+"""Older notices are ignored: their speed has lost nearly all weight."""
+MAX_NOTICES = 8
+"""Notices in one digest, about 260 bytes. The others follow with the next one."""
 
 
 @dataclass(frozen=True, slots=True)
-class _Reported:
-    report: LoadReport
+class _Queue:
+    others: int
+    """Requests of other gateways at the upstream."""
+    at: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class _Speed:
+    work_time: float
     at: timedelta
 
 
 @dataclass(slots=True)
 class CapacityEstimates:
-    """The newest report of each upstream, by its id."""
+    """The newest figures that each upstream has reported, by its id.
+
+    Each figure is kept by itself, since a report may lack some.
+    """
+
+    _queues: dict[str, _Queue] = field(default_factory=dict)
+    _speeds: dict[str, _Speed] = field(default_factory=dict)
+    _lasting: LastingFactors = field(default_factory=LastingFactors)
+    _unshared: dict[str, tuple[CapacityNotice, timedelta]] = field(default_factory=dict)
+    """Own reports that no digest has contained, with their times."""
+    _forgotten: dict[str, timedelta | None] = field(default_factory=dict)
+    """When upstreams were dropped; None until the time is next known."""
+
+    def note_report(
+        self, id: str, report: LoadReport, now: timedelta, own: int = 0
+    ) -> None:
+        """Record the report in an answer of an upstream.
+
+        `own` is the number of this gateway's requests at the upstream, which the report
+        includes.
+        """
+        self._put(id, report, now, own)
+        if id in self._speeds:
+            notice = CapacityNotice(
+                id, report.running, report.waiting, report.work_time, timedelta()
+            )
+            self._share(notice, now)
+
+    def note_answer(
+        self, id: str, seconds: float, now: timedelta, service: str = ""
+    ) -> None:
+        """Learn from the time of a plain answer, without the time in the queue.
+
+        To be called after the report in the same answer was recorded.
+        """
+        if id not in self._speeds or not isfinite(seconds) or seconds <= 0:
+            return
+        usual = seconds / self.current_factor(id, now)
+        self._lasting.note(id, service, usual, 1, now)
+        notice = CapacityNotice(id, None, None, None, timedelta(), 1, usual)
+        self._share(notice, now)
 
-    _reports: dict[str, _Reported] = field(default_factory=dict)
+    def apply_notices(
+        self,
+        notices: Iterable[CapacityNotice],
+        now: timedelta,
+        count_own: Callable[[str], int] = lambda id: 0,
+        find_service: Callable[[str], str] = lambda id: "",
+    ) -> int:
+        """Apply the notices of another gateway; return how many were news.
 
-    def note_report(self, id: str, report: LoadReport, now: timedelta) -> None:
-        """Record the report in an answer of an upstream."""
-        self._reports[id] = _Reported(report, now)
+        `count_own` returns the number of this gateway's requests at an upstream.
+        """
+        self._stamp_forgotten(now)
+        applied = 0
+        for notice in notices:
+            at = now - max(notice.age, timedelta())
+            dropped_at = self._forgotten.get(notice.upstream)
+            is_old = dropped_at is not None and at <= dropped_at
+            if is_old or notice.age > MAX_NOTICE_AGE:
+                continue
+            report = LoadReport(notice.running, notice.waiting, None, notice.work_time)
+            own = count_own(notice.upstream)
+            applied += self._put(notice.upstream, report, at, own)
+            seconds = notice.answer_seconds
+            if notice.answers > 0 and isfinite(seconds) and seconds > 0:
+                service = find_service(notice.upstream)
+                self._lasting.note(
+                    notice.upstream, service, seconds, notice.answers, now
+                )
+        return applied
+
+    def list_notices(
+        self, now: timedelta, limit: int = MAX_NOTICES
+    ) -> tuple[CapacityNotice, ...]:
+        """Return the reports for the next digest, those that waited longest first.
+
+        Each is returned once.
+        """
+        self._stamp_forgotten(now)
+        chosen = list(self._unshared)[:limit]
+        taken = [self._unshared.pop(id) for id in chosen]
+        return tuple(replace(notice, age=now - at) for notice, at in taken)
 
     def current_factor(self, id: str, now: timedelta) -> float:
         """Return how many times as long work takes now as is usual for an upstream.
 
         1.0 without a report. The reported value loses weight with its age.
         """
-        reported = self._reports.get(id)
-        if reported is None or reported.report.work_time is None:
+        speed = self._speeds.get(id)
+        if speed is None:
             return 1.0
-        work_time = min(max(reported.report.work_time, 1 / MAX_FACTOR), MAX_FACTOR)
-        weight = 0.5 ** ((now - reported.at) / SPELL_TIME)
-        return 1.0 + weight * (work_time - 1.0)
+        weight = exp(-(max(now - speed.at, timedelta()) / SPELL_TIME))
+        return 1.0 + weight * (speed.work_time - 1.0)
 
     def lasting_factor(self, id: str) -> float:
         """Return how much longer work takes lastingly than at the mean upstream."""
-        return 1.0
+        return self._lasting.get(id)
+
+    def count_others(self, id: str, now: timedelta) -> float:
+        """Return the requests of other gateways at an upstream by its newest report."""
+        queue = self._queues.get(id)
+        if queue is None or now - queue.at >= QUEUE_LIFETIME:
+            return 0.0
+        return float(queue.others)
+
+    def reports_speed(self, id: str) -> bool:
+        """Return whether an upstream has reported how long its work takes."""
+        return id in self._speeds
+
+    def measure_age(self, id: str, now: timedelta) -> timedelta | None:
+        """Return the age of the newest reported speed, None without one."""
+        speed = self._speeds.get(id)
+        return None if speed is None else now - speed.at
+
+    def count_reporting(self, now: timedelta) -> int:
+        """Return the number of upstreams whose reported speed is still in use."""
+        return sum(now - speed.at <= MAX_NOTICE_AGE for speed in self._speeds.values())
+
+    def count_slow(self, now: timedelta, factor: float) -> int:
+        """Return the number of upstreams that take at least a multiple of the usual."""
+        return sum(self.current_factor(id, now) >= factor for id in self._speeds)
 
     def forget(self, id: str) -> None:
         """Drop an upstream that was removed or has restarted."""
-        self._reports.pop(id, None)
+        if id in self._queues or id in self._speeds:
+            # Reports of the earlier incarnation may still come from other gateways.
+            self._forgotten[id] = None
+        for known in (self._queues, self._speeds, self._unshared):
+            known.pop(id, None)
+        self._lasting.forget(id)
+
+    def _put(self, id: str, report: LoadReport, at: timedelta, own: int) -> bool:
+        """Keep the figures of a report that are newer than the known ones."""
+        is_news = False
+        queue, speed = self._queues.get(id), self._speeds.get(id)
+        if report.queue is not None and (queue is None or at >= queue.at):
+            self._queues[id] = _Queue(max(report.queue - own, 0), at)
+            is_news = True
+        if report.work_time is not None and (speed is None or at >= speed.at):
+            self._speeds[id] = _Speed(clamp_factor(report.work_time), at)
+            is_news = True
+        return is_news
+
+    def _share(self, news: CapacityNotice, now: timedelta) -> None:
+        """Merge a report or an answer into the notice for the next digest."""
+        known = self._unshared.get(news.upstream)
+        if known is None:
+            self._unshared[news.upstream] = (news, now)
+            return
+        notice, at = known
+        answers = notice.answers + news.answers
+        seconds = notice.answer_seconds + news.answer_seconds
+        has_report = not news.answers
+        newest, newest_at = (news, now) if has_report else (notice, at)
+        merged = replace(newest, answers=answers, answer_seconds=seconds)
+        self._unshared[news.upstream] = (merged, newest_at)
+
+    def _stamp_forgotten(self, now: timedelta) -> None:
+        """Date the drops since the last call, and discard those that are long past."""
+        if not self._forgotten:
+            return
+        self._forgotten = {
+            id: now if at is None else at
+            for id, at in self._forgotten.items()
+            if at is None or now - at <= MAX_NOTICE_AGE
+        }
--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/upstream_capacity/lasting_factors.py
@@ -0,0 +1,120 @@
+"""Lasting factors: how much longer work takes at one upstream than at the mean.
+
+Designed for services some of whose upstreams are slower for good, while single answers
+vary as much as their mean, and each gateway sees few of them.
+"""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+__all__ = ["MAX_FACTOR", "LastingFactors", "clamp_factor"]
+
+MAX_FACTOR = 8.0
+"""Bound of all factors and of their inverse, so that a false report has a bounded
+effect."""
+MAX_SAMPLES = 200.0
+"""Answers over which the mean is taken: times that vary as much as their mean give it
+to within 7 %."""
+MAX_ANSWERS = 50
+"""Answers that count at once, so that a single false notice has a bounded weight."""
+PRIOR_SAMPLES = 8.0
+"""Weight of the service's mean in the estimate, in answers: a few long answers by
+chance must not make an upstream look slow."""
+SAMPLE_HALF_LIFE = timedelta(seconds=30)
+"""Half-life of the weight of an upstream without new answers. A slow upstream gets few,
+so its recovery would otherwise remain undetected."""
+
+
+def clamp_factor(factor: float) -> float:
+    """Return a factor within the bounds.
+
+    >>> clamp_factor(100.0), clamp_factor(0.0)
+    (8.0, 0.125)
+    """
+    return min(max(factor, 1 / MAX_FACTOR), MAX_FACTOR)
+
+
+@dataclass(slots=True)
+class _Times:
+    """The times of the answers of one upstream."""
+
+    service: str
+    mean: float
+    samples: float
+    at: timedelta
+
+
+@dataclass(slots=True)
+class _Service:
+    """Sum of the mean times of a service's upstreams."""
+
+    total: float = 0.0
+    upstreams: int = 0
+    at: timedelta = timedelta()
+    """Time of the newest answer."""
+
+    @property
+    def mean(self) -> float:
+        """Return the mean over the upstreams."""
+        return self.total / self.upstreams
+
+
+@dataclass(slots=True)
+class LastingFactors:
+    """Mean times of the answers of each upstream, relative to those of its service."""
+
+    _times: dict[str, _Times] = field(default_factory=dict)
+    _services: dict[str, _Service] = field(default_factory=dict)
+
+    def note(
+        self, id: str, service: str, seconds: float, answers: int, now: timedelta
+    ) -> None:
+        """Record some answers of an upstream by the sum of their times."""
+        mean = seconds / answers
+        answers = min(answers, MAX_ANSWERS)
+        total = self._services.setdefault(service, _Service())
+        total.at = now
+        times = self._times.get(id)
+        if times is None:
+            times = self._times[id] = _Times(service, mean, 0.0, now)
+            total.total += mean
+            total.upstreams += 1
+        # Bounds the effect of a single false time.
+        mean = min(mean, MAX_FACTOR * total.mean)
+        known = min(_fade(times, now), MAX_SAMPLES - answers)
+        times.samples = max(known, 0.0) + answers
+        change = (mean - times.mean) * min(answers / times.samples, 1.0)
+        times.mean += change
+        times.at = now
+        total.total += change
+
+    def get(self, id: str) -> float:
+        """Return how many times as long work takes at an upstream as at the mean.
+
+        1.0 for an upstream without answers.
+        """
+        times = self._times.get(id)
+        if times is None:
+            return 1.0
+        service = self._services[times.service]
+        if service.mean <= 0:
+            return 1.0
+        samples = _fade(times, service.at)
+        weight = samples / (samples + PRIOR_SAMPLES)
+        return clamp_factor(1.0 + weight * (times.mean / service.mean - 1.0))
+
+    def forget(self, id: str) -> None:
+        """Drop an upstream."""
+        times = self._times.pop(id, None)
+        if times is None:
+            return
+        service = self._services[times.service]
+        service.total -= times.mean
+        service.upstreams -= 1
+        if not service.upstreams:
+            del self._services[times.service]
+
+
+def _fade(times: _Times, now: timedelta) -> float:
+    """Return the weight of the answers of an upstream at a time."""
+    return times.samples * 0.5 ** (max(now - times.at, timedelta()) / SAMPLE_HALF_LIFE)
--- a/packages/mustardquay/src/mustardquay/upstream_loads.py
+++ b/packages/mustardquay/src/mustardquay/upstream_loads.py
@@ -10,7 +10,14 @@
 from random import Random
 
 from .silences import ConnectResult, UpstreamSilences, pass_over_silent
-from .upstream_capacity import CapacityEstimates
+from .upstream_capacity import (
+    CapacityEstimates,
+    CapacityNotice,
+    LoadReport,
+    choose_shortest,
+    estimate_completion,
+    estimate_wait,
+)
 from .upstream_lists import UpstreamRecord
 
 __all__ = ["UpstreamLoads", "UpstreamLoad", "choose_plain"]
@@ -44,6 +51,8 @@
 LOAD_LIFETIME = timedelta(milliseconds=300)
 """How long the load reported in an answer is used: about ten requests of plain
 services."""
+REFERENCE_SLOTS = 6
+"""Slots of the upstream in whose requests in flight costs are stated."""
 FAILURE_COST = 10.0
 """Cost of an upstream with a failure rate of 1, in requests in flight."""
 ZONE_COST = 0.6
@@ -82,6 +91,8 @@
     loads: dict[str, UpstreamLoad] = field(default_factory=dict)
     silences: UpstreamSilences = field(default_factory=UpstreamSilences)
     capacities: CapacityEstimates = field(default_factory=CapacityEstimates)
+    uses_reports: bool = False
+    """Whether plain upstreams are chosen by the speed that they report."""
 
     def get(self, id: str) -> UpstreamLoad:
         """Return the load of an upstream, a new one if none is known."""
@@ -178,6 +189,49 @@
         load.reported = running + waiting
         load.reported_at = now
 
+    def note_capacity(self, id: str, report: LoadReport, now: timedelta) -> None:
+        """Record all figures of a report, to be shared with other gateways."""
+        self.capacities.note_report(id, report, now, self._count_in_flight(id))
+
+    def apply_notices(
+        self,
+        notices: Iterable[CapacityNotice],
+        now: timedelta,
+        find_service: Callable[[str], str],
+    ) -> int:
+        """Apply reports that another gateway got; return how many were news."""
+        return self.capacities.apply_notices(
+            notices, now, self._count_in_flight, find_service
+        )
+
+    def knows_speed(self, id: str) -> bool:
+        """Return whether an upstream is chosen by the speed that it has reported."""
+        return self.uses_reports and self.capacities.reports_speed(id)
+
+    def count_queue(self, id: str, now: timedelta) -> float:
+        """Return the requests of all gateways at an upstream, as far as known."""
+        return self._count_in_flight(id) + self.capacities.count_others(id, now)
+
+    def estimate_wait(self, record: UpstreamRecord, now: timedelta) -> float:
+        """Return the expected time in an upstream's queue, in times of one request."""
+        return estimate_wait(self.count_queue(record.id, now), record.slots)
+
+    def describe(self, id: str, now: timedelta) -> dict[str, float]:
+        """Return log fields with the figures by which a plain upstream is chosen."""
+        age = self.capacities.measure_age(id, now)
+        fields = {
+            "queue": self.count_queue(id, now),
+            "current_factor": round(self.capacities.current_factor(id, now), 2),
+            "lasting_factor": round(self.capacities.lasting_factor(id), 2),
+        }
+        if age is not None:
+            fields["report_age_ms"] = round(age.total_seconds() * 1000)
+        return fields
+
+    def _count_in_flight(self, id: str) -> int:
+        load = self.loads.get(id)
+        return load.in_flight if load is not None else 0
+
     def forget(self, id: str) -> None:
         """Drop an upstream that has been removed."""
         self.loads.pop(id, None)
@@ -196,8 +250,10 @@
 ) -> UpstreamRecord | None:
     """Return the plain upstream with the shortest known queue.
 
-    Upstreams without a rate limit wait are preferred; `expect_limit_wait` returns the
-    seconds until the rate limit of an upstream allows another request.
+    If upstreams report their speed and reports are used, one of those that are expected
+    to complete the request soonest. Upstreams without a rate limit wait are preferred;
+    `expect_limit_wait` returns the seconds until the rate limit of an upstream allows
+    another request.
 
     Designed for short calls to a few upstreams with several slots each. Ejected
     upstreams are used only when all are ejected, and silent ones when all are silent,
@@ -209,6 +265,10 @@
         return None
     healthy = [record for record in usable if not loads.get(record.id).is_ejected(now)]
     healthy = pass_over_silent(healthy, loads.silences, now)
+    if any(loads.knows_speed(record.id) for record in usable):
+        return _choose_soonest(
+            healthy or usable, loads, now, availability_zone, random, expect_limit_wait
+        )
     best, lowest = None, (float("inf"), 0.0)
     for record in healthy or usable:
         cost = _estimate_plain_cost(record, loads, now, availability_zone)
@@ -219,6 +279,42 @@
     return best
 
 
+def _choose_soonest(
+    records: Sequence[UpstreamRecord],
+    loads: UpstreamLoads,
+    now: timedelta,
+    availability_zone: str,
+    random: Random,
+    expect_limit_wait: Callable[[UpstreamRecord], float],
+) -> UpstreamRecord:
+    """Return one of the upstreams that complete a request soonest, at random."""
+    waits = [expect_limit_wait(record) for record in records]
+    shortest = min(waits)
+    costs = [
+        (record, _estimate_completion_cost(record, loads, now, availability_zone))
+        for record, wait in zip(records, waits, strict=True)
+        if wait <= shortest
+    ]
+    return choose_shortest(costs, random)
+
+
+def _estimate_completion_cost(
+    record: UpstreamRecord, loads: UpstreamLoads, now: timedelta, availability_zone: str
+) -> float:
+    """Return the expected time to completion, in times of one request at usual speed.
+
+    With the terms for failures and the zone, which are in requests in flight.
+    """
+    id, capacities = record.id, loads.capacities
+    factor = capacities.current_factor(id, now) * capacities.lasting_factor(id)
+    queue = loads.count_queue(id, now)
+    penalty = FAILURE_COST * loads.read_failure_rate(id, now)
+    if record.availability_zone != availability_zone:
+        penalty += ZONE_COST
+    cost = estimate_completion(queue, record.slots, factor)
+    return cost + penalty / REFERENCE_SLOTS
+
+
 def _estimate_plain_cost(
     record: UpstreamRecord, loads: UpstreamLoads, now: timedelta, availability_zone: str
 ) -> float:
@@ -226,7 +322,7 @@
     count = float(load.in_flight)
     if load.reported_at is not None and now - load.reported_at < LOAD_LIFETIME:
         count = max(count, float(load.reported))
-    cost = count * 6 / max(record.slots, 1)
+    cost = count * REFERENCE_SLOTS / max(record.slots, 1)
     cost += FAILURE_COST * loads.read_failure_rate(record.id, now)
     if record.availability_zone != availability_zone:
         cost += ZONE_COST
