--- a/packages/mustardquay-node/src/mustardquay_node/load_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/load_reporters.py
@@ -39,7 +39,7 @@
         loads: UpstreamLoads,
         note_change: Callable[[], None],
     ):
-        """Initialise without reports; `note_change` is called with each own one."""
+        """Initialise without reports; `note_change` is called with those to share."""
         self._clock = clock
         self._events = events
         self._upstreams = upstreams
@@ -64,7 +64,7 @@
             return
         self.counts["answer",] += 1
         self._loads.note_capacity(upstream.id, facts.load, self._now)
-        if self._loads.capacities.reports_speed(upstream.id):
+        if self._loads.capacities.has_notices():
             self._note_change()
 
     def list_notices(self, placed: int) -> tuple[CapacityNotice, ...]:
--- a/packages/mustardquay/src/mustardquay/upstream_capacity/estimates.py
+++ b/packages/mustardquay/src/mustardquay/upstream_capacity/estimates.py
@@ -5,10 +5,11 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from datetime import timedelta
 from math import exp, isfinite
 
+from .completion_times import estimate_wait
 from .lasting_factors import LastingFactors, clamp_factor
 from .load_reports import CapacityNotice, LoadReport
 
@@ -22,6 +23,15 @@
 each slot."""
 MAX_NOTICE_AGE = timedelta(seconds=2)
 """Older notices are ignored: their speed has lost nearly all weight."""
+NOTABLE_ERROR = 0.1
+"""Relative error of the known speed, and error of the known wait in times of one
+request, from which a report is sent to other gateways. Smaller ones change few choices.
+"""
+CONFIRM_INTERVAL = timedelta(seconds=1)
+"""How long a speed may go unconfirmed, so that gateways that have started know which
+upstreams report theirs."""
+ANSWERS_PER_NOTICE = 4
+"""Answers whose times are sent together."""
 MAX_NOTICES = 8
 """Notices in one digest, about 260 bytes. The others follow with the next one."""
 
@@ -39,6 +49,12 @@
     at: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class _Reported:
+    report: LoadReport
+    at: timedelta
+
+
 @dataclass(slots=True)
 class CapacityEstimates:
     """The newest figures that each upstream has reported, by its id.
@@ -49,8 +65,10 @@
     _queues: dict[str, _Queue] = field(default_factory=dict)
     _speeds: dict[str, _Speed] = field(default_factory=dict)
     _lasting: LastingFactors = field(default_factory=LastingFactors)
-    _unshared: dict[str, tuple[CapacityNotice, timedelta]] = field(default_factory=dict)
-    """Own reports that no digest has contained, with their times."""
+    _unshared: dict[str, _Reported] = field(default_factory=dict)
+    """Own reports that the next digests are to contain."""
+    _answers: dict[str, tuple[int, float]] = field(default_factory=dict)
+    """Answers that no digest has contained: their number and the sum of their times."""
     _forgotten: dict[str, timedelta | None] = field(default_factory=dict)
     """When upstreams were dropped; None until the time is next known."""
 
@@ -62,12 +80,10 @@
         `own` is the number of this gateway's requests at the upstream, which the report
         includes.
         """
+        is_news = self._is_news(id, report, own, now)
         self._put(id, report, now, own)
-        if id in self._speeds:
-            notice = CapacityNotice(
-                id, report.running, report.waiting, report.work_time, timedelta()
-            )
-            self._share(notice, now)
+        if id in self._speeds and (is_news or id in self._unshared):
+            self._unshared[id] = _Reported(report, now)
 
     def note_answer(
         self, id: str, seconds: float, now: timedelta, service: str = ""
@@ -80,8 +96,10 @@
             return
         usual = seconds / self.current_factor(id, now)
         self._lasting.note(id, service, usual, 1, now)
-        notice = CapacityNotice(id, None, None, None, timedelta(), 1, usual)
-        self._share(notice, now)
+        answers, total = self._answers.get(id, (0, 0.0))
+        self._answers[id] = (answers + 1, total + usual)
+        if answers + 1 >= ANSWERS_PER_NOTICE:
+            self._unshared.setdefault(id, _Reported(LoadReport(), now))
 
     def apply_notices(
         self,
@@ -122,8 +140,7 @@
         """
         self._stamp_forgotten(now)
         chosen = list(self._unshared)[:limit]
-        taken = [self._unshared.pop(id) for id in chosen]
-        return tuple(replace(notice, age=now - at) for notice, at in taken)
+        return tuple(self._take_notice(id, now) for id in chosen)
 
     def current_factor(self, id: str, now: timedelta) -> float:
         """Return how many times as long work takes now as is usual for an upstream.
@@ -147,6 +164,10 @@
             return 0.0
         return float(queue.others)
 
+    def has_notices(self) -> bool:
+        """Return whether the next digest is to contain reports."""
+        return bool(self._unshared)
+
     def reports_speed(self, id: str) -> bool:
         """Return whether an upstream has reported how long its work takes."""
         return id in self._speeds
@@ -169,10 +190,18 @@
         if id in self._queues or id in self._speeds:
             # Reports of the earlier incarnation may still come from other gateways.
             self._forgotten[id] = None
-        for known in (self._queues, self._speeds, self._unshared):
+        for known in (self._queues, self._speeds, self._unshared, self._answers):
             known.pop(id, None)
         self._lasting.forget(id)
 
+    def _take_notice(self, id: str, now: timedelta) -> CapacityNotice:
+        reported = self._unshared.pop(id)
+        report, age = reported.report, now - reported.at
+        answers, seconds = self._answers.pop(id, (0, 0.0))
+        return CapacityNotice(
+            id, report.running, report.waiting, report.work_time, age, answers, seconds
+        )
+
     def _put(self, id: str, report: LoadReport, at: timedelta, own: int) -> bool:
         """Keep the figures of a report that are newer than the known ones."""
         is_news = False
@@ -185,19 +214,23 @@
             is_news = True
         return is_news
 
-    def _share(self, news: CapacityNotice, now: timedelta) -> None:
-        """Merge a report or an answer into the notice for the next digest."""
-        known = self._unshared.get(news.upstream)
-        if known is None:
-            self._unshared[news.upstream] = (news, now)
-            return
-        notice, at = known
-        answers = notice.answers + news.answers
-        seconds = notice.answer_seconds + news.answer_seconds
-        has_report = not news.answers
-        newest, newest_at = (news, now) if has_report else (notice, at)
-        merged = replace(newest, answers=answers, answer_seconds=seconds)
-        self._unshared[news.upstream] = (merged, newest_at)
+    def _is_news(self, id: str, report: LoadReport, own: int, now: timedelta) -> bool:
+        """Return whether other gateways should know a report.
+
+        They know what this gateway knows, apart from its own requests. Most reports
+        confirm it, and each notice takes processor time in all gateways.
+        """
+        speed = self._speeds.get(id)
+        if report.work_time is not None:
+            if speed is None or now - speed.at > CONFIRM_INTERVAL:
+                return True
+            known = self.current_factor(id, now)
+            if abs(clamp_factor(report.work_time) - known) > NOTABLE_ERROR * known:
+                return True
+        if report.queue is None or not report.slots or not self._lasting.has(id):
+            return False
+        wait = estimate_wait(self.count_others(id, now) + own, report.slots)
+        return abs(estimate_wait(report.queue, report.slots) - wait) > NOTABLE_ERROR
 
     def _stamp_forgotten(self, now: timedelta) -> None:
         """Date the drops since the last call, and discard those that are long past."""
--- a/packages/mustardquay/src/mustardquay/upstream_capacity/lasting_factors.py
+++ b/packages/mustardquay/src/mustardquay/upstream_capacity/lasting_factors.py
@@ -72,9 +72,12 @@
         """Record some answers of an upstream by the sum of their times."""
         mean = seconds / answers
         answers = min(answers, MAX_ANSWERS)
+        times = self._times.get(id)
+        if times is not None and times.service != service:
+            self.forget(id)
+            times = None
         total = self._services.setdefault(service, _Service())
         total.at = now
-        times = self._times.get(id)
         if times is None:
             times = self._times[id] = _Times(service, mean, 0.0, now)
             total.total += mean
@@ -103,6 +106,10 @@
         weight = samples / (samples + PRIOR_SAMPLES)
         return clamp_factor(1.0 + weight * (times.mean / service.mean - 1.0))
 
+    def has(self, id: str) -> bool:
+        """Return whether answers of an upstream are known."""
+        return id in self._times
+
     def forget(self, id: str) -> None:
         """Drop an upstream."""
         times = self._times.pop(id, None)
--- a/packages/mustardquay/src/mustardquay/upstream_loads.py
+++ b/packages/mustardquay/src/mustardquay/upstream_loads.py
@@ -53,6 +53,9 @@
 services."""
 REFERENCE_SLOTS = 6
 """Slots of the upstream in whose requests in flight costs are stated."""
+MAX_COMPARED = 32
+"""Upstreams whose completion times are compared, drawn at random from more: the best of
+them is among the best tenth of all with 97 % probability."""
 FAILURE_COST = 10.0
 """Cost of an upstream with a failure rate of 1, in requests in flight."""
 ZONE_COST = 0.6
@@ -290,10 +293,14 @@
     """Return one of the upstreams that complete a request soonest, at random."""
     waits = [expect_limit_wait(record) for record in records]
     shortest = min(waits)
+    best = [
+        record for record, wait in zip(records, waits, strict=True) if wait <= shortest
+    ]
+    if len(best) > MAX_COMPARED:
+        best = random.sample(best, MAX_COMPARED)
     costs = [
         (record, _estimate_completion_cost(record, loads, now, availability_zone))
-        for record, wait in zip(records, waits, strict=True)
-        if wait <= shortest
+        for record in best
     ]
     return choose_shortest(costs, random)
 
