--- a/packages/mustardquay-node/src/mustardquay_node/load_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/load_reporters.py
@@ -60,7 +60,10 @@
             return
         if facts.is_load_invalid:
             self._log_invalid(upstream, facts, request)
-        if facts.load is None:
+        listed = self._upstreams.get(upstream.id)
+        # An answer may arrive after its upstream was removed or has restarted.
+        is_current = listed is not None and listed.started_ms == upstream.started_ms
+        if facts.load is None or not is_current:
             return
         self.counts["answer",] += 1
         self._loads.note_capacity(upstream.id, facts.load, self._now)
