--- a/packages/mustardquay/tests/simulated_capacity.py
+++ b/packages/mustardquay/tests/simulated_capacity.py
@@ -43,6 +43,8 @@
     uses_reports: bool = True
     loss: float = 0.0
     """Share of the digests that are lost."""
+    jitter: float = 0.0
+    """Longest delay of a digest in seconds, by which it may overtake others."""
     reports: Callable[["Upstream", float], LoadReport | None] | None = None
     """What an upstream reports; None for the truth."""
 
@@ -243,8 +245,9 @@
         digest = PeerDigest(gateway.name, 1, round(now * 1e6), 1, capacities=notices)
         for other in recipients:
             if self.random.random() >= self.load.loss:
+                delay = LINK_DELAY + self.load.jitter * self.random.random()
                 self.at(
-                    now + LINK_DELAY,
+                    now + delay,
                     lambda at, o=other: self._apply(self.gateways[o], digest, at),
                 )
 
--- a/packages/mustardquay/tests/test_plain_choices.py
+++ b/packages/mustardquay/tests/test_plain_choices.py
@@ -58,6 +58,13 @@
     assert play(replace(load, loss=0.5)) >= play(load) - 0.005
 
 
+def test_late_and_reordered_reports_suffice():
+    """Guards against a choice by digests that overtook each other."""
+    load = ServiceLoad(28, seconds=SECONDS)
+    before = play(replace(load, uses_reports=False))
+    assert play(replace(load, jitter=0.2)) >= before
+
+
 def test_stale_reports_end():
     """Guards against an upstream that is avoided, or flooded, by its last report."""
     records = [make_record(0), make_record(1)]
--- a/packages/mustardquay/tests/test_upstream_capacity.py
+++ b/packages/mustardquay/tests/test_upstream_capacity.py
@@ -92,6 +92,29 @@
     assert estimates.list_notices(later) == ()
 
 
+def test_ages_are_sent_instead_of_times():
+    """Guards against gateways whose clocks differ: reports would be old or of later."""
+    teacher, learner = CapacityEstimates(), CapacityEstimates()
+    teacher.note_report("u", SLOW, NOW)
+    notices = teacher.list_notices(NOW + milliseconds(30))
+    other_clock = timedelta(days=9)
+    learner.apply_notices(notices, other_clock)
+    assert learner.measure_age("u", other_clock) == milliseconds(30)
+
+
+def test_reports_that_confirm_what_is_known_are_not_sent():
+    """Guards against digests that grow with the answers of upstreams."""
+    estimates = CapacityEstimates()
+    sent = 0
+    for step in range(300):
+        now = NOW + milliseconds(10 * step)
+        estimates.note_report("u", LoadReport(1, 0, 6, 1.0), now)
+        sent += len(estimates.list_notices(now))
+    assert sent == 1
+    estimates.note_report("u", SLOW, now)
+    assert len(estimates.list_notices(now)) == 1
+
+
 def test_reports_of_peers_are_not_passed_on():
     """Guards against reports that go round between gateways for ever."""
     estimates = CapacityEstimates()
