--- a/packages/mustardquay-node/src/mustardquay_node/digest_exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/digest_exchanges.py
@@ -13,6 +13,7 @@
 from .gateway_servers import PeeringPorts
 from .gateway_stops import GatewayStop
 from .generation_planners import GenerationPlanner
+from .load_reporters import LoadReporter
 
 __all__ = ["DigestDependencies", "DigestExchange"]
 
@@ -29,6 +30,7 @@
     crashes: CrashReporter
     gate: ConnectionGate
     limits: RateLimiter
+    reports: LoadReporter
     configurations: ConfigurationLoader
     is_ready: Callable[[], bool]
     link_rate: float
@@ -75,6 +77,7 @@
             forward_port=deps.ports.forward,
             relay_port=deps.ports.relay,
             ends_in=deps.stop.ends_in,
+            capacities=deps.reports.list_notices(len(digest.placed)),
         )
 
     def apply_digest(self, digest: PeerDigest) -> None:
@@ -90,6 +93,7 @@
         deps.crashes.merge(digest.crashes)
         deps.note_digest(digest)
         self._apply_limits(digest)
+        deps.reports.apply_digest(digest)
         if deps.configurations.note_peer_version(digest.gateway, digest.configuration):
             deps.fetch_configuration()
 
@@ -98,6 +102,7 @@
         now = self._deps.clock.monotonic()
         self._deps.limits.demand.set_gateways(senders, others, now)
         self._deps.planner.set_gateway_counts(len(senders), others)
+        self._deps.reports.set_gateways(senders)
 
     def _apply_limits(self, digest: PeerDigest) -> None:
         now = self._deps.clock.monotonic()
--- a/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
@@ -20,12 +20,19 @@
     request: ForwardedRequest,
     send: Send,
     facts: AnswerFacts,
+    status: int,
 ) -> None:
     """Record what the head of an answer says of its upstream."""
     if facts.is_other_upstream:
         return
     _observe_limit(deps, request, send, facts)
     deps.note_statements(send.upstream, facts, request.id)
+    if not request.route.has_prompt and status in SUCCESS_STATUSES:
+        now = deps.clock.monotonic()
+        # The answer shows the speed of its upstream, without the time in its queue.
+        seconds = (now - request.sent_at).total_seconds() / (1.0 + send.expected_wait)
+        service = send.upstream.service
+        deps.loads.capacities.note_answer(send.upstream.id, seconds, now, service)
 
 
 def observe_end(
@@ -108,9 +115,9 @@
             upstream=id,
             failure_rate=round(loads.get(id).failure_rate, 2),
         )
-    if send.facts is not None and send.facts.load is not None:
-        running, waiting, _ = send.facts.load
-        loads.note_report(id, running, waiting, now)
+    load = send.facts.load if send.facts is not None else None
+    if load is not None and None not in (load.running, load.waiting, load.slots):
+        loads.note_report(id, load.running, load.waiting, now)
 
 
 def _has_run_whole(send: Send, options: SendOptions) -> bool:
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -10,6 +10,7 @@
 from mustardquay.routing_tables import Repeat
 from mustardquay.silences import ConnectResult
 from mustardquay.streams import EventFramer, StreamOrigin, is_stream_complete
+from mustardquay.upstream_capacity import estimate_wait
 from mustardquay.upstream_lists import UpstreamRecord
 
 from ..adapters import SendTarget
@@ -74,6 +75,7 @@
         request.sent_at = self._deps.clock.monotonic()
         self._watch = SilenceWatch(self._deps, request, self._reply, send, options)
         self._watch.start(exchange)
+        self._note_choice(send)
         self._deps.loads.begin(upstream.id)
         end = ExchangeEnd.CANCELLED
         try:
@@ -109,6 +111,7 @@
             framing=send.framing,
             software_version=send.upstream.software_version,
             **self._deps.describe_list(self._request.sent_at),
+            **send.inputs,
             kept=send.was_reused,
             next=step,
             age_ms=self._reply.age_ms,
@@ -117,6 +120,14 @@
             **self._reply.describe_caller(),
         )
 
+    def _note_choice(self, send: Send) -> None:
+        """Keep the figures by which a plain upstream was chosen."""
+        loads, upstream = self._deps.loads, send.upstream
+        if self._request.route.has_prompt or not loads.knows_speed(upstream.id):
+            return
+        send.inputs = loads.describe(upstream.id, self._request.sent_at)
+        send.expected_wait = estimate_wait(send.inputs["queue"], upstream.slots)
+
     def _make_exchange(self, send: Send, options: SendOptions) -> Exchange:
         request = self._request
         target = SendTarget(
@@ -201,7 +212,7 @@
             return False
         send.facts = facts
         self._watch.note_data()
-        observe_head(self._deps, self._request, send, facts)
+        observe_head(self._deps, self._request, send, facts, head.status)
         return True
 
     def _receive(
