Learn lasting speeds of engines with other gateways, apart from slow spells

Expected prefill times stayed wrong for minutes: each gateway sees one request in 29, learned a slow spell of 0.6 s as the speed of the engine, and used one factor for prefill only.

With [gateway] load_reports, EngineSpeeds divides measured times by the factor that the engine reported, keeps lasting factors of prefill and decode as decaying evidence, and shares the evidence of this gateway in digests with its weight. Expectations multiply the lasting and the current factor. Outstanding prefill is counted at the usual speed of its engine and multiplied by the current factor when it is read, so that a queue is longer while its engine is in a spell. The network's part of a time is not scaled. Without the switch, decisions are as before; the old factors moved to OwnFactors.

--- a/packages/mustardquay-node/src/mustardquay_node/digest_frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/digest_frames.py
@@ -8,6 +8,7 @@
 import capnp
 
 from mustardquay.engine_models import PREFILL_SCALES, STREAM_SCALES, PoolSpeeds
+from mustardquay.engine_speeds import EngineFactor
 from mustardquay.peer_digests import (
     LOWEST_RANK,
     MICROSECONDS,
@@ -47,6 +48,7 @@
     _write_speeds(message, digest.speeds)
     _write_presence(message, digest)
     _write_limits(message, digest)
+    _write_factors(message, digest.engine_factors)
     return message.to_bytes_packed()
 
 
@@ -73,6 +75,7 @@
             _read_demands(message),
             message.busy,
             _read_end(message),
+            tuple(map(_read_factor, message.engineFactors)),
         )
     except (capnp.KjException, IndexError, ValueError):
         return None
@@ -174,6 +177,22 @@
     return PoolSpeeds(built.service, built.samples, read, first)
 
 
+def _write_factors(message: Any, factors: Sequence[EngineFactor]) -> None:
+    built_factors = message.init("engineFactors", len(factors))
+    for built, each in zip(built_factors, factors, strict=True):
+        built.engine = each.engine
+        built.prefill = each.prefill
+        built.decode = each.decode
+        built.samples = each.prefill_samples
+        built.decodeSamples = each.decode_samples
+
+
+def _read_factor(built: Any) -> EngineFactor:
+    return EngineFactor(
+        built.engine, built.prefill, built.decode, built.samples, built.decodeSamples
+    )
+
+
 def _write_presence(message: Any, digest: PeerDigest) -> None:
     message.availabilityZone = digest.availability_zone
     message.ready = digest.is_ready
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -94,6 +94,7 @@
             limits=self.limits,
             note_change=deps.note_change,
             random=deps.random,
+            load_reports=settings.gateway.load_reports,
         )
 
     async def close(self) -> None:
--- a/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
@@ -4,7 +4,7 @@
 it; they may be the same engine.
 """
 
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import replace
 from datetime import timedelta
 from random import Random
@@ -12,6 +12,7 @@
 from mustardquay.clocks import Clock
 from mustardquay.engine_models import EngineModels
 from mustardquay.engine_samples import make_sample
+from mustardquay.engine_speeds import EngineSpeeds
 from mustardquay.engine_states import (
     EngineStates,
     HashedPart,
@@ -20,12 +21,13 @@
     hash_parts,
 )
 from mustardquay.generation_limits import LATE_RANK
+from mustardquay.pause_limits import find_pauses
 from mustardquay.peer_digests import EngineDigest, PeerDigest, PlacedPart, trim_ranks
 from mustardquay.placements import Placement, choose_decoder, choose_engines
 from mustardquay.rate_limits import RateLimiter
 from mustardquay.requests import PromptPart, PromptTraits
 from mustardquay.retained_prefills import PrefillLoss, find_prefill_loss
-from mustardquay.routing_tables import Route, RoutingTable
+from mustardquay.routing_tables import RoutingTable
 from mustardquay.stream_ages import StreamAges
 from mustardquay.uplinks import Uplink
 from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
@@ -50,10 +52,13 @@
         limits: RateLimiter | None = None,
         note_change: Callable[[], None] = lambda: None,
         random: Random | None = None,
+        load_reports: bool = False,
     ):
         """Initialise without outstanding work.
 
         `note_change` is called whenever the outstanding work of this gateway changes.
+        With `load_reports`, the speed of each engine is learned with other gateways,
+        and corrected by what the engine reports.
         """
         self._random = random or Random(0)
         self._sample = make_sample(self._random, 1)
@@ -61,6 +66,8 @@
         self._upstreams = upstreams
         self._uplink = uplink or Uplink()
         self._models = models or EngineModels()
+        if load_reports:
+            self._models.speeds = EngineSpeeds(loads.capacities)
         self._limits = limits or RateLimiter()
         self._states = EngineStates(
             loads, OutstandingWork(), PrefixCaches(), self._models, limits=self._limits
@@ -138,8 +145,10 @@
         sends = 1 if placement.prefiller is None else 2
         self._uplink.enqueue(size * sends, self._clock.monotonic())
         reader = placement.reader.id
-        self._add_prefill_work(reader, placement.prefill_seconds, rank)
-        self._models.note_placed(placement.reader.service, placement.prefill_seconds)
+        self._add_prefill_work(reader, placement.work, rank)
+        self._models.note_placed(
+            placement.reader, placement.prefill_seconds, self._clock.monotonic()
+        )
         parts = hash_parts(prompt.parts)
         # Before the prefill has ended, so that the next prompts with them go there too.
         self._note_placed_parts(placement.reader, parts)
@@ -165,9 +174,7 @@
             return
         ticket.is_prefilled = True
         placement = ticket.placement
-        self._add_prefill_work(
-            placement.reader.id, -placement.prefill_seconds, ticket.rank
-        )
+        self._add_prefill_work(placement.reader.id, -placement.work, ticket.rank)
         if is_handed_over:
             self._note_copying(ticket)
 
@@ -261,7 +268,12 @@
         """Apply the outstanding work and placements of another gateway."""
         if not self._states.works.peers.apply_digest(digest, self._clock.monotonic()):
             return
-        self._models.adopt_speeds(digest.speeds, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._models.adopt_speeds(digest.speeds, now)
+        for factor in digest.engine_factors:
+            engine = self._upstreams.get(factor.engine)
+            if engine is not None:
+                self._models.apply_factor(digest.gateway, engine, factor, now)
         for part in digest.placed:
             engine = self._upstreams.get(part.engine)
             if engine is not None:
@@ -299,6 +311,7 @@
             placed,
             tuple(sorted(self._changing)),
             speeds=self._models.export_speeds(),
+            engine_factors=self._models.export_factors(self._clock.monotonic()),
         )
 
     def set_changing(self, engines: Collection[str]) -> None:
@@ -362,35 +375,25 @@
         engine = placement.decoder
         streams = self._states.works.sum_running(engine.id)
         seconds = took.total_seconds()
+        now = self._clock.monotonic()
         if placement.prefiller is not None:
-            self._models.learn_first(engine.service, streams, seconds)
+            self._models.learn_first(engine, streams, seconds, now)
             return
         self._models.learn_combined(
             engine,
             placement.prefill,
             streams,
             seconds,
-            self._clock.monotonic(),
+            now,
             placement.wait_seconds,
         )
 
     def learn_pause(self, engine: UpstreamRecord, pause: timedelta) -> None:
         """Learn from the mean time between events of a stream that has ended."""
         streams = self._states.works.sum_running(engine.id)
-        self._models.learn_pause(engine.service, streams, pause.total_seconds())
+        now = self._clock.monotonic()
+        self._models.learn_pause(engine, streams, pause.total_seconds(), now)
 
     def count_samples(self, service: str) -> float:
         """Return the weight of the samples behind the model of a service's engines."""
         return self._models.count_samples(service)
-
-
-def find_pauses(routes: Iterable[Route]) -> dict[str, timedelta]:
-    """Return the strictest limit on pauses among the routes to each service."""
-    pauses: dict[str, timedelta] = {}
-    for route in routes:
-        if not route.has_prompt or route.longest_pause is None:
-            continue
-        for backend in route.backends:
-            known = pauses.get(backend.service, route.longest_pause)
-            pauses[backend.service] = min(known, route.longest_pause)
-    return pauses
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -354,6 +354,8 @@
         new_tokens=placement.prefill.new,
         cached_tokens=placement.prefill.cached,
         copied_tokens=placement.prefill.copied,
+        lasting_factor=round(placement.lasting_factor, 2),
+        current_factor=round(placement.current_factor, 2),
         late=request.is_late,
         rest_ms=round(
             deps.latency_margins.find_margin(request.route, now).total_seconds() * 1000,
--- a/packages/mustardquay-node/src/mustardquay_node/peers.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.capnp
@@ -47,7 +47,9 @@
   engine @0 :Text;
   prefill @1 :Float32;
   decode @2 :Float32;
+  # Weight of the prefill times and of the pauses behind the factors.
   samples @3 :Float32;
+  decodeSamples @4 :Float32;
 }
 
 # The recent use of a service by one organisation, in seconds of expected work. An empty
--- a/packages/mustardquay-node/tests/test_peers.py
+++ b/packages/mustardquay-node/tests/test_peers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from mustardquay.clocks import SystemClock
+from mustardquay.engine_speeds import EngineFactor
 from mustardquay.events import EventRing, HybridClock
 from mustardquay.peer_digests import EngineDigest, PeerDigest, PlacedPart
 from mustardquay.rate_limits import LimitNotice
@@ -108,3 +109,10 @@
     finally:
         for link in links:
             await link.close()
+
+
+def test_a_digest_carries_factors_of_engines():
+    """Guards against factors that one gateway alone knows."""
+    factors = (EngineFactor("e1", 1.5, 0.75, 3.0, 2.5),)
+    digest = PeerDigest("g", 1, 2, 3, engine_factors=factors)
+    assert decode_digest(encode_digest(digest)) == digest
--- a/packages/mustardquay/src/mustardquay/engine_models.py
+++ b/packages/mustardquay/src/mustardquay/engine_models.py
@@ -2,17 +2,18 @@
 
 The models make no assumptions about a particular type of engine. All engines of a
 service share their coefficients, so that a few answers of any engine train the model
-for all; each engine has one factor relative to them, which identifies a slow one.
-Priors apply before the first answer; a gateway that starts beside others takes over
-their coefficients (`adopt_speeds`).
+for all; each engine has factors relative to them, which identify a slow one (package
+`engine_speeds`). Priors apply before the first answer; a gateway that starts beside
+others takes over their coefficients (`adopt_speeds`).
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
-from math import exp, log
 
-from .decaying_fits import DecayingFit, dot
+from .decaying_fits import dot
+from .engine_pools import PREFILL_SCALES, STREAM_SCALES, EnginePool
+from .engine_speeds import EngineFactor, EngineSpeeds
 from .upstream_lists import Stage, UpstreamRecord
 
 __all__ = ["PREFILL_SCALES", "STREAM_SCALES", "EngineModels", "PoolSpeeds", "Prefill"]
@@ -20,47 +21,23 @@
 DECODER_SLOWDOWN = 2.0
 """How many times longer a decode engine takes to prefill a prompt: a rule of the
 platform's engines, whatever their speed."""
-PRIOR_FIXED = 0.005
-"""Prior for the fixed seconds of a prefill: a few network round trips."""
 MAX_FIXED = 0.03
 """Upper bound for the fixed seconds of a prefill: a larger value is caused by an
 unknown queue, and would move all prefill to the decode engines."""
-PRIOR_TOKEN = 1e-5
-"""Prior for the seconds per token: between the engines known so far (4 and 21
-microseconds). A prior of half or twice the true value misplaces the first dozen prompts
-of a gateway without peers."""
-PRIOR_PAIR = 2e-10
-"""Prior for the seconds per pair of a new token and an earlier one, as above."""
-PRIOR_COPIED = 1e-6
-"""Seconds per token copied between engines when the operator declares none."""
-PRIOR_STEP = 0.002
-"""Prior for the seconds of a decode step."""
-PRIOR_STREAM = 0.00003
-"""Prior for the seconds by which each other stream lengthens a decode step."""
-PREFILL_SCALES = (1.0, 4_000.0, 2e7, 4_000.0)
-"""Typical sizes of the prefill features: constant, tokens, pairs, copied tokens."""
-PREFILL_STRENGTHS = (1.0, 0.2, 0.2, 0.5)
-"""Relative confidence in the prefill priors: high for the network, low for the engine's
-speed."""
-STREAM_SCALES = (1.0, 16.0)
-STREAM_STRENGTHS = (0.2, 0.2)
-"""The same for streams: the length of a step is as uncertain as the engine's speed."""
-FACTOR_WEIGHT = 0.15
-"""Weight of the newest answer in the factor of an engine that was faster than expected;
-the factor follows within about six answers."""
-FACTOR_WEIGHT_ABOVE = 0.06
-"""The same for an answer that was slower than expected, as a queue may be the cause."""
-FACTOR_BOUND = log(8.0)
-"""An engine counts as at most eight times faster or slower than the others: a slower
-one gets no work at this factor already."""
-FACTOR_HALF_LIFE = timedelta(seconds=10)
-"""Time in which the deviation of an engine's factor from 1 is halved, so that a slow
-engine which has had no work since is tried again."""
 USUAL_WEIGHT = 0.05
 """Weight of the newest value in the mean of the expected prefill times."""
 MIN_CONFIDENCE = 0.04
 """Confidence below which a measurement is ignored: at a wait of five times the prefill
 it measures the queue."""
+PAUSE_SAMPLES = 2.0
+"""Weight of the mean pause of a stream in its engine's factor: it is a mean of many
+intervals, where a prefill is one time."""
+FIRST_SAMPLES = 0.3
+"""The same for a first event, which includes the copy of the prompt."""
+MIN_FIRSTS = 8.0
+"""First events from which the factors of engines are learned relative to the model."""
+MIN_PAUSES = 3.0
+"""Streams from which the factors of engines are learned relative to the model."""
 MIN_PEER_SAMPLES = 8.0
 """Measurements from which a gateway shares its coefficients with its peers."""
 MIN_PEER_RATIO = 3.0
@@ -106,66 +83,21 @@
     """Seconds to the first event: constant, per stream."""
 
 
-@dataclass(slots=True)
-class _Factor:
-    logarithm: float = 0.0
-    at: timedelta = timedelta()
-
-
-def _make_prefill_fit() -> DecayingFit:
-    prior = (PRIOR_FIXED, PRIOR_TOKEN, PRIOR_PAIR, PRIOR_COPIED)
-    return DecayingFit(prior, PREFILL_SCALES, PREFILL_STRENGTHS)
-
-
-def _make_stream_fit() -> DecayingFit:
-    prior = (PRIOR_STEP, PRIOR_STREAM)
-    return DecayingFit(prior, STREAM_SCALES, STREAM_STRENGTHS)
-
-
-@dataclass(slots=True)
-class _Pool:
-    factors: dict[str, _Factor] = field(default_factory=dict)
-    read: DecayingFit = field(default_factory=_make_prefill_fit)
-    first: DecayingFit = field(default_factory=_make_stream_fit)
-    pause: DecayingFit = field(default_factory=_make_stream_fit)
-    steps: int = 1
-    """Decode steps between two events of a stream."""
-    copy_seconds: float | None = None
-    """Seconds to copy a token, as declared by the operator; None until configured."""
-    usual: float = 0.0
-    """Exponential mean of the expected prefill seconds of placements."""
-    average: float = 0.0
-    """Mean logarithm of the factors at `averaged_at`."""
-    averaged_at: timedelta | None = None
-    adopted_at: timedelta | None = None
-    """When the coefficients of a peer were last taken over."""
-
-
 @dataclass(slots=True)
 class EngineModels:
     """The models of all services, and the factors of their engines."""
 
-    _pools: dict[str, _Pool] = field(default_factory=dict)
+    speeds: EngineSpeeds | None = None
+    """Lasting and current factors; without them, factors of this gateway alone."""
+    _pools: dict[str, EnginePool] = field(default_factory=dict)
 
     def set_traits(self, service: str, steps: int, copy_seconds: float) -> None:
         """Apply the operator's settings for a service's engines.
 
         `steps` is the number of decode steps between two events of a stream,
         `copy_seconds` the time to copy a token between engines, 0 if not declared.
-
-        The priors are set only when a value has changed: each change of the
-        configuration calls this again, and would otherwise replace coefficients taken
-        over from a peer by the priors.
         """
-        pool = self._get_pool(service)
-        if (steps, copy_seconds) == (pool.steps, pool.copy_seconds):
-            return
-        pool.steps, pool.copy_seconds = steps, copy_seconds
-        copied = copy_seconds or PRIOR_COPIED
-        pool.read.set_prior((PRIOR_FIXED, PRIOR_TOKEN, PRIOR_PAIR, copied))
-        streams = (PRIOR_STEP * steps, PRIOR_STREAM * steps)
-        pool.first.set_prior(streams)
-        pool.pause.set_prior(streams)
+        self._get_pool(service).set_traits(steps, copy_seconds)
 
     def expect_prefill(
         self, engine: UpstreamRecord, prefill: Prefill, now: timedelta
@@ -175,34 +107,63 @@
         seconds = dot(coefficients[1:], prefill.features[1:])
         if engine.stage is not Stage.PREFILL:
             seconds *= DECODER_SLOWDOWN
-        return seconds * self.slowdown_factor(engine, now)
+        return seconds * self._scale_prefill(engine, now)
+
+    def current_factor(self, id: str, now: timedelta) -> float:
+        """Return how many times as long as usual work takes on an engine now."""
+        return 1.0 if self.speeds is None else self.speeds.get_current(id, now)
+
+    def decode_factor(self, engine: UpstreamRecord, now: timedelta) -> float:
+        """Return how many times longer an engine decodes than the average engine."""
+        if self.speeds is None:
+            return 1.0
+        return self.speeds.get_decode(engine.service, engine.id, now)
 
-    def note_placed(self, service: str, seconds: float) -> None:
+    def note_placed(
+        self, engine: UpstreamRecord, seconds: float, now: timedelta
+    ) -> None:
         """Record the expected seconds of a prefill that was placed."""
-        pool = self._get_pool(service)
+        pool = self._get_pool(engine.service)
+        if self.speeds is not None:
+            seconds /= self._scale_prefill(engine, now)
         weight = USUAL_WEIGHT if pool.usual else 1.0
         pool.usual += weight * (seconds - pool.usual)
 
-    def get_usual_prefill(self, service: str) -> float:
+    def get_usual_prefill(self, engine: UpstreamRecord, now: timedelta) -> float:
         """Return the mean expected seconds of a prefill, 0 before the first."""
-        return self._get_pool(service).usual
+        usual = self._get_pool(engine.service).usual
+        return (
+            usual if self.speeds is None else usual * self._scale_prefill(engine, now)
+        )
 
     def expect_overhead(self, service: str) -> float:
         """Return the extra seconds of a prefill on a separate engine."""
         return min(self._get_pool(service).read.coefficients[0], MAX_FIXED)
 
-    def expect_first(self, service: str, streams: int) -> float:
+    def expect_first(
+        self, engine: UpstreamRecord, streams: int, now: timedelta
+    ) -> float:
         """Return the seconds from the end of the prefill to the first event."""
-        return self._get_pool(service).first.predict((1.0, float(streams)))
-
-    def expect_pause(self, service: str, streams: int) -> float:
+        pool = self._get_pool(engine.service)
+        usual = pool.first.predict((1.0, float(streams)))
+        if self.speeds is None:
+            return usual
+        fixed = _find_fixed_first(pool, usual)
+        return fixed + (usual - fixed) * self._scale_decode(engine, now)
+
+    def expect_pause(
+        self, engine: UpstreamRecord, streams: int, now: timedelta
+    ) -> float:
         """Return the mean seconds between two events, including prefill in between."""
-        return self._get_pool(service).pause.predict((1.0, float(streams)))
+        seconds = self._get_pool(engine.service).pause.predict((1.0, float(streams)))
+        return seconds * self._scale_decode(engine, now)
 
-    def expect_stream(self, service: str, tokens: int, streams: int) -> float:
+    def expect_stream(
+        self, engine: UpstreamRecord, tokens: int, streams: int, now: timedelta
+    ) -> float:
         """Return the seconds to decode a stream of `tokens`."""
-        events = tokens / self._get_pool(service).steps
-        return events * self.expect_pause(service, streams)
+        events = tokens / self._get_pool(engine.service).steps
+        return events * self.expect_pause(engine, streams, now)
 
     def count_samples(self, service: str) -> float:
         """Return the effective number of prefill samples; older ones count less."""
@@ -214,11 +175,9 @@
         Relative to the mean of all factors, so that a change common to all engines is
         learned by the shared coefficients.
         """
-        pool = self._get_pool(engine.service)
-        factor = pool.factors.get(engine.id)
-        if factor is None:
-            return 1.0
-        return exp(_decay_factor(factor, now) - _average_factors(pool, now))
+        if self.speeds is not None:
+            return self.speeds.get_prefill(engine.service, engine.id, now)
+        return self._get_pool(engine.service).factors.get(engine.id, now)
 
     def learn_prefill(
         self,
@@ -235,6 +194,9 @@
         progress first, whatever its rank, so that the queue may be longer than `wait`.
         """
         pool = self._get_pool(engine.service)
+        if self.speeds is not None:
+            self._learn_speed(pool, engine, prefill, wait, took, now, work)
+            return
         factor = self.slowdown_factor(engine, now)
         expected = pool.read.predict(prefill.features) * factor
         confidence = _estimate_confidence(max(wait, work), expected)
@@ -243,12 +205,56 @@
         fixed = min(pool.read.coefficients[0] * factor, expected)
         seconds = fixed + _split_duration(took - fixed, wait, expected - fixed)
         if confidence > 0.5:
-            _learn_factor(pool, engine.id, seconds / max(expected, 1e-6), now)
+            pool.factors.learn(engine.id, seconds / max(expected, 1e-6), now)
         pool.read.learn(prefill.features, seconds / factor, confidence)
 
-    def learn_first(self, service: str, streams: int, seconds: float) -> None:
+    def _learn_speed(
+        self,
+        pool: EnginePool,
+        engine: UpstreamRecord,
+        prefill: Prefill,
+        wait: float,
+        took: float,
+        now: timedelta,
+        work: float,
+    ) -> None:
+        """Record the duration of a prefill apart from its fixed time.
+
+        The fixed time is that of the network, which doesn't depend on the engine.
+        """
+        fixed = pool.read.coefficients[0]
+        usual = pool.read.predict(prefill.features) - fixed
+        factor = self._scale_prefill(engine, now)
+        expected = usual * factor
+        confidence = _estimate_confidence(max(wait, work), expected + fixed)
+        if confidence < MIN_CONFIDENCE:
+            return
+        seconds = _split_duration(took - fixed, wait, expected)
+        if confidence > 0.5 and usual > 0:
+            ratio = seconds / self.current_factor(engine.id, now) / usual
+            weight = confidence * (expected / (expected + fixed)) ** 2
+            self.speeds.learn_prefill(engine.service, engine.id, ratio, weight, now)
+        pool.read.learn(prefill.features, fixed + seconds / factor, confidence)
+
+    def learn_first(
+        self, engine: UpstreamRecord, streams: int, seconds: float, now: timedelta
+    ) -> None:
         """Record the time from the end of a prefill to the first event."""
-        self._get_pool(service).first.learn((1.0, float(streams)), max(seconds, 0.0))
+        pool, features = self._get_pool(engine.service), (1.0, float(streams))
+        seconds = max(seconds, 0.0)
+        if self.speeds is None:
+            pool.first.learn(features, seconds)
+            return
+        expected = pool.first.predict(features)
+        fixed = _find_fixed_first(pool, expected)
+        variable = max(seconds - fixed, 0.0) / self.current_factor(engine.id, now)
+        usual = expected - fixed
+        if pool.first.samples >= MIN_FIRSTS and usual > 0:
+            weight = FIRST_SAMPLES * usual / expected
+            ratio = variable / usual
+            self.speeds.learn_decode(engine.service, engine.id, ratio, weight, now)
+        lasting = self.decode_factor(engine, now)
+        pool.first.learn(features, fixed + variable / lasting)
 
     def learn_combined(
         self,
@@ -270,22 +276,35 @@
         """
         pool = self._get_pool(engine.service)
         expected = self.expect_prefill(engine, prefill, now)
-        first = pool.first.predict((1.0, float(streams)))
+        first = self.expect_first(engine, streams, now)
         if expected < first and not _is_long(pool, prefill):
             seconds = _split_duration(seconds, wait + expected, first)
-            self.learn_first(engine.service, streams, seconds)
+            self.learn_first(engine, streams, seconds, now)
             return
         if not expected:
             # Without an estimate, the wait can't be separated from the prefill.
             wait, expected = 0.0, first
         read = _split_duration(seconds - first, wait, expected) / DECODER_SLOWDOWN
         confidence = _estimate_confidence(wait, expected)
-        factor = self.slowdown_factor(engine, now)
+        factor = self._scale_prefill(engine, now)
         pool.read.learn(prefill.features, read / factor, confidence)
 
-    def learn_pause(self, service: str, streams: int, seconds: float) -> None:
-        """Record a pause between two events."""
-        self._get_pool(service).pause.learn((1.0, float(streams)), seconds)
+    def learn_pause(
+        self, engine: UpstreamRecord, streams: int, seconds: float, now: timedelta
+    ) -> None:
+        """Record the mean pause between the events of a stream that has ended."""
+        pause, features = self._get_pool(engine.service).pause, (1.0, float(streams))
+        if self.speeds is None:
+            pause.learn(features, seconds)
+            return
+        # The stream lasted for longer than a spell.
+        usual = seconds / self.speeds.get_recent(engine.id, now)
+        ratio = usual / max(pause.predict(features), 1e-6)
+        if pause.samples >= MIN_PAUSES:
+            self.speeds.learn_decode(
+                engine.service, engine.id, ratio, PAUSE_SAMPLES, now
+            )
+        pause.learn(features, usual / self.decode_factor(engine, now))
 
     def adopt_speeds(self, speeds: Iterable[PoolSpeeds], now: timedelta) -> None:
         """Take over a peer's coefficients if it has far more samples."""
@@ -312,19 +331,48 @@
             if pool.read.samples >= MIN_PEER_SAMPLES
         )
 
+    def export_factors(self, now: timedelta) -> tuple[EngineFactor, ...]:
+        """Return the factors of engines to share with the other gateways.
+
+        None before the coefficients are known, to which the factors are relative.
+        """
+        if self.speeds is None or not self.export_speeds():
+            return ()
+        return self.speeds.list_notices(now)
+
+    def apply_factor(
+        self, gateway: str, engine: UpstreamRecord, factor: EngineFactor, now: timedelta
+    ) -> None:
+        """Process what another gateway has measured of an engine."""
+        if self.speeds is not None:
+            self.speeds.apply_notice(gateway, engine.service, factor, now)
+
     def forget(self, id: str) -> None:
         """Drop the factor of an engine that was removed or restarted."""
         for pool in self._pools.values():
-            pool.factors.pop(id, None)
-            pool.averaged_at = None
+            pool.factors.forget(id)
+        if self.speeds is not None:
+            self.speeds.forget(id)
+
+    def _scale_prefill(self, engine: UpstreamRecord, now: timedelta) -> float:
+        """Return the product of the lasting and the current factor of prefill."""
+        return self.slowdown_factor(engine, now) * self.current_factor(engine.id, now)
 
-    def _get_pool(self, service: str) -> _Pool:
+    def _scale_decode(self, engine: UpstreamRecord, now: timedelta) -> float:
+        return self.decode_factor(engine, now) * self.current_factor(engine.id, now)
+
+    def _get_pool(self, service: str) -> EnginePool:
         pool = self._pools.get(service)
         if pool is None:
-            pool = self._pools[service] = _Pool()
+            pool = self._pools[service] = EnginePool()
         return pool
 
 
+def _find_fixed_first(pool: EnginePool, first: float) -> float:
+    """Return the part of the time to a first event that the network takes."""
+    return min(pool.read.coefficients[0], MAX_FIXED, first / 2)
+
+
 def _estimate_confidence(wait: float, expected: float) -> float:
     """Return the confidence that a time measures the prefill and not its queue."""
     return 1 / (1 + (wait / max(expected, 1e-6)) ** 2)
@@ -341,34 +389,7 @@
     return max(seconds, 0.0) * read / max(wait + read, 1e-6)
 
 
-def _is_long(pool: _Pool, prefill: Prefill) -> bool:
+def _is_long(pool: EnginePool, prefill: Prefill) -> bool:
     """Return whether a prefill takes longer than a first event by the priors."""
     read = DECODER_SLOWDOWN * dot(pool.read.prior, prefill.features)
     return read > dot(pool.first.prior, (1.0, 0.0))
-
-
-def _learn_factor(pool: _Pool, id: str, ratio: float, now: timedelta) -> None:
-    factor = pool.factors.setdefault(id, _Factor(at=now))
-    value = _decay_factor(factor, now)
-    error = max(min(log(max(ratio, 1e-3)), FACTOR_BOUND), -FACTOR_BOUND)
-    weight = FACTOR_WEIGHT if error < 0 else FACTOR_WEIGHT_ABOVE
-    value = max(min(value + weight * error, FACTOR_BOUND), -FACTOR_BOUND)
-    factor.logarithm, factor.at = value, now
-    pool.averaged_at = None
-
-
-def _average_factors(pool: _Pool, now: timedelta) -> float:
-    """Return the mean logarithm of the factors.
-
-    Cached per instant: a placement asks for all engines at the same instant, and would
-    otherwise compute the mean over all engines for each of them.
-    """
-    if pool.averaged_at != now:
-        faded = [_decay_factor(each, now) for each in pool.factors.values()]
-        pool.average = sum(faded) / len(faded)
-        pool.averaged_at = now
-    return pool.average
-
-
-def _decay_factor(factor: _Factor, now: timedelta) -> float:
-    return factor.logarithm * 0.5 ** ((now - factor.at) / FACTOR_HALF_LIFE)
--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/engine_speeds/__init__.py
@@ -0,0 +1,6 @@
+"""Speeds of single engines: lasting factors shared by gateways, and current factors."""
+
+from .engine_factors import EngineFactor, EngineSpeeds
+from .own_factors import OwnFactors
+
+__all__ = ["EngineFactor", "EngineSpeeds", "OwnFactors"]
--- a/packages/mustardquay/src/mustardquay/engine_states.py
+++ b/packages/mustardquay/src/mustardquay/engine_states.py
@@ -95,7 +95,7 @@
     """The work that this process has outstanding at one engine."""
 
     seconds: list[float] = field(default_factory=make_ranks)
-    """Expected seconds of outstanding prefill, by rank."""
+    """Expected seconds of outstanding prefill at the engine's usual speed, by rank."""
     running: int = 0
 
 
@@ -114,7 +114,10 @@
         return work
 
     def sum_seconds(self, id: str, rank: int = LOWEST_RANK) -> float:
-        """Return the outstanding prefill that precedes a new prompt of a rank."""
+        """Return the outstanding prefill that precedes a new prompt of a rank.
+
+        In seconds at the engine's usual speed.
+        """
         own = sum(self.get(id).seconds[: rank + 1])
         return own + self.peers.get_prefill_seconds(id, rank)
 
@@ -134,3 +137,7 @@
     pauses: dict[str, timedelta] = field(default_factory=dict)
     """The strictest limit on pauses among the routes of each service."""
     limits: RateLimiter = field(default_factory=RateLimiter)
+
+    def expect_work(self, id: str, now: timedelta, rank: int = LOWEST_RANK) -> float:
+        """Return the seconds of outstanding prefill at the engine's present speed."""
+        return self.works.sum_seconds(id, rank) * self.models.current_factor(id, now)
--- a/packages/mustardquay/src/mustardquay/peer_digests.py
+++ b/packages/mustardquay/src/mustardquay/peer_digests.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 
 from .engine_models import PoolSpeeds
+from .engine_speeds import EngineFactor
 from .quarantines import CrashRecord
 from .rate_limits import LimitNotice
 from .rate_shares import ServiceDemand
@@ -59,8 +60,8 @@
 
     engine: str
     prefill_seconds: tuple[float, ...]
-    """Expected seconds of outstanding prefill, by rank; trailing ranks without work are
-    omitted."""
+    """Expected seconds of outstanding prefill at the engine's usual speed, by rank;
+    trailing ranks without work are omitted."""
     running: int
 
 
@@ -102,6 +103,8 @@
     """Whether the gateway could not take more callers."""
     ends_in: timedelta | None = None
     """Time until a stopping gateway ends at the latest; None for all others."""
+    engine_factors: tuple[EngineFactor, ...] = ()
+    """What the gateway has measured of single engines."""
 
     @property
     def order(self) -> tuple[int, int]:
--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -83,6 +83,15 @@
     """Seconds until the rate limit of the reader allows another request."""
     decoder_limit_wait: float = 0.0
     """The same for the decoder; 0 when it prefills the prompt itself."""
+    lasting_factor: float = 1.0
+    """How many times longer the reader takes than the mean engine, lastingly."""
+    current_factor: float = 1.0
+    """How many times longer than usual the reader takes at the moment."""
+
+    @property
+    def work(self) -> float:
+        """Return the prefill time at the usual speed of the reader, in seconds."""
+        return self.prefill_seconds / self.current_factor
 
     @property
     def reader(self) -> UpstreamRecord:
@@ -130,7 +139,7 @@
 
     def expect_wait(self, engine: UpstreamRecord) -> float:
         """Return the queueing time at an engine for a prompt of this rank."""
-        return self.states.works.sum_seconds(engine.id, self.rank)
+        return self.states.expect_work(engine.id, self.now, self.rank)
 
     def sum_work(self, engine: UpstreamRecord) -> float:
         """Return the seconds of all outstanding prefill at an engine.
@@ -138,11 +147,11 @@
         Placement uses the total: an urgent prompt on a busy engine waits little itself
         but delays all others there.
         """
-        return self.states.works.sum_seconds(engine.id)
+        return self.states.expect_work(engine.id, self.now)
 
     def expect_stream(self, engine: UpstreamRecord, streams: int) -> float:
         tokens = self.prompt.output_tokens
-        return self.states.models.expect_stream(engine.service, tokens, streams)
+        return self.states.models.expect_stream(engine, tokens, streams, self.now)
 
     def count_cached(self, engine: UpstreamRecord) -> int:
         return self.states.prefixes.count_cached(engine.id, self.parts)
@@ -200,7 +209,7 @@
     candidates = _sample(prefillers, preferred, holder, sample)
     pairs = [_make_pair(engine, decoder, preferred, query) for engine in candidates]
     pair = min(pairs, key=_get_cost)
-    admissible = [each for each in singles if _may_prefill(each, states)]
+    admissible = [each for each in singles if _may_prefill(each, states, now)]
     if not admissible:
         return pair
     best = min(admissible, key=_get_cost)
@@ -249,7 +258,7 @@
     return min(decoders, key=lambda engine: _estimate_decoder_cost(engine, states, now))
 
 
-def _may_prefill(placement: Placement, states: EngineStates) -> bool:
+def _may_prefill(placement: Placement, states: EngineStates, now: timedelta) -> bool:
     """Return whether a decode engine may prefill the prompt itself.
 
     Limits the pauses of running streams: the engine prefills between decode steps, and
@@ -260,10 +269,10 @@
     allowed = states.pauses.get(engine.service)
     if not streams or allowed is None:
         return True
-    pause = states.models.expect_pause(engine.service, streams)
+    pause = states.models.expect_pause(engine, streams, now)
     longest = allowed.total_seconds()
     room = max(PAUSE_SHARE * longest - pause, SHORT_SHARE * longest)
-    outstanding = states.works.sum_seconds(engine.id)
+    outstanding = states.expect_work(engine.id, now)
     return outstanding + placement.prefill_seconds <= room
 
 
@@ -333,7 +342,7 @@
     planned = _plan_prefill(reader, query)
     work = query.sum_work(reader)
     running = states.works.sum_running(decoder.id)
-    first = states.models.expect_first(decoder.service, running)
+    first = states.models.expect_first(decoder, running, query.now)
     reader_limit_wait = states.limits.predict_wait(reader, query.now)
     decoder_limit_wait = 0.0
     if prefiller is not None:
@@ -353,10 +362,12 @@
         cost=cost + _failure_cost(reader, states, query.now),
         prefill=planned.prefill,
         work_seconds=work,
-        usual_seconds=states.models.get_usual_prefill(reader.service),
+        usual_seconds=states.models.get_usual_prefill(reader, query.now),
         stream_seconds=query.expect_stream(decoder, running),
         reader_limit_wait=reader_limit_wait,
         decoder_limit_wait=decoder_limit_wait,
+        lasting_factor=states.models.slowdown_factor(reader, query.now),
+        current_factor=states.models.current_factor(reader.id, query.now),
     )
 
 
@@ -364,9 +375,9 @@
     engine: UpstreamRecord, states: EngineStates, now: timedelta
 ) -> float:
     running = states.works.sum_running(engine.id)
-    wait = states.works.sum_seconds(engine.id)
+    wait = states.expect_work(engine.id, now)
     wait = max(wait, states.limits.predict_wait(engine, now))
-    first = states.models.expect_first(engine.service, running)
+    first = states.models.expect_first(engine, running, now)
     return wait + first + _failure_cost(engine, states, now)
 
 
--- a/packages/mustardquay/tests/test_placements.py
+++ b/packages/mustardquay/tests/test_placements.py
@@ -38,7 +38,8 @@
     first = (0.005 + 0.033 * slower, 0.0003 * slower)
     models.adopt_speeds((PoolSpeeds("llm", 50.0, read, first),), NOW)
     for streams in range(30):
-        models.learn_pause("llm", streams, slower * (0.033 + 0.0003 * streams))
+        pause = slower * (0.033 + 0.0003 * streams)
+        models.learn_pause(make_engines(0, 1)[0], streams, pause, NOW)
     return models
 
 
