Decode streams on engines that keep their pauses, and expect waits for slots

An event takes 217 ms on a slow engine in a spell, where 150 ms are tolerated, and decode engines were compared by their number of streams alone. Of 12 slots, those that other gateways take between two digests were not reserved.

With load reports, answers of 3 and more tokens are decoded where 2.5 times the usual pause stays within the route's longest one, as long as such an engine has a free slot. The expected first event includes the wait for a slot, so that admission counts it. Interleaved prefill is limited by pauses at the present speed. Decoder choices moved to decoder_choices.

--- a/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from mustardquay.clocks import Clock
+from mustardquay.decoder_choices import choose_decoder
 from mustardquay.engine_models import EngineModels
 from mustardquay.engine_samples import make_sample
 from mustardquay.engine_speeds import EngineSpeeds
@@ -22,8 +23,8 @@
 )
 from mustardquay.generation_limits import LATE_RANK
 from mustardquay.pause_limits import find_pauses
-from mustardquay.peer_digests import EngineDigest, PeerDigest, PlacedPart, trim_ranks
-from mustardquay.placements import Placement, choose_decoder, choose_engines
+from mustardquay.peer_digests import PeerDigest, PlacedPart
+from mustardquay.placements import Placement, choose_engines
 from mustardquay.rate_limits import RateLimiter
 from mustardquay.requests import PromptPart, PromptTraits
 from mustardquay.retained_prefills import PrefillLoss, find_prefill_loss
@@ -117,7 +118,9 @@
         """
         now = self._clock.monotonic()
         usable = self.exclude_changing(engines)
-        decoder = choose_decoder(usable, self._states, now, avoid)
+        decoder = choose_decoder(
+            usable, self._states, now, avoid, ticket.output_tokens, self._sample
+        )
         if decoder is None:
             return False
         if decoder.id != ticket.placement.decoder.id:
@@ -152,7 +155,7 @@
         parts = hash_parts(prompt.parts)
         # Before the prefill has ended, so that the next prompts with them go there too.
         self._note_placed_parts(placement.reader, parts)
-        ticket = Ticket(placement, parts, rank)
+        ticket = Ticket(placement, parts, rank, output_tokens=prompt.output_tokens)
         self._reserve_sends(ticket)
         if placement.prefiller is None:
             self._occupy_slot(ticket)
@@ -220,7 +223,9 @@
         if loss is not None:
             return loss
         old = prefill.ticket
-        ticket = Ticket(old.placement, old.parts, old.rank, is_prefilled=True)
+        ticket = Ticket(
+            old.placement, old.parts, old.rank, True, output_tokens=old.output_tokens
+        )
         if not self.reselect_decoder(ticket, engines, avoid):
             return PrefillLoss.NO_GENERATOR
         self._note_copying(ticket)
@@ -270,10 +275,9 @@
             return
         now = self._clock.monotonic()
         self._models.adopt_speeds(digest.speeds, now)
-        for factor in digest.engine_factors:
-            engine = self._upstreams.get(factor.engine)
-            if engine is not None:
-                self._models.apply_factor(digest.gateway, engine, factor, now)
+        self._models.apply_factors(
+            digest.gateway, digest.engine_factors, self._upstreams.get, now
+        )
         for part in digest.placed:
             engine = self._upstreams.get(part.engine)
             if engine is not None:
@@ -297,11 +301,7 @@
         """Return the next digest and clear the placements it contains."""
         placed, self._placed = tuple(self._placed), []
         named = {part.engine for part in placed}
-        engines = tuple(
-            EngineDigest(id, trim_ranks(work.seconds), work.running)
-            for id, work in self._states.works.works.items()
-            if work.running or any(work.seconds) or id in named
-        )
+        engines = self._states.works.list_digests(named)
         return PeerDigest(
             name,
             incarnation,
--- a/packages/mustardquay-node/src/mustardquay_node/tickets.py
+++ b/packages/mustardquay-node/src/mustardquay_node/tickets.py
@@ -25,6 +25,8 @@
     reader_reservation: Reservation | None = None
     decoder_reservation: Reservation | None = None
     """Set if the decoder is not the reader."""
+    output_tokens: int = 0
+    """Largest number of tokens of the answer."""
 
 
 @dataclass(slots=True)
--- a/packages/mustardquay/src/mustardquay/engine_models.py
+++ b/packages/mustardquay/src/mustardquay/engine_models.py
@@ -7,23 +7,22 @@
 others takes over their coefficients (`adopt_speeds`).
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 from .decaying_fits import dot
-from .engine_pools import PREFILL_SCALES, STREAM_SCALES, EnginePool
+from .engine_pools import (
+    DECODER_SLOWDOWN,
+    PREFILL_SCALES,
+    STREAM_SCALES,
+    EnginePool,
+)
 from .engine_speeds import EngineFactor, EngineSpeeds
 from .upstream_lists import Stage, UpstreamRecord
 
 __all__ = ["PREFILL_SCALES", "STREAM_SCALES", "EngineModels", "PoolSpeeds", "Prefill"]
 
-DECODER_SLOWDOWN = 2.0
-"""How many times longer a decode engine takes to prefill a prompt: a rule of the
-platform's engines, whatever their speed."""
-MAX_FIXED = 0.03
-"""Upper bound for the fixed seconds of a prefill: a larger value is caused by an
-unknown queue, and would move all prefill to the decode engines."""
 USUAL_WEIGHT = 0.05
 """Weight of the newest value in the mean of the expected prefill times."""
 MIN_CONFIDENCE = 0.04
@@ -138,7 +137,7 @@
 
     def expect_overhead(self, service: str) -> float:
         """Return the extra seconds of a prefill on a separate engine."""
-        return min(self._get_pool(service).read.coefficients[0], MAX_FIXED)
+        return self._get_pool(service).fixed
 
     def expect_first(
         self, engine: UpstreamRecord, streams: int, now: timedelta
@@ -148,15 +147,22 @@
         usual = pool.first.predict((1.0, float(streams)))
         if self.speeds is None:
             return usual
-        fixed = _find_fixed_first(pool, usual)
+        fixed = pool.find_fixed_first(usual)
         return fixed + (usual - fixed) * self._scale_decode(engine, now)
 
     def expect_pause(
         self, engine: UpstreamRecord, streams: int, now: timedelta
     ) -> float:
         """Return the mean seconds between two events, including prefill in between."""
+        usual = self.expect_usual_pause(engine, streams, now)
+        return usual * self.current_factor(engine.id, now)
+
+    def expect_usual_pause(
+        self, engine: UpstreamRecord, streams: int, now: timedelta
+    ) -> float:
+        """Return the mean seconds between two events at the engine's usual speed."""
         seconds = self._get_pool(engine.service).pause.predict((1.0, float(streams)))
-        return seconds * self._scale_decode(engine, now)
+        return seconds * self.decode_factor(engine, now)
 
     def expect_stream(
         self, engine: UpstreamRecord, tokens: int, streams: int, now: timedelta
@@ -246,10 +252,11 @@
             pool.first.learn(features, seconds)
             return
         expected = pool.first.predict(features)
-        fixed = _find_fixed_first(pool, expected)
+        fixed = pool.find_fixed_first(expected)
         variable = max(seconds - fixed, 0.0) / self.current_factor(engine.id, now)
         usual = expected - fixed
-        if pool.first.samples >= MIN_FIRSTS and usual > 0:
+        has_slot = streams <= engine.slots
+        if has_slot and pool.first.samples >= MIN_FIRSTS and usual > 0:
             weight = FIRST_SAMPLES * usual / expected
             ratio = variable / usual
             self.speeds.learn_decode(engine.service, engine.id, ratio, weight, now)
@@ -277,7 +284,7 @@
         pool = self._get_pool(engine.service)
         expected = self.expect_prefill(engine, prefill, now)
         first = self.expect_first(engine, streams, now)
-        if expected < first and not _is_long(pool, prefill):
+        if expected < first and not pool.is_long(prefill.features):
             seconds = _split_duration(seconds, wait + expected, first)
             self.learn_first(engine, streams, seconds, now)
             return
@@ -340,12 +347,20 @@
             return ()
         return self.speeds.list_notices(now)
 
-    def apply_factor(
-        self, gateway: str, engine: UpstreamRecord, factor: EngineFactor, now: timedelta
+    def apply_factors(
+        self,
+        gateway: str,
+        factors: Iterable[EngineFactor],
+        find_engine: Callable[[str], UpstreamRecord | None],
+        now: timedelta,
     ) -> None:
-        """Process what another gateway has measured of an engine."""
-        if self.speeds is not None:
-            self.speeds.apply_notice(gateway, engine.service, factor, now)
+        """Process what another gateway has measured of engines that are listed."""
+        if self.speeds is None:
+            return
+        for factor in factors:
+            engine = find_engine(factor.engine)
+            if engine is not None:
+                self.speeds.apply_notice(gateway, engine.service, factor, now)
 
     def forget(self, id: str) -> None:
         """Drop the factor of an engine that was removed or restarted."""
@@ -368,11 +383,6 @@
         return pool
 
 
-def _find_fixed_first(pool: EnginePool, first: float) -> float:
-    """Return the part of the time to a first event that the network takes."""
-    return min(pool.read.coefficients[0], MAX_FIXED, first / 2)
-
-
 def _estimate_confidence(wait: float, expected: float) -> float:
     """Return the confidence that a time measures the prefill and not its queue."""
     return 1 / (1 + (wait / max(expected, 1e-6)) ** 2)
@@ -387,9 +397,3 @@
     prefill that takes no time.
     """
     return max(seconds, 0.0) * read / max(wait + read, 1e-6)
-
-
-def _is_long(pool: EnginePool, prefill: Prefill) -> bool:
-    """Return whether a prefill takes longer than a first event by the priors."""
-    read = DECODER_SLOWDOWN * dot(pool.read.prior, prefill.features)
-    return read > dot(pool.first.prior, (1.0, 0.0))
--- a/packages/mustardquay/src/mustardquay/engine_pools.py
+++ b/packages/mustardquay/src/mustardquay/engine_pools.py
@@ -1,13 +1,20 @@
 """Engine pools: the model coefficients of one service's engines, and their priors."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from .decaying_fits import DecayingFit
+from .decaying_fits import DecayingFit, dot
 from .engine_speeds import OwnFactors
 
-__all__ = ["PREFILL_SCALES", "STREAM_SCALES", "EnginePool"]
+__all__ = ["DECODER_SLOWDOWN", "PREFILL_SCALES", "STREAM_SCALES", "EnginePool"]
 
+DECODER_SLOWDOWN = 2.0
+"""How many times longer a decode engine takes to prefill a prompt: a rule of the
+platform's engines, whatever their speed."""
+MAX_FIXED = 0.03
+"""Upper bound for the fixed seconds of a prefill: a larger value is caused by an
+unknown queue, and would move all prefill to the decode engines."""
 PRIOR_FIXED = 0.005
 """Prior for the fixed seconds of a prefill: a few network round trips."""
 PRIOR_TOKEN = 1e-5
@@ -74,3 +81,17 @@
         streams = (PRIOR_STEP * steps, PRIOR_STREAM * steps)
         self.first.set_prior(streams)
         self.pause.set_prior(streams)
+
+    @property
+    def fixed(self) -> float:
+        """Return the seconds of a prefill that don't depend on its engine."""
+        return min(self.read.coefficients[0], MAX_FIXED)
+
+    def find_fixed_first(self, first: float) -> float:
+        """Return the part of the time to a first event that the network takes."""
+        return min(self.fixed, first / 2)
+
+    def is_long(self, features: Sequence[float]) -> bool:
+        """Return whether a prefill takes longer than a first event by the priors."""
+        read = DECODER_SLOWDOWN * dot(self.read.prior, features)
+        return read > dot(self.first.prior, (1.0, 0.0))
--- a/packages/mustardquay/src/mustardquay/engine_states.py
+++ b/packages/mustardquay/src/mustardquay/engine_states.py
@@ -1,12 +1,18 @@
 """Engine states: the model engines as estimated by one gateway."""
 
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 from .engine_models import EngineModels
-from .peer_digests import LOWEST_RANK, PeerDigests, make_ranks
+from .peer_digests import (
+    LOWEST_RANK,
+    EngineDigest,
+    PeerDigests,
+    make_ranks,
+    trim_ranks,
+)
 from .rate_limits import RateLimiter
 from .requests import PromptPart, compute_part_key
 from .upstream_lists import Stage
@@ -121,6 +127,14 @@
         own = sum(self.get(id).seconds[: rank + 1])
         return own + self.peers.get_prefill_seconds(id, rank)
 
+    def list_digests(self, named: Collection[str]) -> tuple[EngineDigest, ...]:
+        """Return the own work to share, also of idle engines in `named`."""
+        return tuple(
+            EngineDigest(id, trim_ranks(work.seconds), work.running)
+            for id, work in self.works.items()
+            if work.running or any(work.seconds) or id in named
+        )
+
     def sum_running(self, id: str) -> int:
         """Return the number of answers being decoded on an engine."""
         return self.get(id).running + self.peers.get_running(id)
--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -15,6 +15,12 @@
 
 from xxhash import xxh3_64_intdigest
 
+from .decoder_choices import (
+    estimate_failure_cost,
+    estimate_slot_wait,
+    list_fitting,
+    pick_decoder,
+)
 from .engine_models import Prefill
 from .engine_samples import Sample, keep_all
 from .engine_states import EngineStates, HashedPart
@@ -22,7 +28,7 @@
 from .upstream_lists import Stage, UpstreamRecord
 from .usable_engines import list_usable_engines
 
-__all__ = ["Placement", "choose_decoder", "choose_engines"]
+__all__ = ["Placement", "choose_engines"]
 
 PAUSE_SHARE = 0.45
 """Fraction of the longest pause allowed by a route that prefill on an engine with
@@ -46,8 +52,6 @@
 SLOW_SEND_TIME = timedelta(milliseconds=20)
 """Send time from which a long prompt is preferably sent only once, as sending it to a
 second engine would delay the requests behind it on the link."""
-FAILURE_SECONDS = 0.2
-"""Cost of an engine with a failure rate of 1."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -201,10 +205,13 @@
         key=lambda pair: pair[0],
     )
     query = _Query(prompt, parts, states, now, holder, held, rank)
-    singles = [_make_single(engine, query) for engine in decoders]
+    fitting = list_fitting(decoders, states, now, prompt.output_tokens)
+    if states.models.speeds is not None:
+        fitting = sample(fitting)
+    singles = [_make_single(engine, query) for engine in fitting]
     if not prefillers:
         return min(singles, key=_get_cost)
-    decoder = _pick_decoder(decoders, states, now)
+    decoder = pick_decoder(fitting, states, now, prompt.output_tokens, keep_all)
     preferred = _choose_by_hash(parts, prefillers)
     candidates = _sample(prefillers, preferred, holder, sample)
     pairs = [_make_pair(engine, decoder, preferred, query) for engine in candidates]
@@ -217,18 +224,6 @@
     return best if best.cost < pair.cost + sent_twice else pair
 
 
-def choose_decoder(
-    engines: Sequence[UpstreamRecord],
-    states: EngineStates,
-    now: timedelta,
-    avoid: Iterable[str] = (),
-) -> UpstreamRecord | None:
-    """Return the engine to decode from a finished prefill, or None if there is none."""
-    usable = list_usable_engines(engines, states, now, set(avoid))
-    decoders = [engine for engine in usable if engine.stage is not Stage.PREFILL]
-    return _pick_decoder(decoders, states, now) if decoders else None
-
-
 def _sample(
     prefillers: Sequence[UpstreamRecord],
     preferred: str,
@@ -252,12 +247,6 @@
     ]
 
 
-def _pick_decoder(
-    decoders: Sequence[UpstreamRecord], states: EngineStates, now: timedelta
-) -> UpstreamRecord:
-    return min(decoders, key=lambda engine: _estimate_decoder_cost(engine, states, now))
-
-
 def _may_prefill(placement: Placement, states: EngineStates, now: timedelta) -> bool:
     """Return whether a decode engine may prefill the prompt itself.
 
@@ -326,7 +315,7 @@
     placement = _make_placement(decoder, engine, query)
     states = query.states
     extra = states.models.expect_overhead(engine.service)
-    extra += _failure_cost(decoder, states, query.now)
+    extra += estimate_failure_cost(decoder, states, query.now)
     if engine.id != preferred:
         shared = sum(tokens for _, tokens in query.parts[:-1])
         extra += AFFINITY_SHARE * query.expect_prefill(engine, Prefill(shared))
@@ -343,6 +332,7 @@
     work = query.sum_work(reader)
     running = states.works.sum_running(decoder.id)
     first = states.models.expect_first(decoder, running, query.now)
+    first += estimate_slot_wait(decoder, states, query.now)
     reader_limit_wait = states.limits.predict_wait(reader, query.now)
     decoder_limit_wait = 0.0
     if prefiller is not None:
@@ -359,7 +349,7 @@
         wait_seconds=query.expect_wait(reader),
         occupancy=running / max(decoder.slots, 1),
         first_seconds=first,
-        cost=cost + _failure_cost(reader, states, query.now),
+        cost=cost + estimate_failure_cost(reader, states, query.now),
         prefill=planned.prefill,
         work_seconds=work,
         usual_seconds=states.models.get_usual_prefill(reader, query.now),
@@ -369,20 +359,3 @@
         lasting_factor=states.models.slowdown_factor(reader, query.now),
         current_factor=states.models.current_factor(reader.id, query.now),
     )
-
-
-def _estimate_decoder_cost(
-    engine: UpstreamRecord, states: EngineStates, now: timedelta
-) -> float:
-    running = states.works.sum_running(engine.id)
-    wait = states.expect_work(engine.id, now)
-    wait = max(wait, states.limits.predict_wait(engine, now))
-    first = states.models.expect_first(engine, running, now)
-    return wait + first + _failure_cost(engine, states, now)
-
-
-def _failure_cost(
-    engine: UpstreamRecord, states: EngineStates, now: timedelta
-) -> float:
-    """Return the cost of an engine's recent failures, in seconds."""
-    return FAILURE_SECONDS * states.loads.read_failure_rate(engine.id, now)
--- a/packages/mustardquay/src/mustardquay/retained_prefills.py
+++ b/packages/mustardquay/src/mustardquay/retained_prefills.py
@@ -9,8 +9,8 @@
 from datetime import timedelta
 from enum import StrEnum
 
+from .decoder_choices import choose_decoder
 from .engine_states import EngineStates, HashedPart
-from .placements import choose_decoder
 from .upstream_lists import Stage, UpstreamRecord
 
 __all__ = ["PrefillLoss", "find_prefill_loss"]
--- a/packages/mustardquay/tests/test_engine_speeds.py
+++ b/packages/mustardquay/tests/test_engine_speeds.py
@@ -159,9 +159,7 @@
     for other, models in enumerate(gateways):
         if other == sender or random.random() < lost:
             continue
-        for notice in notices:
-            engine = make_engine(notice.engine)
-            models.apply_factor(f"g{sender}", engine, notice, now)
+        models.apply_factors(f"g{sender}", notices, make_engine, now)
 
 
 def test_a_notice_replaces_the_previous_one():
@@ -181,10 +179,10 @@
     now = train(models)
     known = compare(models, now)
     notice = EngineFactor("e0", factor, 1.0, samples, 0.0)
-    models.apply_factor("g1", make_engine("e0"), notice, now)
+    models.apply_factors("g1", (notice,), make_engine, now)
     assert compare(models, now) == known
     huge = EngineFactor("e0", 1e30, 1.0, 1e30, 0.0)
-    models.apply_factor("g1", make_engine("e0"), huge, now)
+    models.apply_factors("g1", (huge,), make_engine, now)
     assert 1 / 64 <= compare(models, now) <= 64
 
 
