Plan the stages of engines by capacity, and decode on those that keep the pauses

Stage plans counted engines of speed 0.55 and 1.2 alike and chose decode engines by zone, so that a quarter of the streams were on engines that pause for 217 ms in a spell.

With load reports, the sum of lasting speeds counts in place of engines. Fast engines whose pauses stay within the longest one in a spell are chosen first and are the last to go back to prefill. Without speeds, plans are as before.

--- a/packages/mustardquay-node/src/mustardquay_node/gateway_engines.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_engines.py
@@ -75,6 +75,7 @@
             call=upstreams.call_engine,
             count_streams=upstreams.planner.count_streams,
             measure_capacities=upstreams.measure_capacities,
+            measure_decode_speeds=upstreams.planner.measure_decode_speeds,
             estimate_stream_duration=upstreams.planner.estimate_stream_duration,
             find_switch_time=lambda service: deps.find_table().find_switch_time(
                 service
--- a/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
@@ -4,13 +4,13 @@
 it; they may be the same engine.
 """
 
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import replace
 from datetime import timedelta
 from random import Random
 
 from mustardquay.clocks import Clock
-from mustardquay.decoder_choices import choose_decoder
+from mustardquay.decoder_choices import choose_decoder, measure_decode_speeds
 from mustardquay.engine_models import EngineModels
 from mustardquay.engine_samples import make_sample
 from mustardquay.engine_speeds import EngineSpeeds
@@ -29,6 +29,7 @@
 from mustardquay.requests import PromptPart, PromptTraits
 from mustardquay.retained_prefills import PrefillLoss, find_prefill_loss
 from mustardquay.routing_tables import RoutingTable
+from mustardquay.stage_capacities import DecodeSpeed
 from mustardquay.stream_ages import StreamAges
 from mustardquay.uplinks import Uplink
 from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
@@ -95,16 +96,9 @@
         parts = hash_parts(prompt.parts)
         engines = self.exclude_changing(engines)
         sending = self._uplink.predict_time(size, now)
+        states, sample = self._states, self._sample
         return choose_engines(
-            prompt,
-            parts,
-            engines,
-            self._states,
-            now,
-            avoid,
-            sending,
-            rank,
-            self._sample,
+            prompt, parts, engines, states, now, avoid, sending, rank, sample
         )
 
     def reselect_decoder(
@@ -322,6 +316,12 @@
         """Return the number of generations of all gateways running at an engine."""
         return self._states.works.sum_running(engine)
 
+    def measure_decode_speeds(
+        self, engines: Sequence[UpstreamRecord]
+    ) -> Mapping[str, DecodeSpeed] | None:
+        """Return how fast each engine decodes; None without load reports."""
+        return measure_decode_speeds(engines, self._states, self._clock.monotonic())
+
     def estimate_stream_duration(self, service: str) -> timedelta:
         """Return how long the running generations of this gateway last."""
         return self._stream_ages.estimate_duration(service, self._clock.monotonic())
--- a/packages/mustardquay-node/src/mustardquay_node/stage_controllers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stage_controllers.py
@@ -15,6 +15,7 @@
 from mustardquay.clocks import Clock
 from mustardquay.errors import MustardquayError
 from mustardquay.events import EventRing
+from mustardquay.stage_capacities import DecodeSpeed
 from mustardquay.stage_plans import StageChange, StagePlanner
 from mustardquay.upstream_lists import Stage, UpstreamList, UpstreamRecord
 
@@ -68,6 +69,10 @@
     """Returns the number of generations running at an engine."""
     measure_capacities: Callable[[Sequence[UpstreamRecord]], Mapping[str, float]]
     """Returns the share of its usual work that rate limits permit, by engine."""
+    measure_decode_speeds: Callable[
+        [Sequence[UpstreamRecord]], Mapping[str, DecodeSpeed] | None
+    ]
+    """Returns how fast each engine decodes; None where that is unknown."""
     find_switch_time: Callable[[str], timedelta]
     """Returns how long an engine of a service is unavailable while it changes."""
     estimate_stream_duration: Callable[[str], timedelta]
@@ -192,6 +197,7 @@
                     {engine.id for engine in engines if deps.is_lost(engine.id)},
                     self._measure_capacities(engines),
                     self._find_lead(service),
+                    deps.measure_decode_speeds(engines),
                 )
         return changes
 
--- a/packages/mustardquay-node/tests/simulated_speeds.py
+++ b/packages/mustardquay-node/tests/simulated_speeds.py
@@ -58,6 +58,8 @@
 NETWORK_DELAY = 0.008
 MIN_TIME_LEFT = timedelta(milliseconds=50)
 """Time left with which callers give up; delays shrink with it."""
+MIN_EXPECTED = 0.001
+"""Least expected seconds of a prefill that a ratio is taken of."""
 WARM_UP = 3.0
 """Seconds whose requests aren't counted: coefficients start from their priors."""
 
@@ -405,7 +407,9 @@
         self._result.prefills[placement.reader.id] += 1
         if self._now >= WARM_UP:
             expected = placement.wait_seconds + placement.prefill_seconds
-            self._result.ratios[placement.reader.id].append(took / expected)
+            # A model may expect no time from its first few samples.
+            ratio = took / max(expected, MIN_EXPECTED)
+            self._result.ratios[placement.reader.id].append(ratio)
 
     def _generate(
         self, caller: Caller, planner: GenerationPlanner, ticket: Ticket, began: float
--- a/packages/mustardquay-node/tests/test_stage_controllers.py
+++ b/packages/mustardquay-node/tests/test_stage_controllers.py
@@ -57,6 +57,7 @@
             call=call_unreachable,
             count_streams=lambda id: 0,
             measure_capacities=lambda engines: {},
+            measure_decode_speeds=lambda engines: None,
             estimate_stream_duration=lambda service: self.stream_duration,
             find_switch_time=lambda service: timedelta(seconds=3),
             announce_changing=lambda ids: None,
--- a/packages/mustardquay/src/mustardquay/decoder_choices.py
+++ b/packages/mustardquay/src/mustardquay/decoder_choices.py
@@ -5,11 +5,12 @@
 have few slots, so that requests wait for one while others are free elsewhere.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from datetime import timedelta
 
 from .engine_samples import Sample, keep_all
 from .engine_states import EngineStates
+from .stage_capacities import DecodeSpeed
 from .upstream_lists import Stage, UpstreamRecord
 from .usable_engines import list_usable_engines
 
@@ -18,6 +19,7 @@
     "estimate_failure_cost",
     "estimate_slot_wait",
     "list_fitting",
+    "measure_decode_speeds",
     "pick_decoder",
 ]
 
@@ -82,21 +84,40 @@
     models = states.models
     if models.speeds is None or tokens < MIN_STREAM_TOKENS:
         return decoders
-    fitting = [each for each in decoders if _keeps_pauses(each, states, now)]
-    has_free = any(states.works.sum_running(each.id) < each.slots for each in fitting)
+    running = {each.id: states.works.sum_running(each.id) for each in decoders}
+    fitting = [
+        each for each in decoders if _keeps_pauses(each, running[each.id], states, now)
+    ]
+    has_free = any(running[each.id] < each.slots for each in fitting)
     return fitting if has_free else decoders
 
 
-def _keeps_pauses(engine: UpstreamRecord, states: EngineStates, now: timedelta) -> bool:
+def _keeps_pauses(
+    engine: UpstreamRecord, streams: int, states: EngineStates, now: timedelta
+) -> bool:
     """Return whether pauses stay within the strictest limit in a slow spell."""
     allowed = states.pauses.get(engine.service)
     if allowed is None:
         return True
-    running = states.works.sum_running(engine.id)
-    pause = states.models.expect_usual_pause(engine, running, now)
+    pause = states.models.expect_usual_pause(engine, streams, now)
     return SPELL_FACTOR * pause <= allowed.total_seconds()
 
 
+def measure_decode_speeds(
+    engines: Sequence[UpstreamRecord], states: EngineStates, now: timedelta
+) -> Mapping[str, DecodeSpeed] | None:
+    """Return how fast each engine decodes, or would; None without load reports."""
+    if states.models.speeds is None:
+        return None
+    return {
+        each.id: DecodeSpeed(
+            states.models.decode_factor(each, now),
+            _keeps_pauses(each, each.slots // 2, states, now),
+        )
+        for each in engines
+    }
+
+
 def estimate_slot_wait(
     engine: UpstreamRecord, states: EngineStates, now: timedelta
 ) -> float:
--- a/packages/mustardquay/src/mustardquay/stage_plans.py
+++ b/packages/mustardquay/src/mustardquay/stage_plans.py
@@ -15,6 +15,7 @@
 from datetime import timedelta
 from math import ceil
 
+from .stage_capacities import DecodeSpeed, StageCapacities
 from .upstream_lists import Stage, UpstreamRecord
 
 __all__ = ["StageChange", "StagePlanner"]
@@ -136,6 +137,7 @@
         lost: Collection[str] = (),
         capacities: Mapping[str, float] | None = None,
         lead: timedelta = timedelta(),
+        speeds: Mapping[str, DecodeSpeed] | None = None,
     ) -> list[StageChange]:
         """Return the changes that are due.
 
@@ -144,7 +146,8 @@
         `capacities` holds the fraction of its usual work that the rate limit of an
         engine allows. Without `is_settled` (before callers arrive) changes are made
         without delay. `lead` is how long a change takes: in a rising load, an engine is
-        ordered for the streams that will be there when it is back.
+        ordered for the streams that will be there when it is back. With `speeds`,
+        capacities count in place of engines.
         """
         self._note_listed(service, engines, now, is_settled)
         stages = {engine.id: ordered.get(engine.id, engine.stage) for engine in engines}
@@ -153,14 +156,15 @@
         decoders = [each for each in listed if each.id not in lost]
         mean = self._predict(service, streams, now, lead)
         streams_per_engine = count_streams(engines)
-        wanted = count_decoders(len(engines), mean, streams_per_engine)
+        power = StageCapacities(speeds)
+        wanted = count_decoders(round(power.sum(engines)), mean, streams_per_engine)
         balance = _VersionBalance(engines, decoders)
         wanted = max(wanted, len(balance.required))
-        if len(decoders) > wanted and mean > SLACK * streams_per_engine * wanted:
-            wanted = len(decoders)
-        missing = (
-            wanted - len(decoders) + _count_limited(engines, decoders, capacities or {})
-        )
+        present = round(power.sum(decoders))
+        if present > wanted and mean > SLACK * streams_per_engine * wanted:
+            wanted = present
+        missing = power.count_missing(wanted, decoders)
+        missing += _count_limited(engines, decoders, capacities or {})
         missing = max(missing, len(balance.uncovered)) if balance.uncovered else missing
         if missing > 0:
             stage, delay = Stage.DECODE, DECODER_DELAY
@@ -173,7 +177,7 @@
             spare = sum(each.stage is Stage.DECODE for each in decoders) - wanted
             new_engines = self._list_new(service, decoders, now)
             if new_engines and spare > 0:
-                chosen = _choose(new_engines, spare, decoders, balance)
+                chosen = _choose(new_engines, spare, decoders, balance, power)
                 return [StageChange(engine, stage) for engine in chosen]
         else:
             self._off_since.pop((service, Stage.DECODE), None)
@@ -183,7 +187,7 @@
         if is_settled and decoders and now - since < delay:
             return []
         others = [each for each in engines if stages[each.id] is not stage]
-        chosen = _choose(others, abs(missing), decoders, balance)
+        chosen = _choose(others, abs(missing), decoders, balance, power)
         return [StageChange(engine, stage) for engine in chosen]
 
     def _note_listed(
@@ -304,18 +308,22 @@
     count: int,
     decoders: Sequence[UpstreamRecord],
     balance: _VersionBalance,
+    power: StageCapacities,
 ) -> list[UpstreamRecord]:
     """Return the engines to change.
 
-    Balances decode engines across software versions first, and then across zones.
+    Balances decode engines across software versions first, then prefers to decode on
+    those whose pauses fit, and balances across zones; the fastest of equal ones decode.
     """
     per_zone = Counter(each.availability_zone for each in decoders)
     are_decoders = engines and engines[0] in decoders
     sign = -1 if are_decoders else 1
 
-    def rank(engine: UpstreamRecord) -> tuple[float, int]:
-        share = balance.measure_share(engine)
-        return sign * share, sign * per_zone[engine.availability_zone]
+    def rank(engine: UpstreamRecord) -> tuple[float, int, int, float]:
+        share, speed = balance.measure_share(engine), power.get(engine)
+        in_zone = per_zone[engine.availability_zone]
+        unfit = int(not speed.is_fitting)
+        return sign * share, sign * unfit, sign * in_zone, sign * speed.factor
 
     chosen: list[UpstreamRecord] = []
     rest = sorted(engines, key=lambda each: each.id)
