Count waits for slots when a request is admitted as on time

A request with a light prefill was admitted as on time to any queue for the slots of its decode engine: the limit of 0.1 of its time is 1.7 s for a stream whose target is 134 ms. At 12 slots, streams took all of them. With load reports, the exception holds only while no wait for a slot is expected, first events that waited for a slot train no model, and streams go to the fastest engines while no pause is known yet.

--- a/packages/mustardquay/src/mustardquay/decoder_choices.py
+++ b/packages/mustardquay/src/mustardquay/decoder_choices.py
@@ -31,6 +31,8 @@
 SLOT_RESERVE = 0.25
 """Fraction of an engine's slots that others may have taken since their last digest: 240
 requests a second and digests of 70 ms fill two slots of each of eight engines."""
+SIMILAR_PAUSE = 1.3
+"""Ratio up to which pauses count as equally long; learned factors vary by a quarter."""
 MIN_STREAM_TOKENS = 3
 """Tokens from which an answer may have several events, whatever their number of steps:
 an answer that is taken for a stream by mistake is decoded on a fast engine."""
@@ -78,8 +80,10 @@
 ) -> Sequence[UpstreamRecord]:
     """Return the engines whose pauses an answer of `tokens` tolerates, also in a spell.
 
-    All engines if none fits, or if those that fit have no free slot: a late pause is
-    better than a first event that waits for a stream to end.
+    If none fits, those with nearly the shortest pauses. Guards against streams on slow
+    engines while a gateway that started lately expects long pauses everywhere. All
+    engines if those that fit have no free slot: a late pause is better than a first
+    event that waits for a stream to end.
     """
     models = states.models
     if models.speeds is None or tokens < MIN_STREAM_TOKENS:
@@ -88,10 +92,20 @@
     fitting = [
         each for each in decoders if _keeps_pauses(each, running[each.id], states, now)
     ]
+    if not fitting:
+        fitting = _list_shortest_pauses(decoders, states, now)
     has_free = any(running[each.id] < each.slots for each in fitting)
     return fitting if has_free else decoders
 
 
+def _list_shortest_pauses(
+    decoders: Sequence[UpstreamRecord], states: EngineStates, now: timedelta
+) -> Sequence[UpstreamRecord]:
+    factors = {each.id: states.models.decode_factor(each, now) for each in decoders}
+    longest = SIMILAR_PAUSE * min(factors.values(), default=1.0)
+    return [each for each in decoders if factors[each.id] <= longest]
+
+
 def _keeps_pauses(
     engine: UpstreamRecord, streams: int, states: EngineStates, now: timedelta
 ) -> bool:
--- a/packages/mustardquay/src/mustardquay/engine_models.py
+++ b/packages/mustardquay/src/mustardquay/engine_models.py
@@ -251,14 +251,15 @@
         if self.speeds is None:
             pool.first.learn(features, seconds)
             return
+        if streams > engine.slots:
+            # The time includes the wait for a slot, which is expected apart from it.
+            return
         expected = pool.first.predict(features)
         fixed = pool.find_fixed_first(expected)
         variable = max(seconds - fixed, 0.0) / self.current_factor(engine.id, now)
         usual = expected - fixed
-        has_slot = streams <= engine.slots
-        if has_slot and pool.first.samples >= MIN_FIRSTS and usual > 0:
-            weight = FIRST_SAMPLES * usual / expected
-            ratio = variable / usual
+        if pool.first.samples >= MIN_FIRSTS and usual > 0:
+            weight, ratio = FIRST_SAMPLES * usual / expected, variable / usual
             self.speeds.learn_decode(engine.service, engine.id, ratio, weight, now)
         lasting = self.decode_factor(engine, now)
         pool.first.learn(features, fixed + variable / lasting)
--- a/packages/mustardquay/src/mustardquay/generation_limits.py
+++ b/packages/mustardquay/src/mustardquay/generation_limits.py
@@ -77,7 +77,7 @@
 
     The bound applies to the wait and not to the prefill: large prompts must not be
     refused more often than small ones. Light prefills may wait longer: refusing them
-    would free almost no capacity.
+    would free almost no capacity, unless slots are scarce.
     """
     if _is_full(placement) or not admits_rate_limit_wait(route, placement):
         return False
@@ -86,7 +86,8 @@
         placement.usual_seconds + placement.first_seconds + margin.total_seconds()
     )
     bound = (1 - CALLER_SHARE) * target - reserved
-    if placement.prefill_seconds <= LIGHT_PREFILL_SHARE * target:
+    is_light = placement.prefill_seconds <= LIGHT_PREFILL_SHARE * target
+    if is_light and not placement.slot_wait:
         bound = max(bound, LIGHT_WAIT_SHARE * time_left.total_seconds())
     return placement.delay_seconds <= bound
 
--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -71,7 +71,8 @@
     occupancy: float
     """Fraction of the decoder's slots in use."""
     first_seconds: float
-    """Expected time from the end of the prefill to the first event."""
+    """Expected time from the end of the prefill to the first event, with the wait for a
+    slot of the decoder."""
     cost: float
     """Seconds: queueing, prefill and the delay caused to other requests."""
     prefill: Prefill = Prefill(0)
@@ -87,6 +88,8 @@
     """Seconds until the rate limit of the reader allows another request."""
     decoder_limit_wait: float = 0.0
     """The same for the decoder; 0 when it prefills the prompt itself."""
+    slot_wait: float = 0.0
+    """Expected seconds until the decoder has a free slot."""
     lasting_factor: float = 1.0
     """How many times longer the reader takes than the mean engine, lastingly."""
     current_factor: float = 1.0
@@ -332,7 +335,8 @@
     work = query.sum_work(reader)
     running = states.works.sum_running(decoder.id)
     first = states.models.expect_first(decoder, running, query.now)
-    first += estimate_slot_wait(decoder, states, query.now)
+    slot_wait = estimate_slot_wait(decoder, states, query.now)
+    first += slot_wait
     reader_limit_wait = states.limits.predict_wait(reader, query.now)
     decoder_limit_wait = 0.0
     if prefiller is not None:
@@ -356,6 +360,7 @@
         stream_seconds=query.expect_stream(decoder, running),
         reader_limit_wait=reader_limit_wait,
         decoder_limit_wait=decoder_limit_wait,
+        slot_wait=slot_wait,
         lasting_factor=states.models.slowdown_factor(reader, query.now),
         current_factor=states.models.current_factor(reader.id, query.now),
     )
--- a/packages/mustardquay/tests/test_decoder_choices.py
+++ b/packages/mustardquay/tests/test_decoder_choices.py
@@ -10,8 +10,10 @@
 from mustardquay.engine_samples import make_sample
 from mustardquay.engine_speeds import EngineFactor, EngineSpeeds
 from mustardquay.engine_states import EngineStates, OutstandingWork, PrefixCaches
+from mustardquay.generation_limits import admits_generation
 from mustardquay.placements import choose_engines
 from mustardquay.requests import PromptPart, PromptTraits
+from mustardquay.routing_tables import Repeat, Route
 from mustardquay.upstream_capacity import CapacityEstimates, LoadReport
 from mustardquay.upstream_lists import Stage, UpstreamRecord
 from mustardquay.upstream_loads import UpstreamLoads
@@ -140,3 +142,29 @@
         states.loads.capacities.note_report(engine.id, report, NOW)
     assert choose_decoder(list_engines(), states, NOW, (), STREAM) is not None
     assert isinstance(states.loads.capacities, CapacityEstimates)
+
+
+@pytest.mark.parametrize(("running", "is_admitted"), [(4, True), (18, False)])
+def test_streams_are_not_admitted_as_on_time_to_a_queue_for_slots(running, is_admitted):
+    """Guards against streams that take all of 12 slots, as their prefill is light.
+
+    At twice the load that the slots bear, 0.52 of those admitted as on time were.
+    """
+    states = make_states()
+    set_running(states, *[running] * 4)
+    target, limit = timedelta(milliseconds=134), timedelta(seconds=16)
+    route = Route("r", "h", "/", Repeat.STREAM, (), limit, target, 1)
+    parts = (PromptPart("a", 79), PromptPart("b", 141))
+    prompt = PromptTraits("m", 220, STREAM, parts)
+    placement = choose_engines(prompt, (), list_engines(), states, NOW)
+    margin = timedelta(milliseconds=20)
+    assert admits_generation(route, placement, limit, margin) == is_admitted
+
+
+def test_streams_avoid_slow_engines_before_pauses_are_known():
+    """Guards against streams on slow engines while all pauses seem too long."""
+    states = make_states()
+    states.pauses["llm"] = timedelta(milliseconds=50)
+    set_running(states, 0, 6, 6, 6)
+    chosen = choose_decoder(list_engines(), states, NOW, (), STREAM)
+    assert chosen.id != "e0"
