--- a/packages/mustardquay-node/src/mustardquay_node/gateway_gauges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_gauges.py
@@ -8,6 +8,7 @@
 from .era_watches import EraWatch
 from .forwarders import Forwarder
 from .gateway_feeds import GatewayFeeds
+from .gateway_upstreams import GatewayUpstreams
 from .usage import UsageSubsystem
 
 __all__ = ["GaugeSources", "make_gauges"]
@@ -25,6 +26,7 @@
     usage: UsageSubsystem | None
     is_ready: Callable[[], bool]
     count_upstreams: Callable[[], int]
+    upstreams: GatewayUpstreams
 
 
 def make_gauges(sources: GaugeSources) -> dict[str, Callable[[], float]]:
@@ -37,6 +39,10 @@
         "mustardquay.ready": lambda: float(sources.is_ready()),
         "mustardquay.running": lambda: float(sources.forwarder.in_flight),
         "mustardquay.upstreams": lambda: float(sources.count_upstreams()),
+        "mustardquay.engines.slow": lambda: float(
+            sources.upstreams.count_slow_engines()
+        ),
+        "mustardquay.engines.slowest": sources.upstreams.find_slowest_factor,
         "mustardquay.connections": lambda: float(sources.connections.count),
         "mustardquay.store.age": lambda: _measure_store_age(sources.feeds),
         "mustardquay.usage.leads": lambda: float(usage is not None and usage.leads),
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
@@ -25,6 +25,14 @@
     "mustardquay.ready": ("1", "1 while the process accepts new requests, else 0."),
     "mustardquay.running": ("{request}", "Requests whose answers are not complete."),
     "mustardquay.upstreams": ("{upstream}", "Listed upstreams."),
+    "mustardquay.engines.slow": (
+        "{engine}",
+        "Engines that report that work takes longer than usual now.",
+    ),
+    "mustardquay.engines.slowest": (
+        "1",
+        "Lasting prefill time of the slowest engine relative to the mean engine.",
+    ),
     "mustardquay.connections": ("{connection}", "Connections of callers."),
     "mustardquay.store.age": ("s", "Time since the store last answered."),
     "mustardquay.store.era": (
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from mustardquay.clocks import Clock
+from mustardquay.engine_models import EngineModels
 from mustardquay.events import EventRing
 from mustardquay.quarantines import CrashId
 from mustardquay.rate_limits import RateLimiter
@@ -14,7 +15,7 @@
 from mustardquay.silences import ConnectResult
 from mustardquay.streams import VersionDoubts
 from mustardquay.uplinks import Uplink
-from mustardquay.upstream_lists import UpstreamList, UpstreamRecord
+from mustardquay.upstream_lists import Stage, UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import UpstreamLoads
 from mustardquay.upstream_statements import UpstreamStatements
 
@@ -29,6 +30,9 @@
 
 __all__ = ["GatewayUpstreams", "UpstreamDependencies"]
 
+SLOW_FACTOR = 1.5
+"""Current factor from which an engine counts as slow in the metrics."""
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamDependencies:
@@ -86,10 +90,12 @@
                 self.pools.close_idle, deps.close_idle_callers
             ),
         )
+        self._models = EngineModels()
         self.planner = GenerationPlanner(
             deps.clock,
             self.list,
             self.loads,
+            self._models,
             uplink=Uplink(settings.gateway.link_rate),
             limits=self.limits,
             note_change=deps.note_change,
@@ -122,6 +128,20 @@
         """Return the share of their usual work that rate limits leave to engines."""
         return self.limits.measure_capacities(engines, self._now)
 
+    def count_slow_engines(self) -> int:
+        """Return how many engines report that work takes longer than usual."""
+        current = self._models.current_factor
+        return sum(current(id, self._now) > SLOW_FACTOR for id in self._list_engines())
+
+    def find_slowest_factor(self) -> float:
+        """Return the lasting prefill factor of the slowest engine, 1 without any."""
+        engines = [self.list.get(id) for id in self._list_engines()]
+        factors = [self._models.slowdown_factor(each, self._now) for each in engines]
+        return max(factors, default=1.0)
+
+    def _list_engines(self) -> list[str]:
+        return [each.id for each in self.list if each.stage is not Stage.NONE]
+
     async def call_engine(
         self, engine: UpstreamRecord, call: EngineCall
     ) -> Exchange | None:
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -295,6 +295,7 @@
                 self._usage,
                 is_ready=lambda: self.is_ready,
                 count_upstreams=lambda: len(self.list_upstreams()),
+                upstreams=self._upstreams,
             )
         )
 
