--- a/packages/mustardquay-node/src/mustardquay_node/digest_frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/digest_frames.py
@@ -8,6 +8,7 @@
 import capnp
 
 from mustardquay.engine_models import PREFILL_SCALES, STREAM_SCALES, PoolSpeeds
+from mustardquay.engine_speeds import EngineFactor
 from mustardquay.peer_digests import (
     LOWEST_RANK,
     MICROSECONDS,
@@ -50,6 +51,7 @@
     _write_presence(message, digest)
     _write_limits(message, digest)
     write_capacities(message, digest.capacities)
+    _write_factors(message, digest.engine_factors)
     return message.to_bytes_packed()
 
 
@@ -80,6 +82,7 @@
             relay_port=message.relayPort,
             ends_in=_read_end(message),
             capacities=read_capacities(message),
+            engine_factors=tuple(map(_read_factor, message.engineFactors)),
         )
     except (capnp.KjException, IndexError, ValueError):
         return None
@@ -181,6 +184,22 @@
     return PoolSpeeds(built.service, built.samples, read, first)
 
 
+def _write_factors(message: Any, factors: Sequence[EngineFactor]) -> None:
+    built_factors = message.init("engineFactors", len(factors))
+    for built, each in zip(built_factors, factors, strict=True):
+        built.engine = each.engine
+        built.prefill = each.prefill
+        built.decode = each.decode
+        built.samples = each.prefill_samples
+        built.decodeSamples = each.decode_samples
+
+
+def _read_factor(built: Any) -> EngineFactor:
+    return EngineFactor(
+        built.engine, built.prefill, built.decode, built.samples, built.decodeSamples
+    )
+
+
 def _write_presence(message: Any, digest: PeerDigest) -> None:
     message.availabilityZone = digest.availability_zone
     message.ready = digest.is_ready
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
@@ -33,6 +33,14 @@
         "{upstream}",
         "Upstreams where work takes half as long again as usual, by their reports.",
     ),
+    "mustardquay.engines.slow": (
+        "{engine}",
+        "Engines that report that work takes longer than usual now.",
+    ),
+    "mustardquay.engines.slowest": (
+        "1",
+        "Lasting prefill time of the slowest engine relative to the mean engine.",
+    ),
     "mustardquay.connections": ("{connection}", "Connections of callers."),
     "mustardquay.store.age": ("s", "Time since the store last answered."),
     "mustardquay.store.era": (
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -302,6 +302,7 @@
                 self._upstreams.reports,
                 is_ready=lambda: self.is_ready,
                 count_upstreams=lambda: len(self.list_upstreams()),
+                upstreams=self._upstreams,
             )
         )
 
--- a/packages/mustardquay-node/tests/test_peers.py
+++ b/packages/mustardquay-node/tests/test_peers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from mustardquay.clocks import SystemClock
+from mustardquay.engine_speeds import EngineFactor
 from mustardquay.events import EventRing, HybridClock
 from mustardquay.peer_digests import EngineDigest, PeerDigest, PlacedPart
 from mustardquay.rate_limits import LimitNotice
@@ -157,3 +158,10 @@
     assert link.zones == {"a": "", "b": "z2", "c": ""}
     link.apply_rows([StoreRow("b", b"", 4, deleted=True)], False)
     assert link.zones == {"a": "", "c": ""}
+
+
+def test_a_digest_carries_factors_of_engines():
+    """Guards against factors that one gateway alone knows."""
+    factors = (EngineFactor("e1", 1.5, 0.75, 3.0, 2.5),)
+    digest = PeerDigest("g", 1, 2, 3, engine_factors=factors)
+    assert decode_digest(encode_digest(digest)) == digest
--- a/packages/mustardquay/src/mustardquay/engine_states.py
+++ b/packages/mustardquay/src/mustardquay/engine_states.py
@@ -1,12 +1,18 @@
 """Engine states: the model engines as estimated by one gateway."""
 
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 from .engine_models import EngineModels
-from .peer_digests import LOWEST_RANK, PeerDigests, make_ranks
+from .peer_digests import (
+    LOWEST_RANK,
+    EngineDigest,
+    PeerDigests,
+    make_ranks,
+    trim_ranks,
+)
 from .rate_limits import RateLimiter
 from .requests import PromptPart, compute_part_key
 from .upstream_lists import Stage
@@ -95,7 +101,7 @@
     """The work that this process has outstanding at one engine."""
 
     seconds: list[float] = field(default_factory=make_ranks)
-    """Expected seconds of outstanding prefill, by rank."""
+    """Expected seconds of outstanding prefill at the engine's usual speed, by rank."""
     running: int = 0
 
 
@@ -114,10 +120,21 @@
         return work
 
     def sum_seconds(self, id: str, rank: int = LOWEST_RANK) -> float:
-        """Return the outstanding prefill that precedes a new prompt of a rank."""
+        """Return the outstanding prefill that precedes a new prompt of a rank.
+
+        In seconds at the engine's usual speed.
+        """
         own = sum(self.get(id).seconds[: rank + 1])
         return own + self.peers.get_prefill_seconds(id, rank)
 
+    def list_digests(self, named: Collection[str]) -> tuple[EngineDigest, ...]:
+        """Return the own work to share, also of idle engines in `named`."""
+        return tuple(
+            EngineDigest(id, trim_ranks(work.seconds), work.running)
+            for id, work in self.works.items()
+            if work.running or any(work.seconds) or id in named
+        )
+
     def sum_running(self, id: str) -> int:
         """Return the number of answers being decoded on an engine."""
         return self.get(id).running + self.peers.get_running(id)
@@ -134,3 +151,7 @@
     pauses: dict[str, timedelta] = field(default_factory=dict)
     """The strictest limit on pauses among the routes of each service."""
     limits: RateLimiter = field(default_factory=RateLimiter)
+
+    def expect_work(self, id: str, now: timedelta, rank: int = LOWEST_RANK) -> float:
+        """Return the seconds of outstanding prefill at the engine's present speed."""
+        return self.works.sum_seconds(id, rank) * self.models.current_factor(id, now)
--- a/packages/mustardquay/src/mustardquay/peer_digests.py
+++ b/packages/mustardquay/src/mustardquay/peer_digests.py
@@ -12,6 +12,7 @@
 
 from .configuration_sources import ConfigurationSource
 from .engine_models import PoolSpeeds
+from .engine_speeds import EngineFactor
 from .quarantines import CrashRecord
 from .rate_limits import LimitNotice
 from .rate_shares import ServiceDemand
@@ -61,8 +62,8 @@
 
     engine: str
     prefill_seconds: tuple[float, ...]
-    """Expected seconds of outstanding prefill, by rank; trailing ranks without work are
-    omitted."""
+    """Expected seconds of outstanding prefill at the engine's usual speed, by rank;
+    trailing ranks without work are omitted."""
     running: int
 
 
@@ -110,6 +111,8 @@
     """Port at which it hands on its configuration; 0 if it doesn't."""
     ends_in: timedelta | None = None
     """Time until a stopping gateway ends at the latest; None for all others."""
+    engine_factors: tuple[EngineFactor, ...] = ()
+    """What the gateway has measured of single engines."""
 
     capacities: tuple[CapacityNotice, ...] = ()
     """Reports of upstreams that the gateway got since its last digest."""
--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -15,6 +15,12 @@
 
 from xxhash import xxh3_64_intdigest
 
+from .decoder_choices import (
+    estimate_failure_cost,
+    estimate_slot_wait,
+    list_fitting,
+    pick_decoder,
+)
 from .engine_models import Prefill
 from .engine_samples import Sample, keep_all
 from .engine_states import EngineStates, HashedPart
@@ -22,7 +28,7 @@
 from .upstream_lists import Stage, UpstreamRecord
 from .usable_engines import list_usable_engines
 
-__all__ = ["Placement", "choose_decoder", "choose_engines"]
+__all__ = ["Placement", "choose_engines"]
 
 PAUSE_SHARE = 0.45
 """Fraction of the longest pause allowed by a route that prefill on an engine with
@@ -46,8 +52,6 @@
 SLOW_SEND_TIME = timedelta(milliseconds=20)
 """Send time from which a long prompt is preferably sent only once, as sending it to a
 second engine would delay the requests behind it on the link."""
-FAILURE_SECONDS = 0.2
-"""Cost of an engine with a failure rate of 1."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +71,8 @@
     occupancy: float
     """Fraction of the decoder's slots in use."""
     first_seconds: float
-    """Expected time from the end of the prefill to the first event."""
+    """Expected time from the end of the prefill to the first event, with the wait for a
+    slot of the decoder."""
     cost: float
     """Seconds: queueing, prefill and the delay caused to other requests."""
     prefill: Prefill = Prefill(0)
@@ -83,6 +88,17 @@
     """Seconds until the rate limit of the reader allows another request."""
     decoder_limit_wait: float = 0.0
     """The same for the decoder; 0 when it prefills the prompt itself."""
+    slot_wait: float = 0.0
+    """Expected seconds until the decoder has a free slot."""
+    lasting_factor: float = 1.0
+    """How many times longer the reader takes than the mean engine, lastingly."""
+    current_factor: float = 1.0
+    """How many times longer than usual the reader takes at the moment."""
+
+    @property
+    def work(self) -> float:
+        """Return the prefill time at the usual speed of the reader, in seconds."""
+        return self.prefill_seconds / self.current_factor
 
     @property
     def reader(self) -> UpstreamRecord:
@@ -130,7 +146,7 @@
 
     def expect_wait(self, engine: UpstreamRecord) -> float:
         """Return the queueing time at an engine for a prompt of this rank."""
-        return self.states.works.sum_seconds(engine.id, self.rank)
+        return self.states.expect_work(engine.id, self.now, self.rank)
 
     def sum_work(self, engine: UpstreamRecord) -> float:
         """Return the seconds of all outstanding prefill at an engine.
@@ -138,11 +154,11 @@
         Placement uses the total: an urgent prompt on a busy engine waits little itself
         but delays all others there.
         """
-        return self.states.works.sum_seconds(engine.id)
+        return self.states.expect_work(engine.id, self.now)
 
     def expect_stream(self, engine: UpstreamRecord, streams: int) -> float:
         tokens = self.prompt.output_tokens
-        return self.states.models.expect_stream(engine.service, tokens, streams)
+        return self.states.models.expect_stream(engine, tokens, streams, self.now)
 
     def count_cached(self, engine: UpstreamRecord) -> int:
         return self.states.prefixes.count_cached(engine.id, self.parts)
@@ -192,15 +208,18 @@
         key=lambda pair: pair[0],
     )
     query = _Query(prompt, parts, states, now, holder, held, rank)
-    singles = [_make_single(engine, query) for engine in decoders]
+    fitting = list_fitting(decoders, states, now, prompt.output_tokens)
+    if states.models.speeds is not None:
+        fitting = sample(fitting)
+    singles = [_make_single(engine, query) for engine in fitting]
     if not prefillers:
         return min(singles, key=_get_cost)
-    decoder = _pick_decoder(decoders, states, now)
+    decoder = pick_decoder(fitting, states, now, prompt.output_tokens, keep_all)
     preferred = _choose_by_hash(parts, prefillers)
     candidates = _sample(prefillers, preferred, holder, sample)
     pairs = [_make_pair(engine, decoder, preferred, query) for engine in candidates]
     pair = min(pairs, key=_get_cost)
-    admissible = [each for each in singles if _may_prefill(each, states)]
+    admissible = [each for each in singles if _may_prefill(each, states, now)]
     if not admissible:
         return pair
     best = min(admissible, key=_get_cost)
@@ -208,18 +227,6 @@
     return best if best.cost < pair.cost + sent_twice else pair
 
 
-def choose_decoder(
-    engines: Sequence[UpstreamRecord],
-    states: EngineStates,
-    now: timedelta,
-    avoid: Iterable[str] = (),
-) -> UpstreamRecord | None:
-    """Return the engine to decode from a finished prefill, or None if there is none."""
-    usable = list_usable_engines(engines, states, now, set(avoid))
-    decoders = [engine for engine in usable if engine.stage is not Stage.PREFILL]
-    return _pick_decoder(decoders, states, now) if decoders else None
-
-
 def _sample(
     prefillers: Sequence[UpstreamRecord],
     preferred: str,
@@ -243,13 +250,7 @@
     ]
 
 
-def _pick_decoder(
-    decoders: Sequence[UpstreamRecord], states: EngineStates, now: timedelta
-) -> UpstreamRecord:
-    return min(decoders, key=lambda engine: _estimate_decoder_cost(engine, states, now))
-
-
-def _may_prefill(placement: Placement, states: EngineStates) -> bool:
+def _may_prefill(placement: Placement, states: EngineStates, now: timedelta) -> bool:
     """Return whether a decode engine may prefill the prompt itself.
 
     Limits the pauses of running streams: the engine prefills between decode steps, and
@@ -260,10 +261,10 @@
     allowed = states.pauses.get(engine.service)
     if not streams or allowed is None:
         return True
-    pause = states.models.expect_pause(engine.service, streams)
+    pause = states.models.expect_pause(engine, streams, now)
     longest = allowed.total_seconds()
     room = max(PAUSE_SHARE * longest - pause, SHORT_SHARE * longest)
-    outstanding = states.works.sum_seconds(engine.id)
+    outstanding = states.expect_work(engine.id, now)
     return outstanding + placement.prefill_seconds <= room
 
 
@@ -317,7 +318,7 @@
     placement = _make_placement(decoder, engine, query)
     states = query.states
     extra = states.models.expect_overhead(engine.service)
-    extra += _failure_cost(decoder, states, query.now)
+    extra += estimate_failure_cost(decoder, states, query.now)
     if engine.id != preferred:
         shared = sum(tokens for _, tokens in query.parts[:-1])
         extra += AFFINITY_SHARE * query.expect_prefill(engine, Prefill(shared))
@@ -333,7 +334,9 @@
     planned = _plan_prefill(reader, query)
     work = query.sum_work(reader)
     running = states.works.sum_running(decoder.id)
-    first = states.models.expect_first(decoder.service, running)
+    first = states.models.expect_first(decoder, running, query.now)
+    slot_wait = estimate_slot_wait(decoder, states, query.now)
+    first += slot_wait
     reader_limit_wait = states.limits.predict_wait(reader, query.now)
     decoder_limit_wait = 0.0
     if prefiller is not None:
@@ -350,28 +353,14 @@
         wait_seconds=query.expect_wait(reader),
         occupancy=running / max(decoder.slots, 1),
         first_seconds=first,
-        cost=cost + _failure_cost(reader, states, query.now),
+        cost=cost + estimate_failure_cost(reader, states, query.now),
         prefill=planned.prefill,
         work_seconds=work,
-        usual_seconds=states.models.get_usual_prefill(reader.service),
+        usual_seconds=states.models.get_usual_prefill(reader, query.now),
         stream_seconds=query.expect_stream(decoder, running),
         reader_limit_wait=reader_limit_wait,
         decoder_limit_wait=decoder_limit_wait,
+        slot_wait=slot_wait,
+        lasting_factor=states.models.slowdown_factor(reader, query.now),
+        current_factor=states.models.current_factor(reader.id, query.now),
     )
-
-
-def _estimate_decoder_cost(
-    engine: UpstreamRecord, states: EngineStates, now: timedelta
-) -> float:
-    running = states.works.sum_running(engine.id)
-    wait = states.works.sum_seconds(engine.id)
-    wait = max(wait, states.limits.predict_wait(engine, now))
-    first = states.models.expect_first(engine.service, running)
-    return wait + first + _failure_cost(engine, states, now)
-
-
-def _failure_cost(
-    engine: UpstreamRecord, states: EngineStates, now: timedelta
-) -> float:
-    """Return the cost of an engine's recent failures, in seconds."""
-    return FAILURE_SECONDS * states.loads.read_failure_rate(engine.id, now)
