--- a/packages/mustardquay/tests/compare_plain_choices.py
+++ b/packages/mustardquay/tests/compare_plain_choices.py
@@ -1,7 +1,8 @@
 """Compare ways to choose plain upstreams on the same load and seeds.
 
 `python packages/mustardquay/tests/compare_plain_choices.py [LOAD ...]` prints the share
-of calls on time, their mean time, and the reports shared for each call.
+of calls on time, their mean time, and the reports shared for each call. With the load
+`failures`, it prints them for lost, late and false reports.
 """
 
 import sys
@@ -53,7 +54,40 @@
         return [PlainService(replace(load, seed=seed), choose).run() for seed in SEEDS]
 
 
+def lie(**figures):
+    """Return reports in which one fast upstream has false figures."""
+
+    def report(upstream, now):
+        true = upstream.report()
+        return replace(true, **figures) if upstream.record.id == "u1" else true
+
+    return report
+
+
+FOUR = (0.55, 1.2, 1.2, 1.2)
+FAILURES = {
+    "none": ServiceLoad(),
+    "half of the digests are lost": ServiceLoad(loss=0.5),
+    "all digests are lost": ServiceLoad(loss=1.0),
+    "digests are up to 0.2 s late": ServiceLoad(jitter=0.2),
+    "always an empty queue": ServiceLoad(reports=lie(running=0, waiting=0)),
+    "none, four upstreams": ServiceLoad(speeds=FOUR),
+    "work time 0.0001": ServiceLoad(speeds=FOUR, reports=lie(work_time=0.0001)),
+    "work time 8": ServiceLoad(speeds=FOUR, reports=lie(work_time=8.0)),
+}
+
+
+def compare_failures():
+    for name, load in FAILURES.items():
+        services = play(load, "drawn near the best (switch on)")
+        on_time = sum(each.on_time for each in services) / len(services)
+        print(f"{name}: {on_time:.4f} on time", flush=True)
+
+
 def main(names):
+    if names == ["failures"]:
+        compare_failures()
+        return
     for name in names or LOADS:
         for gateways in GATEWAYS:
             for way in WAYS:
