--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/fair_shares/tightened_placements.py
@@ -0,0 +1,27 @@
+"""Tightened placements: generations that may use a part of the admissible wait only.
+
+Handles overloaded engines: the limits of `generation_limits` decide on a placement that
+is as much busier as the request's part of the wait is smaller.
+"""
+
+from dataclasses import replace
+
+from ..placements import Placement
+
+__all__ = ["tighten"]
+
+
+def tighten(placement: Placement, factor: float) -> Placement:
+    """Return a placement that meets a bound where the wait meets `factor` of it.
+
+    An engine with free slots stays one: only the part of its occupancy that is beyond
+    them counts more.
+    """
+    if factor == 1.0:
+        return placement
+    waiting = max(placement.occupancy - 1.0, 0.0)
+    return replace(
+        placement,
+        wait_seconds=placement.wait_seconds / factor,
+        occupancy=min(placement.occupancy, 1.0) + waiting / factor,
+    )
