Report the uses of organisations in the digests of gateways

Cause: each gateway sees only its own callers, and a share is one of the whole service.

In the schema, OrganisationUse gets its demand and a mark for anonymous callers, whose empty name would be read as the sum of all others.

test_peers.py with digests of 24 names of 9 to 200 characters: at most 1,400 bytes.

--- a/packages/mustardquay-node/src/mustardquay_node/digest_exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/digest_exchanges.py
@@ -12,6 +12,7 @@
 from .crash_suspects import CrashReporter
 from .gateway_stops import GatewayStop
 from .generation_planners import GenerationPlanner
+from .service_shares import ServiceShares
 
 __all__ = ["DigestDependencies", "DigestExchange"]
 
@@ -32,6 +33,8 @@
     is_ready: Callable[[], bool]
     fetch_configuration: Callable[[], None]
     """Starts a read of the configuration, as a newer one is known to exist."""
+    shares: ServiceShares | None = None
+    """None if organisations have no shares."""
 
 
 class DigestExchange:
@@ -55,6 +58,8 @@
         digest = deps.planner.build_digest(
             deps.name, self._incarnation, self._number, deps.configurations.version
         )
+        if deps.shares is not None:
+            digest = deps.shares.complete_digest(digest)
         knows_limits = deps.limits.has_limits(now)
         return replace(
             digest,
@@ -78,6 +83,8 @@
         deps.stop.apply_digest(digest)
         deps.gate.apply_digest(digest, deps.clock.monotonic())
         deps.crashes.merge(digest.crashes)
+        if deps.shares is not None:
+            deps.shares.apply_digest(digest)
         self._apply_limits(digest)
         if deps.configurations.note_peer_version(digest.gateway, digest.configuration):
             deps.fetch_configuration()
@@ -87,6 +94,8 @@
         now = self._deps.clock.monotonic()
         self._deps.limits.demand.set_gateways(senders, others, now)
         self._deps.planner.set_gateway_counts(len(senders), others)
+        if self._deps.shares is not None:
+            self._deps.shares.set_gateway_counts(len(senders), others)
 
     def _apply_limits(self, digest: PeerDigest) -> None:
         now = self._deps.clock.monotonic()
--- a/packages/mustardquay-node/src/mustardquay_node/digest_frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/digest_frames.py
@@ -8,6 +8,7 @@
 import capnp
 
 from mustardquay.engine_models import PREFILL_SCALES, STREAM_SCALES, PoolSpeeds
+from mustardquay.fair_shares import OrganisationUse, fold_uses
 from mustardquay.peer_digests import (
     LOWEST_RANK,
     MICROSECONDS,
@@ -20,20 +21,41 @@
 from mustardquay.rate_limits import LimitNotice
 from mustardquay.rate_shares import ServiceDemand
 
-__all__ = ["decode_digest", "encode_digest"]
+__all__ = ["DATAGRAM_LIMIT", "decode_digest", "encode_digest"]
 
 capnp.remove_import_hook()
 SCHEMA = capnp.load(str(Path(__file__).with_name("peers.capnp")))
 
+DATAGRAM_LIMIT = 1400
+"""Bytes; a larger datagram is fragmented, and the loss of one fragment loses all."""
 LAYOUT = 2
 """Version of the datagram layout. During an upgrade, gateways with different layouts
 ignore each other's digests."""
+MAX_USE_SECONDS = 1e6
+"""Bound of a use that is believed: far more than a service can do in some seconds."""
 MAX_MICROSECONDS = 2**32 - 1
 MAX_RUNNING = 2**16 - 1
 
 
 def encode_digest(digest: PeerDigest) -> bytes:
-    """Return the datagram of a digest."""
+    """Return the datagram of a digest.
+
+    It names as many organisations as there is room for. The others are in a sum.
+    """
+    if not digest.uses:
+        return _build_message(digest, ()).to_bytes_packed()
+    count = sum(use.organisation is not None for use in digest.uses)
+    while True:
+        uses = fold_uses(digest.uses, count)
+        data = _build_message(digest, uses).to_bytes_packed()
+        if len(data) <= DATAGRAM_LIMIT:
+            return data
+        if not count:
+            return _build_message(digest, ()).to_bytes_packed()
+        count //= 2
+
+
+def _build_message(digest: PeerDigest, uses: Sequence[OrganisationUse]) -> Any:
     message = SCHEMA.Digest.new_message()
     message.layout = LAYOUT
     message.gateway = digest.gateway
@@ -47,7 +69,8 @@
     _write_speeds(message, digest.speeds)
     _write_presence(message, digest)
     _write_limits(message, digest)
-    return message.to_bytes_packed()
+    _write_uses(message, uses)
+    return message
 
 
 def decode_digest(data: bytes) -> PeerDigest | None:
@@ -73,6 +96,7 @@
             _read_demands(message),
             message.busy,
             _read_end(message),
+            tuple(map(_read_use, message.uses)),
         )
     except (capnp.KjException, IndexError, ValueError):
         return None
@@ -216,3 +240,24 @@
     return tuple(
         ServiceDemand(each.service, each.perSecond) for each in message.demands
     )
+
+
+def _write_uses(message: Any, uses: Sequence[OrganisationUse]) -> None:
+    for built, use in zip(message.init("uses", len(uses)), uses, strict=True):
+        built.service = use.service
+        built.organisation = use.organisation or ""
+        built.seconds = use.seconds
+        built.demand = use.demand
+        built.anonymous = use.organisation == ""
+
+
+def _read_use(built: Any) -> OrganisationUse:
+    """Return a use; wrong figures count as none."""
+    organisation = built.organisation
+    if not organisation and not built.anonymous:
+        organisation = None
+    seconds, demand = (
+        value if 0.0 <= value < MAX_USE_SECONDS else 0.0
+        for value in (built.seconds, built.demand)
+    )
+    return OrganisationUse(built.service, organisation, seconds, demand)
--- a/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
@@ -307,6 +307,7 @@
 
     def count_streams(self, engine: str) -> int:
         """Return the number of generations of all gateways running at an engine."""
+        self._states.works.peers.expire(self._clock.monotonic())
         return self._states.works.sum_running(engine)
 
     def estimate_stream_duration(self, service: str) -> timedelta:
--- a/packages/mustardquay-node/src/mustardquay_node/peers.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.capnp
@@ -51,11 +51,14 @@
 }
 
 # The recent use of a service by one organisation, in seconds of expected work. An empty
-# name is the sum over organisations that are not listed.
+# name is the sum over organisations that are not listed, or that of anonymous callers.
 struct OrganisationUse {
   service @0 :Text;
   organisation @1 :Text;
   seconds @2 :Float32;
+  # Seconds of work asked for, whether admitted or not.
+  demand @3 :Float32;
+  anonymous @4 :Bool;
 }
 
 # Parallel lists of numbers instead of lists of structs, which take ten times as long to
--- a/packages/mustardquay-node/src/mustardquay_node/peers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.py
@@ -22,7 +22,7 @@
 
 from .adapters import StoreRow, StoreTables
 from .connections import split_address
-from .digest_frames import decode_digest, encode_digest
+from .digest_frames import DATAGRAM_LIMIT, decode_digest, encode_digest
 
 __all__ = [
     "PEERS_TABLE",
@@ -47,8 +47,6 @@
 that a lost one is replaced well before the previous one expires."""
 IDLE_INTERVAL = timedelta(milliseconds=400)
 """Maximum time between digests without outstanding work."""
-DATAGRAM_LIMIT = 1400
-"""Bytes; a larger datagram is fragmented, and the loss of one fragment loses all."""
 MAX_PLACED_PARTS = 60
 """Prompt parts in one digest: with their engines they fit into `DATAGRAM_LIMIT`."""
 MAX_RECIPIENTS = 32
--- a/packages/mustardquay-node/tests/test_peers.py
+++ b/packages/mustardquay-node/tests/test_peers.py
@@ -6,6 +6,7 @@
 
 from mustardquay.clocks import SystemClock
 from mustardquay.events import EventRing, HybridClock
+from mustardquay.fair_shares import OrganisationUse
 from mustardquay.peer_digests import EngineDigest, PeerDigest, PlacedPart
 from mustardquay.rate_limits import LimitNotice
 from mustardquay.rate_shares import ServiceDemand
@@ -108,3 +109,51 @@
     finally:
         for link in links:
             await link.close()
+
+
+def make_uses(count, length=1):
+    names = [f"{number}".rjust(length, "o") for number in range(1, count + 1)]
+    listed = (*names, "", None)
+    return tuple(OrganisationUse("llm", name, 0.5, 2.0) for name in listed)
+
+
+def test_a_digest_contains_the_uses_of_organisations():
+    """Guards against anonymous callers that are taken for the sum of the others."""
+    digest = PeerDigest("g", 1, 2, 3, uses=make_uses(3))
+    assert decode_digest(encode_digest(digest)) == digest
+
+
+@pytest.mark.parametrize(("count", "length"), [(24, 9), (24, 40), (24, 200), (3, 900)])
+def test_uses_fit_into_a_datagram_beside_everything_else(count, length):
+    """Guards against digests that are fragmented where organisations are many."""
+    engines = tuple(EngineDigest(f"engine-{each}", (0.5,), 3) for each in range(9))
+    placed = tuple(PlacedPart("engine-1", 2**63 + each, 2_601) for each in range(40))
+    uses = make_uses(count, length)
+    digest = PeerDigest("g", 1, 2, 3, engines, placed, uses=uses)
+    data = encode_digest(digest)
+    assert len(data) <= digest_frames.DATAGRAM_LIMIT
+    decoded = decode_digest(data)
+    assert decoded.placed == placed
+    total = sum(each.demand for each in decoded.uses)
+    assert total == sum(each.demand for each in uses)
+    assert decoded.uses[-1].organisation is None
+
+
+def test_uses_are_left_out_of_a_digest_that_is_full():
+    """Guards against uses that make a large digest larger."""
+    placed = tuple(PlacedPart("e1", each * 0x9E3779B9, each) for each in range(300))
+    engines = (EngineDigest("e1", (), 1),)
+    digest = PeerDigest("g", 1, 2, 3, engines, placed)
+    assert len(encode_digest(digest)) > digest_frames.DATAGRAM_LIMIT
+    full = PeerDigest("g", 1, 2, 3, engines, placed, uses=make_uses(9))
+    assert encode_digest(full) == encode_digest(digest)
+
+
+def test_wrong_figures_of_a_use_count_as_none():
+    """Guards against a share that is not a number or infinite."""
+    uses = tuple(
+        OrganisationUse("llm", "a", value, value)
+        for value in (float("nan"), float("inf"), -1.0, 1e9)
+    )
+    decoded = decode_digest(encode_digest(PeerDigest("g", 1, 2, 3, uses=uses)))
+    assert [each.demand for each in decoded.uses] == [0.0] * 4
--- a/packages/mustardquay/src/mustardquay/fair_shares/plain_queues.py
+++ b/packages/mustardquay/src/mustardquay/fair_shares/plain_queues.py
@@ -33,7 +33,7 @@
     IN_TIME = "in_time"
     LATE = "late"
     """Admitted, but expected after its target."""
-    NO_ROOM = "no_room"
+    NO_ROOM = "crowded"
     """Refused: more may wait only for requests that go before it."""
     NO_TIME = "no_time"
     """Refused: it can't be answered before its deadline."""
--- a/packages/mustardquay/src/mustardquay/fair_shares/tightened_placements.py
+++ b/packages/mustardquay/src/mustardquay/fair_shares/tightened_placements.py
@@ -5,13 +5,16 @@
 """
 
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
-from ..placements import Placement
+if TYPE_CHECKING:
+    # Placements depend on digests, which contain uses.
+    from ..placements import Placement
 
 __all__ = ["tighten"]
 
 
-def tighten(placement: Placement, factor: float) -> Placement:
+def tighten(placement: "Placement", factor: float) -> "Placement":
     """Return a placement that meets a bound where the wait meets `factor` of it.
 
     An engine with free slots stays one: only the part of its occupancy that is beyond
--- a/packages/mustardquay/src/mustardquay/fair_shares/uses.py
+++ b/packages/mustardquay/src/mustardquay/fair_shares/uses.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
+from heapq import nlargest
 from math import exp
 
 __all__ = ["USE_MEMORY", "OrganisationUse", "UseMeter", "fold_uses"]
@@ -20,6 +21,8 @@
 MAX_ORGANISATIONS = 4096
 """Organisations with a use of their own at one service; those with the least demand are
 dropped first."""
+MIN_DECAY = 1e-80
+"""Guards against a division by zero after a long idle time."""
 NEGLIGIBLE_SECONDS = 1e-4
 """Demand below which an organisation is dropped: a thousandth of a short request."""
 
@@ -64,16 +67,32 @@
         # What returning callers use was asked for elsewhere, or before it was dropped.
         sums[1] = max(sums)
 
-    def list_uses(self, now: timedelta) -> list[OrganisationUse]:
-        """Return all uses, those with the largest demand first."""
+    def list_uses(self, now: timedelta, count: int) -> tuple[OrganisationUse, ...]:
+        """Return the `count` largest uses, and a sum of the rest for each service."""
         decay = self._decay(now)
-        uses = [
-            OrganisationUse(service, organisation, used * decay, demand * decay)
+        smallest = NEGLIGIBLE_SECONDS / max(decay, MIN_DECAY)
+        all_sums = [
+            (demand, used, service, organisation)
             for service, sums in self._sums.items()
             for organisation, (used, demand) in sums.items()
+            if demand > smallest
+        ]
+        largest = nlargest(count, all_sums)
+        rests = {service: [0.0, 0.0] for service in self._sums}
+        for sign, listed in ((1, all_sums), (-1, largest)):
+            for demand, used, service, _ in listed:
+                rests[service][0] += sign * used
+                rests[service][1] += sign * demand
+        uses = [
+            OrganisationUse(service, organisation, used * decay, demand * decay)
+            for demand, used, service, organisation in largest
+        ]
+        uses += [
+            OrganisationUse(service, None, max(used, 0.0) * decay, demand * decay)
+            for service, (used, demand) in rests.items()
+            if demand > smallest
         ]
-        uses = [use for use in uses if use.demand > NEGLIGIBLE_SECONDS]
-        return sorted(uses, key=lambda use: use.demand, reverse=True)
+        return tuple(uses)
 
     def read(
         self, service: str, organisation: str, now: timedelta
--- a/packages/mustardquay/src/mustardquay/peer_digests.py
+++ b/packages/mustardquay/src/mustardquay/peer_digests.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 
 from .engine_models import PoolSpeeds
+from .fair_shares.uses import OrganisationUse
 from .quarantines import CrashRecord
 from .rate_limits import LimitNotice
 from .rate_shares import ServiceDemand
@@ -102,6 +103,8 @@
     """Whether the gateway could not take more callers."""
     ends_in: timedelta | None = None
     """Time until a stopping gateway ends at the latest; None for all others."""
+    uses: tuple[OrganisationUse, ...] = ()
+    """Uses of services by organisations; empty if they are not due in this digest."""
 
     @property
     def order(self) -> tuple[int, int]:
--- a/packages/mustardquay/tests/simulated_shares.py
+++ b/packages/mustardquay/tests/simulated_shares.py
@@ -18,7 +18,6 @@
     Judgement,
     PlainQueues,
     PlainVerdict,
-    fold_uses,
     judge_plain,
     limit_in_flight,
 )
@@ -410,8 +409,8 @@
         uses = None
         if self._now - gateway.uses_sent_at >= USE_INTERVAL:
             gateway.uses_sent_at = self._now
-            listed = gateway.admission.uses.own.list_uses(_seconds(self._now))
-            uses = fold_uses(listed, NAMED)
+            meter = gateway.admission.uses.own
+            uses = meter.list_uses(_seconds(self._now), NAMED)
         counts = list(gateway.in_flight)
         half = recipients // 2
         for offset in (*range(1, recipients - half + 1), *range(-half, 0)):
--- a/packages/mustardquay/tests/test_fair_shares.py
+++ b/packages/mustardquay/tests/test_fair_shares.py
@@ -163,7 +163,17 @@
     meter = UseMeter()
     for number in range(20_000):
         meter.note_demand("s", f"o{number}", 0.1, at(number / 1000))
-    assert len(meter.list_uses(at(20))) <= 4096
+    assert len(meter.list_uses(at(20), 10_000)) <= 4096
+
+
+def test_listed_uses_keep_their_sum():
+    """Guards against small organisations that are missing from the fleet's demand."""
+    meter = UseMeter()
+    for number in range(1, 9):
+        meter.note_demand("s", f"o{number}", number, at(1))
+    listed = meter.list_uses(at(1), 3)
+    assert [each.organisation for each in listed] == ["o8", "o7", "o6", None]
+    assert sum(each.demand for each in listed) == pytest.approx(36)
 
 
 def test_the_meter_outlasts_a_long_idle_time():
