Admit plain requests and generations by fair shares where the setting says so

Cause: plain services queue all that they get until each answer is late, and a large organisation takes the room of all others.

Change: behind [gateway] organisation_shares, forwardings.py asks admit_plain before the first send, and handovers.py lets a generation's placement count as busier for an organisation that has a smaller part of the wait. Organisations that ask for more than their share have a place of their own below those that don't: with a tolerance instead, a small organisation was refused beside a single large one that was just at its share. Refusals are logged with use, demand and share, and counted by route and reason.

--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -8,6 +8,7 @@
 from mustardquay.clocks import Clock
 from mustardquay.crashing_parts import list_part_keys
 from mustardquay.events import EventRing
+from mustardquay.fair_shares import Judgement
 from mustardquay.latency_margins import LatencyMargins
 from mustardquay.rate_limits import RateLimiter
 from mustardquay.retry_decisions import SendHistory
@@ -31,6 +32,7 @@
 from .crash_suspects import CrashReporter
 from .gateway_stops import GatewayStop
 from .generation_planners import GenerationPlanner
+from .service_shares import ServiceShares
 from .stream_origins import OriginSubsystem
 from .tickets import RetainedPrefill
 from .upstream_pools import UpstreamPools
@@ -72,6 +74,10 @@
     """Counts a send by route and by how it ended."""
     count_unused_prefill: Callable[[str], None] = lambda reason: None
     """Counts a prefill from which nothing was generated, by the reason."""
+    count_refusal: Callable[[str, str], None] = lambda route, reason: None
+    """Counts a request that was refused by its share, by route and reason."""
+    shares: ServiceShares | None = None
+    """None if organisations have no shares."""
     record_first_byte: Callable[[str, timedelta], None] = lambda route, duration: None
 
     def list_accepting(self, service: str) -> list[UpstreamRecord]:
@@ -137,6 +143,8 @@
     """Whether an upstream was silent during a send, so that times show no load."""
     is_late: bool = False
     """Whether a generation can't meet its latency target, so that others go first."""
+    judgement: Judgement | None = None
+    """How its organisation's share limits a generation; None if it doesn't."""
     expected: timedelta | None = None
     """Expected time to the first event of a generation that was admitted as in time."""
     prefill: RetainedPrefill | None = None
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -26,6 +26,7 @@
 from .rate_reservations import await_reservation
 from .replies import Reply
 from .sending import Send, Sender, find_prefill_state
+from .share_admissions import admit_plain, send_plain
 
 __all__ = ["forward"]
 
@@ -208,6 +209,8 @@
             request.avoid,
             lambda record: deps.limits.predict_wait(record, now),
         )
+        if upstream is not None:
+            upstream = admit_plain(deps, request, self._reply, upstream, candidates)
         if upstream is None:
             return None
         return await self._send_within_rate_limit(upstream, now)
@@ -228,7 +231,7 @@
             await await_reservation(deps, reservation)
         finally:
             deps.limits.release(reservation)
-        return await self._sender.run(upstream)
+        return await send_plain(deps, self._sender, upstream)
 
     def _decide_retry(self, send: Send) -> bool:
         """Decide the next step; returns whether the request is sent again."""
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
@@ -51,6 +51,7 @@
         self._answers: Counter[tuple[str, str]] = Counter()
         self._sends: Counter[tuple[str, str]] = Counter()
         self._unused_prefills: Counter[tuple[str]] = Counter()
+        self._share_refusals: Counter[tuple[str, str]] = Counter()
         self._usage_reports: Counter[tuple[str]] = Counter()
         self._first_byte = Histogram(
             "mustardquay.first_byte",
@@ -85,6 +86,13 @@
             self._unused_prefills,
             "mustardquay.reason",
         )
+        self._page.add_counter(
+            "mustardquay.shares.refused",
+            "Requests that were refused by the shares of organisations, by reason.",
+            self._share_refusals,
+            "mustardquay.route",
+            "mustardquay.reason",
+        )
         self._page.add_counter(
             "mustardquay.usage.reports",
             "Attempts to send a report of usage, by outcome.",
@@ -94,6 +102,16 @@
         for name, definition in GAUGES.items():
             self._page.add_gauge(name, definition, gauges)
 
+    @property
+    def callbacks(self) -> dict[str, Callable[..., None]]:
+        """Return the callbacks by which requests are counted, by their names."""
+        return {
+            "count_send": self.count_send,
+            "count_unused_prefill": self.count_unused_prefill,
+            "count_refusal": self.count_share_refusal,
+            "record_first_byte": self.record_first_byte,
+        }
+
     def close(self) -> None:
         """Stop the export."""
         self._page.close()
@@ -110,6 +128,10 @@
         """Count a prompt that was prefilled but never generated from."""
         self._unused_prefills[(reason,)] += 1
 
+    def count_share_refusal(self, route: str, reason: str) -> None:
+        """Count a request that was refused by its share."""
+        self._share_refusals[route, reason] += 1
+
     def count_usage_report(self, outcome: str) -> None:
         """Count an attempt to send a report of usage."""
         self._usage_reports[(outcome,)] += 1
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -24,6 +24,7 @@
 from .descriptors import DescriptorGuard
 from .engine_calls import EngineCall, call_engine
 from .generation_planners import GenerationPlanner
+from .service_shares import ServiceShares
 from .settings import BoundsSettings, GatewaySettings
 from .upstream_pools import UpstreamPools
 
@@ -95,6 +96,11 @@
             note_change=deps.note_change,
             random=deps.random,
         )
+        self.shares: ServiceShares | None = None
+        if settings.gateway.organisation_shares:
+            self.shares = ServiceShares(
+                deps.clock, self.loads, self.planner.count_streams, deps.note_change
+            )
 
     async def close(self) -> None:
         """Close the connections."""
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -261,9 +261,8 @@
             is_configuration_confirmed=lambda: self._feeds.is_configuration_confirmed,
             note_begun=self._note_begun,
             count_answer=self._count_answer,
-            count_send=self._metrics.count_send,
-            count_unused_prefill=self._metrics.count_unused_prefill,
-            record_first_byte=self._metrics.record_first_byte,
+            shares=self._upstreams.shares,
+            **self._metrics.callbacks,
         )
 
     def _make_feeds(self) -> GatewayFeeds:
@@ -312,6 +311,7 @@
             configurations=self._configurations,
             is_ready=lambda: self.is_ready,
             fetch_configuration=lambda: self._feeds.fetch_configuration(),
+            shares=self._upstreams.shares,
         )
         return DigestExchange(deps)
 
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -26,6 +26,7 @@
 from .rate_reservations import await_reservation
 from .replies import Reply
 from .sending import Send, Sender, SendOptions
+from .share_admissions import limit_generation, note_generation, refuse_generation
 from .tickets import RetainedPrefill, Ticket
 
 __all__ = ["drop_prefill", "send_generation"]
@@ -59,6 +60,8 @@
             return None
     else:
         placement = _admit(deps, request, reply, prompt, engines)
+        if placement is not None:
+            note_generation(deps, request, placement)
     if placement is None:
         return None
     size = len(request.incoming.body)
@@ -148,7 +151,8 @@
         if placement is None:
             return None
         margin = deps.latency_margins.find_margin(request.route, now)
-        if admits_generation(request.route, placement, time_left, margin):
+        limited = limit_generation(deps, request, placement)
+        if admits_generation(request.route, limited, time_left, margin):
             request.expected = timedelta(seconds=placement.expected_seconds)
             return placement
         # A refused caller's retry can't meet the latency target either.
@@ -169,7 +173,8 @@
     if placement is None:
         return None
     time_left = request.measure_time_left(deps.clock.monotonic())
-    if admits(request.route, placement, time_left):
+    limited = limit_generation(deps, request, placement)
+    if admits(request.route, limited, time_left):
         return placement
     _refuse_crowded(deps, request, reply, placement)
     return None
@@ -183,14 +188,16 @@
 ) -> None:
     """Answer a generation for which engines have no capacity left."""
     time_left = request.measure_time_left(deps.clock.monotonic())
+    inputs = {
+        "wait_ms": round(placement.wait_seconds * 1000, 1),
+        "turn_ms": round(placement.limit_wait_seconds * 1000, 1),
+        "occupancy": round(placement.occupancy, 2),
+    }
+    is_limited = not admits_rate_limit_wait(request.route, placement)
+    if not is_limited and refuse_generation(deps, request, reply, placement, **inputs):
+        return
     retry_after = draw_retry_delay(placement, time_left, deps.random)
-    reply.refuse(
-        "crowded" if admits_rate_limit_wait(request.route, placement) else "limited",
-        retry_after,
-        wait_ms=round(placement.wait_seconds * 1000, 1),
-        turn_ms=round(placement.limit_wait_seconds * 1000, 1),
-        occupancy=round(placement.occupancy, 2),
-    )
+    reply.refuse("limited" if is_limited else "crowded", retry_after, **inputs)
 
 
 def _choose_placement(
--- a/packages/mustardquay/src/mustardquay/fair_shares/admissions.py
+++ b/packages/mustardquay/src/mustardquay/fair_shares/admissions.py
@@ -28,7 +28,7 @@
         return {
             "use_s": round(self.standing.use, 3),
             "share_s": round(share, 3),
-            "over_share": self.standing.is_over,
+            "demand_s": round(self.standing.demand, 3),
             "wait_factor": round(self.factor, 3),
         }
 
@@ -55,7 +55,7 @@
         if not standing.is_contended:
             return Judgement(1.0, standing)
         ranks = self.ranks.list_ranks(service, now)
-        factor = find_wait_factor(ranks, rank, standing.is_over, is_return)
+        factor = find_wait_factor(ranks, rank, standing.place, is_return)
         return Judgement(factor, standing)
 
     def note_demand(
--- a/packages/mustardquay/src/mustardquay/fair_shares/fleet_uses.py
+++ b/packages/mustardquay/src/mustardquay/fair_shares/fleet_uses.py
@@ -27,9 +27,6 @@
 MIN_SERVED_RATIO = 0.3
 """Part of the service of all organisations together that each one gets at least.
 Callers require a quarter; the rest is for the error of late reports."""
-TOLERANCE = 0.05
-"""Part of the share by which a use may exceed it: reports are some tenths of a second
-old."""
 EVEN_WEIGHT = 0.1
 """Weight of an even division among gateways beside one by demand, so that a gateway
 without recent requests has a part for its first callers."""
@@ -44,6 +41,8 @@
     """Seconds of admitted work at all gateways, decayed."""
     share: float
     """Fair share in the same unit; infinite if there is enough for all."""
+    demand: float = 0.0
+    """Seconds of work that was asked for, decayed."""
 
     @property
     def is_contended(self) -> bool:
@@ -53,7 +52,17 @@
     @property
     def is_over(self) -> bool:
         """Return whether the organisation uses more than its share."""
-        return self.use > self.share * (1 + TOLERANCE)
+        return self.use > self.share
+
+    @property
+    def place(self) -> int:
+        """Return the place in the order of organisations of the same rank.
+
+        0 if it asks for no more than its share, so that all of it can be admitted; 1 if
+        it asks for more; 2 if it also uses more. One that asks for more must not fill
+        the queue although its use is at its share: there would be no room for others.
+        """
+        return (self.demand > self.share) + self.is_over
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,8 +113,9 @@
         """Return the use and the fair share of an organisation at a service."""
         shares = self._get_shares(service, now)
         own, _ = self.own.read(service, organisation, now)
-        share = shares.level.find_share(shares.demands.get(organisation, 0.0))
-        return Standing(own + shares.peer_uses.get(organisation, 0.0), share)
+        demand = shares.demands.get(organisation, 0.0)
+        use = own + shares.peer_uses.get(organisation, 0.0)
+        return Standing(use, shares.level.find_share(demand), demand)
 
     def find_gateway_part(self, service: str, now: timedelta) -> float:
         """Return the part of the demand for a service that comes to this gateway."""
--- a/packages/mustardquay/src/mustardquay/fair_shares/wait_bounds.py
+++ b/packages/mustardquay/src/mustardquay/fair_shares/wait_bounds.py
@@ -15,6 +15,8 @@
 RANK_LIFETIME = timedelta(seconds=10)
 """How long a rank without requests keeps its place in the order: at a hundredth of the
 traffic, requests of a rank come seconds apart."""
+PLACES = 3
+"""Number of places of organisations of the same rank, see `Standing.place`."""
 RETURN_STEPS = 0.5
 """Part of the distance to the next more urgent place by which callers that return go
 before new ones."""
@@ -36,19 +38,18 @@
         return sorted(rank for rank, at in seen.items() if now - at <= RANK_LIFETIME)
 
 
-def find_wait_factor(
-    ranks: list[int], rank: int, is_over: bool, is_return: bool
-) -> float:
+def find_wait_factor(ranks: list[int], rank: int, place: int, is_return: bool) -> float:
     """Return the factor of the wait bound for a request, under overload.
 
-    `ranks` are those of all requests of the service, in ascending order.
+    `ranks` are those of all requests of the service, in ascending order; `place` is
+    that of the organisation among those of the same rank.
 
-    >>> [find_wait_factor([0, 2], rank, over, False) for rank in (0, 2)
-    ...  for over in (False, True)]
-    [1.0, 0.75, 0.5, 0.25]
-    >>> find_wait_factor([0, 2], 2, False, is_return=True)
-    0.625
+    >>> [round(find_wait_factor([0, 2], rank, place, False), 2) for rank in (0, 2)
+    ...  for place in range(PLACES)]
+    [1.0, 0.83, 0.67, 0.5, 0.33, 0.17]
+    >>> round(find_wait_factor([0, 2], 2, 0, is_return=True), 2)
+    0.58
     """
-    places = 2 * max(len(ranks), 1)
-    place = 2 * bisect_left(ranks, rank) + is_over
+    places = PLACES * max(len(ranks), 1)
+    place = PLACES * bisect_left(ranks, rank) + place
     return max(1 - (place - RETURN_STEPS * is_return) / places, 1 / places)
--- a/packages/mustardquay/tests/test_fair_shares.py
+++ b/packages/mustardquay/tests/test_fair_shares.py
@@ -193,9 +193,9 @@
 
 def test_rank_goes_before_share_and_a_return_before_new_callers():
     order = [
-        find_wait_factor([0, 2], rank, is_over, is_return)
+        find_wait_factor([0, 2], rank, place, is_return)
         for rank in (0, 2)
-        for is_over in (False, True)
+        for place in range(3)
         for is_return in (True, False)
     ]
     assert order == sorted(order, reverse=True) and min(order) > 0
