Bound the time of a refusal by shares at many upstreams

Cause: the search for the shortest queue took 0.82 ms at 300 upstreams on the loaded machine, beside 0.32 ms of the usual choice, and expired digests were dropped in reads.

Change: 32 candidates at most are compared, and digests expire once in each decision. 0.20 ms for the search in the same script.

--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -99,7 +99,11 @@
         self.shares: ServiceShares | None = None
         if settings.gateway.organisation_shares:
             self.shares = ServiceShares(
-                deps.clock, self.loads, self.planner.count_streams, deps.note_change
+                deps.clock,
+                self.loads,
+                self.planner.count_streams,
+                self.planner.expire_digests,
+                deps.note_change,
             )
 
     async def close(self) -> None:
--- a/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
@@ -307,9 +307,12 @@
 
     def count_streams(self, engine: str) -> int:
         """Return the number of generations of all gateways running at an engine."""
-        self._states.works.peers.expire(self._clock.monotonic())
         return self._states.works.sum_running(engine)
 
+    def expire_digests(self) -> None:
+        """Drop the outstanding work of gateways that have become silent."""
+        self._states.works.peers.expire(self._clock.monotonic())
+
     def estimate_stream_duration(self, service: str) -> timedelta:
         """Return how long the running generations of this gateway last."""
         return self._stream_ages.estimate_duration(service, self._clock.monotonic())
--- a/packages/mustardquay-node/src/mustardquay_node/service_shares.py
+++ b/packages/mustardquay-node/src/mustardquay_node/service_shares.py
@@ -45,13 +45,16 @@
         clock: Clock,
         loads: UpstreamLoads,
         count_peer_requests: Callable[[str], int],
+        expire_peers: Callable[[], None],
         note_change: Callable[[], None],
     ):
         """Initialise without uses.
 
-        `count_peer_requests` returns the requests of other gateways at an upstream;
-        `note_change` is called when those of this one have changed.
+        `count_peer_requests` returns the requests of other gateways at an upstream, and
+        `expire_peers` drops those of silent ones; `note_change` is called when the
+        requests of this one have changed.
         """
+        self.expire_peers = expire_peers
         self._clock = clock
         self._loads = loads
         self._count_peer_requests = count_peer_requests
--- a/packages/mustardquay-node/src/mustardquay_node/share_admissions.py
+++ b/packages/mustardquay-node/src/mustardquay_node/share_admissions.py
@@ -33,6 +33,10 @@
     "send_plain",
 ]
 
+MAX_COMPARED = 32
+"""Upstreams among which the one with the shortest wait is searched, which bounds the
+time of a refusal: if none of them has a free slot, few of all have one."""
+
 
 def admit_plain(
     deps: ForwarderDependencies,
@@ -49,6 +53,7 @@
     shares = deps.shares
     if shares is None or request.send_history.attempts:
         return upstream
+    shares.expire_peers()
     expected = shares.expect(upstream)
     judgement = _judge(deps, shares, request, expected.work)
     verdict = _judge_plain(deps, shares, request, judgement, expected, candidates)
@@ -167,6 +172,8 @@
     candidates: Sequence[UpstreamRecord],
 ) -> UpstreamRecord | None:
     now = deps.clock.monotonic()
+    if len(candidates) > MAX_COMPARED:
+        candidates = deps.random.sample(candidates, MAX_COMPARED)
 
     def expect_wait(record: UpstreamRecord) -> float:
         return deps.limits.predict_wait(record, now) + shares.expect(record).wait
