--- a/packages/mustardquay-node/src/mustardquay_node/service_shares.py
+++ b/packages/mustardquay-node/src/mustardquay_node/service_shares.py
@@ -24,6 +24,8 @@
 """Time between digests with uses: a fifteenth of the time in which uses decay."""
 MAX_NAMED = 24
 """Organisations that a digest names at most; their names take half of a datagram."""
+MAX_COMPARED = 32
+"""Upstreams by which it is estimated whether a service has free slots."""
 REPORT_LIFETIME = timedelta(milliseconds=300)
 """How long the load that an answer reports counts as that of its upstream."""
 
@@ -102,7 +104,17 @@
         limit = limit_in_flight(
             expected, route.latency_target, judgement.factor, slots, part
         )
-        return in_flight < limit
+        return in_flight < limit or self._has_free_slots(candidates)
+
+    def _has_free_slots(self, candidates: Sequence[UpstreamRecord]) -> bool:
+        """Return whether a service has fewer requests than slots.
+
+        The sum counts: among many upstreams, there is always one whose queue is
+        estimated too short, and all gateways would send there.
+        """
+        compared = candidates[:: max(len(candidates) // MAX_COMPARED, 1)]
+        slots = sum(each.slots for each in compared)
+        return sum(self.count_queue(each) for each in compared) < slots
 
     def begin(self, upstream: UpstreamRecord) -> PlainSend:
         """Note a plain request that is about to be sent."""
--- a/packages/mustardquay-node/tests/simulated_bursts.py
+++ b/packages/mustardquay-node/tests/simulated_bursts.py
@@ -31,7 +31,7 @@
 from mustardquay_node.peers import BUSY_INTERVAL, PEER_INTERVAL, list_recipients
 from mustardquay_node.tickets import Ticket
 
-__all__ = ["Burst", "Caller", "Outcome", "simulate"]
+__all__ = ["Burst", "BurstSimulation", "Caller", "Outcome", "simulate"]
 
 SHARED, OWN = 6_300, 2_890
 """Tokens of a prompt: those of its shared part, and the median of its own part."""
@@ -159,7 +159,7 @@
     is_busy: bool = False
 
 
-class _Simulation:
+class BurstSimulation:
     def __init__(self, burst: Burst):
         self._burst = burst
         self._random = Random(burst.seed)
@@ -409,4 +409,4 @@
 
 def simulate(burst: Burst) -> Outcome:
     """Run the simulation of a load to its end."""
-    return _Simulation(burst).run()
+    return BurstSimulation(burst).run()
--- a/packages/mustardquay/src/mustardquay/fair_shares/plain_queues.py
+++ b/packages/mustardquay/src/mustardquay/fair_shares/plain_queues.py
@@ -124,14 +124,17 @@
     `elapsed` is the time since the caller's first attempt. The bound is the same for
     new requests and for late ones: these get capacity that is left over, and never
     lengthen the queue beyond what lets others be in time. `is_within_part` says whether
-    this gateway has less in flight than its part of the queue.
+    this gateway has less in flight than its part of the queue, or the service has free
+    slots.
     """
     total = expected.wait + expected.work
+    if not is_within_part and total <= time_left.total_seconds():
+        return PlainVerdict.NO_ROOM
     if expected.wait > 0:
         if total > time_left.total_seconds():
             return PlainVerdict.NO_TIME
         bound = factor * bound_wait(expected, target)
-        if expected.wait > bound or not is_within_part:
+        if expected.wait > bound:
             return PlainVerdict.NO_ROOM
     is_late = elapsed.total_seconds() + total > target.total_seconds()
     return PlainVerdict.LATE if is_late else PlainVerdict.IN_TIME
--- a/packages/mustardquay/src/mustardquay/fair_shares/tightened_placements.py
+++ b/packages/mustardquay/src/mustardquay/fair_shares/tightened_placements.py
@@ -13,15 +13,20 @@
 
 __all__ = ["tighten"]
 
+ORDERED_PART = 0.5
+"""Part of the admissible wait that goes by rank and share. Engines order their prefill
+by rank themselves, and need a queue for the time between two digests."""
+
 
 def tighten(placement: "Placement", factor: float) -> "Placement":
-    """Return a placement that meets a bound where the wait meets `factor` of it.
+    """Return a placement that counts as busier, the smaller `factor` is.
 
     An engine with free slots stays one: only the part of its occupancy that is beyond
     them counts more.
     """
     if factor == 1.0:
         return placement
+    factor = 1 - ORDERED_PART * (1 - factor)
     waiting = max(placement.occupancy - 1.0, 0.0)
     return replace(
         placement,
--- a/packages/mustardquay/tests/simulated_shares.py
+++ b/packages/mustardquay/tests/simulated_shares.py
@@ -313,6 +313,9 @@
             range(len(self._upstreams)),
             key=lambda each: gateway.count_queue(each, self._now),
         )
+        queue = sum(
+            gateway.count_queue(each, self._now) for each in range(len(self._upstreams))
+        )
         for number in (upstream, shortest):
             expected = gateway.queues.expect(
                 "s", gateway.count_queue(number, self._now), SLOTS
@@ -323,7 +326,7 @@
                 part = fair.uses.find_gateway_part("s", now)
                 slots = SLOTS * len(self._upstreams)
                 limit = limit_in_flight(expected, target, factor, slots, part)
-                is_within = sum(gateway.in_flight) < limit
+                is_within = sum(gateway.in_flight) < limit or queue < slots
             verdict = PlainVerdict.NO_ROOM
             if factor > 0 or expected.wait <= 0:
                 verdict = judge_plain(
