--- a/benchmarks/compare_shares.py
+++ b/benchmarks/compare_shares.py
@@ -13,7 +13,8 @@
     0, str(Path(__file__).parents[1] / "packages" / "mustardquay" / "tests")
 )
 
-from simulated_shares import Load, Outcome, simulate, use_factor
+from share_loads import Load, Outcome
+from simulated_shares import simulate, use_factor
 
 from mustardquay.fair_shares import Judgement, wait_bounds
 
--- a/packages/mustardquay/tests/test_fair_shares.py
+++ b/packages/mustardquay/tests/test_fair_shares.py
@@ -5,7 +5,8 @@
 from random import Random
 
 import pytest
-from simulated_shares import Kind, Load, simulate
+from share_loads import Kind, Load
+from simulated_shares import simulate
 
 from mustardquay.fair_shares import (
     FairAdmission,
