--- a/packages/mustardquay-node/src/mustardquay_node/digest_exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/digest_exchanges.py
@@ -14,6 +14,7 @@
 from .gateway_stops import GatewayStop
 from .generation_planners import GenerationPlanner
 from .load_reporters import LoadReporter
+from .service_shares import ServiceShares
 
 __all__ = ["DigestDependencies", "DigestExchange"]
 
@@ -41,6 +42,8 @@
     """Passes a received digest on to the forwarding of requests."""
     fetch_configuration: Callable[[], None]
     """Starts a read of the configuration, as a newer one is known to exist."""
+    shares: ServiceShares | None = None
+    """None if organisations have no shares."""
 
 
 class DigestExchange:
@@ -64,6 +67,8 @@
         digest = deps.planner.build_digest(
             deps.name, self._incarnation, self._number, deps.configurations.version
         )
+        if deps.shares is not None:
+            digest = deps.shares.complete_digest(digest)
         knows_limits = deps.limits.has_limits(now)
         return replace(
             digest,
@@ -92,6 +97,8 @@
         deps.gate.apply_digest(digest, deps.clock.monotonic())
         deps.crashes.merge(digest.crashes)
         deps.note_digest(digest)
+        if deps.shares is not None:
+            deps.shares.apply_digest(digest)
         self._apply_limits(digest)
         deps.reports.apply_digest(digest)
         if deps.configurations.note_peer_version(digest.gateway, digest.configuration):
@@ -103,6 +110,8 @@
         self._deps.limits.demand.set_gateways(senders, others, now)
         self._deps.planner.set_gateway_counts(len(senders), others)
         self._deps.reports.set_gateways(senders)
+        if self._deps.shares is not None:
+            self._deps.shares.set_gateway_counts(len(senders), others)
 
     def _apply_limits(self, digest: PeerDigest) -> None:
         now = self._deps.clock.monotonic()
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -26,6 +26,7 @@
 from .engine_calls import EngineCall, call_engine
 from .generation_planners import GenerationPlanner
 from .load_reporters import LoadReporter
+from .service_shares import ServiceShares
 from .settings import BoundsSettings, GatewaySettings
 from .upstream_pools import UpstreamPools
 
@@ -106,6 +107,15 @@
             random=deps.random,
             load_reports=settings.gateway.load_reports,
         )
+        self.shares: ServiceShares | None = None
+        if settings.gateway.organisation_shares:
+            self.shares = ServiceShares(
+                deps.clock,
+                self.loads,
+                self.planner.count_streams,
+                self.planner.expire_digests,
+                deps.note_change,
+            )
 
     async def close(self) -> None:
         """Close the connections."""
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -267,9 +267,8 @@
             note_begun=self._note_begun,
             get_peer_forwarding=lambda: self._peering.forward,
             count_answer=self._count_answer,
-            count_send=self._metrics.count_send,
-            count_unused_prefill=self._metrics.count_unused_prefill,
-            record_first_byte=self._metrics.record_first_byte,
+            shares=self._upstreams.shares,
+            **self._metrics.callbacks,
         )
 
     def _make_feeds(self) -> GatewayFeeds:
@@ -324,6 +323,7 @@
             note_digest=lambda digest: self._peering.apply_digest(digest),
             is_ready=lambda: self.is_ready,
             fetch_configuration=self._fetch_configuration,
+            shares=self._upstreams.shares,
         )
         return DigestExchange(deps)
 
--- a/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
@@ -329,6 +329,10 @@
         """Return how fast each engine decodes; None without load reports."""
         return measure_decode_speeds(engines, self._states, self._clock.monotonic())
 
+    def expire_digests(self) -> None:
+        """Drop the outstanding work of gateways that have become silent."""
+        self._states.works.peers.expire(self._clock.monotonic())
+
     def estimate_stream_duration(self, service: str) -> timedelta:
         """Return how long the running generations of this gateway last."""
         return self._stream_ages.estimate_duration(service, self._clock.monotonic())
--- a/packages/mustardquay/src/mustardquay/peer_digests.py
+++ b/packages/mustardquay/src/mustardquay/peer_digests.py
@@ -13,6 +13,7 @@
 from .configuration_sources import ConfigurationSource
 from .engine_models import PoolSpeeds
 from .engine_speeds import EngineFactor
+from .fair_shares.uses import OrganisationUse
 from .quarantines import CrashRecord
 from .rate_limits import LimitNotice
 from .rate_shares import ServiceDemand
@@ -116,6 +117,8 @@
 
     capacities: tuple[CapacityNotice, ...] = ()
     """Reports of upstreams that the gateway got since its last digest."""
+    uses: tuple[OrganisationUse, ...] = ()
+    """Uses of services by organisations; empty if they are not due in this digest."""
 
     @property
     def order(self) -> tuple[int, int]:
