Decide how much a gateway holds for slow readers

Cause: a gateway buffers what callers and upstreams have not read, without a bound on all of it together.

Change: `mustardquay.memory_limits` counts what is held, for each connection and in all, and decides how far to read ahead of a caller, which requests to refuse, and which stalled connection to close. The levels follow from the memory of the process and from what it takes at its start. Nothing uses it yet.

--- /dev/null
+++ b/packages/mustardquay/src/mustardquay/memory_limits/__init__.py
@@ -0,0 +1,21 @@
+"""How much a gateway holds for slow readers, and what it does near its limit."""
+
+from .closings import STALL_TIME, Closing, ClosingReason, find_closing
+from .ledgers import HeldBytes, Ledger
+from .limits import KERNEL_BUFFER, READ_SIZE, MemoryLimits, find_limits
+from .refusals import RefusalSpan, draw_retry_after
+
+__all__ = [
+    "KERNEL_BUFFER",
+    "READ_SIZE",
+    "STALL_TIME",
+    "Closing",
+    "ClosingReason",
+    "HeldBytes",
+    "Ledger",
+    "MemoryLimits",
+    "RefusalSpan",
+    "draw_retry_after",
+    "find_closing",
+    "find_limits",
+]
