Bound what a gateway holds for callers and upstreams that read slowly

Cause: plain answers were buffered whole (up to 64 MB each, three copies at the end), request bodies were held twice while they were answered and a third time while they were sent, and the kernel added megabytes for each connection. Nothing bounded the sum.

Change: with `[gateway] memory`, bytes are counted where they are read and written, for each connection of a caller and in all. Answers are read ahead of a slow caller up to a bound that falls as memory fills; then the upstream waits. A plain answer over a share of the budget is passed on as it comes; one that ends early is broken off, with a reset where its end would look complete. Near the limit requests are refused before their body is read, and after that a stalled connection is closed: the one with the most held bytes times stall time, and never one that has made progress within 3 s. What the kernel has is bounded by socket options and read every 100 ms. A caller that has stopped reading is ended at its deadline; one that reads a large answer steadily is served beyond it.

Also without the setting, large bodies and answers are written without further copies, and the parts of a request body are freed when the request is whole.

Tests: `Occasion` has two new values, on which a stalled answer is cut. The test that no limit closes a connection that is owed an answer covers the other occasions as before; a new one holds that a request without an answer is kept on these two as well.

--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/__init__.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/__init__.py
@@ -7,12 +7,14 @@
 
 from .answers import CallerAnswer
 from .connections import CallerConnections, ConnectionOptions
+from .paces import CallerPace
 from .requests import CallerConnection, CallerRequest
 
 __all__ = [
     "CallerAnswer",
     "CallerConnection",
     "CallerConnections",
+    "CallerPace",
     "CallerRequest",
     "ConnectionOptions",
 ]
--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/answers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/answers.py
@@ -1,16 +1,18 @@
 """Answers to callers, which are written to their connections."""
 
-import socket
-import struct
 from collections.abc import Awaitable, Callable
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, ResponseStartLine, responses
 
 from .owned_connections import OwnedConnection
+from .paces import CallerPace
 
 __all__ = ["CallerAnswer"]
 
+WRITE_SIZE = 65_536
+"""Bytes of a body that are written at a time."""
+
 
 class CallerAnswer:
     """The answer to one request, and whether its caller is still connected."""
@@ -42,6 +44,19 @@
         self._on_caller_gone = on_gone
         self._connection.set_close_callback(self._note_gone)
 
+    @property
+    def pace(self) -> CallerPace | None:
+        """Return what is held for the caller; None without a limit of memory."""
+        return self._owner.pace
+
+    @property
+    def _is_closed(self) -> bool:
+        """Return whether the connection is closed, which is noted a moment later.
+
+        Tornado must not be given a part then while an earlier one is not written.
+        """
+        return self._connection.stream.closed()
+
     def send(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         """Send a whole answer."""
         if self.is_caller_gone or self.has_ended:
@@ -49,7 +64,11 @@
         if self._method != "HEAD" and status not in (204, 304):
             headers["Content-Length"] = str(len(body))
         self._begin()
-        self._write_head(status, headers, body)
+        if len(body) <= WRITE_SIZE:
+            self._write_head(status, headers, body)
+        else:
+            self._write_head(status, headers, None)
+            self._write_parts(body)
         self._end()
 
     def begin(self, status: int, headers: HTTPHeaders) -> None:
@@ -64,10 +83,13 @@
 
     def write(self, data: bytes) -> Awaitable[None] | None:
         """Send a part; returns what to await if the caller is slow to read, or None."""
-        if self.is_caller_gone or self.has_ended:
+        if self.is_caller_gone or self.has_ended or self._is_closed:
             return None
         future = self._connection.write(data)
-        return None if future.done() else future
+        if future.done():
+            return None
+        pace = self._owner.pace
+        return future if pace is None else pace.find_wait()
 
     def end(self) -> None:
         """Send the end of an answer that was begun."""
@@ -80,15 +102,14 @@
         if not self._connection.stream.closed():
             self._owner.note_close("answer_aborted")
         if not self._knows_chunks:
-            self._reset_on_close()
+            self._owner.reset_on_close()
         self._connection.close()
 
-    def _reset_on_close(self) -> None:
-        """Have the connection reset, where its end would mark an answer as complete."""
-        stream = self._connection.stream
-        if not stream.closed():
-            linger = struct.pack("ii", 1, 0)
-            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    def _write_parts(self, body: bytes) -> None:
+        """Write a large body, each part of which is freed once it was written."""
+        for start in range(0, len(body), WRITE_SIZE):
+            if not self._is_closed:
+                self._connection.write(body[start : start + WRITE_SIZE])
 
     def _write_head(self, status: int, headers: HTTPHeaders, body: bytes | None):
         reason = responses.get(status, "Unknown")
@@ -99,12 +120,12 @@
 
     def _begin(self) -> None:
         self.has_begun = True
-        self._owner.ownership.note_answer_begun()
+        self._owner.note_answer_begun()
 
     def _end(self) -> None:
         self.has_ended = True
         self._on_caller_gone = None
-        self._owner.ownership.note_answer_ended()
+        self._owner.note_answer_ended()
         self._connection.finish()
 
     def _note_gone(self) -> None:
--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/connections.py
@@ -2,8 +2,9 @@
 
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
+from functools import partial
 from itertools import count
 
 from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
@@ -14,11 +15,14 @@
 from mustardquay.request_ownership import Occasion
 from mustardquay.routing_tables import CallerLimits
 
+from ..memory_guards import MemoryGuard
 from .answers import CallerAnswer
 from .endings import end_connections
 from .limit_watches import LimitWatch
 from .lingering import Lingerer
+from .memory_watches import MemoryWatch
 from .owned_connections import ConnectionDependencies, OwnedConnection
+from .paces import CallerPace
 from .readers import ReaderOptions, RequestReader
 from .requests import CallerRequest
 from .streams import CallerStream
@@ -34,6 +38,8 @@
     events: EventRing
     limits: Callable[[], CallerLimits]
     handle: Callable[[CallerRequest, CallerAnswer], None]
+    memory: MemoryGuard | None = None
+    """Limits what is held for slow callers; None for no limit."""
 
 
 class CallerConnections(HTTPServerConnectionDelegate):
@@ -47,16 +53,27 @@
         self._numbers = count(1)
         self._lingerer = Lingerer()
         self._limit_watch = LimitWatch(options.clock, options.limits)
+        guard, clock = options.memory, options.clock
+        self._memory_watch = None if guard is None else MemoryWatch(guard, clock)
         self._bytes_of_closed = 0
         """What was read on connections that are closed."""
 
     def start(self) -> None:
         """Start to apply the limits."""
         self._limit_watch.start()
+        if self._memory_watch is not None:
+            self._memory_watch.start()
 
     def close(self) -> None:
         """Stop applying the limits."""
         self._limit_watch.close()
+        if self._memory_watch is not None:
+            self._memory_watch.close()
+
+    @property
+    def memory(self) -> MemoryGuard | None:
+        """Return what is held for callers; None without a limit of memory."""
+        return self._options.memory
 
     @property
     def count(self) -> int:
@@ -76,19 +93,12 @@
 
     def open_stream(self, accepted: socket.socket) -> CallerStream:
         """Own an accepted connection; returns the stream for tornado to read."""
-        options = self._options
-        deps = ConnectionDependencies(
-            options.clock,
-            options.events,
-            self._lingerer,
-            self._limit_watch.watch,
-            self._limit_watch.forget,
-            self._note_closed,
-        )
-        connection = OwnedConnection(deps, next(self._numbers))
+        connection = OwnedConnection(self._make_dependencies(), next(self._numbers))
         stream = connection.open_stream(accepted)
         self._open[connection] = None
         self._by_stream[stream] = connection
+        if self._memory_watch is not None:
+            self._memory_watch.add(connection)
         return stream
 
     def end_keep_alive(self) -> None:
@@ -126,6 +136,7 @@
             self._options.limits,
             self._options.handle,
             is_last=lambda: self._is_ending,
+            memory=self._options.memory,
         )
         return RequestReader(options, connection, request_conn)
 
@@ -134,7 +145,24 @@
         server_conn.stream.close()
         self._by_stream.pop(server_conn.stream, None)
 
+    def _make_dependencies(self) -> ConnectionDependencies:
+        options, watch = self._options, self._memory_watch
+        deps = ConnectionDependencies(
+            options.clock,
+            options.events,
+            self._lingerer,
+            self._limit_watch.watch,
+            self._limit_watch.forget,
+            self._note_closed,
+        )
+        if options.memory is None or watch is None:
+            return deps
+        make_pace = partial(CallerPace, options.memory, options.clock)
+        return replace(deps, make_pace=make_pace, note_answered=watch.note_answered)
+
     def _note_closed(self, connection: OwnedConnection) -> None:
         self._open.pop(connection, None)
         self._limit_watch.forget(connection)
+        if self._memory_watch is not None:
+            self._memory_watch.forget(connection)
         self._bytes_of_closed += connection.ownership.bytes_read
--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/owned_connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/owned_connections.py
@@ -1,6 +1,7 @@
 """Owned connections: a caller's connection and who owes an answer on it."""
 
 import socket
+import struct
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -21,6 +22,7 @@
 
 from ..unread_bytes import has_unread_bytes
 from .lingering import Lingerer
+from .paces import CallerPace
 from .requests import CallerConnection
 from .streams import CallerStream
 
@@ -31,6 +33,8 @@
 WITH_ANSWER = (ConnectionPhase.READING, ConnectionPhase.FLUSHING)
 """Phases in which an answer may have been written: to a request, or by tornado to what
 is none."""
+STALLED_OCCASIONS = (Occasion.MEMORY, Occasion.UNREAD)
+"""Occasions on which what the kernel holds for the caller is dropped too."""
 UNEXPECTED = "unexpected"
 """Reason of a close by tornado, which answers what it can't parse."""
 
@@ -46,6 +50,10 @@
     """Called when a connection has changed between waiting and reading."""
     note_header: Callable[["OwnedConnection"], None]
     note_closed: Callable[["OwnedConnection"], None]
+    make_pace: Callable[[], CallerPace | None] = lambda: None
+    """Returns the pace of a new connection, None without a limit of memory."""
+    note_answered: Callable[["OwnedConnection"], None] = lambda connection: None
+    """Called when an answer begins, if there is a limit of memory."""
 
 
 class OwnedConnection:
@@ -59,6 +67,7 @@
         self._has_header = False
         self._is_close_logged = False
         self._stream: CallerStream | None = None
+        self._pace = deps.make_pace()
 
     @property
     def identity(self) -> CallerConnection:
@@ -70,6 +79,11 @@
         """Return who owes an answer."""
         return self._ownership
 
+    @property
+    def pace(self) -> CallerPace | None:
+        """Return what the connection holds; None without a limit of memory."""
+        return self._pace
+
     @property
     def position(self) -> int:
         """Return the position of the request that is awaited, read or answered."""
@@ -83,7 +97,10 @@
 
     def open_stream(self, accepted: socket.socket) -> CallerStream:
         """Make the stream of an accepted socket."""
-        self._stream = CallerStream(accepted, self._note_read, self._release)
+        note_written = self._pace.note_written if self._pace is not None else None
+        self._stream = CallerStream(
+            accepted, self._note_read, self._release, note_written
+        )
         return self._stream
 
     def begin_request(self) -> None:
@@ -98,6 +115,23 @@
         self._has_header = True
         self._deps.note_header(self)
 
+    def note_answer_begun(self) -> None:
+        """Note the first byte of an answer."""
+        self._ownership.note_answer_begun()
+        if self._pace is not None:
+            self._deps.note_answered(self)
+
+    def note_answer_ended(self) -> None:
+        """Note that an answer is complete and has only to be written."""
+        self._ownership.note_answer_ended()
+        if self._pace is not None:
+            self._pace.held.end_request()
+
+    def is_due(self, occasion: Occasion) -> bool:
+        """Return whether an occasion would end the connection."""
+        step = decide_step(self._ownership.phase, occasion, self._has_more)
+        return step is not ClosingStep.KEEP
+
     def close_if_due(self, occasion: Occasion) -> bool:
         """Close or answer the connection if that is due; returns whether it was."""
         step = decide_step(self._ownership.phase, occasion, self._has_more)
@@ -109,9 +143,21 @@
         elif step is ClosingStep.TIME_OUT:
             self._answer_incomplete(HTTPStatus.REQUEST_TIMEOUT)
         else:
+            if occasion in STALLED_OCCASIONS:
+                self.reset_on_close()
             self.stream.close()
         return True
 
+    def reset_on_close(self) -> None:
+        """Have the connection reset when it is closed.
+
+        Its end could mark an answer as complete, and the kernel would hold what is
+        unread until its caller is gone.
+        """
+        if not self.stream.closed():
+            linger = struct.pack("ii", 1, 0)
+            self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def note_close(self, reason: str) -> None:
         """Log that this process closes the connection, and what was read on it."""
         if self._is_close_logged:
@@ -137,7 +183,7 @@
         # An empty connection has bytes in the kernel, which are not read any more.
         self._ownership.note_bytes(0)
         self._ownership.note_answer_begun()
-        self._ownership.note_answer_ended()
+        self.note_answer_ended()
         try:
             written = self.stream.write(build_refusal(status))
         except StreamClosedError:
@@ -149,6 +195,8 @@
         self._ownership.note_bytes(size)
         if was_empty:
             self._deps.note_phase(self)
+        if self._pace is not None:
+            self._pace.note_read()
 
     def _release(self, stream: socket.socket) -> None:
         """Close the socket, later if its caller might not read its answer otherwise."""
@@ -163,6 +211,8 @@
         else:
             self._ownership.note_closed()
             stream.close()
+        if self._pace is not None:
+            self._pace.close()
         self._deps.note_closed(self)
 
     def _answer_unparsable(self, stream: socket.socket) -> None:
--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/readers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/readers.py
@@ -16,12 +16,17 @@
 from mustardquay.routing_tables import CallerLimits
 
 from ..hop_headers import strip_hop_headers
+from ..memory_guards import MemoryGuard
 from .answers import CallerAnswer
 from .owned_connections import OwnedConnection
+from .paces import CallerPace
 from .requests import CallerRequest
 
 __all__ = ["ReaderOptions", "RequestReader"]
 
+NO_MEMORY = b"Not run: memory; try again.\n"
+"""Body of a refusal near the limit of memory."""
+
 
 @dataclass(frozen=True, slots=True)
 class ReaderOptions:
@@ -32,6 +37,8 @@
     handle: Callable[[CallerRequest, CallerAnswer], None]
     is_last: Callable[[], bool]
     """Returns whether an answer that begins is the last one of its connection."""
+    memory: MemoryGuard | None = None
+    """Limits what is held for slow callers; None for no limit."""
 
 
 class RequestReader(HTTPMessageDelegate):
@@ -51,6 +58,7 @@
         self._parts: list[bytes] = []
         self._size = 0
         self._is_refused = False
+        self._lacks_memory = False
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -77,6 +85,10 @@
         length = headers.get("Content-Length", "")
         if length.isdecimal() and int(length) > limits.body_bytes:
             self._refuse_size(limits.body_bytes)
+        elif self._options.memory is not None:
+            has_body = length not in ("", "0") or "Transfer-Encoding" in headers
+            size = int(length) if length.isdecimal() else 0
+            self._reserve_memory(self._options.memory, size, has_body)
 
     def data_received(self, chunk: bytes) -> None:
         """Note a part of the body, and refuse one that is too long."""
@@ -87,6 +99,8 @@
         limits = self._options.limits()
         if self._size > limits.body_bytes:
             self._refuse_size(limits.body_bytes)
+        elif self._owner.pace is not None:
+            self._count_body(self._owner.pace)
 
     def finish(self) -> None:
         """Pass the request to its handler."""
@@ -100,13 +114,60 @@
         if not self._owner.ownership.note_whole():
             # It was refused before its last byte was read.
             return
-        self._request.body = b"".join(self._parts)
-        self._options.handle(self._request, self._answer)
+        if self._lacks_memory:
+            self._refuse_memory()
+            return
+        request, self._request = self._request, None
+        request.body = b"".join(self._parts)
+        # Tornado keeps this reader until the answer is written.
+        self._parts.clear()
+        if self._owner.pace is not None:
+            self._owner.pace.held.end_body(self._size)
+        self._options.handle(request, self._answer)
 
     def on_connection_close(self) -> None:
         """Drop a request whose connection was closed before its end."""
         self._parts.clear()
 
+    def _reserve_memory(self, memory: MemoryGuard, size: int, has_body: bool) -> None:
+        """Reserve memory for a body, or refuse the request if there is none left."""
+        assert self._owner.pace is not None
+        self._lacks_memory = not memory.admits(size)
+        if not self._lacks_memory:
+            now = self._options.clock.monotonic()
+            self._owner.pace.held.begin_body(size, now)
+        elif has_body:
+            # The connection is closed after it, as the body is not read.
+            self._refuse_memory(size, closes=True)
+
+    def _count_body(self, pace: CallerPace) -> None:
+        """Count a part of a body; refuse one of unknown length near the limit."""
+        is_over = self._size > pace.held.total and not pace.guard.has_room_for_body()
+        pace.held.note_body(self._size)
+        if is_over:
+            self._refuse_memory(self._size, closes=True)
+
+    def _refuse_memory(self, size: int = 0, closes: bool = False) -> None:
+        """Answer that the request is not run, as the process is near its limit."""
+        memory, owner = self._options.memory, self._owner
+        assert memory is not None and self._answer is not None
+        self._is_refused = True
+        self._parts.clear()
+        if owner.pace is not None:
+            owner.pace.held.end_request()
+        if owner.ownership.phase not in (
+            ConnectionPhase.READING,
+            ConnectionPhase.OWNED,
+        ):
+            return
+        now = self._options.clock.monotonic()
+        details = owner.identity.describe(now, owner.position)
+        retry_after = memory.note_refusal(size, **details).total_seconds()
+        fields = {"Content-Type": "text/plain", "Retry-After": f"{retry_after:.2f}"}
+        if closes:
+            fields["Connection"] = "close"
+        self._answer.send(503, HTTPHeaders(fields), NO_MEMORY)
+
     def _refuse_size(self, limit: int) -> None:
         assert self._answer is not None
         self._is_refused = True
--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/streams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/streams.py
@@ -18,11 +18,16 @@
         accepted: socket.socket,
         note_read: Callable[[int], None],
         release: Callable[[socket.socket], None],
+        note_written: Callable[[int, int], None] | None = None,
     ):
-        """Take callbacks for the size of each read and for the socket at the close."""
+        """Take callbacks for the size of each read and for the socket at the close.
+
+        `note_written` gets what is still unsent after each write, and what was written.
+        """
         super().__init__(accepted)
         self._note_read = note_read
         self._release = release
+        self._note_written = note_written
         self._has_ended = False
 
     @property
@@ -54,6 +59,17 @@
             self._has_ended = True
         return size
 
+    def write_to_fd(self, data: memoryview) -> int:
+        """Write to the socket, and note what is left."""
+        if self._note_written is None:
+            return super().write_to_fd(data)
+        written = 0
+        try:
+            written = super().write_to_fd(data)
+            return written
+        finally:
+            self._note_written(len(self._write_buffer) - written, written)
+
     def close_fd(self) -> None:
         """Hand the socket back."""
         released, self.socket = self.socket, None
--- a/packages/mustardquay-node/src/mustardquay_node/client_sockets.py
+++ b/packages/mustardquay-node/src/mustardquay_node/client_sockets.py
@@ -22,14 +22,21 @@
 peer that lost power or network would hang for a quarter of an hour."""
 
 
-def make_socket() -> socket.socket | None:
-    """Return a socket, or None if the process has no file descriptors left."""
+def make_socket(buffer_size: int | None = None) -> socket.socket | None:
+    """Return a socket, or None if the process has no file descriptors left.
+
+    With a `buffer_size`, the kernel buffers that many bytes each way, else what it
+    chooses by itself.
+    """
     try:
         connection = socket.socket(socket.AF_INET)
     except OSError as error:
         if not is_exhausted(error):
             raise
         return None
+    if buffer_size is not None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_size)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_size)
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
--- a/packages/mustardquay-node/src/mustardquay_node/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from socket import socket
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
@@ -25,6 +26,7 @@
 
 from .client_sockets import classify_connect_error, make_socket
 from .pauses import running_timeout
+from .request_writing import write_request
 from .unread_bytes import has_unread_bytes
 
 __all__ = [
@@ -184,6 +186,12 @@
         """Buffer a part of the body for `content`."""
         self._parts.append(data)
 
+    def take(self) -> bytes:
+        """Return what was buffered of the body, and buffer it no longer."""
+        content = self.content
+        self._parts.clear()
+        return content
+
     def finish(self) -> None:
         """Handle the end of an answer."""
         if self._skipping:
@@ -217,12 +225,14 @@
         limit: int,
         idle_limit: timedelta,
         free_descriptors: Callable[[], bool] = lambda: False,
+        open_socket: Callable[[], socket | None] = make_socket,
     ):
         """Take the address; connections idle for over `idle_limit` aren't reused.
 
         `free_descriptors` closes idle connections of the process, and returns whether
-        there were any.
+        there were any. `open_socket` returns None if there are no descriptors left.
         """
+        self._open_socket = open_socket
         self._address = split_address(address)
         self._clock = clock
         self._limit = limit
@@ -318,9 +328,9 @@
         """Return a stream that isn't connected yet, or None at the limit."""
         if not self._make_room():
             return None
-        connection = make_socket()
+        connection = self._open_socket()
         if connection is None and self._free_descriptors():
-            connection = make_socket()
+            connection = self._open_socket()
         return None if connection is None else IOStream(connection)
 
     async def _connect(self, stream: IOStream) -> ConnectResult:
@@ -347,14 +357,10 @@
 
     async def _exchange(self, exchange: Exchange, stream: IOStream) -> str:
         connection = HTTP1Connection(stream, True, self._parameters)
-        headers = exchange.headers
-        if exchange.body or exchange.method in ("POST", "PUT", "PATCH"):
-            headers["Content-Length"] = str(len(exchange.body))
         line = RequestStartLine(exchange.method, exchange.path, "")
         exchange.was_sent = True
         try:
-            connection.write_headers(line, headers, exchange.body)
-            connection.finish()
+            write_request(connection, line, exchange.headers, exchange.body)
             for _ in range(MAX_SKIPPED_ANSWERS + 1):
                 exchange.skipped = False
                 await connection.read_response(exchange)
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -10,6 +10,8 @@
 from datetime import timedelta
 from functools import partial
 
+from mustardquay.clocks import Clock
+from mustardquay.memory_limits import STALL_TIME
 from mustardquay.requests import SendResult
 from mustardquay.retry_decisions import NextStep, count_repeats, decide_next
 from mustardquay.routing_tables import Repeat
@@ -58,6 +60,9 @@
                 partial(timer.reschedule, deadline.total_seconds()),
                 partial(deps.times.end, waiting),
             ]
+            reply.on_progress = partial(_extend, timer, deadline, deps.clock)
+            if reply.pace is not None:
+                reply.pace.held.deadline = request.deadline
             await forwarding.run()
     except TimeoutError:
         forwarding.end_on_timeout()
@@ -72,11 +77,23 @@
             reply.fail(502, "fault", OUTCOME_UNKNOWN)
         raise
     finally:
+        if reply.pace is not None:
+            reply.pace.watch_progress(None)
         deps.times.end(waiting)
         deps.origins.end(request.stream_keys)
         drop_prefill(deps, request, request.last_end)
 
 
+def _extend(timer: asyncio.Timeout, deadline: timedelta, clock: Clock) -> None:
+    """Put the end of a large answer off, of which its caller has just read a part.
+
+    Guards against the end of an answer that is there and that its caller reads.
+    """
+    end = clock.monotonic() + STALL_TIME
+    if end > deadline and not timer.expired():
+        timer.reschedule(end.total_seconds())
+
+
 class _Forwarding:
     """Sends one request, with retries, until its caller has an answer."""
 
@@ -169,10 +186,10 @@
         """Record the duration of an answer, complete or not.
 
         Incomplete ones count too, as they are those that take the longest. Those that
-        met a silence show nothing of the load.
+        met a silence, or went at the pace of their caller, show nothing of the load.
         """
         request = self._request
-        if request.has_met_silence:
+        if request.has_met_silence or self._reply.is_large:
             return
         if request.expected is not None and request.send_history.attempts <= 1:
             self._deps.latency_margins.note(
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_callers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_callers.py
@@ -8,6 +8,7 @@
 from .caller_connections import CallerConnections, ConnectionOptions
 from .forwarders import Forwarder
 from .gateway_servers import GatewayServers
+from .memory_guards import MemoryOptions, make_memory_guard
 
 __all__ = ["GatewayCallers"]
 
@@ -25,6 +26,7 @@
         events: EventRing,
         forwarder: Forwarder,
         servers: GatewayServers,
+        memory: MemoryOptions,
     ):
         self._clock = clock
         self._forwarder = forwarder
@@ -35,6 +37,7 @@
                 events,
                 lambda: forwarder.table_or_empty.limits,
                 forwarder.handle,
+                make_memory_guard(memory, clock, events),
             )
         )
 
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_gauges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_gauges.py
@@ -38,12 +38,19 @@
         "mustardquay.running": lambda: float(sources.forwarder.in_flight),
         "mustardquay.upstreams": lambda: float(sources.count_upstreams()),
         "mustardquay.connections": lambda: float(sources.connections.count),
+        "mustardquay.memory.held": lambda: _read_held(sources.connections, "total"),
+        "mustardquay.memory.most": lambda: _read_held(sources.connections, "most"),
         "mustardquay.store.age": lambda: _measure_store_age(sources.feeds),
         "mustardquay.usage.leads": lambda: float(usage is not None and usage.leads),
         "mustardquay.store.era": lambda: float(sources.eras.era),
     }
 
 
+def _read_held(connections: CallerConnections, figure: str) -> float:
+    memory = connections.memory
+    return 0.0 if memory is None else float(getattr(memory.ledger, figure))
+
+
 def _measure_store_age(feeds: GatewayFeeds) -> float:
     age = feeds.age
     return float("inf") if age is None else age.total_seconds()
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
@@ -26,6 +26,11 @@
     "mustardquay.running": ("{request}", "Requests whose answers are not complete."),
     "mustardquay.upstreams": ("{upstream}", "Listed upstreams."),
     "mustardquay.connections": ("{connection}", "Connections of callers."),
+    "mustardquay.memory.held": (
+        "By",
+        "Bytes that are held for callers and upstreams that read slowly.",
+    ),
+    "mustardquay.memory.most": ("By", "Most bytes that were held since the start."),
     "mustardquay.store.age": ("s", "Time since the store last answered."),
     "mustardquay.store.era": (
         "{era}",
@@ -52,6 +57,7 @@
         self._sends: Counter[tuple[str, str]] = Counter()
         self._unused_prefills: Counter[tuple[str]] = Counter()
         self._usage_reports: Counter[tuple[str]] = Counter()
+        self._memory: Counter[tuple[str]] = Counter()
         self._first_byte = Histogram(
             "mustardquay.first_byte",
             "s",
@@ -91,6 +97,12 @@
             self._usage_reports,
             "mustardquay.outcome",
         )
+        self._page.add_counter(
+            "mustardquay.memory.measures",
+            "Refused requests and closed connections near the limit of memory.",
+            self._memory,
+            "mustardquay.reason",
+        )
         for name, definition in GAUGES.items():
             self._page.add_gauge(name, definition, gauges)
 
@@ -114,6 +126,10 @@
         """Count an attempt to send a report of usage."""
         self._usage_reports[(outcome,)] += 1
 
+    def count_memory_measure(self, reason: str) -> None:
+        """Count a refusal, or a closed connection, near the limit of memory."""
+        self._memory[(reason,)] += 1
+
     def record_first_byte(self, route: str, duration: timedelta) -> None:
         """Record the time from a request's arrival to its answer's first byte."""
         self._first_byte.record(duration.total_seconds(), route)
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_servers.py
@@ -59,6 +59,8 @@
             self._gate_monitor.start()
             admits = self._gate_monitor.admits
         self._listeners = self._bind(address, admits)
+        if connections.memory is not None:
+            self._bound_buffers(connections.memory.limits.kernel_buffer)
         self._stop_handlers = [
             add_accept_handler(each, self._own) for each in self._listeners
         ]
@@ -93,6 +95,12 @@
         self._stop_handlers.clear()
         self._listeners.clear()
 
+    def _bound_buffers(self, size: int) -> None:
+        """Bound what the kernel buffers; accepted connections inherit the sizes."""
+        for each in self._listeners:
+            for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+                each.setsockopt(socket.SOL_SOCKET, option, size)
+
     def _accept_waiting(self, listener: socket.socket) -> None:
         for _ in range(LISTEN_BACKLOG):
             try:
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -24,6 +24,7 @@
 from .descriptors import DescriptorGuard
 from .engine_calls import EngineCall, call_engine
 from .generation_planners import GenerationPlanner
+from .memory_guards import find_socket_buffer
 from .settings import BoundsSettings, GatewaySettings
 from .upstream_pools import UpstreamPools
 
@@ -85,6 +86,7 @@
             free_descriptors=lambda: self._descriptors.free_descriptors(
                 self.pools.close_idle, deps.close_idle_callers
             ),
+            socket_buffer=find_socket_buffer(settings.gateway.memory),
         )
         self.planner = GenerationPlanner(
             deps.clock,
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -36,10 +36,11 @@
 from .gateway_servers import GatewayServers
 from .gateway_stops import GatewayStop, StopDependencies, warn_of_short_drain
 from .gateway_upstreams import GatewayUpstreams, UpstreamDependencies
+from .memory_guards import MemoryOptions
 from .peers import PeerLink
 from .seeds import make_seed
 from .settings import GatewaySettings
-from .settings_watches import SettingsWatch
+from .settings_watches import SettingsWatch, needs_restart
 from .stream_origins import MESSAGE_PREFIX, OriginDependencies, OriginSubsystem
 from .upstream_list_updaters import UpstreamListUpdater
 from .usage import NOTICE_PREFIX, UsageDependencies, UsageSubsystem
@@ -106,8 +107,11 @@
             self._eras.listen(each.note_era)
         gate_monitor = GateMonitor(self._gate, self._clock, self._events)
         self._servers = GatewayServers(self._upstreams.free_descriptors, gate_monitor)
+        memory = MemoryOptions(
+            settings.gateway.memory, self._random, self._metrics.count_memory_measure
+        )
         self._callers = GatewayCallers(
-            self._clock, self._events, self._forwarder, self._servers
+            self._clock, self._events, self._forwarder, self._servers, memory
         )
         self._connections = self._callers.connections
         self._close_task: asyncio.Task[None] | None = None
@@ -200,10 +204,7 @@
         self._watch.reload()
 
     def _take_settings(self, settings: GatewaySettings) -> None:
-        fixed = settings.gateway.listen != self._settings.gateway.listen or (
-            settings.store.address != self._settings.store.address
-        )
-        if fixed:
+        if needs_restart(self._settings, settings):
             self._events.record("settings.need_restart")
         self._settings = settings
         self._upstreams.apply_bounds(settings.bounds)
--- a/packages/mustardquay-node/src/mustardquay_node/replies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/replies.py
@@ -5,7 +5,7 @@
 
 from tornado.httputil import HTTPHeaders
 
-from .caller_connections import CallerAnswer, CallerRequest
+from .caller_connections import CallerAnswer, CallerPace, CallerRequest
 from .connections import AnswerHead
 from .forwarder_dependencies import ForwarderDependencies
 from .hop_headers import strip_hop_headers
@@ -38,18 +38,32 @@
         """Fingerprint of a key that was rejected."""
         self.on_begin: list[Callable[[], None]] = []
         """Callbacks for the first part of a stream, called in this order."""
+        self.on_progress: Callable[[], None] = lambda: None
+        """Called when the caller has read of a large answer that waits for it."""
         self._first_byte_at: timedelta | None = None
         self.events = 0
         """Events of a stream that were sent to the caller."""
         self._passed = 0
         self._passed_at: timedelta | None = None
         self._longest_pause = timedelta()
+        self._is_large = False
+        self._status = 0
 
     @property
     def is_caller_gone(self) -> bool:
         """Return whether the caller has closed its connection."""
         return self._answer.is_caller_gone
 
+    @property
+    def pace(self) -> CallerPace | None:
+        """Return what is held for the caller; None without a limit of memory."""
+        return self._answer.pace
+
+    @property
+    def is_large(self) -> bool:
+        """Return whether a plain answer is passed on as it comes."""
+        return self._is_large
+
     @property
     def has_begun(self) -> bool:
         """Return whether a part of an answer was sent."""
@@ -137,6 +151,20 @@
         for note in self.on_begin:
             note()
 
+    def begin_large(self, head: AnswerHead, length: int | None) -> None:
+        """Send the head of a plain answer that is passed on as it comes."""
+        self._is_large = True
+        self._status = head.status
+        self._note_first_byte()
+        headers = strip_hop_headers(head.headers)
+        if length is not None:
+            headers["Content-Length"] = str(length)
+        self._answer.begin(head.status, headers)
+        for note in self.on_begin:
+            note()
+        if self.pace is not None:
+            self.pace.watch_progress(self.on_progress)
+
     def write(self, data: bytes) -> Awaitable[None] | None:
         """Send a part of a stream; returns what to await if the caller is slow."""
         now = self._deps.clock.monotonic()
@@ -147,9 +175,9 @@
         return self._answer.write(data) if data else None
 
     def end_stream(self) -> None:
-        """Send the end of a stream to the caller."""
+        """Send the end of an answer that was begun to the caller."""
         self._answer.end()
-        self.count("answered")
+        self.count("upstream_error" if self._status >= 400 else "answered")
 
     def count(self, outcome: str) -> None:
         """Count the outcome of the request."""
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/large_answers.py
@@ -0,0 +1,82 @@
+"""Large plain answers: buffered up to a limit, and passed on as they come above it.
+
+An answer that has begun can't be replaced by that of another send, so that it is begun
+only where it would be passed on if it were whole: the head says that it is the
+upstream's own and in its own encoding. One that ends early is broken off.
+"""
+
+from collections.abc import Awaitable, Callable
+
+from mustardquay.streams import Framing
+
+from ..caller_connections import CallerPace
+from ..connections import Exchange
+from ..replies import Reply
+from .results import Send
+from .silence_watches import SilenceWatch
+
+__all__ = ["LargeAnswer"]
+
+
+class LargeAnswer:
+    """Receives the plain answer to one send, in a process with a limit of memory."""
+
+    def __init__(
+        self,
+        pace: CallerPace,
+        reply: Reply,
+        send: Send,
+        find_watch: Callable[[], SilenceWatch],
+    ):
+        self._pace = pace
+        self._reply = reply
+        self._send = send
+        self._find_watch = find_watch
+        self._size = 0
+        self._is_dropped = False
+        pace.held.drop_kept()
+
+    def receive(self, exchange: Exchange, data: bytes) -> Awaitable[None] | None:
+        """Buffer a part, or pass it on; returns what to await before the next part."""
+        if self._send.is_passed_on:
+            return self._pass_on(data)
+        if self._is_dropped:
+            return None
+        self._size += len(data)
+        exchange.keep(data)
+        self._pace.held.keep(len(data))
+        if not self._pace.guard.is_large(max(self._size, _find_length(exchange))):
+            return None
+        kept = exchange.take()
+        self._pace.held.drop_kept()
+        if not self._may_begin():
+            # It is not passed on, whatever follows.
+            self._is_dropped = True
+            return None
+        self._send.is_passed_on = True
+        assert exchange.head is not None
+        length = _find_length(exchange) or None
+        self._reply.begin_large(exchange.head, length)
+        return self._pass_on(kept)
+
+    def _pass_on(self, data: bytes) -> Awaitable[None] | None:
+        watch = self._find_watch()
+        watch.note_data()
+        watch.restart()
+        writing = self._reply.write(data)
+        return None if writing is None else watch.wait_for_caller(writing)
+
+    def _may_begin(self) -> bool:
+        """Return whether the answer would be passed on if it were whole."""
+        facts, reply = self._send.facts, self._reply
+        if facts is None or reply.is_caller_gone or reply.has_begun:
+            return False
+        return not (facts.is_other_upstream or facts.not_run or facts.is_encoded)
+
+
+def _find_length(exchange: Exchange) -> int:
+    """Return the declared length of an answer, 0 without one."""
+    if exchange.head is None or exchange.framing is not Framing.LENGTH:
+        return 0
+    length = exchange.head.headers.get("Content-Length", "")
+    return int(length) if length.isdecimal() else 0
--- a/packages/mustardquay-node/src/mustardquay_node/sending/results.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/results.py
@@ -43,6 +43,8 @@
     """Whether this gateway ended the send, for whatever reason."""
     was_silent: bool = False
     """Whether the upstream was known as silent during the send."""
+    is_passed_on: bool = False
+    """Whether a large plain answer was passed on as it came."""
     framing: str = ""
     """What marked the end of the answer, a value of `Framing`; empty without one."""
 
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -17,6 +17,7 @@
 from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from ..replies import Reply
 from ..usage import may_have_begun, note_begun
+from .large_answers import LargeAnswer
 from .observations import SUCCESS_STATUSES, observe_end, observe_head
 from .results import DEFAULT_OPTIONS, Send, SendOptions
 from .silence_watches import SilenceWatch
@@ -49,6 +50,7 @@
         self._reply = reply
         self._framer = EventFramer()
         self._watch: SilenceWatch | None = None
+        self._large: LargeAnswer | None = None
 
     @property
     def has_partial_event(self) -> bool:
@@ -131,6 +133,9 @@
         )
         incoming = request.incoming
         is_stream = request.route.repeat is Repeat.STREAM and not options.prefill_only
+        self._large = self._make_large_answer(send)
+        is_received = is_stream or self._large is not None
+        is_received = is_received and not options.prefill_only
 
         def receive(exchange: Exchange, data: bytes) -> Awaitable[None] | None:
             return self._receive(send, exchange, data, options)
@@ -144,11 +149,18 @@
             self._deps.adapter.build_headers(incoming.headers, target),
             incoming.body,
             is_expected=lambda head: self._is_expected_answer(send, head),
-            receive=receive if is_stream else None,
+            receive=receive if is_received else None,
             may_send=may_send,
             is_complete=lambda exchange: self._is_complete(send, exchange, options),
         )
 
+    def _make_large_answer(self, send: Send) -> LargeAnswer | None:
+        """Return the receiver of a plain answer; None without a limit of memory."""
+        pace = self._reply.pace
+        if pace is None:
+            return None
+        return LargeAnswer(pace, self._reply, send, lambda: self._watch)
+
     def _may_send(self, upstream: UpstreamRecord, options: SendOptions) -> bool:
         """Return whether a send is still allowed, right before its first byte.
 
@@ -208,11 +220,10 @@
         self, send: Send, exchange: Exchange, data: bytes, options: SendOptions
     ) -> Awaitable[None] | None:
         """Pass on a part of a stream; buffer other answers until they are complete."""
+        if not self._is_stream(send, exchange):
+            return self._receive_plain(exchange, data)
         now = self._deps.clock.monotonic()
         self._watch.note_data()
-        if not self._is_stream(send, exchange):
-            exchange.keep(data)
-            return None
         if send.first_at is None:
             send.first_at = now
             note_begun(self._deps, self._request, now)
@@ -229,6 +240,14 @@
         writing = self._pass_on(send, exchange, data)
         return None if writing is None else self._watch.wait_for_caller(writing)
 
+    def _receive_plain(self, exchange: Exchange, data: bytes) -> Awaitable[None] | None:
+        if self._request.route.repeat is Repeat.STREAM:
+            self._watch.note_data()
+        if self._large is not None:
+            return self._large.receive(exchange, data)
+        exchange.keep(data)
+        return None
+
     def _note_outlasted_onset(self, send: Send, now: timedelta) -> None:
         """Note a stream that goes on: no part of its prompt crashes its engine."""
         if not send.has_outlasted_onset and now - send.first_at >= CRASH_ONSET:
@@ -337,7 +356,8 @@
             return SendResult.NOT_RUN
         if send.facts.is_encoded:
             return SendResult.BROKEN
-        if self._reply.has_begun and not self._is_stream(send, exchange):
+        is_begun = self._reply.has_begun and not send.is_passed_on
+        if is_begun and not self._is_stream(send, exchange):
             # An error instead of the rest of a stream whose head was already sent.
             return SendResult.BROKEN
         return SendResult.ANSWERED
--- a/packages/mustardquay-node/src/mustardquay_node/settings_watches.py
+++ b/packages/mustardquay-node/src/mustardquay_node/settings_watches.py
@@ -8,7 +8,7 @@
 
 from .settings import GatewaySettings, read_settings
 
-__all__ = ["SettingsWatch"]
+__all__ = ["SettingsWatch", "needs_restart"]
 
 
 class SettingsWatch:
@@ -59,3 +59,12 @@
                 continue
             stamps.append((status.st_mtime_ns, status.st_size))
         return stamps
+
+
+def needs_restart(before: GatewaySettings, after: GatewaySettings) -> bool:
+    """Return whether a setting has changed that a running gateway can't apply."""
+    return (
+        after.gateway.listen != before.gateway.listen
+        or after.gateway.memory != before.gateway.memory
+        or after.store.address != before.store.address
+    )
--- a/packages/mustardquay-node/src/mustardquay_node/upstream_pools.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstream_pools.py
@@ -3,12 +3,14 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 
 from mustardquay.clocks import Clock
 from mustardquay.retry_windows import RetryLimits, RetryWindow
 from mustardquay.silences import ConnectResult
 from mustardquay.upstream_lists import UpstreamRecord
 
+from .client_sockets import make_socket
 from .connections import ConnectionPool
 
 __all__ = ["UpstreamPools"]
@@ -38,6 +40,7 @@
         note_unreachable: Callable[[str], None],
         note_probed: Callable[[str, ConnectResult], None] = lambda id, result: None,
         free_descriptors: Callable[[], bool] = lambda: False,
+        socket_buffer: int | None = None,
     ):
         """Take the limits.
 
@@ -46,8 +49,10 @@
         an upstream of a service accepts. `note_unreachable` is called for upstreams
         on which a send broke and that a probe can't reach, `note_probed` with the
         results of probes of silent upstreams. `free_descriptors` closes idle
-        connections of the process.
+        connections of the process. `socket_buffer` is what the kernel buffers for a
+        connection each way; None for what it chooses by itself.
         """
+        self._open_socket = partial(make_socket, socket_buffer)
         self._free_descriptors = free_descriptors
         self.retry_limits = retry_limits
         """For the windows of services that are first used from now on."""
@@ -88,6 +93,7 @@
                 limit,
                 UPSTREAM_IDLE_LIMIT,
                 self._free_descriptors,
+                self._open_socket,
             )
             self._pools[upstream.id] = pool
         return pool
--- a/packages/mustardquay/src/mustardquay/memory_limits/__init__.py
+++ b/packages/mustardquay/src/mustardquay/memory_limits/__init__.py
@@ -2,11 +2,10 @@
 
 from .closings import STALL_TIME, Closing, ClosingReason, find_closing
 from .ledgers import HeldBytes, Ledger
-from .limits import KERNEL_BUFFER, READ_SIZE, MemoryLimits, find_limits
+from .limits import READ_SIZE, MemoryLimits, find_limits
 from .refusals import RefusalSpan, draw_retry_after
 
 __all__ = [
-    "KERNEL_BUFFER",
     "READ_SIZE",
     "STALL_TIME",
     "Closing",
--- a/packages/mustardquay/src/mustardquay/memory_limits/ledgers.py
+++ b/packages/mustardquay/src/mustardquay/memory_limits/ledgers.py
@@ -15,6 +15,7 @@
     __slots__ = (
         "_body",
         "_in_kernel",
+        "_is_closed",
         "_is_reading",
         "_kept",
         "_ledger",
@@ -30,6 +31,7 @@
         self._kept = 0
         self._unsent = 0
         self._in_kernel = 0
+        self._is_closed = False
         self._progress_at = now
         self.deadline: timedelta | None = None
         """When the caller's request ends at the latest, on the monotonic clock."""
@@ -67,12 +69,15 @@
         self._progress_at = now
         self._set_body(length)
 
-    def note_body(self, size: int, now: timedelta) -> None:
+    def note_body(self, size: int) -> None:
         """Note how much of the body was read so far."""
-        self._progress_at = now
         if size > self._body:
             self._set_body(size)
 
+    def note_progress(self, now: timedelta) -> None:
+        """Note that the caller has sent or taken something."""
+        self._progress_at = now
+
     def end_body(self, size: int) -> None:
         """Note the end of a body of that size."""
         self._is_reading = False
@@ -80,6 +85,8 @@
 
     def keep(self, size: int) -> None:
         """Note a part of an answer that is buffered until it is whole."""
+        if self._is_closed:
+            return
         self._ledger.change(self, size)
         self._kept += size
 
@@ -90,7 +97,7 @@
 
     def note_unsent(self, size: int, taken: int, now: timedelta) -> None:
         """Note what waits outside the kernel, after the kernel has taken a part."""
-        if taken or not self.waiting:
+        if taken or (size and not self.waiting):
             self._progress_at = now
         self._ledger.change(self, size - self._unsent)
         self._unsent = size
@@ -102,7 +109,7 @@
         slow caller is seen to read by this figure first.
         """
         has_progress = size < self._in_kernel
-        if has_progress or not self.waiting:
+        if has_progress or (size and not self.waiting):
             self._progress_at = now
         self._ledger.change(self, size - self._in_kernel)
         self._in_kernel = size
@@ -115,12 +122,15 @@
         self.drop_kept()
 
     def close(self) -> None:
-        """Note that nothing is held any more."""
+        """Note that nothing is held any more, nor will be."""
         self.end_request()
         self._ledger.change(self, -self.waiting)
         self._unsent = self._in_kernel = 0
+        self._is_closed = True
 
     def _set_body(self, size: int) -> None:
+        if self._is_closed:
+            return
         self._ledger.change(self, size - self._body)
         self._body = size
 
--- a/packages/mustardquay/src/mustardquay/memory_limits/limits.py
+++ b/packages/mustardquay/src/mustardquay/memory_limits/limits.py
@@ -10,14 +10,18 @@
 
 from dataclasses import dataclass
 
-__all__ = ["KERNEL_BUFFER", "READ_SIZE", "MemoryLimits", "find_limits"]
+__all__ = ["READ_SIZE", "MemoryLimits", "find_limits"]
 
 MEGABYTE = 1_000_000
 READ_SIZE = 65_536
 """Bytes that one read of a source returns at most."""
-KERNEL_BUFFER = 128 * 1024
-"""`SO_RCVBUF` and `SO_SNDBUF` of connections, which the kernel doubles: what a link of
-100 Mbit/s carries in a round trip of 20 ms. By itself the kernel buffers megabytes."""
+MOST_IN_KERNEL = 128 * 1024
+"""Largest buffer of a socket, which the kernel doubles: what a link of 100 Mbit/s
+carries in a round trip of 20 ms. By itself the kernel buffers megabytes."""
+LEAST_IN_KERNEL = 16 * 1024
+"""Smallest buffer of a socket: some packets."""
+KERNEL_SHARE = 1 / 256
+"""Share of the budget that one socket may buffer, before the kernel doubles it."""
 BUFFER_SHARE = 0.5
 """Share of the memory left after the start that buffers may take. The rest is for what
 the configuration and the requests need, for copies, and for the kernel's buffers."""
@@ -54,6 +58,16 @@
         """Return the held bytes from which on stalled connections are closed."""
         return int(self.budget * CLOSE_LEVEL)
 
+    @property
+    def kernel_buffer(self) -> int:
+        """Return `SO_RCVBUF` and `SO_SNDBUF` of connections.
+
+        >>> [MemoryLimits(each * 1_000_000).kernel_buffer for each in (2, 8, 80)]
+        [16384, 31250, 131072]
+        """
+        size = int(self.budget * KERNEL_SHARE)
+        return min(max(size, LEAST_IN_KERNEL), MOST_IN_KERNEL)
+
     def admits(self, held: int, body: int) -> bool:
         """Return whether to read a request with a body of that length.
 
--- a/packages/mustardquay/src/mustardquay/request_ownership/closing_decisions.py
+++ b/packages/mustardquay/src/mustardquay/request_ownership/closing_decisions.py
@@ -21,6 +21,10 @@
     """The header of a request took longer than the operator allows."""
     SHORTAGE = "descriptors"
     """The process needs descriptors."""
+    MEMORY = "memory"
+    """It holds what others need, and its caller has stopped reading or sending."""
+    UNREAD = "unread"
+    """Its caller has stopped reading, and the deadline of its request is over."""
     STOP = "stop"
     """The process stops, and callers are to use other processes."""
     STOP_INCOMPLETE = "stop_incomplete"
@@ -45,10 +49,14 @@
 P = ConnectionPhase
 INCOMPLETE_STEPS = {
     Occasion.HEADER_LIMIT: ClosingStep.TIME_OUT,
+    Occasion.MEMORY: ClosingStep.REFUSE,
+    Occasion.UNREAD: ClosingStep.REFUSE,
     Occasion.STOP_INCOMPLETE: ClosingStep.REFUSE,
     Occasion.STOP_OVER: ClosingStep.REFUSE,
 }
 """What is done with a request of which only a part was received."""
+STALLED = (Occasion.MEMORY, Occasion.UNREAD)
+"""Occasions on which a caller has stopped reading its answer."""
 
 
 def decide_step(
@@ -62,11 +70,15 @@
     'keep'
     >>> decide_step(ConnectionPhase.READING, Occasion.STOP_OVER, False).value
     'refuse'
+    >>> decide_step(ConnectionPhase.OWNED, Occasion.MEMORY, False).value
+    'keep'
     """
     if phase is P.EMPTY and not has_unread:
         return ClosingStep.CLOSE
     if occasion is Occasion.STOP_OVER:
         return _decide_last_step(phase)
+    if occasion in STALLED and phase in (P.ANSWERING, P.FLUSHING):
+        return ClosingStep.CUT
     if phase is P.READING and not has_unread:
         return INCOMPLETE_STEPS.get(occasion, ClosingStep.KEEP)
     return ClosingStep.KEEP
--- a/packages/mustardquay/tests/test_memory_limits.py
+++ b/packages/mustardquay/tests/test_memory_limits.py
@@ -163,7 +163,9 @@
     ledger = Ledger()
     held = ledger.open(START)
     held.begin_body(30_000_000, START)
-    held.note_body(10, START + SECOND)
+    held.note_body(10)
+    held.note_progress(START + SECOND)
+    held.note_in_kernel(0, START + 2 * SECOND)
     closing = find_closing(ledger, LIMITS, NO_REFUSALS, START + SECOND + STALL_TIME)
     assert closing is not None and closing.held is held
 
@@ -178,6 +180,17 @@
     assert span.measure(START + 11 * SECOND) == SECOND
 
 
+def test_nothing_is_counted_for_a_closed_connection():
+    """Guards against a total that grows by requests that go on without their caller."""
+    ledger = Ledger()
+    held = ledger.open(START)
+    held.keep(10)
+    held.close()
+    held.keep(10)
+    held.begin_body(10, START)
+    assert ledger.total == 0 and not ledger.holding
+
+
 CHANGES = st.tuples(
     st.integers(0, 3), st.sampled_from("bkuqdec"), st.integers(0, 5_000_000)
 )
@@ -193,7 +206,7 @@
         held = opened[index]
         if kind == "b":
             held.begin_body(size, START)
-            held.note_body(size // 2, START)
+            held.note_body(size // 2)
         elif kind == "k":
             held.keep(size)
         elif kind == "u":
@@ -206,6 +219,7 @@
             held.end_request()
         else:
             held.close()
+            opened[index] = ledger.open(START)
         assert ledger.total == sum(each.total for each in opened)
         assert set(ledger.holding) == {each for each in opened if each.total}
     for held in opened:
--- a/packages/mustardquay/tests/test_request_ownership.py
+++ b/packages/mustardquay/tests/test_request_ownership.py
@@ -34,6 +34,9 @@
 EMPTY_ONLY = (Occasion.IDLE_LIMIT, Occasion.SHORTAGE, Occasion.STOP)
 """Occasions on which only empty connections are closed."""
 BEFORE_THE_END = [each for each in Occasion if each is not Occasion.STOP_OVER]
+STALLED = (Occasion.MEMORY, Occasion.UNREAD)
+"""Occasions on which a caller has stopped reading its answer."""
+IN_GOOD_ORDER = [each for each in BEFORE_THE_END if each not in STALLED]
 UNANSWERED = (P.OWNED, P.ANSWERING, P.FLUSHING)
 
 
@@ -86,7 +89,7 @@
 
 
 @pytest.mark.parametrize("has_unread", [False, True])
-@pytest.mark.parametrize("occasion", BEFORE_THE_END)
+@pytest.mark.parametrize("occasion", IN_GOOD_ORDER)
 @pytest.mark.parametrize("phase", UNANSWERED)
 def test_no_limit_closes_a_connection_that_is_owed_an_answer(
     phase, occasion, has_unread
@@ -94,12 +97,22 @@
     assert decide_step(phase, occasion, has_unread) is ClosingStep.KEEP
 
 
+@pytest.mark.parametrize("has_unread", [False, True])
+@pytest.mark.parametrize("occasion", STALLED)
+def test_a_stalled_caller_loses_only_an_answer_that_has_begun(occasion, has_unread):
+    """Guards against a request that is cut while an upstream works on it."""
+    steps = [decide_step(each, occasion, has_unread) for each in UNANSWERED]
+    assert steps == [ClosingStep.KEEP, ClosingStep.CUT, ClosingStep.CUT]
+
+
 def test_what_is_incomplete_is_answered():
     steps = {each: decide_step(P.READING, each, False) for each in Occasion}
     assert steps == {
         Occasion.IDLE_LIMIT: ClosingStep.KEEP,
         Occasion.HEADER_LIMIT: ClosingStep.TIME_OUT,
         Occasion.SHORTAGE: ClosingStep.KEEP,
+        Occasion.MEMORY: ClosingStep.REFUSE,
+        Occasion.UNREAD: ClosingStep.REFUSE,
         Occasion.STOP: ClosingStep.KEEP,
         Occasion.STOP_INCOMPLETE: ClosingStep.REFUSE,
         Occasion.STOP_OVER: ClosingStep.REFUSE,
