Test slow readers on both sides together, and compare ways to share the memory

Change: one answer is read ahead up to what is free below half of the budget. Refusals that last for a second lead to the closing of a stalled connection whatever is held. Bodies and buffered answers up to 16 KB are not counted; the bound adds a read for each request under way. A simulation compares the bound with a fixed share and with none.

--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/answers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/answers.py
@@ -6,7 +6,6 @@
 from tornado.httputil import HTTPHeaders, ResponseStartLine, responses
 
 from .owned_connections import OwnedConnection
-from .paces import CallerPace
 
 __all__ = ["CallerAnswer"]
 
@@ -31,6 +30,8 @@
         """
         self._connection = connection
         self._owner = owner
+        self.pace = owner.pace
+        """What is held for the caller; None without a limit of memory."""
         self._method = method
         self._is_last = is_last
         self._knows_chunks = knows_chunks
@@ -44,11 +45,6 @@
         self._on_caller_gone = on_gone
         self._connection.set_close_callback(self._note_gone)
 
-    @property
-    def pace(self) -> CallerPace | None:
-        """Return what is held for the caller; None without a limit of memory."""
-        return self._owner.pace
-
     @property
     def _is_closed(self) -> bool:
         """Return whether the connection is closed, which is noted a moment later.
@@ -88,8 +84,7 @@
         future = self._connection.write(data)
         if future.done():
             return None
-        pace = self._owner.pace
-        return future if pace is None else pace.find_wait()
+        return future if self.pace is None else self.pace.find_wait()
 
     def end(self) -> None:
         """Send the end of an answer that was begun."""
--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/owned_connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/owned_connections.py
@@ -124,7 +124,7 @@
     def note_answer_ended(self) -> None:
         """Note that an answer is complete and has only to be written."""
         self._ownership.note_answer_ended()
-        if self._pace is not None:
+        if self._pace is not None and self._pace.held.total:
             self._pace.held.end_request()
 
     def is_due(self, occasion: Occasion) -> bool:
--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/paces.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/paces.py
@@ -43,9 +43,7 @@
             self._held.note_progress(self._clock.monotonic())
 
     def note_written(self, unsent: int, taken: int) -> None:
-        """Note a write to the socket, and what is left for the next one."""
-        if not (unsent or self._held.unsent):
-            return
+        """Note a write that left something unsent, or the first one that did not."""
         self._held.note_unsent(unsent, taken, self._clock.monotonic())
         if taken:
             self._note_progress()
--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/readers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/readers.py
@@ -12,6 +12,7 @@
 )
 
 from mustardquay.clocks import Clock
+from mustardquay.memory_limits import COUNTED_SIZE
 from mustardquay.request_ownership import ConnectionPhase
 from mustardquay.routing_tables import CallerLimits
 
@@ -86,9 +87,7 @@
         if length.isdecimal() and int(length) > limits.body_bytes:
             self._refuse_size(limits.body_bytes)
         elif self._options.memory is not None:
-            has_body = length not in ("", "0") or "Transfer-Encoding" in headers
-            size = int(length) if length.isdecimal() else 0
-            self._reserve_memory(self._options.memory, size, has_body)
+            self._reserve_memory(self._options.memory, headers, length)
 
     def data_received(self, chunk: bytes) -> None:
         """Note a part of the body, and refuse one that is too long."""
@@ -99,7 +98,7 @@
         limits = self._options.limits()
         if self._size > limits.body_bytes:
             self._refuse_size(limits.body_bytes)
-        elif self._owner.pace is not None:
+        elif self._size > COUNTED_SIZE and self._owner.pace is not None:
             self._count_body(self._owner.pace)
 
     def finish(self) -> None:
@@ -121,7 +120,7 @@
         request.body = b"".join(self._parts)
         # Tornado keeps this reader until the answer is written.
         self._parts.clear()
-        if self._owner.pace is not None:
+        if self._size > COUNTED_SIZE and self._owner.pace is not None:
             self._owner.pace.held.end_body(self._size)
         self._options.handle(request, self._answer)
 
@@ -129,14 +128,19 @@
         """Drop a request whose connection was closed before its end."""
         self._parts.clear()
 
-    def _reserve_memory(self, memory: MemoryGuard, size: int, has_body: bool) -> None:
+    def _reserve_memory(
+        self, memory: MemoryGuard, headers: HTTPHeaders, length: str
+    ) -> None:
         """Reserve memory for a body, or refuse the request if there is none left."""
-        assert self._owner.pace is not None
-        self._lacks_memory = not memory.admits(size)
-        if not self._lacks_memory:
-            now = self._options.clock.monotonic()
-            self._owner.pace.held.begin_body(size, now)
-        elif has_body:
+        held = self._owner.pace.held
+        held.deadline = None
+        size = int(length) if length.isdecimal() else 0
+        if memory.admits(size):
+            if size > COUNTED_SIZE:
+                held.begin_body(size, self._options.clock.monotonic())
+            return
+        self._lacks_memory = True
+        if size or "Transfer-Encoding" in headers:
             # The connection is closed after it, as the body is not read.
             self._refuse_memory(size, closes=True)
 
--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/streams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/streams.py
@@ -28,6 +28,7 @@
         self._note_read = note_read
         self._release = release
         self._note_written = note_written
+        self._has_unsent = False
         self._has_ended = False
 
     @property
@@ -68,7 +69,10 @@
             written = super().write_to_fd(data)
             return written
         finally:
-            self._note_written(len(self._write_buffer) - written, written)
+            left = len(self._write_buffer) - written
+            if left or self._has_unsent:
+                self._has_unsent = left > 0
+                self._note_written(left, written)
 
     def close_fd(self) -> None:
         """Hand the socket back."""
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -60,9 +60,9 @@
                 partial(timer.reschedule, deadline.total_seconds()),
                 partial(deps.times.end, waiting),
             ]
-            reply.on_progress = partial(_extend, timer, deadline, deps.clock)
             if reply.pace is not None:
                 reply.pace.held.deadline = request.deadline
+                reply.on_progress = partial(_extend, timer, deadline, deps.clock)
             await forwarding.run()
     except TimeoutError:
         forwarding.end_on_timeout()
@@ -77,7 +77,7 @@
             reply.fail(502, "fault", OUTCOME_UNKNOWN)
         raise
     finally:
-        if reply.pace is not None:
+        if reply.pace is not None and reply.is_large:
             reply.pace.watch_progress(None)
         deps.times.end(waiting)
         deps.origins.end(request.stream_keys)
--- a/packages/mustardquay-node/src/mustardquay_node/memory_guards.py
+++ b/packages/mustardquay-node/src/mustardquay_node/memory_guards.py
@@ -93,7 +93,9 @@
 
     def note_refusal(self, body: int, **details: int) -> timedelta:
         """Log a refusal; returns when its caller is to come back."""
-        self._refusals.note(self._clock.monotonic())
+        if body < self._limits.refuse_level:
+            # Others would find no room even if nothing were held.
+            self._refusals.note(self._clock.monotonic())
         self._count("refused")
         self._events.record(
             "memory.refused",
--- a/packages/mustardquay-node/src/mustardquay_node/replies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/replies.py
@@ -5,7 +5,7 @@
 
 from tornado.httputil import HTTPHeaders
 
-from .caller_connections import CallerAnswer, CallerPace, CallerRequest
+from .caller_connections import CallerAnswer, CallerRequest
 from .connections import AnswerHead
 from .forwarder_dependencies import ForwarderDependencies
 from .hop_headers import strip_hop_headers
@@ -27,6 +27,8 @@
         self._deps = deps
         self._incoming = incoming
         self._answer = answer
+        self.pace = answer.pace
+        """What is held for the caller; None without a limit of memory."""
         self.request = ""
         """The request's id, once its headers have been read."""
         self.route = ""
@@ -54,11 +56,6 @@
         """Return whether the caller has closed its connection."""
         return self._answer.is_caller_gone
 
-    @property
-    def pace(self) -> CallerPace | None:
-        """Return what is held for the caller; None without a limit of memory."""
-        return self._answer.pace
-
     @property
     def is_large(self) -> bool:
         """Return whether a plain answer is passed on as it comes."""
--- a/packages/mustardquay-node/src/mustardquay_node/sending/large_answers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/large_answers.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Awaitable, Callable
 
+from mustardquay.memory_limits import COUNTED_SIZE
 from mustardquay.streams import Framing
 
 from ..caller_connections import CallerPace
@@ -34,7 +35,7 @@
         self._find_watch = find_watch
         self._size = 0
         self._is_dropped = False
-        pace.held.drop_kept()
+        self._is_counted = False
 
     def receive(self, exchange: Exchange, data: bytes) -> Awaitable[None] | None:
         """Buffer a part, or pass it on; returns what to await before the next part."""
@@ -44,7 +45,9 @@
             return None
         self._size += len(data)
         exchange.keep(data)
-        self._pace.held.keep(len(data))
+        if self._size <= COUNTED_SIZE:
+            return None
+        self._count(len(data))
         if not self._pace.guard.is_large(max(self._size, _find_length(exchange))):
             return None
         kept = exchange.take()
@@ -59,6 +62,16 @@
         self._reply.begin_large(exchange.head, length)
         return self._pass_on(kept)
 
+    def _count(self, size: int) -> None:
+        held = self._pace.held
+        if self._is_counted:
+            held.keep(size)
+        else:
+            self._is_counted = True
+            # That of an earlier send is not kept any more.
+            held.drop_kept()
+            held.keep(self._size)
+
     def _pass_on(self, data: bytes) -> Awaitable[None] | None:
         watch = self._find_watch()
         watch.note_data()
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -1,7 +1,7 @@
 """Send one request to one upstream, and classify the result."""
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 from mustardquay.errors import ProtocolError
@@ -24,6 +24,8 @@
 
 __all__ = ["Sender"]
 
+Receiver = Callable[[Exchange, bytes], Awaitable[None] | None]
+
 LOST_ENDS = (ExchangeEnd.BROKEN, ExchangeEnd.INCOMPLETE)
 """Ends of an exchange without a whole answer, as crashes of upstreams leave them."""
 NON_IDEMPOTENT_IDLE_LIMIT = timedelta(milliseconds=400)
@@ -134,8 +136,6 @@
         incoming = request.incoming
         is_stream = request.route.repeat is Repeat.STREAM and not options.prefill_only
         self._large = self._make_large_answer(send)
-        is_received = is_stream or self._large is not None
-        is_received = is_received and not options.prefill_only
 
         def receive(exchange: Exchange, data: bytes) -> Awaitable[None] | None:
             return self._receive(send, exchange, data, options)
@@ -149,7 +149,7 @@
             self._deps.adapter.build_headers(incoming.headers, target),
             incoming.body,
             is_expected=lambda head: self._is_expected_answer(send, head),
-            receive=receive if is_received else None,
+            receive=receive if is_stream else self._find_receiver(options),
             may_send=may_send,
             is_complete=lambda exchange: self._is_complete(send, exchange, options),
         )
@@ -161,6 +161,12 @@
             return None
         return LargeAnswer(pace, self._reply, send, lambda: self._watch)
 
+    def _find_receiver(self, options: SendOptions) -> Receiver | None:
+        """Return what receives a plain answer; None to buffer it, whatever its size."""
+        if self._large is None or options.prefill_only:
+            return None
+        return self._large.receive
+
     def _may_send(self, upstream: UpstreamRecord, options: SendOptions) -> bool:
         """Return whether a send is still allowed, right before its first byte.
 
@@ -241,8 +247,7 @@
         return None if writing is None else self._watch.wait_for_caller(writing)
 
     def _receive_plain(self, exchange: Exchange, data: bytes) -> Awaitable[None] | None:
-        if self._request.route.repeat is Repeat.STREAM:
-            self._watch.note_data()
+        self._watch.note_data()
         if self._large is not None:
             return self._large.receive(exchange, data)
         exchange.keep(data)
--- a/packages/mustardquay/src/mustardquay/memory_limits/__init__.py
+++ b/packages/mustardquay/src/mustardquay/memory_limits/__init__.py
@@ -2,10 +2,11 @@
 
 from .closings import STALL_TIME, Closing, ClosingReason, find_closing
 from .ledgers import HeldBytes, Ledger
-from .limits import READ_SIZE, MemoryLimits, find_limits
+from .limits import COUNTED_SIZE, READ_SIZE, MemoryLimits, find_limits
 from .refusals import RefusalSpan, draw_retry_after
 
 __all__ = [
+    "COUNTED_SIZE",
     "READ_SIZE",
     "STALL_TIME",
     "Closing",
--- a/packages/mustardquay/src/mustardquay/memory_limits/closings.py
+++ b/packages/mustardquay/src/mustardquay/memory_limits/closings.py
@@ -19,7 +19,7 @@
 after 0.2, 0.6 and 1.4 s, and sent bytes count as lost after 3 s at upstreams too."""
 REFUSAL_LIMIT = timedelta(seconds=1)
 """Time of refusals after which stalled connections are closed below the level of
-closings too, as new requests would otherwise be refused until these have ended."""
+closings too. New requests would otherwise be refused until these have ended."""
 
 
 class ClosingReason(StrEnum):
@@ -59,7 +59,7 @@
     over = [each for each in stalled if _is_over(each, now)]
     if over:
         return Closing(_find_worst(over, now), ClosingReason.UNREAD)
-    is_refusing = ledger.total >= limits.refuse_level and refused_for >= REFUSAL_LIMIT
+    is_refusing = refused_for >= REFUSAL_LIMIT
     if stalled and (is_refusing or ledger.total >= limits.close_level):
         return Closing(_find_worst(stalled, now), ClosingReason.MEMORY)
     return None
--- a/packages/mustardquay/src/mustardquay/memory_limits/ledgers.py
+++ b/packages/mustardquay/src/mustardquay/memory_limits/ledgers.py
@@ -64,13 +64,13 @@
 
     def begin_body(self, length: int, now: timedelta) -> None:
         """Note the declared length of a body, 0 if there is none or it isn't known."""
-        self.deadline = None
         self._is_reading = True
         self._progress_at = now
         self._set_body(length)
 
     def note_body(self, size: int) -> None:
         """Note how much of the body was read so far."""
+        self._is_reading = True
         if size > self._body:
             self._set_body(size)
 
@@ -118,8 +118,10 @@
     def end_request(self) -> None:
         """Note that the request and what was buffered for it are no longer held."""
         self._is_reading = False
-        self._set_body(0)
-        self.drop_kept()
+        if self._body:
+            self._set_body(0)
+        if self._kept:
+            self.drop_kept()
 
     def close(self) -> None:
         """Note that nothing is held any more, nor will be."""
--- a/packages/mustardquay/src/mustardquay/memory_limits/limits.py
+++ b/packages/mustardquay/src/mustardquay/memory_limits/limits.py
@@ -9,12 +9,16 @@
 """
 
 from dataclasses import dataclass
+from functools import cached_property
 
-__all__ = ["READ_SIZE", "MemoryLimits", "find_limits"]
+__all__ = ["COUNTED_SIZE", "READ_SIZE", "MemoryLimits", "find_limits"]
 
 MEGABYTE = 1_000_000
 READ_SIZE = 65_536
 """Bytes that one read of a source returns at most."""
+COUNTED_SIZE = 16 * 1024
+"""Bytes up to which a body, or an answer that is buffered, is not counted: the bound
+adds a read for each request that is under way, and most requests are that small."""
 MOST_IN_KERNEL = 128 * 1024
 """Largest buffer of a socket, which the kernel doubles: what a link of 100 Mbit/s
 carries in a round trip of 20 ms. By itself the kernel buffers megabytes."""
@@ -29,9 +33,9 @@
 """Least budget: a request body of the usual limit of 4 MB fits below `REFUSE_LEVEL`."""
 READ_AHEAD_LEVEL = 0.5
 """Share of the budget below which what is read ahead for slow callers stays."""
-READ_AHEAD_PART = 0.5
-"""Part of what is free below that level that one request may take. A single slow caller
-gets a third of the level, and n of them leave a share of 2 / (n + 2) free."""
+READ_AHEAD_RATIO = 1
+"""What one request may take, as a multiple of what is free below that level. A single
+slow caller gets half of the level, and n of them leave a share of 1 / (n + 1) free."""
 REFUSE_LEVEL = 0.75
 """Share of the budget from which on new requests are refused: above what slow callers
 alone can take, so that these refuse nobody."""
@@ -42,18 +46,18 @@
 still be replaced by that of another send."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class MemoryLimits:
     """The limits of one process; `budget` is in bytes."""
 
     budget: int
 
-    @property
+    @cached_property
     def refuse_level(self) -> int:
         """Return the held bytes from which on new requests are refused."""
         return int(self.budget * REFUSE_LEVEL)
 
-    @property
+    @cached_property
     def close_level(self) -> int:
         """Return the held bytes from which on stalled connections are closed."""
         return int(self.budget * CLOSE_LEVEL)
@@ -86,10 +90,10 @@
 
         >>> limits = MemoryLimits(32_000_000)
         >>> [limits.find_read_ahead(held) for held in (0, 12_000_000, 20_000_000)]
-        [8000000, 2000000, 0]
+        [16000000, 4000000, 0]
         """
         free = int(self.budget * READ_AHEAD_LEVEL) - held
-        return max(int(free * READ_AHEAD_PART), 0)
+        return max(free * READ_AHEAD_RATIO, 0)
 
     def find_whole_limit(self, held: int) -> int:
         """Return up to which size a plain answer is buffered whole.
--- a/packages/mustardquay/tests/test_memory_limits.py
+++ b/packages/mustardquay/tests/test_memory_limits.py
@@ -5,6 +5,7 @@
 
 import pytest
 from hypothesis import given, settings, strategies as st
+from simulated_readers import find_fixed, find_none, play
 
 from mustardquay.memory_limits import (
     READ_SIZE,
@@ -225,3 +226,18 @@
     for held in opened:
         held.close()
     assert ledger.total == 0 and not ledger.holding
+
+
+@pytest.mark.parametrize("callers", [1, 4, 28, 100])
+def test_breaks_of_callers_cost_few_answers_and_never_the_budget(callers):
+    """Guards against upstreams that abort answers for which there is memory."""
+    for seed in range(4):
+        ours = play(LIMITS.find_read_ahead, callers, seed)
+        fixed = play(find_fixed(LIMITS), callers, seed)
+        none = play(find_none, callers, seed)
+        assert ours.most_held <= LIMITS.budget / 2 + callers * READ_SIZE
+        assert ours.lost <= none.lost
+        if callers <= 4:
+            assert ours.lost < fixed.lost or not fixed.lost
+    if callers == 1:
+        assert ours.lost == 0
