--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable
 from datetime import timedelta
+from random import Random
 
 import typer
 from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
@@ -23,6 +24,7 @@
 
 from mustardquay.clocks import SystemClock
 from mustardquay.events import EventRing, HybridClock
+from mustardquay.memory_limits import MemoryLimits
 from mustardquay.routing_tables import CallerLimits
 from mustardquay_node.caller_connections import (
     CallerAnswer,
@@ -37,6 +39,7 @@
     OwnedConnection,
 )
 from mustardquay_node.gateway_servers import GatewayServers
+from mustardquay_node.memory_guards import MemoryGuard
 
 __all__ = ["run"]
 
@@ -45,6 +48,8 @@
 )
 BODY = b"whole"
 MICROSECOND = timedelta(microseconds=1)
+BUDGET = 50_000_000
+"""Bytes that the limited server may hold, which it does not come near to."""
 ROUNDS = 15
 """Rounds of both servers in turn; the quickest of each counts."""
 
@@ -95,12 +100,19 @@
     return sockets[0].getsockname()[1]
 
 
-def listen_owned() -> int:
+def listen_limited() -> int:
+    """Start the server of a gateway with a limit of memory; returns its port."""
+    clock = SystemClock()
+    events = EventRing("g", HybridClock(clock), 100)
+    return listen_owned(MemoryGuard(MemoryLimits(BUDGET), clock, events, Random(1)))
+
+
+def listen_owned(memory: MemoryGuard | None = None) -> int:
     """Start the server of a gateway; returns its port."""
     clock = SystemClock()
     events = EventRing("g", HybridClock(clock), 100)
     limits = CallerLimits()
-    options = ConnectionOptions(clock, events, lambda: limits, answer_at_once)
+    options = ConnectionOptions(clock, events, lambda: limits, answer_at_once, memory)
     connections = CallerConnections(options)
     connections.start()
     servers = GatewayServers()
@@ -164,13 +176,15 @@
 def run(short: bool) -> bool:
     """Print what a request costs at both servers."""
     requests = 500 if short else 1500
-    costs: dict[str, list[timedelta]] = {"bare": [], "owned": []}
+    servers = {"bare": listen_bare, "owned": listen_owned, "limited": listen_limited}
+    costs: dict[str, list[timedelta]] = {name: [] for name in servers}
     for _ in range(ROUNDS):
-        for name, listen in (("bare", listen_bare), ("owned", listen_owned)):
+        for name, listen in servers.items():
             costs[name].append(asyncio.run(measure(listen, requests)))
     best = {name: min(each) / MICROSECOND for name, each in costs.items()}
     typer.echo(f"microseconds of a request at tornado's server: {best['bare']:.1f}")
     typer.echo(f"at the connections of a gateway: {best['owned']:.1f}")
+    typer.echo(f"there with a limit of memory: {best['limited']:.1f}")
     owner = asyncio.run(measure_owners(requests)) / MICROSECOND
     typer.echo(f"of it, the read from the socket and the owner's notes: {owner:.1f}")
     return True
