Answer a HEAD request that is refused

Cause: a refusal of a HEAD request has a text, for which tornado closed the connection without an answer; found while refusals near the limit of memory were tested.

Change: an answer to HEAD is sent without its body. The new test gets 503 with Retry-After, with and without a limit; before, both got nothing. 137 tests pass: limits, forwarding, connections, closings, organisations, golden files.

--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/answers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/answers.py
@@ -57,7 +57,10 @@
         """Send a whole answer."""
         if self.is_caller_gone or self.has_ended:
             return
-        if self._method != "HEAD" and status not in (204, 304):
+        if self._method == "HEAD":
+            # Tornado closes the connection of a HEAD request that is given a body.
+            body = b""
+        elif status not in (204, 304):
             headers["Content-Length"] = str(len(body))
         self._begin()
         if len(body) <= WRITE_SIZE:
