--- a/packages/mustardquay-node/src/mustardquay_node/gateway_gauges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_gauges.py
@@ -47,6 +47,8 @@
         ),
         "mustardquay.engines.slowest": sources.upstreams.find_slowest_factor,
         "mustardquay.connections": lambda: float(sources.connections.count),
+        "mustardquay.memory.held": lambda: _read_held(sources.connections, "total"),
+        "mustardquay.memory.most": lambda: _read_held(sources.connections, "most"),
         "mustardquay.store.age": lambda: _measure_store_age(sources.feeds),
         "mustardquay.usage.leads": lambda: float(usage is not None and usage.leads),
         "mustardquay.upstreams.reporting": lambda: float(
@@ -71,6 +73,11 @@
     }
 
 
+def _read_held(connections: CallerConnections, figure: str) -> float:
+    memory = connections.memory
+    return 0.0 if memory is None else float(getattr(memory.ledger, figure))
+
+
 def _measure_store_age(feeds: GatewayFeeds) -> float:
     return _to_seconds(feeds.age)
 
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -26,6 +26,7 @@
 from .engine_calls import EngineCall, call_engine
 from .generation_planners import GenerationPlanner
 from .load_reporters import LoadReporter
+from .memory_guards import find_socket_buffer
 from .service_shares import ServiceShares
 from .settings import BoundsSettings, GatewaySettings
 from .upstream_pools import UpstreamPools
@@ -94,6 +95,7 @@
             free_descriptors=lambda: self._descriptors.free_descriptors(
                 self.pools.close_idle, deps.close_idle_callers
             ),
+            socket_buffer=find_socket_buffer(settings.gateway.memory),
         )
         self._models = EngineModels()
         self.planner = GenerationPlanner(
--- a/packages/mustardquay-node/src/mustardquay_node/sending/results.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/results.py
@@ -47,6 +47,8 @@
     """Expected time in the upstream's queue, in times of one request."""
     inputs: Mapping[str, float] = field(default_factory=dict)
     """Log fields with the figures by which a plain upstream was chosen."""
+    is_passed_on: bool = False
+    """Whether a large plain answer was passed on as it came."""
     framing: str = ""
     """What marked the end of the answer, a value of `Framing`; empty without one."""
 
