Leave plain services without organisations as they were

With the setting, plain requests were also bounded where the configuration has no organisations, which changes deployments that did not ask for shares.

--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -257,7 +257,7 @@
             await await_reservation(deps, reservation)
         finally:
             deps.limits.release(reservation)
-        return await send_plain(deps, self._sender, upstream)
+        return await send_plain(deps, request, self._sender, upstream)
 
     def _decide_retry(self, send: Send) -> bool:
         """Decide the next step; returns whether the request is sent again."""
--- a/packages/mustardquay-node/src/mustardquay_node/share_admissions.py
+++ b/packages/mustardquay-node/src/mustardquay_node/share_admissions.py
@@ -1,7 +1,7 @@
 """Admission by shares: whether a request is sent to a service that may be overloaded.
 
 The decisions are those of `mustardquay.fair_shares`. Without the setting
-`organisation_shares`, nothing is decided here.
+`organisation_shares`, or organisations in the configuration, nothing is decided here.
 """
 
 from collections.abc import Sequence
@@ -50,7 +50,7 @@
     If there is no room at the one that was chosen as usual, that with the shortest
     expected wait is tried, so that none is refused while another one has free slots.
     """
-    shares = deps.shares
+    shares = _find_shares(deps, request)
     if shares is None or request.send_history.attempts:
         return upstream
     shares.expire_peers()
@@ -69,10 +69,13 @@
 
 
 async def send_plain(
-    deps: ForwarderDependencies, sender: Sender, upstream: UpstreamRecord
+    deps: ForwarderDependencies,
+    request: ForwardedRequest,
+    sender: Sender,
+    upstream: UpstreamRecord,
 ) -> Send:
     """Send a plain request; count it for as long as it is at its upstream."""
-    shares = deps.shares
+    shares = _find_shares(deps, request)
     if shares is None:
         return await sender.run(upstream)
     counted = shares.begin(upstream)
@@ -89,8 +92,8 @@
     deps: ForwarderDependencies, request: ForwardedRequest, placement: Placement
 ) -> Placement:
     """Return a placement as busy as it counts for this request's organisation."""
-    shares = deps.shares
-    if shares is None or request.organisation is None or request.is_take_up:
+    shares = _find_shares(deps, request)
+    if shares is None or request.is_take_up:
         return placement
     if request.judgement is None:
         request.judgement = _judge(deps, shares, request, _sum_work(placement))
@@ -101,8 +104,9 @@
     deps: ForwarderDependencies, request: ForwardedRequest, placement: Placement
 ) -> None:
     """Count a generation that was admitted."""
-    if deps.shares is not None and request.organisation is not None:
-        _note_admitted(deps, deps.shares, request, _sum_work(placement))
+    shares = _find_shares(deps, request)
+    if shares is not None:
+        _note_admitted(deps, shares, request, _sum_work(placement))
 
 
 def refuse_generation(
@@ -123,6 +127,13 @@
     return True
 
 
+def _find_shares(
+    deps: ForwarderDependencies, request: ForwardedRequest
+) -> ServiceShares | None:
+    """Return the shares, None if the configuration has no organisations."""
+    return None if request.organisation is None else deps.shares
+
+
 def _judge(
     deps: ForwarderDependencies,
     shares: ServiceShares,
