--- a/packages/mustardquay-node/src/mustardquay_node/forwarders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarders.py
@@ -36,6 +36,11 @@
         """Return the configuration in force, an empty one before the first."""
         return self._table or NO_TABLE
 
+    @property
+    def has_organisations(self) -> bool:
+        """Return whether the configuration in force has organisations."""
+        return self.table_or_empty.organisations is not None
+
     @property
     def in_flight(self) -> int:
         """Return the number of requests that are being forwarded."""
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_peerings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_peerings.py
@@ -97,7 +97,7 @@
                 measure_lag=lambda: deps.configurations.lag,
                 get_bound=lambda: self._settings.bounds.configuration_delay,
                 is_loading=lambda: deps.configurations.is_decoding,
-                list_sources=deps.planner.list_sources,
+                list_sources=lambda: deps.planner.get_peers().list_sources(),
                 find_host=deps.peers.find_host,
                 apply=deps.configurations.apply_document,
             )
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -115,7 +115,7 @@
                 deps.clock,
                 self.loads,
                 self.planner.count_streams,
-                self.planner.expire_digests,
+                self.planner.get_peers,
                 deps.note_change,
             )
 
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from random import Random
 
-from mustardquay.clocks import BootTimeClock, Clock, SystemClock
+from mustardquay.clocks import Clock, SystemClock
 from mustardquay.connection_gates import ConnectionGate
 from mustardquay.events import Event, EventRing, HybridClock
 from mustardquay.routing_tables import RoutingTable
@@ -29,6 +29,7 @@
 from .forwarders import Forwarder
 from .gateway_callers import GatewayCallers
 from .gateway_checks import GatewayChecks
+from .gateway_contexts import GatewayContext, make_origins, make_usage
 from .gateway_engines import EngineDependencies, GatewayEngines
 from .gateway_feeds import FeedDependencies, GatewayFeeds
 from .gateway_gauges import GaugeSources, make_gauges
@@ -42,9 +43,9 @@
 from .seeds import make_seed
 from .settings import GatewaySettings
 from .settings_watches import SettingsWatch, needs_restart
-from .stream_origins import MESSAGE_PREFIX, OriginDependencies, OriginSubsystem
+from .stream_origins import MESSAGE_PREFIX
 from .upstream_list_updaters import UpstreamListUpdater
-from .usage import NOTICE_PREFIX, UsageDependencies, UsageSubsystem
+from .usage import UsageSubsystem
 
 __all__ = ["Gateway"]
 
@@ -75,7 +76,15 @@
         self._store = self._adapter.open_store(
             settings.store.address, self._clock, self._eras
         )
-        self._origins = self._make_origins()
+        self._context = GatewayContext(
+            node.name,
+            self._adapter,
+            self._store,
+            self._random,
+            self._events,
+            get_peers=lambda: self._peers,
+        )
+        self._origins = make_origins(self._context, self.list_upstreams)
         self._gate = ConnectionGate(self._random)
         self._stop = self._make_stop()
         self._forwarder = Forwarder(self._make_forwarder_dependencies())
@@ -92,7 +101,7 @@
             self._events,
             self._clock,
             self._activate_table,
-            self._upstreams.planner.list_configurations,
+            lambda: self._upstreams.planner.get_peers().list_configurations(),
             lambda: self._settings.bounds.configuration_delay,
         )
         self._ports = PeeringPorts()
@@ -363,39 +372,14 @@
             node.availability_zone,
         )
 
-    def _make_origins(self) -> OriginSubsystem:
-        deps = OriginDependencies(
-            name=self._settings.node.name,
-            store=self._store,
-            clock=BootTimeClock(),
-            random=self._random,
-            events=self._events,
-            list_upstreams=self.list_upstreams,
-            send=lambda data, names: self._peers.send_to(data, names),
-            reply=lambda data, address: self._peers.reply(data, address),
-            list_gateways=lambda: self._peers.names,
-            list_neighbours=lambda: self._peers.neighbours,
-        )
-        return OriginSubsystem(deps)
-
     def _make_usage(self) -> UsageSubsystem:
-        source = Source(self._settings.node.name, self._digest_exchange.incarnation)
-        deps = UsageDependencies(
-            adapter=self._adapter,
-            store=self._store,
-            clock=self._clock,
-            random=self._random,
-            events=self._events,
-            send=self._peers.send_datagram,
-            list_gateways=lambda: self._peers.names,
-            has_organisations=lambda: (
-                self._forwarder.table_or_empty.organisations is not None
-            ),
-            count_report=self._metrics.count_usage_report,
-        )
-        usage = UsageSubsystem(source, self._settings.usage, deps)
-        self._peers.add_channel(
-            NOTICE_PREFIX, lambda data, address: usage.receive(data)
+        usage = make_usage(
+            self._context,
+            self._settings.usage,
+            self._clock,
+            Source(self._settings.node.name, self._digest_exchange.incarnation),
+            lambda: self._forwarder.has_organisations,
+            self._metrics.count_usage_report,
         )
         self._eras.listen(usage.note_era)
         return usage
--- a/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
@@ -10,7 +10,6 @@
 from random import Random
 
 from mustardquay.clocks import Clock
-from mustardquay.configuration_sources import ConfigurationSource
 from mustardquay.decoder_choices import choose_decoder, measure_decode_speeds
 from mustardquay.engine_models import EngineModels
 from mustardquay.engine_samples import make_sample
@@ -24,7 +23,7 @@
 )
 from mustardquay.generation_limits import LATE_RANK
 from mustardquay.pause_limits import find_pauses
-from mustardquay.peer_digests import PeerDigest, PlacedPart
+from mustardquay.peer_digests import PeerDigest, PeerDigests, PlacedPart
 from mustardquay.placements import Placement, choose_engines
 from mustardquay.rate_limits import RateLimiter
 from mustardquay.requests import PromptPart, PromptTraits
@@ -284,17 +283,11 @@
         self._states.works.peers.unreported_ratio = others / senders if senders else 0.0
         self._sample = make_sample(self._random, 1 + senders + others)
 
-    def list_configurations(self) -> list[int]:
-        """Return the configuration version of each of the other gateways."""
+    def get_peers(self) -> PeerDigests:
+        """Return the current digests of the other gateways."""
         peers = self._states.works.peers
         peers.expire(self._clock.monotonic())
-        return peers.list_configurations()
-
-    def list_sources(self) -> list[ConfigurationSource]:
-        """Return the configurations in force at the other gateways."""
-        peers = self._states.works.peers
-        peers.expire(self._clock.monotonic())
-        return peers.list_sources()
+        return peers
 
     def build_digest(
         self, name: str, incarnation: int, number: int, configuration: int
@@ -329,10 +322,6 @@
         """Return how fast each engine decodes; None without load reports."""
         return measure_decode_speeds(engines, self._states, self._clock.monotonic())
 
-    def expire_digests(self) -> None:
-        """Drop the outstanding work of gateways that have become silent."""
-        self._states.works.peers.expire(self._clock.monotonic())
-
     def estimate_stream_duration(self, service: str) -> timedelta:
         """Return how long the running generations of this gateway last."""
         return self._stream_ages.estimate_duration(service, self._clock.monotonic())
--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/confirmations.py
@@ -0,0 +1,31 @@
+"""Whether an answer that looks whole is the whole answer of a run."""
+
+from mustardquay.silences import ConnectResult
+
+from ..connections import ConnectionPool, Exchange, ExchangeEnd
+from .observations import SUCCESS_STATUSES
+from .results import SendOptions
+
+__all__ = ["confirm_end", "is_success"]
+
+REACHED_RESULTS = (ConnectResult.CONNECTED, ConnectResult.NO_ROOM)
+"""Results of a probe that don't speak against its upstream."""
+
+
+def is_success(exchange: Exchange, options: SendOptions) -> bool:
+    """Return whether an answer is a success of a run; a prefill shows its own end."""
+    assert exchange.head is not None
+    return exchange.head.status in SUCCESS_STATUSES and not options.prefill_only
+
+
+async def confirm_end(exchange: Exchange, pool: ConnectionPool) -> str:
+    """Return the end of an answer that looks whole, an `ExchangeEnd`.
+
+    Guards against upstreams that crash in an answer which ends with its connection, as
+    between two events of a stream. One that has crashed refuses connections.
+    """
+    if not exchange.ended_connection:
+        return ExchangeEnd.WHOLE
+    if await pool.probe() in REACHED_RESULTS:
+        return ExchangeEnd.WHOLE
+    return ExchangeEnd.INCOMPLETE
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -8,18 +8,18 @@
 from mustardquay.generation_limits import rank_generation
 from mustardquay.requests import SendResult
 from mustardquay.routing_tables import Repeat
-from mustardquay.silences import ConnectResult
 from mustardquay.streams import EventFramer, StreamOrigin, is_stream_complete
 from mustardquay.upstream_capacity import estimate_wait
 from mustardquay.upstream_lists import UpstreamRecord
 
 from ..adapters import SendTarget
-from ..connections import AnswerHead, ConnectionPool, Exchange, ExchangeEnd
+from ..connections import AnswerHead, Exchange, ExchangeEnd
 from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from ..replies import Reply
 from ..usage import may_have_begun, note_begun
+from .confirmations import confirm_end, is_success
 from .large_answers import LargeAnswer
-from .observations import SUCCESS_STATUSES, observe_end, observe_head
+from .observations import observe_end, observe_head
 from .results import DEFAULT_OPTIONS, Send, SendOptions
 from .silence_watches import SilenceWatch
 
@@ -32,8 +32,6 @@
 NON_IDEMPOTENT_IDLE_LIMIT = timedelta(milliseconds=400)
 """Idle time up to which a connection is reused for requests that must not be repeated.
 Upstreams close idle connections after some 1.5 s, and may do so sooner."""
-REACHED_RESULTS = (ConnectResult.CONNECTED, ConnectResult.NO_ROOM)
-"""Results of a probe that don't speak against its upstream."""
 CRASH_ONSET = timedelta(milliseconds=500)
 """Time after which a stream goes on although a part of its prompt were bad: such a part
 crashes an engine as it begins to write, with the first tokens."""
@@ -89,8 +87,8 @@
             end = await pool.run(
                 exchange, NON_IDEMPOTENT_IDLE_LIMIT if is_once else None
             )
-            if end == ExchangeEnd.WHOLE and _is_success(exchange, options):
-                end = await _confirm_end(exchange, pool)
+            if end == ExchangeEnd.WHOLE and is_success(exchange, options):
+                end = await confirm_end(exchange, pool)
         except asyncio.CancelledError:
             if exchange.was_sent and not options.prefill_only:
                 request.was_interrupted = True
@@ -386,22 +384,3 @@
         if head is None or facts is None or head.status != 200:
             return False
         return facts.is_signed and not facts.is_encoded and not facts.not_run
-
-
-def _is_success(exchange: Exchange, options: SendOptions) -> bool:
-    """Return whether an answer is a success of a run; a prefill shows its own end."""
-    assert exchange.head is not None
-    return exchange.head.status in SUCCESS_STATUSES and not options.prefill_only
-
-
-async def _confirm_end(exchange: Exchange, pool: ConnectionPool) -> str:
-    """Return the end of an answer that looks whole, an `ExchangeEnd`.
-
-    Guards against upstreams that crash in an answer which ends with its connection, as
-    between two events of a stream. One that has crashed refuses connections.
-    """
-    if not exchange.ended_connection:
-        return ExchangeEnd.WHOLE
-    if await pool.probe() in REACHED_RESULTS:
-        return ExchangeEnd.WHOLE
-    return ExchangeEnd.INCOMPLETE
--- a/packages/mustardquay-node/src/mustardquay_node/service_shares.py
+++ b/packages/mustardquay-node/src/mustardquay_node/service_shares.py
@@ -47,7 +47,7 @@
         clock: Clock,
         loads: UpstreamLoads,
         count_peer_requests: Callable[[str], int],
-        expire_peers: Callable[[], None],
+        expire_peers: Callable[[], object],
         note_change: Callable[[], None],
     ):
         """Initialise without uses.
