--- a/packages/mustardquay-node/src/mustardquay_node/configuration_relays/clients.py
+++ b/packages/mustardquay-node/src/mustardquay_node/configuration_relays/clients.py
@@ -44,8 +44,8 @@
     """Returns for how long a newer version has been known."""
     get_bound: Callable[[], timedelta]
     """Returns the time in which a version must be in force everywhere."""
-    is_loading: Callable[[], bool]
-    """Returns whether a version is being decoded or received from the store."""
+    is_decoding: Callable[[], bool]
+    """Returns whether a version is being decoded."""
     list_sources: Callable[[], Sequence[ConfigurationSource]]
     find_host: Callable[[str], str | None]
     """Returns the IP number of a gateway, None if it isn't listed."""
@@ -84,12 +84,24 @@
             self._tried.clear()
             while self._deps.measure_lag():
                 await self._sleep(CHECK_INTERVAL)
-                if self._is_due():
-                    await self._fetch()
+                await self._check()
+
+    async def _check(self) -> None:
+        """Ask another gateway if that is due.
+
+        The relay must survive any error: without it, this gateway would refuse its
+        callers until the store answers again.
+        """
+        try:
+            if self._is_due():
+                await self._fetch()
+        except Exception as error:
+            self._deps.events.record("configuration.relay_failed", error=repr(error))
+            await self._sleep(RETRY_DELAY)
 
     def _is_due(self) -> bool:
         deps = self._deps
-        if deps.is_loading():
+        if deps.is_decoding():
             return False
         return deps.measure_lag() >= find_relay_delay(deps.get_bound())
 
--- a/packages/mustardquay-node/src/mustardquay_node/configuration_relays/documents.py
+++ b/packages/mustardquay-node/src/mustardquay_node/configuration_relays/documents.py
@@ -19,6 +19,8 @@
 
 RELAY_PATH = "/configuration"
 VERSION_HEADER = "Configuration-Version"
+MAX_VERSION_DIGITS = 20
+"""Digits of the largest version, a 64-bit number."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +43,7 @@
 def read_document(head: AnswerHead, content: bytes) -> RelayedDocument | None:
     """Return the document of an answer, None without one that can be read."""
     version = head.headers.get(VERSION_HEADER, "")
-    if head.status != 200 or not version.isdecimal() or not content:
+    is_version = version.isdecimal() and len(version) <= MAX_VERSION_DIGITS
+    if head.status != 200 or not is_version or not content:
         return None
     return RelayedDocument(int(version), content)
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_peerings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_peerings.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from datetime import timedelta
 from random import Random
 
 from mustardquay.clocks import Clock
@@ -36,6 +37,8 @@
     servers: GatewayServers
     ports: PeeringPorts
     """Set by `start`, for the digests."""
+    get_configuration_delay: Callable[[], timedelta]
+    """Returns the time in which a version must be in force everywhere."""
     count_forwarded: Callable[[str, str], None]
     """Counts a request by the gateway that it was left to, and by its end."""
 
@@ -95,8 +98,8 @@
                 self._settings.node.availability_zone,
                 get_version=lambda: deps.configurations.version,
                 measure_lag=lambda: deps.configurations.lag,
-                get_bound=lambda: self._settings.bounds.configuration_delay,
-                is_loading=lambda: deps.configurations.is_decoding,
+                get_bound=deps.get_configuration_delay,
+                is_decoding=lambda: deps.configurations.is_decoding,
                 list_sources=lambda: deps.planner.get_peers().list_sources(),
                 find_host=deps.peers.find_host,
                 apply=deps.configurations.apply_document,
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -348,6 +348,7 @@
             self._peers,
             self._servers,
             self._ports,
+            lambda: self._settings.bounds.configuration_delay,
             self._metrics.count_forwarded,
         )
         return GatewayPeering(self._settings, deps)
--- a/packages/mustardquay-node/src/mustardquay_node/peer_forwarding/peer_forwarders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peer_forwarding/peer_forwarders.py
@@ -25,11 +25,10 @@
 IDLE_LIMIT = timedelta(seconds=4)
 """Idle time up to which a connection is reused. Operators let callers idle for longer,
 and a gateway that stops says so in its digests before it closes connections."""
-UNCONNECTED_ENDS = (
-    ExchangeEnd.NOT_CONNECTED,
-    ExchangeEnd.CONNECT_TIMED_OUT,
-    ExchangeEnd.NO_ROOM,
-)
+ONCE_IDLE_LIMIT = timedelta(milliseconds=400)
+"""The same for requests that must not be repeated: the other gateway also closes idle
+connections when it is short of descriptors, and a request on one of them is lost."""
+UNCONNECTED_ENDS = (ExchangeEnd.NOT_CONNECTED, ExchangeEnd.CONNECT_TIMED_OUT)
 STREAM_STATUS = 200
 
 
@@ -58,23 +57,27 @@
         self._deps = deps
         self._peers = ForwardingPeers(deps.availability_zone, deps.link_rate)
         self._ports: dict[str, int] = {}
-        self._pools: dict[str, ConnectionPool] = {}
+        self._pools: dict[str, tuple[str, ConnectionPool]] = {}
+        """The address and the connections of each gateway."""
 
     def close(self) -> None:
         """Close the idle connections."""
-        for pool in self._pools.values():
-            pool.close()
+        for name in list(self._pools):
+            self._forget_pool(name)
 
     def apply_digest(self, digest: PeerDigest) -> None:
-        """Apply the newest digest of a gateway."""
+        """Apply the newest digest of a gateway; one that isn't listed has no effect."""
+        if self._deps.find_host(digest.gateway) is None:
+            self._forget(digest.gateway)
+            return
         self._ports[digest.gateway] = digest.forward_port
         self._peers.apply_digest(digest, self._deps.clock.monotonic())
 
     async def forward(self, request: ForwardedRequest, reply: Reply) -> bool:
         """Forward a request if that is of use; returns whether it has its answer.
 
-        A request that no gateway could be reached with was not sent, and is served
-        here.
+        A request that was not sent, as no gateway could be reached, is served here, and
+        so is one that may be repeated and of which nothing came back.
         """
         size = len(request.incoming.body)
         if request.is_take_up or not saves_link_time(size, self._deps.link_rate):
@@ -84,23 +87,23 @@
         host = None if name is None else self._deps.find_host(name)
         if host is None:
             return False
-        pool = self._get_pool(f"{host}:{self._ports[name]}")
+        is_once = request.route.repeat is not Repeat.IDEMPOTENT
+        pool = self._get_pool(name, f"{host}:{self._ports[name]}")
         exchange = self._make_exchange(request, reply, now)
         request.current = exchange
-        request.upstream = name
-        request.sent_at = now
+        end = ExchangeEnd.CANCELLED
         try:
-            end = await pool.run(exchange)
+            end = await pool.run(exchange, ONCE_IDLE_LIMIT if is_once else None)
         finally:
             request.current = None
             request.was_interrupted |= exchange.was_sent
-        self._log(request, reply, exchange, name, end)
-        self._deps.count(name, end)
+            self._log(request, reply, exchange, name, end)
+            self._deps.count(name, end)
         if end in UNCONNECTED_ENDS:
             self._peers.note_failure(name, self._deps.clock.monotonic())
-        if not exchange.was_sent:
+        if not exchange.was_sent or _may_serve_again(request, reply, end):
             return False
-        _finish(request, reply, exchange, end)
+        _finish(reply, exchange, end)
         return True
 
     def _make_exchange(
@@ -129,14 +132,27 @@
             may_send=lambda: not reply.is_caller_gone,
         )
 
-    def _get_pool(self, address: str) -> ConnectionPool:
-        pool = self._pools.get(address)
-        if pool is None:
-            clock = self._deps.clock
-            pool = ConnectionPool(address, clock, MAX_CONNECTIONS, IDLE_LIMIT)
-            self._pools[address] = pool
+    def _get_pool(self, name: str, address: str) -> ConnectionPool:
+        known = self._pools.get(name)
+        if known is not None and known[0] == address:
+            return known[1]
+        self._forget_pool(name)
+        clock = self._deps.clock
+        pool = ConnectionPool(address, clock, MAX_CONNECTIONS, IDLE_LIMIT)
+        self._pools[name] = (address, pool)
         return pool
 
+    def _forget(self, name: str) -> None:
+        """Drop the state of a gateway that is not listed."""
+        self._ports.pop(name, None)
+        self._peers.forget([name])
+        self._forget_pool(name)
+
+    def _forget_pool(self, name: str) -> None:
+        known = self._pools.pop(name, None)
+        if known is not None:
+            known[1].close()
+
     def _log(
         self,
         request: ForwardedRequest,
@@ -158,9 +174,18 @@
         )
 
 
-def _finish(
-    request: ForwardedRequest, reply: Reply, exchange: Exchange, end: str
-) -> None:
+def _may_serve_again(request: ForwardedRequest, reply: Reply, end: str) -> bool:
+    """Return whether a request is served here after it was sent to another gateway.
+
+    The other gateway may have run it, so that only one that may be repeated is, and
+    only if its caller is there and has nothing of an answer.
+    """
+    if end == ExchangeEnd.WHOLE or reply.has_begun or reply.is_caller_gone:
+        return False
+    return request.route.repeat is Repeat.IDEMPOTENT
+
+
+def _finish(reply: Reply, exchange: Exchange, end: str) -> None:
     """Answer a request by what the other gateway has answered."""
     if reply.is_caller_gone:
         reply.count("caller_left")
--- a/packages/mustardquay-node/src/mustardquay_node/settings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/settings.py
@@ -109,12 +109,12 @@
     metrics_port: Port
     processes: Count
     drain_timeout: Duration
-    link_rate: Annotated[float, Field(ge=0)]
+    link_rate: Annotated[float, Field(ge=0, allow_inf_nan=False)]
     load_reports: bool
     configuration_relay: bool
     peer_forwarding: bool
     organisation_shares: bool
-    memory: Annotated[float, Field(ge=0)]
+    memory: Annotated[float, Field(ge=0, allow_inf_nan=False)]
 
 
 class BoundsSettings(Section):
--- a/packages/mustardquay/src/mustardquay/peer_forwarding/forwarding_peers.py
+++ b/packages/mustardquay/src/mustardquay/peer_forwarding/forwarding_peers.py
@@ -13,6 +13,9 @@
 FAILURE_PAUSE = timedelta(seconds=1)
 """Time for which a gateway that could not be reached gets no more requests. It is
 longer than its digests count as current, in case it has ended."""
+MAX_RATE = 1e6
+"""Highest rate in Mbit/s that is believed: a larger one, or none that is finite, would
+make the choice in proportion to the rates fail for all gateways of the zone."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,19 +46,19 @@
         """Note that a gateway could not be reached."""
         self._paused_until[name] = now + FAILURE_PAUSE
 
-    def choose(
-        self, now: timedelta, random: Random, avoid: Collection[str] = ()
-    ) -> str | None:
+    def forget(self, names: Collection[str]) -> None:
+        """Drop gateways that are not listed any more."""
+        for name in names:
+            self._peers.pop(name, None)
+            self._paused_until.pop(name, None)
+
+    def choose(self, now: timedelta, random: Random) -> str | None:
         """Return a gateway to forward a request to, None if there is none.
 
         The choice is random, in proportion to the links' rates.
         """
         self._expire(now)
-        names = [
-            name
-            for name in self._peers
-            if name not in avoid and name not in self._paused_until
-        ]
+        names = [name for name in self._peers if name not in self._paused_until]
         if not names:
             return None
         rates = [self._peers[name].link_rate for name in names]
@@ -69,7 +72,7 @@
         """
         is_serving = digest.is_ready and digest.ends_in is None and not digest.is_busy
         is_near = digest.availability_zone == self.availability_zone
-        is_faster = digest.link_rate >= RATE_RATIO * self.link_rate > 0
+        is_faster = MAX_RATE >= digest.link_rate >= RATE_RATIO * self.link_rate > 0
         return is_serving and is_near and is_faster and digest.forward_port > 0
 
     def _expire(self, now: timedelta) -> None:
--- a/packages/mustardquay/src/mustardquay/stage_capacities.py
+++ b/packages/mustardquay/src/mustardquay/stage_capacities.py
@@ -44,6 +44,16 @@
         """Return the capacity of engines together."""
         return sum(1 / self.get(engine).factor for engine in engines)
 
+    def _count_spare(self, decoders: Iterable[UpstreamRecord]) -> int:
+        """Return how many engines that keep the pauses don't decode yet.
+
+        Guards against a plan that has more and more engines decode, although none of
+        the others keeps the pauses, until none is left for prefill.
+        """
+        decoding = {engine.id for engine in decoders}
+        speeds = (self._speeds or {}).items()
+        return sum(speed.is_fitting and id not in decoding for id, speed in speeds)
+
     def count_missing(self, wanted: int, decoders: list[UpstreamRecord]) -> int:
         """Return how many engines are missing to decode; negative for a surplus.
 
@@ -53,8 +63,9 @@
             return wanted - len(decoders)
         fitting = [each for each in decoders if self.get(each).is_fitting]
         lacking = FITTING_SHARE * wanted - self.sum(fitting)
-        if lacking > 0 and any(each.is_fitting for each in self._speeds.values()):
-            return ceil(lacking)
+        spare = self._count_spare(decoders)
+        if lacking > 0 and spare:
+            return min(ceil(lacking), spare)
         missing = wanted - self.sum(decoders)
         if missing > 0:
             return ceil(missing - MISSING_SHARE)
--- a/packages/mustardquay/tests/test_peer_forwarding.py
+++ b/packages/mustardquay/tests/test_peer_forwarding.py
@@ -75,6 +75,13 @@
     assert choose(peers, later) == "g"
 
 
+@pytest.mark.parametrize("rate", [float("inf"), float("nan"), 1e12, -1.0])
+def test_an_impossible_rate_is_not_believed(rate):
+    """Guards against a wrong setting at one gateway that fails requests of others."""
+    peers = make_peers(SLOW, make_digest("wrong", rate), make_digest("g", FAST))
+    assert choose(peers) == "g"
+
+
 def test_no_request_goes_in_a_circle():
     """Guards against gateways that forward to each other."""
     rates = [1.0, SLOW, 6.0, MEDIUM, 25.0, FAST]
--- a/packages/mustardquay/tests/test_stage_capacities.py
+++ b/packages/mustardquay/tests/test_stage_capacities.py
@@ -103,3 +103,19 @@
 
     speeds = make_speeds((0, 3, 10, 11, 12, 13, 14))
     assert count_changes(speeds) <= count_changes(None)
+
+
+def test_few_engines_that_keep_the_pauses_do_not_turn_all_to_decode():
+    """Guards against a plan that goes on to add engines which don't keep the pauses."""
+    decoders, slow = set(range(8)), set(range(2, 27))
+    planner, speeds = StagePlanner(), make_speeds(slow)
+    for second in range(60):
+        now = NOW + timedelta(seconds=second)
+        changes = plan(planner, make_engines(decoders), speeds, now=now)
+        for change in changes:
+            number = int(change.engine.id[1:])
+            if change.stage is Stage.DECODE:
+                decoders.add(number)
+            else:
+                decoders.discard(number)
+    assert len(decoders) <= 27 // 2
