Forget the mean factor of engines that were not measured for a while

A stream's pauses are divided by the mean of the current factor over the last seconds. That mean was the factor at the engine's last measurement, however long ago: after a spell, pauses of a normal stream were learned as 2.5 times shorter. It fades to the present factor now; the new test failed with 2.5 before.

--- a/packages/mustardquay/src/mustardquay/engine_speeds/engine_factors.py
+++ b/packages/mustardquay/src/mustardquay/engine_speeds/engine_factors.py
@@ -99,8 +99,13 @@
 
     def get_recent(self, id: str, now: timedelta) -> float:
         """Return the mean of the current factor over the last seconds."""
+        current = self.get_current(id, now)
         engine = self._engines.get(id)
-        return self.get_current(id, now) if engine is None else engine.recent
+        if engine is None:
+            return current
+        # Not measured for a while, the mean is that of a time that is over.
+        weight = 0.5 ** ((now - engine.recent_at) / RECENT_HALF_LIFE)
+        return current + weight * (engine.recent - current)
 
     def get_prefill(self, service: str, id: str, now: timedelta) -> float:
         """Return the lasting factor of an engine's prefill."""
--- a/packages/mustardquay/tests/test_engine_speeds.py
+++ b/packages/mustardquay/tests/test_engine_speeds.py
@@ -195,3 +195,12 @@
     sent = [models.speeds.list_notices(now) for _ in range(20)]
     assert max(map(len, sent)) <= 6
     assert len({each.engine for notices in sent for each in notices}) == 100
+
+
+def test_an_engine_that_was_not_measured_for_long_counts_by_its_present_factor():
+    """Guards against pauses that are learned as short after a spell long ago."""
+    speeds, now = EngineSpeeds(CapacityEstimates()), timedelta(seconds=100)
+    speeds.capacities.note_report("e1", LoadReport(1, 0, 12, 2.5), now)
+    speeds.learn_prefill("llm", "e1", 1.0, 1.0, now)
+    later = now + timedelta(seconds=60)
+    assert speeds.get_recent("e1", later) == pytest.approx(1.0, abs=0.01)
