Learn the speeds of engines only where these report theirs

With the setting load_reports, engines that report no speed were placed and staged by learned speeds of single engines too, which changes deployments that did not ask for it. The first answer with a report begins it now, before its time is learned.

--- a/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
@@ -13,7 +13,7 @@
 from mustardquay.decoder_choices import choose_decoder, measure_decode_speeds
 from mustardquay.engine_models import EngineModels
 from mustardquay.engine_samples import make_sample
-from mustardquay.engine_speeds import EngineSpeeds
+from mustardquay.engine_speeds import begin_speeds
 from mustardquay.engine_states import (
     EngineStates,
     HashedPart,
@@ -59,8 +59,8 @@
         """Initialise without outstanding work.
 
         `note_change` is called whenever the outstanding work of this gateway changes.
-        With `load_reports`, the speed of each engine is learned with other gateways,
-        and corrected by what the engine reports.
+        With `load_reports`, the speeds of engines that report theirs are learned with
+        other gateways, and corrected by the reports.
         """
         self._random = random or Random(0)
         self._sample = make_sample(self._random, 1)
@@ -68,8 +68,7 @@
         self._upstreams = upstreams
         self._uplink = uplink or Uplink()
         self._models = models or EngineModels()
-        if load_reports:
-            self._models.speeds = EngineSpeeds(loads.capacities)
+        self._load_reports = load_reports
         self._limits = limits or RateLimiter()
         self._states = EngineStates(
             loads, OutstandingWork(), PrefixCaches(), self._models, limits=self._limits
@@ -351,6 +350,10 @@
                 service.name, engine.steps_per_event, engine.copy_seconds
             )
 
+    def _begin_speeds(self, engine: UpstreamRecord) -> None:
+        if self._load_reports and self._models.speeds is None:
+            self._models.speeds = begin_speeds(self._states.loads.capacities, engine)
+
     def learn_prefill(self, ticket: Ticket, took: timedelta) -> None:
         """Learn from the duration of a prefill on another engine than the decoder.
 
@@ -360,6 +363,7 @@
         if ticket.rank >= LATE_RANK:
             return
         placement = ticket.placement
+        self._begin_speeds(placement.reader)
         self._models.learn_prefill(
             placement.reader,
             placement.prefill,
@@ -373,6 +377,7 @@
         """Learn from the time from a generation's start to its first event."""
         placement = ticket.placement
         engine = placement.decoder
+        self._begin_speeds(engine)
         streams = self._states.works.sum_running(engine.id)
         seconds = took.total_seconds()
         now = self._clock.monotonic()
--- a/packages/mustardquay/src/mustardquay/engine_speeds/engine_factors.py
+++ b/packages/mustardquay/src/mustardquay/engine_speeds/engine_factors.py
@@ -13,10 +13,11 @@
 from math import exp, isfinite, log
 
 from ..upstream_capacity import CapacityEstimates
+from ..upstream_lists import UpstreamRecord
 from .evidence import Evidence
 from .own_factors import FACTOR_BOUND
 
-__all__ = ["EngineFactor", "EngineSpeeds"]
+__all__ = ["EngineFactor", "EngineSpeeds", "begin_speeds"]
 
 PRIOR_SAMPLES = 0.5
 """Weight of the assumption that an engine is as fast as the mean engine: speeds spread
@@ -239,6 +240,16 @@
         return mean
 
 
+def begin_speeds(
+    capacities: CapacityEstimates, engine: UpstreamRecord
+) -> EngineSpeeds | None:
+    """Return the speeds to learn if an engine reports its own, else None.
+
+    Engines that report none are placed by the shared coefficients alone.
+    """
+    return EngineSpeeds(capacities) if capacities.reports_speed(engine.id) else None
+
+
 def _find_decode_mean(
     engines: Iterable[_Engine], prefill_mean: float, now: timedelta
 ) -> float:
