Bound the interval between return positions

1 / rate exceeded the range of timedelta about 65 s after the last admission of a service and rank, so that each refusal raised OverflowError.

--- a/packages/mustardquay/src/mustardquay/fair_shares/return_positions.py
+++ b/packages/mustardquay/src/mustardquay/fair_shares/return_positions.py
@@ -2,7 +2,7 @@
 
 Handles refusals that come faster than there is room: callers that all return at once
 are refused once more, and some of them never get through. Each refusal takes the next
-position of a sequence that advances as fast as requests are admitted here.
+position of a sequence that advances half as fast as requests are admitted here.
 """
 
 from dataclasses import dataclass, field
@@ -17,6 +17,9 @@
 """Part of the room that is given to callers that return; new ones need the rest."""
 MIN_DELAY = timedelta(milliseconds=100)
 """Shortest delay: a caller that is back sooner meets the same queue."""
+MAX_INTERVAL_SECONDS = 60.0
+"""Longest interval between two positions. Without recent admissions, the measured rate
+is so small that its inverse exceeds the range of `timedelta`."""
 MAX_PART = 1 / 3
 """Part of the time that a caller has left up to which it follows a delay."""
 
@@ -59,7 +62,8 @@
         found = self._get(service, rank)
         earliest = now + max(wait, MIN_DELAY)
         rate = RETURN_SHARE * self._read_rate(found, now)
-        interval = timedelta(seconds=1 / rate) if rate > 0 else timedelta()
+        seconds = min(1 / rate, MAX_INTERVAL_SECONDS) if rate > 0 else 0.0
+        interval = timedelta(seconds=seconds)
         latest = now + max(time_left * MAX_PART, timedelta())
         position = min(max(earliest, found.last + interval), latest)
         found.last = max(found.last, position)
--- a/packages/mustardquay/tests/test_fair_shares.py
+++ b/packages/mustardquay/tests/test_fair_shares.py
@@ -234,6 +234,16 @@
     assert positions.take("s", 1, at(0.1), at(0.3), at(2)) <= at(0.1)
 
 
+@pytest.mark.parametrize("idle", [60, 100, 1_480, 100_000])
+def test_a_refusal_long_after_the_last_admission_has_a_delay(idle):
+    """Guards against an interval beyond the range of `timedelta`, which failed it."""
+    positions = ReturnPositions()
+    positions.note_admitted("s", 1, at(1))
+    for _ in range(2):
+        delay = positions.take("s", 1, at(0.1), LEFT, at(1 + idle))
+        assert at(0.1) <= delay <= LEFT / 3
+
+
 def test_a_decision_takes_less_than_a_millisecond():
     """Guards against a gateway that is busy with shares: the mean of many decisions.
 
