Learn the work of plain services from several bounded answers

The first answer's time was taken whole: one of 20 s made the next request at a full upstream refused as no_time. The work is now known after five answers, as their median, and later answers count up to a multiple of it.

--- a/packages/mustardquay/src/mustardquay/fair_shares/plain_queues.py
+++ b/packages/mustardquay/src/mustardquay/fair_shares/plain_queues.py
@@ -7,8 +7,10 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import StrEnum
+from statistics import median
 
 __all__ = [
+    "MIN_SAMPLES",
     "PlainExpectation",
     "PlainQueues",
     "PlainVerdict",
@@ -18,6 +20,12 @@
 
 WORK_WEIGHT = 0.05
 """Weight of one answer in the learned duration of the work."""
+MIN_SAMPLES = 5
+"""Answers of a service until its work is known, as their median: one answer may last
+much longer than usual, and no request is refused for it."""
+MAX_SAMPLE = 8.0
+"""Bound of one answer's work, as a multiple of the known work. Exponential durations
+exceed it once in three thousand answers."""
 CALLER_SHARE = 0.05
 """Fraction of the target for the network between the caller and this process."""
 WORK_SPREAD = 1.0
@@ -57,13 +65,16 @@
     """The learned duration of the work of each plain service."""
 
     _work: dict[str, float] = field(default_factory=dict)
+    _first: dict[str, list[float]] = field(default_factory=dict)
+    """Work of the answers of services whose work is not known yet."""
 
     def expect(
         self, service: str, queue: int, slots: int, factor: float = 1.0
     ) -> PlainExpectation:
         """Return what to expect at an upstream with `queue` requests.
 
-        `factor` is how many times as long as usual work takes there.
+        `factor` is how many times as long as usual work takes there. Nothing is
+        expected before the work of the service is known.
         """
         work = self._work.get(service, 0.0) * factor
         return PlainExpectation(_count_rounds(queue, slots) * work, work)
@@ -75,8 +86,13 @@
         work = took / (1 + _count_rounds(queue, slots)) / max(factor, 0.1)
         known = self._work.get(service)
         if known is not None:
-            work = known + WORK_WEIGHT * (work - known)
-        self._work[service] = work
+            work = min(work, MAX_SAMPLE * max(known, MIN_WORK))
+            self._work[service] = known + WORK_WEIGHT * (work - known)
+            return
+        first = self._first.setdefault(service, [])
+        first.append(work)
+        if len(first) >= MIN_SAMPLES:
+            self._work[service] = median(self._first.pop(service))
 
 
 def _count_rounds(queue: int, slots: int) -> float:
--- a/packages/mustardquay/tests/test_fair_shares.py
+++ b/packages/mustardquay/tests/test_fair_shares.py
@@ -13,6 +13,7 @@
     FleetUses,
     OrganisationUse,
     PlainExpectation,
+    PlainQueues,
     PlainVerdict,
     ReturnPositions,
     UseMeter,
@@ -220,6 +221,45 @@
     assert found is verdict
 
 
+def judge_at_full_upstream(queues):
+    """Judge a request behind twelve others at an upstream with six slots."""
+    expected = queues.expect("s", 12, 6)
+    return judge_plain(expected, TARGET, at(0), LEFT, 1.0)
+
+
+def test_one_long_first_answer_refuses_no_request():
+    """Guards against refusals that rely on a single answer, and a slow recovery."""
+    queues = PlainQueues()
+    queues.learn("s", 20.0, 0, 6)
+    assert judge_at_full_upstream(queues).is_admitted
+    for _ in range(20):
+        queues.learn("s", 0.06, 0, 6)
+        assert judge_at_full_upstream(queues).is_admitted
+    assert 0.05 < queues.expect("s", 0, 6).work < 0.2
+
+
+def test_one_long_answer_changes_the_known_work_by_little():
+    """Guards against a stream or a slow caller whose answer counts without a bound."""
+    queues = PlainQueues()
+    for _ in range(20):
+        queues.learn("s", 0.06, 0, 6)
+    queues.learn("s", 1e9, 0, 6)
+    assert queues.expect("s", 0, 6).work < 0.1
+    assert judge_at_full_upstream(queues).is_admitted
+
+
+@pytest.mark.parametrize("first", [0.0, 0.01])
+def test_work_that_has_become_longer_is_learned(first):
+    """Guards against a bound of the samples that keeps the known work too short."""
+    queues = PlainQueues()
+    for _ in range(20):
+        queues.learn("s", first, 0, 6)
+    for _ in range(100):
+        queues.learn("s", 1.0, 0, 6)
+    assert queues.expect("s", 0, 6).work > 0.9
+    assert judge_at_full_upstream(queues) is PlainVerdict.NO_ROOM
+
+
 def test_returns_are_spread_in_the_order_of_refusals():
     """Guards against refused callers that all return at once."""
     positions = ReturnPositions()
