--- a/packages/mustardquay/src/mustardquay/fair_shares/wait_bounds.py
+++ b/packages/mustardquay/src/mustardquay/fair_shares/wait_bounds.py
@@ -42,14 +42,18 @@
     """Return the factor of the wait bound for a request, under overload.
 
     `ranks` are those of all requests of the service, in ascending order; `place` is
-    that of the organisation among those of the same rank.
+    that of the organisation among those of the same rank. The factor is 1 at most: a
+    longer wait would end after the target.
 
     >>> [round(find_wait_factor([0, 2], rank, place, False), 2) for rank in (0, 2)
     ...  for place in range(PLACES)]
     [1.0, 0.83, 0.67, 0.5, 0.33, 0.17]
     >>> round(find_wait_factor([0, 2], 2, 0, is_return=True), 2)
     0.58
+    >>> find_wait_factor([0], 0, 0, is_return=True)
+    1.0
     """
     places = PLACES * max(len(ranks), 1)
     place = PLACES * bisect_left(ranks, rank) + place
-    return max(1 - (place - RETURN_STEPS * is_return) / places, 1 / places)
+    factor = 1 - (place - RETURN_STEPS * is_return) / places
+    return min(max(factor, 1 / places), 1.0)
--- a/packages/mustardquay/tests/test_fair_shares.py
+++ b/packages/mustardquay/tests/test_fair_shares.py
@@ -201,6 +201,8 @@
         for is_return in (True, False)
     ]
     assert order == sorted(order, reverse=True) and min(order) > 0
+    # A wait beyond the bound ends after the target.
+    assert max(order) == 1.0
 
 
 @pytest.mark.parametrize(
