Bound the first times of upstreams in lasting factors

The first time of an upstream was added to the running sum of its service without a bound, so that one false notice of 1e30 s changed the factors of all others for good. First times are bounded by the mean of the service, the first one of a service by 60 s, and the mean is computed from the upstreams' times. The longest of these counts as three times the mean of the others at most: at eight times, it would change the factors at a service with fewer than six others by more than 2.

test_false_figures_have_a_bounded_effect checked the bounds of v without any answer recorded for it, as v had never reported a speed.

--- a/packages/mustardquay/src/mustardquay/upstream_capacity/lasting_factors.py
+++ b/packages/mustardquay/src/mustardquay/upstream_capacity/lasting_factors.py
@@ -12,12 +12,22 @@
 MAX_FACTOR = 8.0
 """Bound of all factors and of their inverse, so that a false report has a bounded
 effect."""
+MAX_FIRST_SECONDS = 60.0
+"""Bound of the first time of a service, which has no mean yet to compare it with."""
+MIN_SECONDS = 1e-4
+"""Shorter times count as this one: a mean near 0 would bound all further times."""
+MAX_OUTLIER = 3.0
+"""Bound of the longest mean time of a service, as a multiple of that of the others.
+An upstream with false times then at most doubles the mean of the service."""
 MAX_SAMPLES = 200.0
 """Answers over which the mean is taken: times that vary as much as their mean give it
 to within 7 %."""
 MAX_UPDATES = 20
 """Changes of a service's mean until the factors of its upstreams are computed again:
 each changes the mean by little."""
+UPSTREAMS_PER_UPDATE = 8
+"""Upstreams of a service from which the mean is computed once in several changes, so
+that a change at a service with hundreds of them takes no longer."""
 MAX_ANSWERS = 50
 """Answers that count at once, so that a single false notice has a bounded weight."""
 PRIOR_SAMPLES = 8.0
@@ -52,19 +62,41 @@
 
 @dataclass(slots=True)
 class _Service:
-    """Sum of the mean times of a service's upstreams."""
+    """The upstreams of a service and the mean of their mean times."""
 
-    total: float = 0.0
-    upstreams: int = 0
+    upstreams: dict[str, _Times] = field(default_factory=dict)
+    mean: float = 0.0
     at: timedelta = timedelta()
     """Time of the newest answer."""
     updates: int = 0
-    """Number of changes of the mean."""
+    """Number of changes of the upstreams' times."""
+    computed: int = 0
+    """Number of changes when the mean was computed."""
 
-    @property
-    def mean(self) -> float:
-        """Return the mean over the upstreams."""
-        return self.total / self.upstreams
+    def find_bound(self) -> float:
+        """Return the longest time that counts."""
+        return MAX_FACTOR * self.mean if self.upstreams else MAX_FIRST_SECONDS
+
+    def update(self) -> None:
+        """Count a change; compute the mean if enough of them have come in."""
+        self.updates += 1
+        interval = min(len(self.upstreams) // UPSTREAMS_PER_UPDATE, MAX_UPDATES)
+        if self.updates - self.computed >= interval:
+            self.compute_mean()
+
+    def compute_mean(self) -> None:
+        """Compute the mean from the times of all upstreams.
+
+        A running sum would keep the rounding errors of very long times for good.
+        """
+        self.computed = self.updates
+        others = [times.mean for times in self.upstreams.values()]
+        longest = max(others)
+        others.remove(longest)
+        rest = sum(others)
+        if others:
+            longest = min(longest, MAX_OUTLIER * rest / len(others))
+        self.mean = (rest + longest) / len(self.upstreams)
 
 
 @dataclass(slots=True)
@@ -86,20 +118,20 @@
             times = None
         total = self._services.setdefault(service, _Service())
         total.at = now
+        # Bounds the effect of a false time, also of the first one of an upstream.
+        bound = total.find_bound()
+        mean = min(max(mean, MIN_SECONDS), bound)
         if times is None:
             times = self._times[id] = _Times(service, mean, 0.0, now)
-            total.total += mean
-            total.upstreams += 1
-        # Bounds the effect of a single false time.
-        mean = min(mean, MAX_FACTOR * total.mean)
+            total.upstreams[id] = times
+            total.compute_mean()
         known = min(_fade(times, now), MAX_SAMPLES - answers)
         times.samples = max(known, 0.0) + answers
-        change = (mean - times.mean) * min(answers / times.samples, 1.0)
-        times.mean += change
+        times.mean = min(times.mean, bound)
+        times.mean += (mean - times.mean) * min(answers / times.samples, 1.0)
         times.at = now
-        total.total += change
-        total.updates += 1
         times.updates = -1
+        total.update()
 
     def get(self, id: str) -> float:
         """Return how many times as long work takes at an upstream as at the mean.
@@ -130,15 +162,14 @@
         if times is None:
             return
         service = self._services[times.service]
-        service.total -= times.mean
-        service.upstreams -= 1
-        if not service.upstreams:
+        del service.upstreams[id]
+        if service.upstreams:
+            service.compute_mean()
+        else:
             del self._services[times.service]
 
 
 def _estimate_factor(times: _Times, service: _Service) -> float:
-    if service.mean <= 0:
-        return 1.0
     samples = _fade(times, service.at)
     weight = samples / (samples + PRIOR_SAMPLES)
     return clamp_factor(1.0 + weight * (times.mean / service.mean - 1.0))
--- a/packages/mustardquay/tests/test_upstream_capacity.py
+++ b/packages/mustardquay/tests/test_upstream_capacity.py
@@ -250,10 +250,46 @@
         notice = CapacityNotice(
             "u", running, waiting, work_time, milliseconds(age), answers, seconds
         )
-        estimates.apply_notices([notice], NOW)
-        estimates.note_answer("v", 0.06, NOW, "app")
-        for id in ("u", "v"):
+        estimates.apply_notices([notice], NOW, find_service=lambda id: "app")
+        note_usual_answers(estimates, ("v", "w"), 1)
+        for id in ("u", "v", "w"):
             for now in (NOW, NOW + milliseconds(age)):
                 assert 1 / 8 <= estimates.current_factor(id, now) <= 8
             assert 1 / 8 <= estimates.lasting_factor(id) <= 8
+        for id in ("v", "w"):
+            assert 1 / 2 <= estimates.lasting_factor(id) <= 2
         assert estimates.count_others("u", NOW) >= 0
+
+
+def note_usual_answers(estimates, ids, count):
+    """Record answers of upstreams that report usual speed and take 60 ms."""
+    for _ in range(count):
+        for id in ids:
+            estimates.note_report(id, LoadReport(work_time=1.0), NOW)
+            estimates.note_answer(id, 0.06, NOW, "app")
+
+
+@pytest.mark.parametrize("seconds", [1e30, 1e300, 1e-300])
+@pytest.mark.parametrize(("known", "notices"), [(0, 1), (1, 1), (200, 1), (200, 50)])
+@pytest.mark.parametrize("others", [("v", "w"), ("v", "w", "x", "y", "z")])
+def test_false_times_of_one_upstream_have_a_passing_effect(
+    seconds, known, notices, others
+):
+    """Guards against a sum that one false notice of an upstream spoils for good.
+
+    The upstreams `others` answer as usual; `known` of their answers come before it.
+    """
+    estimates = CapacityEstimates()
+    note_usual_answers(estimates, others, known)
+    notice = CapacityNotice("u", 1, 0, 1.0, milliseconds(5), 1, seconds)
+    for _ in range(notices):
+        estimates.apply_notices([notice], NOW, find_service=lambda id: "app")
+    for _ in range(1_000):
+        for id in others:
+            assert 1 / 2 <= estimates.lasting_factor(id) <= 2
+        note_usual_answers(estimates, ("u", *others), 1)
+    for id in ("u", *others):
+        assert estimates.lasting_factor(id) == pytest.approx(1.0, abs=0.05)
+    estimates.forget("u")
+    for id in others:
+        assert estimates.lasting_factor(id) == pytest.approx(1.0, abs=0.05)
