--- a/packages/mustardquay-node/src/mustardquay_node/service_shares.py
+++ b/packages/mustardquay-node/src/mustardquay_node/service_shares.py
@@ -24,6 +24,9 @@
 """Time between digests with uses: a fifteenth of the time in which uses decay."""
 MAX_NAMED = 24
 """Organisations that a digest names at most; their names take half of a datagram."""
+MAX_PLAIN_COUNTS = 32
+"""Upstreams whose plain requests a digest states at most, those with the most of them,
+so that digests don't grow with the number of upstreams."""
 MAX_COMPARED = 32
 """Upstreams by which it is estimated whether a service has free slots."""
 REPORT_LIFETIME = timedelta(milliseconds=300)
@@ -140,7 +143,8 @@
         """Return a digest with the plain requests of this gateway, and due uses."""
         now = self._clock.monotonic()
         plain = tuple(
-            EngineDigest(id, (), count) for id, count in self._in_flight.items()
+            EngineDigest(id, (), count)
+            for id, count in self._in_flight.most_common(MAX_PLAIN_COUNTS)
         )
         uses = ()
         sent_at = self._uses_sent_at
