--- a/packages/mustardquay/src/mustardquay/fair_shares/fleet_uses.py
+++ b/packages/mustardquay/src/mustardquay/fair_shares/fleet_uses.py
@@ -106,6 +106,8 @@
         known = self._reports.get(gateway)
         if known is None or order > known.order:
             self._reports[gateway] = _Report(order, tuple(uses), now)
+        # Shares aren't computed while no requests come, but reports still do.
+        self._expire(now)
 
     def find_standing(
         self, service: str, organisation: str, now: timedelta
--- a/packages/mustardquay/tests/test_fair_shares.py
+++ b/packages/mustardquay/tests/test_fair_shares.py
@@ -160,6 +160,19 @@
     assert uses[1] < 0.4 * uses[0] and uses[-1] == 0
 
 
+def test_reports_of_past_gateways_expire_without_requests():
+    """Guards against memory that grows with the restarts of gateways under new names.
+
+    No shares are computed at a gateway without requests.
+    """
+    fleet = FleetUses()
+    use = OrganisationUse("s", "a", 1.0, 1.0)
+    for number in range(1_000):
+        fleet.apply_report(f"g{number}", (1, 1), [use], at(number))
+    assert len(fleet._reports) <= 10
+    assert fleet.find_standing("s", "a", at(999)).use > 1.0
+
+
 def test_the_meter_is_bounded():
     """Guards against memory that grows with the number of organisations."""
     meter = UseMeter()
