--- a/packages/mustardquay/tests/test_fair_shares.py
+++ b/packages/mustardquay/tests/test_fair_shares.py
@@ -13,6 +13,7 @@
     FleetUses,
     OrganisationUse,
     PlainExpectation,
+    PlainQueues,
     PlainVerdict,
     ReturnPositions,
     UseMeter,
@@ -159,6 +160,19 @@
     assert uses[1] < 0.4 * uses[0] and uses[-1] == 0
 
 
+def test_reports_of_past_gateways_expire_without_requests():
+    """Guards against memory that grows with the restarts of gateways under new names.
+
+    No shares are computed at a gateway without requests.
+    """
+    fleet = FleetUses()
+    use = OrganisationUse("s", "a", 1.0, 1.0)
+    for number in range(1_000):
+        fleet.apply_report(f"g{number}", (1, 1), [use], at(number))
+    assert len(fleet._reports) <= 10
+    assert fleet.find_standing("s", "a", at(999)).use > 1.0
+
+
 def test_the_meter_is_bounded():
     """Guards against memory that grows with the number of organisations."""
     meter = UseMeter()
@@ -200,6 +214,8 @@
         for is_return in (True, False)
     ]
     assert order == sorted(order, reverse=True) and min(order) > 0
+    # A wait beyond the bound ends after the target.
+    assert max(order) == 1.0
 
 
 @pytest.mark.parametrize(
@@ -220,6 +236,45 @@
     assert found is verdict
 
 
+def judge_at_full_upstream(queues):
+    """Judge a request behind twelve others at an upstream with six slots."""
+    expected = queues.expect("s", 12, 6)
+    return judge_plain(expected, TARGET, at(0), LEFT, 1.0)
+
+
+def test_one_long_first_answer_refuses_no_request():
+    """Guards against refusals that rely on a single answer, and a slow recovery."""
+    queues = PlainQueues()
+    queues.learn("s", 20.0, 0, 6)
+    assert judge_at_full_upstream(queues).is_admitted
+    for _ in range(20):
+        queues.learn("s", 0.06, 0, 6)
+        assert judge_at_full_upstream(queues).is_admitted
+    assert 0.05 < queues.expect("s", 0, 6).work < 0.2
+
+
+def test_one_long_answer_changes_the_known_work_by_little():
+    """Guards against a stream or a slow caller whose answer counts without a bound."""
+    queues = PlainQueues()
+    for _ in range(20):
+        queues.learn("s", 0.06, 0, 6)
+    queues.learn("s", 1e9, 0, 6)
+    assert queues.expect("s", 0, 6).work < 0.1
+    assert judge_at_full_upstream(queues).is_admitted
+
+
+@pytest.mark.parametrize("first", [0.0, 0.01])
+def test_work_that_has_become_longer_is_learned(first):
+    """Guards against a bound of the samples that keeps the known work too short."""
+    queues = PlainQueues()
+    for _ in range(20):
+        queues.learn("s", first, 0, 6)
+    for _ in range(100):
+        queues.learn("s", 1.0, 0, 6)
+    assert queues.expect("s", 0, 6).work > 0.9
+    assert judge_at_full_upstream(queues) is PlainVerdict.NO_ROOM
+
+
 def test_returns_are_spread_in_the_order_of_refusals():
     """Guards against refused callers that all return at once."""
     positions = ReturnPositions()
@@ -234,6 +289,16 @@
     assert positions.take("s", 1, at(0.1), at(0.3), at(2)) <= at(0.1)
 
 
+@pytest.mark.parametrize("idle", [60, 100, 1_480, 100_000])
+def test_a_refusal_long_after_the_last_admission_has_a_delay(idle):
+    """Guards against an interval beyond the range of `timedelta`, which failed it."""
+    positions = ReturnPositions()
+    positions.note_admitted("s", 1, at(1))
+    for _ in range(2):
+        delay = positions.take("s", 1, at(0.1), LEFT, at(1 + idle))
+        assert at(0.1) <= delay <= LEFT / 3
+
+
 def test_a_decision_takes_less_than_a_millisecond():
     """Guards against a gateway that is busy with shares: the mean of many decisions.
 
