Don't confirm lists by lower versions of later reads

After a restore without a new era, notices of the restored store seemed to be included in the list, so it stayed stale and counted as confirmed. The gateway now reads the store itself. Reads that began within half a second of each other may have overlapped and end in either order; a lower version of such a read confirms nothing, but causes no read.

--- a/packages/mustardquay/src/mustardquay/list_readers/list_followers.py
+++ b/packages/mustardquay/src/mustardquay/list_readers/list_followers.py
@@ -16,6 +16,9 @@
 
 MAX_PENDING = 64
 """Notices of which some parts are missing; a reader sends a few each second."""
+READ_OVERLAP = timedelta(seconds=0.5)
+"""Time between the beginnings of two reads after which the later one can't return an
+earlier state. Reads that overlap may do so, and slow ones take some 0.3 s."""
 
 
 class NoticeUse(StrEnum):
@@ -28,9 +31,11 @@
     GAP = "gap"
     """Changes before the notice's base are missing; the rows can be used."""
     NEWER_ERA = "newer_era"
-    """The store was restored from a copy; the list must be read from it."""
+    """The store was restored from a copy, with a newer era or with a lower version than
+    it had before; the list must be read from it."""
     IGNORED = "ignored"
-    """From before a restore of the store, or there is no list yet."""
+    """From before a restore of the store, there is no list yet, or the read may have
+    overlapped with one that returned a higher version."""
 
 
 @dataclass(slots=True)
@@ -60,13 +65,19 @@
         """Note a read of this gateway.
 
         A version that is lower than that of the read before is from a store that was
-        restored without a new era.
+        restored without a new era. So is a lower one of a whole read that began after
+        the newest confirmation.
         """
         known = self._position
         is_reset = (
             known is None
             or read.position.era != known.era
             or (read.before is not None and read.position.version < read.before.version)
+            or (
+                read.is_whole
+                and read.position.version < known.version
+                and self._is_after_confirmation(read.begun_at)
+            )
         )
         if is_reset or read.position.version > known.version:
             self._position = read.position
@@ -86,6 +97,12 @@
             return NoticeUse.NEWER_ERA, ()
         rows = [row for row in notice.rows if known.version < row.version]
         rows = [row for row in rows if row.version <= notice.version]
+        if notice.version < known.version and self._is_after_confirmation(at):
+            # Guards against a store restored without a new era, whose versions all seem
+            # to be included in the list.
+            is_overlapping = not self._is_after_confirmation(at - READ_OVERLAP)
+            use = NoticeUse.IGNORED if is_overlapping else NoticeUse.NEWER_ERA
+            return use, rows
         if not self._is_complete(notice):
             return NoticeUse.PARTIAL, rows
         if notice.base > known.version:
@@ -98,6 +115,10 @@
     def _confirm(self, at: timedelta) -> None:
         self._confirmed_at = max(at, self._confirmed_at or at)
 
+    def _is_after_confirmation(self, begun_at: timedelta) -> bool:
+        """Return whether a read began after the newest one that confirmed the list."""
+        return self._confirmed_at is not None and begun_at > self._confirmed_at
+
     def _is_complete(self, notice: ListNotice) -> bool:
         """Return whether this is the last missing part of a notice."""
         if notice.parts == 1:
--- a/packages/mustardquay/tests/test_list_readers.py
+++ b/packages/mustardquay/tests/test_list_readers.py
@@ -278,6 +278,43 @@
     assert follower.position == StorePosition(1, 5)
 
 
+def test_a_lower_version_of_a_later_read_confirms_nothing():
+    """Guards against a stale list that counts as confirmed after a restore.
+
+    The store was restored without a new era, so its versions are below the position.
+    """
+    follower = make_follower(version=1000)
+    drain = ListRow("e1", b"", 905)
+    notice = make_notice(base=900, version=905, rows=[drain])
+    assert follower.take(notice, SECOND) == (NoticeUse.NEWER_ERA, [])
+    assert follower.position == StorePosition(1, 1000)
+    assert follower.confirmed_at == timedelta()
+
+
+def test_a_lower_version_of_an_overlapping_read_causes_no_read():
+    """Guards against needless reads: overlapping reads end in either order."""
+    follower = make_follower(version=1000)
+    notice = make_notice(base=900, version=999)
+    assert follower.take(notice, STEP) == (NoticeUse.IGNORED, [])
+    assert follower.confirmed_at == timedelta()
+    assert follower.take(notice, timedelta())[0] is NoticeUse.CONFIRMS
+
+
+def test_a_whole_read_after_the_newest_confirmation_resets_the_position():
+    """Guards against a position that stays above all versions of a restored store.
+
+    A whole read that is not continued from a position has no version to compare with.
+    """
+    follower = make_follower(version=1000)
+    follower.take(make_notice(base=1000, version=1010), SECOND)
+    follower.note_read(make_read(None, 905, is_whole=True, begun_at=SECOND))
+    assert follower.position == StorePosition(1, 1010)
+    follower.note_read(make_read(None, 905, is_whole=True, begun_at=SECOND + STEP))
+    assert follower.position == StorePosition(1, 905)
+    later = make_notice(base=900, version=906)
+    assert follower.take(later, 2 * SECOND)[0] is NoticeUse.CONFIRMS
+
+
 def test_a_read_in_flight_does_not_move_the_position_back():
     follower = make_follower()
     follower.take(make_notice(base=10, version=30), SECOND)
