Tell the parts of a restarted list reader's notices apart

Numbers of notices start anew with a restarted reader, so one part of a new notice seemed complete beside those of an earlier one. Parts are joined only if they agree in era, versions and number of parts, and are forgotten once the notice is complete.

--- a/packages/mustardquay/src/mustardquay/list_readers/list_followers.py
+++ b/packages/mustardquay/src/mustardquay/list_readers/list_followers.py
@@ -38,9 +38,19 @@
     overlapped with one that returned a higher version."""
 
 
-@dataclass(slots=True)
-class _Pending:
-    missing: set[int]
+@dataclass(frozen=True, slots=True)
+class _NoticeKey:
+    """What all parts of one notice have in common.
+
+    The number alone doesn't tell notices apart: it starts anew with the sender.
+    """
+
+    sender: str
+    number: int
+    era: int
+    base: int
+    version: int
+    parts: int
 
 
 class ListFollower:
@@ -49,7 +59,8 @@
     def __init__(self) -> None:
         self._position: StorePosition | None = None
         self._confirmed_at: timedelta | None = None
-        self._pending: dict[tuple[str, int], _Pending] = {}
+        self._pending: dict[_NoticeKey, set[int]] = {}
+        """The missing parts of incomplete notices."""
 
     @property
     def position(self) -> StorePosition | None:
@@ -123,11 +134,19 @@
         """Return whether this is the last missing part of a notice."""
         if notice.parts == 1:
             return True
-        key = (notice.sender, notice.number)
-        if key not in self._pending:
-            self._pending[key] = _Pending(set(range(notice.parts)))
-            while len(self._pending) > MAX_PENDING:
-                self._pending.pop(next(iter(self._pending)))
-        missing = self._pending[key].missing
+        key = _NoticeKey(
+            notice.sender,
+            notice.number,
+            notice.era,
+            notice.base,
+            notice.version,
+            notice.parts,
+        )
+        missing = self._pending.setdefault(key, set(range(notice.parts)))
         missing.discard(notice.part)
-        return not missing
+        if not missing:
+            del self._pending[key]
+            return True
+        while len(self._pending) > MAX_PENDING:
+            self._pending.pop(next(iter(self._pending)))
+        return False
--- a/packages/mustardquay/tests/test_list_readers.py
+++ b/packages/mustardquay/tests/test_list_readers.py
@@ -254,6 +254,37 @@
     assert follower.take(parts[1], SECOND)[0] is NoticeUse.CONFIRMS
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [{}, {"base": 8}, {"version": 16}, {"number": 2}, {"sender": "g2"}, {"parts": 4}],
+)
+def test_parts_of_an_earlier_notice_do_not_complete_another(changes):
+    """Guards against a list that lacks rows after a list reader has restarted.
+
+    Its numbers start anew, so that a notice can have the number of an earlier one.
+    """
+    follower = make_follower()
+    notice = {"base": 9, "version": 15, "parts": 3}
+    for part in range(3):
+        use, _ = follower.take(make_notice(**notice, part=part), SECOND)
+    assert use is NoticeUse.CONFIRMS
+    for part in range(2):
+        again = make_notice(**notice | changes, part=part)
+        assert follower.take(again, SECOND)[0] is NoticeUse.PARTIAL
+
+
+@pytest.mark.parametrize("changes", [{"base": 8}, {"version": 16}, {"parts": 4}])
+def test_parts_of_two_notices_with_one_number_are_not_joined(changes):
+    """Guards against a restarted list reader whose notice has a number used before."""
+    follower = make_follower()
+    notice = {"base": 9, "version": 15, "parts": 3}
+    for part in range(2):
+        follower.take(make_notice(**notice, part=part), SECOND)
+    last = make_notice(**notice | changes, part=2)
+    assert follower.take(last, SECOND)[0] is NoticeUse.PARTIAL
+    assert follower.position.version == 10
+
+
 def test_rows_before_the_position_are_no_news():
     """Guards against a draining upstream that a late notice shows as ready."""
     follower = make_follower(version=20)
