Refuse inconsistent notices of list readers

A damaged datagram could announce 65535 parts or a range that goes backwards. The limit of 11 parts is what the longest notice of a reader needs.

--- a/packages/mustardquay-node/src/mustardquay_node/list_relays/frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/list_relays/frames.py
@@ -17,6 +17,9 @@
 LAYOUT = 1
 PART_BYTES = 1_050
 """Bytes of rows in one datagram, which stays below 1400 bytes when it is packed."""
+MAX_PARTS = 11
+"""Datagrams of one notice. Two successive ones have more than `PART_BYTES` of rows, and
+a notice has at most the 6000 bytes of `change_windows.MAX_BYTES`."""
 MAX_MS = 2**32 - 1
 
 
@@ -30,10 +33,11 @@
 
 
 def decode_notice(data: bytes) -> ListNotice | None:
-    """Return the notice of a datagram, or None if it can't be decoded."""
+    """Return the notice of a datagram, or None if it is damaged."""
     try:
         read = SCHEMA.Notice.from_bytes_packed(data[len(NOTICE_PREFIX) :])
-        if read.layout != LAYOUT or not read.part < read.parts:
+        is_valid = read.part < read.parts <= MAX_PARTS and read.base <= read.version
+        if read.layout != LAYOUT or not is_valid:
             return None
         return ListNotice(
             read.sender,
--- a/packages/mustardquay-node/tests/test_list_relays.py
+++ b/packages/mustardquay-node/tests/test_list_relays.py
@@ -21,10 +21,17 @@
 from mustardquay.clocks import VirtualClock
 from mustardquay.events import EventRing, HybridClock
 from mustardquay.list_readers import ListNotice, ListRow
+from mustardquay.list_readers.change_windows import MAX_BYTES, ROW_OVERHEAD
 from mustardquay.store_eras import StorePosition
 from mustardquay.upstream_lists import RESTORE_GRACE, ListSource, UpstreamList
 from mustardquay_node.adapters import StoreRow
 from mustardquay_node.list_relays import decode_notice, encode_notice
+from mustardquay_node.list_relays.frames import (
+    LAYOUT,
+    NOTICE_PREFIX,
+    PART_BYTES,
+    SCHEMA,
+)
 from mustardquay_node.upstream_list_updaters import UpstreamListUpdater
 
 BOUND = 1.5
@@ -195,13 +202,49 @@
 
 
 def test_damaged_datagrams_are_ignored():
-    """Guards against a datagram that ends the receiver or changes a list."""
+    """Guards against a datagram that ends the receiver, or has an impossible range."""
     data = encode_notice(ListNotice("g", 1, 1, 1, 2, timedelta(), make_rows(3, 100)))[0]
     random = Random(1)
-    for _ in range(300):
-        damaged = bytearray(data[: random.randrange(1, len(data) + 1)])
-        damaged[random.randrange(len(damaged))] = random.randrange(256)
-        decode_notice(bytes(damaged))
+    for _ in range(5_000):
+        end = random.randrange(1, len(data) + 1)
+        damaged = bytearray(data[:end])
+        damaged[random.randrange(end)] = random.randrange(256)
+        notice = decode_notice(bytes(damaged))
+        # Datagrams have no checksum of their own, so a changed value can't be found,
+        # but each notice that is not refused must be consistent.
+        assert notice is None or notice.part < notice.parts <= 11
+        assert notice is None or notice.base <= notice.version
+
+
+@pytest.mark.parametrize(
+    "part, parts, base, version, is_valid",
+    [
+        (0, 1, 7, 7, True),
+        (10, 11, 7, 8, True),
+        (0, 12, 7, 8, False),
+        (0, 65_535, 7, 8, False),
+        (0, 0, 7, 8, False),
+        (2, 2, 7, 8, False),
+        (0, 1, 8, 7, False),
+    ],
+)
+def test_inconsistent_notices_are_refused(part, parts, base, version, is_valid):
+    """Guards against parts without end and against ranges that go backwards."""
+    built = SCHEMA.Notice.new_message()
+    built.layout, built.sender = LAYOUT, "g"
+    built.part, built.parts = part, parts
+    built.base, built.version = base, version
+    data = NOTICE_PREFIX + built.to_bytes_packed()
+    assert (decode_notice(data) is not None) == is_valid
+
+
+def test_the_largest_notice_of_a_reader_is_read_back():
+    """Guards against a limit of parts below what a list reader sends."""
+    size = PART_BYTES // 2
+    rows = make_rows(MAX_BYTES // size, size - ROW_OVERHEAD - len("engine-000") + 1)
+    datagrams = encode_notice(ListNotice("g", 1, 1, 1, 99, timedelta(), rows))
+    assert len(datagrams) == 11
+    assert None not in [decode_notice(each) for each in datagrams]
 
 
 class UpdatedList:
