--- a/packages/mustardquay-node/tests/test_list_relays.py
+++ b/packages/mustardquay-node/tests/test_list_relays.py
@@ -201,9 +201,11 @@
     assert (parts[0].base, parts[0].version) == (notice.base, notice.version)
 
 
-def test_damaged_datagrams_are_ignored():
+@pytest.mark.parametrize("count", [0, 3])
+def test_damaged_datagrams_are_ignored(count):
     """Guards against a datagram that ends the receiver, or has an impossible range."""
-    data = encode_notice(ListNotice("g", 1, 1, 1, 2, timedelta(), make_rows(3, 100)))[0]
+    rows = make_rows(count, 100)
+    data = encode_notice(ListNotice("g", 1, 1, 1, 2, timedelta(), rows))[0]
     random = Random(1)
     for _ in range(5_000):
         end = random.randrange(1, len(data) + 1)
