--- a/packages/mustardquay/src/mustardquay/list_readers/reader_selection.py
+++ b/packages/mustardquay/src/mustardquay/list_readers/reader_selection.py
@@ -126,16 +126,6 @@
             candidate.failed = False
             self._is_outdated = True
 
-    def is_young(self, sender: str, now: timedelta) -> bool:
-        """Return whether a gateway's newest confirmation is young enough."""
-        candidate = self._candidates.get(sender)
-        at = candidate.confirmed_at if candidate else None
-        return at is not None and now - at <= self._timings.confirmed_limit
-
-    def list_heard(self, now: timedelta) -> list[str]:
-        """Return the gateways whose newest confirmation is young enough."""
-        return [name for name in self._candidates if self.is_young(name, now)]
-
     def update(self, now: timedelta, is_connected: bool) -> bool:
         """Select the list readers anew; return whether they changed.
 
