--- a/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
+++ b/packages/mustardquay-node/src/mustardquay_node/generation_planners.py
@@ -13,7 +13,6 @@
 from mustardquay.decoder_choices import choose_decoder, measure_decode_speeds
 from mustardquay.engine_models import EngineModels
 from mustardquay.engine_samples import make_sample
-from mustardquay.engine_speeds import begin_speeds
 from mustardquay.engine_states import (
     EngineStates,
     HashedPart,
@@ -59,8 +58,7 @@
         """Initialise without outstanding work.
 
         `note_change` is called whenever the outstanding work of this gateway changes.
-        With `load_reports`, the speeds of engines that report theirs are learned with
-        other gateways, and corrected by the reports.
+        With `load_reports`, speeds of engines that report theirs are learned, too.
         """
         self._random = random or Random(0)
         self._sample = make_sample(self._random, 1)
@@ -68,7 +66,7 @@
         self._upstreams = upstreams
         self._uplink = uplink or Uplink()
         self._models = models or EngineModels()
-        self._load_reports = load_reports
+        self._reports = loads.capacities if load_reports else None
         self._limits = limits or RateLimiter()
         self._states = EngineStates(
             loads, OutstandingWork(), PrefixCaches(), self._models, limits=self._limits
@@ -350,10 +348,6 @@
                 service.name, engine.steps_per_event, engine.copy_seconds
             )
 
-    def _begin_speeds(self, engine: UpstreamRecord) -> None:
-        if self._load_reports and self._models.speeds is None:
-            self._models.speeds = begin_speeds(self._states.loads.capacities, engine)
-
     def learn_prefill(self, ticket: Ticket, took: timedelta) -> None:
         """Learn from the duration of a prefill on another engine than the decoder.
 
@@ -363,7 +357,7 @@
         if ticket.rank >= LATE_RANK:
             return
         placement = ticket.placement
-        self._begin_speeds(placement.reader)
+        self._models.begin_speeds(self._reports, placement.reader)
         self._models.learn_prefill(
             placement.reader,
             placement.prefill,
@@ -377,7 +371,7 @@
         """Learn from the time from a generation's start to its first event."""
         placement = ticket.placement
         engine = placement.decoder
-        self._begin_speeds(engine)
+        self._models.begin_speeds(self._reports, engine)
         streams = self._states.works.sum_running(engine.id)
         seconds = took.total_seconds()
         now = self._clock.monotonic()
--- a/packages/mustardquay/src/mustardquay/engine_models.py
+++ b/packages/mustardquay/src/mustardquay/engine_models.py
@@ -18,7 +18,9 @@
     STREAM_SCALES,
     EnginePool,
 )
-from .engine_speeds import EngineFactor, EngineSpeeds
+from .engine_prefills import Prefill
+from .engine_speeds import EngineFactor, EngineSpeeds, begin_speeds
+from .upstream_capacity import CapacityEstimates
 from .upstream_lists import Stage, UpstreamRecord
 
 __all__ = ["PREFILL_SCALES", "STREAM_SCALES", "EngineModels", "PoolSpeeds", "Prefill"]
@@ -52,24 +54,6 @@
 can correct the coefficients."""
 
 
-@dataclass(frozen=True, slots=True)
-class Prefill:
-    """The work of an engine to prefill one prompt."""
-
-    new: int
-    """Tokens to compute."""
-    cached: int = 0
-    """Tokens before them that are cached or copied."""
-    copied: int = 0
-    """Tokens that are first copied from another engine."""
-
-    @property
-    def features(self) -> tuple[float, float, float, float]:
-        """Return the features of the model: constant, tokens, pairs, copied tokens."""
-        pairs = self.new * (self.cached + self.new / 2)
-        return (1.0, float(self.new), float(pairs), float(self.copied))
-
-
 @dataclass(frozen=True, slots=True)
 class PoolSpeeds:
     """The coefficients of a service's engines that a gateway shares with its peers."""
@@ -185,6 +169,16 @@
             return self.speeds.get_prefill(engine.service, engine.id, now)
         return self._get_pool(engine.service).factors.get(engine.id, now)
 
+    def begin_speeds(
+        self, capacities: CapacityEstimates | None, engine: UpstreamRecord
+    ) -> None:
+        """Learn speeds of single engines from now on if an engine reports its own.
+
+        `capacities` has the reports, None if they are not used.
+        """
+        if self.speeds is None and capacities is not None:
+            self.speeds = begin_speeds(capacities, engine)
+
     def learn_prefill(
         self,
         engine: UpstreamRecord,
