--- a/packages/mustardquay-node/src/mustardquay_node/gateway_contexts.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_contexts.py
@@ -10,12 +10,14 @@
 from mustardquay.usage import Source
 
 from .adapters import Adapter, StoreTables
+from .gateway_callers import GatewayCallers
+from .gateway_stops import GatewayStop, StopDependencies
 from .peers import PeerLink
 from .settings import UsageSettings
 from .stream_origins import OriginDependencies, OriginSubsystem
 from .usage import NOTICE_PREFIX, UsageDependencies, UsageSubsystem
 
-__all__ = ["GatewayContext", "make_origins", "make_usage"]
+__all__ = ["GatewayContext", "make_origins", "make_stop", "make_usage"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +53,27 @@
     return OriginSubsystem(deps)
 
 
+def make_stop(
+    context: GatewayContext,
+    availability_zone: str,
+    clock: Clock,
+    get_callers: Callable[[], GatewayCallers],
+) -> GatewayStop:
+    """Return the graceful stop, which ends the connections of callers."""
+    deps = StopDependencies(
+        name=context.name,
+        availability_zone=availability_zone,
+        clock=clock,
+        random=context.random,
+        events=context.events,
+        count_in_flight=lambda: get_callers().in_flight,
+        notify_peers=lambda: context.get_peers().send_now(),
+        end_keep_alive=lambda: get_callers().end_keep_alive(),
+        close_idle=lambda: get_callers().connections.close_idle(),
+    )
+    return GatewayStop(deps)
+
+
 def make_usage(
     context: GatewayContext,
     settings: UsageSettings,
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_peerings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_peerings.py
@@ -3,20 +3,17 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
-from random import Random
 
 from mustardquay.clocks import Clock
-from mustardquay.events import EventRing
 from mustardquay.peer_digests import PeerDigest
 
-from .adapters import Adapter
 from .configuration_loaders import ConfigurationLoader
 from .configuration_relays import ConfigurationRelay, RelayDependencies
 from .forwarder_dependencies import ForwardedRequest
+from .gateway_contexts import GatewayContext
 from .gateway_servers import GatewayServers, PeeringPorts
 from .generation_planners import GenerationPlanner
 from .peer_forwarding import PeerForwarder, PeerForwarderDependencies
-from .peers import PeerLink
 from .replies import Reply
 from .settings import GatewaySettings
 
@@ -27,13 +24,10 @@
 class PeeringDependencies:
     """Dependencies of `GatewayPeering`."""
 
-    adapter: Adapter
+    context: GatewayContext
     clock: Clock
-    random: Random
-    events: EventRing
     configurations: ConfigurationLoader
     planner: GenerationPlanner
-    peers: PeerLink
     servers: GatewayServers
     ports: PeeringPorts
     """Set by `start`, for the digests."""
@@ -93,15 +87,15 @@
         return ConfigurationRelay(
             RelayDependencies(
                 deps.clock,
-                deps.random,
-                deps.events,
+                deps.context.random,
+                deps.context.events,
                 self._settings.node.availability_zone,
                 get_version=lambda: deps.configurations.version,
                 measure_lag=lambda: deps.configurations.lag,
                 get_bound=deps.get_configuration_delay,
                 is_decoding=lambda: deps.configurations.is_decoding,
                 list_sources=lambda: deps.planner.get_peers().list_sources(),
-                find_host=deps.peers.find_host,
+                find_host=deps.context.get_peers().find_host,
                 apply=deps.configurations.apply_document,
             )
         )
@@ -111,12 +105,12 @@
         return PeerForwarder(
             PeerForwarderDependencies(
                 deps.clock,
-                deps.random,
-                deps.events,
+                deps.context.random,
+                deps.context.events,
                 self._settings.node.availability_zone,
                 self._settings.gateway.link_rate,
-                find_host=deps.peers.find_host,
-                build_headers=deps.adapter.build_peer_headers,
+                find_host=deps.context.get_peers().find_host,
+                build_headers=deps.context.adapter.build_peer_headers,
                 count=deps.count_forwarded,
             )
         )
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -29,14 +29,14 @@
 from .forwarders import Forwarder
 from .gateway_callers import GatewayCallers
 from .gateway_checks import GatewayChecks
-from .gateway_contexts import GatewayContext, make_origins, make_usage
+from .gateway_contexts import GatewayContext, make_origins, make_stop, make_usage
 from .gateway_engines import EngineDependencies, GatewayEngines
 from .gateway_feeds import FeedDependencies, GatewayFeeds
 from .gateway_gauges import GaugeSources, make_gauges
 from .gateway_metrics import GatewayMetrics
 from .gateway_peerings import GatewayPeering, PeeringDependencies
 from .gateway_servers import GatewayServers, PeeringPorts
-from .gateway_stops import GatewayStop, StopDependencies, warn_of_short_drain
+from .gateway_stops import warn_of_short_drain
 from .gateway_upstreams import GatewayUpstreams, UpstreamDependencies
 from .memory_guards import MemoryOptions
 from .peers import PeerLink
@@ -86,7 +86,9 @@
         )
         self._origins = make_origins(self._context, self.list_upstreams)
         self._gate = ConnectionGate(self._random)
-        self._stop = self._make_stop()
+        self._stop = make_stop(
+            self._context, node.availability_zone, self._clock, lambda: self._callers
+        )
         self._forwarder = Forwarder(self._make_forwarder_dependencies())
         self._list_updater = UpstreamListUpdater(
             self._adapter,
@@ -239,21 +241,6 @@
         )
         return GatewayUpstreams(self._settings, deps)
 
-    def _make_stop(self) -> GatewayStop:
-        node = self._settings.node
-        deps = StopDependencies(
-            name=node.name,
-            availability_zone=node.availability_zone,
-            clock=self._clock,
-            random=self._random,
-            events=self._events,
-            count_in_flight=lambda: self._callers.in_flight,
-            notify_peers=lambda: self._peers.send_now(),
-            end_keep_alive=lambda: self._callers.end_keep_alive(),
-            close_idle=lambda: self._connections.close_idle(),
-        )
-        return GatewayStop(deps)
-
     def _make_forwarder_dependencies(self) -> ForwarderDependencies:
         return ForwarderDependencies(
             adapter=self._adapter,
@@ -339,13 +326,10 @@
 
     def _make_peering(self) -> GatewayPeering:
         deps = PeeringDependencies(
-            self._adapter,
+            self._context,
             self._clock,
-            self._random,
-            self._events,
             self._configurations,
             self._upstreams.planner,
-            self._peers,
             self._servers,
             self._ports,
             lambda: self._settings.bounds.configuration_delay,
