Count a list as confirmed up to the end of a held read

Cause: the list of upstreams changes only with what upstreams say, not with their heartbeats, so that the store holds most reads for their whole wait of 0.3 s.

Change: a read without rows that was held for its whole wait confirms the list up to the end of the wait, as the store answers no sooner.

Tests: the new test had ages of 0.35 s before and has 0.05 s.

--- a/packages/mustardquay-node/src/mustardquay_node/feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/feeds.py
@@ -55,7 +55,8 @@
     page: FeedPage
     is_whole: bool
     """Whether these are all rows that the store has."""
-    begun_at: timedelta
+    confirmed_at: timedelta
+    """The store had this state then or later."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +81,8 @@
     page: FeedPage
     is_whole: bool
     """Whether these are all rows of the table, not only those that changed."""
-    begun_at: timedelta
+    confirmed_at: timedelta
+    """The store had this state then or later."""
 
 
 class TableFeed:
@@ -240,7 +242,7 @@
             self._position = None
             raise
         before, self._applied_position = self._applied_position, position
-        read = FeedRead(before, found.page, found.is_whole, found.begun_at)
+        read = FeedRead(before, found.page, found.is_whole, found.confirmed_at)
         self._listener.on_read(read)
 
     async def _pass_on(self, rows: Sequence[StoreRow], is_whole: bool) -> None:
@@ -269,10 +271,23 @@
         begun_at = self._clock.monotonic()
         if is_first and position is not None and not self._is_grace_over():
             page = await self._store.follow(table, position.version, options)
-            return _ReadResult(page, False, begun_at)
+            return _ReadResult(
+                page, False, self._find_confirmed(begun_at, page, options)
+            )
         page = await self._store.list_rows(table, options)
         return _ReadResult(page, True, begun_at)
 
+    def _find_confirmed(
+        self, begun_at: timedelta, page: FeedPage, options: ReadOptions
+    ) -> timedelta:
+        """Return a time at which the store had the state of a page, or a newer one.
+
+        A call without a change is answered once the store has held it, so that the
+        state is as young as the end of that time.
+        """
+        was_held = self._clock.monotonic() - begun_at >= options.wait
+        return begun_at + options.wait if was_held and not page.rows else begun_at
+
     def _is_grace_over(self) -> bool:
         return (
             self._grace_until is not None
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_feeds.py
@@ -28,9 +28,9 @@
 """Pause between reads, as a share of the time in which a leaving upstream must be
 noticed: the list changes with each heartbeat, and each read is a call to the store."""
 UPSTREAMS_WAIT_SHARE = 0.1
-"""How long the store holds a read at most, as a share of the same time. Heartbeats
-change the list many times a second, so that a longer wait saves no calls, but a
-connection that has gone silent is noticed that much later."""
+"""How long the store holds a read at most, as a share of the same time. A longer wait
+would save calls while nothing changes, but a connection that has gone silent is noticed
+that much later."""
 UPSTREAMS_HEDGE_SHARE = 0.14
 """Silence of a read after which another one is started, as a share of the same time:
 with the pause and the wait before it, a record read by the second one is known within
--- a/packages/mustardquay-node/src/mustardquay_node/list_relays/list_relays.py
+++ b/packages/mustardquay-node/src/mustardquay_node/list_relays/list_relays.py
@@ -207,9 +207,10 @@
     def _note_read(self, read: FeedRead) -> None:
         page = read.page
         rows = tuple(self._decode(row) for row in page.rows)
-        noted = ListRead(read.before, page.position, rows, read.is_whole, read.begun_at)
+        at = read.confirmed_at
+        noted = ListRead(read.before, page.position, rows, read.is_whole, at)
         self._follower.note_read(noted)
-        self._decider.note_read(read.begun_at)
+        self._decider.note_read(at)
         self._window.note_read(noted)
         if self._reason is ReadReason.READER:
             self._send_notice()
--- a/packages/mustardquay-node/tests/test_gateway_feeds.py
+++ b/packages/mustardquay-node/tests/test_gateway_feeds.py
@@ -125,3 +125,29 @@
     follow(loop, FailingStore(loop, CHANGES_AT), listener)
     [outage] = outages
     assert timedelta() < outage < MIN_EXPIRY_OUTAGE
+
+
+class HoldingStore:
+    """Holds each call without a change for as long as the caller waits."""
+
+    async def list_rows(self, table, options):
+        await asyncio.sleep(0.05)
+        return FeedPage((), StorePosition(0, 1))
+
+    async def follow(self, table, after, options):
+        await asyncio.sleep(options.wait.total_seconds() + 0.05)
+        return FeedPage((), StorePosition(0, 1))
+
+
+def test_a_held_call_confirms_the_list_up_to_its_end():
+    """Guards against followers that read a list which a reader has just confirmed."""
+    loop = VirtualLoop()
+    ages = []
+
+    def note_read(read):
+        ages.append(loop.time() - read.confirmed_at.total_seconds())
+
+    listener = FeedListener(lambda rows, is_whole: None, on_read=note_read)
+    follow(loop, HoldingStore(), listener)
+    assert len(ages) > 5
+    assert max(ages) < 0.06
