Compute what a decoder does once for all prefill engines

A placement compares pairs of one decode engine with each prefill engine. The wait for a slot, the first event and the stream of the decoder were computed anew for each pair.

--- a/packages/mustardquay/src/mustardquay/placements.py
+++ b/packages/mustardquay/src/mustardquay/placements.py
@@ -170,6 +170,18 @@
         return self.states.models.expect_prefill(engine, prefill, self.now)
 
 
+@dataclass(frozen=True, slots=True)
+class _Decoding:
+    """What to expect of the answer on one engine, whichever engine prefills."""
+
+    engine: UpstreamRecord
+    running: int
+    """Streams on the engine."""
+    slot_wait: float
+    first_seconds: float
+    stream_seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class _PrefillPlan:
     """The cheapest way to prefill the prompt on one engine."""
@@ -217,7 +229,8 @@
     decoder = pick_decoder(fitting, states, now, prompt.output_tokens, keep_all)
     preferred = _choose_by_hash(parts, prefillers)
     candidates = _sample(prefillers, preferred, holder, sample)
-    pairs = [_make_pair(engine, decoder, preferred, query) for engine in candidates]
+    decoding = _expect_decoding(decoder, query)
+    pairs = [_make_pair(engine, decoding, preferred, query) for engine in candidates]
     pair = min(pairs, key=_get_cost)
     admissible = [each for each in singles if _may_prefill(each, states, now)]
     if not admissible:
@@ -302,23 +315,32 @@
     ).id
 
 
+def _expect_decoding(engine: UpstreamRecord, query: _Query) -> _Decoding:
+    states = query.states
+    running = states.works.sum_running(engine.id)
+    slot_wait = estimate_slot_wait(engine, states, query.now)
+    first = states.models.expect_first(engine, running, query.now)
+    stream = query.expect_stream(engine, running)
+    return _Decoding(engine, running, slot_wait, first + slot_wait, stream)
+
+
 def _make_single(engine: UpstreamRecord, query: _Query) -> Placement:
-    placement = _make_placement(engine, None, query)
-    running = query.states.works.sum_running(engine.id)
-    delay = STREAM_DELAY_SHARE * running * placement.prefill_seconds
+    decoding = _expect_decoding(engine, query)
+    placement = _make_placement(decoding, None, query)
+    delay = STREAM_DELAY_SHARE * decoding.running * placement.prefill_seconds
     return replace(placement, cost=placement.cost + delay)
 
 
 def _make_pair(
     engine: UpstreamRecord,
-    decoder: UpstreamRecord,
+    decoding: _Decoding,
     preferred: str,
     query: _Query,
 ) -> Placement:
-    placement = _make_placement(decoder, engine, query)
+    placement = _make_placement(decoding, engine, query)
     states = query.states
     extra = states.models.expect_overhead(engine.service)
-    extra += estimate_failure_cost(decoder, states, query.now)
+    extra += estimate_failure_cost(decoding.engine, states, query.now)
     if engine.id != preferred:
         shared = sum(tokens for _, tokens in query.parts[:-1])
         extra += AFFINITY_SHARE * query.expect_prefill(engine, Prefill(shared))
@@ -326,17 +348,14 @@
 
 
 def _make_placement(
-    decoder: UpstreamRecord, prefiller: UpstreamRecord | None, query: _Query
+    decoding: _Decoding, prefiller: UpstreamRecord | None, query: _Query
 ) -> Placement:
     """Return a placement with the cost terms that both kinds of placement share."""
-    states = query.states
+    states, decoder = query.states, decoding.engine
     reader = prefiller or decoder
     planned = _plan_prefill(reader, query)
     work = query.sum_work(reader)
-    running = states.works.sum_running(decoder.id)
-    first = states.models.expect_first(decoder, running, query.now)
-    slot_wait = estimate_slot_wait(decoder, states, query.now)
-    first += slot_wait
+    first = decoding.first_seconds
     reader_limit_wait = states.limits.predict_wait(reader, query.now)
     decoder_limit_wait = 0.0
     if prefiller is not None:
@@ -351,16 +370,16 @@
         holder=planned.holder,
         prefill_seconds=planned.seconds,
         wait_seconds=query.expect_wait(reader),
-        occupancy=running / max(decoder.slots, 1),
+        occupancy=decoding.running / max(decoder.slots, 1),
         first_seconds=first,
         cost=cost + estimate_failure_cost(reader, states, query.now),
         prefill=planned.prefill,
         work_seconds=work,
         usual_seconds=states.models.get_usual_prefill(reader, query.now),
-        stream_seconds=query.expect_stream(decoder, running),
+        stream_seconds=decoding.stream_seconds,
         reader_limit_wait=reader_limit_wait,
         decoder_limit_wait=decoder_limit_wait,
-        slot_wait=slot_wait,
+        slot_wait=decoding.slot_wait,
         lasting_factor=states.models.slowdown_factor(reader, query.now),
         current_factor=states.models.current_factor(reader.id, query.now),
     )
