Share code that stood in several places

Fourteen components cancelled their task with the same lines; they call cancel_task. UpstreamLoads says what an answer has reported while it is fresh, for plain choices and for shares of organisations, which had a lifetime of their own of the same length. UpstreamList returns the grace period after an outage, which the list relay computed again. Both kinds of engine factors bound their logarithms alike, both kinds of probes start alike, and one factor says from when an upstream counts as slow. Behaviour is unchanged; the tests are, too.

--- a/packages/mustardquay-node/src/mustardquay_node/cache_probes.py
+++ b/packages/mustardquay-node/src/mustardquay_node/cache_probes.py
@@ -16,7 +16,7 @@
 
 from .adapters import Adapter
 from .engine_calls import CallEngine, EngineCall
-from .loops import start_loop
+from .loops import cancel_task, start_loop
 
 __all__ = ["CacheProbe", "CacheProbeDependencies"]
 
@@ -57,9 +57,7 @@
 
     async def close(self) -> None:
         """Stop and wait for the task to end."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_task(self._task)
 
     async def _query_new_engines(self) -> None:
         for engine in self._deps.list_upstreams():
--- a/packages/mustardquay-node/src/mustardquay_node/configuration_relays/clients.py
+++ b/packages/mustardquay-node/src/mustardquay_node/configuration_relays/clients.py
@@ -17,6 +17,7 @@
 from mustardquay.events import EventRing
 
 from ..connections import ConnectionPool, Exchange, ExchangeEnd
+from ..loops import cancel_task
 from ..sleeps import Sleep, sleep as default_sleep
 from .documents import RelayedDocument, encode_query, read_document
 
@@ -69,9 +70,7 @@
 
     async def close(self) -> None:
         """Stop, also in the middle of a fetch."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_task(self._task)
 
     def note_behind(self) -> None:
         """Note that another gateway has a newer version in force."""
--- a/packages/mustardquay-node/src/mustardquay_node/configurations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/configurations.py
@@ -32,7 +32,7 @@
 from mustardquay.revisions import Configuration, Entry, apply_entry
 from mustardquay.tables import ObjectStore, Row, TableService
 
-from .loops import start_loop
+from .loops import cancel_task, start_loop
 
 __all__ = ["ConfigurationReplica", "configuration_changed"]
 
@@ -113,10 +113,7 @@
 
     async def close(self) -> None:
         """Stop polling."""
-        if self._task is None:
-            return
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_task(self._task)
         self._task = None
 
     async def poll(self) -> Row | None:
--- a/packages/mustardquay-node/src/mustardquay_node/controllers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/controllers.py
@@ -29,7 +29,7 @@
 
 from .configurations import ConfigurationReplica
 from .editors import EditCheck
-from .loops import start_loop
+from .loops import cancel_task, start_loop
 
 __all__ = [
     "Controller",
@@ -125,10 +125,8 @@
 
     async def close(self) -> None:
         """Stop and release the lease, so that another process can take it at once."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-            self._task = None
+        await cancel_task(self._task)
+        self._task = None
         transaction = self._lease.release()
         if transaction is None:
             return
--- a/packages/mustardquay-node/src/mustardquay_node/feeds.py
+++ b/packages/mustardquay-node/src/mustardquay_node/feeds.py
@@ -13,6 +13,7 @@
 
 from .adapters import FeedPage, HistoryLost, ReadOptions, StoreRow, StoreTables
 from .hedged_reads import HEDGE_DELAY, DiscardedRead, HedgeCallbacks, HedgedRead
+from .loops import cancel_task
 from .sleeps import Sleep, sleep as default_sleep
 
 __all__ = ["RESTORE_GRACE", "FeedListener", "FeedOptions", "FeedRead", "TableFeed"]
@@ -66,7 +67,7 @@
     on_rows: Callable[[Sequence[StoreRow], bool], Awaitable[None] | None]
     """Called with rows, and whether they are all rows of the table. The next read
     begins once it has ended."""
-    on_reconnected: Callable[[timedelta], None] = _do_nothing
+    on_reconnected: Callable[[timedelta], object] = _do_nothing
     """Called before the first rows after an outage, with the time without an answer."""
     on_restored: Callable[[], None] = _do_nothing
     """Called before the first rows after the store was restored from a copy."""
@@ -185,9 +186,7 @@
 
     async def close(self) -> None:
         """Stop following the table."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_task(self._task)
 
     async def _run(self) -> None:
         while True:
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -25,7 +25,7 @@
 from .descriptors import DescriptorGuard
 from .engine_calls import EngineCall, call_engine
 from .generation_planners import GenerationPlanner
-from .load_reporters import LoadReporter
+from .load_reporters import SLOW_FACTOR, LoadReporter
 from .memory_guards import find_socket_buffer
 from .service_shares import ServiceShares
 from .settings import BoundsSettings, GatewaySettings
@@ -33,9 +33,6 @@
 
 __all__ = ["GatewayUpstreams", "UpstreamDependencies"]
 
-SLOW_FACTOR = 1.5
-"""Current factor from which an engine counts as slow in the metrics."""
-
 
 @dataclass(frozen=True, slots=True)
 class UpstreamDependencies:
@@ -146,17 +143,16 @@
 
     def count_slow_engines(self) -> int:
         """Return how many engines report that work takes longer than usual."""
-        current = self._models.current_factor
-        return sum(current(id, self._now) > SLOW_FACTOR for id in self._list_engines())
+        now, current = self._now, self._models.current_factor
+        return sum(current(each.id, now) > SLOW_FACTOR for each in self._list_engines())
 
     def find_slowest_factor(self) -> float:
         """Return the lasting prefill factor of the slowest engine, 1 without any."""
-        engines = [self.list.get(id) for id in self._list_engines()]
-        factors = [self._models.slowdown_factor(each, self._now) for each in engines]
-        return max(factors, default=1.0)
+        now, lasting = self._now, self._models.slowdown_factor
+        return max((lasting(each, now) for each in self._list_engines()), default=1.0)
 
-    def _list_engines(self) -> list[str]:
-        return [each.id for each in self.list if each.stage is not Stage.NONE]
+    def _list_engines(self) -> list[UpstreamRecord]:
+        return [each for each in self.list if each.stage is not Stage.NONE]
 
     async def call_engine(
         self, engine: UpstreamRecord, call: EngineCall
--- a/packages/mustardquay-node/src/mustardquay_node/list_relays/list_relays.py
+++ b/packages/mustardquay-node/src/mustardquay_node/list_relays/list_relays.py
@@ -29,15 +29,11 @@
     ReadReason,
     ReadRow,
 )
-from mustardquay.upstream_lists import (
-    MIN_EXPIRY_OUTAGE,
-    RESTORE_GRACE,
-    UpstreamRecord,
-)
+from mustardquay.upstream_lists import UpstreamRecord
 
 from ..adapters import StoreRow
 from ..feeds import FeedListener, FeedRead, TableFeed
-from ..loops import start_loop
+from ..loops import cancel_task, start_loop
 from ..peers import Address
 from ..upstream_list_updaters import UpstreamListUpdater
 from .frames import decode_notice, encode_notice
@@ -129,9 +125,7 @@
 
     async def close(self) -> None:
         """Stop reading and sending notices."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_task(self._task)
         await self._feed.close()
 
     def note_era(self) -> None:
@@ -279,9 +273,9 @@
         )
 
     def _end_outage(self, duration: timedelta) -> None:
-        if duration >= MIN_EXPIRY_OUTAGE:
-            self._grace_until = self._now + RESTORE_GRACE
-        self._deps.updater.end_outage(duration)
+        grace_until = self._deps.updater.end_outage(duration)
+        if grace_until is not None:
+            self._grace_until = grace_until
 
     def _log_selection(self) -> None:
         self._deps.events.record(
--- a/packages/mustardquay-node/src/mustardquay_node/load_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/load_reporters.py
@@ -14,7 +14,7 @@
 from .adapters import AnswerFacts
 from .peers import MAX_PLACED_PARTS
 
-__all__ = ["LoadReporter"]
+__all__ = ["SLOW_FACTOR", "LoadReporter"]
 
 SLOW_FACTOR = 1.5
 """Current factor from which an upstream is shown and logged as slow: its requests take
--- a/packages/mustardquay-node/src/mustardquay_node/loops.py
+++ b/packages/mustardquay-node/src/mustardquay_node/loops.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from random import Random
 
-__all__ = ["start_loop"]
+__all__ = ["cancel_task", "start_loop"]
 
 logger = logging.getLogger(__name__)
 
@@ -26,6 +26,16 @@
     return asyncio.create_task(_repeat(step, interval, random))
 
 
+async def cancel_task(task: "asyncio.Task[None] | None") -> None:
+    """Cancel a background task, if there is one, and wait for its end.
+
+    Errors of the task are dropped, as nothing depends on it any more.
+    """
+    if task is not None:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
 async def _repeat(
     step: Callable[[], Awaitable[None] | None],
     interval: timedelta,
--- a/packages/mustardquay-node/src/mustardquay_node/reconcilers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/reconcilers.py
@@ -29,7 +29,7 @@
 from mustardquay.tables import Committed, Condition, TableService, Transaction, Write
 
 from .engines import EngineControl
-from .loops import start_loop
+from .loops import cancel_task, start_loop
 
 __all__ = ["Reconciler", "order_ended", "order_sent", "readiness_changed"]
 
@@ -124,10 +124,8 @@
 
     async def close(self) -> None:
         """Stop; the engine completes an order in progress."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-            self._task = None
+        await cancel_task(self._task)
+        self._task = None
         await self._engine.close()
 
     def poll_soon(self) -> None:
--- a/packages/mustardquay-node/src/mustardquay_node/service_shares.py
+++ b/packages/mustardquay-node/src/mustardquay_node/service_shares.py
@@ -29,8 +29,6 @@
 so that digests don't grow with the number of upstreams."""
 MAX_COMPARED = 32
 """Upstreams by which it is estimated whether a service has free slots."""
-REPORT_LIFETIME = timedelta(milliseconds=300)
-"""How long the load that an answer reports counts as that of its upstream."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,11 +72,8 @@
         """Return the requests of all gateways at a plain upstream."""
         own = self._in_flight[upstream.id]
         queue = own + self._count_peer_requests(upstream.id)
-        load = self._loads.get(upstream.id)
-        if load.reported_at is None:
-            return queue
-        is_fresh = self._clock.monotonic() - load.reported_at < REPORT_LIFETIME
-        return max(queue, load.reported) if is_fresh else queue
+        reported = self._loads.read_reported(upstream.id, self._clock.monotonic())
+        return max(queue, reported)
 
     def expect(self, upstream: UpstreamRecord) -> PlainExpectation:
         """Return what a plain request has to expect at an upstream now."""
--- a/packages/mustardquay-node/src/mustardquay_node/stage_controllers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stage_controllers.py
@@ -22,6 +22,7 @@
 from .adapters import Adapter, EngineReport, StoreTables
 from .engine_calls import CallEngine, EngineCall
 from .leadership import LeaseKeeper
+from .loops import cancel_task
 
 __all__ = ["StageController", "StageControllerDependencies"]
 
@@ -113,9 +114,7 @@
 
     async def close(self) -> None:
         """Stop without releasing the lease: another holder must wait out its term."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_task(self._task)
 
     def check_now(self) -> None:
         """Plan without waiting for the interval: a decoding engine starts to drain.
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/exchanges.py
@@ -15,7 +15,7 @@
 from mustardquay.clocks import Clock
 from mustardquay.streams import GatewayRing, OriginRecord, OriginTable, StreamOrigin
 
-from ..loops import start_loop
+from ..loops import cancel_task, start_loop
 from ..peers import Address
 from .frames import OriginMessage, decode_message, encode_message
 
@@ -74,9 +74,7 @@
 
     async def close(self) -> None:
         """Stop; other gateways keep what they have."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_task(self._task)
 
     def find(self, key: int) -> StreamOrigin | None:
         """Return the origin of a stream if this gateway knows it."""
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/saved_origins.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/saved_origins.py
@@ -21,7 +21,7 @@
 from mustardquay.tables import Transaction, Write
 
 from ..adapters import ReadOptions, StoreRow, StoreTables
-from ..loops import start_loop
+from ..loops import cancel_task, start_loop
 from .shared_reads import SharedRead
 
 __all__ = ["SAVED_TABLE", "SavedOriginDependencies", "SavedOrigins"]
@@ -80,9 +80,7 @@
 
     async def close(self) -> None:
         """Stop; the row stays, as streams that break off now are taken up elsewhere."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_task(self._task)
 
     async def read(self) -> None:
         """Read what all gateways have saved; does nothing if the store is away."""
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/version_markers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/version_markers.py
@@ -22,7 +22,7 @@
 from mustardquay.upstream_lists import UpstreamRecord
 
 from ..adapters import StoreTables
-from ..loops import start_loop
+from ..loops import cancel_task, start_loop
 from .shared_reads import SharedRead
 
 __all__ = ["MARKS_TABLE", "VersionMarkerDependencies", "VersionMarkers"]
@@ -72,9 +72,7 @@
 
     async def close(self) -> None:
         """Stop."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_task(self._task)
 
     def set_services(self, services: Sequence[str]) -> None:
         """Set the services whose streams can be resumed."""
--- a/packages/mustardquay-node/src/mustardquay_node/upstream_list_updaters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstream_list_updaters.py
@@ -58,9 +58,12 @@
         """
         self._restore_grace_until = self._clock.monotonic() + RESTORE_GRACE
 
-    def end_outage(self, duration: timedelta) -> None:
-        """Note that the store is back after an outage of some duration."""
-        self._upstreams.end_outage(duration, self._clock.monotonic())
+    def end_outage(self, duration: timedelta) -> timedelta | None:
+        """Note that the store is back after an outage of some duration.
+
+        Returns the end of the grace period that starts, None without one.
+        """
+        return self._upstreams.end_outage(duration, self._clock.monotonic())
 
     def extend_grace(self, left: timedelta) -> None:
         """Make the grace period of upstreams as long as that of list readers."""
--- a/packages/mustardquay-node/src/mustardquay_node/upstream_pollers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstream_pollers.py
@@ -12,7 +12,7 @@
 from mustardquay.messages import CacheEvents
 from mustardquay.works import Role
 
-from .loops import start_loop
+from .loops import cancel_task, start_loop
 from .upstreams import CallResult, UpstreamCall, UpstreamClient
 
 __all__ = ["UpstreamPoller", "UpstreamReport"]
@@ -82,9 +82,7 @@
 
     async def close(self) -> None:
         """Stop polling."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_task(self._task)
         self._client.close()
 
     def probe(self) -> "asyncio.Future[str]":
--- a/packages/mustardquay-node/src/mustardquay_node/upstream_pools.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstream_pools.py
@@ -1,7 +1,7 @@
 """Connection pools of upstreams, and retry windows of services."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from functools import partial
 
@@ -118,35 +118,45 @@
 
         Returns the task of the probe, which ends after `note_unreachable` was called.
         """
-        task = self._probes.get(upstream.id)
-        if task is None:
-            task = asyncio.create_task(self._probe(upstream))
-            self._probes[upstream.id] = task
-        return task
-
-    async def _probe(self, upstream: UpstreamRecord) -> None:
-        try:
-            await asyncio.sleep(PROBE_DELAY.total_seconds())
-            result = await self.get_pool(upstream).probe()
-            if result in (ConnectResult.REFUSED, ConnectResult.TIMED_OUT):
-                self._note_unreachable(upstream.id)
-        finally:
-            del self._probes[upstream.id]
+        return self._start_probe(self._probes, upstream, self._probe)
 
     def probe_silent(self, upstream: UpstreamRecord) -> "asyncio.Task[None]":
         """Probe an upstream that is silent while its connections are open.
 
         Returns the task of the probe, which ends after `note_probed` was called.
         """
-        task = self._silence_probes.get(upstream.id)
+        return self._start_probe(self._silence_probes, upstream, self._probe_silent)
+
+    def _start_probe(
+        self,
+        running: "dict[str, asyncio.Task[None]]",
+        upstream: UpstreamRecord,
+        probe: Callable[[UpstreamRecord], Awaitable[None]],
+    ) -> "asyncio.Task[None]":
+        """Return the running probe of an upstream, a new one if there is none."""
+        task = running.get(upstream.id)
         if task is None:
-            task = asyncio.create_task(self._probe_silent(upstream))
-            self._silence_probes[upstream.id] = task
+            task = asyncio.create_task(self._run_probe(running, upstream, probe))
+            running[upstream.id] = task
         return task
 
-    async def _probe_silent(self, upstream: UpstreamRecord) -> None:
+    async def _run_probe(
+        self,
+        running: "dict[str, asyncio.Task[None]]",
+        upstream: UpstreamRecord,
+        probe: Callable[[UpstreamRecord], Awaitable[None]],
+    ) -> None:
         try:
-            result = await self.get_pool(upstream).probe()
-            self._note_probed(upstream.id, result)
+            await probe(upstream)
         finally:
-            del self._silence_probes[upstream.id]
+            del running[upstream.id]
+
+    async def _probe(self, upstream: UpstreamRecord) -> None:
+        await asyncio.sleep(PROBE_DELAY.total_seconds())
+        result = await self.get_pool(upstream).probe()
+        if result in (ConnectResult.REFUSED, ConnectResult.TIMED_OUT):
+            self._note_unreachable(upstream.id)
+
+    async def _probe_silent(self, upstream: UpstreamRecord) -> None:
+        result = await self.get_pool(upstream).probe()
+        self._note_probed(upstream.id, result)
--- a/packages/mustardquay-node/src/mustardquay_node/usage/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/usage/exchanges.py
@@ -13,6 +13,7 @@
 from mustardquay.clocks import Clock
 from mustardquay.usage import ReportLog, Source, UsageLedger, WindowUsage
 
+from ..loops import cancel_task
 from .frames import UsageNotice, decode_notice, encode_notice
 from .recorders import UsageRecorder
 from .true_clocks import TrueClock
@@ -74,9 +75,7 @@
 
     async def close(self) -> None:
         """Send what was counted and stop; nothing may be counted after this."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_task(self._task)
         ended = self._deps.recorder.close_windows(SENT_WINDOWS)
         self._send_windows([*ended, *self._deps.recorder.close_current()])
 
--- a/packages/mustardquay-node/src/mustardquay_node/usage/reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/usage/reporters.py
@@ -26,6 +26,7 @@
 
 from ..adapters import DutyAuthority, StoreTables
 from ..leadership import LeaseKeeper
+from ..loops import cancel_task
 from .duty_clients import DutyClient, DutyResult
 from .exchanges import UsageExchange
 from .true_clocks import TrueClock
@@ -92,9 +93,7 @@
 
     async def close(self) -> None:
         """Stop without releasing the lease: another holder must wait out its term."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_task(self._task)
         self._deps.client.close()
 
     def note_era(self) -> None:
--- a/packages/mustardquay/src/mustardquay/engine_speeds/engine_factors.py
+++ b/packages/mustardquay/src/mustardquay/engine_speeds/engine_factors.py
@@ -10,12 +10,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
-from math import exp, isfinite, log
+from math import exp, isfinite
 
 from ..upstream_capacity import CapacityEstimates
 from ..upstream_lists import UpstreamRecord
 from .evidence import Evidence
-from .own_factors import FACTOR_BOUND
+from .own_factors import bound_logarithm, find_logarithm
 
 __all__ = ["EngineFactor", "EngineSpeeds", "begin_speeds"]
 
@@ -119,7 +119,7 @@
         known, other = engine.prefill.weight, min(engine.decode.weight, 1.0)
         total = known * (engine.prefill.mean - mean.prefill)
         total += other * (engine.decode.mean - mean.decode)
-        return exp(_bound(total / (known + other + PRIOR_SAMPLES)))
+        return exp(bound_logarithm(total / (known + other + PRIOR_SAMPLES)))
 
     def get_decode(self, service: str, id: str, now: timedelta) -> float:
         """Return the lasting factor of an engine's decode steps."""
@@ -131,7 +131,7 @@
         engine.decode.fade(now)
         weight = engine.decode.weight
         total = weight * (engine.decode.mean - mean.decode) + OTHER_SAMPLES * machine
-        return exp(_bound(total / (weight + OTHER_SAMPLES)))
+        return exp(bound_logarithm(total / (weight + OTHER_SAMPLES)))
 
     def count_samples(self, id: str, now: timedelta) -> float:
         """Return the weight of the prefill times known of an engine."""
@@ -149,7 +149,7 @@
         The time is already divided by the current factor. `weight` is at most 1.
         """
         engine = self._get_engine(service, id)
-        value = _bound_log(ratio)
+        value = find_logarithm(ratio)
         engine.prefill.fade(now)
         is_known = engine.prefill.weight >= MIN_KNOWN
         if is_known and value > engine.prefill.mean + ABOVE_LOG:
@@ -163,7 +163,7 @@
     ) -> None:
         """Record decode steps that took `ratio` times as long as on the mean engine."""
         engine = self._get_engine(service, id)
-        value = _bound_log(ratio)
+        value = find_logarithm(ratio)
         engine.decode.add(value, weight, now)
         engine.own_decode.add(value, weight, now)
         self._note_measured(engine, id, now)
@@ -295,12 +295,4 @@
     if not (isfinite(factor) and isfinite(samples)) or factor <= 0 or samples < 0:
         return None
     weight = min(samples, MAX_SAMPLES)
-    return Evidence(weight, weight * _bound_log(factor), now)
-
-
-def _bound_log(ratio: float) -> float:
-    return _bound(log(max(ratio, 1e-3)))
-
-
-def _bound(logarithm: float) -> float:
-    return max(min(logarithm, FACTOR_BOUND), -FACTOR_BOUND)
+    return Evidence(weight, weight * find_logarithm(factor), now)
--- a/packages/mustardquay/src/mustardquay/engine_speeds/own_factors.py
+++ b/packages/mustardquay/src/mustardquay/engine_speeds/own_factors.py
@@ -8,7 +8,7 @@
 from datetime import timedelta
 from math import exp, log
 
-__all__ = ["FACTOR_BOUND", "OwnFactors"]
+__all__ = ["OwnFactors", "bound_logarithm", "find_logarithm"]
 
 FACTOR_WEIGHT = 0.15
 """Weight of the newest answer in the factor of an engine that was faster than expected;
@@ -56,10 +56,9 @@
     def learn(self, id: str, ratio: float, now: timedelta) -> None:
         """Record the ratio of a measured to an expected time."""
         factor = self._factors.setdefault(id, _Factor(at=now))
-        error = max(min(log(max(ratio, 1e-3)), FACTOR_BOUND), -FACTOR_BOUND)
+        error = find_logarithm(ratio)
         weight = FACTOR_WEIGHT if error < 0 else FACTOR_WEIGHT_ABOVE
-        value = factor.decay(now) + weight * error
-        factor.logarithm = max(min(value, FACTOR_BOUND), -FACTOR_BOUND)
+        factor.logarithm = bound_logarithm(factor.decay(now) + weight * error)
         factor.at = now
         self._averaged_at = None
 
@@ -79,3 +78,13 @@
             self._average = sum(faded) / len(faded)
             self._averaged_at = now
         return self._average
+
+
+def find_logarithm(ratio: float) -> float:
+    """Return the logarithm of a measured ratio, within the bounds of a factor."""
+    return bound_logarithm(log(max(ratio, 1e-3)))
+
+
+def bound_logarithm(logarithm: float) -> float:
+    """Return the logarithm of a factor within its bounds."""
+    return max(min(logarithm, FACTOR_BOUND), -FACTOR_BOUND)
--- a/packages/mustardquay/src/mustardquay/upstream_lists.py
+++ b/packages/mustardquay/src/mustardquay/upstream_lists.py
@@ -145,15 +145,18 @@
             return False
         return not self._is_leaving(listed.record)
 
-    def end_outage(self, duration: timedelta, now: timedelta) -> None:
+    def end_outage(self, duration: timedelta, now: timedelta) -> timedelta | None:
         """Start the grace period after an outage in which records may have expired.
 
-        A shorter one starts none. Guards against a gateway that fails to reach the
-        store once while an upstream leaves: it would keep the removed record, and send
-        to that upstream for seconds after all others stopped.
+        Returns its end; None after a shorter outage, which starts none. Guards against
+        a gateway that fails to reach the store once while an upstream leaves: it would
+        keep the removed record, and send to that upstream for seconds after all others
+        stopped.
         """
-        if duration >= MIN_EXPIRY_OUTAGE:
-            self._grace_until = now + RESTORE_GRACE
+        if duration < MIN_EXPIRY_OUTAGE:
+            return None
+        self._grace_until = now + RESTORE_GRACE
+        return self._grace_until
 
     def extend_grace(self, until: timedelta) -> None:
         """Make the grace period last until a time at least."""
--- a/packages/mustardquay/src/mustardquay/upstream_loads.py
+++ b/packages/mustardquay/src/mustardquay/upstream_loads.py
@@ -191,6 +191,13 @@
         load.reported = running + waiting
         load.reported_at = now
 
+    def read_reported(self, id: str, now: timedelta) -> int:
+        """Return the requests at an upstream by its newest answer, 0 if that is old."""
+        load = self.get(id)
+        if load.reported_at is None or now - load.reported_at >= LOAD_LIFETIME:
+            return 0
+        return load.reported
+
     def note_capacity(self, id: str, report: LoadReport, now: timedelta) -> None:
         """Record all figures of a report, to be shared with other gateways."""
         self.capacities.note_report(id, report, now, self._count_in_flight(id))
@@ -320,10 +327,8 @@
 def _estimate_plain_cost(
     record: UpstreamRecord, loads: UpstreamLoads, now: timedelta, availability_zone: str
 ) -> float:
-    load = loads.get(record.id)
-    count = float(load.in_flight)
-    if load.reported_at is not None and now - load.reported_at < LOAD_LIFETIME:
-        count = max(count, float(load.reported))
+    in_flight = loads.get(record.id).in_flight
+    count = float(max(in_flight, loads.read_reported(record.id, now)))
     cost = count * REFERENCE_SLOTS / max(record.slots, 1)
     cost += FAILURE_COST * loads.read_failure_rate(record.id, now)
     if record.availability_zone != availability_zone:
