--- a/packages/mustardquay-node/tests/simulated_bursts.py
+++ b/packages/mustardquay-node/tests/simulated_bursts.py
@@ -13,6 +13,8 @@
 from itertools import count
 from random import Random
 
+from event_queues import EventQueue
+
 from mustardquay.clocks import VirtualClock
 from mustardquay.generation_limits import (
     admits_generation,
@@ -164,7 +166,7 @@
         self._burst = burst
         self._random = Random(burst.seed)
         self._clock = VirtualClock()
-        self._events: list = []
+        self._events = EventQueue(self._clock)
         self._order = count()
         stages = [Stage.PREFILL] * burst.readers + [Stage.DECODE] * burst.decoders
         self._records = [
@@ -191,27 +193,13 @@
         end = before + peak + after
         self._schedule_arrivals(end, before, before + peak)
         for number in range(burst.gateways):
-            self._at(
+            self._events.at(
                 self._random.random() * 0.1, lambda n=number: self._send_digest(n, end)
             )
-        while self._events:
-            at, _, act = heappop(self._events)
-            self._clock.advance(
-                max(timedelta(seconds=at) - self._clock.monotonic(), timedelta())
-            )
-            act()
+        while self._events.run_next():
+            pass
         return Outcome(self._callers, before, before + peak)
 
-    @property
-    def _now(self) -> float:
-        return self._clock.monotonic().total_seconds()
-
-    def _at(self, at: float, act: Callable[[], None]) -> None:
-        heappush(self._events, (at, next(self._order), act))
-
-    def _after(self, seconds: float, act: Callable[[], None]) -> None:
-        self._at(self._now + seconds, act)
-
     def _list_recipients(self, number: int) -> list[int]:
         name = self._names[number]
         others = [each for each in self._names if each != name]
@@ -247,7 +235,7 @@
             gateway = random.randrange(burst.busy_gateways or burst.gateways)
             caller = Caller(at, self._draw_prompt(), gateway)
             self._callers.append(caller)
-            self._at(at, lambda each=caller: self._request(each))
+            self._events.at(at, lambda each=caller: self._request(each))
 
     def _draw_prompt(self) -> PromptTraits:
         random = self._random
@@ -261,7 +249,7 @@
 
     def _request(self, caller: Caller) -> None:
         planner = self._planners[caller.gateway]
-        left = ROUTE.timeout - timedelta(seconds=self._now - caller.arrived_at)
+        left = ROUTE.timeout - timedelta(seconds=self._events.now - caller.arrived_at)
         if left <= timedelta():
             return
         is_late = is_retry(ROUTE, left)
@@ -273,11 +261,11 @@
             self._refuse(caller, left)
             return
         rank = rank_generation(ROUTE, is_late)
-        caller.admitted_at, caller.was_late = self._now, is_late
+        caller.admitted_at, caller.was_late = self._events.now, is_late
         caller.expected = placement.expected_seconds
         ticket = planner.begin(caller.prompt, placement, 0, rank)
         sending = NETWORK_DELAY * self._random.gammavariate(4, 0.25)
-        self._after(sending, lambda: self._queue(caller, planner, ticket, rank))
+        self._events.after(sending, lambda: self._queue(caller, planner, ticket, rank))
 
     def _admit(
         self, caller: Caller, left: timedelta, is_late: bool
@@ -297,7 +285,7 @@
         caller.refusals += 1
         if caller.refusals == 1:
             back = draw_retry_delay(None, left, self._random)
-            self._after(back.total_seconds(), lambda: self._request(caller))
+            self._events.after(back.total_seconds(), lambda: self._request(caller))
 
     def _queue(
         self, caller: Caller, planner: GenerationPlanner, ticket: Ticket, rank: int
@@ -323,7 +311,7 @@
         engine.is_busy = bool(engine.waiting)
         if engine.is_busy:
             _, _, seconds, done = heappop(engine.waiting)
-            self._after(seconds, lambda: self._end_prefill(engine, done))
+            self._events.after(seconds, lambda: self._end_prefill(engine, done))
 
     def _end_prefill(self, engine: _Engine, done: Callable[[], None]) -> None:
         done()
@@ -332,14 +320,15 @@
     def _note_prefilled(
         self, caller: Caller, planner: GenerationPlanner, ticket: Ticket
     ) -> None:
-        caller.prefilled_after = self._now - caller.admitted_at
+        caller.prefilled_after = self._events.now - caller.admitted_at
         if ticket.placement.prefiller:
             planner.learn_prefill(ticket, timedelta(seconds=caller.prefilled_after))
             planner.end_prefill(ticket, is_handed_over=True)
         else:
             planner.end_prefill(ticket)
-        self._after(
-            NETWORK_DELAY, lambda: self._generate(caller, planner, ticket, self._now)
+        self._events.after(
+            NETWORK_DELAY,
+            lambda: self._generate(caller, planner, ticket, self._events.now),
         )
 
     def _generate(
@@ -348,15 +337,16 @@
         """Queue a generation at its decoder, after those that came before."""
         decoder = ticket.placement.decoder.id
         decode_seconds = self._burst.decode_seconds
-        free_at = max(self._free_at.get(decoder, 0.0), self._now)
+        free_at = max(self._free_at.get(decoder, 0.0), self._events.now)
         self._free_at[decoder] = free_at + decode_seconds
         first = (
             free_at
             + decode_seconds
             + FIRST_EVENT_DELAY * self._random.gammavariate(4, 0.25)
         )
-        self._at(
-            first, lambda: self._answer(caller, planner, ticket, self._now - began)
+        self._events.at(
+            first,
+            lambda: self._answer(caller, planner, ticket, self._events.now - began),
         )
 
     def _answer(
@@ -366,37 +356,39 @@
             took += caller.prefilled_after
         planner.learn_first(ticket, timedelta(seconds=took))
         planner.end(ticket)
-        caller.answered_after = self._now - caller.arrived_at
+        caller.answered_after = self._events.now - caller.arrived_at
         if not caller.was_late:
             self._margins[caller.gateway].note(
                 ROUTE,
                 timedelta(seconds=caller.expected),
-                timedelta(seconds=self._now - caller.admitted_at),
+                timedelta(seconds=self._events.now - caller.admitted_at),
                 self._clock.monotonic(),
             )
 
     def _send_digest(self, number: int, end: float) -> None:
         """Send a digest; the next one follows once something has changed."""
-        if self._now > end:
+        if self._events.now > end:
             return
         self._numbers[number] += 1
         name = self._names[number]
         digest = self._planners[number].build_digest(name, 1, self._numbers[number], 1)
         for other in self._recipients[number]:
-            self._after(
+            self._events.after(
                 0.001, lambda each=self._planners[other]: each.apply_digest(digest)
             )
         self._changed[number] = False
         interval = max(BUSY_INTERVAL, len(self._recipients[number]) * PEER_INTERVAL)
-        self._after(
+        self._events.after(
             interval.total_seconds(), lambda: self._send_if_changed(number, end)
         )
 
     def _send_if_changed(self, number: int, end: float) -> None:
         if self._changed[number]:
             self._send_digest(number, end)
-        elif self._now <= end:
-            self._after(CHECK_INTERVAL, lambda: self._send_if_changed(number, end))
+        elif self._events.now <= end:
+            self._events.after(
+                CHECK_INTERVAL, lambda: self._send_if_changed(number, end)
+            )
 
     def _note_change(self, number: int) -> None:
         self._changed[number] = True
--- a/packages/mustardquay-node/tests/simulated_shared_bursts.py
+++ b/packages/mustardquay-node/tests/simulated_shared_bursts.py
@@ -136,19 +136,19 @@
             positions = self._fair[caller.gateway].positions
             now = self._clock.monotonic()
             back = positions.take("llm", 0, timedelta(), left, now)
-            self._after(back.total_seconds(), lambda: self._request(caller))
+            self._events.after(back.total_seconds(), lambda: self._request(caller))
 
     def _send_digest(self, number: int, end: float) -> None:
         super()._send_digest(number, end)
         sent = self._sent[number]
-        if not self._has_shares or self._now - sent.at < USES_INTERVAL:
+        if not self._has_shares or self._events.now - sent.at < USES_INTERVAL:
             return
-        sent.at = self._now
+        sent.at = self._events.now
         now = self._clock.monotonic()
         uses = self._fair[number].uses.own.list_uses(now, NAMED)
         order = (1, self._numbers[number])
         for other in self._recipients[number]:
-            self._after(
+            self._events.after(
                 0.001,
                 lambda each=self._fair[other].uses: each.apply_report(
                     self._names[number], order, uses, self._clock.monotonic()
--- a/packages/mustardquay-node/tests/simulated_speeds.py
+++ b/packages/mustardquay-node/tests/simulated_speeds.py
@@ -10,6 +10,7 @@
 from itertools import count
 from random import Random
 
+from event_queues import EventQueue
 from speed_loads import (
     BRIEF,
     EVENT_SECONDS,
@@ -62,7 +63,7 @@
         # Draws the service times; arrivals and engines are drawn apart.
         self._random = Random(load.seed)
         self._clock = VirtualClock()
-        self._events: list = []
+        self._events = EventQueue(self._clock)
         self._order = count()
         draw = Random(f"engines {load.seed}")
         slow = set(draw.sample(range(load.engines), round(load.engines / 4)))
@@ -94,28 +95,14 @@
         self._schedule_arrivals()
         for number in range(self._load.gateways):
             at = self._random.random() * 0.1
-            self._at(at, lambda n=number: self._send_digest(n))
-        while self._events:
-            at, _, act = heappop(self._events)
-            passed = timedelta(seconds=at) - self._clock.monotonic()
-            self._clock.advance(max(passed, timedelta()))
-            act()
-            if self._now <= self._load.seconds:
+            self._events.at(at, lambda n=number: self._send_digest(n))
+        while self._events.run_next():
+            if self._events.now <= self._load.seconds:
                 self._result.now = self._clock.monotonic()
         return self._result
 
-    @property
-    def _now(self) -> float:
-        return self._clock.monotonic().total_seconds()
-
-    def _at(self, at: float, act: Callable[[], None]) -> None:
-        heappush(self._events, (at, next(self._order), act))
-
-    def _after(self, seconds: float, act: Callable[[], None]) -> None:
-        self._at(self._now + seconds, act)
-
     def _send(self, act: Callable[[], None]) -> None:
-        self._after(NETWORK_DELAY * self._random.gammavariate(4, 0.25), act)
+        self._events.after(NETWORK_DELAY * self._random.gammavariate(4, 0.25), act)
 
     def _make_planner(self, number: int) -> GenerationPlanner:
         upstreams = UpstreamList()
@@ -157,11 +144,11 @@
                 caller = Caller(at, route, prompt, gateway)
                 caller.events = 72 if route is BRIEF else 1
                 self._result.callers.append(caller)
-                self._at(at, lambda each=caller: self._request(each))
+                self._events.at(at, lambda each=caller: self._request(each))
 
     def _request(self, caller: Caller) -> None:
         planner, route = self._planners[caller.gateway], caller.route
-        left = route.timeout - timedelta(seconds=self._now - caller.arrived_at)
+        left = route.timeout - timedelta(seconds=self._events.now - caller.arrived_at)
         if left <= MIN_TIME_LEFT:
             return
         is_late = is_retry(route, left)
@@ -171,9 +158,9 @@
             placement = self._admit(caller, left, is_late)
         if placement is None:
             delay = draw_retry_delay(None, left, self._random)
-            self._after(delay.total_seconds(), lambda: self._request(caller))
+            self._events.after(delay.total_seconds(), lambda: self._request(caller))
             return
-        caller.admitted_at, caller.was_late = self._now, is_late
+        caller.admitted_at, caller.was_late = self._events.now, is_late
         caller.expected = placement.expected_seconds
         rank = rank_generation(route, is_late and placement.prefiller is not None)
         ticket = planner.begin(caller.prompt, placement, 0, rank)
@@ -197,7 +184,7 @@
         self, caller: Caller, planner: GenerationPlanner, ticket: Ticket, rank: int
     ) -> None:
         engine = self._engines[ticket.placement.reader.id]
-        entry = (rank, next(self._order), caller, planner, ticket, self._now)
+        entry = (rank, next(self._order), caller, planner, ticket, self._events.now)
         heappush(engine.waiting, entry)
         if not engine.is_busy:
             self._begin_prefill(engine)
@@ -217,14 +204,14 @@
         engine.prefilled += seconds
 
         def end() -> None:
-            self._note_ratio(ticket, self._now - queued_at)
+            self._note_ratio(ticket, self._events.now - queued_at)
             self._note_prefilled(caller, planner, ticket)
             self._begin_prefill(engine)
 
-        self._after(seconds, end)
+        self._events.after(seconds, end)
 
     def _scale(self, engine: SimulatedEngine, seconds: float) -> float:
-        return seconds * engine.find_factor(self._now) / engine.speed
+        return seconds * engine.find_factor(self._events.now) / engine.speed
 
     def _note_prefilled(
         self, caller: Caller, planner: GenerationPlanner, ticket: Ticket
@@ -235,12 +222,12 @@
             return
 
         def receive() -> None:
-            took = self._now - caller.admitted_at
+            took = self._events.now - caller.admitted_at
             self._note_report(caller.gateway, ticket.placement.reader.id)
             planner.learn_prefill(ticket, timedelta(seconds=took))
             planner.reselect_decoder(ticket, self._records, ())
             planner.end_prefill(ticket, is_handed_over=True)
-            began = self._now
+            began = self._events.now
             self._send(lambda: self._generate(caller, planner, ticket, began))
 
         self._send(receive)
@@ -249,7 +236,7 @@
         """Note the ratio of the time in the engine to the expected wait and prefill."""
         placement = ticket.placement
         self._result.prefills[placement.reader.id] += 1
-        if self._now >= WARM_UP:
+        if self._events.now >= WARM_UP:
             expected = placement.wait_seconds + placement.prefill_seconds
             # A model may expect no time from its first few samples.
             ratio = took / max(expected, MIN_EXPECTED)
@@ -285,12 +272,12 @@
         def emit() -> None:
             interleaved = engine.prefilled - before
             if interleaved:
-                self._after(interleaved, finish)
+                self._events.after(interleaved, finish)
             else:
                 finish()
 
         def finish() -> None:
-            times.append(self._now)
+            times.append(self._events.now)
             if len(times) == 1:
                 self._send(lambda: self._note_first(caller, planner, ticket, began))
             else:
@@ -302,7 +289,7 @@
             self._free_slot(engine)
             self._send(lambda: self._end(planner, ticket, times))
 
-        self._after(self._scale(engine, EVENT_SECONDS), emit)
+        self._events.after(self._scale(engine, EVENT_SECONDS), emit)
 
     def _free_slot(self, engine: SimulatedEngine) -> None:
         engine.running -= 1
@@ -313,13 +300,13 @@
         self, caller: Caller, planner: GenerationPlanner, ticket: Ticket, began: float
     ) -> None:
         self._note_report(caller.gateway, ticket.placement.decoder.id)
-        planner.learn_first(ticket, timedelta(seconds=self._now - began))
-        caller.first_after = self._now - caller.arrived_at
+        planner.learn_first(ticket, timedelta(seconds=self._events.now - began))
+        caller.first_after = self._events.now - caller.arrived_at
         if not caller.was_late:
             self._margins[caller.gateway].note(
                 caller.route,
                 timedelta(seconds=caller.expected),
-                timedelta(seconds=self._now - caller.admitted_at),
+                timedelta(seconds=self._events.now - caller.admitted_at),
                 self._clock.monotonic(),
             )
 
@@ -334,7 +321,7 @@
     def _note_report(self, gateway: int, id: str) -> None:
         if not self._load.sends_reports:
             return
-        factor = self._engines[id].find_factor(self._now)
+        factor = self._engines[id].find_factor(self._events.now)
         self._apply_report(gateway, id, factor, self._clock.monotonic())
 
     def _apply_report(
@@ -348,7 +335,7 @@
 
     def _send_digest(self, number: int) -> None:
         """Send a digest and the newest reports; the next follows after a change."""
-        if self._now > self._load.seconds:
+        if self._events.now > self._load.seconds:
             return
         self._numbers[number] += 1
         name = self._names[number]
@@ -367,16 +354,18 @@
 
         for other in self._recipients[number]:
             if self._random.random() >= self._load.lost_digests:
-                self._after(0.001, lambda each=other: receive(each))
+                self._events.after(0.001, lambda each=other: receive(each))
         self._changed[number] = False
         interval = max(BUSY_INTERVAL, len(self._recipients[number]) * PEER_INTERVAL)
-        self._after(interval.total_seconds(), lambda: self._send_if_changed(number))
+        self._events.after(
+            interval.total_seconds(), lambda: self._send_if_changed(number)
+        )
 
     def _send_if_changed(self, number: int) -> None:
         if self._changed[number]:
             self._send_digest(number)
-        elif self._now <= self._load.seconds:
-            self._after(0.005, lambda: self._send_if_changed(number))
+        elif self._events.now <= self._load.seconds:
+            self._events.after(0.005, lambda: self._send_if_changed(number))
 
     def _note_change(self, number: int) -> None:
         self._changed[number] = True
