--- a/review/1/case.py
+++ b/review/1/case.py
@@ -83,6 +83,7 @@
 
 
 async def play(site, size, seconds, answers):
+    """Have all callers send bodies of one size for some seconds."""
     until = now() + seconds
     callers = [
         call_steadily(site, gateway, f"{gateway.name}-{n}", size, until, answers)
@@ -126,6 +127,7 @@
 
 
 async def main():
+    """Return the exit code of the case."""
     site = Site(FOLDER)
     try:
         lost = await run(site)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -113,6 +113,7 @@
 
 
 async def main():
+    """Return the exit code of the case."""
     site = Site(FOLDER)
     try:
         mixed, sent = await run(site)
--- a/review/standins/sites.py
+++ b/review/standins/sites.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 from pathlib import Path
+from urllib.parse import parse_qsl
 
 ROOT = Path(__file__).resolve().parents[2]
 HEARTBEAT_S = 1.2
@@ -140,8 +141,6 @@
     async def _answer(self, line, body):
         _, target, _ = line.split(" ")
         call, _, query = target.partition("?")
-        from urllib.parse import parse_qsl
-
         fields = dict(parse_qsl(query, keep_blank_values=True))
         if call == "/-/rows-tx":
             return self._transact(json.loads(body))
@@ -163,9 +162,7 @@
                 return 412, {"rows": rows, "ver": self._version}
         self._version += 1
         for each in call.get("writes", []):
-            self._write(
-                each["table"], each.get("part", ""), each["key"], each["value"]
-            )
+            self._write(each["table"], each.get("part", ""), each["key"], each["value"])
         for each in call.get("remove", []):
             self._remove(each["table"], each.get("part", ""), each["key"])
         return 200, {"ver": self._version}
