--- a/review/1/case.py
+++ b/review/1/case.py
@@ -154,6 +154,7 @@
     ]
     await send_all(site, SHORT, CALM_S, ends)
     served = [end.status for end in ends.values()].count(200)
+    site.record.write(f"{served} of {len(ends)} were served before the disruption")
     if served < 0.9 * len(ends):
         raise RuntimeError("The site did not serve.")
     await send_all(site, LONG if TROUBLE else SHORT, LONG_S, ends)
