Read the table of connections only near the limit in case 1

Cause: the script read the system's table of connections some 50 times a second for each gateway; with 20,000 closed connections in it, callers sent 101 to 105 requests in 4 s in place of some 125 (all served). Change: bytes not read are asked for from 250 MB on, as callers have no more than 16 MB on the way, and a start with fewer requests than callers can't run (exit 2).

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -30,6 +30,8 @@
 CALM_S, LONG_S = 4, 60
 RESTART_S = 1.0
 CHECK_S = 0.02
+NEAR_MB = MEMORY_MB - 50
+"""Resident MB from which bytes not read are asked for; callers send 16 MB at a time."""
 ALLOWED = 3
 """Requests that may be lost in the way of the rule."""
 CONTACT_S = 3.0
@@ -48,12 +50,17 @@
 
 
 def measure_memory(gateway):
-    """Return the MB of a gateway: what is resident, and received but not read."""
+    """Return the MB of a gateway: what is resident, and received but not read.
+
+    The latter is left out far from the limit, as the table of connections may be long.
+    """
     try:
         text = Path(f"/proc/{gateway.process.pid}/statm").read_text()
     except OSError:
         return 0.0
     resident = int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+    if resident < NEAR_MB * 2**20:
+        return resident / 2**20
     host, port = gateway.address
     parts = reversed(host.split("."))
     local = "".join(f"{int(part):02X}" for part in parts) + f":{port:04X}"
@@ -155,7 +162,7 @@
     await send_all(site, SHORT, CALM_S, ends)
     served = [end.status for end in ends.values()].count(200)
     site.record.write(f"{served} of {len(ends)} were served before the disruption")
-    if served < 0.9 * len(ends):
+    if served < 0.9 * max(len(ends), GATEWAYS * CALLERS):
         raise RuntimeError("The site did not serve.")
     await send_all(site, LONG if TROUBLE else SHORT, LONG_S, ends)
     for watch in watches:
