Send Store-Era, and note requests when they reach a runner

Cause: the store of the stand-ins left out a header that its answers bear, and a runner noted a request when it began to run, which is later than DRAIN counts it.

--- a/review/standins/sites.py
+++ b/review/standins/sites.py
@@ -136,7 +136,7 @@
                 await asyncio.sleep(0.004)
                 status, answer = await self._answer(line, body)
                 data = json.dumps(answer | {"now_ms": int(now() * 1000)}).encode()
-                fields = {"Content-Type": "application/json"}
+                fields = {"Content-Type": "application/json", "Store-Era": "1"}
                 writer.write(build_answer(status, fields, data))
                 await writer.drain()
         except ENDS:
@@ -212,7 +212,8 @@
         self.id, self.service, self.zone = id, service, zone
         self.slots, self.work_s = slots, work_s
         self.arrivals = []
-        """Time, request id and status of each request, health checks left out."""
+        """When it reached the runner, id and status of each request, without health
+        checks."""
         self.state = "ready"
         self.state_since = now()
         self.address = ""
@@ -290,6 +291,7 @@
             status = 200 if self.state == "ready" else 503
             fields = {"X-Instance-Id": self.id, "X-Server-Load": self._describe_load()}
             return status, fields, b""
+        reached = now()
         request = headers.get("x-request-id", "")
         if not request:
             return self._reject(400, request)
@@ -307,13 +309,13 @@
         finally:
             self._waiting -= 1
         try:
-            return await self._work(request, until)
+            return await self._work(request, until, reached)
         finally:
             self._places.release()
 
-    async def _work(self, request, until):
+    async def _work(self, request, until, reached):
         """Run a request, until its deadline at the longest."""
-        self.arrivals.append((now(), request, 200))
+        self.arrivals.append((reached, request, 200))
         self._record.write(f"{self.id} runs {request}")
         self.running += 1
         try:
