--- a/packages/mustardquay-node/src/mustardquay_node/sending/results.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/results.py
@@ -57,6 +57,17 @@
         """Return the status of the answer, 0 without one."""
         return self.head.status if self.head else 0
 
+    def describe_answer(self) -> dict[str, str | bool]:
+        """Return log fields on whose answer it is, and what it says; none without one."""
+        facts = self.facts
+        if facts is None:
+            return {}
+        return {
+            "answers": facts.request_id,
+            "signed": facts.is_signed,
+            "says_not_run": facts.not_run,
+        }
+
 
 @dataclass(frozen=True, slots=True)
 class SendOptions:
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -111,6 +111,7 @@
             detail=send.detail,
             status=send.status,
             framing=send.framing,
+            **send.describe_answer(),
             software_version=send.upstream.software_version,
             **self._deps.describe_list(self._request.sent_at),
             **send.inputs,
