--- /dev/null
+++ b/packages/mustardquay-node/src/mustardquay_node/connections/exchanges.py
@@ -0,0 +1,175 @@
+"""One HTTP/1.1 request over a connection, and the answer to it."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream
+
+from mustardquay.streams import Framing, find_framing
+
+from ..unread_bytes import has_unread_bytes
+
+__all__ = ["AnswerHead", "Exchange", "ExchangeEnd"]
+
+
+class ExchangeEnd:
+    """How an exchange ended; plain strings, as they are logged."""
+
+    WHOLE = "whole"
+    NOT_CONNECTED = "not_connected"
+    """The connection was refused, or the address is not reachable."""
+    CONNECT_TIMED_OUT = "connect_timed_out"
+    """The attempt to connect got no reply in time."""
+    NO_ROOM = "no_room"
+    """The limit of connections is reached, of the pool or of the whole process."""
+    BROKEN = "broken"
+    MALFORMED = "malformed"
+    INCOMPLETE = "incomplete"
+    """The answer ended, but a part of its content is missing."""
+    CANCELLED = "cancelled"
+    NOT_ALLOWED = "not_allowed"
+    """The request must not be sent any more; nothing was sent."""
+
+
+@dataclass(slots=True)
+class AnswerHead:
+    """Status and headers of an answer."""
+
+    status: int
+    reason: str
+    headers: HTTPHeaders
+
+
+class Exchange(HTTPMessageDelegate):
+    """One request and the answer to it."""
+
+    def __init__(
+        self,
+        method: str,
+        path: str,
+        headers: HTTPHeaders,
+        body: bytes = b"",
+        is_expected: Callable[[AnswerHead], bool] = lambda head: True,
+        receive: Callable[["Exchange", bytes], Awaitable[None] | None] | None = None,
+        may_send: Callable[[], bool] = lambda: True,
+        is_complete: Callable[["Exchange"], bool] = lambda exchange: True,
+    ):
+        """Take the request; `headers` is complete except for the length.
+
+        `is_expected` returns whether an answer belongs to this request; others are
+        skipped. `receive` gets the body in parts; without it the body is buffered.
+        `may_send` is asked right before the first byte is sent, and `is_complete`
+        about the content of an answer that has ended by its framing.
+        """
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self._is_expected = is_expected
+        self._receive = receive
+        self.may_send = may_send
+        self.is_complete = is_complete
+        self._parts: list[bytes] = []
+        self._skipping = False
+        self._stream: IOStream | None = None
+        self.head: AnswerHead | None = None
+        self.was_sent = False
+        """Whether a byte of the request may have been sent."""
+        self.is_whole = False
+        self.skipped = False
+        self.framing = Framing.CONNECTION
+        self.is_persistent = True
+        """Whether the answer's version of HTTP keeps connections open."""
+        self.was_reused = False
+        """Whether the connection had been used before."""
+        self.cancelled = False
+
+    @property
+    def content(self) -> bytes:
+        """Return the body of the answer, as far as it was buffered."""
+        return b"".join(self._parts)
+
+    @property
+    def ended_connection(self) -> bool:
+        """Return whether the end of the connection was that of the answer."""
+        is_closed = self._stream is not None and self._stream.closed()
+        return self.framing is Framing.CONNECTION and is_closed
+
+    @property
+    def has_unread_data(self) -> bool:
+        """Return whether data of the peer are there that were not handled yet."""
+        stream = self._stream
+        if stream is None or stream.closed():
+            return False
+        return stream._read_buffer_size > 0 or has_unread_bytes(stream.socket)
+
+    def attach(self, stream: IOStream) -> None:
+        """Set the connection that `cancel` closes."""
+        self._stream = stream
+
+    def cancel(self) -> None:
+        """Close the connection, so that the peer cancels its work."""
+        self.cancelled = True
+        if self._stream is not None:
+            self._stream.close()
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Handle the head of an answer."""
+        assert isinstance(start_line, ResponseStartLine)
+        if start_line.code < 200:
+            return
+        head = AnswerHead(start_line.code, start_line.reason, headers)
+        self._skipping = not self._is_expected(head)
+        self.framing = find_framing(headers)
+        self.is_persistent = start_line.version != "HTTP/1.0"
+        if not self._skipping:
+            self.head = head
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Handle a part of the body."""
+        if self._skipping:
+            return None
+        if self._receive is not None:
+            return self._receive(self, chunk)
+        self.keep(chunk)
+        return None
+
+    def keep(self, data: bytes) -> None:
+        """Buffer a part of the body for `content`."""
+        self._parts.append(data)
+
+    def take(self) -> bytes:
+        """Return what was buffered of the body, and buffer it no longer."""
+        content = self.content
+        self._parts.clear()
+        return content
+
+    def finish(self) -> None:
+        """Handle the end of an answer."""
+        if self._skipping:
+            self.skipped = True
+        else:
+            # An answer without a length is complete only if its connection was closed
+            # cleanly; after a reset, its end may be missing.
+            self.is_whole = self.head is not None and (
+                self.framing is not Framing.CONNECTION or self._was_closed_cleanly()
+            )
+
+    def on_connection_close(self) -> None:
+        """Do nothing; the answer stays incomplete."""
+
+    def _was_closed_cleanly(self) -> bool:
+        """Return whether the peer ended the connection, without a reset."""
+        if self.cancelled:
+            return False
+        if self.head is not None and self.head.status in (204, 304):
+            return True
+        return self._stream is not None and self._stream.error is None
--- a/packages/mustardquay-node/src/mustardquay_node/sending/results.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/results.py
@@ -58,7 +58,7 @@
         return self.head.status if self.head else 0
 
     def describe_answer(self) -> dict[str, str | bool]:
-        """Return log fields on whose answer it is, and what it says; none without one."""
+        """Return log fields on what the answer says of itself; none without one."""
         facts = self.facts
         if facts is None:
             return {}
