Take an answer for a request's only if it names the request

Callers were told that requests had not run which had run (REFUSED), were given answers of no upstream (MIXED), and requests that may run once ran twice, as a foreign refusal let them be sent again (TWICE). Cause: an answer was skipped only if it named another request; one that names none, as late bytes of a faulty upstream, was taken for this request's, and X-Not-Executed by itself for 'not run'.

Change: mustardquay.run_evidence.judge_answer says whose an answer is and what it shows; nothing else does. An answer without this request's id is foreign and skipped, a success counts only if it is signed, and a head that runs into another answer's first line ends the connection, as the headers of that one would count as its own.

--- a/packages/mustardquay-node/src/mustardquay_node/adapters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/adapters.py
@@ -16,6 +16,7 @@
 from mustardquay.organisations import PresentedKey
 from mustardquay.requests import PromptPart, PromptTraits
 from mustardquay.routing_tables import RoutingTable
+from mustardquay.run_evidence import AnswerClaims
 from mustardquay.stepwise_decoding import Steps
 from mustardquay.store_eras import StorePosition
 from mustardquay.tables import TableService
@@ -106,6 +107,16 @@
     is_load_invalid: bool = False
     """Whether a figure of the load is missing or can't be used."""
 
+    def make_claims(self, status: int) -> AnswerClaims:
+        """Return what an answer of this status says of itself."""
+        return AnswerClaims(
+            self.request_id,
+            status,
+            self.is_signed,
+            self.not_run,
+            self.is_other_upstream,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Prefilled:
--- a/packages/mustardquay-node/src/mustardquay_node/connections/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections/exchanges.py
@@ -1,5 +1,6 @@
 """One HTTP/1.1 request over a connection, and the answer to it."""
 
+import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -17,6 +18,9 @@
 
 __all__ = ["AnswerHead", "Exchange", "ExchangeEnd"]
 
+START_LINE = re.compile(r"HTTP/\d\.\d \d{3}")
+"""The start of an answer's first line."""
+
 
 class ExchangeEnd:
     """How an exchange ended; plain strings, as they are logged."""
@@ -89,6 +93,8 @@
         self.was_reused = False
         """Whether the connection had been used before."""
         self.cancelled = False
+        self.is_spoilt = False
+        """Whether bytes came that are no answer."""
 
     @property
     def content(self) -> bytes:
@@ -119,6 +125,12 @@
         if self._stream is not None:
             self._stream.close()
 
+    def spoil(self) -> None:
+        """Close a connection whose bytes are no answer."""
+        self.is_spoilt = True
+        if self._stream is not None:
+            self._stream.close()
+
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
@@ -126,6 +138,9 @@
         assert isinstance(start_line, ResponseStartLine)
         if start_line.code < 200:
             return
+        if _holds_another_start(start_line, headers):
+            self.spoil()
+            return
         head = AnswerHead(start_line.code, start_line.reason, headers)
         self._skipping = not self._is_expected(head)
         self.framing = find_framing(headers)
@@ -135,7 +150,7 @@
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Handle a part of the body."""
-        if self._skipping:
+        if self._skipping or self.is_spoilt:
             return None
         if self._receive is not None:
             return self._receive(self, chunk)
@@ -154,6 +169,8 @@
 
     def finish(self) -> None:
         """Handle the end of an answer."""
+        if self.is_spoilt:
+            return
         if self._skipping:
             self.skipped = True
         else:
@@ -173,3 +190,13 @@
         if self.head is not None and self.head.status in (204, 304):
             return True
         return self._stream is not None and self._stream.error is None
+
+
+def _holds_another_start(start_line: ResponseStartLine, headers: HTTPHeaders) -> bool:
+    """Return whether a head holds the first line of another answer.
+
+    An answer that is cut in its head runs into the next one, whose headers would then
+    count as its own.
+    """
+    values = [start_line.reason, *(value for _, value in headers.get_all())]
+    return any(START_LINE.search(value) for value in values)
--- a/packages/mustardquay-node/src/mustardquay_node/connections/pools.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections/pools.py
@@ -196,9 +196,12 @@
                 if not exchange.skipped or stream.closed():
                     break
         except (OSError, StreamClosedError):
-            return ExchangeEnd.BROKEN
+            is_spoilt = exchange.is_spoilt
+            return ExchangeEnd.MALFORMED if is_spoilt else ExchangeEnd.BROKEN
         except (HTTPInputError, ValueError):
             return ExchangeEnd.MALFORMED
+        if exchange.is_spoilt:
+            return ExchangeEnd.MALFORMED
         if not exchange.is_whole:
             return ExchangeEnd.BROKEN
         is_complete = exchange.is_complete(exchange)
--- a/packages/mustardquay-node/src/mustardquay_node/sending/large_answers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/large_answers.py
@@ -81,10 +81,8 @@
 
     def _may_begin(self) -> bool:
         """Return whether the answer would be passed on if it were whole."""
-        facts, reply = self._send.facts, self._reply
-        if facts is None or reply.is_caller_gone or reply.has_begun:
-            return False
-        return not (facts.is_other_upstream or facts.not_run or facts.is_encoded)
+        reply = self._reply
+        return self._send.is_own and not (reply.is_caller_gone or reply.has_begun)
 
 
 def _find_length(exchange: Exchange) -> int:
--- a/packages/mustardquay-node/src/mustardquay_node/sending/results.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/results.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from mustardquay.requests import SendResult
+from mustardquay.run_evidence import AnswerVerdict
 from mustardquay.silences import GiveUpReason
 from mustardquay.upstream_lists import UpstreamRecord
 
@@ -20,6 +21,8 @@
 
     upstream: UpstreamRecord
     facts: AnswerFacts | None = None
+    verdict: AnswerVerdict | None = None
+    """What the answer shows; None without one."""
     head: AnswerHead | None = None
     content: bytes = b""
     """The body, unless it was streamed to the caller."""
@@ -57,6 +60,12 @@
         """Return the status of the answer, 0 without one."""
         return self.head.status if self.head else 0
 
+    @property
+    def is_own(self) -> bool:
+        """Return whether the answer is a result that may be passed on."""
+        is_own = self.verdict is AnswerVerdict.OWN
+        return is_own and self.facts is not None and not self.facts.is_encoded
+
     def describe_answer(self) -> dict[str, str | bool]:
         """Return log fields on what the answer says of itself; none without one."""
         facts = self.facts
@@ -66,6 +75,7 @@
             "answers": facts.request_id,
             "signed": facts.is_signed,
             "says_not_run": facts.not_run,
+            "shows": self.verdict.value if self.verdict else "",
         }
 
 
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -8,6 +8,7 @@
 from mustardquay.generation_limits import rank_generation
 from mustardquay.requests import SendResult
 from mustardquay.routing_tables import Repeat
+from mustardquay.run_evidence import AnswerVerdict, judge_answer
 from mustardquay.streams import EventFramer, StreamOrigin, is_stream_complete
 from mustardquay.upstream_capacity import estimate_wait
 from mustardquay.upstream_lists import UpstreamRecord
@@ -27,6 +28,10 @@
 
 Receiver = Callable[[Exchange, bytes], Awaitable[None] | None]
 
+NOT_RUN_RESULTS = {
+    AnswerVerdict.NOT_RUN: SendResult.NOT_RUN,
+    AnswerVerdict.OTHER_UPSTREAM: SendResult.OTHER_UPSTREAM,
+}
 LOST_ENDS = (ExchangeEnd.BROKEN, ExchangeEnd.INCOMPLETE)
 """Ends of an exchange without a whole answer, as crashes of upstreams leave them."""
 NON_IDEMPOTENT_IDLE_LIMIT = timedelta(milliseconds=400)
@@ -158,7 +163,7 @@
             incoming.path,
             self._deps.adapter.build_headers(incoming.headers, target),
             incoming.body,
-            is_expected=lambda head: self._is_expected_answer(send, head),
+            is_expected=lambda head: self._is_expected_answer(send, head, options),
             receive=receive if is_stream else self._find_receiver(options),
             may_send=may_send,
             is_complete=lambda exchange: self._is_complete(send, exchange, options),
@@ -212,22 +217,24 @@
         is_late = request.is_late and options.prefill_only
         return rank_generation(request.route, is_late)
 
-    def _is_expected_answer(self, send: Send, head: AnswerHead) -> bool:
-        """Return whether an answer belongs to this request.
-
-        Guards against upstreams that send an earlier answer twice: the duplicate comes
-        in place of the next answer, and a caller would get another caller's answer.
-        """
+    def _is_expected_answer(
+        self, send: Send, head: AnswerHead, options: SendOptions
+    ) -> bool:
+        """Return whether an answer belongs to this request; others are skipped."""
         facts = self._deps.adapter.read_answer(head)
-        if facts.request_id and facts.request_id != self._request.id:
+        claims = facts.make_claims(head.status)
+        verdict = judge_answer(claims, self._request.id, not options.prefill_only)
+        if verdict is AnswerVerdict.FOREIGN:
             self._deps.events.record(
                 "answer.skipped",
                 request=self._request.id,
                 upstream=send.upstream.id,
                 answers=facts.request_id,
+                status=head.status,
             )
             return False
         send.facts = facts
+        send.verdict = verdict
         self._watch.note_data()
         observe_head(self._deps, self._request, send, facts, head.status)
         return True
@@ -365,11 +372,9 @@
             return SendResult.NOT_SENT
         if end != ExchangeEnd.WHOLE or send.facts is None:
             return SendResult.BROKEN
-        if send.facts.is_other_upstream:
-            return SendResult.OTHER_UPSTREAM
-        if send.facts.not_run:
-            return SendResult.NOT_RUN
-        if send.facts.is_encoded:
+        if send.verdict in NOT_RUN_RESULTS:
+            return NOT_RUN_RESULTS[send.verdict]
+        if not send.is_own:
             return SendResult.BROKEN
         is_begun = self._reply.has_begun and not send.is_passed_on
         if is_begun and not self._is_stream(send, exchange):
@@ -379,9 +384,6 @@
 
     def _is_stream(self, send: Send, exchange: Exchange) -> bool:
         """Return whether an answer is a stream that may be passed on to the caller."""
-        head, facts = exchange.head, send.facts
-        if self._request.route.repeat is not Repeat.STREAM:
-            return False
-        if head is None or facts is None or head.status != 200:
+        if self._request.route.repeat is not Repeat.STREAM or not send.is_own:
             return False
-        return facts.is_signed and not facts.is_encoded and not facts.not_run
+        return exchange.head.status == 200 and send.facts.is_signed
--- a/packages/mustardquay/src/mustardquay/retry_decisions.py
+++ b/packages/mustardquay/src/mustardquay/retry_decisions.py
@@ -5,12 +5,13 @@
 other cases the outcome is unknown, and callers decide whether to retry.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from enum import StrEnum
 
 from .requests import SendResult
 from .routing_tables import Repeat, Route
+from .run_evidence import RunLedger
 
 __all__ = [
     "NextStep",
@@ -59,13 +60,18 @@
 
     attempts: int = 0
     """Upstreams to which at least one byte was sent."""
-    may_have_run: bool = False
     has_sent_events: bool = False
     """Whether any event of a stream was sent to the caller."""
     is_origin_known: bool = True
     """Whether it is known at which software version a resumable stream began."""
     misdirected: int = 0
     """Sends that reached a different upstream than intended."""
+    ledger: RunLedger = field(default_factory=RunLedger)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a send may have run the request, or may still."""
+        return not self.ledger.is_surely_not_run
 
     def note(self, end: SendResult) -> None:
         """Record the result of a send."""
@@ -73,8 +79,7 @@
             self.misdirected += 1
         elif end not in (SendResult.NOT_SENT, SendResult.UNREAD):
             self.attempts += 1
-        if not end.is_not_run:
-            self.may_have_run = True
+        self.ledger.note(end.is_not_run)
 
 
 MAX_MISDIRECTED = 2
@@ -120,7 +125,7 @@
     route: Route, history: SendHistory, end: SendResult, time_left: timedelta
 ) -> bool:
     """Return whether another send may follow one that runs, if it ended as `end`."""
-    history = replace(history)
+    history = replace(history, ledger=replace(history.ledger, open_sends=0))
     history.note(end)
     step = decide_next(route, history, end, 0, time_left)
     return step in (NextStep.SEND_AGAIN, NextStep.RESUME)
