Don't pass on a status of refusals that no upstream gave as a refusal

Callers were told by 408, 429 or 503 that requests had not run which an upstream had run and failed (REFUSED): it answered so with the request's id and without X-Not-Executed. Cause: a whole answer was passed on whatever its status says to callers. Change: judge_answer calls such an answer unclear; it ends the send as one that may have run, so that what may be repeated is sent elsewhere, and the caller of the rest gets 502, without the upstream's signature. An answer of a success that says 'not run' is unclear, too.

--- a/packages/mustardquay/src/mustardquay/run_evidence/answers.py
+++ b/packages/mustardquay/src/mustardquay/run_evidence/answers.py
@@ -58,6 +58,8 @@
     'foreign'
     >>> judge_answer(AnswerClaims("r1", 503, says_not_run=True), "r1").value
     'not_run'
+    >>> judge_answer(AnswerClaims("r1", 503), "r1").value
+    'unclear'
     """
     if not request_id or claims.request_id != request_id:
         return AnswerVerdict.FOREIGN
@@ -66,6 +68,8 @@
     if claims.says_not_run:
         is_error = claims.status >= MIN_ERROR_STATUS
         return AnswerVerdict.NOT_RUN if is_error else AnswerVerdict.UNCLEAR
+    if claims.status in REFUSAL_STATUSES:
+        return AnswerVerdict.UNCLEAR
     if claims.status in SUCCESS_STATUSES and needs_signature and not claims.is_signed:
         return AnswerVerdict.UNCLEAR
     return AnswerVerdict.OWN
