Send a request at most once on a connection, and none after unread bytes

A caller could be refused although its stream ran (REFUSED): an engine refuses a handle, the same request is sent to it again to copy the prompt, on the same connection, and the engine repeats its refusal there. Cause: the id of an answer tells requests apart, not sends of one request. Evidence: test_a_repeated_refusal_of_a_handle_does_not_refuse_the_copy got 503 for a request that ran. Change: the pool keeps which request a connection carried last and gives it to none of the same id, so that the first answer there which names the request is the one to this send. It also drops a connection on which bytes wait in the kernel, as after a held loop.

--- a/packages/mustardquay-node/src/mustardquay_node/connections/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections/exchanges.py
@@ -63,13 +63,15 @@
         receive: Callable[["Exchange", bytes], Awaitable[None] | None] | None = None,
         may_send: Callable[[], bool] = lambda: True,
         is_complete: Callable[["Exchange"], bool] = lambda exchange: True,
+        request_id: str = "",
     ):
         """Take the request; `headers` is complete except for the length.
 
         `is_expected` returns whether an answer belongs to this request; others are
         skipped. `receive` gets the body in parts; without it the body is buffered.
         `may_send` is asked right before the first byte is sent, and `is_complete`
-        about the content of an answer that has ended by its framing.
+        about the content of an answer that has ended by its framing. `request_id` is
+        what answers to it name; empty if they name nothing.
         """
         self.method = method
         self.path = path
@@ -78,6 +80,7 @@
         self._is_expected = is_expected
         self._receive = receive
         self.may_send = may_send
+        self.request_id = request_id
         self.is_complete = is_complete
         self._parts: list[bytes] = []
         self._skipping = False
--- a/packages/mustardquay-node/src/mustardquay_node/connections/pools.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections/pools.py
@@ -6,6 +6,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import timedelta
 from socket import socket
 
@@ -20,6 +21,7 @@
 from ..client_sockets import classify_connect_error, make_socket
 from ..pauses import running_timeout
 from ..request_writing import write_request
+from ..unread_bytes import has_unread_bytes
 from .exchanges import Exchange, ExchangeEnd
 
 __all__ = ["ConnectionPool", "split_address"]
@@ -44,6 +46,16 @@
     return host, int(port)
 
 
+@dataclass(frozen=True, slots=True)
+class _IdleConnection:
+    """A connection that waits for its next exchange."""
+
+    stream: IOStream
+    since: timedelta
+    request_id: str
+    """Request of its last exchange; empty for none."""
+
+
 class ConnectionPool:
     """Connections to one address; the most recently used is reused first."""
 
@@ -67,7 +79,7 @@
         self._limit = limit
         self._idle_limit = idle_limit
         self._free_descriptors = free_descriptors
-        self._idle: deque[tuple[IOStream, timedelta]] = deque()
+        self._idle: deque[_IdleConnection] = deque()
         self._open = 0
         self._parameters = HTTP1ConnectionParameters(max_body_size=MAX_ANSWER_BYTES)
 
@@ -79,7 +91,7 @@
         """Close the idle connections; returns how many."""
         count = len(self._idle)
         while self._idle:
-            self._drop(self._idle.pop()[0])
+            self._drop(self._idle.pop().stream)
         return count
 
     async def run(self, exchange: Exchange, idle_limit: timedelta | None = None) -> str:
@@ -88,7 +100,7 @@
         A lower `idle_limit` is for requests that must not be repeated: on a connection
         that the peer is closing, it can't be determined whether they were run.
         """
-        stream = self._take_idle(idle_limit)
+        stream = self._take_idle(idle_limit, exchange.request_id)
         exchange.was_reused = stream is not None
         if stream is None:
             opened = self._open_stream()
@@ -112,7 +124,7 @@
             return end
         finally:
             if may_keep:
-                self._release(stream)
+                self._release(stream, exchange.request_id)
             else:
                 self._drop(stream)
 
@@ -126,31 +138,43 @@
             self._release(stream)
         return result
 
-    def _release(self, stream: IOStream) -> None:
-        self._idle.append((stream, self._clock.monotonic()))
+    def _release(self, stream: IOStream, request_id: str = "") -> None:
+        now = self._clock.monotonic()
+        self._idle.append(_IdleConnection(stream, now, request_id))
         # Without a close callback, tornado does not notice that an idle socket closes.
         stream.set_close_callback(lambda: None)
 
-    def _take_idle(self, idle_limit: timedelta | None) -> IOStream | None:
+    def _take_idle(
+        self, idle_limit: timedelta | None, request_id: str
+    ) -> IOStream | None:
+        """Return the connection that was used last and may carry a request.
+
+        Not one that carried the same request: the id of a repeated answer would not
+        tell which of the two sends it is for.
+        """
         limit = self._idle_limit if idle_limit is None else idle_limit
         now = self._clock.monotonic()
-        while self._idle and self._idle[0][1] < now - self._idle_limit:
-            self._drop(self._idle.popleft()[0])
-        while self._idle:
-            stream, since = self._idle[-1]
-            if since < now - limit and not _is_unusable(stream):
+        while self._idle and self._idle[0].since < now - self._idle_limit:
+            self._drop(self._idle.popleft().stream)
+        for idle in reversed(tuple(self._idle)):
+            is_unusable = _is_unusable(idle.stream) or has_unread_bytes(
+                idle.stream.socket
+            )
+            if is_unusable:
+                self._idle.remove(idle)
+                self._drop(idle.stream)
+            elif idle.since < now - limit:
                 return None
-            self._idle.pop()
-            if not _is_unusable(stream):
-                stream.set_close_callback(None)
-                return stream
-            self._drop(stream)
+            elif not request_id or idle.request_id != request_id:
+                self._idle.remove(idle)
+                idle.stream.set_close_callback(None)
+                return idle.stream
         return None
 
     def _make_room(self) -> bool:
         """Return whether another connection may be opened."""
         if self._open >= self._limit and self._idle:
-            self._drop(self._idle.popleft()[0])
+            self._drop(self._idle.popleft().stream)
         return self._open < self._limit
 
     def _open_stream(self) -> IOStream | None:
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -167,6 +167,7 @@
             receive=receive if is_stream else self._find_receiver(options),
             may_send=may_send,
             is_complete=lambda exchange: self._is_complete(send, exchange, options),
+            request_id=self._request.id,
         )
 
     def _make_large_answer(self, send: Send) -> LargeAnswer | None:
