Decide in one place whether a request is refused, and believe other gateways by id

A caller could be told that its request had not run although another gateway had it: what a gateway forwarded was believed to be answered by any head on that connection, and one that was lost there and found no upstream here was refused (REFUSED). Cause: five places asked three flags whether a request may have run, and none of them knew of a forwarded one; refusals of requests that had not been sent asked nothing.

Change: a ledger of each request (RunLedger) counts its sends, to upstreams and to other gateways, until each is proved not to have run; Reply.refuse and Reply.pass_on ask it, and nothing else makes a promise. Gateways name the request in their own answers, and the one that forwards judges them by that (judge_peer_answer). A foreign head ends the connection.

The state machine of test_run_evidence plays sends that overlap, run, are answered, lost and foreseen in any order.

--- a/packages/mustardquay-node/src/mustardquay_node/adapters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/adapters.py
@@ -253,6 +253,9 @@
     def read_request(self, headers: HTTPHeaders) -> RequestFacts:
         """Return what a caller's headers specify; raises `ProtocolError`."""
 
+    def read_request_id(self, headers: HTTPHeaders) -> str:
+        """Return the id that a caller gives its request; empty for none."""
+
     def read_key(self, headers: HTTPHeaders) -> PresentedKey:
         """Return the credentials in a caller's headers."""
 
@@ -262,6 +265,9 @@
     def build_headers(self, headers: HTTPHeaders, target: SendTarget) -> HTTPHeaders:
         """Return the headers of a send: the caller's and those for the target."""
 
+    def build_answer_headers(self, request_id: str) -> dict[str, str]:
+        """Return the headers by which an answer of this gateway names its request."""
+
     def build_peer_headers(
         self, headers: HTTPHeaders, time_left: timedelta
     ) -> HTTPHeaders:
--- a/packages/mustardquay-node/src/mustardquay_node/arrivals/request_reading.py
+++ b/packages/mustardquay-node/src/mustardquay_node/arrivals/request_reading.py
@@ -1,6 +1,7 @@
 """Reading of a request: its route, the organisation of its key, and its headers."""
 
 from mustardquay.errors import ProtocolError
+from mustardquay.retry_decisions import SendHistory
 from mustardquay.routing_tables import Route, RoutingTable, choose_backend
 from mustardquay.version_trackers import TableState
 
@@ -67,7 +68,6 @@
     except ProtocolError as error:
         reply.fail(400, "bad_headers", str(error))
         return None
-    reply.request = facts.id
     service = choose_backend(route.backends, deps.random.random())
     if service is None:
         reply.refuse("no_service", DEFAULT_RETRY_AFTER)
@@ -88,4 +88,5 @@
         ),
         last_event=facts.resumes_after,
         organisation=identity.organisation,
+        send_history=SendHistory(ledger=reply.ledger),
     )
--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/refusals.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/refusals.py
@@ -3,11 +3,12 @@
 from datetime import timedelta
 
 from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
-from ..replies import Reply
+from ..replies import Failure, Reply
 from .part_reporters import format_part
 
 __all__ = ["refuse_crashing"]
 
+CRASHED = Failure(502, "The upstreams crashed on this.")
 QUARANTINE_RETRY_AFTER = timedelta(seconds=60)
 """Retry-After for a request that crashes upstreams; an earlier retry would be refused
 too."""
@@ -23,23 +24,13 @@
     crashes = deps.crashes
     if crashes.is_refused(request.fingerprint):
         count = crashes.count_crashes(request.fingerprint)
-        _refuse(request, reply, "quarantine", crashes=count)
+        inputs = {"crashes": count}
+        reply.refuse("quarantine", QUARANTINE_RETRY_AFTER, CRASHED, **inputs)
         return True
     part = crashes.parts.find_refused(request.parts)
     if part is None:
         return False
     count = crashes.parts.count_crashes(part)
-    _refuse(request, reply, "crashing_part", crashes=count, part=format_part(part))
+    inputs = {"crashes": count, "part": format_part(part)}
+    reply.refuse("crashing_part", QUARANTINE_RETRY_AFTER, CRASHED, **inputs)
     return True
-
-
-def _refuse(
-    request: ForwardedRequest, reply: Reply, reason: str, **inputs: float | str
-) -> None:
-    if reply.has_begun:
-        reply.break_off()
-    elif request.send_history.may_have_run:
-        message = "The upstreams crashed on this."
-        reply.fail(502, reason, message, **inputs)
-    else:
-        reply.refuse(reason, QUARANTINE_RETRY_AFTER, **inputs)
--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -142,8 +142,6 @@
     """When the last send began, on the monotonic clock."""
     last_end: str = "unanswered"
     """Result of the last send that has ended, a value of `SendResult`."""
-    was_interrupted: bool = False
-    """Whether a send that may have run was cancelled at the deadline."""
     was_begun: bool = False
     """Whether an upstream has begun to run the request, as far as is known."""
     is_retry_charged: bool = False
--- a/packages/mustardquay-node/src/mustardquay_node/forwarders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarders.py
@@ -7,13 +7,14 @@
 
 from .arrivals import admit_request
 from .caller_connections import CallerAnswer, CallerRequest
-from .forwarder_dependencies import ForwardedRequest, ForwarderDependencies
-from .forwardings import OUTCOME_UNKNOWN, forward
+from .forwarder_dependencies import ForwarderDependencies
+from .forwardings import forward
 from .gateway_stops import DEFAULT_RETRY_AFTER
-from .replies import Reply
+from .replies import OUTCOME_UNKNOWN, Failure, Reply
 
 __all__ = ["Forwarder"]
 
+UNANSWERED = Failure(504, OUTCOME_UNKNOWN.message)
 NO_TABLE = RoutingTable(0, (), {})
 
 
@@ -79,7 +80,7 @@
             return
         task = asyncio.create_task(forward(self._deps, admitted, reply, answer))
         self._running[task] = reply
-        task.add_done_callback(partial(self._settle, admitted, reply))
+        task.add_done_callback(partial(self._settle, reply))
 
     async def close(self) -> None:
         """Cancel the remaining requests; each gets an answer."""
@@ -88,9 +89,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _settle(
-        self, request: ForwardedRequest, reply: Reply, task: asyncio.Task[None]
-    ) -> None:
+    def _settle(self, reply: Reply, task: asyncio.Task[None]) -> None:
         """Answer a request whose task has ended without an answer.
 
         A task that is cancelled before its first step runs no code.
@@ -100,14 +99,8 @@
             self._record_fault(error)
         if reply.is_caller_gone or reply.has_ended:
             return
-        if reply.has_begun:
-            reply.break_off()
-        elif request.send_history.may_have_run or request.was_interrupted:
-            reply.fail(504, "unanswered", OUTCOME_UNKNOWN)
-        else:
-            reply.refuse(
-                "unanswered", self._deps.stop.draw_retry_delay(DEFAULT_RETRY_AFTER)
-            )
+        retry_after = self._deps.stop.draw_retry_delay(DEFAULT_RETRY_AFTER)
+        reply.refuse("unanswered", retry_after, UNANSWERED)
 
     def _record_fault(self, error: BaseException) -> None:
         self._deps.events.record("forwarding.fault", error=repr(error))
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -26,7 +26,7 @@
 from .gateway_stops import DEFAULT_RETRY_AFTER
 from .handovers import drop_prefill, send_generation
 from .rate_reservations import await_reservation
-from .replies import Reply
+from .replies import OUTCOME_UNKNOWN, Failure, Reply
 from .sending import Send, Sender, find_prefill_state
 from .share_admissions import admit_plain, send_plain
 
@@ -40,7 +40,6 @@
 upstream; the rest is left for its execution."""
 REST_JITTER = 0.1
 """Part of the rest of upstreams by which callers' returns are spread."""
-OUTCOME_UNKNOWN = "It is not known whether this was run."
 
 
 async def forward(
@@ -75,7 +74,7 @@
         if reply.has_begun:
             reply.break_off()
         else:
-            reply.fail(502, "fault", OUTCOME_UNKNOWN)
+            reply.fail(OUTCOME_UNKNOWN.status, "fault", OUTCOME_UNKNOWN.message)
         raise
     finally:
         if reply.pace is not None and reply.is_large:
@@ -181,16 +180,12 @@
 
     def _end_without_answer(self, reason: str, message: str) -> None:
         """Tell the caller that there is no answer, and whether the request ran."""
-        request, reply = self._request, self._reply
         self._record_times()
-        if reply.is_caller_gone:
-            reply.count("caller_left")
-        elif reply.has_begun:
-            reply.break_off()
-        elif request.send_history.may_have_run or request.was_interrupted:
-            reply.fail(504, reason, message)
-        else:
-            reply.refuse(reason, self._deps.stop.draw_retry_delay(timedelta()))
+        if self._reply.is_caller_gone:
+            self._reply.count("caller_left")
+            return
+        retry_after = self._deps.stop.draw_retry_delay(timedelta())
+        self._reply.refuse(reason, retry_after, Failure(504, message))
 
     def _record_times(self) -> None:
         """Record the duration of an answer, complete or not.
@@ -304,13 +299,8 @@
             assert send.head is not None
             self._reply.pass_on(send.head, send.content)
             self._record_times()
-        elif self._reply.has_begun:
-            self._reply.break_off()
-        elif step is NextStep.REFUSE:
-            retry_after = self._find_retry_after(send)
-            self._reply.refuse(send.end.value, retry_after)
         else:
-            self._reply.fail(502, send.end.value, OUTCOME_UNKNOWN)
+            self._reply.refuse(send.end.value, self._find_retry_after(send))
 
     def _find_retry_after(self, send: Send) -> timedelta:
         """Return when a caller may come back whose request an upstream refused."""
@@ -340,9 +330,4 @@
         elif reason == "no_upstream" and self._request.is_take_up:
             reason = TakeUpRefusal.VERSION_UNAVAILABLE.value
             retry_after = VERSION_RETRY_AFTER
-        if self._reply.has_begun:
-            self._reply.break_off()
-        elif self._request.send_history.may_have_run:
-            self._reply.fail(502, reason, OUTCOME_UNKNOWN)
-        else:
-            self._reply.refuse(reason, retry_after or DEFAULT_RETRY_AFTER)
+        self._reply.refuse(reason, retry_after or DEFAULT_RETRY_AFTER)
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_peerings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_peerings.py
@@ -111,6 +111,7 @@
                 self._settings.gateway.link_rate,
                 find_host=deps.context.get_peers().find_host,
                 build_headers=deps.context.adapter.build_peer_headers,
+                read_answer=deps.context.adapter.read_answer,
                 count=deps.count_forwarded,
             )
         )
--- a/packages/mustardquay-node/src/mustardquay_node/peer_forwarding/peer_forwarders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peer_forwarding/peer_forwarders.py
@@ -12,11 +12,13 @@
 from mustardquay.peer_digests import PeerDigest
 from mustardquay.peer_forwarding import ForwardingPeers, saves_link_time
 from mustardquay.routing_tables import Repeat
+from mustardquay.run_evidence import AnswerVerdict, judge_peer_answer
 
-from ..connections import ConnectionPool, Exchange, ExchangeEnd
+from ..adapters import AnswerFacts
+from ..connections import AnswerHead, ConnectionPool, Exchange, ExchangeEnd
 from ..forwarder_dependencies import ForwardedRequest
 from ..hop_headers import strip_hop_headers
-from ..replies import Reply
+from ..replies import OUTCOME_UNKNOWN, Reply
 
 __all__ = ["PeerForwarder", "PeerForwarderDependencies"]
 
@@ -30,6 +32,8 @@
 connections when it is short of descriptors, and a request on one of them is lost."""
 UNCONNECTED_ENDS = (ExchangeEnd.NOT_CONNECTED, ExchangeEnd.CONNECT_TIMED_OUT)
 STREAM_STATUS = 200
+PASSED_ON = (AnswerVerdict.OWN, AnswerVerdict.NOT_RUN)
+"""Verdicts on answers that are passed on to the caller."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +50,8 @@
     """Returns the IP number of a gateway, None if it isn't listed."""
     build_headers: Callable[[HTTPHeaders, timedelta], HTTPHeaders]
     """Returns the caller's headers with the time that is left."""
+    read_answer: Callable[[AnswerHead], AnswerFacts]
+    """Returns what the headers of an answer specify."""
     count: Callable[[str, str], None] = lambda gateway, end: None
     """Counts a request by the gateway that it was left to, and by its end."""
 
@@ -92,20 +98,32 @@
         exchange = self._make_exchange(request, reply, now)
         request.current = exchange
         end = ExchangeEnd.CANCELLED
+        verdict = None
+        reply.ledger.begin_send()
         try:
             end = await pool.run(exchange, ONCE_IDLE_LIMIT if is_once else None)
+            verdict = self._judge(exchange.head, request.id)
         finally:
             request.current = None
-            request.was_interrupted |= exchange.was_sent
-            self._log(request, reply, exchange, name, end)
+            is_refused = end == ExchangeEnd.WHOLE and verdict is AnswerVerdict.NOT_RUN
+            reply.ledger.end_send(is_refused or not exchange.was_sent)
+            self._log(request, reply, exchange, name, end, verdict)
             self._deps.count(name, end)
         if end in UNCONNECTED_ENDS:
             self._peers.note_failure(name, self._deps.clock.monotonic())
-        if not exchange.was_sent or _may_serve_again(request, reply, end):
+        is_whole = end == ExchangeEnd.WHOLE and verdict in PASSED_ON
+        if not exchange.was_sent or _may_serve_again(request, reply, is_whole):
             return False
-        _finish(reply, exchange, end)
+        _finish(reply, exchange, is_whole)
         return True
 
+    def _judge(self, head: AnswerHead | None, request_id: str) -> AnswerVerdict | None:
+        """Return what the answer of the other gateway shows; None without one."""
+        if head is None:
+            return None
+        facts = self._deps.read_answer(head)
+        return judge_peer_answer(facts.make_claims(head.status), request_id)
+
     def _make_exchange(
         self, request: ForwardedRequest, reply: Reply, now: timedelta
     ) -> Exchange:
@@ -116,21 +134,30 @@
 
         def receive(exchange: Exchange, data: bytes) -> Awaitable[None] | None:
             assert exchange.head is not None
-            if exchange.head.status != STREAM_STATUS:
+            is_own = self._judge(exchange.head, request.id) is AnswerVerdict.OWN
+            if exchange.head.status != STREAM_STATUS or not is_own:
                 exchange.keep(data)
                 return None
             if not reply.has_begun:
                 reply.begin_stream(exchange.head)
             return reply.write(data)
 
-        return Exchange(
+        def is_expected(head: AnswerHead) -> bool:
+            if self._judge(head, request.id) is AnswerVerdict.FOREIGN:
+                exchange.spoil()
+            return True
+
+        exchange = Exchange(
             incoming.method,
             incoming.path,
             headers,
             incoming.body,
+            is_expected,
             receive=receive if is_stream else None,
             may_send=lambda: not reply.is_caller_gone,
+            request_id=request.id,
         )
+        return exchange
 
     def _get_pool(self, name: str, address: str) -> ConnectionPool:
         known = self._pools.get(name)
@@ -160,6 +187,7 @@
         exchange: Exchange,
         name: str,
         end: str,
+        verdict: AnswerVerdict | None,
     ) -> None:
         self._deps.events.record(
             "request.forwarded",
@@ -168,34 +196,35 @@
             gateway=name,
             end=end,
             status=exchange.head.status if exchange.head else 0,
+            shows=verdict.value if verdict else "",
             bytes=len(request.incoming.body),
             age_ms=reply.age_ms,
             first_ms=reply.first_ms,
         )
 
 
-def _may_serve_again(request: ForwardedRequest, reply: Reply, end: str) -> bool:
+def _may_serve_again(request: ForwardedRequest, reply: Reply, is_whole: bool) -> bool:
     """Return whether a request is served here after it was sent to another gateway.
 
     The other gateway may have run it, so that only one that may be repeated is, and
     only if its caller is there and has nothing of an answer.
     """
-    if end == ExchangeEnd.WHOLE or reply.has_begun or reply.is_caller_gone:
+    if is_whole or reply.has_begun or reply.is_caller_gone:
         return False
     return request.route.repeat is Repeat.IDEMPOTENT
 
 
-def _finish(reply: Reply, exchange: Exchange, end: str) -> None:
+def _finish(reply: Reply, exchange: Exchange, is_whole: bool) -> None:
     """Answer a request by what the other gateway has answered."""
     if reply.is_caller_gone:
         reply.count("caller_left")
     elif reply.has_begun:
-        if end == ExchangeEnd.WHOLE:
+        if is_whole:
             reply.end_stream()
         else:
             reply.break_off()
-    elif end == ExchangeEnd.WHOLE:
+    elif is_whole:
         assert exchange.head is not None
         reply.pass_on(exchange.head, exchange.content)
     else:
-        reply.fail(502, "gateway_lost", "It is not known whether this was run.")
+        reply.fail(OUTCOME_UNKNOWN.status, "gateway_lost", OUTCOME_UNKNOWN.message)
--- a/packages/mustardquay-node/src/mustardquay_node/replies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/replies.py
@@ -1,16 +1,19 @@
 """Replies: the answer to one caller, with its log line and metrics."""
 
 from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
 from datetime import timedelta
 
 from tornado.httputil import HTTPHeaders
 
+from mustardquay.run_evidence import REFUSAL_STATUSES, RunLedger
+
 from .caller_connections import CallerAnswer, CallerRequest
 from .connections import AnswerHead
 from .forwarder_dependencies import ForwarderDependencies
 from .hop_headers import strip_hop_headers
 
-__all__ = ["Reply"]
+__all__ = ["OUTCOME_UNKNOWN", "Failure", "Reply"]
 
 MIN_RETRY_AFTER = timedelta(milliseconds=50)
 NO_HEADERS: Mapping[str, str] = {}
@@ -18,6 +21,17 @@
 """The status that guarantees to callers that the request has not run and won't."""
 
 
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """How a request ends that can't be refused, as it may have run."""
+
+    status: int
+    message: str
+
+
+OUTCOME_UNKNOWN = Failure(502, "It is not known whether this was run.")
+
+
 class Reply:
     """The answer to one request, sent at once or as a stream."""
 
@@ -29,8 +43,10 @@
         self._answer = answer
         self.pace = answer.pace
         """What is held for the caller; None without a limit of memory."""
-        self.request = ""
-        """The request's id, once its headers have been read."""
+        self.request = deps.adapter.read_request_id(incoming.headers)
+        """The request's id; empty if its headers have none."""
+        self.ledger = RunLedger()
+        """What the sends of the request leave open."""
         self.route = ""
         self.version = 0
         """Version of the configuration that applies to the request."""
@@ -104,15 +120,28 @@
         return round(self._longest_pause.total_seconds() * 1000)
 
     def refuse(
-        self, reason: str, retry_after: timedelta, **inputs: float | str
+        self,
+        reason: str,
+        retry_after: timedelta,
+        failure: Failure = OUTCOME_UNKNOWN,
+        **inputs: float | str,
     ) -> None:
-        """Answer that the request has not run, and when to retry."""
+        """Answer that the request has not run, and when to retry.
+
+        One that may have run is failed, and an answer that has begun is broken off.
+        """
+        if self.has_begun:
+            self.break_off()
+            return
+        if not self.ledger.is_surely_not_run:
+            self.fail(failure.status, reason, failure.message, **inputs)
+            return
         seconds = max(retry_after, MIN_RETRY_AFTER).total_seconds()
-        headers = {"Content-Type": "text/plain", "Retry-After": f"{seconds:.2f}"}
+        headers = self._make_headers({"Retry-After": f"{seconds:.2f}"})
         self._log_end(REFUSED_STATUS, reason, **inputs)
         self.count("refused")
         message = f"Not run: {reason}; try again.\n".encode()
-        self._answer.send(REFUSED_STATUS, HTTPHeaders(headers), message)
+        self._answer.send(REFUSED_STATUS, headers, message)
 
     def fail(
         self,
@@ -125,8 +154,7 @@
         """Answer with an error, or that the outcome is not known."""
         self._log_end(status, reason, **inputs)
         self.count("failed")
-        headers = HTTPHeaders({"Content-Type": "text/plain", **headers})
-        self._answer.send(status, headers, f"{message}\n".encode())
+        self._answer.send(status, self._make_headers(headers), f"{message}\n".encode())
 
     def break_off(self) -> None:
         """Abort a stream, so that it does not look complete."""
@@ -134,7 +162,13 @@
         self.count("broken")
 
     def pass_on(self, head: AnswerHead, content: bytes) -> None:
-        """Send an upstream's complete answer to the caller."""
+        """Send an upstream's complete answer to the caller.
+
+        A status of refusals is passed on only if it is true.
+        """
+        if head.status in REFUSAL_STATUSES and not self.ledger.is_surely_not_run:
+            self.fail(OUTCOME_UNKNOWN.status, "unproven", OUTCOME_UNKNOWN.message)
+            return
         self._note_first_byte()
         headers = strip_hop_headers(head.headers)
         self._answer.send(head.status, headers, content)
@@ -184,6 +218,11 @@
         age = self._deps.clock.monotonic() - self._incoming.received_at
         self._deps.record_first_byte(self.route, age)
 
+    def _make_headers(self, headers: Mapping[str, str]) -> HTTPHeaders:
+        """Return the headers of an answer of this gateway, which name the request."""
+        own = self._deps.adapter.build_answer_headers(self.request)
+        return HTTPHeaders({"Content-Type": "text/plain", **own, **headers})
+
     def _to_age(self, at: timedelta) -> float:
         return round((at - self._incoming.received_at).total_seconds() * 1000, 1)
 
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -1,6 +1,5 @@
 """Send one request to one upstream, and classify the result."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -84,6 +83,8 @@
         self._watch.start(exchange)
         self._note_choice(send)
         self._deps.loads.begin(upstream.id)
+        if not options.prefill_only:
+            self._reply.ledger.begin_send()
         end = ExchangeEnd.CANCELLED
         try:
             pool = self._deps.pools.get_pool(upstream)
@@ -94,10 +95,6 @@
             )
             if end == ExchangeEnd.WHOLE and is_success(exchange, options):
                 end = await confirm_end(exchange, pool)
-        except asyncio.CancelledError:
-            if exchange.was_sent and not options.prefill_only:
-                request.was_interrupted = True
-            raise
         finally:
             request.current = None
             self._watch.close()
@@ -340,6 +337,8 @@
         send.was_reused = exchange.was_reused
         send.detail = end
         send.end = self._classify(send, exchange, end)
+        if not options.prefill_only:
+            self._reply.ledger.end_send(send.end.is_not_run)
         send.framing = exchange.framing.value if exchange.head else ""
         send.was_ended_here = exchange.cancelled or end == ExchangeEnd.CANCELLED
         send.was_lost = end in LOST_ENDS and not send.was_ended_here
