End an exchange whose bytes are no answer at once, in the head as in the body

Cause: only a head had a limit; a body that is not passed on (foreign, refused, unclear, of a prefill) and an event that is held had that of a whole answer, or none. Change: what isn't passed on has 64 KB, an event 1 MB, informational heads 8; a declared length over the limit, and a foreign answer that only the end of the connection ends, are cut right away. The exchange is MALFORMED, and the connection closed.

--- a/packages/mustardquay-node/src/mustardquay_node/connections/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections/exchanges.py
@@ -16,8 +16,20 @@
 
 from ..unread_bytes import has_unread_bytes
 
-__all__ = ["AnswerHead", "Exchange", "ExchangeEnd"]
-
+__all__ = [
+    "MAX_ANSWER_BYTES",
+    "MAX_DROPPED_BYTES",
+    "AnswerHead",
+    "Exchange",
+    "ExchangeEnd",
+]
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Largest body of one answer."""
+MAX_DROPPED_BYTES = 64 * 1024
+"""Largest body of an answer that is not passed on; none of them says much."""
+MAX_INFORMATIONAL = 8
+"""Informational heads (1xx) before an answer."""
 START_LINE = re.compile(r"HTTP/\d\.\d \d{3}")
 """The start of an answer's first line."""
 
@@ -96,6 +108,10 @@
         self.was_reused = False
         """Whether the connection had been used before."""
         self.cancelled = False
+        self.body_limit = MAX_ANSWER_BYTES
+        """Largest body of the answer; more than that is no answer."""
+        self._received = 0
+        self._informational = 0
         self.is_spoilt = False
         """Whether bytes came that are no answer."""
 
@@ -140,19 +156,29 @@
         """Handle the head of an answer."""
         assert isinstance(start_line, ResponseStartLine)
         if start_line.code < 200:
+            self._count_informational()
             return
         if _holds_another_start(start_line, headers):
             self.spoil()
             return
-        head = AnswerHead(start_line.code, start_line.reason, headers)
-        self._skipping = not self._is_expected(head)
+        self._received = 0
+        self.body_limit = MAX_ANSWER_BYTES
         self.framing = find_framing(headers)
         self.is_persistent = start_line.version != "HTTP/1.0"
-        if not self._skipping:
+        head = AnswerHead(start_line.code, start_line.reason, headers)
+        self._skipping = not self._is_expected(head)
+        if self._skipping:
+            self.body_limit = MAX_DROPPED_BYTES
+        else:
             self.head = head
+        if self._skips_all or self._find_length(headers) > self.body_limit:
+            self.spoil()
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Handle a part of the body."""
+        self._received += len(chunk)
+        if self._received > self.body_limit:
+            self.spoil()
         if self._skipping or self.is_spoilt:
             return None
         if self._receive is not None:
@@ -186,6 +212,22 @@
     def on_connection_close(self) -> None:
         """Do nothing; the answer stays incomplete."""
 
+    @property
+    def _skips_all(self) -> bool:
+        """Return whether all that follows belongs to an answer that is skipped."""
+        return self._skipping and self.framing is Framing.CONNECTION
+
+    def _find_length(self, headers: HTTPHeaders) -> int:
+        """Return the declared length of an answer, 0 without one."""
+        length = headers.get("Content-Length", "")
+        has_length = self.framing is Framing.LENGTH and length.isdecimal()
+        return int(length) if has_length else 0
+
+    def _count_informational(self) -> None:
+        self._informational += 1
+        if self._informational > MAX_INFORMATIONAL:
+            self.spoil()
+
     def _was_closed_cleanly(self) -> bool:
         """Return whether the peer ended the connection, without a reset."""
         if self.cancelled:
--- a/packages/mustardquay-node/src/mustardquay_node/connections/pools.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections/pools.py
@@ -22,15 +22,13 @@
 from ..pauses import running_timeout
 from ..request_writing import write_request
 from ..unread_bytes import has_unread_bytes
-from .exchanges import Exchange, ExchangeEnd
+from .exchanges import MAX_ANSWER_BYTES, Exchange, ExchangeEnd
 
 __all__ = ["ConnectionPool", "split_address"]
 
 CONNECT_TIMEOUT = timedelta(milliseconds=250)
 """Connecting takes some 2 ms. A lost first packet is retransmitted only after a second,
 by which time another attempt has succeeded."""
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
-"""Largest body of one answer."""
 MAX_SKIPPED_ANSWERS = 2
 """Answers to earlier requests that are skipped before the expected one."""
 
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -13,7 +13,7 @@
 from mustardquay.upstream_lists import UpstreamRecord
 
 from ..adapters import SendTarget
-from ..connections import AnswerHead, Exchange, ExchangeEnd
+from ..connections import MAX_DROPPED_BYTES, AnswerHead, Exchange, ExchangeEnd
 from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from ..replies import Reply
 from ..usage import may_have_begun, note_begun
@@ -39,6 +39,8 @@
 CRASH_ONSET = timedelta(milliseconds=500)
 """Time after which a stream goes on although a part of its prompt were bad: such a part
 crashes an engine as it begins to write, with the first tokens."""
+MAX_EVENT_BYTES = 1024 * 1024
+"""Largest part of an event that is held; an event has a few tokens."""
 MIN_EVENTS = 3
 """Fewest events of a stream from which their mean interval is measured: the last event
 may come early."""
@@ -155,17 +157,21 @@
         def may_send() -> bool:
             return self._may_send(send.upstream, options)
 
-        return Exchange(
+        def is_expected(head: AnswerHead) -> bool:
+            return self._is_expected_answer(send, exchange, head, options)
+
+        exchange = Exchange(
             incoming.method,
             incoming.path,
             self._deps.adapter.build_headers(incoming.headers, target),
             incoming.body,
-            is_expected=lambda head: self._is_expected_answer(send, head, options),
+            is_expected,
             receive=receive if is_stream else self._find_receiver(options),
             may_send=may_send,
             is_complete=lambda exchange: self._is_complete(send, exchange, options),
             request_id=self._request.id,
         )
+        return exchange
 
     def _make_large_answer(self, send: Send) -> LargeAnswer | None:
         """Return the receiver of a plain answer; None without a limit of memory."""
@@ -216,7 +222,7 @@
         return rank_generation(request.route, is_late)
 
     def _is_expected_answer(
-        self, send: Send, head: AnswerHead, options: SendOptions
+        self, send: Send, exchange: Exchange, head: AnswerHead, options: SendOptions
     ) -> bool:
         """Return whether an answer belongs to this request; others are skipped."""
         facts = self._deps.adapter.read_answer(head)
@@ -233,6 +239,8 @@
             return False
         send.facts = facts
         send.verdict = verdict
+        if options.prefill_only or not send.is_own:
+            exchange.body_limit = MAX_DROPPED_BYTES
         self._watch.note_data()
         observe_head(self._deps, self._request, send, facts, head.status)
         return True
@@ -253,6 +261,9 @@
         self._note_outlasted_onset(send, now)
         self._watch.restart()
         events = self._framer.feed(data)
+        if self._framer.held > MAX_EVENT_BYTES:
+            exchange.spoil()
+            return None
         self._reply.events += self._framer.events - send.events
         send.events = self._framer.events
         if self._request.route.resumable:
--- a/packages/mustardquay/src/mustardquay/streams/event_framers.py
+++ b/packages/mustardquay/src/mustardquay/streams/event_framers.py
@@ -51,6 +51,11 @@
         lines = self._rest.splitlines()
         return any(line and not line.startswith(COMMENT) for line in lines)
 
+    @property
+    def held(self) -> int:
+        """Return the bytes that are held back of an incomplete event."""
+        return len(self._rest)
+
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the events that are complete."""
         data = self._rest + data
