Don't reuse an agent's connection on which bytes came between two calls

A caller of an entry could get another call's answer, or a foreign refusal, as its own. Evidence: two cases of test_upstreams got the foreign body. Change: a connection with bytes in its buffer or in the kernel, or closed, is dropped, both when an answer ends and when a call takes it. Answers of plain services name no call, so that bytes which come after a call was sent can't be told apart there; calls that must not be repeated have a new connection each, as before. Result: both cases failed before and pass now.

--- a/packages/mustardquay-node/src/mustardquay_node/upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstreams.py
@@ -26,6 +26,7 @@
 from mustardquay.streams import Framing, find_framing
 
 from .hop_headers import HOP_HEADERS
+from .unread_bytes import has_unread_bytes
 
 __all__ = ["CallResult", "UpstreamCall", "UpstreamClient"]
 
@@ -207,13 +208,14 @@
         oldest = asyncio.get_running_loop().time() - IDLE_LIMIT.total_seconds()
         while self._idle:
             stream, since = self._idle.pop()
-            if since >= oldest and not stream.closed():
+            if since >= oldest and not _has_foreign_bytes(stream):
                 return stream
             stream.close()
         return None
 
     def _keep(self, call: UpstreamCall, stream: UpstreamStream) -> None:
-        if stream.closed():
+        if _has_foreign_bytes(stream):
+            stream.close()
             return
         if not call.reusable or len(self._idle) >= IDLE_CONNECTIONS:
             stream.close()
@@ -248,3 +250,13 @@
             await connection.read_response(call)
         except (OSError, StreamClosedError):
             return
+
+
+def _has_foreign_bytes(stream: UpstreamStream) -> bool:
+    """Return whether bytes came between two calls, or the connection is closed.
+
+    They belong to no call, and would be taken for the answer to the next one.
+    """
+    if stream.closed() or stream._read_buffer_size > 0:
+        return True
+    return has_unread_bytes(stream.socket)
--- a/packages/mustardquay-node/tests/test_upstreams.py
+++ b/packages/mustardquay-node/tests/test_upstreams.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import time
 
 import pytest
 
@@ -68,3 +69,30 @@
     released.set()
     client.close()
     server.close()
+
+
+@pytest.mark.parametrize("is_held", [False, True])
+async def test_bytes_after_an_answer_are_not_the_answer_to_the_next_call(is_held):
+    """Guards against a foreign answer, also one that came while the loop was held."""
+
+    async def serve(reader, writer):
+        writers.append(writer)
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown")
+
+    writers = []
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    client = UpstreamClient(f"http://{host}:{port}")
+    parts = []
+    for _ in range(2):
+        call = UpstreamCall("GET", "/", (), b"", lambda *head: None, parts.append)
+        assert await client.run(call, fresh=False) is CallResult.COMPLETE
+        writers[-1].write(b"HTTP/1.1 503 X\r\nContent-Length: 3\r\n\r\nbad")
+        if is_held:
+            time.sleep(0.02)
+        else:
+            await asyncio.sleep(0.02)
+    assert parts == [b"own", b"own"]
+    client.close()
+    server.close()
