Answer 502 for a status of refusals that an agent's upstream gives

A caller of an entry got 503 for a booking, which the callers' page explains as 'nothing was run', although no one knew that: the service had answered it. Cause: the agent passed each whole answer on, whatever its status promises; the second cause of REFUSED, on the other path. Change: 408, 421, 429 and 503 of an upstream are failures of the attempt, as an engine's 5xx are: what may be repeated is, the rest ends as unknown (502). Result: the new test of test_upstream_faults got (503, answered) before, (502, unknown) now; all of tests/ pass.

--- a/packages/mustardquay-node/src/mustardquay_node/executions.py
+++ b/packages/mustardquay-node/src/mustardquay_node/executions.py
@@ -6,6 +6,7 @@
 from typing import Literal
 
 from mustardquay.messages import Header
+from mustardquay.run_evidence import REFUSAL_STATUSES
 
 from .runs import Run
 from .streams import EventFramer
@@ -59,8 +60,14 @@
         return self._status
 
     @property
-    def has_engine_error(self) -> bool:
-        """Return whether the status of the answer reports an engine failure."""
+    def has_failed(self) -> bool:
+        """Return whether the answer is a failure that isn't passed on.
+
+        A status of refusals would promise callers that nothing was run, which no
+        upstream of an agent says.
+        """
+        if self._status in REFUSAL_STATUSES:
+            return True
         return self._kind == "engine" and self._status >= MIN_ERROR_STATUS
 
     @property
@@ -80,13 +87,13 @@
     def _take_head(self, status: int, headers: tuple[Header, ...]) -> None:
         self._status = status
         self.run.progress_at = self._now()
-        if not self.has_engine_error:
+        if not self.has_failed:
             self.run.add_head(status, headers)
 
     def _take_data(self, data: bytes) -> "asyncio.Future[None] | None":
         run = self.run
         run.progress_at = self._now()
-        if self.has_engine_error:
+        if self.has_failed:
             return None
         if not run.first_data:
             run.first_data = True
--- a/packages/mustardquay-node/src/mustardquay_node/executors.py
+++ b/packages/mustardquay-node/src/mustardquay_node/executors.py
@@ -338,8 +338,8 @@
             message = "The upstream takes no connection; ask again later."
             refusal = Refusal(Reason.NO_UPSTREAM, message, RETRY_AFTER)
             self._refuse(run, refusal)
-        elif result is CallResult.COMPLETE and execution.has_engine_error:
-            message = f"The engine answered with status {execution.status}."
+        elif result is CallResult.COMPLETE and execution.has_failed:
+            message = f"The upstream answered with status {execution.status}."
             self._fail(run, FailureKind.ERROR, message)
         elif result is CallResult.COMPLETE and execution.has_end_mark:
             now = self._clock.monotonic()
--- a/tests/test_upstream_faults.py
+++ b/tests/test_upstream_faults.py
@@ -133,6 +133,17 @@
         service.set_faults({"frozen": False})
 
 
+async def test_a_refusal_of_a_service_is_not_passed_on_as_not_run(relayed_site, client):
+    """
+    A service answers 503, which does not say whether it has run the booking. The caller
+    must not get a status that promises so.
+    """
+    for service in relayed_site.services.values():
+        service.set_faults({"refuse": True})
+    answer = await send_call(relayed_site, client, "refused")
+    assert (answer.status, answer.outcome) == (502, "unknown")
+
+
 async def test_drain_in_mid_stream_cuts_nothing(relayed_site, client):
     """
     A draft continues while its engine drains. New drafts go to other engines from the
