Free bodies when their request ends

Cause: CallerRequest, Exchange and Sender live in reference cycles (callbacks of the reply, the answer, tornado's connection), so that their bodies stay until the collector comes, which objects trigger and bytes do not. Class: memory that lives on after its request. Change: whoever is done with a body drops it: the pool after an exchange, the forwarding at its end, the forwarder for what it doesn't admit, the sender for a content or an event that it has handed on. Nothing depends on when the collector runs.

--- a/packages/mustardquay-node/src/mustardquay_node/connections/pools.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections/pools.py
@@ -98,6 +98,13 @@
         A lower `idle_limit` is for requests that must not be repeated: on a connection
         that the peer is closing, it can't be determined whether they were run.
         """
+        try:
+            return await self._run(exchange, idle_limit)
+        finally:
+            # Reference cycles keep an exchange for a while after its end.
+            exchange.body = b""
+
+    async def _run(self, exchange: Exchange, idle_limit: timedelta | None) -> str:
         stream = self._take_idle(idle_limit, exchange.request_id)
         exchange.was_reused = stream is not None
         if stream is None:
--- a/packages/mustardquay-node/src/mustardquay_node/forwarders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarders.py
@@ -75,8 +75,10 @@
             self._record_fault(error)
             if not reply.has_ended:
                 reply.refuse("fault", DEFAULT_RETRY_AFTER)
+            request.body = b""
             return
         if admitted is None:
+            request.body = b""
             return
         task = asyncio.create_task(forward(self._deps, admitted, reply, answer))
         self._running[task] = reply
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -82,6 +82,7 @@
         deps.times.end(waiting)
         deps.origins.end(request.stream_keys)
         drop_prefill(deps, request, request.last_end)
+        forwarding.release()
 
 
 def _extend(timer: asyncio.Timeout, deadline: timedelta, clock: Clock) -> None:
@@ -130,9 +131,16 @@
                 self._reply.end_stream()
                 self._record_times()
                 return
-            if not self._decide_retry(send):
+            goes_on = self._decide_retry(send)
+            send.content = b""
+            if not goes_on:
                 return
 
+    def release(self) -> None:
+        """Drop what is held of the request, which reference cycles keep for a while."""
+        self._request.incoming.body = b""
+        self._sender.release()
+
     async def _forward_to_peer(self) -> bool:
         """Forward the request to another gateway; returns whether it has its answer."""
         forward_to_peer = self._deps.get_peer_forwarding()
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -103,6 +103,10 @@
             self._record_end(send, exchange, end, options)
         return send
 
+    def release(self) -> None:
+        """Drop what is held of an event."""
+        self._framer.restart()
+
     def log(self, send: Send, step: str) -> None:
         """Log the result of a send and the next step."""
         self._deps.events.record(
@@ -344,7 +348,7 @@
     ) -> None:
         """Classify the result of a send, and record it in loads, limits and crashes."""
         send.head = exchange.head
-        send.content = exchange.content
+        send.content = exchange.take()
         send.was_reused = exchange.was_reused
         send.detail = end
         send.end = self._classify(send, exchange, end)
