Never run a forwarded request by an older configuration than was shown

A route that had moved was served by its old service for 0.4 to 0.6 s after a caller had seen the new one (CONFIG, found by the review): a gateway on a slow link had the version and forwarded long prompts to one that was cut off from the store and did not. Cause: the choice of the other gateway did not look at the version in its digest, and that one can't know what was shown. Change: only a gateway that tells of this version or a newer one is chosen; the request names the version, and one that has an older one after all (a restart) answers 421, upon which the first one serves it.

--- a/packages/mustardquay-node/src/mustardquay_node/arrivals/request_reading.py
+++ b/packages/mustardquay-node/src/mustardquay_node/arrivals/request_reading.py
@@ -9,10 +9,15 @@
 from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from ..gateway_stops import DEFAULT_RETRY_AFTER
 from ..replies import Reply
+from ..shown_versions import take_shown_version
 from .caller_identities import AnsweredWithoutRunning, CallerIdentity, identify_caller
 
 __all__ = ["read_request"]
 
+MISDIRECTED = 421
+"""Tells the gateway that has forwarded a request to serve it itself."""
+OLDER_CONFIGURATION = "Not run: this gateway has an older configuration."
+
 
 def read_request(
     deps: ForwarderDependencies,
@@ -21,6 +26,10 @@
     reply: Reply,
 ) -> ForwardedRequest | None:
     """Return the request with its route and service, or answer that it has none."""
+    version = 0 if table is None else table.version
+    if version < take_shown_version(incoming.headers):
+        reply.fail(MISDIRECTED, "older_configuration", OLDER_CONFIGURATION)
+        return None
     if table is None:
         reply.refuse("no_configuration", DEFAULT_RETRY_AFTER)
         return None
--- a/packages/mustardquay-node/src/mustardquay_node/peer_forwarding/peer_forwarders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peer_forwarding/peer_forwarders.py
@@ -19,6 +19,7 @@
 from ..forwarder_dependencies import ForwardedRequest
 from ..hop_headers import strip_hop_headers
 from ..replies import OUTCOME_UNKNOWN, Reply
+from ..shown_versions import add_shown_version
 
 __all__ = ["PeerForwarder", "PeerForwarderDependencies"]
 
@@ -32,6 +33,7 @@
 connections when it is short of descriptors, and a request on one of them is lost."""
 UNCONNECTED_ENDS = (ExchangeEnd.NOT_CONNECTED, ExchangeEnd.CONNECT_TIMED_OUT)
 STREAM_STATUS = 200
+NOT_RUN = (AnswerVerdict.NOT_RUN, AnswerVerdict.OTHER_UPSTREAM)
 PASSED_ON = (AnswerVerdict.OWN, AnswerVerdict.NOT_RUN)
 """Verdicts on answers that are passed on to the caller."""
 
@@ -89,7 +91,7 @@
         if request.is_take_up or not saves_link_time(size, self._deps.link_rate):
             return False
         now = self._deps.clock.monotonic()
-        name = self._peers.choose(now, self._deps.random)
+        name = self._peers.choose(now, self._deps.random, reply.version)
         host = None if name is None else self._deps.find_host(name)
         if host is None:
             return False
@@ -105,12 +107,15 @@
             verdict = self._judge(exchange.head, request.id)
         finally:
             request.current = None
-            is_refused = end == ExchangeEnd.WHOLE and verdict is AnswerVerdict.NOT_RUN
+            is_refused = end == ExchangeEnd.WHOLE and verdict in NOT_RUN
             reply.ledger.end_send(is_refused or not exchange.was_sent)
             self._log(request, reply, exchange, name, end, verdict)
             self._deps.count(name, end)
         if end in UNCONNECTED_ENDS:
             self._peers.note_failure(name, self._deps.clock.monotonic())
+        if is_refused and verdict is AnswerVerdict.OTHER_UPSTREAM:
+            # It has an older configuration than this gateway has shown.
+            return False
         is_whole = end == ExchangeEnd.WHOLE and verdict in PASSED_ON
         if not exchange.was_sent or _may_serve_again(request, reply, is_whole):
             return False
@@ -130,6 +135,7 @@
         incoming = request.incoming
         headers = strip_hop_headers(incoming.headers)
         headers = self._deps.build_headers(headers, request.measure_time_left(now))
+        add_shown_version(headers, reply.version)
         is_stream = request.route.repeat is Repeat.STREAM
 
         def receive(exchange: Exchange, data: bytes) -> Awaitable[None] | None:
--- a/packages/mustardquay/src/mustardquay/peer_forwarding/forwarding_peers.py
+++ b/packages/mustardquay/src/mustardquay/peer_forwarding/forwarding_peers.py
@@ -21,6 +21,8 @@
 @dataclass(frozen=True, slots=True)
 class _Peer:
     link_rate: float
+    configuration: int
+    """Version of the configuration that it has in force."""
     at: timedelta
     """When its digest was received."""
 
@@ -38,7 +40,9 @@
     def apply_digest(self, digest: PeerDigest, now: timedelta) -> None:
         """Apply the newest digest of a gateway."""
         if self._may_use(digest):
-            self._peers[digest.gateway] = _Peer(digest.link_rate, now)
+            self._peers[digest.gateway] = _Peer(
+                digest.link_rate, digest.configuration, now
+            )
         else:
             self._peers.pop(digest.gateway, None)
 
@@ -52,13 +56,18 @@
             self._peers.pop(name, None)
             self._paused_until.pop(name, None)
 
-    def choose(self, now: timedelta, random: Random) -> str | None:
+    def choose(self, now: timedelta, random: Random, version: int) -> str | None:
         """Return a gateway to forward a request to, None if there is none.
 
-        The choice is random, in proportion to the links' rates.
+        The choice is random, in proportion to the links' rates, among those that have
+        this version of the configuration or a newer one.
         """
         self._expire(now)
-        names = [name for name in self._peers if name not in self._paused_until]
+        names = [
+            name
+            for name, peer in self._peers.items()
+            if name not in self._paused_until and peer.configuration >= version
+        ]
         if not names:
             return None
         rates = [self._peers[name].link_rate for name in names]
--- a/packages/mustardquay/src/mustardquay/run_evidence/answers.py
+++ b/packages/mustardquay/src/mustardquay/run_evidence/answers.py
@@ -78,7 +78,8 @@
 def judge_peer_answer(claims: AnswerClaims, request_id: str) -> AnswerVerdict:
     """Return what the answer of another gateway shows for a forwarded request.
 
-    A gateway passes a status of refusals on only as a promise of its own.
+    A gateway passes a status of refusals on only as a promise of its own, and says by
+    421 that it has an older configuration than the one that forwards.
 
     >>> judge_peer_answer(AnswerClaims("r1", 503), "r1").value
     'not_run'
@@ -86,7 +87,8 @@
     'foreign'
     """
     verdict = judge_answer(claims, request_id)
-    is_own = verdict is not AnswerVerdict.FOREIGN
-    if is_own and claims.status in REFUSAL_STATUSES:
+    if verdict in (AnswerVerdict.FOREIGN, AnswerVerdict.OTHER_UPSTREAM):
+        return verdict
+    if claims.status in REFUSAL_STATUSES:
         return AnswerVerdict.NOT_RUN
     return verdict
--- a/packages/mustardquay/tests/test_peer_forwarding.py
+++ b/packages/mustardquay/tests/test_peer_forwarding.py
@@ -32,8 +32,15 @@
     return peers
 
 
-def choose(peers, now=NOW, seed=1):
-    return peers.choose(now, Random(seed))
+def choose(peers, now=NOW, seed=1, version=1):
+    return peers.choose(now, Random(seed), version)
+
+
+@pytest.mark.parametrize(("version", "chosen"), [(1, "g"), (2, None)])
+def test_a_gateway_with_an_older_configuration_is_left_out(version, chosen):
+    """Guards against a request that is run as only an older version allows."""
+    peers = make_peers(SLOW, make_digest("g", FAST))
+    assert choose(peers, version=version) == chosen
 
 
 def test_a_gateway_on_a_faster_link_is_chosen():
@@ -120,7 +127,7 @@
         gateway = random.randrange(len(rates))
         chosen = None
         if is_forwarding and saves_link_time(PROMPT, rates[gateway]):
-            chosen = forwarders[gateway].choose(timedelta(), random)
+            chosen = forwarders[gateway].choose(timedelta(), random, 1)
         if chosen is None:
             waited = send(gateway, 2)
         else:
@@ -149,5 +156,5 @@
 def test_choices_follow_the_rates_of_links():
     peers = make_peers(SLOW, make_digest("g1", FAST), make_digest("g2", FAST / 4))
     random = Random(1)
-    chosen = Counter(peers.choose(NOW, random) for _ in range(1000))
+    chosen = Counter(peers.choose(NOW, random, 1) for _ in range(1000))
     assert 0.7 < chosen["g1"] / 1000 < 0.9
