Tell other gateways of all requests that were in flight in a crash at once

Cause: each request in flight in a crash becomes a record, and digests repeated the oldest four for a second before the next four. Class: news whose rate doesn't grow with what has to be told. Change: changed records go in datagrams of their own, twelve in each, every 20 ms as long as there are any, the least told and then the gravest first, three times each to ten gateways drawn anew; who hears something new passes it on. Digests still repeat suspects for gateways that were not there. Whole requests and parts share one exchange (SuspectExchange).

--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_reporters.py
@@ -8,12 +8,13 @@
 
 import asyncio
 from collections import OrderedDict, deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 
 from xxhash import xxh3_64_intdigest
 
 from mustardquay.clocks import Clock
+from mustardquay.crash_news import CrashNews
 from mustardquay.crash_watches import CrashWatch
 from mustardquay.events import EventRing
 from mustardquay.quarantines import CrashId, CrashRecord, FingerprintStatus, Quarantine
@@ -74,6 +75,9 @@
         """Fingerprints whose records are still to be repeated, one in each digest."""
         self._suspects_due = timedelta()
         self._probes = PendingProbes()
+        self._news = CrashNews()
+        self.on_news: Callable[[], None] = lambda: None
+        """Called when a record has changed that other gateways have to know."""
 
     @staticmethod
     def compute_fingerprint(method: str, path: str, body: bytes) -> int:
@@ -122,6 +126,7 @@
         crashes = self.count_crashes(fingerprint)
         if not self._quarantine.note_answer(fingerprint, now):
             return
+        self._note_changed([fingerprint])
         self._events.record(
             "quarantine.cleared",
             request=request,
@@ -140,6 +145,7 @@
         crash, fingerprints = suspected
         self._add_known(crash)
         self._quarantine.note_crash(crash, fingerprints, now)
+        self._note_changed(fingerprints)
         suspects = sorted(fingerprints, key=self.count_crashes, reverse=True)
         self._events.record(
             "upstream.crashed",
@@ -191,8 +197,27 @@
         for crash in {crash for record in records for crash in record.crashes}:
             if self._add_known(crash):
                 self._note_crash_elsewhere(crash)
-        if records and self._quarantine.merge(records, self._clock.monotonic()):
-            self._events.record("quarantine.merged", records=len(records))
+        now = self._clock.monotonic()
+        changed = [
+            record.fingerprint
+            for record in records
+            if self._quarantine.merge([record], now)
+        ]
+        if changed:
+            self._note_changed(changed)
+            self._events.record("quarantine.merged", records=len(changed))
+
+    def take_news(self, limit: int) -> tuple[CrashRecord, ...]:
+        """Return the records to tell other gateways now, the gravest first."""
+        now = self._clock.monotonic()
+        chosen = self._news.take(limit, self.count_crashes)
+        records = [self._quarantine.export(each, now) for each in chosen]
+        return tuple(record for record in records if record is not None)
+
+    def _note_changed(self, fingerprints: Iterable[int]) -> None:
+        for each in fingerprints:
+            self._news.add(each)
+        self.on_news()
 
     def _add_known(self, crash: CrashId) -> bool:
         """Add a crash to the known ones; return whether it is new."""
--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_exchanges.py
@@ -8,19 +8,18 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from datetime import timedelta
 from random import Random
-from typing import Protocol
 
 from mustardquay.crashing_parts import PartRecord
 
 from ..loops import start_loop
-from ..peers import Address
 from .frames import NOTICE_PREFIX, PartNotice, decode_notice, encode_notice
+from .links import GatewayLink
 from .part_reporters import PartReporter
 
-__all__ = ["GatewayLink", "PartExchange"]
+__all__ = ["PartExchange"]
 
 NEWS_INTERVAL = timedelta(milliseconds=50)
 """Least time between two datagrams of news."""
@@ -30,26 +29,6 @@
 gateway passes on to so many is everywhere after three or four hops at 1,000 of them."""
 
 
-class GatewayLink(Protocol):
-    """The link to other gateways, as `PeerLink` has it."""
-
-    @property
-    def names(self) -> list[str]:
-        """Return the names of the registered gateways, including this one."""
-
-    @property
-    def neighbours(self) -> list[str]:
-        """Return the names of the gateways that exchange digests with this one."""
-
-    def send_to(self, data: bytes, names: Iterable[str]) -> None:
-        """Send a datagram to some gateways."""
-
-    def add_channel(
-        self, prefix: bytes, receive: Callable[[bytes, Address], None]
-    ) -> None:
-        """Pass on datagrams that begin with a prefix."""
-
-
 class PartExchange:
     """Tells other gateways of parts, and hears from them."""
 
--- a/packages/mustardquay-node/src/mustardquay_node/digest_frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/digest_frames.py
@@ -25,7 +25,13 @@
 
 from .capacity_frames import read_capacities, write_capacities
 
-__all__ = ["DATAGRAM_LIMIT", "decode_digest", "encode_digest"]
+__all__ = [
+    "DATAGRAM_LIMIT",
+    "decode_crashes",
+    "decode_digest",
+    "encode_crashes",
+    "encode_digest",
+]
 
 capnp.remove_import_hook()
 SCHEMA = capnp.load(str(Path(__file__).with_name("peers.capnp")))
@@ -111,6 +117,23 @@
     )
 
 
+def encode_crashes(records: Sequence[CrashRecord]) -> bytes:
+    """Return the datagram of records of crashes alone."""
+    message = SCHEMA.Digest.new_message()
+    message.layout = LAYOUT
+    _write_crashes(message, records)
+    return message.to_bytes_packed()
+
+
+@or_none
+def decode_crashes(data: bytes) -> tuple[CrashRecord, ...] | None:
+    """Return the records of crashes in a datagram, or None if it can't be decoded."""
+    message = SCHEMA.Digest.from_bytes_packed(data)
+    if message.layout != LAYOUT:
+        return None
+    return tuple(map(_read_crash, message.crashes))
+
+
 def _write_work(message: Any, engines: Sequence[EngineDigest]) -> None:
     ranks = sorted(
         {
--- a/packages/mustardquay-node/src/mustardquay_node/gateways.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateways.py
@@ -22,7 +22,7 @@
 from .adapters import Adapter, load_adapter
 from .configuration_loaders import ConfigurationLoader
 from .connection_gates import GateMonitor
-from .crash_suspects import PartExchange
+from .crash_suspects import SuspectExchange
 from .digest_exchanges import DigestDependencies, DigestExchange
 from .era_watches import EraWatch
 from .forwarder_dependencies import ForwarderDependencies
@@ -112,8 +112,8 @@
         gate_monitor = GateMonitor(self._gate, self._clock, self._events)
         self._servers = GatewayServers(self._upstreams.free_descriptors, gate_monitor)
         self._peering = self._make_peering()
-        self._part_exchange = PartExchange(
-            node.name, self._upstreams.crashes.parts, self._peers, self._random
+        self._suspects = SuspectExchange(
+            node.name, self._upstreams.crashes, self._peers, self._random
         )
         self._peers.add_channel(MESSAGE_PREFIX, self._origins.receive)
         self._usage = self._make_usage() if settings.usage.address else None
@@ -178,7 +178,7 @@
         self._peering.start()
         await self._peers.start()
         self._origins.start()
-        self._part_exchange.start()
+        self._suspects.start()
         self._feeds.start()
         self._engines.start()
         if self._usage is not None:
@@ -207,7 +207,7 @@
         await self._feeds.close()
         await self._peering.close()
         await self._origins.close()
-        await self._part_exchange.close()
+        await self._suspects.close()
         await self._peers.close()
         await self._servers.close()
         await self._upstreams.close()
@@ -235,7 +235,7 @@
             count_gateways=lambda: self._peers.count,
             note_change=lambda: self._peers.note_change(),
             notify_peers=lambda: self._peers.send_now(),
-            tell_of_parts=lambda: self._part_exchange.notify(),
+            tell_of_parts=lambda: self._suspects.notify(),
             note_leaving=lambda record: self._engines.note_draining(record),
             close_idle_callers=lambda: self._connections.free_descriptors(),
         )
@@ -284,7 +284,7 @@
 
     def _note_registered(self, gateways: Collection[str]) -> None:
         self._origins.note_registered(gateways)
-        self._part_exchange.note_registered(gateways)
+        self._suspects.note_registered(gateways)
 
     def _make_gauges(self) -> dict[str, Callable[[], float]]:
         return make_gauges(
