Move the classification of a send to a module of its own

No logic changes; the tests of forwarding, streams, kept readings, large answers and false refusals pass.

--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -17,6 +17,7 @@
 from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from ..replies import Reply
 from ..usage import may_have_begun, note_begun
+from .classifications import classify_send, is_stream_answer
 from .confirmations import confirm_end, is_success
 from .large_answers import LargeAnswer
 from .observations import observe_end, observe_head
@@ -27,10 +28,6 @@
 
 Receiver = Callable[[Exchange, bytes], Awaitable[None] | None]
 
-NOT_RUN_RESULTS = {
-    AnswerVerdict.NOT_RUN: SendResult.NOT_RUN,
-    AnswerVerdict.OTHER_UPSTREAM: SendResult.OTHER_UPSTREAM,
-}
 LOST_ENDS = (ExchangeEnd.BROKEN, ExchangeEnd.INCOMPLETE)
 """Ends of an exchange without a whole answer, as crashes of upstreams leave them."""
 NON_IDEMPOTENT_IDLE_LIMIT = timedelta(milliseconds=400)
@@ -351,7 +348,7 @@
         send.content = exchange.take()
         send.was_reused = exchange.was_reused
         send.detail = end
-        send.end = self._classify(send, exchange, end)
+        send.end = classify_send(self._request.route, self._reply, send, exchange, end)
         if not options.prefill_only:
             self._reply.ledger.end_send(send.end.is_not_run)
         send.framing = exchange.framing.value if exchange.head else ""
@@ -380,25 +377,5 @@
         pause = (send.last_at - send.first_at) / (send.events - 1)
         self._deps.planner.learn_pause(send.upstream, pause)
 
-    def _classify(self, send: Send, exchange: Exchange, end: str) -> SendResult:
-        if self._reply.is_caller_gone:
-            return SendResult.CALLER_LEFT
-        if not exchange.was_sent:
-            return SendResult.NOT_SENT
-        if end != ExchangeEnd.WHOLE or send.facts is None:
-            return SendResult.BROKEN
-        if send.verdict in NOT_RUN_RESULTS:
-            return NOT_RUN_RESULTS[send.verdict]
-        if not send.is_own:
-            return SendResult.BROKEN
-        is_begun = self._reply.has_begun and not send.is_passed_on
-        if is_begun and not self._is_stream(send, exchange):
-            # An error instead of the rest of a stream whose head was already sent.
-            return SendResult.BROKEN
-        return SendResult.ANSWERED
-
     def _is_stream(self, send: Send, exchange: Exchange) -> bool:
-        """Return whether an answer is a stream that may be passed on to the caller."""
-        if self._request.route.repeat is not Repeat.STREAM or not send.is_own:
-            return False
-        return exchange.head.status == 200 and send.facts.is_signed
+        return is_stream_answer(self._request.route, send, exchange)
