--- a/packages/mustardquay-node/src/mustardquay_node/connections/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections/exchanges.py
@@ -110,6 +110,8 @@
         self.cancelled = False
         self.body_limit = MAX_ANSWER_BYTES
         """Largest body of the answer; more than that is no answer."""
+        self.declared_length = 0
+        """Length of the body by the head of the answer, 0 without one."""
         self._received = 0
         self._informational = 0
         self.is_spoilt = False
@@ -164,6 +166,7 @@
         self._received = 0
         self.body_limit = MAX_ANSWER_BYTES
         self.framing = find_framing(headers)
+        self.declared_length = self._find_length(headers)
         self.is_persistent = start_line.version != "HTTP/1.0"
         head = AnswerHead(start_line.code, start_line.reason, headers)
         self._skipping = not self._is_expected(head)
@@ -171,7 +174,7 @@
             self.body_limit = MAX_DROPPED_BYTES
         else:
             self.head = head
-        if self._skips_all or self._find_length(headers) > self.body_limit:
+        if self._skips_all or self.declared_length > self.body_limit:
             self.spoil()
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
@@ -218,7 +221,6 @@
         return self._skipping and self.framing is Framing.CONNECTION
 
     def _find_length(self, headers: HTTPHeaders) -> int:
-        """Return the declared length of an answer, 0 without one."""
         length = headers.get("Content-Length", "")
         has_length = self.framing is Framing.LENGTH and length.isdecimal()
         return int(length) if has_length else 0
--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_exchanges.py
@@ -14,7 +14,7 @@
 from ..digest_frames import decode_crashes, encode_crashes
 from ..loops import cancel_task, start_loop
 from .body_reporters import CrashReporter
-from .links import GatewayLink
+from .links import GatewayLink, choose_recipients
 
 __all__ = ["BodyExchange"]
 
@@ -23,8 +23,6 @@
 """Least time between two datagrams of news."""
 RECORDS_LIMIT = 12
 """Records in one datagram, so that it is not fragmented."""
-RECIPIENTS = 10
-"""Recipients of one datagram, drawn anew each time from all gateways."""
 
 
 class BodyExchange:
@@ -64,6 +62,5 @@
             self._has_news.clear()
             return
         data = NEWS_PREFIX + encode_crashes(records)
-        others = [name for name in self._link.names if name != self._name]
-        recipients = self._random.sample(others, min(RECIPIENTS, len(others)))
+        recipients = choose_recipients(self._link, self._name, self._random)
         self._link.send_to(data, recipients)
--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/links.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/links.py
@@ -1,11 +1,16 @@
 """The link of a gateway to others, as the exchanges of suspects need it."""
 
 from collections.abc import Callable, Iterable
+from random import Random
 from typing import Protocol
 
 from ..peers import Address
 
-__all__ = ["GatewayLink"]
+__all__ = ["GatewayLink", "RECIPIENTS", "choose_recipients"]
+
+RECIPIENTS = 10
+"""Recipients of one datagram, drawn anew each time from all gateways. News that each
+gateway passes on to so many is everywhere after three or four hops at 1,000 of them."""
 
 
 class GatewayLink(Protocol):
@@ -26,3 +31,9 @@
         self, prefix: bytes, receive: Callable[[bytes, Address], None]
     ) -> None:
         """Pass on datagrams that begin with a prefix."""
+
+
+def choose_recipients(link: GatewayLink, name: str, random: Random) -> list[str]:
+    """Return a few gateways that are drawn from all others than `name`."""
+    others = [each for each in link.names if each != name]
+    return random.sample(others, min(RECIPIENTS, len(others)))
--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_exchanges.py
@@ -16,7 +16,7 @@
 
 from ..loops import start_loop
 from .frames import NOTICE_PREFIX, PartNotice, decode_notice, encode_notice
-from .links import GatewayLink
+from .links import GatewayLink, choose_recipients
 from .part_reporters import PartReporter
 
 __all__ = ["PartExchange"]
@@ -24,9 +24,6 @@
 NEWS_INTERVAL = timedelta(milliseconds=50)
 """Least time between two datagrams of news."""
 REPEAT_INTERVAL = timedelta(seconds=1)
-RECIPIENTS = 10
-"""Recipients of one datagram, drawn anew each time from all gateways. News that each
-gateway passes on to so many is everywhere after three or four hops at 1,000 of them."""
 
 
 class PartExchange:
@@ -84,7 +81,8 @@
         self._news.clear()
         records = self._reporter.take_records()
         if records:
-            self._send(records, self._choose_recipients())
+            recipients = choose_recipients(self._link, self._name, self._random)
+            self._send(records, recipients)
         if self._reporter.has_news:
             self._news.set()
 
@@ -96,8 +94,3 @@
         self._reporter.repeat()
         if self._reporter.has_news:
             self._news.set()
-
-    def _choose_recipients(self) -> list[str]:
-        """Return a few gateways that are drawn from all others."""
-        others = [name for name in self._link.names if name != self._name]
-        return self._random.sample(others, min(RECIPIENTS, len(others)))
--- a/packages/mustardquay-node/src/mustardquay_node/peer_forwarding/peer_forwarders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peer_forwarding/peer_forwarders.py
@@ -38,6 +38,14 @@
 """Verdicts on answers that are passed on to the caller."""
 
 
+@dataclass(slots=True)
+class _PeerAnswer:
+    """The answer of another gateway, judged by its head."""
+
+    verdict: AnswerVerdict | None = None
+    """What it shows; None before its head."""
+
+
 @dataclass(frozen=True, slots=True)
 class PeerForwarderDependencies:
     """Dependencies of `PeerForwarder`."""
@@ -97,16 +105,16 @@
             return False
         is_once = request.route.repeat is not Repeat.IDEMPOTENT
         pool = self._get_pool(name, f"{host}:{self._ports[name]}")
-        exchange = self._make_exchange(request, reply, now)
+        answer = _PeerAnswer()
+        exchange = self._make_exchange(request, reply, answer, now)
         request.current = exchange
         end = ExchangeEnd.CANCELLED
-        verdict = None
         reply.ledger.begin_send()
         try:
             end = await pool.run(exchange, ONCE_IDLE_LIMIT if is_once else None)
-            verdict = self._judge(exchange.head, request.id)
         finally:
             request.current = None
+            verdict = answer.verdict
             is_refused = end == ExchangeEnd.WHOLE and verdict in NOT_RUN
             reply.ledger.end_send(is_refused or not exchange.was_sent)
             self._log(request, reply, exchange, name, end, verdict)
@@ -122,15 +130,17 @@
         _finish(reply, exchange, is_whole)
         return True
 
-    def _judge(self, head: AnswerHead | None, request_id: str) -> AnswerVerdict | None:
-        """Return what the answer of the other gateway shows; None without one."""
-        if head is None:
-            return None
+    def _judge(self, head: AnswerHead, request_id: str) -> AnswerVerdict:
+        """Return what the answer of the other gateway shows."""
         facts = self._deps.read_answer(head)
         return judge_peer_answer(facts.make_claims(head.status), request_id)
 
     def _make_exchange(
-        self, request: ForwardedRequest, reply: Reply, now: timedelta
+        self,
+        request: ForwardedRequest,
+        reply: Reply,
+        answer: _PeerAnswer,
+        now: timedelta,
     ) -> Exchange:
         incoming = request.incoming
         headers = strip_hop_headers(incoming.headers)
@@ -140,7 +150,7 @@
 
         def receive(exchange: Exchange, data: bytes) -> Awaitable[None] | None:
             assert exchange.head is not None
-            is_own = self._judge(exchange.head, request.id) is AnswerVerdict.OWN
+            is_own = answer.verdict is AnswerVerdict.OWN
             if exchange.head.status != STREAM_STATUS or not is_own:
                 exchange.keep(data)
                 return None
@@ -149,7 +159,8 @@
             return reply.write(data)
 
         def is_expected(head: AnswerHead) -> bool:
-            if self._judge(head, request.id) is AnswerVerdict.FOREIGN:
+            answer.verdict = self._judge(head, request.id)
+            if answer.verdict is AnswerVerdict.FOREIGN:
                 exchange.spoil()
             return True
 
--- a/packages/mustardquay-node/src/mustardquay_node/sending/large_answers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/large_answers.py
@@ -8,7 +8,6 @@
 from collections.abc import Awaitable, Callable
 
 from mustardquay.memory_limits import COUNTED_SIZE
-from mustardquay.streams import Framing
 
 from ..caller_connections import CallerPace
 from ..connections import Exchange
@@ -48,7 +47,7 @@
         if self._size <= COUNTED_SIZE:
             return None
         self._count(len(data))
-        if not self._pace.guard.is_large(max(self._size, _find_length(exchange))):
+        if not self._pace.guard.is_large(max(self._size, exchange.declared_length)):
             return None
         kept = exchange.take()
         self._pace.held.drop_kept()
@@ -58,7 +57,7 @@
             return None
         self._send.is_passed_on = True
         assert exchange.head is not None
-        length = _find_length(exchange) or None
+        length = exchange.declared_length or None
         self._reply.begin_large(exchange.head, length)
         return self._pass_on(kept)
 
@@ -83,11 +82,3 @@
         """Return whether the answer would be passed on if it were whole."""
         reply = self._reply
         return self._send.is_own and not (reply.is_caller_gone or reply.has_begun)
-
-
-def _find_length(exchange: Exchange) -> int:
-    """Return the declared length of an answer, 0 without one."""
-    if exchange.head is None or exchange.framing is not Framing.LENGTH:
-        return 0
-    length = exchange.head.headers.get("Content-Length", "")
-    return int(length) if length.isdecimal() else 0
--- a/packages/mustardquay-node/tests/simulated_crash_news.py
+++ b/packages/mustardquay-node/tests/simulated_crash_news.py
@@ -14,9 +14,9 @@
 from mustardquay_node.crash_suspects import CrashReporter
 from mustardquay_node.crash_suspects.body_exchanges import (
     NEWS_INTERVAL,
-    RECIPIENTS,
     RECORDS_LIMIT,
 )
+from mustardquay_node.crash_suspects.links import RECIPIENTS
 from mustardquay_node.digest_frames import decode_crashes, encode_crashes
 from mustardquay_node.peers import list_recipients
 
@@ -49,7 +49,6 @@
     by_digests: bool = False
     """Whether news goes only in digests, four records in each."""
     sent_bytes: int = 0
-    now: timedelta = timedelta()
     delays: list[float] = field(default_factory=list)
     """Seconds until a gateway refuses a request that has crashed three upstreams."""
 
--- a/packages/mustardquay-node/tests/test_connection_reuse.py
+++ b/packages/mustardquay-node/tests/test_connection_reuse.py
@@ -11,7 +11,7 @@
 from mustardquay_node.connections import ConnectionPool, Exchange, ExchangeEnd
 
 ANSWER = b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok"
-REFUSAL = b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+REFUSAL = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
 
 
 @pytest_asyncio.fixture
