Refuse by what the process takes, not only by what its ledger counts

Cause: the guard compared its ledger with the limit. Memory that no ledger counts (objects in cycles, what the C library keeps) counted as free. Class: a limit that is checked against a model of the resource, not the resource.

Ruled out: the resident size as the only measure; it stays at its peak without a trim. Collecting by a timer: it costs without need.

Failed before: test_process_memory, both tests (200 for 503 with 166 of 200 MB taken by what nobody counts; no reclaim of 180 MB of garbage). Passed after, with 77 tests of memory and large answers.

--- a/packages/mustardquay-node/src/mustardquay_node/caller_connections/memory_watches.py
+++ b/packages/mustardquay-node/src/mustardquay_node/caller_connections/memory_watches.py
@@ -1,4 +1,4 @@
-"""Memory watches: close stalled connections that hold what others need."""
+"""Memory watches: measure the process, and close stalled connections that hold much."""
 
 import asyncio
 import fcntl
@@ -59,6 +59,7 @@
 
     def _check(self) -> None:
         self.start()
+        self._guard.measure()
         self._look_into_kernel()
         closing = find_closing(
             self._guard.ledger,
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_gauges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_gauges.py
@@ -53,6 +53,7 @@
         "mustardquay.connections": lambda: float(sources.connections.count),
         "mustardquay.memory.held": lambda: _read_held(sources.connections, "total"),
         "mustardquay.memory.most": lambda: _read_held(sources.connections, "most"),
+        "mustardquay.memory.resident": lambda: _read_resident(sources.connections),
         "mustardquay.store.age": lambda: _measure_store_age(sources.feeds),
         "mustardquay.usage.leads": lambda: float(usage is not None and usage.leads),
         "mustardquay.upstreams.reporting": lambda: float(
@@ -82,6 +83,11 @@
     return 0.0 if memory is None else float(getattr(memory.ledger, figure))
 
 
+def _read_resident(connections: CallerConnections) -> float:
+    memory = connections.memory
+    return 0.0 if memory is None else float(memory.resident)
+
+
 def _measure_store_age(feeds: GatewayFeeds) -> float:
     return _to_seconds(feeds.age)
 
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_metrics.py
@@ -51,6 +51,7 @@
         "Bytes that are held for callers and upstreams that read slowly.",
     ),
     "mustardquay.memory.most": ("By", "Most bytes that were held since the start."),
+    "mustardquay.memory.resident": ("By", "Memory of the process at its last check."),
     "mustardquay.store.age": ("s", "Time since the store last answered."),
     "mustardquay.store.era": (
         "{era}",
--- a/packages/mustardquay-node/src/mustardquay_node/memory_guards.py
+++ b/packages/mustardquay-node/src/mustardquay_node/memory_guards.py
@@ -1,5 +1,7 @@
 """The memory guard: what one gateway holds, and its limits in force."""
 
+import ctypes
+import gc
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -9,9 +11,11 @@
 from mustardquay.clocks import Clock
 from mustardquay.events import EventRing
 from mustardquay.memory_limits import (
+    MEGABYTE,
     Closing,
     Ledger,
     MemoryLimits,
+    ProcessMemory,
     RefusalSpan,
     draw_retry_after,
     find_limits,
@@ -46,6 +50,7 @@
     def __init__(
         self,
         limits: MemoryLimits,
+        process: ProcessMemory,
         clock: Clock,
         events: EventRing,
         random: Random,
@@ -53,6 +58,7 @@
     ):
         """Take `count`, which counts refusals and closings by their reason."""
         self._limits = limits
+        self._process = process
         self._clock = clock
         self._events = events
         self._random = random
@@ -70,6 +76,11 @@
         """Return what is held."""
         return self._ledger
 
+    @property
+    def resident(self) -> int:
+        """Return the bytes that the process had in memory when it was last measured."""
+        return self._process.resident
+
     @property
     def refused_for(self) -> timedelta:
         """Return for how long new requests have been refused."""
@@ -77,11 +88,28 @@
 
     def admits(self, body: int) -> bool:
         """Return whether to read a request with a body of that length."""
-        return self._limits.admits(self._ledger.total, body)
+        held = self._ledger.total
+        return self._limits.admits(held, body) and self._process.admits(held, body)
 
     def has_room_for_body(self) -> bool:
         """Return whether to go on reading a body whose length was not declared."""
-        return self._ledger.total < self._limits.close_level
+        held = self._ledger.total
+        return held < self._limits.close_level and self._process.admits(held, 0)
+
+    def measure(self) -> None:
+        """Measure the process, and reclaim what is free in it near the limit."""
+        self._process.note_resident(measure_resident())
+        if not self._process.begin_reclaim():
+            return
+        before = self._process.resident
+        reclaim_memory()
+        self._process.note_resident(measure_resident())
+        self._events.record(
+            "memory.reclaimed",
+            before=before,
+            resident=self._process.resident,
+            held=self._ledger.total,
+        )
 
     def find_read_ahead(self) -> int:
         """Return how many bytes may wait for one caller."""
@@ -102,6 +130,7 @@
             body=body,
             held=self._ledger.total,
             budget=self._limits.budget,
+            resident=self._process.resident,
             **details,
         )
         return draw_retry_after(self._random)
@@ -136,7 +165,8 @@
         resident=resident,
         budget=limits.budget,
     )
-    return MemoryGuard(limits, clock, events, options.random, options.count)
+    process = ProcessMemory(int(options.megabytes * MEGABYTE), resident)
+    return MemoryGuard(limits, process, clock, events, options.random, options.count)
 
 
 def find_socket_buffer(megabytes: float) -> int | None:
@@ -151,3 +181,15 @@
         return int(STATM.read_text().split()[1]) * PAGE_SIZE
     except (OSError, IndexError, ValueError):
         return 0
+
+
+def reclaim_memory() -> None:
+    """Free unreachable objects, and return free memory to the system.
+
+    The C library keeps what was freed for later allocations, so that the size of the
+    process would stay at its peak.
+    """
+    gc.collect()
+    trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
+    if trim is not None:
+        trim(0)
--- a/packages/mustardquay/src/mustardquay/memory_limits/__init__.py
+++ b/packages/mustardquay/src/mustardquay/memory_limits/__init__.py
@@ -2,11 +2,19 @@
 
 from .closings import STALL_TIME, Closing, ClosingReason, find_closing
 from .ledgers import HeldBytes, Ledger
-from .limits import COUNTED_SIZE, READ_SIZE, MemoryLimits, find_limits
+from .limits import (
+    COUNTED_SIZE,
+    MEGABYTE,
+    READ_SIZE,
+    MemoryLimits,
+    find_limits,
+)
+from .process_memory import ProcessMemory
 from .refusals import RefusalSpan, draw_retry_after
 
 __all__ = [
     "COUNTED_SIZE",
+    "MEGABYTE",
     "READ_SIZE",
     "STALL_TIME",
     "Closing",
@@ -14,6 +22,7 @@
     "HeldBytes",
     "Ledger",
     "MemoryLimits",
+    "ProcessMemory",
     "RefusalSpan",
     "draw_retry_after",
     "find_closing",
--- a/packages/mustardquay/src/mustardquay/memory_limits/limits.py
+++ b/packages/mustardquay/src/mustardquay/memory_limits/limits.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from functools import cached_property
 
-__all__ = ["COUNTED_SIZE", "READ_SIZE", "MemoryLimits", "find_limits"]
+__all__ = ["COUNTED_SIZE", "MEGABYTE", "READ_SIZE", "MemoryLimits", "find_limits"]
 
 MEGABYTE = 1_000_000
 READ_SIZE = 65_536
