Read foreign rows of the system's own tables without ending their readers

Cause: KeyError or ProtocolError from one row of the lease table, or of settled reports. The loops of orders and of usage reports handle errors of the project only, so that the first ended them for the life of the process, and the second kept them from ever taking the lease.

A lease row without a holder counts as held by someone unknown: it is replaced a term later, by the condition on its revision. A window with an unreadable row is left out of settled reports; sent without that row, its report would name other counts than were settled. A conflict postpones its window, so that such a window costs no transaction each 0.2 s.

--- a/packages/mustardquay-node/src/mustardquay_node/usage/reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/usage/reporters.py
@@ -248,6 +248,7 @@
         if not is_settled:
             # Another holder has settled it, or an own write whose answer was lost.
             self._has_read = False
+            self._postpone(window)
             return None
         deps.log.add_settled([report])
         return report
--- a/packages/mustardquay/src/mustardquay/leases.py
+++ b/packages/mustardquay/src/mustardquay/leases.py
@@ -61,9 +61,15 @@
         return 0 if self.lease is None else self.lease.revision
 
     @property
-    def holder(self) -> str:
-        """Return the name of the holder; empty after a release."""
-        return "" if self.lease is None else self.lease.value["holder"]
+    def holder(self) -> str | None:
+        """Return the name of the holder; empty after a release, None if unreadable.
+
+        Who wrote an unreadable row isn't known, so that the lease is not free.
+        """
+        if self.lease is None:
+            return ""
+        holder = self.lease.value.get("holder")
+        return holder if isinstance(holder, str) else None
 
     @property
     def heartbeat_revision(self) -> int:
@@ -178,7 +184,7 @@
             # it was applied, and the renewal then makes the lease valid.
             self._fence = rows.fence
             return self._build_renewal()
-        is_free = not rows.holder and not self._is_disowned
+        is_free = rows.holder == "" and not self._is_disowned
         if is_free or now - self._seen_since >= self._term:
             return self._build_takeover(rows)
         return None
--- a/packages/mustardquay/src/mustardquay/usage/reports.py
+++ b/packages/mustardquay/src/mustardquay/usage/reports.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from ..borders import or_none
 from ..tables import Condition, Row, Write
 
 __all__ = [
@@ -61,15 +62,42 @@
 def read_reports(rows: Iterable[Row]) -> list[UsageReport]:
     """Return the settled reports in rows of the table.
 
+    A window of which a row can't be read is left out: its report would lack counts.
+
     >>> _, writes = write_report(UsageReport(7, {"acme": 2}))
     >>> read_reports([Row(each.table, each.key, each.value, 1) for each in writes])
     [UsageReport(window=7, counts={'acme': 2})]
     """
     counts: dict[int, dict[str, int]] = {}
+    unreadable = set()
     for row in rows:
-        window = int(row.key.partition("/")[0])
-        counts.setdefault(window, {}).update(row.value["counts"])
-    return [UsageReport(window, found) for window, found in counts.items()]
+        window = _read_window(row.key)
+        found = _read_counts(row)
+        if window is None:
+            continue
+        if found is None:
+            unreadable.add(window)
+            continue
+        counts.setdefault(window, {}).update(found)
+    return [
+        UsageReport(window, found)
+        for window, found in counts.items()
+        if window not in unreadable
+    ]
+
+
+@or_none
+def _read_window(key: str) -> int:
+    return int(key.partition("/")[0])
+
+
+@or_none
+def _read_counts(row: Row) -> dict[str, int] | None:
+    counts = row.value["counts"]
+    is_sound = all(
+        isinstance(name, str) and type(count) is int for name, count in counts.items()
+    )
+    return dict(counts) if is_sound else None
 
 
 @dataclass(slots=True)
