--- a/benchmarks/starts.py
+++ b/benchmarks/starts.py
@@ -10,7 +10,6 @@
 import asyncio
 import json
 import os
-import socket
 import sys
 import tempfile
 import time
@@ -26,13 +25,20 @@
 ROOT = Path(__file__).parents[1]
 sys.path.insert(0, str(ROOT / "platform" / "adapter_tests"))
 
-from gateway_sites import build_request, make_configuration  # noqa: E402
-from standins import StoreStandIn, UpstreamStandIn, read_message  # noqa: E402
+from gateway_sites import make_configuration  # noqa: E402
+from standins import StoreStandIn, UpstreamStandIn  # noqa: E402
+
+from .gateway_processes import (  # noqa: E402
+    PROGRAM,
+    call,
+    read_cpu,
+    wait_until_ready,
+    write_settings,
+)
 
 __all__ = ["measure", "run"]
 
 ROUNDS = 9
-PROGRAM = ("-m", "mustardquay_node.programs")
 LIBRARIES = (
     "capnp",
     "eliot",
@@ -67,12 +73,6 @@
 """
 """Code that times the parts, with the interpreter set up as in the program."""
 PACKAGES_SHOWN = 12
-FIRST_PORT = 12_000
-PORT_RANGE = 100
-PORT_RANGES = 50
-"""Number of port ranges; concurrent runs choose theirs by process id."""
-POLL_INTERVAL = 0.002
-"""Seconds between two readiness checks."""
 READY_TIMEOUT = 30.0
 """Seconds after which a process that isn't ready fails the benchmark."""
 CPU_BOUND = 1.02
@@ -147,7 +147,7 @@
 
     async def time_parts(self) -> Parts:
         """Return the times of the parts of loading a gateway."""
-        settings, _ = self._write_settings()
+        settings, _ = write_settings(self._folder, self._store.address)
         before = (time.monotonic(), 0.0)
         output = await self._read_output("-c", PARTS, str(settings))
         notes = [tuple(map(float, line.split())) for line in output.splitlines()]
@@ -159,13 +159,13 @@
 
     async def run_once(self) -> Start:
         """Start a gateway, wait until it is ready, send requests, and kill it."""
-        settings, ports = self._write_settings()
+        settings, ports = write_settings(self._folder, self._store.address)
         before, wall_before = time.monotonic(), time.time()
         process = await self._run(*PROGRAM, str(settings), output=PIPE)
         try:
             async with asyncio.timeout(READY_TIMEOUT):
-                await _wait_until_ready(ports["readiness"])
-                cpu, wall = _read_cpu(process.pid), time.monotonic() - before
+                await wait_until_ready(ports["readiness"])
+                cpu, wall = read_cpu(process.pid), time.monotonic() - before
                 first = await _time_call(ports["listen"], "/again/1")
                 second = await _time_call(ports["listen"], "/again/1")
                 page = await _time_call(ports["metrics_port"], "/metrics")
@@ -194,73 +194,15 @@
             env=self._environment,
         )
 
-    def _write_settings(self) -> tuple[Path, dict[str, int]]:
-        names = ("listen", "readiness", "peer_port", "metrics_port")
-        ports = dict(zip(names, _find_ports(len(names)), strict=True))
-        lines = [
-            "[node]",
-            "name = g1",
-            "kind = gateway",
-            "availability_zone = a",
-            "address = 127.0.0.1",
-            "[store]",
-            f"address = {self._store.address}",
-            "[gateway]",
-            f"listen = 127.0.0.1:{ports['listen']}",
-            f"readiness = 127.0.0.1:{ports['readiness']}",
-            f"peer_port = {ports['peer_port']}",
-            f"metrics_port = {ports['metrics_port']}",
-        ]
-        path = self._folder / "gateway.ini"
-        path.write_text("\n".join(lines), encoding="utf-8")
-        return path, ports
-
-
-def _find_ports(count: int) -> list[int]:
-    """Return free ports below those that the system uses for outgoing connections.
-
-    Otherwise another process could take one before the gateway listens on it.
-    """
-    ports: list[int] = []
-    port = FIRST_PORT + os.getpid() % PORT_RANGES * PORT_RANGE
-    while len(ports) < count:
-        port += 1
-        try:
-            socket.create_server(("127.0.0.1", port)).close()
-        except OSError:
-            continue
-        ports.append(port)
-    return ports
-
-
-async def _wait_until_ready(port: int) -> None:
-    while True:
-        try:
-            if await _call(port, "/-/ready") == 200:
-                return
-        except OSError:
-            pass
-        await asyncio.sleep(POLL_INTERVAL)
-
 
 async def _time_call(port: int, path: str) -> float:
     before = time.monotonic()
-    status = await _call(port, path)
+    status = await call(port, path)
     if status != 200:
         raise RuntimeError(f"{path} was answered with {status}.")
     return time.monotonic() - before
 
 
-async def _call(port: int, path: str) -> int:
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    try:
-        writer.write(build_request(path, "GET", b"", None))
-        line, _, _ = await read_message(reader)
-    finally:
-        writer.close()
-    return int(line.split()[1])
-
-
 async def _read_started(process: Process) -> float:
     """Return the timestamp of the event `process.started`."""
     assert process.stdout is not None
@@ -271,12 +213,6 @@
     raise RuntimeError("A gateway ended before it had started.")
 
 
-def _read_cpu(pid: int) -> float:
-    """Return the processor seconds of all threads; the kernel counts in ns."""
-    tasks = Path(f"/proc/{pid}/task").glob("*/schedstat")
-    return sum(int(each.read_text().split()[0]) for each in tasks) / 1e9
-
-
 async def measure(rounds: int = ROUNDS) -> tuple[list[float], list[Parts], list[Start]]:
     """Return the references, the parts and the complete starts of some rounds."""
     references, parts, starts = [], [], []
