--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -24,7 +24,7 @@
 
 from mustardquay.clocks import SystemClock
 from mustardquay.events import EventRing, HybridClock
-from mustardquay.memory_limits import MemoryLimits
+from mustardquay.memory_limits import MemoryLimits, ProcessMemory
 from mustardquay.routing_tables import CallerLimits
 from mustardquay_node.caller_connections import (
     CallerAnswer,
@@ -39,7 +39,7 @@
     OwnedConnection,
 )
 from mustardquay_node.gateway_servers import GatewayServers
-from mustardquay_node.memory_guards import MemoryGuard
+from mustardquay_node.memory_guards import MemoryGuard, measure_resident
 
 __all__ = ["run"]
 
@@ -104,7 +104,9 @@
     """Start the server of a gateway with a limit of memory; returns its port."""
     clock = SystemClock()
     events = EventRing("g", HybridClock(clock), 100)
-    return listen_owned(MemoryGuard(MemoryLimits(BUDGET), clock, events, Random(1)))
+    process = ProcessMemory(measure_resident() + 2 * BUDGET, measure_resident())
+    guard = MemoryGuard(MemoryLimits(BUDGET), process, clock, events, Random(1))
+    return listen_owned(guard)
 
 
 def listen_owned(memory: MemoryGuard | None = None) -> int:
--- a/packages/mustardquay-node/src/mustardquay_node/memory_guards.py
+++ b/packages/mustardquay-node/src/mustardquay_node/memory_guards.py
@@ -26,6 +26,8 @@
     "MemoryOptions",
     "find_socket_buffer",
     "make_memory_guard",
+    "measure_resident",
+    "reclaim_memory",
 ]
 
 STATM = Path("/proc/self/statm")
