Log a request's fingerprint and blame with each send

Change: send.ended and prompt.read have the request's fingerprint and blame (watched, cleared, ended_here, none); crash.unblamed tells of broken sends that are watched no longer, and why (expired, evicted).

--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_reporters.py
@@ -15,7 +15,7 @@
 
 from mustardquay.clocks import Clock
 from mustardquay.crash_news import CrashNews
-from mustardquay.crash_watches import CrashWatch
+from mustardquay.crash_watches import CrashWatch, UnblamedReason
 from mustardquay.events import EventRing
 from mustardquay.quarantines import CrashId, CrashRecord, FingerprintStatus, Quarantine
 from mustardquay.upstream_lists import UpstreamRecord
@@ -23,7 +23,7 @@
 from .part_reporters import PartReporter
 from .pending_probes import PendingProbes
 
-__all__ = ["CrashReporter"]
+__all__ = ["CrashReporter", "format_fingerprint"]
 
 CRASH_LIMIT = 3
 """Crashes, each of a different upstream or start of one, after which a request is
@@ -65,7 +65,7 @@
         self._notify_peers = notify_peers
         self._note_crash_elsewhere = note_crash_elsewhere
         self._known_crashes: OrderedDict[CrashId, None] = OrderedDict()
-        self._watch = CrashWatch()
+        self._watch = CrashWatch(note_unblamed=self._log_unblamed)
         self._quarantine = Quarantine(
             SUSPICION_PERIOD, QUARANTINE_PERIOD, refused_after=CRASH_LIMIT
         )
@@ -131,7 +131,7 @@
             "quarantine.cleared",
             request=request,
             upstream=upstream,
-            fingerprint=_format_fingerprint(fingerprint),
+            fingerprint=format_fingerprint(fingerprint),
             crashes=crashes,
         )
 
@@ -152,7 +152,7 @@
             upstream=upstream,
             requests=len(fingerprints),
             suspects={
-                _format_fingerprint(each): self.count_crashes(each)
+                format_fingerprint(each): self.count_crashes(each)
                 for each in suspects[:MAX_LOGGED_SUSPECTS]
             },
             parts=parts,
@@ -214,6 +214,11 @@
         records = [self._quarantine.export(each, now) for each in chosen]
         return tuple(record for record in records if record is not None)
 
+    def _log_unblamed(self, upstream: str, reason: UnblamedReason, sends: int) -> None:
+        self._events.record(
+            "crash.unblamed", upstream=upstream, reason=reason.value, sends=sends
+        )
+
     def _note_changed(self, fingerprints: Iterable[int]) -> None:
         for each in fingerprints:
             self._news.add(each)
@@ -229,5 +234,6 @@
         return True
 
 
-def _format_fingerprint(fingerprint: int) -> str:
+def format_fingerprint(fingerprint: int) -> str:
+    """Return a fingerprint as it is logged."""
     return f"{fingerprint:016x}"
--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -30,7 +30,7 @@
 from .adapters import Adapter, AnswerFacts, RequestFacts
 from .caller_connections import CallerRequest
 from .connections import Exchange
-from .crash_suspects import CrashReporter
+from .crash_suspects import CrashReporter, format_fingerprint
 from .gateway_stops import GatewayStop
 from .generation_planners import GenerationPlanner
 from .service_shares import ServiceShares
@@ -195,6 +195,10 @@
         """Return the caller's id of this attempt."""
         return self.facts.id
 
+    def describe_suspicion(self) -> dict[str, str]:
+        """Return log fields by which lines on crashes name the request."""
+        return {"fingerprint": format_fingerprint(self.fingerprint)}
+
     def measure_time_left(self, now: timedelta) -> timedelta:
         """Return the time until the deadline."""
         return self.deadline - now
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -266,7 +266,7 @@
     )
     send = await sender.run(placement.reader, options)
     took = deps.clock.monotonic() - started
-    _log_prefill(deps, request, placement, took)
+    _log_prefill(deps, request, placement, took, send)
     if send.end is SendResult.ANSWERED and send.status == 200:
         try:
             prefilled = deps.adapter.read_prefilled(send.content)
@@ -346,6 +346,7 @@
     request: ForwardedRequest,
     placement: Placement,
     took: timedelta,
+    send: Send,
 ) -> None:
     """Log the measured and the expected duration of a prefill."""
     now = deps.clock.monotonic()
@@ -358,6 +359,8 @@
         wait_ms=round(placement.wait_seconds * 1000, 1),
         read_ms=round(placement.prefill_seconds * 1000, 1),
         took_ms=round(took.total_seconds() * 1000, 1),
+        **request.describe_suspicion(),
+        blame=send.blame.value,
         new_tokens=placement.prefill.new,
         cached_tokens=placement.prefill.cached,
         copied_tokens=placement.prefill.copied,
--- a/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
@@ -4,6 +4,7 @@
 
 from ..adapters import AnswerFacts
 from ..connections import ExchangeEnd
+from ..crash_suspects import Blame
 from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from .results import Send, SendOptions
 
@@ -43,7 +44,7 @@
     options: SendOptions,
 ) -> None:
     """Record what the end of a send shows; `end` is an `ExchangeEnd`."""
-    _observe_crash(deps, request, send, end, options)
+    send.blame = _observe_crash(deps, request, send, end, options)
     _observe_load(deps, request, send, end, options)
 
 
@@ -72,20 +73,31 @@
     send: Send,
     end: str,
     options: SendOptions,
-) -> None:
+) -> Blame:
+    """Record what the end of a send shows of a crash of its upstream."""
+    blame = _find_blame(send, options)
     upstream = send.upstream
-    if send.was_lost:
+    if blame is Blame.WATCHED:
         probe = deps.pools.probe(upstream)
         deps.crashes.note_broken_send(upstream, request.fingerprint, probe)
         if not options.prefill_only and not send.has_outlasted_onset:
             deps.crashes.parts.note_broken_send(upstream, request.parts, probe)
-    elif _has_run_whole(send, options):
+    elif blame is Blame.CLEARED:
         deps.crashes.note_answer(request.fingerprint, request.id, upstream.id)
         deps.crashes.parts.note_answered(request.parts, upstream)
     if end == ExchangeEnd.NOT_CONNECTED:
         deps.crashes.note_upstream_lost(upstream.id)
     if end in UNCONNECTED_ENDS:
         deps.doubts.note_unreachable(upstream)
+    return blame
+
+
+def _find_blame(send: Send, options: SendOptions) -> Blame:
+    if send.was_lost:
+        return Blame.WATCHED
+    if _has_run_whole(send, options):
+        return Blame.CLEARED
+    return Blame.ENDED_HERE if send.was_ended_here else Blame.NONE
 
 
 def _observe_load(
--- a/packages/mustardquay-node/src/mustardquay_node/sending/results.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/results.py
@@ -11,6 +11,7 @@
 
 from ..adapters import AnswerFacts
 from ..connections import AnswerHead
+from ..crash_suspects import Blame
 
 __all__ = ["DEFAULT_OPTIONS", "Send", "SendOptions"]
 
@@ -33,6 +34,8 @@
     was_lost: bool = False
     """Whether the connection ended before the whole answer, or the answer without its
     whole content, other than by the caller's leave."""
+    blame: Blame = Blame.NONE
+    """What its end says of a crash of its upstream."""
     first_at: timedelta | None = None
     """When the first part of a stream was received, on the monotonic clock."""
     last_at: timedelta = timedelta()
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -117,6 +117,8 @@
             status=send.status,
             framing=send.framing,
             **send.describe_answer(),
+            **self._request.describe_suspicion(),
+            blame=send.blame.value,
             software_version=send.upstream.software_version,
             **self._deps.describe_list(self._request.sent_at),
             **send.inputs,
--- a/packages/mustardquay/src/mustardquay/crash_watches.py
+++ b/packages/mustardquay/src/mustardquay/crash_watches.py
@@ -6,14 +6,15 @@
 """
 
 from collections import defaultdict
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import StrEnum
 from typing import Generic, TypeVar
 
 from .quarantines import CrashId
 
-__all__ = ["CrashWatch"]
+__all__ = ["CrashWatch", "UnblamedReason"]
 
 Suspect = TypeVar("Suspect", bound=Hashable)
 """What a crash is blamed on: the fingerprint of a request, or a part of its prompt."""
@@ -25,6 +26,15 @@
 """Maximum number of recorded broken sends; exceeded only if everything fails."""
 
 
+class UnblamedReason(StrEnum):
+    """Why a broken send is no longer watched, though no crash was blamed on it."""
+
+    EXPIRED = "expired"
+    """It broke longer before its upstream was found lost than `WATCH_TIME`."""
+    EVICTED = "evicted"
+    """There was no room for it."""
+
+
 @dataclass(frozen=True, slots=True)
 class _BrokenSend(Generic[Suspect]):
     suspect: Suspect
@@ -35,8 +45,16 @@
 class CrashWatch(Generic[Suspect]):
     """The recently broken sends, by upstream."""
 
-    def __init__(self, capacity: int = MAX_WATCHED_SENDS) -> None:
+    def __init__(
+        self,
+        capacity: int = MAX_WATCHED_SENDS,
+        note_unblamed: Callable[[str, UnblamedReason, int], None] = (
+            lambda upstream, reason, sends: None
+        ),
+    ) -> None:
+        """Take `note_unblamed`, which gets the number of sends of an upstream."""
         self._capacity = capacity
+        self._note_unblamed = note_unblamed
         self._broken: dict[str, list[_BrokenSend[Suspect]]] = defaultdict(list)
         self._count = 0
 
@@ -48,6 +66,8 @@
         `boot` identifies the start of the upstream.
         """
         if self._count >= self._capacity:
+            for each, sends in self._broken.items():
+                self._note_unblamed(each, UnblamedReason.EVICTED, len(sends))
             self._broken.clear()
             self._count = 0
         self._broken[upstream].append(_BrokenSend(suspect, boot, now))
@@ -64,6 +84,8 @@
         broken = self._broken.pop(upstream, [])
         self._count -= len(broken)
         recent = [each for each in broken if now - each.at <= WATCH_TIME]
+        if expired := len(broken) - len(recent):
+            self._note_unblamed(upstream, UnblamedReason.EXPIRED, expired)
         if not recent:
             return None
         crash = CrashId(upstream, recent[0].boot)
--- a/packages/mustardquay/tests/test_crash_watches.py
+++ b/packages/mustardquay/tests/test_crash_watches.py
@@ -1,6 +1,6 @@
 from datetime import timedelta
 
-from mustardquay.crash_watches import WATCH_TIME, CrashWatch
+from mustardquay.crash_watches import WATCH_TIME, CrashWatch, UnblamedReason
 from mustardquay.quarantines import CrashId
 
 NOW = timedelta(seconds=70)
@@ -24,3 +24,15 @@
         watch.note_broken("u1", "b1", fingerprint, NOW)
     assert watch.note_lost("u1", NOW) == (CrashId("u1", "b1"), {5, 6})
     assert watch.note_lost("u1", NOW) is None
+
+
+def test_it_is_told_why_broken_sends_are_not_blamed():
+    """Guards against crashes that no log line ties to the requests they ended."""
+    told = []
+    watch = CrashWatch(2, lambda *details: told.append(details))
+    watch.note_broken("u1", "b1", 5, NOW)
+    watch.note_lost("u1", NOW + WATCH_TIME * 2)
+    assert told == [("u1", UnblamedReason.EXPIRED, 1)]
+    for fingerprint in (5, 6, 7):
+        watch.note_broken("u2", "b1", fingerprint, NOW)
+    assert told[-1][:2] == ("u2", UnblamedReason.EVICTED)
