Refuse a suspect once others with its text have crashed three upstreams

Cause: requests are told apart by method, path and body, and each was suspected from nothing. Class: evidence that is filed under a key that changes with the way by which the cause comes.

Evidence: a log line for each send (129 of 129 read): each fingerprint was cut on exactly three upstreams and refused from then on.

Change: records carry a key of the caller's text (organisation and last part). A request with a crash of its own is refused when others with its text have crashed three upstreams on which it was not in flight. What was in flight only beside the deadly one is not refused, nor is what has no crash: the innocent requests of test_crashing_prompts have the same text, and that test is unchanged.

Ruled out: the text as a second fingerprint. It would refuse a session for one of its requests, and double what gateways tell each other.

--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_reporters.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
 from datetime import timedelta
 
 from xxhash import xxh3_64_intdigest
@@ -18,6 +19,8 @@
 from mustardquay.crash_watches import CrashWatch, UnblamedReason
 from mustardquay.events import EventRing
 from mustardquay.quarantines import CrashId, CrashRecord, FingerprintStatus, Quarantine
+from mustardquay.requests import PromptPart
+from mustardquay.text_siblings import TextSiblings
 from mustardquay.upstream_lists import UpstreamRecord
 
 from .part_reporters import PartReporter
@@ -69,6 +72,7 @@
         self._quarantine = Quarantine(
             SUSPICION_PERIOD, QUARANTINE_PERIOD, refused_after=CRASH_LIMIT
         )
+        self._siblings = TextSiblings()
         self._reported: deque[tuple[timedelta, int]] = deque([(timedelta(), 0)])
         self._version = 0
         self._suspects: list[int] = []
@@ -86,12 +90,34 @@
             body, seed=xxh3_64_intdigest(f"{method} {path}".encode())
         )
 
+    @staticmethod
+    def compute_text_key(organisation: str | None, part: PromptPart | None) -> int:
+        """Return a key of the text that a caller wrote; 0 without one."""
+        if part is None:
+            return 0
+        return xxh3_64_intdigest(f"{organisation or ''}\n{part.id}".encode())
+
     def is_refused(self, fingerprint: int) -> bool:
-        """Return whether a request is quarantined for its number of crashes."""
+        """Return whether a request is quarantined for its number of crashes.
+
+        A suspect is also refused once other requests with its text have crashed as many
+        upstreams as any may, without it: then its own crash is explained by that text.
+        """
         now = self._clock.monotonic()
-        return (
-            self._quarantine.find_status(fingerprint, now) is FingerprintStatus.REFUSED
-        )
+        status = self._quarantine.find_status(fingerprint, now)
+        if status is FingerprintStatus.SUSPECT:
+            return self.count_sibling_crashes(fingerprint) >= CRASH_LIMIT
+        return status is FingerprintStatus.REFUSED
+
+    def count_sibling_crashes(self, fingerprint: int) -> int:
+        """Return the crashes under requests with the same text, not under this one."""
+        now = self._clock.monotonic()
+        crashes = {
+            crash
+            for each in self._siblings.list_others(fingerprint)
+            for crash in self._quarantine.list_counted(each, now)
+        }
+        return len(crashes - self._quarantine.list_counted(fingerprint, now))
 
     async def wait_for_probes(self, fingerprint: int) -> None:
         """Wait until it is known whether a request has crashed too many upstreams.
@@ -101,7 +127,12 @@
         that would be refused if all its broken sends were crashes.
         """
         pending = self._probes.count(fingerprint)
-        if pending and self.count_crashes(fingerprint) + pending >= CRASH_LIMIT:
+        if not pending:
+            return
+        if (
+            self.count_crashes(fingerprint) + pending >= CRASH_LIMIT
+            or self.count_sibling_crashes(fingerprint) >= CRASH_LIMIT
+        ):
             await self._probes.wait(fingerprint)
 
     def note_broken_send(
@@ -109,12 +140,15 @@
         upstream: UpstreamRecord,
         fingerprint: int,
         probe: "asyncio.Task[None] | None" = None,
+        text: int = 0,
     ) -> None:
         """Note a send whose connection ended without a whole answer.
 
-        `probe` shows whether the upstream is still reachable.
+        `probe` shows whether the upstream is still reachable; `text` is the key of what
+        the caller wrote, 0 without one.
         """
         now = self._clock.monotonic()
+        self._note_text(fingerprint, text)
         boot = str(upstream.started_ms)
         self._watch.note_broken(upstream.id, boot, fingerprint, now)
         if probe is not None:
@@ -178,8 +212,7 @@
             self._suspects_due = now + REPEAT_INTERVAL
         if not self._suspects:
             return ()
-        record = self._quarantine.export(self._suspects.pop(), now)
-        return () if record is None else (record,)
+        return self._add_texts([self._quarantine.export(self._suspects.pop(), now)])
 
     def _list_recent_changes(self) -> tuple[CrashRecord, ...]:
         now = self._clock.monotonic()
@@ -190,7 +223,7 @@
         if version != self._version:
             self._version = version
             self._reported.append((now, version))
-        return records
+        return self._add_texts(records)
 
     def merge(self, records: Sequence[CrashRecord]) -> None:
         """Merge the records of another gateway's digest."""
@@ -198,6 +231,8 @@
             if self._add_known(crash):
                 self._note_crash_elsewhere(crash)
         now = self._clock.monotonic()
+        for record in records:
+            self._note_text(record.fingerprint, record.text)
         changed = [
             record.fingerprint
             for record in records
@@ -211,8 +246,23 @@
         """Return the records to tell other gateways now, the gravest first."""
         now = self._clock.monotonic()
         chosen = self._news.take(limit, self.count_crashes)
-        records = [self._quarantine.export(each, now) for each in chosen]
-        return tuple(record for record in records if record is not None)
+        return self._add_texts(self._quarantine.export(each, now) for each in chosen)
+
+    def _note_text(self, fingerprint: int, text: int) -> None:
+        self._siblings.note(fingerprint, text)
+        if self._siblings.is_full:
+            now = self._clock.monotonic()
+            self._siblings.retain(self._quarantine.list_suspects(now))
+
+    def _add_texts(
+        self, records: Iterable[CrashRecord | None]
+    ) -> tuple[CrashRecord, ...]:
+        """Return the records that are there, with the texts of their requests."""
+        return tuple(
+            replace(record, text=self._siblings.find_text(record.fingerprint))
+            for record in records
+            if record is not None
+        )
 
     def _log_unblamed(self, upstream: str, reason: UnblamedReason, sends: int) -> None:
         self._events.record(
--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/refusals.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/refusals.py
@@ -24,7 +24,8 @@
     crashes = deps.crashes
     if crashes.is_refused(request.fingerprint):
         count = crashes.count_crashes(request.fingerprint)
-        inputs = {"crashes": count}
+        siblings = crashes.count_sibling_crashes(request.fingerprint)
+        inputs = {"crashes": count, "sibling_crashes": siblings}
         reply.refuse("quarantine", QUARANTINE_RETRY_AFTER, CRASHED, **inputs)
         return True
     part = crashes.parts.find_refused(request.parts)
--- a/packages/mustardquay-node/src/mustardquay_node/digest_frames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/digest_frames.py
@@ -197,6 +197,7 @@
     for built, record in zip(built_records, records, strict=True):
         built.fingerprint = record.fingerprint
         built.remainingMilliseconds = record.remaining // timedelta(milliseconds=1)
+        built.text = record.text
         for name in ("crashes", "cleared"):
             ids = sorted(getattr(record, name))
             for each, id in zip(built.init(name, len(ids)), ids, strict=True):
@@ -210,6 +211,7 @@
         frozenset(CrashId(each.upstream, each.boot) for each in record.crashes),
         frozenset(CrashId(each.upstream, each.boot) for each in record.cleared),
         timedelta(milliseconds=record.remainingMilliseconds),
+        record.text,
     )
 
 
--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -165,10 +165,16 @@
     parts: tuple[int, ...] = ()
     """Keys of the prompt's parts that other requests may share."""
 
+    text: int = 0
+    """Key of the part of the prompt that its caller wrote; 0 without a prompt."""
+
     def __post_init__(self) -> None:
         prompt = self.facts.prompt
         if self.route.has_prompt and prompt is not None:
             self.parts = list_part_keys(prompt.shared_parts)
+            self.text = CrashReporter.compute_text_key(
+                self.organisation, prompt.own_part
+            )
         if self.is_resumable:
             self.stream_keys = (compute_stream_key(self.id, self.organisation),)
 
@@ -197,7 +203,8 @@
 
     def describe_suspicion(self) -> dict[str, str]:
         """Return log fields by which lines on crashes name the request."""
-        return {"fingerprint": format_fingerprint(self.fingerprint)}
+        named = {"fingerprint": format_fingerprint(self.fingerprint)}
+        return named | ({"text": format_fingerprint(self.text)} if self.text else {})
 
     def measure_time_left(self, now: timedelta) -> timedelta:
         """Return the time until the deadline."""
--- a/packages/mustardquay-node/src/mustardquay_node/peers.capnp
+++ b/packages/mustardquay-node/src/mustardquay_node/peers.capnp
@@ -11,6 +11,8 @@
   crashes @1 :List(Crash);
   cleared @2 :List(Crash);
   remainingMilliseconds @3 :UInt32;
+  # Key of the text that the caller wrote; 0 for none.
+  text @4 :UInt64;
 }
 
 struct PoolSpeeds {
--- a/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
@@ -79,7 +79,9 @@
     upstream = send.upstream
     if blame is Blame.WATCHED:
         probe = deps.pools.probe(upstream)
-        deps.crashes.note_broken_send(upstream, request.fingerprint, probe)
+        deps.crashes.note_broken_send(
+            upstream, request.fingerprint, probe, request.text
+        )
         if not options.prefill_only and not send.has_outlasted_onset:
             deps.crashes.parts.note_broken_send(upstream, request.parts, probe)
     elif blame is Blame.CLEARED:
--- a/packages/mustardquay/src/mustardquay/quarantines.py
+++ b/packages/mustardquay/src/mustardquay/quarantines.py
@@ -65,6 +65,8 @@
     cleared: frozenset[CrashId]
     remaining: timedelta
     """Time until the record expires; a duration, as processes don't share a clock."""
+    text: int = 0
+    """Key of the text that the caller wrote; 0 if there is none, or it isn't known."""
 
 
 @dataclass(slots=True)
@@ -159,6 +161,13 @@
             return frozenset()
         return frozenset(crash.upstream for crash in record.crashes - record.cleared)
 
+    def list_counted(self, fingerprint: int, now: timedelta) -> frozenset[CrashId]:
+        """Return the crashes that count against a fingerprint now."""
+        record = self._records.get(fingerprint)
+        if record is None or record.until <= now:
+            return frozenset()
+        return frozenset(record.crashes - record.cleared)
+
     def count_crashes(self, fingerprint: int) -> int:
         """Return the number of crashes that count against a fingerprint."""
         record = self._records.get(fingerprint)
--- a/packages/mustardquay/src/mustardquay/requests.py
+++ b/packages/mustardquay/src/mustardquay/requests.py
@@ -39,6 +39,11 @@
         """Return the parts that may occur in other requests, too."""
         return self.parts[:-1]
 
+    @property
+    def own_part(self) -> PromptPart | None:
+        """Return the part that the caller wrote, None for an empty prompt."""
+        return self.parts[-1] if self.parts else None
+
 
 class SendResult(StrEnum):
     """How one send of a request to an upstream ended."""
