Count each crash of an upstream that is back before its record

What callers would see: while the store is away, a request crashes an upstream, which is back under its id seconds later, and crashes again, for as long as the store is away.

Cause: a crash is named by the upstream and its start as the list has it. All crashes under one record had one name and counted once, for whole requests and for parts of prompts, which may then cross no limit. Class: an event that is identified by data that may be older than the event.

Change: one place names starts (UpstreamStarts). A send that began after a crash of its start was known here, by itself or from others, met a later one: RECORD+1 and so on. All gateways that know the first crash name the second alike. A send that began before counts to the first crash. An answer counts for the start that gave it. What doubts versions after crashes elsewhere compares the record's part of the name.

--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_reporters.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections import OrderedDict, deque
+from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
 from datetime import timedelta
@@ -40,8 +40,6 @@
 """Minimum time between two repetitions of the records of all suspects."""
 RECORDS_LIMIT = 4
 """Records in one digest at most, to bound its size."""
-MAX_KNOWN_CRASHES = 1_000
-"""Crashes that are kept to tell new ones from those that digests repeat."""
 MAX_LOGGED_SUSPECTS = 4
 """Suspects that the line of a crash names, those with the most crashes first."""
 
@@ -67,7 +65,7 @@
         self._events = events
         self._notify_peers = notify_peers
         self._note_crash_elsewhere = note_crash_elsewhere
-        self._known_crashes: OrderedDict[CrashId, None] = OrderedDict()
+        self._starts = self.parts.starts
         self._watch = CrashWatch(note_unblamed=self._log_unblamed)
         self._quarantine = Quarantine(
             SUSPICION_PERIOD, QUARANTINE_PERIOD, refused_after=CRASH_LIMIT
@@ -141,15 +139,17 @@
         fingerprint: int,
         probe: "asyncio.Task[None] | None" = None,
         text: int = 0,
+        begun_at: timedelta | None = None,
     ) -> None:
         """Note a send whose connection ended without a whole answer.
 
         `probe` shows whether the upstream is still reachable; `text` is the key of what
-        the caller wrote, 0 without one.
+        the caller wrote, 0 without one. `begun_at` is when the send began, on the
+        monotonic clock.
         """
         now = self._clock.monotonic()
         self._note_text(fingerprint, text)
-        boot = str(upstream.started_ms)
+        boot = self._starts.find_name(upstream.id, str(upstream.started_ms), begun_at)
         self._watch.note_broken(upstream.id, boot, fingerprint, now)
         if probe is not None:
             self._probes.add(fingerprint, probe)
@@ -177,7 +177,7 @@
         if suspected is None:
             return
         crash, fingerprints = suspected
-        self._add_known(crash)
+        self._starts.add(crash, now)
         self._quarantine.note_crash(crash, fingerprints, now)
         self._note_changed(fingerprints)
         suspects = sorted(fingerprints, key=self.count_crashes, reverse=True)
@@ -227,10 +227,10 @@
 
     def merge(self, records: Sequence[CrashRecord]) -> None:
         """Merge the records of another gateway's digest."""
+        now = self._clock.monotonic()
         for crash in {crash for record in records for crash in record.crashes}:
-            if self._add_known(crash):
+            if self._starts.add(crash, now):
                 self._note_crash_elsewhere(crash)
-        now = self._clock.monotonic()
         for record in records:
             self._note_text(record.fingerprint, record.text)
         changed = [
@@ -274,15 +274,6 @@
             self._news.add(each)
         self.on_news()
 
-    def _add_known(self, crash: CrashId) -> bool:
-        """Add a crash to the known ones; return whether it is new."""
-        if crash in self._known_crashes:
-            return False
-        self._known_crashes[crash] = None
-        if len(self._known_crashes) > MAX_KNOWN_CRASHES:
-            self._known_crashes.popitem(last=False)
-        return True
-
 
 def format_fingerprint(fingerprint: int) -> str:
     """Return a fingerprint as it is logged."""
--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_reporters.py
@@ -15,6 +15,7 @@
 )
 from mustardquay.events import EventRing
 from mustardquay.upstream_lists import UpstreamRecord
+from mustardquay.upstream_starts import UpstreamStarts
 
 from .pending_probes import PendingProbes
 
@@ -47,11 +48,16 @@
         clock: Clock,
         events: EventRing,
         notify: Callable[[], None] = lambda: None,
+        starts: UpstreamStarts | None = None,
     ):
-        """Initialise without suspects; `notify` has news sent at once."""
+        """Initialise without suspects; `notify` has news sent at once.
+
+        `starts` are the starts of upstreams, which who counts crashes keeps.
+        """
         self._clock = clock
         self._events = events
         self._notify = notify
+        self.starts = starts or UpstreamStarts()
         self._book = PartBook()
         self._schedule = NoticeSchedule()
         self._watch: CrashWatch[_PlacedPart] = CrashWatch(MAX_WATCHED_PARTS)
@@ -64,11 +70,19 @@
         """Return whether other gateways are yet to be told of a part."""
         return bool(self._schedule)
 
-    def note_answered(self, parts: Sequence[int], upstream: UpstreamRecord) -> None:
-        """Note that an upstream has written an answer on a prompt with these parts."""
+    def note_answered(
+        self,
+        parts: Sequence[int],
+        upstream: UpstreamRecord,
+        begun_at: timedelta | None = None,
+    ) -> None:
+        """Note that an upstream has written an answer on a prompt with these parts.
+
+        `begun_at` is when the send began, on the monotonic clock.
+        """
         if not parts:
             return
-        start = compute_start_key(upstream.id, _get_boot(upstream))
+        start = compute_start_key(upstream.id, self._find_start(upstream, begun_at))
         self._note_news(self._book.note_answered(start, parts, self._now))
 
     def note_broken_send(
@@ -76,12 +90,14 @@
         upstream: UpstreamRecord,
         parts: Sequence[int],
         probe: "asyncio.Task[None] | None" = None,
+        begun_at: timedelta | None = None,
     ) -> None:
         """Note a send whose connection ended without a whole answer.
 
-        `probe` shows whether the upstream is still reachable.
+        `probe` shows whether the upstream is still reachable, and `begun_at` is when
+        the send began, on the monotonic clock.
         """
-        boot = _get_boot(upstream)
+        boot = self._find_start(upstream, begun_at)
         for depth, part in enumerate(parts):
             placed = _PlacedPart(depth, part)
             self._watch.note_broken(upstream.id, boot, placed, self._now)
@@ -184,15 +200,14 @@
             )
         self._refused = refused
 
+    def _find_start(self, upstream: UpstreamRecord, begun_at: timedelta | None) -> str:
+        return self.starts.find_name(upstream.id, str(upstream.started_ms), begun_at)
+
     @property
     def _now(self) -> timedelta:
         return self._clock.monotonic()
 
 
-def _get_boot(upstream: UpstreamRecord) -> str:
-    return str(upstream.started_ms)
-
-
 def format_part(part: int) -> str:
     """Return the key of a part as it is logged."""
     return f"{part:016x}"
--- a/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/gateway_upstreams.py
@@ -17,6 +17,7 @@
 from mustardquay.uplinks import Uplink
 from mustardquay.upstream_lists import Stage, UpstreamList, UpstreamRecord
 from mustardquay.upstream_loads import UpstreamLoads
+from mustardquay.upstream_starts import is_of_record
 from mustardquay.upstream_statements import UpstreamStatements
 
 from .adapters import Adapter, AnswerFacts
@@ -230,7 +231,7 @@
         Its new record may come here later than it accepts connections again.
         """
         record = self.list.get(crash.upstream)
-        if record is not None and str(record.started_ms) == crash.boot:
+        if record is not None and is_of_record(crash.boot, str(record.started_ms)):
             self.doubts.note_unreachable(record)
 
     def _find_connection_limit(self, service: str) -> int | None:
--- a/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
@@ -80,13 +80,15 @@
     if blame is Blame.WATCHED:
         probe = deps.pools.probe(upstream)
         deps.crashes.note_broken_send(
-            upstream, request.fingerprint, probe, request.text
+            upstream, request.fingerprint, probe, request.text, request.sent_at
         )
         if not options.prefill_only and not send.has_outlasted_onset:
-            deps.crashes.parts.note_broken_send(upstream, request.parts, probe)
+            deps.crashes.parts.note_broken_send(
+                upstream, request.parts, probe, request.sent_at
+            )
     elif blame is Blame.CLEARED:
         deps.crashes.note_answer(request.fingerprint, request.id, upstream.id)
-        deps.crashes.parts.note_answered(request.parts, upstream)
+        deps.crashes.parts.note_answered(request.parts, upstream, request.sent_at)
     if end == ExchangeEnd.NOT_CONNECTED:
         deps.crashes.note_upstream_lost(upstream.id)
     if end in UNCONNECTED_ENDS:
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -286,7 +286,9 @@
         """Note a stream that goes on: no part of its prompt crashes its engine."""
         if not send.has_outlasted_onset and now - send.first_at >= CRASH_ONSET:
             send.has_outlasted_onset = True
-            self._deps.crashes.parts.note_answered(self._request.parts, send.upstream)
+            self._deps.crashes.parts.note_answered(
+                self._request.parts, send.upstream, self._request.sent_at
+            )
 
     def _pass_on(
         self, send: Send, exchange: Exchange, data: bytes
