Evict refused requests after suspects, whatever the limit of refusal

What callers would see: with over 2,000 suspects (some hundreds in flight in each of several crashes), a request that had crashed three upstreams was forgotten before one with two crashes, and ran again from nothing.

Cause: the order of eviction took two crashes and more for equal, while gateways refuse from three on. Change: the limit of refusal is that bound.

--- a/packages/mustardquay/src/mustardquay/quarantines.py
+++ b/packages/mustardquay/src/mustardquay/quarantines.py
@@ -265,13 +265,17 @@
         ]:
             del self._records[fingerprint]
         while len(self._records) > self._capacity:
-            # Suspects are evicted first: refused fingerprints have two crashes.
             weakest = min(self._records, key=self._get_eviction_key)
             del self._records[weakest]
 
     def _get_eviction_key(self, fingerprint: int) -> tuple[int, int]:
+        """Return a key by which those with the fewest crashes are evicted first.
+
+        Refused ones are equal, as further crashes change nothing for them.
+        """
         record = self._records[fingerprint]
-        return (min(len(record.crashes - record.cleared), 2), record.version)
+        counted = len(record.crashes - record.cleared)
+        return (min(counted, self._refused_after), record.version)
 
 
 def _export_record(
--- a/packages/mustardquay/tests/test_quarantines.py
+++ b/packages/mustardquay/tests/test_quarantines.py
@@ -9,6 +9,7 @@
 
 from mustardquay.quarantines import (
     CrashId,
+    CrashRecord,
     FingerprintStatus,
     Quarantine,
     SuspectGate,
@@ -256,3 +257,16 @@
         tombstones.tick(timedelta(seconds=second))
     assert not tombstones.contains(("r", 1), timedelta(seconds=61))
     assert tombstones.add(("r", 2), timedelta(seconds=61))
+
+
+def test_a_refused_request_is_evicted_after_suspects_whatever_the_limit():
+    """Guards against a deadly request that is forgotten for one with two crashes."""
+    quarantine = Quarantine(capacity=2, refused_after=3)
+    now = timedelta(seconds=9)
+    for number in range(3):
+        quarantine.note_crash(CrashId(f"u{number}", "b"), [1], now)
+    two = frozenset(CrashId(f"u{number}", "b") for number in range(2))
+    for fingerprint in (2, 3):
+        record = CrashRecord(fingerprint, two, frozenset(), timedelta(minutes=1))
+        quarantine.merge([record], now)
+    assert quarantine.find_status(1, now) is FingerprintStatus.REFUSED
