Drop only the oldest broken sends where there is no room for another

What callers would see: answers are lost by the thousand within 3 s, and the crash of an upstream is blamed on none of what it cut, so that a request that crashes upstreams is counted from nothing again and again.

Cause: a full watch dropped all that it watched, the newest too. Change: it drops what has expired, or else the oldest tenth, and tells it in the log.

Failed before: test_without_room_the_oldest_sends_are_dropped_only.

--- a/packages/mustardquay/src/mustardquay/crash_watches.py
+++ b/packages/mustardquay/src/mustardquay/crash_watches.py
@@ -24,6 +24,8 @@
 connections immediately and writes no more records; it restarts seconds later."""
 MAX_WATCHED_SENDS = 2_000
 """Maximum number of recorded broken sends; exceeded only if everything fails."""
+EVICTED_SHARE = 10
+"""Part of the sends that is dropped at a time without room: one in so many."""
 
 
 class UnblamedReason(StrEnum):
@@ -66,13 +68,27 @@
         `boot` identifies the start of the upstream.
         """
         if self._count >= self._capacity:
-            for each, sends in self._broken.items():
-                self._note_unblamed(each, UnblamedReason.EVICTED, len(sends))
-            self._broken.clear()
-            self._count = 0
+            self._evict(now)
         self._broken[upstream].append(_BrokenSend(suspect, boot, now))
         self._count += 1
 
+    def _evict(self, now: timedelta) -> None:
+        """Drop what has expired, or else the oldest sends."""
+        ages = sorted(
+            now - each.at for sends in self._broken.values() for each in sends
+        )
+        oldest = ages[-max(len(ages) // EVICTED_SHARE, 1)]
+        for upstream in list(self._broken):
+            sends = self._broken[upstream]
+            kept = [each for each in sends if now - each.at < min(oldest, WATCH_TIME)]
+            if dropped := len(sends) - len(kept):
+                self._note_unblamed(upstream, UnblamedReason.EVICTED, dropped)
+                self._count -= dropped
+            if kept:
+                self._broken[upstream] = kept
+            else:
+                del self._broken[upstream]
+
     def note_lost(
         self, upstream: str, now: timedelta
     ) -> tuple[CrashId, set[Suspect]] | None:
--- a/packages/mustardquay/tests/test_crash_watches.py
+++ b/packages/mustardquay/tests/test_crash_watches.py
@@ -36,3 +36,22 @@
     for fingerprint in (5, 6, 7):
         watch.note_broken("u2", "b1", fingerprint, NOW)
     assert told[-1][:2] == ("u2", UnblamedReason.EVICTED)
+
+
+def test_without_room_the_oldest_sends_are_dropped_only():
+    """Guards against a crash that is blamed on nothing as many answers were lost."""
+    watch = CrashWatch(20)
+    for number in range(61):
+        at = NOW + timedelta(milliseconds=number)
+        watch.note_broken(f"u{number % 3}", "b1", number, at)
+    crash, suspects = watch.note_lost("u2", NOW + timedelta(milliseconds=60))
+    assert crash == CrashId("u2", "b1")
+    assert {53, 56, 59} <= suspects
+
+
+def test_room_is_made_when_all_sends_break_at_one_moment():
+    watch = CrashWatch(20)
+    for number in range(100):
+        watch.note_broken("u1", "b1", number, NOW)
+    _, suspects = watch.note_lost("u1", NOW)
+    assert 99 in suspects and len(suspects) <= 20
