Probe an upstream on which a send broke until there is room to connect

What callers would see: at a gateway that is out of connections or descriptors, crashes are blamed on nobody, and a request that crashes upstreams goes on.

Cause: the probe after a broken send is the only proof of a crash within seconds; one without room to connect gave none and was not made again.

Failed before: test_a_probe_without_room_is_made_again, 2 of 3 cases.

--- a/packages/mustardquay-node/src/mustardquay_node/upstream_pools.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstream_pools.py
@@ -26,6 +26,10 @@
 """Time from a broken send to the probe of its upstream: one that crashes closes its
 connections a moment before it stops listening."""
 
+PROBE_ATTEMPTS = 10
+"""Attempts to probe an upstream while no connection may be opened: those that a crash
+cut are closed within a few."""
+
 
 class UpstreamPools:
     """One pool of connections for each upstream, one retry window for each service."""
@@ -152,8 +156,12 @@
             del running[upstream.id]
 
     async def _probe(self, upstream: UpstreamRecord) -> None:
-        await asyncio.sleep(PROBE_DELAY.total_seconds())
-        result = await self.get_pool(upstream).probe()
+        result = ConnectResult.NO_ROOM
+        for _ in range(PROBE_ATTEMPTS):
+            await asyncio.sleep(PROBE_DELAY.total_seconds())
+            result = await self.get_pool(upstream).probe()
+            if result is not ConnectResult.NO_ROOM:
+                break
         if result in (ConnectResult.REFUSED, ConnectResult.TIMED_OUT):
             self._note_unreachable(upstream.id)
 
