Watch a broken send until the list shows whether its upstream crashed

What callers would see: an upstream that still accepts connections for a moment after it has cut its answers is probed and found there; its crash is blamed on nobody, as the list removes it only 3.6 s later, after three heartbeats, and broken sends were watched for 3 s.

Change: they are watched for 5 s. Ruled out: a second probe for each broken send, a connection more for each lost answer. Broken sends up to 5 s before an upstream leaves the list are blamed for its end; three such ends within two minutes are needed for a refusal, as before.

Failed before: test_a_crash_that_only_the_list_shows_is_blamed.

--- a/packages/mustardquay/src/mustardquay/crash_watches.py
+++ b/packages/mustardquay/src/mustardquay/crash_watches.py
@@ -19,9 +19,9 @@
 Suspect = TypeVar("Suspect", bound=Hashable)
 """What a crash is blamed on: the fingerprint of a request, or a part of its prompt."""
 
-WATCH_TIME = timedelta(seconds=3)
-"""How long after a broken send its upstream is watched. A crashed upstream refuses
-connections immediately and writes no more records; it restarts seconds later."""
+WATCH_TIME = timedelta(seconds=5)
+"""How long after a broken send its upstream is watched. One that crashes refuses
+connections at once as a rule; the list shows it after three heartbeats without one."""
 MAX_WATCHED_SENDS = 2_000
 """Maximum number of recorded broken sends; exceeded only if everything fails."""
 EVICTED_SHARE = 10
--- a/packages/mustardquay/tests/test_crash_watches.py
+++ b/packages/mustardquay/tests/test_crash_watches.py
@@ -55,3 +55,11 @@
         watch.note_broken("u1", "b1", number, NOW)
     _, suspects = watch.note_lost("u1", NOW)
     assert 99 in suspects and len(suspects) <= 20
+
+
+def test_a_crash_that_only_the_list_shows_is_blamed():
+    """Guards against a crashed upstream that was still reached when it was probed."""
+    watch = CrashWatch()
+    watch.note_broken("u1", "b1", 5, NOW)
+    removed_at = NOW + 3 * timedelta(milliseconds=1200) + timedelta(milliseconds=600)
+    assert watch.note_lost("u1", removed_at) == (CrashId("u1", "b1"), {5})
