Blame sends that were ended here as their upstream was lost

What callers would see: a request makes each engine that runs it go dark (connections stay open, none is accepted): eight of eight upstreams were lost to six calls of one request, and it was never refused. The same with a caller that is gone each time at the moment of the crash.

Cause: only a connection that the upstream broke was watched. A send that was given up in silence, or ended as its caller left, was nobody's; and in silence the upstream is found lost before the send ends, so that no later loss was there to blame. Class: two events that are matched in one order only.

Change: a send given up in silence is watched like a broken one; one that was ended here is blamed if its upstream is lost within a second. Where the upstream was found lost after the send began, it is blamed at its end.

--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/blames.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/blames.py
@@ -14,6 +14,8 @@
     CLEARED = "cleared"
     """A whole answer clears the request of earlier crashes."""
     WATCHED = "watched"
-    """The connection broke: the request is blamed if its upstream is soon lost."""
+    """The connection broke, or was given up in silence: the request is blamed if its
+    upstream is soon lost."""
     ENDED_HERE = "ended_here"
-    """This gateway ended the send before the upstream did."""
+    """This gateway ended the send, as its caller left or its time was over: it is
+    blamed if its upstream is lost at that moment."""
--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_reporters.py
@@ -16,7 +16,12 @@
 
 from mustardquay.clocks import Clock
 from mustardquay.crash_news import CrashNews
-from mustardquay.crash_watches import CrashWatch, UnblamedReason
+from mustardquay.crash_watches import (
+    ENDED_WATCH_TIME,
+    WATCH_TIME,
+    CrashWatch,
+    UnblamedReason,
+)
 from mustardquay.events import EventRing
 from mustardquay.quarantines import CrashId, CrashRecord, FingerprintStatus, Quarantine
 from mustardquay.requests import PromptPart
@@ -147,12 +152,45 @@
         the caller wrote, 0 without one. `begun_at` is when the send began, on the
         monotonic clock.
         """
+        self._watch_send(upstream, fingerprint, text, begun_at, WATCH_TIME)
+        if probe is not None:
+            self._probes.add(fingerprint, probe)
+
+    def note_ended_send(
+        self,
+        upstream: UpstreamRecord,
+        fingerprint: int,
+        text: int = 0,
+        begun_at: timedelta | None = None,
+    ) -> None:
+        """Note a send that this gateway has ended, and whose upstream may end with it.
+
+        Its connection tells nothing of a crash: it counts only if the upstream is found
+        lost at that moment. The arguments are those of `note_broken_send`.
+        """
+        self._watch_send(upstream, fingerprint, text, begun_at, ENDED_WATCH_TIME)
+
+    def settle_send(self, upstream: str, begun_at: timedelta) -> None:
+        """Blame a send that has ended if its upstream was found lost before that.
+
+        Guards against an upstream that is dark: it is known as lost while the request
+        still waits for its answer, and is not found lost once more.
+        """
+        if self._watch.was_lost_since(upstream, begun_at):
+            self.note_upstream_lost(upstream)
+
+    def _watch_send(
+        self,
+        upstream: UpstreamRecord,
+        fingerprint: int,
+        text: int,
+        begun_at: timedelta | None,
+        watch_time: timedelta,
+    ) -> None:
         now = self._clock.monotonic()
         self._note_text(fingerprint, text)
         boot = self._starts.find_name(upstream.id, str(upstream.started_ms), begun_at)
-        self._watch.note_broken(upstream.id, boot, fingerprint, now)
-        if probe is not None:
-            self._probes.add(fingerprint, probe)
+        self._watch.note_broken(upstream.id, boot, fingerprint, now, watch_time)
 
     def note_answer(self, fingerprint: int, request: str, upstream: str) -> None:
         """Clear a request that an upstream has answered."""
--- a/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
@@ -77,7 +77,11 @@
     """Record what the end of a send shows of a crash of its upstream."""
     blame = _find_blame(send, options)
     upstream = send.upstream
-    if blame is Blame.WATCHED:
+    if blame is Blame.ENDED_HERE:
+        deps.crashes.note_ended_send(
+            upstream, request.fingerprint, request.text, request.sent_at
+        )
+    elif blame is Blame.WATCHED:
         probe = deps.pools.probe(upstream)
         deps.crashes.note_broken_send(
             upstream, request.fingerprint, probe, request.text, request.sent_at
@@ -86,6 +90,8 @@
             deps.crashes.parts.note_broken_send(
                 upstream, request.parts, probe, request.sent_at
             )
+    if blame in (Blame.WATCHED, Blame.ENDED_HERE):
+        deps.crashes.settle_send(upstream.id, request.sent_at)
     elif blame is Blame.CLEARED:
         deps.crashes.note_answer(request.fingerprint, request.id, upstream.id)
         deps.crashes.parts.note_answered(request.parts, upstream, request.sent_at)
@@ -97,7 +103,7 @@
 
 
 def _find_blame(send: Send, options: SendOptions) -> Blame:
-    if send.was_lost:
+    if send.was_lost or send.given_up is not None:
         return Blame.WATCHED
     if _has_run_whole(send, options):
         return Blame.CLEARED
--- a/packages/mustardquay-node/tests/test_crash_orders.py
+++ b/packages/mustardquay-node/tests/test_crash_orders.py
@@ -40,7 +40,8 @@
         self.in_flight = []
         self.crashes = defaultdict(set)
         """The starts that ended under each request since it was answered."""
-        self.refused = set()
+        self.hanging = []
+        """Sends to starts that went dark, which gateways have yet to end."""
 
     def _describe(self, gateway, upstream):
         started = self.listed[gateway][upstream] + 1
@@ -50,7 +51,8 @@
 
     @rule(gateway=GATEWAYS, upstream=UPSTREAMS, request=REQUESTS)
     def send(self, gateway, upstream, request):
-        if self.gateways[gateway].is_refused(request):
+        is_dark = any(each[1] == upstream for each in self.hanging)
+        if is_dark or self.gateways[gateway].is_refused(request):
             return
         self.clock.advance(STEP)
         record = self._describe(gateway, upstream)
@@ -74,6 +76,32 @@
         self.starts[upstream] += 1
         self.tell_all()
 
+    @precondition(lambda self: self.in_flight)
+    @rule(upstream=UPSTREAMS)
+    def go_dark(self, upstream):
+        """End a start whose connections stay: it is found lost before sends end."""
+        ended = [each for each in self.in_flight if each[1] == upstream]
+        self.in_flight = [each for each in self.in_flight if each[1] != upstream]
+        self.clock.advance(STEP)
+        for gateway in {each[0] for each in ended}:
+            self.gateways[gateway].note_upstream_lost(f"u{upstream}")
+        self.hanging += [(*each, self.starts[upstream]) for each in ended]
+        self.starts[upstream] += 1
+
+    @precondition(lambda self: self.hanging)
+    @rule(data=st.data())
+    def end_hanging(self, data):
+        """Have a gateway end a send to a start that went dark."""
+        each = data.draw(st.sampled_from(self.hanging))
+        gateway, upstream, request, record, began, start = each
+        self.hanging.remove(each)
+        self.clock.advance(STEP)
+        self.crashes[request].add((upstream, start))
+        reporter = self.gateways[gateway]
+        reporter.note_ended_send(record, request, begun_at=began)
+        reporter.settle_send(record.id, began)
+        self.tell_all()
+
     @rule(gateway=GATEWAYS, upstream=UPSTREAMS)
     def list_start(self, gateway, upstream):
         """Give a gateway the newest record of an upstream."""
--- a/packages/mustardquay/src/mustardquay/crash_watches.py
+++ b/packages/mustardquay/src/mustardquay/crash_watches.py
@@ -5,7 +5,7 @@
 removed or restarted shortly after.
 """
 
-from collections import defaultdict
+from collections import OrderedDict, defaultdict
 from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -22,8 +22,12 @@
 WATCH_TIME = timedelta(seconds=5)
 """How long after a broken send its upstream is watched. One that crashes refuses
 connections at once as a rule; the list shows it after three heartbeats without one."""
+ENDED_WATCH_TIME = timedelta(seconds=1)
+"""How long the upstream of a send that was ended here is watched. Callers may leave at
+any time, so that only the upstream's end right after it says something."""
 MAX_WATCHED_SENDS = 2_000
 """Maximum number of recorded broken sends; exceeded only if everything fails."""
+MAX_LOST_UPSTREAMS = 1_000
 EVICTED_SHARE = 10
 """Part of the sends that is dropped at a time without room: one in so many."""
 
@@ -32,7 +36,7 @@
     """Why a broken send is no longer watched, though no crash was blamed on it."""
 
     EXPIRED = "expired"
-    """It broke longer before its upstream was found lost than `WATCH_TIME`."""
+    """It broke longer before its upstream was found lost than it is watched."""
     EVICTED = "evicted"
     """There was no room for it."""
 
@@ -42,6 +46,7 @@
     suspect: Suspect
     boot: str
     at: timedelta
+    watched_until: timedelta
 
 
 class CrashWatch(Generic[Suspect]):
@@ -59,17 +64,30 @@
         self._note_unblamed = note_unblamed
         self._broken: dict[str, list[_BrokenSend[Suspect]]] = defaultdict(list)
         self._count = 0
+        self._lost_at: OrderedDict[str, timedelta] = OrderedDict()
+        """When upstreams were last found lost; the newest are kept."""
+
+    def was_lost_since(self, upstream: str, begun_at: timedelta) -> bool:
+        """Return whether an upstream was found lost after a send began."""
+        lost_at = self._lost_at.get(upstream)
+        return lost_at is not None and begun_at <= lost_at
 
     def note_broken(
-        self, upstream: str, boot: str, suspect: Suspect, now: timedelta
+        self,
+        upstream: str,
+        boot: str,
+        suspect: Suspect,
+        now: timedelta,
+        watch_time: timedelta = WATCH_TIME,
     ) -> None:
         """Record a send whose connection ended without a complete answer.
 
-        `boot` identifies the start of the upstream.
+        `boot` identifies the start of the upstream; `watch_time` is how long the send
+        may be blamed.
         """
         if self._count >= self._capacity:
             self._evict(now)
-        self._broken[upstream].append(_BrokenSend(suspect, boot, now))
+        self._broken[upstream].append(_BrokenSend(suspect, boot, now, now + watch_time))
         self._count += 1
 
     def _evict(self, now: timedelta) -> None:
@@ -89,17 +107,24 @@
             else:
                 del self._broken[upstream]
 
+    def _note_lost_at(self, upstream: str, now: timedelta) -> None:
+        self._lost_at[upstream] = now
+        self._lost_at.move_to_end(upstream)
+        if len(self._lost_at) > MAX_LOST_UPSTREAMS:
+            self._lost_at.popitem(last=False)
+
     def note_lost(
         self, upstream: str, now: timedelta
     ) -> tuple[CrashId, set[Suspect]] | None:
         """Record that an upstream is unreachable, removed or restarted.
 
         Returns the crash with the suspects of the sends that broke within
-        `WATCH_TIME` before it, or None if there are none.
+        their watch time before it, or None if there are none.
         """
+        self._note_lost_at(upstream, now)
         broken = self._broken.pop(upstream, [])
         self._count -= len(broken)
-        recent = [each for each in broken if now - each.at <= WATCH_TIME]
+        recent = [each for each in broken if now <= each.watched_until]
         if expired := len(broken) - len(recent):
             self._note_unblamed(upstream, UnblamedReason.EXPIRED, expired)
         if not recent:
