Tell news of crashes in datagrams that are not fragmented

What it costs: with three crashes each, twelve records are 1.7 KB (8 crashes: 3.8 KB). Such a datagram goes in fragments, and the loss of one loses the records that matter most, those of requests with many crashes.

Cause: a digest that is limited by its records, not by its bytes. Change: what is over the limit of a datagram is told in halves.

--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_exchanges.py
@@ -8,10 +8,13 @@
 """
 
 import asyncio
+from collections.abc import Sequence
 from datetime import timedelta
 from random import Random
 
-from ..digest_frames import decode_crashes, encode_crashes
+from mustardquay.quarantines import CrashRecord
+
+from ..digest_frames import DATAGRAM_LIMIT, decode_crashes, encode_crashes
 from ..loops import cancel_task, start_loop
 from .body_reporters import CrashReporter
 from .links import GatewayLink, choose_recipients
@@ -22,7 +25,7 @@
 NEWS_INTERVAL = timedelta(milliseconds=20)
 """Least time between two datagrams of news."""
 RECORDS_LIMIT = 12
-"""Records in one datagram, so that it is not fragmented."""
+"""Records that are told at a time; with two crashes each they fit in a datagram."""
 
 
 class BodyExchange:
@@ -61,6 +64,15 @@
         if not records:
             self._has_news.clear()
             return
-        data = NEWS_PREFIX + encode_crashes(records)
         recipients = choose_recipients(self._link, self._name, self._random)
-        self._link.send_to(data, recipients)
+        for data in _encode(records):
+            self._link.send_to(data, recipients)
+
+
+def _encode(records: Sequence[CrashRecord]) -> list[bytes]:
+    """Return the datagrams of records, none of which is fragmented."""
+    data = NEWS_PREFIX + encode_crashes(records)
+    if len(data) <= DATAGRAM_LIMIT or len(records) == 1:
+        return [data]
+    half = len(records) // 2
+    return _encode(records[:half]) + _encode(records[half:])
--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/body_reporters.py
@@ -280,6 +280,11 @@
             self._note_changed(changed)
             self._events.record("quarantine.merged", records=len(changed))
 
+    @property
+    def has_news(self) -> bool:
+        """Return whether other gateways are yet to be told of a record."""
+        return bool(self._news)
+
     def take_news(self, limit: int) -> tuple[CrashRecord, ...]:
         """Return the records to tell other gateways now, the gravest first."""
         now = self._clock.monotonic()
