Log as unblamed only sends that a crash may have cut, and none that was not sent

Read once more: sends that this gateway ends stay watched in their upstream's list, and were told as evicted or expired long after, though no crash had cut them; one that was ended before its first byte counted as in flight.

A send without a byte sent is blamed on nothing.

test_sends_that_are_watched_no_longer_make_room_silently fails without it.

--- a/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
@@ -103,6 +103,8 @@
 
 
 def _find_blame(send: Send, options: SendOptions) -> Blame:
+    if not send.was_sent:
+        return Blame.NONE
     if send.was_lost or send.given_up is not None:
         return Blame.WATCHED
     if _has_run_whole(send, options):
--- a/packages/mustardquay-node/src/mustardquay_node/sending/results.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/results.py
@@ -31,6 +31,8 @@
     detail: str = ""
     was_reused: bool = False
     """Whether the connection had been used before."""
+    was_sent: bool = False
+    """Whether a byte of the request may have been sent."""
     was_lost: bool = False
     """Whether the connection ended before the whole answer, or the answer without its
     whole content, other than by the caller's leave."""
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -350,6 +350,7 @@
         """Classify the result of a send, and record it in loads, limits and crashes."""
         send.head = exchange.head
         send.content = exchange.take()
+        send.was_sent = exchange.was_sent
         send.was_reused = exchange.was_reused
         send.detail = end
         send.end = classify_send(self._request.route, self._reply, send, exchange, end)
--- a/packages/mustardquay/src/mustardquay/crash_watches.py
+++ b/packages/mustardquay/src/mustardquay/crash_watches.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict, defaultdict
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import StrEnum
@@ -46,7 +46,10 @@
     suspect: Suspect
     boot: str
     at: timedelta
-    watched_until: timedelta
+    watch_time: timedelta
+
+    def is_watched(self, now: timedelta) -> bool:
+        return now - self.at <= self.watch_time
 
 
 class CrashWatch(Generic[Suspect]):
@@ -86,26 +89,34 @@
         may be blamed.
         """
         if self._count >= self._capacity:
-            self._evict(now)
-        self._broken[upstream].append(_BrokenSend(suspect, boot, now, now + watch_time))
+            self._make_room(now)
+        self._broken[upstream].append(_BrokenSend(suspect, boot, now, watch_time))
         self._count += 1
 
-    def _evict(self, now: timedelta) -> None:
-        """Drop what has expired, or else the oldest sends."""
-        ages = sorted(
-            now - each.at for sends in self._broken.values() for each in sends
-        )
-        oldest = ages[-max(len(ages) // EVICTED_SHARE, 1)]
-        for upstream in list(self._broken):
-            sends = self._broken[upstream]
-            kept = [each for each in sends if now - each.at < min(oldest, WATCH_TIME)]
-            if dropped := len(sends) - len(kept):
-                self._note_unblamed(upstream, UnblamedReason.EVICTED, dropped)
-                self._count -= dropped
-            if kept:
+    def _make_room(self, now: timedelta) -> None:
+        """Drop what is watched no longer, and without any of it the oldest sends."""
+        if self._retain(lambda each: each.is_watched(now)):
+            return
+        ages = sorted(each.at for sends in self._broken.values() for each in sends)
+        newest_dropped = ages[max(len(ages) // EVICTED_SHARE, 1) - 1]
+        dropped = self._retain(lambda each: each.at > newest_dropped)
+        for upstream, count in dropped.items():
+            self._note_unblamed(upstream, UnblamedReason.EVICTED, count)
+
+    def _retain(
+        self, is_kept: Callable[[_BrokenSend[Suspect]], bool]
+    ) -> Mapping[str, int]:
+        """Drop the other sends; returns how many, by upstream."""
+        dropped = {}
+        for upstream, sends in list(self._broken.items()):
+            kept = [each for each in sends if is_kept(each)]
+            if len(kept) < len(sends):
+                dropped[upstream] = len(sends) - len(kept)
                 self._broken[upstream] = kept
-            else:
+            if not kept:
                 del self._broken[upstream]
+        self._count -= sum(dropped.values())
+        return dropped
 
     def _note_lost_at(self, upstream: str, now: timedelta) -> None:
         self._lost_at[upstream] = now
@@ -124,10 +135,16 @@
         self._note_lost_at(upstream, now)
         broken = self._broken.pop(upstream, [])
         self._count -= len(broken)
-        recent = [each for each in broken if now <= each.watched_until]
-        if expired := len(broken) - len(recent):
+        recent = [each for each in broken if each.is_watched(now)]
+        if expired := sum(_has_just_expired(each, now) for each in broken):
             self._note_unblamed(upstream, UnblamedReason.EXPIRED, expired)
         if not recent:
             return None
         crash = CrashId(upstream, recent[0].boot)
         return crash, {each.suspect for each in recent}
+
+
+def _has_just_expired(send: _BrokenSend, now: timedelta) -> bool:
+    """Return whether a send that its upstream broke was watched until a moment ago."""
+    was_cut = send.watch_time == WATCH_TIME
+    return was_cut and WATCH_TIME < now - send.at <= WATCH_TIME * 2
--- a/packages/mustardquay/tests/test_crash_watches.py
+++ b/packages/mustardquay/tests/test_crash_watches.py
@@ -32,6 +32,8 @@
     watch = CrashWatch(2, lambda *details: told.append(details))
     watch.note_broken("u1", "b1", 5, NOW)
     watch.note_lost("u1", NOW + WATCH_TIME * 2)
+    watch.note_broken("u1", "b1", 5, NOW, watch_time=WATCH_TIME / 5)
+    watch.note_lost("u1", NOW + WATCH_TIME * 2)
     assert told == [("u1", UnblamedReason.EXPIRED, 1)]
     for fingerprint in (5, 6, 7):
         watch.note_broken("u2", "b1", fingerprint, NOW)
@@ -63,3 +65,14 @@
     watch.note_broken("u1", "b1", 5, NOW)
     removed_at = NOW + 3 * timedelta(milliseconds=1200) + timedelta(milliseconds=600)
     assert watch.note_lost("u1", removed_at) == (CrashId("u1", "b1"), {5})
+
+
+def test_sends_that_are_watched_no_longer_make_room_silently():
+    """Guards against log lines on sends whose upstreams did not crash."""
+    told = []
+    watch = CrashWatch(2, lambda *details: told.append(details))
+    for number in range(6):
+        at = NOW + number * 2 * WATCH_TIME
+        watch.note_broken("u1", "b1", number, at)
+    assert not told
+    assert watch.note_lost("u1", at) == (CrashId("u1", "b1"), {5})
