--- a/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
@@ -82,7 +82,8 @@
             upstream, request.fingerprint, request.text, request.sent_at
         )
     elif blame is Blame.WATCHED:
-        probe = deps.pools.probe(upstream)
+        # A probe of a silent upstream that times out says nothing of a crash.
+        probe = deps.pools.probe(upstream) if send.was_lost else None
         deps.crashes.note_broken_send(
             upstream, request.fingerprint, probe, request.text, request.sent_at
         )
