Tell news of parts as fast as that of requests, each once before any is repeated

What callers would see: three engines crash at one moment with 200 parts of prompts in flight on each, at one gateway; others hear of the last of these parts 6 s later, twice the time in which all must know a part (contact_ms).

Cause: parts with equally many crashes were told three times in a row before the next, 14 in 50 ms. Change: those told least come first, as for requests, and a datagram may leave each 20 ms: 600 parts are told once within 0.9 s and three times within 2.6 s, some 600 KB a second meanwhile.

Failed before: test_part_news (run on the code before the change). The 57 tests around it pass. Of other digests: figures on load, limits of rates and shares are no promise of what all must know within contact_ms; limits of rates are told whole, whatever their number, which was not looked at further.

--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_exchanges.py
@@ -21,7 +21,7 @@
 
 __all__ = ["PartExchange"]
 
-NEWS_INTERVAL = timedelta(milliseconds=50)
+NEWS_INTERVAL = timedelta(milliseconds=20)
 """Least time between two datagrams of news."""
 REPEAT_INTERVAL = timedelta(seconds=1)
 
--- a/packages/mustardquay/src/mustardquay/crashing_parts/part_notices.py
+++ b/packages/mustardquay/src/mustardquay/crashing_parts/part_notices.py
@@ -29,8 +29,20 @@
             self._left.setdefault(part, 1)
 
     def take(self, limit: int, count_crashes: Callable[[int], int]) -> list[int]:
-        """Return the parts for the next datagram, those with the most crashes first."""
-        ordered = sorted(self._left, key=count_crashes, reverse=True)[:limit]
+        """Return the parts for the next datagram.
+
+        Those told least come first, so that each is told once before any is repeated,
+        and among them those with the most crashes.
+
+        >>> schedule = NoticeSchedule()
+        >>> schedule.note_news([1, 2, 3])
+        >>> [schedule.take(2, lambda part: int(part == 3)) for _ in range(2)]
+        [[3, 1], [2, 3]]
+        """
+        order = sorted(
+            self._left, key=lambda part: (-self._left[part], -count_crashes(part))
+        )
+        ordered = order[:limit]
         for part in ordered:
             self._left[part] -= 1
             if not self._left[part]:
