Drop an option of the reporter of parts that nobody sets

Read once more: PartReporter took the starts of upstreams as an argument, and each caller left it to make its own. Behaviour is the same; 19 tests of crashes, restarts, texts and news of parts pass.

--- a/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_reporters.py
+++ b/packages/mustardquay-node/src/mustardquay_node/crash_suspects/part_reporters.py
@@ -48,16 +48,13 @@
         clock: Clock,
         events: EventRing,
         notify: Callable[[], None] = lambda: None,
-        starts: UpstreamStarts | None = None,
     ):
-        """Initialise without suspects; `notify` has news sent at once.
-
-        `starts` are the starts of upstreams, which who counts crashes keeps.
-        """
+        """Initialise without suspects; `notify` has news sent at once."""
         self._clock = clock
         self._events = events
         self._notify = notify
-        self.starts = starts or UpstreamStarts()
+        self.starts = UpstreamStarts()
+        """The starts of upstreams; who counts the crashes of requests adds to them."""
         self._book = PartBook()
         self._schedule = NoticeSchedule()
         self._watch: CrashWatch[_PlacedPart] = CrashWatch(MAX_WATCHED_PARTS)
