Tell in the line of a send how many attempts and refusals its request has had

The lines of a stream that was cut didn't tell whether its attempts had run anything: `send.ended` had the end of each send, but neither the count that decides nor its limit. No decision is changed.

--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -206,6 +206,14 @@
         named = {"fingerprint": format_fingerprint(self.fingerprint)}
         return named | ({"text": format_fingerprint(self.text)} if self.text else {})
 
+    def describe_sends(self) -> dict[str, int]:
+        """Return log fields with the attempts and refusals so far, and their limit."""
+        return {
+            "attempts": self.send_history.attempts,
+            "refusals": self.send_history.refusals,
+            "max_attempts": self.route.max_attempts,
+        }
+
     def measure_time_left(self, now: timedelta) -> timedelta:
         """Return the time until the deadline."""
         return self.deadline - now
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -124,6 +124,7 @@
             **send.inputs,
             kept=send.was_reused,
             next=step,
+            **self._request.describe_sends(),
             age_ms=self._reply.age_ms,
             first_ms=self._reply.first_ms,
             pause_ms=self._reply.pause_ms,
--- a/packages/mustardquay/src/mustardquay/retry_decisions.py
+++ b/packages/mustardquay/src/mustardquay/retry_decisions.py
@@ -66,6 +66,8 @@
     """Whether it is known at which software version a resumable stream began."""
     misdirected: int = 0
     """Sends that reached a different upstream than intended."""
+    refusals: int = 0
+    """Sends that an upstream refused without running the request."""
     ledger: RunLedger = field(default_factory=RunLedger)
 
     @property
@@ -79,6 +81,7 @@
             self.misdirected += 1
         elif end not in (SendResult.NOT_SENT, SendResult.UNREAD):
             self.attempts += 1
+        self.refusals += end is SendResult.NOT_RUN
         self.ledger.note(end.is_not_run)
 
 
