Don't let a refusal use up an attempt of a request that has begun to run

Callers saw a stream of two attempts cut: its upstream had ended or was given up, the next one refused it (503, not run) and that counted as the second attempt, though nothing had run it. Cause: `SendHistory.note` counted each send of which a byte had left. The limit of a route is on upstreams that run a request; a refusal proves that none did. Attempts now count sends that may have run it, refusals are counted apart. A request that nothing has run is still refused after as many refusals as attempts: its 503 is true, and its caller comes back sooner than all full upstreams are asked. The same cause failed a request that was refused once and then met a crash.

--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -181,7 +181,7 @@
             upstream=request.upstream,
             passed=reply.passed,
             held_back=self._sender.has_partial_event,
-            sends=request.send_history.attempts,
+            sends=request.send_history.sends,
             age_ms=reply.age_ms,
             **request.incoming.describe_connection(),
         )
@@ -204,7 +204,7 @@
         request = self._request
         if request.has_met_silence or self._reply.is_large:
             return
-        if request.expected is not None and request.send_history.attempts <= 1:
+        if request.expected is not None and request.send_history.sends <= 1:
             self._deps.latency_margins.note(
                 request.route,
                 request.expected,
--- a/packages/mustardquay/src/mustardquay/retry_decisions.py
+++ b/packages/mustardquay/src/mustardquay/retry_decisions.py
@@ -59,7 +59,7 @@
     """The sends of one request so far."""
 
     attempts: int = 0
-    """Upstreams to which at least one byte was sent."""
+    """Sends after which their upstream may have run the request."""
     has_sent_events: bool = False
     """Whether any event of a stream was sent to the caller."""
     is_origin_known: bool = True
@@ -70,6 +70,11 @@
     """Sends that an upstream refused without running the request."""
     ledger: RunLedger = field(default_factory=RunLedger)
 
+    @property
+    def sends(self) -> int:
+        """Return the number of upstreams that have got the request."""
+        return self.attempts + self.refusals
+
     @property
     def may_have_run(self) -> bool:
         """Return whether a send may have run the request, or may still."""
@@ -79,9 +84,10 @@
         """Record the result of a send."""
         if end is SendResult.OTHER_UPSTREAM:
             self.misdirected += 1
-        elif end not in (SendResult.NOT_SENT, SendResult.UNREAD):
+        elif end is SendResult.NOT_RUN:
+            self.refusals += 1
+        elif not end.is_not_run:
             self.attempts += 1
-        self.refusals += end is SendResult.NOT_RUN
         self.ledger.note(end.is_not_run)
 
 
@@ -163,7 +169,9 @@
 def _has_attempts(route: Route, history: SendHistory, end: SendResult) -> bool:
     if end is SendResult.OTHER_UPSTREAM:
         return history.misdirected < MAX_MISDIRECTED
-    return history.attempts < route.max_attempts
+    # What nothing has run can be refused, which costs its caller less than a search.
+    used = history.attempts if history.may_have_run else history.sends
+    return used < route.max_attempts
 
 
 def _is_worth_repeating(
