Give a silent stream up only once another upstream has begun to answer

Cause: after 1.5 s the send was cancelled because another upstream was listed, before that one had taken the request. It could refuse, be out of reach, fail or hang; then nothing was left. Class: something sure is dropped for something hoped for.

The request is now sent to the other upstream beside the silent send. The head of a success ends the silent send (`send.given_up`); data of the silent upstream end the other one; a refusal leaves the request where it is, and the next upstream is asked. The watch for crashes begins as the replacement starts, so that a request that darkens its upstreams still reaches three at the most.

Tests of silences, kept readings, crashes, stops and streams pass.

--- a/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwarder_dependencies.py
@@ -1,7 +1,8 @@
 """Shared dependencies of a gateway's requests, and the state of each request."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from copy import copy
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from random import Random
 from typing import TYPE_CHECKING
@@ -144,8 +145,8 @@
     """Result of the last send that has ended, a value of `SendResult`."""
     was_begun: bool = False
     """Whether an upstream has begun to run the request, as far as is known."""
-    is_retry_charged: bool = False
-    """Whether the next send was charged to the retry allowance already."""
+    is_replacement: bool = False
+    """Whether it was sent beside a send of itself that has met a silence."""
     has_met_silence: bool = False
     """Whether an upstream was silent during a send, so that times show no load."""
     is_late: bool = False
@@ -206,6 +207,25 @@
         named = {"fingerprint": format_fingerprint(self.fingerprint)}
         return named | ({"text": format_fingerprint(self.text)} if self.text else {})
 
+    def copy_for_replacement(
+        self, avoid: set[str], is_prefill: bool
+    ) -> "ForwardedRequest":
+        """Return the state of a further send, beside the one that runs.
+
+        `is_prefill` says that the one which runs only prefills the prompt.
+        """
+        other = copy(self)
+        other.is_replacement = True
+        other.avoid = self.avoid | avoid
+        other.current = None
+        attempts = self.send_history.attempts + (not is_prefill)
+        other.send_history = replace(self.send_history, attempts=attempts)
+        if self.prefill is not None and not is_prefill:
+            other.prefill = replace(self.prefill, is_handle_used=True)
+            if not self.prefill.is_used:
+                other.prefill.silent_since = self.sent_at
+        return other
+
     def describe_sends(self) -> dict[str, int]:
         """Return log fields with the attempts and refusals so far, and their limit."""
         return {
--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -27,7 +27,7 @@
 from .handovers import drop_prefill, send_generation
 from .rate_reservations import await_reservation
 from .replies import OUTCOME_UNKNOWN, Failure, Reply
-from .sending import Send, Sender, find_prefill_state
+from .sending import Replacement, Replacements, Send, Sender, find_prefill_state
 from .share_admissions import admit_plain, send_plain
 
 __all__ = ["forward"]
@@ -81,7 +81,6 @@
             reply.pace.watch_progress(None)
         deps.times.end(waiting)
         deps.origins.end(request.stream_keys)
-        drop_prefill(deps, request, request.last_end)
         forwarding.release()
 
 
@@ -104,28 +103,34 @@
         self._deps = deps
         self._request = request
         self._reply = reply
-        self._sender = Sender(deps, request, reply)
+        self._replacements = Replacements(
+            deps, self._make_replacing_sender, self._send_beside
+        )
+        self._sender = Sender(deps, request, reply, self._replacements)
 
     async def run(self) -> None:
         """Send, and retry where that is allowed and can succeed."""
-        request = self._request
         if await self._forward_to_peer():
             return
-        if request.is_take_up:
-            if not await take_up_stream(self._deps, request, self._reply):
+        if self._request.is_take_up:
+            if not await take_up_stream(self._deps, self._request, self._reply):
                 return
+        try:
+            await self._send_until_answered()
+        finally:
+            if self._replacements.is_running:
+                await self._replacements.close()
+
+    async def _send_until_answered(self) -> None:
         while not self._reply.is_caller_gone:
-            if refuse_crashing(self._deps, request, self._reply):
+            if refuse_crashing(self._deps, self._request, self._reply):
                 return
-            send = await self._send()
+            send = await self._send_next()
             if send is None:
                 if not self._reply.has_ended:
                     self._refuse_without_upstream()
                 return
-            self._request.send_history.note(send.end)
-            self._request.last_end = send.end.value
-            self._request.send_history.has_sent_events = self._reply.has_begun
-            self._request.send_history.is_origin_known = request.origin is not None
+            self._note_end(send)
             if send.end is SendResult.ANSWERED and self._reply.has_begun:
                 self._sender.log(send, "answered")
                 self._reply.end_stream()
@@ -138,9 +143,48 @@
 
     def release(self) -> None:
         """Drop what is held of the request, which reference cycles keep for a while."""
+        drop_prefill(self._deps, self._request, self._request.last_end)
         self._request.incoming.body = b""
         self._sender.release()
 
+    def _note_end(self, send: Send) -> None:
+        """Keep what the end of a send shows of its request."""
+        request = self._request
+        request.last_end = send.end.value
+        history = request.send_history
+        history.note(send.end)
+        history.has_sent_events = self._reply.has_begun
+        history.is_origin_known = request.origin is not None
+
+    async def _send_next(self) -> Send | None:
+        """Send, or go on with the replacement of the send that has ended."""
+        if not self._replacements.is_promising:
+            return await self._send(self._request, self._sender)
+        replacement = self._replacements.take()
+        self._sender.release()
+        self._request, self._sender = replacement.request, replacement.sender
+        return await replacement.task or await self._send(self._request, self._sender)
+
+    def _make_replacing_sender(self, replacement: Replacement) -> Sender:
+        return Sender(
+            self._deps,
+            replacement.request,
+            self._reply,
+            self._replacements,
+            replacement,
+        )
+
+    async def _send_beside(self, replacement: Replacement) -> Send | None:
+        """Send a request beside a send of it that has met a silence."""
+        request, sender = replacement.request, replacement.sender
+        kept = request.prefill
+        send = await self._send(request, sender)
+        if send is not None and not replacement.is_taken:
+            sender.log(send, "wait")
+            if request.prefill is not kept:
+                drop_prefill(self._deps, request, send.end.value)
+        return send
+
     async def _forward_to_peer(self) -> bool:
         """Forward the request to another gateway; returns whether it has its answer."""
         forward_to_peer = self._deps.get_peer_forwarding()
@@ -157,6 +201,7 @@
         # out how far it got, and a partial execution is of no use.
         if self._request.route.repeat is not Repeat.AT_MOST_ONCE:
             current.cancel()
+            self._replacements.stop()
         self._deps.events.record("caller.left", request=self._request.id)
 
     def end_on_shutdown(self) -> None:
@@ -219,14 +264,14 @@
             self._reply.events,
         )
 
-    async def _send(self) -> Send | None:
+    async def _send(self, request: ForwardedRequest, sender: Sender) -> Send | None:
         """Choose an upstream and send; None if there is none or it was refused."""
-        deps, request = self._deps, self._request
+        deps = self._deps
         candidates = deps.list_candidates(request)
         prompt = request.facts.prompt
         if request.route.has_prompt and prompt is not None:
             return await send_generation(
-                deps, request, self._sender, self._reply, prompt, candidates
+                deps, request, sender, self._reply, prompt, candidates
             )
         now = deps.clock.monotonic()
         upstream = choose_plain(
@@ -242,15 +287,21 @@
             upstream = admit_plain(deps, request, self._reply, upstream, candidates)
         if upstream is None:
             return None
-        return await self._send_within_rate_limit(upstream, now)
+        return await self._send_within_rate_limit(request, sender, upstream, now)
 
     async def _send_within_rate_limit(
-        self, upstream: UpstreamRecord, now: timedelta
+        self,
+        request: ForwardedRequest,
+        sender: Sender,
+        upstream: UpstreamRecord,
+        now: timedelta,
     ) -> Send | None:
         """Send when the upstream's rate limit allows it; None if that is too late."""
-        deps, request = self._deps, self._request
+        deps = self._deps
         wait_time = timedelta(seconds=deps.limits.predict_wait(upstream, now))
         if wait_time > RATE_LIMIT_WAIT_SHARE * request.route.latency_target:
+            if request.is_replacement:
+                return None
             # Jitter keeps callers refused together from retrying at the same time.
             retry_after = wait_time * (1 + deps.random.random())
             self._refuse_without_upstream("limited", retry_after)
@@ -260,7 +311,7 @@
             await await_reservation(deps, reservation)
         finally:
             deps.limits.release(reservation)
-        return await send_plain(deps, request, self._sender, upstream)
+        return await send_plain(deps, request, sender, upstream)
 
     def _decide_retry(self, send: Send) -> bool:
         """Decide the next step; returns whether the request is sent again."""
@@ -269,6 +320,10 @@
             self._sender.log(send, "stop")
             self._reply.count("caller_left")
             return False
+        if self._replacements.is_promising:
+            step = NextStep.RESUME if self._reply.has_begun else NextStep.SEND_AGAIN
+            self._sender.log(send, step.value)
+            return True
         now = self._deps.clock.monotonic()
         left = request.measure_time_left(now)
         step = decide_next(
@@ -287,9 +342,6 @@
     def _take_retry_allowance(self, send: Send, now: timedelta) -> bool:
         """Charge a retry to the retry allowance; returns whether it had room."""
         request = self._request
-        if request.is_retry_charged:
-            request.is_retry_charged = False
-            return True
         state = find_prefill_state(self._deps, request, request.avoid)
         sends = count_repeats(request.route, send.end, state)
         window = self._deps.pools.get_window(request.service)
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -52,7 +52,7 @@
             return await _hand_over(deps, request, sender, prefill)
         finally:
             planner.end(prefill.ticket)
-    if request.send_history.sends:
+    if request.send_history.sends or request.is_replacement:
         placement = _choose_placement(deps, request, prompt, engines)
         if placement is not None and not admits_rate_limit_wait(
             request.route, placement
--- a/packages/mustardquay-node/src/mustardquay_node/sending/alternatives.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/alternatives.py
@@ -11,22 +11,18 @@
 
 
 def has_other_upstream(
-    deps: ForwarderDependencies,
-    request: ForwardedRequest,
-    upstream: UpstreamRecord,
-    is_prefill: bool,
+    deps: ForwarderDependencies, request: ForwardedRequest, is_prefill: bool
 ) -> bool:
-    """Return whether another upstream can take a request now.
+    """Return whether an upstream that a request doesn't avoid can take it now.
 
-    It is neither silent nor ejected, has no rate limit to wait for, and the request was
-    not sent there before. A prefill may also be done by an engine that decodes.
+    It is neither silent nor ejected, and has no rate limit to wait for. A prefill may
+    also be done by an engine that decodes.
     """
     now = deps.clock.monotonic()
-    avoided = request.avoid | {upstream.id}
 
     def is_usable(other: UpstreamRecord) -> bool:
         return not (
-            other.id in avoided
+            other.id in request.avoid
             or (other.stage is Stage.PREFILL and not is_prefill)
             or deps.loads.get(other.id).is_ejected(now)
             or deps.loads.silences.is_silent(other.id)
--- a/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/observations.py
@@ -1,5 +1,7 @@
 """What a send shows of its upstream: its load, limits, crashes and statements."""
 
+import asyncio
+
 from mustardquay.requests import SendResult
 
 from ..adapters import AnswerFacts
@@ -8,7 +10,7 @@
 from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from .results import Send, SendOptions
 
-__all__ = ["SUCCESS_STATUSES", "observe_end", "observe_head"]
+__all__ = ["SUCCESS_STATUSES", "observe_end", "observe_head", "observe_replaced"]
 
 SUCCESS_STATUSES = range(200, 300)
 UNCONNECTED_ENDS = (ExchangeEnd.NOT_CONNECTED, ExchangeEnd.CONNECT_TIMED_OUT)
@@ -48,6 +50,35 @@
     _observe_load(deps, request, send, end, options)
 
 
+def observe_replaced(
+    deps: ForwarderDependencies,
+    request: ForwardedRequest,
+    send: Send,
+    options: SendOptions,
+) -> None:
+    """Record what a silence shows of a crash, before the request goes elsewhere."""
+    _watch_send(deps, request, send, options)
+    deps.crashes.settle_send(send.upstream.id, request.sent_at)
+
+
+def _watch_send(
+    deps: ForwarderDependencies,
+    request: ForwardedRequest,
+    send: Send,
+    options: SendOptions,
+    probe: "asyncio.Task[None] | None" = None,
+) -> None:
+    """Note a send that is blamed if its upstream is soon found lost."""
+    upstream = send.upstream
+    deps.crashes.note_broken_send(
+        upstream, request.fingerprint, probe, request.text, request.sent_at
+    )
+    if not options.prefill_only and not send.has_outlasted_onset:
+        deps.crashes.parts.note_broken_send(
+            upstream, request.parts, probe, request.sent_at
+        )
+
+
 def _observe_limit(
     deps: ForwarderDependencies,
     request: ForwardedRequest,
@@ -84,13 +115,7 @@
     elif blame is Blame.WATCHED:
         # A probe of a silent upstream that times out says nothing of a crash.
         probe = deps.pools.probe(upstream) if send.was_lost else None
-        deps.crashes.note_broken_send(
-            upstream, request.fingerprint, probe, request.text, request.sent_at
-        )
-        if not options.prefill_only and not send.has_outlasted_onset:
-            deps.crashes.parts.note_broken_send(
-                upstream, request.parts, probe, request.sent_at
-            )
+        _watch_send(deps, request, send, options, probe)
     if blame in (Blame.WATCHED, Blame.ENDED_HERE):
         deps.crashes.settle_send(upstream.id, request.sent_at)
     elif blame is Blame.CLEARED:
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -20,7 +20,8 @@
 from .classifications import classify_send, is_stream_answer
 from .confirmations import confirm_end, is_success
 from .large_answers import LargeAnswer
-from .observations import observe_end, observe_head
+from .observations import SUCCESS_STATUSES, observe_end, observe_head
+from .replacements import Replacement, Replacements
 from .results import DEFAULT_OPTIONS, Send, SendOptions
 from .silence_watches import SilenceWatch
 
@@ -47,8 +48,16 @@
     """Sends one request, once for each call of `run`."""
 
     def __init__(
-        self, deps: ForwarderDependencies, request: ForwardedRequest, reply: Reply
+        self,
+        deps: ForwarderDependencies,
+        request: ForwardedRequest,
+        reply: Reply,
+        replacements: Replacements,
+        replacement: Replacement | None = None,
     ):
+        """Take `replacement` if it sends beside another send of the request."""
+        self._replacements = replacements
+        self._replacement = replacement
         self._deps = deps
         self._request = request
         self._reply = reply
@@ -70,6 +79,8 @@
         await self._deps.crashes.parts.wait_for_verdict(request.parts)
         if self._reply.is_caller_gone:
             return Send(upstream, end=SendResult.CALLER_LEFT)
+        if self._replacement is not None and self._replacement.is_stopped:
+            return Send(upstream, end=SendResult.NOT_SENT)
         # The stream of an earlier send may have ended in the middle of an event; the
         # next one sends that event whole.
         self._framer.restart()
@@ -78,7 +89,9 @@
         request.current = exchange
         request.upstream = upstream.id
         request.sent_at = self._deps.clock.monotonic()
-        self._watch = SilenceWatch(self._deps, request, self._reply, send, options)
+        self._watch = SilenceWatch(
+            self._deps, request, self._reply, send, options, self._replacements
+        )
         self._watch.start(exchange)
         self._note_choice(send)
         self._deps.loads.begin(upstream.id)
@@ -247,12 +260,30 @@
             exchange.body_limit = MAX_DROPPED_BYTES
         self._watch.note_data()
         observe_head(self._deps, self._request, send, facts, head.status)
+        if self._is_superseded(send, head, options):
+            exchange.cancel()
+            return False
         return True
 
+    def _is_superseded(
+        self, send: Send, head: AnswerHead, options: SendOptions
+    ) -> bool:
+        """Return whether another send of the request goes on in place of this one."""
+        is_success = send.is_own and head.status in SUCCESS_STATUSES
+        if self._replacement is None or not is_success:
+            return False
+        return not self._replacement.accept(options.prefill_only)
+
     def _receive(
         self, send: Send, exchange: Exchange, data: bytes, options: SendOptions
     ) -> Awaitable[None] | None:
-        """Pass on a part of a stream; buffer other answers until they are complete."""
+        """Pass on a part of a stream; buffer other answers until they are complete.
+
+        What comes after the send was given up is dropped: another one goes on from what
+        was passed on by then.
+        """
+        if exchange.cancelled:
+            return None
         if not self._is_stream(send, exchange):
             return self._receive_plain(exchange, data)
         now = self._deps.clock.monotonic()
--- a/packages/mustardquay-node/src/mustardquay_node/sending/silence_watches.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/silence_watches.py
@@ -1,6 +1,6 @@
-"""The watch of one send for silence: suspicion, probe, and giving up.
+"""The watch of one send for silence: suspicion, probe, and a replacement.
 
-Whether a silent upstream is given up is decided in `mustardquay.silences`. The timer
+Whether a silent upstream is replaced is decided in `mustardquay.silences`. The timer
 leaves out pauses of this process: a gateway that was paused would otherwise take all
 its upstreams for silent when it resumes, with their next events unread.
 """
@@ -9,11 +9,13 @@
 from collections.abc import Awaitable
 from dataclasses import replace
 from datetime import timedelta
+from functools import partial
 
 from mustardquay.requests import SendResult
 from mustardquay.retry_decisions import PrefillState, count_repeats, may_follow
 from mustardquay.routing_tables import Repeat
 from mustardquay.silences import (
+    GiveUpReason,
     SilentSend,
     Suspicion,
     find_give_up_reason,
@@ -26,6 +28,8 @@
 from ..pauses import RunningTimer
 from ..replies import Reply
 from .alternatives import find_prefill_state, has_other_upstream
+from .observations import observe_replaced
+from .replacements import Replacement, Replacements
 from .results import Send, SendOptions
 
 __all__ = ["SilenceWatch"]
@@ -36,7 +40,7 @@
 
 
 class SilenceWatch:
-    """Watches one send until it is closed, and cancels its exchange at the most."""
+    """Watches one send until it is closed, and looks for another upstream."""
 
     def __init__(
         self,
@@ -45,12 +49,16 @@
         reply: Reply,
         send: Send,
         options: SendOptions,
+        replacements: Replacements,
     ):
         self._deps = deps
         self._request = request
         self._reply = reply
         self._send = send
         self._options = options
+        self._replacements = replacements
+        self._replacement: Replacement | None = None
+        """The send that takes over once its upstream answers."""
         self._exchange: Exchange | None = None
         self._timer: RunningTimer | None = None
         self._step = timedelta()
@@ -74,6 +82,9 @@
 
     def note_data(self) -> None:
         """Note that the upstream has sent something for this request."""
+        if self._replacement is not None:
+            self._replacement.stop()
+            self._replacement = None
         now = self._deps.clock.monotonic()
         upstream = self._send.upstream.id
         lasted = self._deps.loads.silences.note_activity(upstream, now)
@@ -131,33 +142,50 @@
         if self._shows_progress and silences.take_probe(self._send.upstream.id):
             probe = self._deps.pools.probe_silent(self._send.upstream)
             probe.add_done_callback(lambda done: self._end_probe(done))
-        if not self._give_up():
-            self._begin_step(find_recheck_time(self._quiet))
+        self._look_elsewhere()
+        self._begin_step(find_recheck_time(self._quiet))
 
     def _end_probe(self, probe: "asyncio.Task[None]") -> None:
         if self._exchange is not None and not probe.cancelled():
-            self._give_up()
+            self._look_elsewhere()
 
-    def _give_up(self) -> bool:
-        """Cancel the exchange if the policy gives the send up; return whether it did.
-
-        The request can then be sent to another upstream.
-        """
-        if self._exchange is None or not self._exchange.was_sent or self._has_data:
-            return False
+    def _look_elsewhere(self) -> None:
+        """Send the request to another upstream as well, if the policy says so."""
+        exchange = self._exchange
+        if exchange is None or not exchange.was_sent or self._has_data:
+            return
+        if self._replacements.is_running:
+            return
+        other = self._copy_request()
         reason = find_give_up_reason(
-            self._describe(), self._deps.loads.silences, self._take_allowance
+            self._describe(other),
+            self._deps.loads.silences,
+            partial(self._take_allowance, other),
         )
         if reason is None:
-            return False
+            return
+        observe_replaced(self._deps, self._request, self._send, self._options)
+        self._replacement = Replacement(
+            other, exchange, self._options.prefill_only, partial(self._give_up, reason)
+        )
+        self._replacements.start(self._replacement, self._request)
+
+    def _copy_request(self) -> ForwardedRequest:
+        refused = self._replacements.list_refused()
+        upstream = self._send.upstream.id
+        is_prefill = self._options.prefill_only
+        return self._request.copy_for_replacement({upstream, *refused}, is_prefill)
+
+    def _give_up(self, reason: GiveUpReason) -> None:
+        """End the exchange, as another upstream has begun to answer."""
         self._send.given_up = reason
         self._record("send.given_up", reason=reason.value)
         exchange = self._exchange
         self.close()
-        exchange.cancel()
-        return True
+        if exchange is not None:
+            exchange.cancel()
 
-    def _describe(self) -> SilentSend:
+    def _describe(self, other: ForwardedRequest) -> SilentSend:
         request = self._request
         left = request.measure_time_left(self._deps.clock.monotonic())
         history = replace(
@@ -170,7 +198,7 @@
             self._send.upstream.id,
             self._quiet,
             may_follow(request.route, history, self._expected_end, left),
-            has_other_upstream(self._deps, request, self._send.upstream, is_prefill),
+            has_other_upstream(self._deps, other, is_prefill),
             left,
             self._shows_progress,
         )
@@ -189,23 +217,17 @@
         is_prefill = self._options.prefill_only
         return SendResult.UNREAD if is_prefill else SendResult.BROKEN
 
-    def _take_allowance(self) -> bool:
-        """Charge the send that follows; `forwardings` does not charge it once more."""
-        request = self._request
-        avoid = request.avoid | {self._send.upstream.id}
+    def _take_allowance(self, other: ForwardedRequest) -> bool:
+        """Charge the further send to the retry allowance."""
         is_prefill = self._options.prefill_only
-        if request.prefill is not None and not request.prefill.is_used:
-            request.prefill.silent_since = request.sent_at
         state = (
             PrefillState.NONE
             if is_prefill
-            else find_prefill_state(self._deps, request, avoid)
+            else find_prefill_state(self._deps, other, other.avoid)
         )
-        sends = count_repeats(request.route, self._expected_end, state)
-        window = self._deps.pools.get_window(request.service)
-        is_charged = not sends or window.take(self._deps.clock.monotonic(), sends)
-        request.is_retry_charged = is_charged
-        return is_charged
+        sends = count_repeats(other.route, self._expected_end, state)
+        window = self._deps.pools.get_window(other.service)
+        return not sends or window.take(self._deps.clock.monotonic(), sends)
 
     def _record(self, kind: str, **details: str) -> None:
         self._deps.events.record(
--- a/packages/mustardquay-node/src/mustardquay_node/share_admissions.py
+++ b/packages/mustardquay-node/src/mustardquay_node/share_admissions.py
@@ -51,7 +51,7 @@
     expected wait is tried, so that none is refused while another one has free slots.
     """
     shares = _find_shares(deps, request)
-    if shares is None or request.send_history.sends:
+    if shares is None or request.send_history.sends or request.is_replacement:
         return upstream
     shares.expire_peers()
     expected = shares.expect(upstream)
