Read the marks of versions before a take-up is refused by a gateway that just started

Cause: saved origins were read only if the gateway knew several marks, and it learns the marks at a check each 250 ms, which does nothing until upstreams are listed. A take-up now reads the marks of services of which none is known. The tests slept for half a second after each kill, and so missed it.

--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/subsystems.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/subsystems.py
@@ -160,7 +160,7 @@
                 origin = await self._exchange.ask(key)
             if origin is not None:
                 return FoundOrigin(origin, "gateway")
-            if self._markers.is_mixed:
+            if await self._may_be_saved(services):
                 await self._saved.read()
                 origin = self._exchange.find(key)
             if origin is not None:
@@ -171,6 +171,16 @@
             return None
         return await self._find_only(services[0])
 
+    async def _may_be_saved(self, services: Sequence[str]) -> bool:
+        """Return whether several versions of a service may have begun streams.
+
+        Guards against a gateway that has just started, and knows no marks yet.
+        """
+        for service in services:
+            if not self._markers.knows(service):
+                await self._markers.read(service)
+        return self._markers.is_mixed
+
     async def _find_only(self, service: str) -> FoundOrigin | None:
         """Return the origin of all streams of a service, if there is only one."""
         if len(self._list_versions(service)) > 1:
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/version_markers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/version_markers.py
@@ -82,6 +82,10 @@
         """Return whether the software version of an upstream is marked."""
         return upstream.software_version in self._marked[upstream.service]
 
+    def knows(self, service: str) -> bool:
+        """Return whether any mark of a service is known here."""
+        return bool(self._marked[service])
+
     @property
     def is_mixed(self) -> bool:
         """Return whether several versions of a service are marked."""
--- a/packages/mustardquay-node/tests/test_stream_origins.py
+++ b/packages/mustardquay-node/tests/test_stream_origins.py
@@ -168,6 +168,30 @@
     assert play(story) == [(OLD, NEW)[key % 2] for key in range(20)]
 
 
+@pytest.mark.parametrize("kills", [1, 3])
+def test_streams_are_known_as_soon_as_all_gateways_are_back(kills):
+    """Guards against take-ups that are refused until a gateway has read the marks."""
+
+    async def story():
+        fleet = Fleet(3, make_upstreams("v1", "v1.1"))
+        await asyncio.sleep(5)
+        for key in range(20):
+            fleet.begin(f"front-{key % 3}", key, (OLD, NEW)[key % 2])
+        await asyncio.sleep(3)
+        listed = fleet.upstreams
+        for _ in range(kills):
+            fleet.upstreams = []
+            await fleet.restart(*fleet.members)
+            await asyncio.sleep(0.01)
+            fleet.upstreams = listed
+        finds = [fleet.find(f"front-{key % 3}", key) for key in range(20)]
+        found = await asyncio.gather(*finds)
+        await fleet.close()
+        return found
+
+    assert play(story) == [(OLD, NEW)[key % 2] for key in range(20)]
+
+
 def test_a_restarted_gateway_keeps_what_it_had_saved():
     """Guards against the second kill of all gateways, soon after the first."""
 
