Write a saved row anew once a key in it names two streams

With rows that are written only as streams begin, the key of a stream that began at one version stayed in its gateway's row after another stream of the same id had begun at the other version.

--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -21,6 +21,7 @@
 from .confirmations import confirm_end, is_success
 from .large_answers import LargeAnswer
 from .observations import SUCCESS_STATUSES, observe_end, observe_head
+from .permissions import is_unchanged, may_send_now
 from .replacements import Replacement, Replacements
 from .results import DEFAULT_OPTIONS, Send, SendOptions
 from .silence_watches import SilenceWatch
@@ -172,7 +173,7 @@
             return self._receive(send, exchange, data, options)
 
         def may_send() -> bool:
-            return self._may_send(send.upstream, options)
+            return may_send_now(self._deps, request, send.upstream, options)
 
         def is_expected(head: AnswerHead) -> bool:
             return self._is_expected_answer(send, exchange, head, options)
@@ -203,28 +204,6 @@
             return None
         return self._large.receive
 
-    def _may_send(self, upstream: UpstreamRecord, options: SendOptions) -> bool:
-        """Return whether a send is still allowed, right before its first byte.
-
-        Guards against news since its upstream was chosen, as connections, reservations
-        and the prefill take time: that the request, or a part of its prompt, has
-        crashed too many upstreams, that one that it reaches is leaving or wants to
-        rest, that its upstream drains or is gone by the list, or that the one which is
-        to go on with its stream may have another software version by now.
-        """
-        crashes = self._deps.crashes
-        if crashes.is_refused(self._request.fingerprint):
-            return False
-        if crashes.parts.find_refused(self._request.parts) is not None:
-            return False
-        if not self._deps.upstreams.accepts(upstream):
-            return False
-        goes_on = self._request.origin is not None and not options.prefill_only
-        if goes_on and not self._is_unchanged(upstream):
-            return False
-        reached = [upstream, options.holder] if options.holder else [upstream]
-        return all(map(self._deps.statements.is_accepting, reached))
-
     def _find_priority(self, options: SendOptions) -> int | None:
         """Return the priority of the request at an engine; None for plain upstreams.
 
@@ -339,21 +318,12 @@
         request, upstream = self._request, send.upstream
         if not request.is_resumable:
             return
-        if request.origin is None and self._is_unchanged(upstream):
+        if request.origin is None and is_unchanged(self._deps, upstream):
             request.origin = StreamOrigin(upstream.service, upstream.software_version)
         if request.origin is not None:
             left = request.measure_time_left(self._deps.clock.monotonic())
             self._deps.origins.begin(request.stream_keys, request.origin, left)
 
-    def _is_unchanged(self, upstream: UpstreamRecord) -> bool:
-        """Return whether an upstream has still the software version of its choice.
-
-        Guards against one that starts again under its id, with another version.
-        """
-        listed = self._deps.upstreams.get(upstream.id) or upstream
-        is_same = listed.software_version == upstream.software_version
-        return is_same and self._deps.doubts.is_certain(listed)
-
     def _is_complete(
         self, send: Send, exchange: Exchange, options: SendOptions
     ) -> bool:
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/saved_origins.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/saved_origins.py
@@ -60,6 +60,8 @@
     """Returns whether streams may have begun at several versions of a service."""
     list_running: Callable[[], list[OriginRecord]]
     """Lists the streams that run at this gateway."""
+    is_ambiguous: Callable[[int], bool]
+    """Returns whether streams of different origins have a key."""
     note: Callable[[Iterable[OriginRecord]], None]
     """Notes origins that were read."""
 
@@ -119,7 +121,7 @@
                 self._due = now + interval
                 await self._inherit()
             records = self._list_unsaved(now)
-            if records:
+            if records is not None:
                 self._due = now + interval
                 await self._write(records)
         except MustardquayError as error:
@@ -134,15 +136,19 @@
         self._deps.note(records)
         self._inherited = [(now + record.lifetime, record) for record in records]
 
-    def _list_unsaved(self, now: timedelta) -> list[OriginRecord]:
-        """Return what a row is to hold; nothing if it names all streams already."""
+    def _list_unsaved(self, now: timedelta) -> list[OriginRecord] | None:
+        """Return what a row is to hold; None if it names all streams already.
+
+        A key that names two streams by now must not stay in it.
+        """
         running = self._deps.list_running()
-        if self._saved.issuperset(record.key for record in running):
-            return []
+        is_known = self._saved.issuperset(record.key for record in running)
+        if is_known and not any(map(self._deps.is_ambiguous, self._saved)):
+            return None
         inherited = [
             OriginRecord(record.key, record.origin, until - now)
             for until, record in self._inherited or ()
-            if until > now
+            if until > now and not self._deps.is_ambiguous(record.key)
         ]
         return [*running, *inherited][:MAX_SAVED]
 
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/subsystems.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/subsystems.py
@@ -95,6 +95,7 @@
                 count_gateways=lambda: len(deps.list_gateways()),
                 is_mixed=lambda: self._markers.is_mixed,
                 list_running=self._exchange.list_running,
+                is_ambiguous=self._exchange.is_ambiguous,
                 note=self._exchange.note,
             )
         )
