Drop the callbacks of replacements at the end of a request

A request referred to itself through the two callbacks of `Replacements`, so that it was freed by the garbage collector only, each request anew. They are dropped as the request ends. Tests of replacements, body lifetimes and streams pass.

--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -146,6 +146,7 @@
         drop_prefill(self._deps, self._request, self._request.last_end)
         self._request.incoming.body = b""
         self._sender.release()
+        self._replacements.release()
 
     def _note_end(self, send: Send) -> None:
         """Keep what the end of a send shows of its request."""
--- a/packages/mustardquay-node/src/mustardquay_node/sending/replacements.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/replacements.py
@@ -24,6 +24,7 @@
 CANCELLED = "cancelled"
 """End of a replacement whose request has ended."""
 NO_UPSTREAM = "no_upstream"
+"""End of a replacement for which there was none to send to."""
 REFUSAL_TIME = timedelta(seconds=1)
 """Time for which an upstream that has refused a request isn't asked again."""
 
@@ -143,6 +144,10 @@
         replacement.request.avoid -= self.list_refused()
         return replacement
 
+    def release(self) -> None:
+        """Drop the callbacks, by which a request would refer to itself."""
+        del self._make_sender, self._send
+
     async def close(self) -> None:
         """End what runs."""
         if self._running is not None:
