--- a/review/4/play.py
+++ b/review/4/play.py
@@ -34,6 +34,7 @@
 
 
 async def play(store, gateways, record):
+    """Play the rounds; returns the requests that got a part as a success."""
     broken = []
     counts = {}
     waiting = []
@@ -42,7 +43,9 @@
         named = {"X-Request-Id": request["id"], "X-Response-Stamp": "s.1"}
         writer.write(head(200, named) + FIRST)
         await writer.drain()
-        record.note(f"runner sent the first {len(FIRST)} of {SIZE} B of {request['id']}")
+        record.note(
+            f"runner sent the first {len(FIRST)} of {SIZE} B of {request['id']}"
+        )
         gate = asyncio.get_running_loop().create_future()
         waiting.append(gate)
         if await gate and TROUBLE:
@@ -101,18 +104,22 @@
         while True:
             id = f"s-{number}-{served[0]}"
             served[0] += 1
-            writer.write(build_request("GET", "/check/x", id, {"X-Deadline-Ms": "4000"}))
-            line, headers, body = await read_message(reader)
+            writer.write(
+                build_request("GET", "/check/x", id, {"X-Deadline-Ms": "4000"})
+            )
+            line, _, _ = await read_message(reader)
             served[1] += " 200 " in line
+            record.note(f"client sent {id} and got {line!r}")
 
     async def call(id):
         reader, writer = await asyncio.open_connection(*address)
         fields = {"X-Deadline-Ms": "4000"}
+        record.note(f"client sends {id}")
         writer.write(build_request("POST", "/send/x", id, fields, b"x" * 20))
         try:
-            line, headers, body = await asyncio.wait_for(read_message(reader), 6)
+            line, _, body = await asyncio.wait_for(read_message(reader), 6)
         except (asyncio.IncompleteReadError, ConnectionError, TimeoutError) as error:
-            line, headers, body = repr(error), {}, b""
+            line, body = repr(error), b""
         writer.close()
         record.note(f"client got {line!r} with {len(body)} B for {id}")
         is_success = line.startswith("HTTP/1.1 2")
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -1,4 +1,4 @@
-"""Case 5: a stream that may not be resumed runs twice beside a prefill that was silent."""
+"""Case 5: a stream that may not be resumed runs twice beside a silent prefill."""
 
 import asyncio
 import json
@@ -36,6 +36,7 @@
 
 
 async def play(store, gateways, record):
+    """Play the episodes; returns the requests that ran twice."""
     broken, counts = [], {}
     for number in range(EPISODES):
         if number:
@@ -127,6 +128,7 @@
             await decode(runner, request, writer)
 
     runners = []
+
     async def serve_small(runner, request, writer):
         answer(writer, request, 200, b"c" * 800)
 
@@ -180,6 +182,7 @@
             "X-Token-Counts": "9190,2",
             "X-Prefix-Hash": f"aa0{random.randrange(4)}:2520,bb{id}:3780,{id}:2890",
         }
+        record.note(f"client sends {id}")
         writer.write(build_request("POST", "/verdict/x", id, fields, b"x" * 18_000))
         try:
             line, headers, body = await asyncio.wait_for(read_message(reader), 4)
@@ -195,7 +198,8 @@
             id = f"s-{episode}-{number}-{random.getrandbits(40):x}"
             fields = {"X-Deadline-Ms": "4000"}
             writer.write(build_request("GET", "/check/x", id, fields))
-            await read_message(reader)
+            line, _, _ = await read_message(reader)
+            record.note(f"client sent {id} and got {line!r}")
 
     others = [asyncio.create_task(send_small(each)) for each in range(OTHERS)]
     loop = asyncio.get_running_loop()
@@ -224,6 +228,7 @@
 
 
 async def watch_close(reader):
+    """Wait until a connection is closed."""
     try:
         await reader.read(1)
     except ConnectionError:
@@ -231,6 +236,7 @@
 
 
 def chunk(data):
+    """Return a chunk of a body."""
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
 
--- a/review/harness-2/harness.py
+++ b/review/harness-2/harness.py
@@ -19,6 +19,7 @@
 import tomllib
 from base64 import b64encode
 from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -50,12 +51,19 @@
         self._began = time.monotonic()
 
     def note(self, text):
+        """Write a line."""
         self._file.write(f"{time.monotonic() - self._began:9.4f} {text}\n")
 
     def close(self):
+        """Close the file."""
         self._file.close()
 
 
+def _describe(server):
+    host, port = server.sockets[0].getsockname()
+    return f"{host}:{port}"
+
+
 def reset(writer):
     """Close a connection so that its peer gets a reset."""
     sock = writer.get_extra_info("socket")
@@ -99,18 +107,22 @@
         self._server = None
 
     async def start(self):
+        """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]
+        self.address = _describe(self._server)
 
     def close(self):
+        """Stop listening."""
         self._server.close()
 
     def put(self, table, key, value):
+        """Write a row, as the operator or a runner does."""
         self.version += 1
         data = json.dumps(value).encode()
         self._apply(table, "", key, b64encode(data).decode())
 
     def remove(self, table, key):
+        """Remove a row, as the platform does."""
         self.version += 1
         self._drop(table, "", key)
 
@@ -149,8 +161,6 @@
             writer.close()
 
     async def _answer(self, line, body):
-        from urllib.parse import parse_qs, urlsplit
-
         method, target, _ = line.split(" ")
         url = urlsplit(target)
         query = {k: v[0] for k, v in parse_qs(url.query, True).items()}
@@ -208,9 +218,7 @@
                 return 412, {"rows": [row] if row else []} | self._stamp()
         self.version += 1
         for each in call.get("writes", []):
-            self._apply(
-                each["table"], each.get("part", ""), each["key"], each["value"]
-            )
+            self._apply(each["table"], each.get("part", ""), each["key"], each["value"])
         for each in call.get("remove", []):
             self._drop(each["table"], each.get("part", ""), each["key"])
         return 200, self._stamp()
@@ -227,25 +235,30 @@
         self._task = None
         self._orders = 0
         self.is_switching = False
+        self.version = "1.0"
+        """Of the runner's software."""
         self.register_as = address
         self.writers = set()
 
     async def start(self):
+        """Listen on a free port, and write the entry from now on."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]
+        self.address = _describe(self._server)
         self._task = asyncio.create_task(self._beat())
 
     def close(self):
+        """Stop listening, and write the entry no more."""
         self._task.cancel()
         self._server.close()
 
     def register(self):
+        """Write the runner's entry."""
         self._seq += 1
         entry = {
             "service": self.service,
             "addr": self.register_as or self.address,
             "zone": "z-a",
-            "version": "1.0",
+            "version": self.version,
             "slots": self.slots,
             "state": "ready",
             "cold_remaining_ms": 0,
@@ -340,6 +353,7 @@
 
 
 def head(status, fields):
+    """Return the head of an answer."""
     lines = [f"HTTP/1.1 {status} X", *(f"{k}: {v}" for k, v in fields.items())]
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
@@ -354,6 +368,7 @@
 
 
 def make_configuration(routes, services, version=7):
+    """Return the operator's configuration."""
     return {
         "version": version,
         "routes": [
@@ -383,6 +398,7 @@
         self.addresses = {}
 
     async def start(self, number, **changes):
+        """Start a gateway, and wait until it is ready."""
         ip = f"{self._prefix}.{number}"
         front, ready, peer, metrics = self._ports
         values = {
@@ -436,13 +452,16 @@
         raise CannotRun(f"gateway {number} is not ready")
 
     def read_log(self, number):
+        """Return what a gateway has written so far."""
         return (self._folder / f"{number}.log").read_text(errors="replace")
 
     def signal(self, number, name):
+        """Send a signal, given by its name."""
         self._record.note(f"gateway {number} gets {name}")
         self.processes[number].send_signal(getattr(signal, name))
 
     async def close(self):
+        """Kill the gateways that run, and remove their files."""
         for process in self.processes.values():
             if process.returncode is None:
                 process.send_signal(signal.SIGCONT)
@@ -495,6 +514,7 @@
 
 
 def build_request(method, path, id, fields=None, body=b""):
+    """Return a whole request."""
     named = {"Host": HOST, "X-Request-Id": id} | (fields or {})
     if body or method in ("POST", "PUT"):
         named["Content-Length"] = str(len(body))
