--- a/review/5/play.py
+++ b/review/5/play.py
@@ -4,6 +4,7 @@
 import json
 import random
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -22,14 +23,17 @@
     run_case,
 )
 
-EPISODES = 26
+EPISODES = 20
 """Each with a store, runners and gateways of its own."""
 CALLERS = 40
 """Clients that come at once: half a second of the usual traffic."""
 OTHERS = 12
 """Clients that send short requests one after the other on kept connections."""
-DARK_SECONDS = (1.69, 1.71, 1.73)
-"""How long the prefill runner sends nothing, one episode after the other."""
+GOES_ON_AFTER = (0.08, 0.09, 0.1, 0.11, 0.12)
+"""Seconds from the first further send to the end of the silence, in turn."""
+LONGEST_SILENCE = 1.9
+PLAY_SECONDS = 90
+"""After which no further episode is begun."""
 TOKENS_PER_MS = 236.0
 PREFILL_RUNNERS = 1
 RUNNERS = 3
@@ -38,7 +42,10 @@
 async def play(store, gateways, record):
     """Play the episodes; returns the requests that ran twice."""
     broken, counts = [], {}
+    ends_by = time.monotonic() + PLAY_SECONDS
     for number in range(EPISODES):
+        if time.monotonic() > ends_by:
+            break
         if number:
             store = Store()
             await store.start()
@@ -59,6 +66,8 @@
     dark = {}
     locks = {}
     caches = {}
+    at_prefill = set()
+    is_sent_further = asyncio.Event()
 
     async def stay_dark(runner):
         while runner.id in dark:
@@ -84,6 +93,8 @@
 
     async def decode(runner, request, writer):
         source = request["headers"].get("x-kv-source", "")
+        if dark and request["id"] in at_prefill:
+            is_sent_further.set()
         # It reads a prompt itself at half the speed.
         wait = 2 if source else 2 * read_prompt(runner, request) + 2
         # A runner drops a request when its connection closes.
@@ -121,6 +132,7 @@
         if request["path"].startswith("/-/"):
             answer(writer, request, 200, b"{}")
         elif request["headers"].get("x-stage") == "prefill":
+            at_prefill.add(request["id"])
             await prefill(runner, request, writer)
         elif runner.stage == "prefill":
             answer(writer, request, 421, b"", {"X-Not-Executed": "1"})
@@ -213,8 +225,13 @@
         id = f"{episode:04x}{each:04x}"
         calls.append(asyncio.create_task(call(id, addresses[0])))
         await asyncio.sleep(0.001)
-    length = DARK_SECONDS[episode % len(DARK_SECONDS)]
-    await asyncio.sleep(began + length - loop.time())
+    if TROUBLE:
+        try:
+            async with asyncio.timeout_at(began + LONGEST_SILENCE):
+                await is_sent_further.wait()
+                await asyncio.sleep(GOES_ON_AFTER[episode % len(GOES_ON_AFTER)])
+        except TimeoutError:
+            pass
     if TROUBLE:
         record.note(f"{chosen.id} goes on")
         dark.pop(chosen.id).set()
