--- a/review/5/play.py
+++ b/review/5/play.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
+RECORD = FOLDER / "record.txt"
 sys.path.insert(0, str(FOLDER.parent / "harness-2"))
 
 from harness import (  # noqa: E402
@@ -23,20 +24,20 @@
     run_case,
 )
 
-EPISODES = 20
+EPISODES = 12
 """Each with a store, runners and gateways of its own."""
 CALLERS = 40
 """Clients that come at once: half a second of the usual traffic."""
 OTHERS = 12
 """Clients that send short requests one after the other on kept connections."""
 GOES_ON_AFTER = (0.08, 0.09, 0.1, 0.11, 0.12)
-"""Seconds from the first further send to the end of the silence, in turn."""
-LONGEST_SILENCE = 1.9
+"""Seconds from the first further send to the end of the cut, in turn."""
+LONGEST_CUT = 1.9
 PLAY_SECONDS = 90
 """After which no further episode is begun."""
 TOKENS_PER_MS = 236.0
 PREFILL_RUNNERS = 1
-RUNNERS = 3
+RUNNERS = 6
 
 
 async def play(store, gateways, record):
@@ -63,15 +64,15 @@
 async def play_once(store, gateways, record, episode, counts):
     """Play one episode; returns the requests that ran twice."""
     runs = {}
-    dark = {}
+    cut = {}
     locks = {}
     caches = {}
     at_prefill = set()
     is_sent_further = asyncio.Event()
 
-    async def stay_dark(runner):
-        while runner.id in dark:
-            await dark[runner.id].wait()
+    async def wait_for_path(runner):
+        while runner.id in cut:
+            await cut[runner.id].wait()
             break
 
     def read_prompt(runner, request):
@@ -87,13 +88,13 @@
     async def prefill(runner, request, writer):
         async with locks.setdefault(runner.id, asyncio.Lock()):
             await asyncio.sleep(read_prompt(runner, request) / 1000)
-        await stay_dark(runner)
+        await wait_for_path(runner)
         body = {"kv_handle": f"h{request['id']}", "tokens": 9190, "version": 1}
         answer(writer, request, 200, json.dumps(body).encode())
 
     async def decode(runner, request, writer):
         source = request["headers"].get("x-kv-source", "")
-        if dark and request["id"] in at_prefill:
+        if cut and request["id"] in at_prefill:
             is_sent_further.set()
         # It reads a prompt itself at half the speed.
         wait = 2 if source else 2 * read_prompt(runner, request) + 2
@@ -132,6 +133,7 @@
         if request["path"].startswith("/-/"):
             answer(writer, request, 200, b"{}")
         elif request["headers"].get("x-stage") == "prefill":
+            await wait_for_path(runner)
             at_prefill.add(request["id"])
             await prefill(runner, request, writer)
         elif runner.stage == "prefill":
@@ -184,7 +186,7 @@
     services = [service | {"engine": engine}, small]
     configuration = make_configuration([route, check], services)
     store.put("op", "config", configuration)
-    addresses = [await gateways.start(number) for number in (1, 2)]
+    addresses = [await gateways.start(number) for number in (1, 2, 3, 4)]
 
     async def call(id, address):
         reader, writer = await asyncio.open_connection(*address)
@@ -217,24 +219,23 @@
     loop = asyncio.get_running_loop()
     began = loop.time()
     chosen = runners[1]
-    if TROUBLE:
-        record.note(f"{chosen.id} falls silent")
-        dark[chosen.id] = asyncio.Event()
     calls = []
     for each in range(CALLERS):
         id = f"{episode:04x}{each:04x}"
         calls.append(asyncio.create_task(call(id, addresses[0])))
         await asyncio.sleep(0.001)
     if TROUBLE:
+        record.note(f"{chosen.id} is cut off from gateway 1")
+        cut[chosen.id] = asyncio.Event()
         try:
-            async with asyncio.timeout_at(began + LONGEST_SILENCE):
+            async with asyncio.timeout_at(began + LONGEST_CUT):
                 await is_sent_further.wait()
                 await asyncio.sleep(GOES_ON_AFTER[episode % len(GOES_ON_AFTER)])
         except TimeoutError:
             pass
     if TROUBLE:
-        record.note(f"{chosen.id} goes on")
-        dark.pop(chosen.id).set()
+        record.note("the cut heals")
+        cut.pop(chosen.id).set()
     await asyncio.gather(*calls)
     for each in others:
         each.cancel()
@@ -257,4 +258,4 @@
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
 
-run_case(FOLDER, play)
+run_case(RECORD, play)
--- a/review/harness-2/harness.py
+++ b/review/harness-2/harness.py
@@ -44,10 +44,10 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to `record.txt`."""
+    """Writes what was sent, answered and run to the case's `record.txt`."""
 
-    def __init__(self, folder):
-        self._file = (Path(folder) / "record.txt").open("w")
+    def __init__(self, path):
+        self._file = Path(path).open("w")
         self._began = time.monotonic()
 
     def note(self, text):
@@ -84,7 +84,10 @@
     body = b""
     if headers.get("transfer-encoding", "").lower() == "chunked":
         while True:
-            size = int((await reader.readline()).strip(), 16)
+            line = await reader.readline()
+            if not line.strip():
+                raise asyncio.IncompleteReadError(line, None)
+            size = int(line.strip(), 16)
             body += await reader.readexactly(size)
             await reader.readexactly(2)
             if not size:
@@ -235,6 +238,8 @@
         self._task = None
         self._orders = 0
         self.is_switching = False
+        self.is_dark = False
+        """Whether it sends nothing, to the store neither."""
         self.version = "1.0"
         """Of the runner's software."""
         self.register_as = address
@@ -246,6 +251,10 @@
         self.address = _describe(self._server)
         self._task = asyncio.create_task(self._beat())
 
+    def stop_registering(self):
+        """Write the entry no more."""
+        self._task.cancel()
+
     def close(self):
         """Stop listening, and write the entry no more."""
         self._task.cancel()
@@ -270,9 +279,16 @@
             entry |= {"models": [{"name": "m", "version": 1, "adapters": []}]}
         self._store.put("servers", self.id, entry)
 
+    def begin_again(self):
+        """Register as a new start under the same id."""
+        self._seq = 0
+        self._born = int(time.time() * 1000)
+        self.register()
+
     async def _beat(self):
         while True:
-            self.register()
+            if not self.is_dark:
+                self.register()
             await asyncio.sleep(1.2)
 
     async def _serve(self, reader, writer):
@@ -280,6 +296,8 @@
         try:
             while True:
                 line, headers, body = await read_message(reader)
+                while self.is_dark:
+                    await asyncio.sleep(0.005)
                 method, path, _ = line.split(" ")
                 request = {
                     "method": method,
@@ -522,11 +540,11 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
-def run_case(folder, play):
+def run_case(path, play):
     """Play a case: 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
 
     async def main():
-        record = Record(folder)
+        record = Record(path)
         store = Store()
         gateways = Gateways(store, record)
         try:
