Take an answer without a length as whole only if its peer has closed in order

Cause: a socket hands out its error once, to whoever asks first. The look for unread bytes read with MSG_PEEK and dropped the error, so that the read after it had an ordinary end and the stream no error; `_was_closed_cleanly` took the missing error for an orderly end. A write, or SO_ERROR, takes it just as well.

Change: a connection to an upstream notes at the end of what can be read whether the peer has closed it (state CLOSE_WAIT of the connection), and only that counts as the end of an answer without a length, in gateways and in agents. The state remains whoever had the error. Answers to HEAD and of 204 and 304 end with their head (HEAD ended so before by having no error).

--- a/packages/mustardquay-node/src/mustardquay_node/connections/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections/exchanges.py
@@ -10,11 +10,11 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import IOStream
 
-from mustardquay.streams import Framing, find_framing
+from mustardquay.streams import Framing, find_framing, has_no_body
 
 from ..unread_bytes import has_unread_bytes
+from ..upstream_streams import UpstreamStream
 
 __all__ = [
     "MAX_ANSWER_BYTES",
@@ -96,7 +96,7 @@
         self.is_complete = is_complete
         self._parts: list[bytes] = []
         self._skipping = False
-        self._stream: IOStream | None = None
+        self._stream: UpstreamStream | None = None
         self.head: AnswerHead | None = None
         self.was_sent = False
         """Whether a byte of the request may have been sent."""
@@ -136,7 +136,7 @@
             return False
         return stream._read_buffer_size > 0 or has_unread_bytes(stream.socket)
 
-    def attach(self, stream: IOStream) -> None:
+    def attach(self, stream: UpstreamStream) -> None:
         """Set the connection that `cancel` closes."""
         self._stream = stream
 
@@ -206,11 +206,7 @@
         if self._skipping:
             self.skipped = True
         else:
-            # An answer without a length is complete only if its connection was closed
-            # cleanly; after a reset, its end may be missing.
-            self.is_whole = self.head is not None and (
-                self.framing is not Framing.CONNECTION or self._was_closed_cleanly()
-            )
+            self.is_whole = self.head is not None and self._shows_its_end(self.head)
 
     def on_connection_close(self) -> None:
         """Do nothing; the answer stays incomplete."""
@@ -230,13 +226,15 @@
         if self._informational > MAX_INFORMATIONAL:
             self.spoil()
 
-    def _was_closed_cleanly(self) -> bool:
-        """Return whether the peer ended the connection, without a reset."""
+    def _shows_its_end(self, head: AnswerHead) -> bool:
+        """Return whether an answer that has ended shows that nothing is missing."""
+        if self.framing is not Framing.CONNECTION:
+            return True
         if self.cancelled:
             return False
-        if self.head is not None and self.head.status in (204, 304):
+        if has_no_body(self.method, head.status):
             return True
-        return self._stream is not None and self._stream.error is None
+        return self._stream is not None and self._stream.ended_in_order
 
 
 def _holds_another_start(start_line: ResponseStartLine, headers: HTTPHeaders) -> bool:
--- a/packages/mustardquay-node/src/mustardquay_node/connections/pools.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections/pools.py
@@ -12,7 +12,7 @@
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import HTTPInputError, RequestStartLine
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 
 from mustardquay.clocks import Clock
 from mustardquay.silences import ConnectResult
@@ -22,6 +22,7 @@
 from ..pauses import running_timeout
 from ..request_writing import write_request
 from ..unread_bytes import has_unread_bytes
+from ..upstream_streams import UpstreamStream
 from .exchanges import MAX_ANSWER_BYTES, Exchange, ExchangeEnd
 
 __all__ = ["ConnectionPool", "split_address"]
@@ -48,7 +49,7 @@
 class _IdleConnection:
     """A connection that waits for its next exchange."""
 
-    stream: IOStream
+    stream: UpstreamStream
     since: timedelta
     request_id: str
     """Request of its last exchange; empty for none."""
@@ -143,7 +144,7 @@
             self._release(stream)
         return result
 
-    def _release(self, stream: IOStream, request_id: str = "") -> None:
+    def _release(self, stream: UpstreamStream, request_id: str = "") -> None:
         now = self._clock.monotonic()
         self._idle.append(_IdleConnection(stream, now, request_id))
         # Without a close callback, tornado does not notice that an idle socket closes.
@@ -151,7 +152,7 @@
 
     def _take_idle(
         self, idle_limit: timedelta | None, request_id: str
-    ) -> IOStream | None:
+    ) -> UpstreamStream | None:
         """Return the connection that was used last and may carry a request.
 
         Not one that carried the same request: the id of a repeated answer would not
@@ -182,16 +183,16 @@
             self._drop(self._idle.popleft().stream)
         return self._open < self._limit
 
-    def _open_stream(self) -> IOStream | None:
+    def _open_stream(self) -> UpstreamStream | None:
         """Return a stream that isn't connected yet, or None at the limit."""
         if not self._make_room():
             return None
         connection = self._open_socket()
         if connection is None and self._free_descriptors():
             connection = self._open_socket()
-        return None if connection is None else IOStream(connection)
+        return None if connection is None else UpstreamStream(connection)
 
-    async def _connect(self, stream: IOStream) -> ConnectResult:
+    async def _connect(self, stream: UpstreamStream) -> ConnectResult:
         self._open += 1
         result = ConnectResult.REFUSED
         try:
@@ -208,12 +209,12 @@
                 self._drop(stream)
         return result
 
-    def _drop(self, stream: IOStream) -> None:
+    def _drop(self, stream: UpstreamStream) -> None:
         self._open -= 1
         stream.set_close_callback(None)
         stream.close()
 
-    async def _exchange(self, exchange: Exchange, stream: IOStream) -> str:
+    async def _exchange(self, exchange: Exchange, stream: UpstreamStream) -> str:
         connection = HTTP1Connection(stream, True, self._parameters)
         line = RequestStartLine(exchange.method, exchange.path, "")
         exchange.was_sent = True
@@ -237,7 +238,7 @@
         return ExchangeEnd.WHOLE if is_complete else ExchangeEnd.INCOMPLETE
 
 
-def _is_clean(exchange: Exchange, stream: IOStream) -> bool:
+def _is_clean(exchange: Exchange, stream: UpstreamStream) -> bool:
     """Return whether the connection may carry another exchange.
 
     An upstream may answer before it has read the whole body and read the rest later; it
@@ -254,6 +255,6 @@
     )
 
 
-def _is_unusable(stream: IOStream) -> bool:
+def _is_unusable(stream: UpstreamStream) -> bool:
     # Buffered bytes while no request is pending belong to no answer.
     return stream.closed() or stream._read_buffer_size > 0
--- a/packages/mustardquay-node/src/mustardquay_node/entry_connections/connections.py
+++ b/packages/mustardquay-node/src/mustardquay_node/entry_connections/connections.py
@@ -19,6 +19,7 @@
 
 from ..caller_connections.endings import end_connections
 from ..caller_connections.lingering import Lingerer
+from ..unread_bytes import has_unread_bytes
 from .limits import LimitWatch
 from .refusals import build_refusal
 
@@ -68,14 +69,7 @@
     @property
     def has_unread_bytes(self) -> bool:
         """Return whether bytes of the caller wait in the kernel."""
-        if self._stream.closed():
-            return False
-        try:
-            # Sockets with TLS don't peek by their own method.
-            return bool(socket.socket.recv(self._stream.socket, 1, socket.MSG_PEEK))
-        except OSError:
-            # Nothing to read, or the caller is gone.
-            return False
+        return not self._stream.closed() and has_unread_bytes(self._stream.socket)
 
     def begin_request(self, request: HTTP1Connection) -> None:
         """Note that the next request is awaited."""
--- a/packages/mustardquay-node/src/mustardquay_node/upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstreams.py
@@ -20,13 +20,14 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 
 from mustardquay.messages import Header
-from mustardquay.streams import Framing, find_framing
+from mustardquay.streams import Framing, find_framing, has_no_body
 
 from .hop_headers import HOP_HEADERS
 from .unread_bytes import has_unread_bytes
+from .upstream_streams import UpstreamStream
 
 __all__ = ["CallResult", "UpstreamCall", "UpstreamClient"]
 
@@ -48,7 +49,7 @@
     """The connection ended before the answer was complete."""
 
 
-class UpstreamStream(IOStream):
+class AgentStream(UpstreamStream):
     """A connection whose socket stays registered with the event loop between reads.
 
     Tornado makes three reads for each chunk of an answer. It unregisters the socket
@@ -91,15 +92,16 @@
         self._on_head = on_head
         self._on_data = on_data
         self._on_send = on_send
-        self._stream: UpstreamStream | None = None
+        self._stream: AgentStream | None = None
         self.answered = False
         """Whether the head of the answer has been received."""
         self.whole = False
         self._framing = Framing.CONNECTION
+        self._has_no_body = False
         self.reusable = True
         self.cancelled = False
 
-    def attach(self, stream: UpstreamStream) -> None:
+    def attach(self, stream: AgentStream) -> None:
         """Set the connection of the call."""
         if self._stream is None:
             self._on_send()
@@ -123,6 +125,7 @@
             return
         self.answered = True
         self._framing = find_framing(headers)
+        self._has_no_body = has_no_body(self.method, start_line.code)
         self.reusable = headers.get("Connection", "").lower() != "close"
         kept = tuple(
             (name, value)
@@ -138,14 +141,15 @@
 
     def finish(self) -> None:
         """Mark the answer as complete, unless its connection was reset instead."""
-        is_shown = self._framing is not Framing.CONNECTION
-        self.whole = self.answered and (is_shown or self._was_closed_cleanly())
+        self.whole = self.answered and self._shows_its_end()
 
-    def _was_closed_cleanly(self) -> bool:
-        """Return whether the upstream ended the connection, without a reset."""
+    def _shows_its_end(self) -> bool:
+        """Return whether an answer that has ended shows that nothing is missing."""
+        if self._framing is not Framing.CONNECTION:
+            return True
         if self.cancelled or self._stream is None:
             return False
-        return self._stream.error is None
+        return self._has_no_body or self._stream.ended_in_order
 
     def on_connection_close(self) -> None:
         """Do nothing: the answer stays marked as incomplete."""
@@ -169,7 +173,7 @@
         self._address = parts.hostname or ""
         self._port = parts.port or 80
         self._host = parts.netloc
-        self._idle: deque[tuple[UpstreamStream, float]] = deque()
+        self._idle: deque[tuple[AgentStream, float]] = deque()
         self._parameters = HTTP1ConnectionParameters(max_body_size=ANSWER_LIMIT)
 
     def close(self) -> None:
@@ -204,7 +208,7 @@
         end = await self.run(call, fresh=True)
         return CallResult.BROKEN if end is CallResult.NOT_SENT else end
 
-    def _take_idle(self) -> UpstreamStream | None:
+    def _take_idle(self) -> AgentStream | None:
         oldest = asyncio.get_running_loop().time() - IDLE_LIMIT.total_seconds()
         while self._idle:
             stream, since = self._idle.pop()
@@ -213,7 +217,7 @@
             stream.close()
         return None
 
-    def _keep(self, call: UpstreamCall, stream: UpstreamStream) -> None:
+    def _keep(self, call: UpstreamCall, stream: AgentStream) -> None:
         if _has_foreign_bytes(stream):
             stream.close()
             return
@@ -222,9 +226,9 @@
             return
         self._idle.append((stream, asyncio.get_running_loop().time()))
 
-    async def _connect(self) -> UpstreamStream | None:
+    async def _connect(self) -> AgentStream | None:
         family = socket.AF_INET6 if ":" in self._address else socket.AF_INET
-        stream = UpstreamStream(socket.socket(family))
+        stream = AgentStream(socket.socket(family))
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
                 await stream.connect((self._address, self._port))
@@ -234,7 +238,7 @@
         stream.set_nodelay(True)
         return stream
 
-    async def _exchange(self, call: UpstreamCall, stream: UpstreamStream) -> None:
+    async def _exchange(self, call: UpstreamCall, stream: AgentStream) -> None:
         call.attach(stream)
         connection = HTTP1Connection(stream, True, self._parameters)
         headers = HTTPHeaders({"Host": self._host})
@@ -252,7 +256,7 @@
             return
 
 
-def _has_foreign_bytes(stream: UpstreamStream) -> bool:
+def _has_foreign_bytes(stream: AgentStream) -> bool:
     """Return whether bytes came between two calls, or the connection is closed.
 
     They belong to no call, and would be taken for the answer to the next one.
--- a/packages/mustardquay/src/mustardquay/streams/completeness.py
+++ b/packages/mustardquay/src/mustardquay/streams/completeness.py
@@ -7,7 +7,9 @@
 from collections.abc import Container
 from enum import StrEnum
 
-__all__ = ["Framing", "find_framing", "is_stream_complete"]
+__all__ = ["Framing", "find_framing", "has_no_body", "is_stream_complete"]
+
+BODILESS_STATUSES = (204, 304)
 
 
 class Framing(StrEnum):
@@ -30,6 +32,15 @@
     return Framing.LENGTH if "Content-Length" in headers else Framing.CONNECTION
 
 
+def has_no_body(method: str, status: int) -> bool:
+    """Return whether an answer ends with its head; see RFC 9112, section 6.3.
+
+    >>> has_no_body("GET", 304), has_no_body("HEAD", 200), has_no_body("GET", 200)
+    (True, True, False)
+    """
+    return method == "HEAD" or status in BODILESS_STATUSES
+
+
 def is_stream_complete(framing: Framing, events: int, is_inside_event: bool) -> bool:
     """Return whether a stream that has ended by its framing is complete.
 
