Confirm no end of an answer by an upstream that has started again since

What callers would see: a part of an answer without a length as a whole one, where an upstream crashes while a link holds up the end of its connections, and is back by the time it comes.

Cause: `confirm_end` takes an upstream that accepts a connection for evidence that it has not crashed, and one that is back accepts them.

Change: an upstream that is listed with a later start than the one that was sent to confirms nothing; the answer counts as incomplete.

Evidence: test_an_end_that_comes_after_a_restart_does_not_complete_an_answer on four paths: 4 of 4 failed before, none now.

--- a/packages/mustardquay-node/src/mustardquay_node/sending/confirmations.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/confirmations.py
@@ -1,8 +1,10 @@
 """Whether an answer that looks whole is the whole answer of a run."""
 
 from mustardquay.silences import ConnectResult
+from mustardquay.upstream_lists import UpstreamRecord
 
 from ..connections import ConnectionPool, Exchange, ExchangeEnd
+from ..forwarder_dependencies import ForwarderDependencies
 from .observations import SUCCESS_STATUSES
 from .results import SendOptions
 
@@ -18,14 +20,30 @@
     return exchange.head.status in SUCCESS_STATUSES and not options.prefill_only
 
 
-async def confirm_end(exchange: Exchange, pool: ConnectionPool) -> str:
+async def confirm_end(
+    deps: ForwarderDependencies,
+    upstream: UpstreamRecord,
+    exchange: Exchange,
+    pool: ConnectionPool,
+) -> str:
     """Return the end of an answer that looks whole, an `ExchangeEnd`.
 
     Guards against upstreams that crash in an answer which ends with its connection, as
-    between two events of a stream. One that has crashed refuses connections.
+    between two events of a stream. One that has crashed refuses connections until it
+    has started again.
     """
     if not exchange.ended_connection:
         return ExchangeEnd.WHOLE
-    if await pool.probe() in REACHED_RESULTS:
+    is_reached = await pool.probe() in REACHED_RESULTS
+    if is_reached and not _has_restarted(deps, upstream):
         return ExchangeEnd.WHOLE
     return ExchangeEnd.INCOMPLETE
+
+
+def _has_restarted(deps: ForwarderDependencies, upstream: UpstreamRecord) -> bool:
+    """Return whether an upstream is listed with a later start than when it was sent to.
+
+    The end of a connection may come after that start, if a link held it up.
+    """
+    listed = deps.upstreams.get(upstream.id)
+    return listed is not None and 0 < upstream.started_ms < listed.started_ms
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -107,7 +107,7 @@
                 exchange, NON_IDEMPOTENT_IDLE_LIMIT if is_once else None
             )
             if end == ExchangeEnd.WHOLE and is_success(exchange, options):
-                end = await confirm_end(exchange, pool)
+                end = await confirm_end(self._deps, upstream, exchange, pool)
         finally:
             request.current = None
             self._watch.close()
