Let a request that must not be repeated leave for one run only, whatever runs beside

Cause: after 1.5 s of silence of a prefill the request is sent once more, perhaps as a whole run. The first byte of the silent upstream ended that run before it was known what the byte was, and the prompt was handed over although the run that was ended may have begun. Whether a request may be sent is decided as an upstream is chosen, and nothing asked again as its first byte left.

Change: the ledger of a request is the last that is asked before the first byte, and notes the send in the same step. A request that must not be repeated leaves only if nothing else may run it, and nothing leaves after the promise that it never runs. A prefill that ends beside a run which must not be joined by another is left unused ("replaced" in `send.ended`), and the request goes on by that run. Only the head of a success, or data that go to the caller, end a replacement: not a refusal, a failure, a prefill or bytes that are no answer; and unread bytes of an upstream go before the success of another one only where it has begun to answer. A ready answer that is no failure of the upstream still goes out. `Route.is_repeatable` counts resumable streams in, where that was decided beside it.

--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -13,7 +13,12 @@
 from mustardquay.clocks import Clock
 from mustardquay.memory_limits import STALL_TIME
 from mustardquay.requests import SendResult
-from mustardquay.retry_decisions import NextStep, count_repeats, decide_next
+from mustardquay.retry_decisions import (
+    FAILED_STATUSES,
+    NextStep,
+    count_repeats,
+    decide_next,
+)
 from mustardquay.routing_tables import Repeat
 from mustardquay.streams import TakeUpRefusal
 from mustardquay.upstream_lists import Stage, UpstreamRecord
@@ -161,7 +166,7 @@
         """Send, or go on with the replacement of the send that has ended."""
         if not self._replacements.is_promising:
             return await self._send(self._request, self._sender)
-        replacement = self._replacements.take()
+        replacement = self._replacements.take(SendResult(self._request.last_end))
         self._sender.release()
         self._request, self._sender = replacement.request, replacement.sender
         return await replacement.task or await self._send(self._request, self._sender)
@@ -321,6 +326,9 @@
             self._sender.log(send, "stop")
             self._reply.count("caller_left")
             return False
+        if send.end is SendResult.ANSWERED and send.status not in FAILED_STATUSES:
+            # It goes out, whatever another upstream may answer.
+            self._replacements.stop()
         if self._replacements.is_promising:
             step = NextStep.RESUME if self._reply.has_begun else NextStep.SEND_AGAIN
             self._sender.log(send, step.value)
--- a/packages/mustardquay-node/src/mustardquay_node/handovers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/handovers.py
@@ -275,7 +275,10 @@
         else:
             if not send.was_silent:
                 deps.planner.learn_prefill(ticket, took)
-            return prefilled
+            if sender.may_hand_over():
+                return prefilled
+            send.detail = PrefillLoss.REPLACED
+            deps.count_unused_prefill(PrefillLoss.REPLACED)
     # A prefill does not count as running the request, whatever its result.
     if send.end not in (SendResult.CALLER_LEFT, SendResult.NOT_SENT):
         is_refused = send.end in (SendResult.NOT_RUN, SendResult.OTHER_UPSTREAM)
--- a/packages/mustardquay-node/src/mustardquay_node/peer_forwarding/peer_forwarders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/peer_forwarding/peer_forwarders.py
@@ -109,14 +109,14 @@
         exchange = self._make_exchange(request, reply, answer, now)
         request.current = exchange
         end = ExchangeEnd.CANCELLED
-        reply.ledger.begin_send()
         try:
             end = await pool.run(exchange, ONCE_IDLE_LIMIT if is_once else None)
         finally:
             request.current = None
             verdict = answer.verdict
             is_refused = end == ExchangeEnd.WHOLE and verdict in NOT_RUN
-            reply.ledger.end_send(is_refused or not exchange.was_sent)
+            if exchange.was_sent:
+                reply.ledger.end_send(is_refused)
             self._log(request, reply, exchange, name, end, verdict)
             self._deps.count(name, end)
         if end in UNCONNECTED_ENDS:
@@ -158,6 +158,11 @@
                 reply.begin_stream(exchange.head)
             return reply.write(data)
 
+        def may_send() -> bool:
+            if reply.is_caller_gone:
+                return False
+            return reply.ledger.begin_send(request.route.is_repeatable)
+
         def is_expected(head: AnswerHead) -> bool:
             answer.verdict = self._judge(head, request.id)
             if answer.verdict is AnswerVerdict.FOREIGN:
@@ -171,7 +176,7 @@
             incoming.body,
             is_expected,
             receive=receive if is_stream else None,
-            may_send=lambda: not reply.is_caller_gone,
+            may_send=may_send,
             request_id=request.id,
         )
         return exchange
--- a/packages/mustardquay-node/src/mustardquay_node/replies.py
+++ b/packages/mustardquay-node/src/mustardquay_node/replies.py
@@ -136,6 +136,7 @@
         if not self.ledger.is_surely_not_run:
             self.fail(failure.status, reason, failure.message, **inputs)
             return
+        self.ledger.close()
         seconds = max(retry_after, MIN_RETRY_AFTER).total_seconds()
         headers = self._make_headers({"Retry-After": f"{seconds:.2f}"})
         self._log_end(REFUSED_STATUS, reason, **inputs)
@@ -166,9 +167,11 @@
 
         A status of refusals is passed on only if it is true.
         """
-        if head.status in REFUSAL_STATUSES and not self.ledger.is_surely_not_run:
-            self.fail(OUTCOME_UNKNOWN.status, "unproven", OUTCOME_UNKNOWN.message)
-            return
+        if head.status in REFUSAL_STATUSES:
+            if not self.ledger.is_surely_not_run:
+                self.fail(OUTCOME_UNKNOWN.status, "unproven", OUTCOME_UNKNOWN.message)
+                return
+            self.ledger.close()
         self._note_first_byte()
         headers = strip_hop_headers(head.headers)
         self._answer.send(head.status, headers, content)
--- a/packages/mustardquay-node/src/mustardquay_node/sending/large_answers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/large_answers.py
@@ -73,7 +73,7 @@
 
     def _pass_on(self, data: bytes) -> Awaitable[None] | None:
         watch = self._find_watch()
-        watch.note_data()
+        watch.note_answer()
         watch.restart()
         writing = self._reply.write(data)
         return None if writing is None else watch.wait_for_caller(writing)
--- a/packages/mustardquay-node/src/mustardquay_node/sending/replacements.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/replacements.py
@@ -1,8 +1,8 @@
 """Replacements: a request is sent once more while its upstream is silent.
 
 The answer that is there is given up only once another upstream has begun to answer. If
-the silent upstream goes on first, the other send is ended; if the other upstream
-refuses, the request waits on.
+the silent upstream goes on with an answer first, the other send is ended; if the other
+upstream refuses, the request waits on.
 """
 
 import asyncio
@@ -12,7 +12,6 @@
 
 from mustardquay.requests import SendResult
 
-from ..connections import Exchange
 from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from .results import Send
 
@@ -35,21 +34,22 @@
     def __init__(
         self,
         request: ForwardedRequest,
-        replaced: Exchange,
         is_prefill: bool,
+        has_more: Callable[[], bool],
         on_taken: Callable[[], None],
     ):
-        """Take the state of the further send, and the exchange that it may replace.
+        """Take the state of the further send, and callbacks of the replaced one.
 
-        `on_taken` ends that exchange. With `is_prefill` it only prefills the prompt.
+        With `is_prefill` that one only prefills the prompt. `has_more` returns whether
+        more of its answer is there than was read, and `on_taken` ends it.
         """
         self.request = request
         self.sender: Sender | None = None
         """Set as it is started, like `task`."""
         self.task: asyncio.Task[Send | None] | None = None
         """Ends with the result of the send; None if there is no upstream."""
-        self._replaced = replaced
         self._is_prefill = is_prefill
+        self._has_more = has_more
         self._on_taken = on_taken
         self._is_stopped = False
         self._is_taken = False
@@ -64,9 +64,12 @@
         """Return whether this send has taken the place of the other one."""
         return self._is_taken
 
-    def take(self) -> None:
-        """Take the place of a send that has ended."""
+    def take(self, end: SendResult) -> None:
+        """Take the place of a send that has ended, and was counted as an attempt."""
         self._is_taken = True
+        if end.is_not_run and not self._is_prefill:
+            self.request.send_history.attempts -= 1
+            self.request.send_history.note(end)
 
     def accept(self, is_prefill: bool) -> bool:
         """Take over with a success whose head has come; return whether it may go on.
@@ -75,7 +78,7 @@
         """
         if self._is_taken or (is_prefill and not self._is_prefill):
             return not self._is_stopped
-        if self._is_stopped or self._replaced.has_unread_data:
+        if self._is_stopped or self._has_more():
             self.stop()
             return False
         self._is_taken = True
@@ -135,11 +138,11 @@
         if self._running is not None:
             self._running.stop()
 
-    def take(self) -> Replacement:
-        """Return the replacement that runs, in the place of the send before it."""
+    def take(self, end: SendResult) -> Replacement:
+        """Return the replacement that runs, in the place of a send that ended so."""
         replacement = self._running
         assert replacement is not None
-        replacement.take()
+        replacement.take(end)
         self._running = None
         replacement.request.avoid -= self.list_refused()
         return replacement
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -96,8 +96,6 @@
         self._watch.start(exchange)
         self._note_choice(send)
         self._deps.loads.begin(upstream.id)
-        if not options.prefill_only:
-            self._reply.ledger.begin_send()
         end = ExchangeEnd.CANCELLED
         try:
             pool = self._deps.pools.get_pool(upstream)
@@ -114,6 +112,18 @@
             self._record_end(send, exchange, end, options)
         return send
 
+    def may_hand_over(self) -> bool:
+        """Return whether the request goes on from its prefill, in a send of its own.
+
+        If so, its replacement is ended. It doesn't if that one has taken over, or may
+        have run a request that must not be repeated.
+        """
+        is_allowed = self._reply.ledger.allows_send(self._request.route.is_repeatable)
+        if self._watch.is_replaced or not is_allowed:
+            return False
+        self._watch.end_replacement()
+        return True
+
     def release(self) -> None:
         """Drop what is held of an event."""
         self._framer.restart()
@@ -173,7 +183,12 @@
             return self._receive(send, exchange, data, options)
 
         def may_send() -> bool:
-            return may_send_now(self._deps, request, send.upstream, options)
+            if not may_send_now(self._deps, request, send.upstream, options):
+                return False
+            if options.prefill_only:
+                return True
+            # The last question: from here on the request may have run.
+            return self._reply.ledger.begin_send(request.route.is_repeatable)
 
         def is_expected(head: AnswerHead) -> bool:
             return self._is_expected_answer(send, exchange, head, options)
@@ -237,19 +252,20 @@
         send.verdict = verdict
         if options.prefill_only or not send.is_own:
             exchange.body_limit = MAX_DROPPED_BYTES
-        self._watch.note_data()
+        self._watch.note_heard()
         observe_head(self._deps, self._request, send, facts, head.status)
-        if self._is_superseded(send, head, options):
+        if not (send.is_own and head.status in SUCCESS_STATUSES):
+            return True
+        if self._is_superseded(options):
             exchange.cancel()
             return False
+        if not options.prefill_only:
+            self._watch.note_answer()
         return True
 
-    def _is_superseded(
-        self, send: Send, head: AnswerHead, options: SendOptions
-    ) -> bool:
-        """Return whether another send of the request goes on in place of this one."""
-        is_success = send.is_own and head.status in SUCCESS_STATUSES
-        if self._replacement is None or not is_success:
+    def _is_superseded(self, options: SendOptions) -> bool:
+        """Return whether another send of the request goes on in place of a success."""
+        if self._replacement is None:
             return False
         return not self._replacement.accept(options.prefill_only)
 
@@ -266,7 +282,7 @@
         if not self._is_stream(send, exchange):
             return self._receive_plain(exchange, data)
         now = self._deps.clock.monotonic()
-        self._watch.note_data()
+        self._watch.note_answer()
         if send.first_at is None:
             send.first_at = now
             note_begun(self._deps, self._request, now)
@@ -287,7 +303,7 @@
         return None if writing is None else self._watch.wait_for_caller(writing)
 
     def _receive_plain(self, exchange: Exchange, data: bytes) -> Awaitable[None] | None:
-        self._watch.note_data()
+        self._watch.note_heard()
         if self._large is not None:
             return self._large.receive(exchange, data)
         exchange.keep(data)
@@ -356,7 +372,7 @@
         send.was_reused = exchange.was_reused
         send.detail = end
         send.end = classify_send(self._request.route, self._reply, send, exchange, end)
-        if not options.prefill_only:
+        if exchange.was_sent and not options.prefill_only:
             self._reply.ledger.end_send(send.end.is_not_run)
         send.framing = exchange.framing.value if exchange.head else ""
         send.was_ended_here = exchange.cancelled or end == ExchangeEnd.CANCELLED
--- a/packages/mustardquay-node/src/mustardquay_node/sending/silence_watches.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/silence_watches.py
@@ -64,6 +64,8 @@
         self._step = timedelta()
         self._quiet = timedelta()
         """Time without a byte for this send, as far as this process ran."""
+        self._is_answering = False
+        """Whether a part of an answer has come that goes to the caller."""
 
     def start(self, exchange: Exchange) -> None:
         """Start to watch."""
@@ -80,11 +82,28 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def note_data(self) -> None:
-        """Note that the upstream has sent something for this request."""
+    @property
+    def is_replaced(self) -> bool:
+        """Return whether a replacement has taken the place of this send."""
+        return self._replacement is not None and self._replacement.is_taken
+
+    def end_replacement(self) -> None:
+        """End the replacement, as the request goes on by this send."""
         if self._replacement is not None:
             self._replacement.stop()
             self._replacement = None
+
+    def note_answer(self) -> None:
+        """Note a part of an answer that goes to the caller."""
+        self._is_answering = True
+        self.end_replacement()
+        self.note_heard()
+
+    def note_heard(self) -> None:
+        """Note that the upstream has sent something for this request.
+
+        It may be a refusal, or no answer at all, and ends no replacement.
+        """
         now = self._deps.clock.monotonic()
         upstream = self._send.upstream.id
         lasted = self._deps.loads.silences.note_activity(upstream, now)
@@ -166,7 +185,10 @@
             return
         observe_replaced(self._deps, self._request, self._send, self._options)
         self._replacement = Replacement(
-            other, exchange, self._options.prefill_only, partial(self._give_up, reason)
+            other,
+            self._options.prefill_only,
+            lambda: self._is_answering and self._has_data,
+            partial(self._give_up, reason),
         )
         self._replacements.start(self._replacement, self._request)
 
--- a/packages/mustardquay/src/mustardquay/retained_prefills.py
+++ b/packages/mustardquay/src/mustardquay/retained_prefills.py
@@ -30,6 +30,8 @@
     """It has evicted the prompt from its cache."""
     NO_GENERATOR = "no_generator"
     """No other decode engine is usable."""
+    REPLACED = "replaced"
+    """The request goes on, or may have run, without it."""
 
 
 def find_prefill_loss(
--- a/packages/mustardquay/src/mustardquay/retry_decisions.py
+++ b/packages/mustardquay/src/mustardquay/retry_decisions.py
@@ -10,10 +10,11 @@
 from enum import StrEnum
 
 from .requests import SendResult
-from .routing_tables import Repeat, Route
+from .routing_tables import Route
 from .run_evidence import RunLedger
 
 __all__ = [
+    "FAILED_STATUSES",
     "NextStep",
     "PrefillState",
     "SendHistory",
@@ -108,6 +109,7 @@
     The calling code checks whether the retry budget allows another send.
 
     >>> from datetime import timedelta as t
+    >>> from mustardquay.routing_tables import Repeat
     >>> once = Route("r", "h", "/", Repeat.AT_MOST_ONCE, (), t(1), t(1))
     >>> history = SendHistory()
     >>> history.note(SendResult.BROKEN)
@@ -123,7 +125,7 @@
         may_resume = route.resumable and history.is_origin_known
         may_resume = may_resume and history.attempts < route.max_attempts
         return NextStep.RESUME if may_resume and has_time else NextStep.FAIL
-    if history.may_have_run and not _is_repeatable(route):
+    if history.may_have_run and not route.is_repeatable:
         return NextStep.FAIL
     if has_time and _has_attempts(route, history, end):
         return NextStep.SEND_AGAIN
@@ -146,6 +148,7 @@
     The first prefill of a prompt and the first send of the request itself are free.
 
     >>> from datetime import timedelta as t
+    >>> from mustardquay.routing_tables import Repeat
     >>> stream = Route("r", "h", "/", Repeat.STREAM, (), t(1), t(1), has_prompt=True)
     >>> [count_repeats(stream, SendResult.BROKEN, each) for each in PrefillState]
     [2, 1, 2]
@@ -159,13 +162,6 @@
     return sends
 
 
-def _is_repeatable(route: Route) -> bool:
-    if route.repeat is Repeat.STREAM:
-        # A stream of which no event was delivered is started again.
-        return route.resumable
-    return route.is_repeatable
-
-
 def _has_attempts(route: Route, history: SendHistory, end: SendResult) -> bool:
     if end is SendResult.OTHER_UPSTREAM:
         return history.misdirected < MAX_MISDIRECTED
@@ -179,7 +175,7 @@
 ) -> bool:
     return (
         status in FAILED_STATUSES
-        and _is_repeatable(route)
+        and route.is_repeatable
         and not history.has_sent_events
         and history.attempts < route.max_attempts
         and time_left > MIN_SEND_TIME
--- a/packages/mustardquay/src/mustardquay/routing_tables.py
+++ b/packages/mustardquay/src/mustardquay/routing_tables.py
@@ -73,7 +73,12 @@
 
     @property
     def is_repeatable(self) -> bool:
-        """Return whether a request may be sent again after it may have run."""
+        """Return whether a request may be sent again after it may have run.
+
+        A resumable stream of which no event was delivered is started again.
+        """
+        if self.repeat is Repeat.STREAM:
+            return self.resumable
         return self.repeat is Repeat.IDEMPOTENT
 
     def with_priority(self, priority: int | None) -> "Route":
--- a/packages/mustardquay/tests/test_run_evidence.py
+++ b/packages/mustardquay/tests/test_run_evidence.py
@@ -95,18 +95,26 @@
         self.history = SendHistory(ledger=self.ledger)
         self.sends = []
         """Whether each open send has been run by its upstream."""
-        self.has_run = False
+        self.runs = 0
+        self.is_refused = False
 
     @rule()
     def send(self):
-        self.ledger.begin_send()
-        self.sends.append(False)
+        if self.ledger.begin_send(self.route.is_repeatable):
+            self.sends.append(False)
+
+    @rule()
+    def refuse(self):
+        """Promise that the request never runs, where that is true."""
+        if self.ledger.is_surely_not_run:
+            self.ledger.close()
+            self.is_refused = True
 
     @rule(position=st.integers(0, 3))
     def run(self, position):
-        if position < len(self.sends):
+        if position < len(self.sends) and not self.sends[position]:
             self.sends[position] = True
-            self.has_run = True
+            self.runs += 1
 
     @rule(claims=CLAIMS, position=st.integers(0, 3))
     def answer(self, claims, position):
@@ -140,13 +148,22 @@
     def promises_only_what_has_not_run(self):
         if not hasattr(self, "ledger"):
             return
-        may_run = self.has_run or any(self.sends) or bool(self.sends)
-        if may_run:
+        if self.runs or self.sends:
             assert not self.ledger.is_surely_not_run
+
+    @invariant()
+    def runs_once_unless_it_may_be_repeated(self):
+        if hasattr(self, "ledger") and not self.route.is_repeatable:
+            assert self.runs <= 1
+
+    @invariant()
+    def never_runs_after_a_promise(self):
+        if hasattr(self, "ledger") and self.is_refused:
+            assert not self.runs
             for end in (SendResult.NOT_RUN, SendResult.NOT_SENT, SendResult.BROKEN):
                 step = decide_next(self.route, self.history, end, 0, self.route.timeout)
                 assert step is not NextStep.REFUSE
-                if self.has_run and self.route.repeat is Repeat.AT_MOST_ONCE:
+                if self.runs and self.route.repeat is Repeat.AT_MOST_ONCE:
                     assert step is not NextStep.SEND_AGAIN
 
 
