--- a/packages/mustardquay-node/src/mustardquay_node/connections/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/connections/exchanges.py
@@ -11,7 +11,13 @@
     ResponseStartLine,
 )
 
-from mustardquay.streams import Framing, find_framing, has_no_body
+from mustardquay.streams import (
+    Framing,
+    find_framing,
+    has_no_body,
+    is_informational,
+    is_status,
+)
 
 from ..unread_bytes import has_unread_bytes
 from ..upstream_streams import UpstreamStream
@@ -157,10 +163,11 @@
     ) -> None:
         """Handle the head of an answer."""
         assert isinstance(start_line, ResponseStartLine)
-        if start_line.code < 200:
+        is_answer = is_status(start_line.code)
+        if is_answer and is_informational(start_line.code):
             self._count_informational()
             return
-        if _holds_another_start(start_line, headers):
+        if not is_answer or _holds_another_start(start_line, headers):
             self.spoil()
             return
         self._received = 0
--- a/packages/mustardquay-node/src/mustardquay_node/upstreams.py
+++ b/packages/mustardquay-node/src/mustardquay_node/upstreams.py
@@ -23,7 +23,13 @@
 from tornado.iostream import StreamClosedError
 
 from mustardquay.messages import Header
-from mustardquay.streams import Framing, find_framing, has_no_body
+from mustardquay.streams import (
+    Framing,
+    find_framing,
+    has_no_body,
+    is_informational,
+    is_status,
+)
 
 from .hop_headers import HOP_HEADERS
 from .unread_bytes import has_unread_bytes
@@ -113,15 +119,17 @@
         A call that has no connection yet is never sent and ends as `NOT_SENT`.
         """
         self.cancelled = True
-        if self._stream is not None:
-            self._stream.close()
+        self._close()
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         """Pass on the head without its hop-by-hop headers."""
         assert isinstance(start_line, ResponseStartLine)
-        if start_line.code < 200:
+        if not is_status(start_line.code):
+            self._close()
+            return
+        if is_informational(start_line.code):
             return
         self.answered = True
         self._framing = find_framing(headers)
@@ -136,6 +144,8 @@
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Pass on a chunk of the body; wait while the receiver can't accept more."""
+        if not self.answered:
+            return None
         waiting = self._on_data(chunk)
         return None if waiting is None else self._pause_reading(waiting)
 
@@ -154,6 +164,10 @@
     def on_connection_close(self) -> None:
         """Do nothing: the answer stays marked as incomplete."""
 
+    def _close(self) -> None:
+        if self._stream is not None:
+            self._stream.close()
+
     async def _pause_reading(self, waiting: Awaitable[None]) -> None:
         # Backpressure: reading ahead, a long answer to a slow caller would fill this
         # process's memory, and the engine would not slow down.
--- a/packages/mustardquay/src/mustardquay/streams/__init__.py
+++ b/packages/mustardquay/src/mustardquay/streams/__init__.py
@@ -1,6 +1,13 @@
 """Streams of events: where they end and began, and where they may go on."""
 
-from .completeness import Framing, find_framing, has_no_body, is_stream_complete
+from .completeness import (
+    Framing,
+    find_framing,
+    has_no_body,
+    is_informational,
+    is_status,
+    is_stream_complete,
+)
 from .continuations import TakeUpRefusal, filter_continuing, prefer_marked
 from .event_framers import EventFramer
 from .gateway_rings import KEEPERS, GatewayRing
@@ -37,6 +44,8 @@
     "find_only_origin",
     "group_by_origin",
     "has_no_body",
+    "is_informational",
+    "is_status",
     "is_stream_complete",
     "list_versions",
     "prefer_marked",
--- a/packages/mustardquay/src/mustardquay/streams/completeness.py
+++ b/packages/mustardquay/src/mustardquay/streams/completeness.py
@@ -7,9 +7,18 @@
 from collections.abc import Container
 from enum import StrEnum
 
-__all__ = ["Framing", "find_framing", "has_no_body", "is_stream_complete"]
+__all__ = [
+    "Framing",
+    "find_framing",
+    "has_no_body",
+    "is_informational",
+    "is_status",
+    "is_stream_complete",
+]
 
 BODILESS_STATUSES = (204, 304)
+STATUSES = range(100, 600)
+FIRST_FINAL_STATUS = 200
 
 
 class Framing(StrEnum):
@@ -32,6 +41,20 @@
     return Framing.LENGTH if "Content-Length" in headers else Framing.CONNECTION
 
 
+def is_status(code: int) -> bool:
+    """Return whether a number is a status of HTTP; see RFC 9110, section 15.
+
+    >>> [is_status(code) for code in (0, 99, 100, 599, 600)]
+    [False, False, True, True, False]
+    """
+    return code in STATUSES
+
+
+def is_informational(status: int) -> bool:
+    """Return whether another head follows the one with this status."""
+    return status < FIRST_FINAL_STATUS
+
+
 def has_no_body(method: str, status: int) -> bool:
     """Return whether an answer ends with its head; see RFC 9112, section 6.3.
 
