--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,8 +2,10 @@
 
 from collections.abc import AsyncIterator
 from datetime import timedelta
+from pathlib import Path
 
 import pytest
+from rigs import Rig
 
 from mustardquay.documents import LatenessDocument
 from mustardquay_standins.clients import SiteClient
@@ -46,6 +48,15 @@
     await running.close()
 
 
+@pytest.fixture
+async def rig(tmp_path: Path) -> AsyncIterator[Rig]:
+    """Provide a rig with a running site of the first example."""
+    running = Rig(tmp_path)
+    await running.start()
+    yield running
+    await running.close()
+
+
 @pytest.fixture
 async def client(request: pytest.FixtureRequest) -> AsyncIterator[SiteClient]:
     """Provide a caller with the key of the site's first customer."""
--- a/tests/rigs.py
+++ b/tests/rigs.py
@@ -6,7 +6,7 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from itertools import count
 from pathlib import Path
@@ -118,17 +118,24 @@
         ]
         self.site.platform.instances.set_instances([*agents, *entries])
 
-    async def start_process_agent(self) -> tuple[subprocess.Popen, ServiceStandin]:
-        """Route all alerts through an agent in a process of its own."""
+    async def start_process_agent(
+        self, start_front: Callable[[str], Awaitable[str]] | None = None
+    ) -> tuple[subprocess.Popen, ServiceStandin]:
+        """Route all alerts through an agent in a process of its own.
+
+        `start_front` starts what stands before the service with a URL, and returns the
+        URL of that.
+        """
         service = ServiceStandin()
         await service.start()
+        url = await start_front(service.url) if start_front else service.url
         self._services.append(service)
         for agent in self.service_agents():
             await agent.close()
             del self.site.agents[agent.name]
         port = find_free_port()
         path = self._folder / "agent.ini"
-        path.write_text(self._write_settings(port, service.url), encoding="utf-8")
+        path.write_text(self._write_settings(port, url), encoding="utf-8")
         command = [sys.executable, "-m", "mustardquay_node.programs", str(path)]
         process = subprocess.Popen(command, stdout=subprocess.DEVNULL)
         self._processes.append(process)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,7 +4,7 @@
 import signal
 
 import pytest
-from rigs import PROMPT, TOKENS, Rig, check_whole, read_status, wait_until
+from rigs import PROMPT, TOKENS, check_whole, read_status, wait_until
 
 from mustardquay_standins.answers import expected_text
 from mustardquay_standins.clients import read_stream_text
@@ -12,14 +12,6 @@
 pytestmark = pytest.mark.fault
 
 
-@pytest.fixture
-async def rig(tmp_path):
-    running = Rig(tmp_path)
-    await running.start()
-    yield running
-    await running.close()
-
-
 async def test_killed_agent_leaves_an_alert_unknown_and_unrepeated(rig):
     """The agent is killed while its service processes an alert. The caller must get
     "unknown", not "not run", and so must each repeat, through any entry."""
