Mark a version that was used while the store was away, also once it has left

Cause: only what is listed by the time of an update was marked. That a version had been used was kept nowhere, so that the only mark passed for that of all streams.

Change: a gateway keeps the versions that it has listed, or has heard of by the origin of a stream, until it finds them marked; it marks them as soon as the store answers, and takes no other version for the only one until then. After a restore of the store from a copy all versions that it still knows are marked again.

--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/exchanges.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/exchanges.py
@@ -46,6 +46,8 @@
     """Lists the registered gateways, including this one."""
     list_neighbours: Callable[[], Collection[str]]
     """Lists the gateways that exchange digests with this one."""
+    note_used: Callable[[StreamOrigin], None]
+    """Notes where a stream began."""
 
 
 @dataclass(slots=True, eq=False)
@@ -86,14 +88,15 @@
 
     def begin(self, record: OriginRecord) -> None:
         """Note a stream that begins here, and tell its keepers at once."""
-        self._table.note(record, self._now)
+        self.note([record])
         self._running.add(record.key)
         self._send(self._list_keepers(record.key), [record])
 
     def note(self, records: Iterable[OriginRecord]) -> None:
-        """Note origins that were found elsewhere."""
+        """Note where streams began."""
         for record in records:
             self._table.note(record, self._now)
+            self._deps.note_used(record.origin)
 
     def list_running(self) -> list[OriginRecord]:
         """Return the streams that have begun here and not ended."""
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/subsystems.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/subsystems.py
@@ -11,7 +11,6 @@
     OriginRecord,
     StreamOrigin,
     find_only_origin,
-    list_versions,
 )
 from mustardquay.upstream_lists import UpstreamRecord
 
@@ -73,6 +72,7 @@
                 reply=deps.reply,
                 list_gateways=deps.list_gateways,
                 list_neighbours=deps.list_neighbours,
+                note_used=lambda origin: self._markers.note_used(origin),
             )
         )
         self._markers = VersionMarkers(
@@ -184,13 +184,10 @@
 
     async def _find_only(self, service: str) -> FoundOrigin | None:
         """Return the origin of all streams of a service, if there is only one."""
-        if len(self._list_versions(service)) > 1:
+        if len(self._markers.list_in_use(service)) > 1:
             return None
         marks = await self._markers.read(service)
         if marks is None:
             return None
-        origin = find_only_origin(service, marks, self._list_versions(service))
+        origin = find_only_origin(service, marks, self._markers.list_in_use(service))
         return None if origin is None else FoundOrigin(origin, "only_version")
-
-    def _list_versions(self, service: str) -> frozenset[str]:
-        return list_versions(service, self._deps.list_upstreams())
--- a/packages/mustardquay-node/src/mustardquay_node/stream_origins/version_markers.py
+++ b/packages/mustardquay-node/src/mustardquay_node/stream_origins/version_markers.py
@@ -17,7 +17,12 @@
 from mustardquay.clocks import Clock
 from mustardquay.errors import MustardquayError
 from mustardquay.events import EventRing
-from mustardquay.streams import ListedVersions, VersionMarks, list_versions
+from mustardquay.streams import (
+    ListedVersions,
+    StreamOrigin,
+    VersionMarks,
+    list_versions,
+)
 from mustardquay.tables import Condition, Row, Transaction, Write
 from mustardquay.upstream_lists import UpstreamRecord
 
@@ -82,6 +87,17 @@
         """Return whether the software version of an upstream is marked."""
         return upstream.software_version in self._marked[upstream.service]
 
+    def note_used(self, origin: StreamOrigin) -> None:
+        """Note a version at which a stream began, here or at another gateway."""
+        marked = self._marked[origin.service]
+        if origin.version not in marked:
+            now = self._deps.clock.monotonic()
+            self._listed[origin.service].note([origin.version], marked, now)
+
+    def list_in_use(self, service: str) -> frozenset[str]:
+        """Return the versions that are listed, or were used and not marked yet."""
+        return self._list_versions(service) | self._listed[service].unmarked
+
     def knows(self, service: str) -> bool:
         """Return whether any mark of a service is known here."""
         return bool(self._marked[service])
@@ -94,6 +110,8 @@
     def note_era(self) -> None:
         """Mark all versions again: the store was restored from a copy."""
         self._marked.clear()
+        for versions in self._listed.values():
+            versions.note_marks_lost()
 
     async def read(self, service: str) -> VersionMarks | None:
         """Return the marks of a service as of now or later, None without an answer."""
@@ -139,17 +157,20 @@
         if self._listed[service].find_expired(now):
             return True
         self._marked[service] &= listed | self._listed[service].find_known(marked, now)
-        return not listed <= self._marked[service]
+        return not self.list_in_use(service) <= self._marked[service]
 
     def _list_versions(self, service: str) -> frozenset[str]:
         return list_versions(service, self._deps.list_upstreams())
 
     async def _update(self, service: str) -> None:
-        """Mark the listed versions of a service, and unmark those gone for long."""
+        """Mark the versions of a service in use, and unmark those gone for long.
+
+        One that was used while the store was away is marked also if it has left.
+        """
         marks = await self._read_marks(service)
-        listed = self._list_versions(service)
+        listed, unmarked = self._list_versions(service), self._listed[service].unmarked
         expired = self._listed[service].find_expired(self._deps.clock.monotonic())
-        versions = (marks.versions - expired) | listed
+        versions = ((marks.versions | unmarked) - expired) | listed
         if versions == marks.versions:
             self._listed[service].forget(expired)
             return
--- a/packages/mustardquay-node/tests/test_stream_origins.py
+++ b/packages/mustardquay-node/tests/test_stream_origins.py
@@ -69,6 +69,46 @@
     play(story)
 
 
+@pytest.mark.parametrize("count", [1, 3, 28])
+@pytest.mark.parametrize("served_for", [0.05, 1.0])
+def test_a_version_that_was_used_while_the_store_was_away_is_marked(count, served_for):
+    """Guards against its streams, taken for ones of the only version that is marked."""
+
+    async def story():
+        fleet = Fleet(count, make_upstreams("v1"))
+        fleet.store.silent_until = asyncio.get_running_loop().time() + 3
+        fleet.begin("front-0", 7, OLD)
+        await asyncio.sleep(served_for)
+        fleet.upstreams = make_upstreams("v1.1")
+        await asyncio.sleep(6)
+        rows = fleet.store.rows
+        assert rows[MARKS_TABLE, "llm"].value == {"versions": ["v1", "v1.1"]}
+        await fleet.restart(*fleet.members)
+        assert await fleet.find("front-0", 8) is None
+        await fleet.close()
+
+    play(story)
+
+
+def test_a_version_that_left_is_marked_again_in_a_restored_store():
+    """Guards against a copy of the store that lacks a mark, and only that one."""
+
+    async def story():
+        fleet = Fleet(3, make_upstreams("v1"))
+        await asyncio.sleep(5)
+        fleet.upstreams = make_upstreams("v1.1")
+        await asyncio.sleep(5)
+        fleet.store.rows.clear()
+        for member in fleet.members.values():
+            member.note_era()
+        await asyncio.sleep(5)
+        rows = fleet.store.rows
+        assert rows[MARKS_TABLE, "llm"].value == {"versions": ["v1", "v1.1"]}
+        await fleet.close()
+
+    play(story)
+
+
 @pytest.mark.parametrize("count", FLEETS)
 def test_streams_cost_a_few_datagrams_and_no_call(count):
     """Guards against costs of a stream that grow with the fleet."""
--- a/packages/mustardquay/src/mustardquay/streams/version_marks.py
+++ b/packages/mustardquay/src/mustardquay/streams/version_marks.py
@@ -38,10 +38,26 @@
 
 
 class ListedVersions:
-    """When a process last listed the software versions of one service."""
+    """When a process last listed the software versions of one service.
+
+    >>> versions = ListedVersions()
+    >>> versions.note({"1"}, marked=(), now=timedelta())
+    >>> versions.note({"2"}, marked={"2"}, now=timedelta(seconds=1))
+    >>> versions.unmarked
+    frozenset({'1'})
+    """
 
     def __init__(self) -> None:
         self._listed_at: dict[str, timedelta] = {}
+        self._unmarked: set[str] = set()
+
+    @property
+    def unmarked(self) -> frozenset[str]:
+        """Return the versions that were listed and not found marked since.
+
+        Streams may have begun at them while the store was away, also if they have left.
+        """
+        return frozenset(self._unmarked)
 
     def note(
         self, listed: Iterable[str], marked: Iterable[str], now: timedelta
@@ -54,6 +70,12 @@
             self._listed_at.setdefault(version, now)
         for version in listed:
             self._listed_at[version] = now
+        self._unmarked.update(listed)
+        self._unmarked.difference_update(marked)
+
+    def note_marks_lost(self) -> None:
+        """Note that any mark may be gone."""
+        self._unmarked.update(self._listed_at)
 
     def find_known(self, marked: Iterable[str], now: timedelta) -> frozenset[str]:
         """Return the marked versions whose marks are certainly still there."""
@@ -75,6 +97,7 @@
         """Forget versions whose marks are gone."""
         for version in versions:
             self._listed_at.pop(version, None)
+            self._unmarked.discard(version)
 
 
 def find_only_origin(
@@ -83,8 +106,8 @@
     """Return the origin of all streams of a service, None if there may be several.
 
     A version is marked before streams begin at it, so `marks` must have been read after
-    the stream in question began. `listed` are versions that serve now; another one than
-    the marked one may have been used without a mark while the store was away.
+    the stream in question began. `listed` are versions that serve now, or were used
+    without a mark while the store was away.
 
     >>> find_only_origin("app", VersionMarks(frozenset({"1"}), 5), {"1"})
     StreamOrigin(service='app', version='1')
