Let a replacement know what sends it, not its sender, and split what had grown

The modules of the folder `sending` imported each other in a circle, as a replacement held its sender. It gets a function now; the forwarding keeps the sender of the newest one.

--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from functools import partial
 
@@ -21,7 +22,7 @@
 )
 from mustardquay.routing_tables import Repeat
 from mustardquay.streams import TakeUpRefusal
-from mustardquay.upstream_lists import Stage, UpstreamRecord
+from mustardquay.upstream_lists import UpstreamRecord
 from mustardquay.upstream_loads import choose_plain
 
 from .arrivals import VERSION_RETRY_AFTER, take_up_stream
@@ -34,6 +35,7 @@
 from .replies import OUTCOME_UNKNOWN, Failure, Reply
 from .sending import Replacement, Replacements, Send, Sender, find_prefill_state
 from .share_admissions import admit_plain, send_plain
+from .upstream_rests import find_retry_after, find_shortest_rest
 
 __all__ = ["forward"]
 
@@ -108,10 +110,10 @@
         self._deps = deps
         self._request = request
         self._reply = reply
-        self._replacements = Replacements(
-            deps, self._make_replacing_sender, self._send_beside
-        )
+        self._replacements = Replacements(deps, self._prepare_replacement)
         self._sender = Sender(deps, request, reply, self._replacements)
+        self._replacing_sender = self._sender
+        """That of the newest replacement."""
 
     async def run(self) -> None:
         """Send, and retry where that is allowed and can succeed."""
@@ -168,21 +170,27 @@
             return await self._send(self._request, self._sender)
         replacement = self._replacements.take(SendResult(self._request.last_end))
         self._sender.release()
-        self._request, self._sender = replacement.request, replacement.sender
+        self._request, self._sender = replacement.request, self._replacing_sender
         return await replacement.task or await self._send(self._request, self._sender)
 
-    def _make_replacing_sender(self, replacement: Replacement) -> Sender:
-        return Sender(
+    def _prepare_replacement(
+        self, replacement: Replacement
+    ) -> Callable[[], Awaitable[Send | None]]:
+        """Return what sends a request beside a send of it that has met a silence."""
+        sender = Sender(
             self._deps,
             replacement.request,
             self._reply,
             self._replacements,
             replacement,
         )
+        self._replacing_sender = sender
+        return partial(self._send_beside, replacement, sender)
 
-    async def _send_beside(self, replacement: Replacement) -> Send | None:
-        """Send a request beside a send of it that has met a silence."""
-        request, sender = replacement.request, replacement.sender
+    async def _send_beside(
+        self, replacement: Replacement, sender: Sender
+    ) -> Send | None:
+        request = replacement.request
         kept = request.prefill
         send = await self._send(request, sender)
         if send is not None and not replacement.is_taken:
@@ -369,29 +377,16 @@
             self._reply.pass_on(send.head, send.content)
             self._record_times()
         else:
-            self._reply.refuse(send.end.value, self._find_retry_after(send))
-
-    def _find_retry_after(self, send: Send) -> timedelta:
-        """Return when a caller may come back whose request an upstream refused."""
-        if send.facts is not None and send.facts.retry_after and not send.facts.rest:
-            return send.facts.retry_after
-        # Another upstream may accept the request long before this one has rested.
-        return self._find_shortest_rest() or DEFAULT_RETRY_AFTER
-
-    def _find_shortest_rest(self) -> timedelta:
-        """Return the time until an upstream has rested, 0 if not all of them rest."""
-        deps = self._deps
-        return deps.statements.find_shortest_rest(
-            upstream
-            for upstream in deps.upstreams.list_usable(self._request.service)
-            if upstream.stage is not Stage.PREFILL
-        )
+            retry_after = find_retry_after(self._deps, self._request.service, send)
+            self._reply.refuse(send.end.value, retry_after)
 
     def _refuse_without_upstream(
         self, reason: str = "no_upstream", retry_after: timedelta | None = None
     ) -> None:
         """Answer a request for which there is no upstream, or none left to try."""
-        rest = timedelta() if retry_after else self._find_shortest_rest()
+        rest = timedelta()
+        if not retry_after:
+            rest = find_shortest_rest(self._deps, self._request.service)
         if rest:
             reason = "resting"
             # Jitter keeps callers refused during one rest from returning at its end.
--- a/packages/mustardquay-node/src/mustardquay_node/sending/replacements.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/replacements.py
@@ -8,16 +8,12 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import TYPE_CHECKING
 
 from mustardquay.requests import SendResult
 
 from ..forwarder_dependencies import ForwardedRequest, ForwarderDependencies
 from .results import Send
 
-if TYPE_CHECKING:
-    from .senders import Sender
-
 __all__ = ["Replacement", "Replacements"]
 
 CANCELLED = "cancelled"
@@ -28,6 +24,10 @@
 """Time for which an upstream that has refused a request isn't asked again."""
 
 
+SendBeside = Callable[[], Awaitable[Send | None]]
+"""Chooses an upstream and sends; None if there is none."""
+
+
 class Replacement:
     """One further send of a request, beside the send that it may replace."""
 
@@ -44,10 +44,8 @@
         more of its answer is there than was read, and `on_taken` ends it.
         """
         self.request = request
-        self.sender: Sender | None = None
-        """Set as it is started, like `task`."""
         self.task: asyncio.Task[Send | None] | None = None
-        """Ends with the result of the send; None if there is no upstream."""
+        """Set as it is started; ends with the result, None if there is no upstream."""
         self._is_prefill = is_prefill
         self._has_more = has_more
         self._on_taken = on_taken
@@ -100,13 +98,11 @@
     def __init__(
         self,
         deps: ForwarderDependencies,
-        make_sender: Callable[[Replacement], "Sender"],
-        send: Callable[[Replacement], Awaitable[Send | None]],
+        prepare: Callable[[Replacement], SendBeside],
     ):
-        """Take `send`, which chooses an upstream and sends; None if there is none."""
+        """Take `prepare`, which is called as a replacement starts."""
         self._deps = deps
-        self._make_sender = make_sender
-        self._send = send
+        self._prepare = prepare
         self._running: Replacement | None = None
         self._refused: dict[str, timedelta] = {}
         """When upstreams refused the request."""
@@ -130,8 +126,8 @@
         """Send a request once more, beside the send that it may replace."""
         self._running = replacement
         self._record("replacement.started", replaced)
-        replacement.sender = self._make_sender(replacement)
-        replacement.task = asyncio.create_task(self._run(replacement, replaced))
+        send = self._prepare(replacement)
+        replacement.task = asyncio.create_task(self._run(replacement, replaced, send))
 
     def stop(self) -> None:
         """End the replacement that runs, as its caller has left."""
@@ -149,7 +145,7 @@
 
     def release(self) -> None:
         """Drop the callbacks, by which a request would refer to itself."""
-        del self._make_sender, self._send
+        del self._prepare
 
     async def close(self) -> None:
         """End what runs."""
@@ -159,12 +155,15 @@
             await asyncio.gather(task, return_exceptions=True)
 
     async def _run(
-        self, replacement: Replacement, replaced: ForwardedRequest
+        self,
+        replacement: Replacement,
+        replaced: ForwardedRequest,
+        send_beside: SendBeside,
     ) -> Send | None:
         send = None
         end = CANCELLED
         try:
-            send = await self._send(replacement)
+            send = await send_beside()
             end = NO_UPSTREAM if send is None else send.end.value
             return send
         except Exception as error:
--- a/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/senders.py
@@ -3,12 +3,11 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
-from mustardquay.errors import ProtocolError
 from mustardquay.generation_limits import rank_generation
 from mustardquay.requests import SendResult
 from mustardquay.routing_tables import Repeat
 from mustardquay.run_evidence import AnswerVerdict, judge_answer
-from mustardquay.streams import EventFramer, StreamOrigin, is_stream_complete
+from mustardquay.streams import EventFramer, StreamOrigin
 from mustardquay.upstream_capacity import estimate_wait
 from mustardquay.upstream_lists import UpstreamRecord
 
@@ -18,7 +17,12 @@
 from ..replies import Reply
 from ..usage import may_have_begun, note_begun
 from .classifications import classify_send, is_stream_answer
-from .confirmations import confirm_end, is_success
+from .confirmations import (
+    confirm_end,
+    holds_whole_events,
+    is_prefill_complete,
+    is_success,
+)
 from .large_answers import LargeAnswer
 from .observations import SUCCESS_STATUSES, observe_end, observe_head
 from .permissions import is_unchanged, may_send_now
@@ -343,24 +347,10 @@
     def _is_complete(
         self, send: Send, exchange: Exchange, options: SendOptions
     ) -> bool:
-        """Return whether an answer that has ended by its framing holds all it should.
-
-        Guards against upstreams that crash: their answers may end just as whole ones.
-        """
         if options.prefill_only:
-            return exchange.head.status != 200 or self._is_prefilled(exchange)
-        if not self._is_stream(send, exchange):
-            return True
-        return is_stream_complete(
-            exchange.framing, self._framer.events, self._framer.is_inside_event
-        )
-
-    def _is_prefilled(self, exchange: Exchange) -> bool:
-        try:
-            self._deps.adapter.read_prefilled(exchange.content)
-        except ProtocolError:
-            return False
-        return True
+            return is_prefill_complete(exchange, self._deps.adapter)
+        is_stream = self._is_stream(send, exchange)
+        return not is_stream or holds_whole_events(exchange, self._framer)
 
     def _record_end(
         self, send: Send, exchange: Exchange, end: str, options: SendOptions
