--- a/packages/mustardquay-node/src/mustardquay_node/forwardings.py
+++ b/packages/mustardquay-node/src/mustardquay_node/forwardings.py
@@ -113,7 +113,7 @@
         self._replacements = Replacements(deps, self._prepare_replacement)
         self._sender = Sender(deps, request, reply, self._replacements)
         self._replacing_sender = self._sender
-        """That of the newest replacement."""
+        """The sender of the newest replacement."""
 
     async def run(self) -> None:
         """Send, and retry where that is allowed and can succeed."""
@@ -176,7 +176,7 @@
     def _prepare_replacement(
         self, replacement: Replacement
     ) -> Callable[[], Awaitable[Send | None]]:
-        """Return what sends a request beside a send of it that has met a silence."""
+        """Return what carries a replacement out."""
         sender = Sender(
             self._deps,
             replacement.request,
@@ -190,6 +190,7 @@
     async def _send_beside(
         self, replacement: Replacement, sender: Sender
     ) -> Send | None:
+        """Send a request beside a send of it that has met a silence."""
         request = replacement.request
         kept = request.prefill
         send = await self._send(request, sender)
@@ -335,7 +336,7 @@
             self._reply.count("caller_left")
             return False
         if send.end is SendResult.ANSWERED and send.status not in FAILED_STATUSES:
-            # It goes out, whatever another upstream may answer.
+            # A ready answer goes out, whatever another upstream may answer.
             self._replacements.stop()
         if self._replacements.is_promising:
             step = NextStep.RESUME if self._reply.has_begun else NextStep.SEND_AGAIN
--- a/packages/mustardquay-node/src/mustardquay_node/sending/replacements.py
+++ b/packages/mustardquay-node/src/mustardquay_node/sending/replacements.py
@@ -130,7 +130,7 @@
         replacement.task = asyncio.create_task(self._run(replacement, replaced, send))
 
     def stop(self) -> None:
-        """End the replacement that runs, as its caller has left."""
+        """End the replacement that runs, as its answer is not needed any more."""
         if self._running is not None:
             self._running.stop()
 
