Ask again for each end of a send that may have run, as the test of evidence did

When the state machine of the ledger got its two new invariants, they were put in the middle of an older one, so that its loop over ends (no refusal, and no further send of what runs at most once) was asked only after a promise. That weakened the check by mistake.

--- a/packages/mustardquay/tests/test_run_evidence.py
+++ b/packages/mustardquay/tests/test_run_evidence.py
@@ -150,6 +150,11 @@
             return
         if self.runs or self.sends:
             assert not self.ledger.is_surely_not_run
+            for end in (SendResult.NOT_RUN, SendResult.NOT_SENT, SendResult.BROKEN):
+                step = decide_next(self.route, self.history, end, 0, self.route.timeout)
+                assert step is not NextStep.REFUSE
+                if self.runs and self.route.repeat is Repeat.AT_MOST_ONCE:
+                    assert step is not NextStep.SEND_AGAIN
 
     @invariant()
     def runs_once_unless_it_may_be_repeated(self):
@@ -160,11 +165,6 @@
     def never_runs_after_a_promise(self):
         if hasattr(self, "ledger") and self.is_refused:
             assert not self.runs
-            for end in (SendResult.NOT_RUN, SendResult.NOT_SENT, SendResult.BROKEN):
-                step = decide_next(self.route, self.history, end, 0, self.route.timeout)
-                assert step is not NextStep.REFUSE
-                if self.runs and self.route.repeat is Repeat.AT_MOST_ONCE:
-                    assert step is not NextStep.SEND_AGAIN
 
 
 TestRequests = Requests.TestCase
